--- /dev/null
+++ b/src/coursejunction/control/configuration_writer.hpp
@@ -0,0 +1,169 @@
+/*! @file
+ * @brief Writes the configuration by compare-and-swap, and finds out what
+ * became of a write whose answer was lost.
+ */
+#ifndef COURSEJUNCTION_CONTROL_CONFIGURATION_WRITER_HPP
+#define COURSEJUNCTION_CONTROL_CONFIGURATION_WRITER_HPP
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "coursejunction/core/result.hpp"
+#include "coursejunction/resource/configuration.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief A value as the key-value service returned it. */
+struct stored_value
+{
+    std::uint64_t index{0}; /*!< Index of the last change; 0 when absent. */
+    std::string text;
+};
+
+/*! @brief What became of one compare-and-swap. */
+enum class swap_outcome : std::uint8_t
+{
+    swapped,
+    lost_race,
+    not_sent,
+    unknown
+};
+
+/*! @brief What became of a change. */
+struct write_result
+{
+    /*! @brief The configuration in force after it, when it was accepted. */
+    result<configuration> end;
+    write_id id;
+};
+
+/*! @brief Asynchronous access to the one key that holds the configuration. */
+template <typename Store>
+concept Configuration_store =
+    requires(Store store, std::function<void(result<stored_value>)> read,
+             std::function<void(swap_outcome)> swapped) {
+        store.read(read);
+        store.swap(std::uint64_t{}, std::string{}, swapped);
+        store.later(std::function<void()>{});
+        { store.expired() } -> std::convertible_to<bool>;
+    };
+
+/*! @brief One write from an operator, from first read to a certain end or to
+ * "unknown" when the service stays silent until the store says `expired`.
+ * @tparam Store A `Configuration_store`; it must outlive the write. */
+template <typename Store>
+class configuration_writer
+    : public std::enable_shared_from_this<configuration_writer<Store>>
+{
+public:
+    using done_callback = std::function<void(write_result)>;
+
+    /*! @brief Starts a write.
+     * @param floor Revision already in force: an older read is stale. */
+    static void start(Store& store, configuration_change change, write_id id,
+                      revision floor, done_callback done)
+    {
+        auto made = std::shared_ptr<configuration_writer>(
+            new configuration_writer(store, std::move(change), std::move(id),
+                                     floor, std::move(done)));
+        made->read();
+    }
+
+private:
+    configuration_writer(Store& target, configuration_change what, write_id own,
+                         revision least, done_callback call)
+        : store(target), change(std::move(what)), id(std::move(own)),
+          floor(least), done(std::move(call))
+    {
+    }
+
+    void read()
+    {
+        store.read([self = this->shared_from_this()](result<stored_value> got)
+                   { self->on_read(std::move(got)); });
+    }
+
+    void on_read(result<stored_value> got)
+    {
+        if (!got)
+            return again(error_kind::unavailable);
+        auto now = got.value().index == 0
+                       ? result<configuration>(configuration())
+                       : configuration::parse(got.value().text);
+        if (!now)
+            return finish(failure(error_kind::refused,
+                                  "stored configuration cannot be read"));
+        if (now.value().number() < floor)
+            return again(error_kind::unavailable);
+        if (now.value().written(id))
+            return finish(std::move(now.value()));
+        auto next = now.value().apply(change, id);
+        if (!next)
+            return finish(failure(next.error().kind, next.error().message));
+        swap(got.value().index, std::move(next.value()));
+    }
+
+    void swap(std::uint64_t index, configuration next)
+    {
+        const auto text = next.text();
+        store.swap(index, text,
+                   [self = this->shared_from_this(),
+                    next = std::move(next)](swap_outcome end)
+                   { self->on_swap(end, next); });
+    }
+
+    void on_swap(swap_outcome end, const configuration& next)
+    {
+        switch (end)
+        {
+        case swap_outcome::swapped:
+            return finish(next);
+        case swap_outcome::lost_race:
+            return read();
+        case swap_outcome::not_sent:
+            return again(error_kind::unavailable);
+        case swap_outcome::unknown:
+            // The write may have taken effect, or may still: read back. The
+            // same write id makes a second try harmless.
+            maybe_written = true;
+            return again(error_kind::unknown);
+        }
+    }
+
+    void again(error_kind when_expired)
+    {
+        if (!store.expired())
+            return store.later([self = this->shared_from_this()]
+                               { self->read(); });
+        const auto kind =
+            maybe_written ? error_kind::unknown : when_expired;
+        finish(failure(kind, kind == error_kind::unknown
+                                 ? "the change may or may not take effect"
+                                 : "the key-value service does not answer; "
+                                   "nothing was changed"));
+    }
+
+    void finish(result<configuration> end)
+    {
+        const auto call = std::move(done);
+        call({std::move(end), id});
+    }
+
+    Store& store;
+    configuration_change change;
+    write_id id;
+    revision floor;
+    done_callback done;
+    bool maybe_written{false};
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/control/key_value_client.cpp
@@ -0,0 +1,203 @@
+#include "coursejunction/control/key_value_client.hpp"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include "coursejunction/core/digest.hpp"
+#include "coursejunction/net/event_loop.hpp"
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+constexpr int http_not_found = 404;
+constexpr int http_too_many = 429;
+constexpr milliseconds write_retry{150};
+
+result<std::string> base64_decoded(const std::string& text)
+{
+    std::string plain(text.size() / 4 * 3 + 1, '\0');
+    const int count = EVP_DecodeBlock(
+        reinterpret_cast<unsigned char*>(plain.data()),
+        reinterpret_cast<const unsigned char*>(text.data()),
+        static_cast<int>(text.size()));
+    if (count < 0)
+        return failure(error_kind::refused, "not base64");
+    auto length = static_cast<std::size_t>(count);
+    for (auto at = text.size(); at > 0 && text[at - 1] == '='; --at)
+        --length;
+    plain.resize(length);
+    return plain;
+}
+
+result<stored_value> parse_value(const std::string& body)
+{
+    const auto list = nlohmann::json::parse(body, nullptr, false);
+    if (!list.is_array() || list.size() != 1 || !list[0].is_object())
+        return failure(error_kind::refused, "not a stored value");
+    const auto& one = list[0];
+    if (!one.contains("ModifyIndex") || !one["ModifyIndex"].is_number() ||
+        !one.contains("Value") || !one["Value"].is_string())
+        return failure(error_kind::refused, "not a stored value");
+    auto text = base64_decoded(one["Value"].get<std::string>());
+    if (!text)
+        return failure(text.error().kind, text.error().message);
+    return stored_value{one["ModifyIndex"].get<std::uint64_t>(),
+                        std::move(text.value())};
+}
+
+result<stored_value> read_result(const http_result& end)
+{
+    if (end.reach == http_reach::answered && end.status == http_not_found)
+        return stored_value{};
+    if (!end.ok())
+        return failure(error_kind::unavailable,
+                       "key-value service: " + end.fault);
+    return parse_value(end.body);
+}
+
+swap_outcome swap_result(const http_result& end)
+{
+    if (end.ok())
+        return end.body.rfind("true", 0) == 0 ? swap_outcome::swapped
+                                              : swap_outcome::lost_race;
+    const bool refused = end.reach == http_reach::answered &&
+                         end.status == http_too_many;
+    if (refused || end.reach == http_reach::not_sent)
+        return swap_outcome::not_sent;
+    return swap_outcome::unknown;
+}
+
+} // namespace internal
+
+std::string fence_key(const instance_id& upstream)
+{
+    return "coursejunction/fence/" + to_hex(upstream.value());
+}
+
+std::string claim_key(const request_id& request)
+{
+    return "coursejunction/claims/" + digest::of(request.value()).hex();
+}
+
+key_value_client::key_value_client(http_client& carrier, std::string base,
+                                   milliseconds limit)
+    : client(carrier), url(std::move(base)), timeout(limit)
+{
+}
+
+void key_value_client::read(const std::string& key, read_callback done)
+{
+    ++made;
+    http_call call;
+    call.url = url + "/v1/kv/" + key;
+    call.timeout = timeout;
+    client.start(std::move(call), [done = std::move(done)](http_result end)
+                 { done(internal::read_result(end)); });
+}
+
+void key_value_client::watch(const std::string& key, std::uint64_t index,
+                             milliseconds wait, read_callback done)
+{
+    ++made;
+    http_call call;
+    call.url = url + "/v1/kv/" + key + "?index=" + std::to_string(index) +
+               "&wait=" + std::to_string(wait.count() / 1000) + "s";
+    call.timeout = wait + timeout;
+    client.start(std::move(call), [done = std::move(done)](http_result end)
+                 { done(internal::read_result(end)); });
+}
+
+void key_value_client::put(const std::string& path, std::string body,
+                           swap_callback done)
+{
+    ++made;
+    http_call call;
+    call.method = "PUT";
+    call.url = url + path;
+    call.body = std::move(body);
+    call.timeout = timeout;
+    client.start(std::move(call), [done = std::move(done)](http_result end)
+                 { done(internal::swap_result(end)); });
+}
+
+void key_value_client::swap(const std::string& key, std::uint64_t index,
+                            std::string text, swap_callback done)
+{
+    put("/v1/kv/" + key + "?cas=" + std::to_string(index), std::move(text),
+        std::move(done));
+}
+
+void key_value_client::acquire(const std::string& key,
+                               const std::string& session, std::string text,
+                               swap_callback done)
+{
+    put("/v1/kv/" + key + "?acquire=" + session, std::move(text),
+        std::move(done));
+}
+
+void key_value_client::open_session(std::chrono::seconds ttl,
+                                    session_callback done)
+{
+    ++made;
+    http_call call;
+    call.method = "PUT";
+    call.url = url + "/v1/session/create";
+    call.body = nlohmann::json{{"TTL", std::to_string(ttl.count()) + "s"},
+                               {"Behavior", "delete"}}
+                    .dump();
+    call.timeout = timeout;
+    client.start(
+        std::move(call),
+        [done = std::move(done)](const http_result& end)
+        {
+            const auto body = nlohmann::json::parse(end.body, nullptr, false);
+            if (!end.ok() || !body.is_object() || !body.contains("ID"))
+                return done(failure(error_kind::unavailable, "no session"));
+            done(body["ID"].get<std::string>());
+        });
+}
+
+struct configuration_store::implementation
+{
+    event_loop& loop;
+    key_value_client& client;
+    time_point deadline;
+    timer pause;
+};
+
+configuration_store::configuration_store(event_loop& owner,
+                                         key_value_client& service,
+                                         time_point deadline)
+    : self(std::make_unique<implementation>(
+          implementation{owner, service, deadline, {}}))
+{
+}
+
+configuration_store::~configuration_store() = default;
+
+void configuration_store::read(key_value_client::read_callback done)
+{
+    self->client.read(configuration_key, std::move(done));
+}
+
+void configuration_store::swap(std::uint64_t index, std::string text,
+                               key_value_client::swap_callback done)
+{
+    self->client.swap(configuration_key, index, std::move(text),
+                      std::move(done));
+}
+
+void configuration_store::later(std::function<void()> task)
+{
+    self->pause = self->loop.after(internal::write_retry, std::move(task));
+}
+
+bool configuration_store::expired() const
+{
+    return event_loop::now() >= self->deadline;
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/daemon/fwd.hpp
@@ -0,0 +1,22 @@
+/*! @file
+ * @brief Declares the types of the daemon module.
+ */
+#ifndef COURSEJUNCTION_DAEMON_FWD_HPP
+#define COURSEJUNCTION_DAEMON_FWD_HPP
+
+namespace coursejunction
+{
+
+class node;
+class entry;
+class side;
+class request_service;
+class resource_api;
+class report_service;
+class run_service;
+class transfer_service;
+class upstream_client;
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -0,0 +1,740 @@
+#include "coursejunction/daemon/request_service.hpp"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+#include <nlohmann/json.hpp>
+
+#include "coursejunction/core/digest.hpp"
+#include "coursejunction/daemon/node.hpp"
+#include "coursejunction/route/fair_queue.hpp"
+#include "coursejunction/route/upstream_table.hpp"
+#include "coursejunction/run/retry_budget.hpp"
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+using nlohmann::json;
+
+constexpr std::size_t prefix_block = 64;
+constexpr std::size_t max_prefix_blocks = 32;
+constexpr std::size_t max_whole_answer = std::size_t{32} << 20U;
+constexpr unsigned max_attempts = 4;
+constexpr double retry_portion = 0.1;
+constexpr double retry_depth = 20;
+constexpr milliseconds no_upstream_retry{1000};
+constexpr milliseconds least_deadline{1};
+constexpr milliseconds most_deadline{3'600'000};
+constexpr std::string_view services_path = "/services/";
+
+std::string_view name_of(outcome what)
+{
+    switch (what)
+    {
+    case outcome::answered:
+        return "answered";
+    case outcome::not_run:
+        return "not_run";
+    case outcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+/*! @brief Hashes of a prompt's prefixes in whole blocks, longest first. */
+std::vector<std::uint64_t> prefix_hashes(std::string_view prompt)
+{
+    std::vector<std::uint64_t> hashes;
+    const auto blocks =
+        std::min(prompt.size() / prefix_block, max_prefix_blocks);
+    for (std::size_t count = blocks; count > 0; --count)
+        hashes.push_back(stable_hash(prompt.substr(0, count * prefix_block)));
+    return hashes;
+}
+
+} // namespace internal
+
+struct request_service::implementation
+{
+    using queue_key = std::pair<std::string, std::string>;
+
+    /*! @brief One request of a caller. */
+    struct live_request
+    {
+        std::uint64_t stream{0};
+        std::uint32_t attempt{0};
+        request_id id;
+        organisation_id organisation;
+        route_request route;
+        std::string path;
+        std::string body;
+        std::int32_t priority{0};
+        bool not_repeatable{false};
+        bool streamed{false};
+        bool begun{false};
+        bool running{false};
+        std::uint32_t parts{0};
+        std::string gathered;
+        instance_id upstream;
+        time_point arrived{};
+        time_point started{};
+        time_point deadline{};
+        std::shared_ptr<http_reply> reply;
+    };
+
+    using pointer = std::shared_ptr<live_request>;
+
+    explicit implementation(node& owner) : host(owner) {}
+
+    static time_point now() { return event_loop::now(); }
+
+    // Arrival.
+
+    void request(http_request from, const std::shared_ptr<http_reply>& reply)
+    {
+        auto one = std::make_shared<live_request>();
+        one->reply = reply;
+        one->arrived = now();
+        if (const auto fault = parse(*one, from); !fault.empty())
+            return refuse_input(reply, fault);
+        if (host.is_leaving() && host.leaving_for() > leave_accept)
+            return answer_not_run(*one, 503, "this entry is leaving",
+                                  milliseconds(100));
+        if (live.size() >= host.settings().max_streams)
+            return answer_not_run(*one, 503, "too many requests in progress",
+                                  milliseconds(500));
+        one->stream = ++streams;
+        host.counters().count("requests_total");
+        budget.request();
+        live.emplace(one->stream, one);
+        reply->on_abandoned(
+            [this, stream = one->stream]
+            { host.loop().post([this, stream] { abandoned(stream); }); });
+        place(one);
+    }
+
+    /*! @brief Reads head and body.
+     * @return What is wrong, or nothing. */
+    std::string parse(live_request& into, http_request& from)
+    {
+        const auto id = from.header("request-id");
+        into.id = request_id(id.empty() ? random_id() : id);
+        if (id.size() > 256)
+            return "Request-Id: must have at most 256 bytes";
+        const auto organisation = from.header("organisation");
+        into.organisation =
+            organisation_id(organisation.empty() ? "unnamed" : organisation);
+        into.priority = std::atoi(from.header("priority").c_str());
+        const auto not_repeatable = from.header("not-repeatable");
+        if (!not_repeatable.empty() && not_repeatable != "true" &&
+            not_repeatable != "false")
+            return "Not-Repeatable: must be true or false";
+        into.not_repeatable = not_repeatable == "true";
+        if (into.not_repeatable && id.empty())
+            return "Request-Id: is needed with Not-Repeatable";
+        if (const auto fault = parse_deadline(into, from); !fault.empty())
+            return fault;
+        into.body = std::move(from.body);
+        if (from.path.rfind(internal::services_path, 0) == 0)
+            return parse_service(into, from.path);
+        return parse_completion(into, from.path);
+    }
+
+    std::string parse_deadline(live_request& into, const http_request& from)
+    {
+        const auto text = from.header("deadline-ms");
+        auto allowed = host.settings().default_deadline;
+        if (!text.empty())
+        {
+            allowed = milliseconds(std::atoll(text.c_str()));
+            if (allowed < internal::least_deadline ||
+                allowed > internal::most_deadline)
+                return "Deadline-Ms: must lie between 1 and 3600000";
+        }
+        into.deadline = into.arrived + allowed;
+        return {};
+    }
+
+    static std::string parse_service(live_request& into,
+                                     const std::string& path)
+    {
+        const auto rest = path.substr(internal::services_path.size());
+        const auto slash = rest.find('/');
+        into.route.kind = "plain";
+        into.route.model = rest.substr(0, slash);
+        into.path = slash == std::string::npos ? "/" : rest.substr(slash);
+        // The same id meets the same side, which may still know its answer.
+        into.route.affinity = into.id.value();
+        return into.route.model.empty() ? "path: names no service" : "";
+    }
+
+    static std::string parse_completion(live_request& into,
+                                        const std::string& path)
+    {
+        const auto body = internal::json::parse(into.body, nullptr, false);
+        if (!body.is_object())
+            return "body: must be a JSON object";
+        if (!body.contains("model") || !body["model"].is_string())
+            return "model: must be a text";
+        if (body.contains("prompt") && !body["prompt"].is_string())
+            return "prompt: must be a text";
+        if (body.contains("stream") && !body["stream"].is_boolean())
+            return "stream: must be true or false";
+        into.route.kind = "model";
+        into.route.model = body["model"].get<std::string>();
+        into.path = path;
+        into.streamed = body.value("stream", false);
+        if (body.contains("prompt"))
+        {
+            const auto& prompt = body["prompt"].get_ref<const std::string&>();
+            into.route.prefixes = internal::prefix_hashes(prompt);
+            if (!into.route.prefixes.empty())
+                into.route.affinity =
+                    std::to_string(into.route.prefixes.back());
+        }
+        return {};
+    }
+
+    // Queue and routing.
+
+    fair_queue& queue_of(const route_request& route)
+    {
+        const queue_key key(route.kind, route.model);
+        const auto found = queues.find(key);
+        if (found != queues.end())
+            return found->second;
+        return queues.emplace(key, fair_queue(host.settings().queue_limit))
+            .first->second;
+    }
+
+    std::chrono::microseconds service_time(const route_request& route) const
+    {
+        const auto found = service_s.find({route.kind, route.model});
+        return from_seconds(found == service_s.end() ? 0 : found->second);
+    }
+
+    /*! @brief Dispatches a request, queues it, or refuses it at once. */
+    void place(const pointer& one)
+    {
+        auto& queue = queue_of(one->route);
+        if (queue.empty())
+        {
+            if (const auto to = choose(*one))
+            {
+                queue.charge(one->organisation);
+                return dispatch(one, *to);
+            }
+        }
+        if (!table.served(one->route, now()))
+            return give_up(one, unserved_status(*one),
+                           "no upstream serves " + one->route.model,
+                           internal::no_upstream_retry);
+        const auto verdict =
+            queue.offer({one->stream, one->organisation, one->priority,
+                         one->deadline},
+                        service_time(one->route), now());
+        if (!verdict.accepted)
+        {
+            host.counters().count("requests_refused_total");
+            return give_up(one, 429, "no room before the deadline",
+                           verdict.retry_after);
+        }
+        host.counters().count("requests_queued_total");
+    }
+
+    int unserved_status(const live_request& one) const
+    {
+        const auto& specs = host.view().current().deployments();
+        const bool known = std::any_of(
+            specs.begin(), specs.end(), [&](const auto& spec)
+            { return spec.second.model == one.route.model; });
+        const bool seen = std::any_of(
+            table.all().begin(), table.all().end(), [&](const auto& state)
+            { return state.second.model == one.route.model; });
+        return known || seen ? 503 : 404;
+    }
+
+    std::optional<instance_id> choose(const live_request& one)
+    {
+        return table.choose(policy, one.route, host.settings().hall,
+                            host.settings().region, now());
+    }
+
+    void pump()
+    {
+        for (auto& [key, queue] : queues)
+        {
+            while (!queue.empty() && pump_one(queue))
+            {
+            }
+        }
+    }
+
+    /*! @brief Dispatches the request that is due first and has an upstream. */
+    bool pump_one(fair_queue& queue)
+    {
+        for (const auto& organisation : queue.order())
+        {
+            const auto* front = queue.front(organisation);
+            const auto found = live.find(front->number);
+            if (found == live.end())
+            {
+                queue.pop(organisation);
+                return true;
+            }
+            const auto one = found->second;
+            const auto to = choose(*one);
+            if (!to)
+                continue;
+            queue.pop(organisation);
+            dispatch(one, *to);
+            return true;
+        }
+        return false;
+    }
+
+    // Attempts.
+
+    void dispatch(const pointer& one, const instance_id& to)
+    {
+        one->upstream = to;
+        one->running = true;
+        one->started = now();
+        ++one->attempt;
+        one->parts = 0;
+        one->gathered.clear();
+        ++table[to].own;
+        message::dispatch ask;
+        ask.stream = one->stream;
+        ask.attempt = one->attempt;
+        ask.request = one->id.value();
+        ask.organisation = one->organisation.value();
+        ask.model = one->route.model;
+        ask.path = one->path;
+        ask.priority = one->priority;
+        ask.deadline_ms = static_cast<std::uint32_t>(
+            std::max<std::int64_t>(1, left(*one).count()));
+        ask.not_repeatable = one->not_repeatable;
+        if (!host.send(to, ask, one->body))
+            attempt_ended(one, outcome::not_run, 503, "side is not known",
+                          milliseconds(100));
+    }
+
+    static milliseconds left(const live_request& one)
+    {
+        return std::chrono::duration_cast<milliseconds>(one.deadline - now());
+    }
+
+    void leave_upstream(const pointer& one)
+    {
+        if (!one->running)
+            return;
+        one->running = false;
+        auto* state = table.find(one->upstream);
+        if (state != nullptr && state->own > 0)
+            --state->own;
+    }
+
+    pointer attempt_of(const instance_id& from, std::uint64_t stream,
+                       std::uint32_t attempt)
+    {
+        const auto found = live.find(stream);
+        if (found == live.end() || found->second->attempt != attempt ||
+            found->second->upstream != from || !found->second->running)
+        {
+            // Late: of an attempt that was given up.
+            host.counters().count("late_frames_total");
+            return nullptr;
+        }
+        return found->second;
+    }
+
+    void part(const instance_id& from, const message::answer_part& head,
+              const std::string& bytes)
+    {
+        const auto one = attempt_of(from, head.stream, head.attempt);
+        if (!one)
+            return;
+        if (head.index != one->parts ||
+            one->gathered.size() + bytes.size() > internal::max_whole_answer)
+            return broken(one, "parts of the answer are missing or too many");
+        ++one->parts;
+        if (!one->streamed)
+        {
+            one->gathered += bytes;
+            return;
+        }
+        if (!one->begun)
+        {
+            one->begun = true;
+            one->reply->begin(200, "text/event-stream",
+                              {{"Request-Id", one->id.value()}});
+            host.counters().observe("time_to_first_token_seconds",
+                                    to_seconds(now() - one->arrived));
+        }
+        one->reply->write(bytes);
+    }
+
+    void broken(const pointer& one, const std::string& reason)
+    {
+        cancel(one);
+        attempt_ended(one, outcome::unknown, 502, reason, milliseconds(0));
+    }
+
+    void cancel(const pointer& one)
+    {
+        message::cancel cancel;
+        cancel.stream = one->stream;
+        cancel.attempt = one->attempt;
+        host.send(one->upstream, cancel);
+    }
+
+    void end(const instance_id& from, const message::answer_end& head)
+    {
+        const auto one = attempt_of(from, head.stream, head.attempt);
+        if (!one)
+            return;
+        if (head.result == outcome::answered && head.parts != one->parts)
+            return broken(one, "parts of the answer are missing");
+        if (head.result == outcome::answered)
+            return answered(one, head);
+        attempt_ended(one, head.result, head.status, head.reason,
+                      milliseconds(head.retry_after_ms));
+    }
+
+    void answered(const pointer& one, const message::answer_end& head)
+    {
+        const auto took = now() - one->started;
+        table.succeeded(one->upstream,
+                        std::chrono::duration_cast<std::chrono::microseconds>(
+                            took));
+        learn(one->route, to_seconds(took));
+        queue_of(one->route).served(now());
+        leave_upstream(one);
+        live.erase(one->stream);
+        host.counters().count("answers_total", 1, {{"outcome", "answered"}});
+        if (one->begun)
+        {
+            one->reply->write("event: outcome\ndata: answered\n\n");
+            one->reply->finish();
+        }
+        else
+        {
+            header_map headers{{"Outcome", "answered"},
+                               {"Request-Id", one->id.value()}};
+            if (!head.weights.empty())
+                headers["Weights"] = head.weights;
+            one->reply->send(head.status, head.content_type, headers,
+                             one->gathered);
+        }
+        pump();
+    }
+
+    void learn(const route_request& route, double seconds)
+    {
+        constexpr double smoothing = 0.05;
+        auto& known = service_s[{route.kind, route.model}];
+        known = known == 0 ? seconds : known + (seconds - known) * smoothing;
+    }
+
+    /*! @brief An attempt gave no answer: try elsewhere, or say so. */
+    void attempt_ended(const pointer& one, outcome what, int status,
+                       const std::string& reason, milliseconds retry_after)
+    {
+        leave_upstream(one);
+        const bool refused = what == outcome::not_run;
+        if (refused && reason == "busy")
+            note_full(one->upstream);
+        else
+            table.failed(one->upstream, now());
+        one->route.excluded.push_back(one->upstream);
+        if (may_retry(*one, what, reason))
+        {
+            host.counters().count("retries_total");
+            return retry(one);
+        }
+        live.erase(one->stream);
+        conclude(*one, what, status, reason, retry_after);
+        pump();
+    }
+
+    /*! @brief The side had no room although it seemed so here: other entries
+     * use it too. */
+    void note_full(const instance_id& upstream)
+    {
+        auto* state = table.find(upstream);
+        if (state == nullptr)
+            return;
+        state->reported = std::max(state->reported, state->slots);
+        state->own_at_report = state->own;
+    }
+
+    /*! @brief Being refused by a gate or a full side costs nobody work, so it
+     * spends none of the budget. */
+    bool may_retry(const live_request& one, outcome what,
+                   const std::string& reason)
+    {
+        if (one.begun || one.attempt >= internal::max_attempts ||
+            left(one).count() <= 0)
+            return false;
+        if (what == outcome::unknown && one.not_repeatable)
+            return false;
+        const bool gate = what == outcome::not_run &&
+                          (reason == "busy" || reason == "closed" ||
+                           reason == "leaving");
+        return gate || budget.spend();
+    }
+
+    void retry(const pointer& one)
+    {
+        if (const auto to = choose(*one))
+            return dispatch(one, *to);
+        // Everybody else is full: all may be asked again.
+        one->route.excluded.clear();
+        place(one);
+    }
+
+    // Answers without a run.
+
+    void give_up(const pointer& one, int status, const std::string& reason,
+                 milliseconds retry_after)
+    {
+        live.erase(one->stream);
+        conclude(*one, outcome::not_run, status, reason, retry_after);
+    }
+
+    void answer_not_run(const live_request& one, int status,
+                        const std::string& reason, milliseconds retry_after)
+    {
+        conclude(one, outcome::not_run, status, reason, retry_after);
+    }
+
+    /*! @brief Gives the final answer at once; a stream that has begun is cut
+     * so that nobody takes it for whole. */
+    void conclude(const live_request& one, outcome what, int status,
+                  const std::string& reason, milliseconds retry_after)
+    {
+        const auto name = std::string(internal::name_of(what));
+        host.counters().count("answers_total", 1, {{"outcome", name}});
+        if (one.begun)
+        {
+            one.reply->write("event: outcome\ndata: " + name + "\n\n");
+            return one.reply->cut();
+        }
+        header_map headers{{"Outcome", name}, {"Request-Id", one.id.value()}};
+        if (what == outcome::not_run && retry_after.count() > 0)
+        {
+            constexpr std::int64_t second = 1000;
+            headers["Retry-After"] = std::to_string(
+                (retry_after.count() + second - 1) / second);
+            headers["Retry-After-Ms"] = std::to_string(retry_after.count());
+        }
+        const internal::json body{{"outcome", name}, {"error", reason}};
+        one.reply->send(status == 0 ? 502 : status, "application/json",
+                        headers, body.dump());
+    }
+
+    static void refuse_input(const std::shared_ptr<http_reply>& reply,
+                             const std::string& fault)
+    {
+        const internal::json body{{"outcome", "not_run"}, {"error", fault}};
+        reply->send(400, "application/json", {{"Outcome", "not_run"}},
+                    body.dump());
+    }
+
+    void abandoned(std::uint64_t stream)
+    {
+        const auto found = live.find(stream);
+        if (found == live.end())
+            return;
+        const auto one = found->second;
+        host.counters().count("callers_left_total");
+        live.erase(found);
+        if (one->running)
+        {
+            cancel(one);
+            leave_upstream(one);
+        }
+        else
+        {
+            queue_of(one->route).remove(one->organisation, stream);
+        }
+        pump();
+    }
+
+    // Sides.
+
+    void reported(const message::report& one)
+    {
+        auto& state = table[instance_id(one.instance)];
+        state.hall = hall_id(one.hall);
+        state.region = region_id(one.region);
+        state.model = one.model;
+        state.kind = one.kind;
+        state.slots = one.slots;
+        state.reported = one.running;
+        state.own_at_report = state.own;
+        state.open = one.phase != "unreachable" &&
+                     (one.kind == "plain" || !one.serving.empty());
+        state.leaving = one.leaving;
+        state.heard = now();
+        state.cached = {one.cached_prefixes.begin(),
+                        one.cached_prefixes.end()};
+        pump();
+    }
+
+    void peer_lost(const instance_id& peer)
+    {
+        auto* state = table.find(peer);
+        if (state != nullptr)
+            state->open = false;
+        std::vector<pointer> affected;
+        for (const auto& [stream, one] : live)
+        {
+            if (one->running && one->upstream == peer)
+                affected.push_back(one);
+        }
+        for (const auto& one : affected)
+            attempt_ended(one, outcome::unknown, 502,
+                          "the connection to the side was lost",
+                          milliseconds(0));
+    }
+
+    // Time.
+
+    void tick()
+    {
+        for (auto& [key, queue] : queues)
+        {
+            const auto service =
+                service_time({key.second, key.first, {}, {}, {}});
+            for (const auto& late : queue.expire(service, now()))
+                expired(late.number, queue);
+        }
+        if (now() - deadlines_checked > deadline_interval)
+            check_deadlines();
+        pump();
+    }
+
+    void expired(std::uint64_t stream, const fair_queue& queue)
+    {
+        const auto found = live.find(stream);
+        if (found == live.end())
+            return;
+        const auto one = found->second;
+        host.counters().count("requests_expired_total");
+        give_up(one, 429, "no room before the deadline",
+                fair_queue::retry_after(
+                    queue.expected_wait(one->organisation, now())));
+    }
+
+    /*! @brief Ends attempts whose deadline has passed before a first part. */
+    void check_deadlines()
+    {
+        deadlines_checked = now();
+        std::vector<pointer> late;
+        for (const auto& [stream, one] : live)
+        {
+            if (one->running && !one->begun && one->deadline <= now())
+                late.push_back(one);
+        }
+        for (const auto& one : late)
+        {
+            cancel(one);
+            leave_upstream(one);
+            live.erase(one->stream);
+            conclude(*one, outcome::unknown, 504, "the deadline has passed",
+                     milliseconds(0));
+        }
+    }
+
+    static constexpr milliseconds leave_accept{3000};
+    static constexpr milliseconds deadline_interval{50};
+
+    node& host;
+    upstream_table table;
+    scored_policy policy;
+    retry_budget budget{internal::retry_portion, internal::retry_depth};
+    std::map<queue_key, fair_queue> queues;
+    std::map<queue_key, double> service_s;
+    std::unordered_map<std::uint64_t, pointer> live;
+    std::uint64_t streams{0};
+    time_point deadlines_checked{};
+};
+
+request_service::request_service(node& owner)
+    : self(std::make_unique<implementation>(owner))
+{
+}
+
+request_service::~request_service() = default;
+
+void request_service::request(http_request from,
+                              const std::shared_ptr<http_reply>& reply)
+{
+    self->request(std::move(from), reply);
+}
+
+void request_service::reported(const message::report& one)
+{
+    self->reported(one);
+}
+
+bool request_service::received(const instance_id& from, frame& one)
+{
+    if (one.type == frame_type::answer_part)
+    {
+        const auto head = decode<message::answer_part>(one.head);
+        if (head)
+            self->part(from, head.value(), one.payload);
+        return true;
+    }
+    if (one.type == frame_type::answer_end)
+    {
+        const auto head = decode<message::answer_end>(one.head);
+        if (head)
+            self->end(from, head.value());
+        return true;
+    }
+    return false;
+}
+
+void request_service::peer_lost(const instance_id& peer)
+{
+    self->peer_lost(peer);
+}
+
+void request_service::tick() { self->tick(); }
+
+std::size_t request_service::size() const { return self->live.size(); }
+
+std::string request_service::dump() const
+{
+    using internal::json;
+    json upstreams = json::array();
+    for (const auto& [id, one] : self->table.all())
+        upstreams.push_back({{"instance", id.value()},
+                             {"model", one.model},
+                             {"open", one.open},
+                             {"leaving", one.leaving},
+                             {"slots", one.slots},
+                             {"load", one.load()},
+                             {"own", one.own},
+                             {"failures", one.failures},
+                             {"service_s", one.service_s}});
+    json waiting = json::array();
+    for (const auto& [key, queue] : self->queues)
+        waiting.push_back({{"kind", key.first},
+                           {"model", key.second},
+                           {"waiting", queue.size()}});
+    return json{{"requests", self->live.size()},
+                {"upstreams", std::move(upstreams)},
+                {"queues", std::move(waiting)}}
+        .dump();
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/daemon/resource_api.cpp
@@ -0,0 +1,460 @@
+#include "coursejunction/daemon/resource_api.hpp"
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+
+#include "coursejunction/core/digest.hpp"
+#include "coursejunction/daemon/node.hpp"
+#include "coursejunction/daemon/report_service.hpp"
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+using nlohmann::json;
+using reply_pointer = std::shared_ptr<http_reply>;
+
+constexpr std::string_view api_root = "/v1/";
+constexpr std::chrono::seconds write_limit{5};
+constexpr std::chrono::seconds watch_most{30};
+constexpr std::size_t max_watches = 256;
+
+int status_of(error_kind kind)
+{
+    switch (kind)
+    {
+    case error_kind::invalid:
+        return 400;
+    case error_kind::not_found:
+        return 404;
+    case error_kind::conflict:
+        return 409;
+    case error_kind::refused:
+        return 500;
+    case error_kind::unavailable:
+    case error_kind::unknown:
+        return 503;
+    }
+    return 500;
+}
+
+std::string_view name_of(error_kind kind)
+{
+    switch (kind)
+    {
+    case error_kind::invalid:
+        return "invalid";
+    case error_kind::not_found:
+        return "not_found";
+    case error_kind::conflict:
+        return "conflict";
+    case error_kind::refused:
+        return "refused";
+    case error_kind::unavailable:
+        return "unavailable";
+    case error_kind::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+void send_json(const reply_pointer& to, int status, const json& body)
+{
+    to->send(status, "application/json", {}, body.dump());
+}
+
+void send_error(const reply_pointer& to, const error& what)
+{
+    send_json(to, status_of(what.kind),
+              {{"error", name_of(what.kind)}, {"message", what.message}});
+}
+
+void send_error(const reply_pointer& to, error_kind kind,
+                const std::string& message)
+{
+    send_error(to, error{kind, message});
+}
+
+std::vector<std::string> path_parts(const std::string& path)
+{
+    std::vector<std::string> parts;
+    std::size_t at = api_root.size();
+    while (at <= path.size())
+    {
+        const auto slash = std::min(path.find('/', at), path.size());
+        if (slash > at)
+            parts.push_back(path.substr(at, slash - at));
+        at = slash + 1;
+    }
+    return parts;
+}
+
+/*! @brief Replicas of a deployment by hall and phase. */
+json hall_summary(const deployment& spec,
+                  const std::vector<const message::report*>& replicas)
+{
+    json halls = json::array();
+    for (const auto& where : spec.placements)
+    {
+        std::map<std::string, int> phases;
+        json failed = json::array();
+        int serving = 0;
+        for (const auto* one : replicas)
+        {
+            if (one->hall != where.hall.value())
+                continue;
+            ++phases[one->phase];
+            serving += one->serving == spec.version.hex() ? 1 : 0;
+            if (!one->reason.empty())
+                failed.push_back({{"instance", one->instance},
+                                  {"phase", one->phase},
+                                  {"reason", one->reason}});
+        }
+        halls.push_back({{"hall", where.hall.value()},
+                         {"wanted", where.count},
+                         {"serving", serving},
+                         {"phases", phases},
+                         {"troubled", std::move(failed)}});
+    }
+    return halls;
+}
+
+json status_json(const deployment& spec, const status_view& view)
+{
+    std::vector<const message::report*> replicas;
+    for (const auto& [id, one] : view.replicas)
+    {
+        if (one.deployment == spec.name.value())
+            replicas.push_back(&one);
+    }
+    std::size_t wanted = 0;
+    for (const auto& where : spec.placements)
+        wanted += where.count;
+    std::uint64_t done = 0;
+    std::uint64_t total = 0;
+    std::uint64_t origin = 0;
+    std::uint64_t cross = 0;
+    std::size_t serving = 0;
+    std::uint64_t oldest = UINT64_MAX;
+    for (const auto* one : replicas)
+    {
+        done += one->bytes_done;
+        total += one->bytes_total;
+        origin += one->origin_bytes;
+        cross += one->cross_hall_bytes;
+        serving += one->serving == spec.version.hex() ? 1 : 0;
+        oldest = std::min(oldest, one->revision);
+    }
+    json silent = json::array();
+    for (const auto& hall : view.silent_halls)
+        silent.push_back(hall.value());
+    return {{"name", spec.name.value()},
+            {"version", spec.version.hex()},
+            {"revision", spec.changed.value()},
+            {"paused", spec.paused},
+            {"wanted", wanted},
+            {"replicas", replicas.size()},
+            {"serving", serving},
+            {"converged", serving >= wanted},
+            {"oldest_revision", replicas.empty() ? 0 : oldest},
+            {"bytes_done", done},
+            {"bytes_total", total},
+            {"origin_bytes", origin},
+            {"cross_hall_bytes", cross},
+            {"silent_halls", std::move(silent)},
+            {"halls", hall_summary(spec, replicas)}};
+}
+
+} // namespace internal
+
+struct resource_api::implementation
+{
+    using reply_pointer = internal::reply_pointer;
+    using json = internal::json;
+    using action = configuration_change::action;
+
+    struct watch
+    {
+        std::uint64_t after{0};
+        reply_pointer reply;
+        timer limit;
+    };
+
+    implementation(node& owner, report_service& from)
+        : host(owner), reports(from)
+    {
+    }
+
+    void request(const http_request& from, const reply_pointer& reply)
+    {
+        if (!allowed(from))
+            return internal::send_json(
+                reply, 401,
+                {{"error", "unauthorised"},
+                 {"message", "Authorization: needs the operators' token"}});
+        const auto parts = internal::path_parts(from.path);
+        if (parts.empty())
+            return missing(reply);
+        if (parts[0] == "deployments" && parts.size() <= 2)
+            return deployments(parts, from, reply);
+        if (parts[0] == "status" && parts.size() <= 2)
+            return status(parts, reply);
+        if (parts[0] == "writes" && parts.size() == 2)
+            return find_write(write_id(parts[1]), reply);
+        if (parts[0] == "leave" && from.method == "POST")
+        {
+            host.leave();
+            return internal::send_json(reply, 202, {{"leaving", true}});
+        }
+        missing(reply);
+    }
+
+    static void missing(const reply_pointer& reply)
+    {
+        internal::send_error(reply, error_kind::not_found, "no such path");
+    }
+
+    bool allowed(const http_request& from) const
+    {
+        const auto given = from.header("authorization");
+        const auto wanted = "Bearer " + host.settings().operator_token;
+        return given.size() == wanted.size() &&
+               CRYPTO_memcmp(given.data(), wanted.data(), wanted.size()) == 0;
+    }
+
+    void deployments(const std::vector<std::string>& parts,
+                     const http_request& from, const reply_pointer& reply)
+    {
+        if (!host.view().ready() && from.method == "GET")
+            return internal::send_error(reply, error_kind::unavailable,
+                                        "no configuration is known yet");
+        const auto name =
+            parts.size() == 2 ? parts[1] : std::string{};
+        if (from.method == "GET" && name.empty())
+            return list(from, reply);
+        if (from.method == "GET")
+            return read(deployment_name(name), reply);
+        if (from.method == "POST" && name.empty())
+            return write(action::create, name, from, reply);
+        if (from.method == "PUT" && !name.empty())
+            return write(action::replace, name, from, reply);
+        if (from.method == "DELETE" && !name.empty())
+            return remove(deployment_name(name), from, reply);
+        internal::send_json(reply, 405, {{"error", "method_not_allowed"}});
+    }
+
+    // Reading.
+
+    void read(const deployment_name& name, const reply_pointer& reply)
+    {
+        const auto* spec = host.view().current().find(name);
+        if (spec == nullptr)
+            return internal::send_error(reply, error_kind::not_found,
+                                        "no deployment " + name.value());
+        internal::send_json(reply, 200, json::parse(spec->json()));
+    }
+
+    void list(const http_request& from, const reply_pointer& reply)
+    {
+        if (!from.parameter("watch"))
+            return send_list(reply);
+        const auto after = std::strtoull(
+            from.parameter("revision").value_or("0").c_str(), nullptr, 10);
+        if (host.view().current().number().value() > after)
+            return send_list(reply);
+        if (watches.size() >= internal::max_watches)
+            return internal::send_error(reply, error_kind::unavailable,
+                                        "too many watches");
+        auto& one = watches.emplace_back();
+        const auto at = std::prev(watches.end());
+        one.after = after;
+        one.reply = reply;
+        one.limit = host.loop().after(internal::watch_most,
+                                      [this, at]
+                                      {
+                                          const auto open = at->reply;
+                                          watches.erase(at);
+                                          send_list(open);
+                                      });
+    }
+
+    void send_list(const reply_pointer& reply)
+    {
+        const auto& now = host.view().current();
+        json items = json::array();
+        for (const auto& [name, spec] : now.deployments())
+            items.push_back(json::parse(spec.json()));
+        internal::send_json(reply, 200,
+                            {{"revision", now.number().value()},
+                             {"items", std::move(items)}});
+    }
+
+    void configuration_changed()
+    {
+        const auto number = host.view().current().number().value();
+        for (auto it = watches.begin(); it != watches.end();)
+        {
+            if (it->after >= number)
+            {
+                ++it;
+                continue;
+            }
+            send_list(it->reply);
+            it = watches.erase(it);
+        }
+    }
+
+    // Writing.
+
+    void write(action kind, const std::string& name, const http_request& from,
+               const reply_pointer& reply)
+    {
+        auto spec = deployment::parse(from.body);
+        if (!spec)
+            return internal::send_error(reply, spec.error());
+        if (kind == action::replace && spec.value().name.value() != name)
+            return internal::send_error(reply, error_kind::invalid,
+                                        "name: differs from the path");
+        configuration_change change;
+        change.kind = kind;
+        change.name = spec.value().name;
+        change.read = spec.value().changed;
+        change.spec = std::move(spec.value());
+        start(std::move(change), reply);
+    }
+
+    void remove(const deployment_name& name, const http_request& from,
+                const reply_pointer& reply)
+    {
+        const auto number = from.parameter("revision");
+        if (!number)
+            return internal::send_error(reply, error_kind::invalid,
+                                        "revision: is missing");
+        configuration_change change;
+        change.kind = action::remove;
+        change.name = name;
+        change.read =
+            revision(std::strtoull(number->c_str(), nullptr, 10));
+        start(std::move(change), reply);
+    }
+
+    void start(configuration_change change, const reply_pointer& reply)
+    {
+        auto store = std::make_shared<configuration_store>(
+            host.loop(), host.key_values(),
+            event_loop::now() + internal::write_limit);
+        const auto name = change.name;
+        configuration_writer<configuration_store>::start(
+            *store, std::move(change), write_id(random_id()),
+            host.view().current().number(),
+            [this, store, name, reply](const write_result& got)
+            { written(name, got, reply); });
+    }
+
+    void written(const deployment_name& name, const write_result& got,
+                 const reply_pointer& reply)
+    {
+        if (!got.end)
+        {
+            host.counters().count(
+                "configuration_writes_total", 1,
+                {{"result", std::string(internal::name_of(
+                                got.end.error().kind))}});
+            json body{{"error", internal::name_of(got.end.error().kind)},
+                      {"message", got.end.error().message}};
+            if (got.end.error().kind == error_kind::unknown)
+                body["write"] = got.id.value();
+            return internal::send_json(
+                reply, internal::status_of(got.end.error().kind), body);
+        }
+        host.counters().count("configuration_writes_total", 1,
+                              {{"result", "accepted"}});
+        host.adopt(got.end.value());
+        const auto* spec = got.end.value().find(name);
+        internal::send_json(
+            reply, 200,
+            {{"write", got.id.value()},
+             {"revision", got.end.value().number().value()},
+             {"deployment",
+              spec == nullptr ? json() : json::parse(spec->json())}});
+    }
+
+    /*! @brief Says what became of a write, from the service itself. */
+    void find_write(const write_id& id, const reply_pointer& reply)
+    {
+        host.key_values().read(
+            configuration_key,
+            [this, id, reply](const result<stored_value>& got)
+            {
+                if (!got)
+                    return internal::send_error(reply, got.error());
+                const auto stored = configuration::parse(got.value().text);
+                const auto made =
+                    stored ? stored.value().written(id) : std::nullopt;
+                if (!made)
+                    return internal::send_json(
+                        reply, 404,
+                        {{"write", id.value()}, {"accepted", false}});
+                host.adopt(stored.value());
+                internal::send_json(reply, 200,
+                                    {{"write", id.value()},
+                                     {"accepted", true},
+                                     {"revision", made->value()}});
+            });
+    }
+
+    // Status.
+
+    void status(const std::vector<std::string>& parts,
+                const reply_pointer& reply)
+    {
+        const auto name = parts.size() == 2 ? parts[1] : std::string{};
+        if (!name.empty() &&
+            host.view().current().find(deployment_name(name)) == nullptr)
+            return internal::send_error(reply, error_kind::not_found,
+                                        "no deployment " + name);
+        reports.status(
+            [this, name, reply](const status_view& view)
+            {
+                json items = json::array();
+                for (const auto& [key, spec] :
+                     host.view().current().deployments())
+                {
+                    if (name.empty() || key.value() == name)
+                        items.push_back(internal::status_json(spec, view));
+                }
+                internal::send_json(
+                    reply, 200,
+                    {{"revision", host.view().current().number().value()},
+                     {"items", std::move(items)}});
+            });
+    }
+
+    node& host;
+    report_service& reports;
+    std::list<watch> watches;
+};
+
+resource_api::resource_api(node& owner, report_service& reports)
+    : self(std::make_unique<implementation>(owner, reports))
+{
+}
+
+resource_api::~resource_api() = default;
+
+void resource_api::request(const http_request& from,
+                           const std::shared_ptr<http_reply>& reply)
+{
+    self->request(from, reply);
+}
+
+void resource_api::configuration_changed() { self->configuration_changed(); }
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/daemon/run_daemon.hpp
@@ -0,0 +1,30 @@
+/*! @file
+ * @brief Main function of the daemon, shared with the build that is faulty on
+ * purpose.
+ */
+#ifndef COURSEJUNCTION_DAEMON_RUN_DAEMON_HPP
+#define COURSEJUNCTION_DAEMON_RUN_DAEMON_HPP
+
+#include "coursejunction/daemon/transfer_service.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Version of the whole package. */
+inline constexpr const char* package_version = "0.1.0";
+
+/*! @brief Exit codes of the daemon. */
+enum class daemon_exit : int
+{
+    stopped = 0, /*!< A planned stop, or `--check` found no fault. */
+    failed = 1,  /*!< The ports could not be opened. */
+    settings = 2 /*!< The command line or the settings are wrong. */
+};
+
+/*! @brief Reads the command line and settings, then runs until stopped.
+ * @param filter Changes chunks before they are sent; empty in the product. */
+[[nodiscard]] int run_daemon(int argc, char** argv, chunk_filter filter = {});
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -0,0 +1,469 @@
+#include "coursejunction/daemon/run_service.hpp"
+
+#include <map>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/daemon/node.hpp"
+#include "coursejunction/daemon/upstream_client.hpp"
+#include "coursejunction/run/run_registry.hpp"
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+constexpr std::size_t remembered_requests = 100'000;
+constexpr std::size_t kept_body = std::size_t{64} << 10U;
+constexpr std::chrono::hours session_ttl{24};
+constexpr std::chrono::hours session_age{1};
+constexpr unsigned claim_attempts = 3;
+constexpr milliseconds claim_retry{150};
+constexpr milliseconds outage_retry{1000};
+constexpr milliseconds busy_retry{100};
+constexpr std::string_view weights_mark = "\"weights\":\"";
+constexpr std::string_view done_mark = "data: [DONE]";
+constexpr std::size_t hash_digits = 64;
+constexpr std::size_t tail_kept = 128;
+
+/*! @brief Looks in a part of an answer for weights other than expected. */
+bool foreign_weights(std::string_view part, const std::string& expected)
+{
+    auto at = part.find(weights_mark);
+    while (at != std::string_view::npos)
+    {
+        const auto hash = part.substr(at + weights_mark.size(), hash_digits);
+        if (hash.size() == hash_digits && hash != expected)
+            return true;
+        at = part.find(weights_mark, at + weights_mark.size());
+    }
+    return false;
+}
+
+} // namespace internal
+
+struct run_service::implementation
+{
+    using run_key = std::pair<instance_id, std::uint64_t>;
+
+    struct run
+    {
+        message::dispatch ask;
+        instance_id from;
+        std::string body;
+        std::string expected;
+        std::string content_type;
+        std::string tail;
+        std::string kept;
+        http_client::call_id call{0};
+        std::uint32_t parts{0};
+        bool claiming{false};
+        bool orphan{false};
+        bool mixed{false};
+        unsigned claims{0};
+        time_point began{};
+        timer retry;
+    };
+
+    using run_pointer = std::shared_ptr<run>;
+
+    implementation(node& owner, upstream_client& to, run_gate with)
+        : host(owner), upstream(to), gate(std::move(with)),
+          registry(internal::remembered_requests)
+    {
+    }
+
+    static time_point now() { return event_loop::now(); }
+
+    // Admission.
+
+    void dispatched(const instance_id& from, message::dispatch ask,
+                    std::string body)
+    {
+        auto one = std::make_shared<run>();
+        one->from = from;
+        one->body = std::move(body);
+        one->began = now();
+        const auto why = refusal();
+        one->ask = std::move(ask);
+        if (!why.empty())
+            return end(one, outcome::not_run, 503, why, internal::busy_retry);
+        runs[{from, one->ask.stream}] = one;
+        if (one->ask.not_repeatable)
+            return admit(one);
+        start(one);
+    }
+
+    std::string refusal() const
+    {
+        if (host.is_leaving())
+            return "leaving";
+        auto why = gate.closed();
+        if (!why.empty())
+            return why;
+        return runs.size() >= host.settings().upstream_slots ? "busy" : "";
+    }
+
+    void admit(const run_pointer& one)
+    {
+        const request_id id(one->ask.request);
+        switch (registry.admit(id))
+        {
+        case admission::start:
+            one->claiming = true;
+            return claim(one);
+        case admission::claiming:
+        case admission::running:
+            return end(one, outcome::unknown, 409, "the request is running",
+                       internal::outage_retry);
+        case admission::ended:
+            return repeat(one, registry.answer(id));
+        case admission::elsewhere:
+            return end(one, outcome::unknown, 409,
+                       "the request was started before");
+        case admission::never:
+            return end(one, outcome::not_run, 409,
+                       "the request will not be started");
+        }
+    }
+
+    /*! @brief Gives the kept answer of a request that has run. */
+    void repeat(const run_pointer& one, const kept_answer* answer)
+    {
+        if (answer == nullptr)
+            return end(one, outcome::unknown, 409,
+                       "the request was started before");
+        one->content_type = answer->content_type;
+        part(one, answer->body);
+        end(one, outcome::answered, answer->status, "repeated answer");
+    }
+
+    // The claim in the key-value service.
+
+    void claim(const run_pointer& one)
+    {
+        if (session.empty() || now() - session_since > internal::session_age)
+            return open_session(one);
+        ++one->claims;
+        host.key_values().acquire(
+            claim_key(request_id(one->ask.request)), session,
+            host.settings().instance.value(),
+            [this, one](swap_outcome done) { claimed(one, done); });
+    }
+
+    void open_session(const run_pointer& one)
+    {
+        host.key_values().open_session(
+            std::chrono::duration_cast<std::chrono::seconds>(
+                internal::session_ttl),
+            [this, one](result<std::string> opened)
+            {
+                if (!opened)
+                    return unclaimed(one);
+                session = opened.value();
+                session_since = now();
+                claim(one);
+            });
+    }
+
+    void claimed(const run_pointer& one, swap_outcome done)
+    {
+        const request_id id(one->ask.request);
+        switch (done)
+        {
+        case swap_outcome::swapped:
+            one->claiming = false;
+            if (registry.start(id))
+                return start(one);
+            return end(one, outcome::not_run, 499, "the caller left");
+        case swap_outcome::lost_race:
+            one->claiming = false;
+            registry.lost(id);
+            return end(one, outcome::unknown, 409,
+                       "the request was started before");
+        case swap_outcome::not_sent:
+        case swap_outcome::unknown:
+            // The same session may acquire again: if the write took effect,
+            // the next try says so.
+            if (one->claims < internal::claim_attempts)
+            {
+                one->retry = host.loop().after(internal::claim_retry,
+                                               [this, one] { claim(one); });
+                return;
+            }
+            return unclaimed(one);
+        }
+    }
+
+    void unclaimed(const run_pointer& one)
+    {
+        one->claiming = false;
+        registry.withdraw(request_id(one->ask.request));
+        end(one, outcome::not_run, 503, "the key-value service does not answer",
+            internal::outage_retry);
+    }
+
+    // Running.
+
+    void start(const run_pointer& one)
+    {
+        host.counters().count("runs_started_total");
+        one->expected = gate.weights().empty() ? "" : gate.weights().hex();
+        http_call call;
+        call.method = "POST";
+        call.url = upstream.url() + one->ask.path;
+        call.headers = {{"Content-Type", "application/json"},
+                        {"Request-Id", one->ask.request},
+                        {"Organisation", one->ask.organisation},
+                        {"Priority", std::to_string(one->ask.priority)}};
+        call.body = std::move(one->body);
+        call.timeout = milliseconds(one->ask.deadline_ms);
+        one->call = host.http().start(
+            std::move(call),
+            [this, one](const http_result& done) { ended(one, done); },
+            [this, one](int, std::string bytes)
+            { streamed(one, std::move(bytes)); });
+    }
+
+    void streamed(const run_pointer& one, std::string bytes)
+    {
+        if (one->mixed)
+            return;
+        if (!one->expected.empty() &&
+            internal::foreign_weights(bytes, one->expected))
+            return mixed(one);
+        if (one->parts == 0 && !one->expected.empty())
+        {
+            const auto took = now() - one->began;
+            gate.first_token(took);
+            host.counters().observe("first_token_seconds", to_seconds(took));
+        }
+        one->tail.append(bytes);
+        if (one->tail.size() > internal::tail_kept)
+            one->tail.erase(0, one->tail.size() - internal::tail_kept);
+        part(one, bytes);
+    }
+
+    /*! @brief An answer was computed with other weights than intended: it is
+     * cut here and the upstream is read again. */
+    void mixed(const run_pointer& one)
+    {
+        one->mixed = true;
+        host.counters().count("answers_foreign_weights_total");
+        host.http().cancel(one->call);
+        gate.doubt();
+        finish(one, outcome::unknown, 502, "answer with unintended weights");
+    }
+
+    void part(const run_pointer& one, std::string_view bytes)
+    {
+        if (one->ask.not_repeatable && one->kept.size() <= internal::kept_body)
+            one->kept.append(bytes);
+        message::answer_part part;
+        part.stream = one->ask.stream;
+        part.attempt = one->ask.attempt;
+        part.index = one->parts++;
+        if (!one->orphan)
+            host.send(one->from, part, bytes);
+    }
+
+    void ended(const run_pointer& one, const http_result& done)
+    {
+        if (done.reach == http_reach::not_sent)
+            return unreached(one);
+        if (done.reach == http_reach::interrupted)
+        {
+            gate.doubt();
+            return finish(one, outcome::unknown, 502,
+                          "the upstream broke off: " + done.fault);
+        }
+        const auto type = done.headers.find("content-type");
+        one->content_type =
+            type == done.headers.end() ? "" : type->second;
+        if (done.status == 503 && !one->expected.empty())
+        {
+            gate.doubt();
+            return finish(one, outcome::not_run, 503, "nothing is loaded");
+        }
+        const auto weights = done.headers.find("weights");
+        if (!one->expected.empty() && done.ok() &&
+            (weights == done.headers.end() ||
+             weights->second != one->expected))
+            return mixed(one);
+        const bool stream =
+            one->content_type.rfind("text/event-stream", 0) == 0;
+        if (stream &&
+            one->tail.find(internal::done_mark) == std::string::npos)
+            return finish(one, outcome::unknown, 502, "the stream has no end");
+        if (!done.ok() && !done.body.empty())
+            part(one, done.body);
+        finish(one, outcome::answered,
+               static_cast<std::uint16_t>(done.status), "");
+    }
+
+    /*! @brief The upstream was never connected to: it did not run. */
+    void unreached(const run_pointer& one)
+    {
+        if (one->ask.not_repeatable)
+            registry.unreached(request_id(one->ask.request));
+        gate.doubt();
+        end(one, outcome::not_run, 503, "the upstream does not answer",
+            internal::busy_retry);
+    }
+
+    void finish(const run_pointer& one, outcome what, std::uint16_t status,
+                const std::string& reason)
+    {
+        if (one->ask.not_repeatable)
+        {
+            const bool whole = what == outcome::answered &&
+                               one->kept.size() <= internal::kept_body;
+            registry.end(request_id(one->ask.request),
+                         whole ? kept_answer{status, one->content_type,
+                                             one->kept}
+                               : kept_answer{});
+        }
+        end(one, what, status, reason);
+    }
+
+    void end(const run_pointer& one, outcome what, std::uint16_t status,
+             const std::string& reason,
+             milliseconds retry_after = milliseconds(0))
+    {
+        const auto found = runs.find({one->from, one->ask.stream});
+        if (found != runs.end() && found->second == one)
+            runs.erase(found);
+        host.counters().count("runs_ended_total", 1,
+                              {{"outcome", name_of(what)}});
+        if (one->orphan)
+            return;
+        message::answer_end end;
+        end.stream = one->ask.stream;
+        end.attempt = one->ask.attempt;
+        end.result = what;
+        end.status = status;
+        end.parts = one->parts;
+        end.retry_after_ms = static_cast<std::uint32_t>(retry_after.count());
+        end.load = static_cast<std::uint32_t>(runs.size());
+        end.content_type = one->content_type;
+        end.weights = one->expected;
+        end.reason = reason;
+        host.send(one->from, end);
+    }
+
+    static std::string name_of(outcome what)
+    {
+        switch (what)
+        {
+        case outcome::answered:
+            return "answered";
+        case outcome::not_run:
+            return "not_run";
+        case outcome::unknown:
+            return "unknown";
+        }
+        return "unknown";
+    }
+
+    // Cancelling.
+
+    void cancelled(const instance_id& from, const message::cancel& cancel)
+    {
+        const auto found = runs.find({from, cancel.stream});
+        if (found == runs.end() ||
+            found->second->ask.attempt != cancel.attempt)
+            return;
+        withdraw(found->second);
+    }
+
+    /*! @brief Ends a run whose caller has left. */
+    void withdraw(const run_pointer& one)
+    {
+        if (one->claiming)
+        {
+            // Not started: promise that it never will be.
+            static_cast<void>(registry.forbid(request_id(one->ask.request)));
+            return;
+        }
+        if (one->ask.not_repeatable)
+            return;
+        host.counters().count("runs_cancelled_total");
+        host.http().cancel(one->call);
+        finish(one, outcome::unknown, 499, "cancelled");
+    }
+
+    void peer_lost(const instance_id& peer)
+    {
+        std::vector<run_pointer> affected;
+        for (const auto& [key, one] : runs)
+        {
+            if (key.first == peer)
+                affected.push_back(one);
+        }
+        for (const auto& one : affected)
+        {
+            one->orphan = true;
+            withdraw(one);
+        }
+    }
+
+    node& host;
+    upstream_client& upstream;
+    run_gate gate;
+    run_registry registry;
+    std::map<run_key, run_pointer> runs;
+    std::string session;
+    time_point session_since{};
+};
+
+run_service::run_service(node& owner, upstream_client& upstream, run_gate gate)
+    : self(std::make_unique<implementation>(owner, upstream, std::move(gate)))
+{
+}
+
+run_service::~run_service() = default;
+
+bool run_service::received(const instance_id& from, frame& one)
+{
+    if (one.type == frame_type::dispatch)
+    {
+        auto ask = decode<message::dispatch>(one.head);
+        if (ask)
+            self->dispatched(from, std::move(ask.value()),
+                             std::move(one.payload));
+        return true;
+    }
+    if (one.type == frame_type::cancel)
+    {
+        const auto cancel = decode<message::cancel>(one.head);
+        if (cancel)
+            self->cancelled(from, cancel.value());
+        return true;
+    }
+    return false;
+}
+
+void run_service::peer_lost(const instance_id& peer) { self->peer_lost(peer); }
+
+std::size_t run_service::size() const { return self->runs.size(); }
+
+std::string run_service::dump() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [key, one] : self->runs)
+        list.push_back({{"entry", key.first.value()},
+                        {"stream", key.second},
+                        {"request", one->ask.request},
+                        {"organisation", one->ask.organisation},
+                        {"parts", one->parts},
+                        {"not_repeatable", one->ask.not_repeatable},
+                        {"claiming", one->claiming}});
+    return nlohmann::json{{"runs", std::move(list)},
+                          {"remembered", self->registry.size()}}
+        .dump();
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/daemon/side.cpp
@@ -0,0 +1,500 @@
+#include "coursejunction/daemon/side.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/daemon/node.hpp"
+#include "coursejunction/daemon/run_service.hpp"
+#include "coursejunction/daemon/upstream_client.hpp"
+#include "coursejunction/rollout/assignment.hpp"
+#include "coursejunction/rollout/fence.hpp"
+#include "coursejunction/rollout/replica.hpp"
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+constexpr milliseconds side_tick{20};
+constexpr milliseconds engine_poll{500};
+constexpr milliseconds token_retry{300};
+constexpr std::string_view service_label = "service=";
+
+/*! @brief Name of the plain service that labels give an upstream. */
+std::string service_name(const std::vector<std::string>& labels)
+{
+    for (const auto& label : labels)
+    {
+        if (label.rfind(service_label, 0) == 0)
+            return label.substr(service_label.size());
+    }
+    return {};
+}
+
+} // namespace internal
+
+struct side::implementation
+{
+    implementation(node& owner, chunk_filter filter)
+        : host(owner), engine(owner.http(), owner.settings().upstream_url),
+          transfer(owner, engine,
+                   [this](const digest& version) { staged(version); },
+                   std::move(filter)),
+          runs(owner, engine, make_gate()),
+          guard(owner.settings().upstream_fenced),
+          plain(owner.settings().upstream_kind == "plain")
+    {
+    }
+
+    void start()
+    {
+        node_hooks hooks;
+        hooks.received = [this](const instance_id& from, frame one)
+        { received(from, std::move(one)); };
+        hooks.peer_lost = [this](const instance_id& peer)
+        {
+            subscribers.erase(peer);
+            runs.peer_lost(peer);
+            transfer.peer_lost(peer);
+        };
+        hooks.configuration_changed = [this] { reconcile(); };
+        hooks.members_changed = [this] { reconcile(); };
+        hooks.http = [](const http_request&,
+                        const std::shared_ptr<http_reply>& reply)
+        { reply->send(404, "text/plain", {}, "no such path\n"); };
+        hooks.dump = [this] { return dump(); };
+        hooks.leaving = [this] { report(); };
+        hooks.idle = [this] { return runs.size() == 0 && transfer.idle(); };
+        host.start(std::move(hooks));
+        tick_timer = host.loop().every(internal::side_tick, [this] { tick(); });
+        report_timer = host.loop().every(host.settings().report_interval,
+                                         [this] { report(); });
+        if (!plain)
+            poll_timer = host.loop().every(internal::engine_poll,
+                                           [this] { poll_engine(); });
+    }
+
+    run_gate make_gate()
+    {
+        run_gate gate;
+        gate.closed = [this] { return plain || copy.open() ? "" : "closed"; };
+        gate.weights = [this] { return plain ? digest() : copy.serving(); };
+        gate.doubt = [this] { doubt(); };
+        gate.first_token = [this](std::chrono::microseconds took)
+        { transfer.first_token(took); };
+        return gate;
+    }
+
+    static time_point now() { return event_loop::now(); }
+
+    // What is wanted.
+
+    void reconcile()
+    {
+        if (plain || !host.view().ready())
+            return;
+        const auto& wanted = host.view().current();
+        const auto assigned = assign_deployments(wanted, slots());
+        const auto own = assigned.find(host.settings().instance);
+        const auto* spec =
+            own == assigned.end() ? nullptr : wanted.find(own->second);
+        if (spec == nullptr)
+        {
+            copy.want(std::nullopt);
+            transfer.want_nothing();
+            return changed();
+        }
+        target = *spec;
+        copy.want(replica_target{spec->name, spec->model, spec->adapter,
+                                 spec->version, spec->paused});
+        transfer.participants(sharers(assigned, wanted, spec->version));
+        transfer.want(spec->version, spec->weigh);
+        changed();
+    }
+
+    /*! @brief Instances that are listed and not leaving; heartbeats and
+     * failures do not move deployments, so that a short cut moves nothing. */
+    std::vector<upstream_slot> slots() const
+    {
+        std::vector<upstream_slot> found;
+        for (const auto& [id, one] : host.members().all())
+        {
+            if (one.kind == role::side && one.upstream_kind != "plain" &&
+                !one.leaving)
+                found.push_back({id, one.hall, one.region, one.labels});
+        }
+        return found;
+    }
+
+    std::vector<participant>
+    sharers(const std::map<instance_id, deployment_name>& assigned,
+            const configuration& wanted, const digest& version) const
+    {
+        std::vector<participant> all;
+        for (const auto& [id, name] : assigned)
+        {
+            const auto* spec = wanted.find(name);
+            const auto* listed = host.members().find(id);
+            if (spec != nullptr && listed != nullptr &&
+                spec->version == version)
+                all.push_back({id, listed->hall, listed->region});
+        }
+        return all;
+    }
+
+    void staged(const digest& version)
+    {
+        copy.staged(version);
+        changed();
+    }
+
+    void doubt()
+    {
+        copy.doubt();
+        changed();
+    }
+
+    // The replica.
+
+    void tick()
+    {
+        if (guard.tick(now()))
+        {
+            host.counters().count("pauses_noticed_total");
+            log::warning("pause_noticed");
+        }
+        transfer.tick();
+        if (plain)
+            return;
+        const auto before = copy.phase();
+        act(copy.next(runs.size(), now()));
+        if (copy.phase() != before)
+            changed();
+    }
+
+    void act(replica_action action)
+    {
+        switch (action)
+        {
+        case replica_action::read_upstream:
+            return read_engine();
+        case replica_action::ask_permit:
+            return ask_permit();
+        case replica_action::order_load:
+            return order();
+        case replica_action::stage:
+        case replica_action::none:
+            return;
+        }
+    }
+
+    void read_engine()
+    {
+        if (reading)
+            return;
+        reading = true;
+        engine.read_state(
+            [this](const result<engine_state>& got)
+            {
+                reading = false;
+                if (!got)
+                {
+                    copy.read_failed(got.error().message, now());
+                    return changed();
+                }
+                seen(got.value());
+            });
+    }
+
+    void seen(const engine_state& state)
+    {
+        cached = state.cached;
+        if (state.loading)
+            return;
+        const auto before = copy.serving();
+        copy.read_back(state.serving, now());
+        if (before != copy.serving())
+        {
+            transfer.serving(copy.serving());
+            log::state("upstream_serves", {{"version", state.serving.hex()}});
+        }
+        changed();
+    }
+
+    /*! @brief Looks at the engine regularly: load, cache, and whether it
+     * still serves what it should. */
+    void poll_engine()
+    {
+        if (copy.phase() != replica_phase::loading)
+            read_engine();
+    }
+
+    void ask_permit()
+    {
+        const auto first = host.members().designated_entries(
+            host.settings().hall, 1, now());
+        if (first.empty())
+            return;
+        message::permit_request request;
+        request.instance = host.settings().instance.value();
+        request.hall = host.settings().hall.value();
+        request.deployment = copy.target()->name.value();
+        request.version = copy.target()->version.hex();
+        host.send(first.front(), request);
+    }
+
+    // Orders.
+
+    void order()
+    {
+        switch (guard.state())
+        {
+        case fence_state::held:
+            return send_order();
+        case fence_state::none:
+            return take_token();
+        case fence_state::unconfirmed:
+            return confirm_token();
+        case fence_state::lost:
+            copy.loaded(false, "another side is in charge of the upstream",
+                        now());
+            return changed();
+        }
+    }
+
+    void order_later()
+    {
+        order_timer =
+            host.loop().after(internal::token_retry, [this] { order(); });
+    }
+
+    /*! @brief Takes the next token by compare-and-swap. The value names the
+     * process, so a lost answer is settled by reading again. */
+    void take_token()
+    {
+        const auto key = fence_key(host.settings().instance);
+        host.key_values().read(
+            key,
+            [this, key](const result<stored_value>& got)
+            {
+                if (!got)
+                    return order_later();
+                const auto newest = parse_token(got.value().text);
+                if (newest.owner == owner_text())
+                {
+                    guard.taken(newest.token);
+                    return order();
+                }
+                const fencing_token next(newest.token.value() + 1);
+                host.key_values().swap(
+                    key, got.value().index,
+                    std::to_string(next.value()) + " " + owner_text(),
+                    [this, next](swap_outcome done)
+                    {
+                        if (done != swap_outcome::swapped)
+                            return order_later();
+                        guard.taken(next);
+                        log::state("fencing_token_taken",
+                                   {{"token", std::to_string(next.value())}});
+                        order();
+                    });
+            });
+    }
+
+    void confirm_token()
+    {
+        host.key_values().read(
+            fence_key(host.settings().instance),
+            [this](const result<stored_value>& got)
+            {
+                if (!got)
+                    return order_later();
+                guard.confirmed(parse_token(got.value().text).token);
+                order();
+            });
+    }
+
+    struct token_record
+    {
+        fencing_token token;
+        std::string owner;
+    };
+
+    static token_record parse_token(const std::string& text)
+    {
+        const auto space = text.find(' ');
+        if (space == std::string::npos)
+            return {};
+        return {fencing_token(std::strtoull(text.c_str(), nullptr, 10)),
+                text.substr(space + 1)};
+    }
+
+    std::string owner_text() const
+    {
+        return host.settings().instance.value() + "/" + process_id;
+    }
+
+    void send_order()
+    {
+        if (!copy.target())
+            return copy.loaded(false, "nothing is wanted any more", now());
+        load_order order;
+        order.version = copy.target()->version;
+        order.model = copy.target()->model;
+        order.adapter = copy.target()->adapter;
+        order.engine_role = target.engine_role;
+        order.token = guard.token();
+        host.counters().count("load_orders_total");
+        engine.load(order, [this](const load_answer& got) { loaded(got); });
+    }
+
+    void loaded(const load_answer& got)
+    {
+        using kind = load_answer::kind;
+        if (got.end == kind::stale)
+            guard.refused();
+        if (got.end == kind::incomplete)
+        {
+            copy.unstage();
+            transfer.hand_over_again();
+        }
+        if (got.end != kind::loaded)
+            log::warning("load_failed", {{"reason", got.reason}});
+        copy.loaded(got.end == kind::loaded, got.reason, now());
+        changed();
+    }
+
+    // Peers.
+
+    void received(const instance_id& from, frame one)
+    {
+        if (runs.received(from, one) || transfer.received(from, one))
+            return;
+        if (one.type == frame_type::subscribe)
+        {
+            subscribers.insert(from);
+            host.send(from, state());
+        }
+        else if (one.type == frame_type::permit_reply)
+        {
+            const auto reply = decode<message::permit_reply>(one.head);
+            const auto version =
+                reply ? digest::parse(reply.value().version)
+                      : digest::parse("");
+            if (version && reply.value().granted)
+                copy.permit(version.value(), now());
+        }
+    }
+
+    message::report state() const
+    {
+        const auto& settings = host.settings();
+        const auto progress = transfer.progress();
+        message::report now_state;
+        now_state.instance = settings.instance.value();
+        now_state.region = settings.region.value();
+        now_state.hall = settings.hall.value();
+        now_state.kind = settings.upstream_kind;
+        now_state.revision = host.view().current().number().value();
+        now_state.running = static_cast<std::uint32_t>(runs.size());
+        now_state.slots = static_cast<std::uint32_t>(settings.upstream_slots);
+        now_state.leaving = host.is_leaving();
+        if (plain)
+        {
+            now_state.model = internal::service_name(settings.labels);
+            now_state.phase = "serving";
+            return now_state;
+        }
+        describe_replica(now_state);
+        now_state.bytes_done = progress.done;
+        now_state.bytes_total = progress.total;
+        now_state.reason =
+            copy.reason().empty() ? progress.reason : copy.reason();
+        now_state.origin_bytes = transfer.counters().origin_bytes;
+        now_state.cross_hall_bytes = transfer.counters().cross_hall_bytes;
+        now_state.cached_prefixes = cached;
+        return now_state;
+    }
+
+    void describe_replica(message::report& into) const
+    {
+        into.phase = to_string(copy.phase());
+        into.serving = copy.serving().empty() ? "" : copy.serving().hex();
+        if (copy.target())
+        {
+            into.deployment = copy.target()->name.value();
+            into.model = copy.target()->model;
+            into.wanted = copy.target()->version.hex();
+        }
+        if (!copy.open())
+            into.serving.clear();
+    }
+
+    /*! @brief Reports now when something that matters to routing or status
+     * has changed, else with the next regular report. */
+    void changed()
+    {
+        const auto key = std::pair(copy.phase(), copy.serving());
+        if (key == reported)
+            return;
+        reported = key;
+        log::state("replica", {{"phase", std::string(to_string(copy.phase()))},
+                               {"reason", copy.reason()}});
+        report();
+    }
+
+    void report()
+    {
+        const auto now_state = state();
+        for (const auto& one : subscribers)
+            host.send(one, now_state);
+    }
+
+    std::string dump() const
+    {
+        using nlohmann::json;
+        return json{{"phase", to_string(copy.phase())},
+                    {"reason", copy.reason()},
+                    {"serving", copy.serving().hex()},
+                    {"wanted", copy.target() ? copy.target()->version.hex()
+                                             : std::string{}},
+                    {"open", plain || copy.open()},
+                    {"fencing_token", guard.token().value()},
+                    {"subscribers", subscribers.size()},
+                    {"transfer", json::parse(transfer.dump())},
+                    {"requests", json::parse(runs.dump())}}
+            .dump();
+    }
+
+    node& host;
+    upstream_client engine;
+    replica copy;
+    transfer_service transfer;
+    run_service runs;
+    fence guard;
+    deployment target;
+    bool plain;
+    bool reading{false};
+    std::string process_id{random_id()};
+    std::set<instance_id> subscribers;
+    std::vector<std::uint64_t> cached;
+    std::pair<replica_phase, digest> reported{};
+    timer tick_timer;
+    timer report_timer;
+    timer poll_timer;
+    timer order_timer;
+};
+
+side::side(node& owner, chunk_filter filter)
+    : self(std::make_unique<implementation>(owner, std::move(filter)))
+{
+    self->start();
+}
+
+side::~side() = default;
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/daemon/upstream_client.cpp
@@ -0,0 +1,124 @@
+#include "coursejunction/daemon/upstream_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+using nlohmann::json;
+
+constexpr milliseconds state_timeout{2000};
+constexpr milliseconds stage_timeout{10'000};
+constexpr milliseconds load_timeout{600'000};
+
+result<engine_state> parse_state(const http_result& end)
+{
+    const auto body = json::parse(end.body, nullptr, false);
+    if (!end.ok() || !body.is_object())
+        return failure(error_kind::unavailable,
+                       "engine does not answer: " + end.fault);
+    engine_state state;
+    const auto serving = digest::parse(body.value("serving", ""));
+    if (serving)
+        state.serving = serving.value();
+    state.loading = body.value("loading", false);
+    state.running = body.value("running", std::size_t{0});
+    state.slots = body.value("slots", std::size_t{0});
+    if (body.contains("cached") && body["cached"].is_array())
+    {
+        for (const auto& hash : body["cached"])
+        {
+            if (hash.is_number_unsigned())
+                state.cached.push_back(hash.get<std::uint64_t>());
+        }
+    }
+    return state;
+}
+
+load_answer parse_load(const http_result& end)
+{
+    using kind = load_answer::kind;
+    if (end.reach == http_reach::interrupted)
+        return {kind::unknown, "the order's answer was lost: " + end.fault};
+    if (end.reach == http_reach::not_sent)
+        return {kind::failed, "engine does not answer: " + end.fault};
+    if (end.ok())
+        return {kind::loaded, ""};
+    const auto body = json::parse(end.body, nullptr, false);
+    const auto reason =
+        body.is_object() ? body.value("error", "") : std::string{};
+    const auto text = "engine refused the load: " + reason + " (status " +
+                      std::to_string(end.status) + ")";
+    if (end.status == 422)
+        return {kind::incomplete, text};
+    if (reason == "stale token")
+        return {kind::stale, text};
+    return {kind::failed, text};
+}
+
+} // namespace internal
+
+upstream_client::upstream_client(http_client& carrier, std::string base)
+    : client(carrier), base_url(std::move(base))
+{
+}
+
+void upstream_client::read_state(std::function<void(result<engine_state>)> done)
+{
+    http_call call;
+    call.url = base_url + "/v1/state";
+    call.timeout = internal::state_timeout;
+    client.start(std::move(call),
+                 [done = std::move(done)](const http_result& end)
+                 { done(internal::parse_state(end)); });
+}
+
+void upstream_client::put(const std::string& path, std::string body,
+                          std::function<void(bool)> done)
+{
+    http_call call;
+    call.method = "PUT";
+    call.url = base_url + path;
+    call.body = std::move(body);
+    call.timeout = internal::stage_timeout;
+    client.start(std::move(call), [done = std::move(done)](
+                                      const http_result& end)
+                 { done(end.ok()); });
+}
+
+void upstream_client::stage_manifest(const digest& version, std::string text,
+                                     std::function<void(bool)> done)
+{
+    put("/v1/stage/" + version.hex(), std::move(text), std::move(done));
+}
+
+void upstream_client::stage_chunk(const digest& version, std::uint32_t chunk,
+                                  std::string bytes,
+                                  std::function<void(bool)> done)
+{
+    put("/v1/stage/" + version.hex() + "/" + std::to_string(chunk),
+        std::move(bytes), std::move(done));
+}
+
+void upstream_client::load(const load_order& order,
+                           std::function<void(load_answer)> done)
+{
+    http_call call;
+    call.method = "POST";
+    call.url = base_url + "/v1/load";
+    call.body = internal::json{{"version", order.version.hex()},
+                               {"model", order.model},
+                               {"adapter", order.adapter},
+                               {"role", order.engine_role},
+                               {"token", order.token.value()}}
+                    .dump();
+    call.timeout = internal::load_timeout;
+    client.start(std::move(call), [done = std::move(done)](
+                                      const http_result& end)
+                 { done(internal::parse_load(end)); });
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/net/datagram_socket.cpp
@@ -0,0 +1,106 @@
+#include "coursejunction/net/datagram_socket.hpp"
+
+#include <array>
+#include <cstdlib>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "coursejunction/net/event_loop.hpp"
+
+namespace coursejunction
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+struct datagram_socket::implementation
+    : std::enable_shared_from_this<implementation>
+{
+    implementation(asio::io_context& context, receiver to)
+        : socket(context), received(std::move(to))
+    {
+    }
+
+    void read()
+    {
+        socket.async_receive_from(
+            asio::buffer(input), sender,
+            [self = shared_from_this()](const boost::system::error_code& fault,
+                                        std::size_t count)
+            {
+                if (fault == asio::error::operation_aborted)
+                    return;
+                if (!fault)
+                    self->deliver(count);
+                self->read();
+            });
+    }
+
+    void deliver(std::size_t count)
+    {
+        total += count;
+        const auto from = sender.address().to_string() + ":" +
+                          std::to_string(sender.port());
+        received(from, {input.data(), count});
+    }
+
+    static constexpr std::size_t max_datagram = 2048;
+    udp::socket socket;
+    receiver received;
+    udp::endpoint sender;
+    std::array<char, max_datagram> input{};
+    std::uint64_t total{0};
+};
+
+datagram_socket::datagram_socket(std::shared_ptr<implementation> shared)
+    : self(std::move(shared))
+{
+}
+
+datagram_socket::~datagram_socket()
+{
+    boost::system::error_code ignored;
+    self->socket.close(ignored);
+}
+
+result<std::unique_ptr<datagram_socket>>
+datagram_socket::create(event_loop& loop, const std::string& address,
+                        std::uint16_t port, receiver received)
+{
+    auto& context = *static_cast<asio::io_context*>(loop.native());
+    auto made = std::make_shared<implementation>(context, std::move(received));
+    boost::system::error_code fault;
+    const auto ip = asio::ip::make_address(address, fault);
+    if (!fault)
+        made->socket.open(udp::v4(), fault);
+    if (!fault)
+        made->socket.bind({ip, port}, fault);
+    if (fault)
+        return failure(error_kind::unavailable, address + ":" +
+                                                    std::to_string(port) +
+                                                    ": " + fault.message());
+    made->read();
+    return std::unique_ptr<datagram_socket>(
+        new datagram_socket(std::move(made)));
+}
+
+void datagram_socket::send(const std::string& to, const std::string& bytes)
+{
+    const auto colon = to.rfind(':');
+    if (colon == std::string::npos)
+        return;
+    boost::system::error_code fault;
+    const auto ip = asio::ip::make_address(to.substr(0, colon), fault);
+    if (fault)
+        return;
+    const auto port =
+        static_cast<std::uint16_t>(std::atoi(to.c_str() + colon + 1));
+    self->total += bytes.size();
+    self->socket.send_to(asio::buffer(bytes), {ip, port}, 0, fault);
+}
+
+std::uint64_t datagram_socket::bytes() const { return self->total; }
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/net/event_loop.cpp
@@ -0,0 +1,128 @@
+#include "coursejunction/net/event_loop.hpp"
+
+#include <list>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace coursejunction
+{
+
+namespace asio = boost::asio;
+
+class timer::state : public std::enable_shared_from_this<timer::state>
+{
+public:
+    state(asio::io_context& context, std::chrono::microseconds repeat,
+          event_loop::work task)
+        : clock(context), interval(repeat), call(std::move(task))
+    {
+    }
+
+    void start(std::chrono::microseconds delay)
+    {
+        clock.expires_after(delay);
+        clock.async_wait(
+            [self = shared_from_this()](const boost::system::error_code& fault)
+            { self->expired(fault); });
+    }
+
+    void stop()
+    {
+        stopped = true;
+        clock.cancel();
+    }
+
+private:
+    void expired(const boost::system::error_code& fault)
+    {
+        if (fault || stopped)
+            return;
+        if (interval.count() > 0)
+            start(interval);
+        const auto task = call;
+        task();
+    }
+
+    asio::steady_timer clock;
+    std::chrono::microseconds interval;
+    event_loop::work call;
+    bool stopped{false};
+};
+
+timer::timer(std::shared_ptr<state> shared) : running(std::move(shared)) {}
+
+timer& timer::operator=(timer&& other) noexcept
+{
+    stop();
+    running = std::move(other.running);
+    return *this;
+}
+
+timer::~timer() { stop(); }
+
+void timer::stop()
+{
+    if (running)
+        running->stop();
+    running.reset();
+}
+
+struct event_loop::implementation
+{
+    asio::io_context context{1};
+    std::list<asio::signal_set> signals;
+};
+
+event_loop::event_loop() : self(std::make_unique<implementation>()) {}
+
+event_loop::~event_loop() = default;
+
+void event_loop::run()
+{
+    auto guard = asio::make_work_guard(self->context);
+    self->context.run();
+}
+
+void event_loop::stop() { self->context.stop(); }
+
+void event_loop::post(work task) { asio::post(self->context, std::move(task)); }
+
+timer event_loop::after(std::chrono::microseconds delay, work task)
+{
+    auto state = std::make_shared<timer::state>(
+        self->context, std::chrono::microseconds(0), std::move(task));
+    state->start(delay);
+    return timer(std::move(state));
+}
+
+timer event_loop::every(std::chrono::microseconds interval, work task)
+{
+    auto state = std::make_shared<timer::state>(self->context, interval,
+                                                std::move(task));
+    state->start(interval);
+    return timer(std::move(state));
+}
+
+void event_loop::on_signal(int number, work task)
+{
+    auto& set = self->signals.emplace_back(self->context, number);
+    set.async_wait(
+        [call = std::move(task)](const boost::system::error_code& fault, int)
+        {
+            if (!fault)
+                call();
+        });
+}
+
+time_point event_loop::now()
+{
+    return std::chrono::time_point_cast<std::chrono::microseconds>(
+        std::chrono::steady_clock::now());
+}
+
+void* event_loop::native() noexcept { return &self->context; }
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/net/http_client.cpp
@@ -0,0 +1,292 @@
+#include "coursejunction/net/http_client.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include <curl/curl.h>
+
+#include "coursejunction/net/event_loop.hpp"
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+constexpr long connect_limit_ms = 1000;
+constexpr long max_idle_connections = 512;
+constexpr int poll_ms = 1000;
+
+/*! @brief State of one call while libcurl carries it. */
+struct transfer
+{
+    http_client::call_id id{0};
+    http_call call;
+    http_result end;
+    http_client::done_callback done;
+    http_client::data_callback data;
+    std::function<void(int, std::string)> deliver;
+    curl_slist* list{nullptr};
+    CURL* handle{nullptr};
+};
+
+std::size_t on_body(char* bytes, std::size_t, std::size_t count, void* user)
+{
+    auto& one = *static_cast<transfer*>(user);
+    long status = 0;
+    curl_easy_getinfo(one.handle, CURLINFO_RESPONSE_CODE, &status);
+    if (one.deliver && status >= 200 && status < 300)
+        one.deliver(static_cast<int>(status), std::string(bytes, count));
+    else
+        one.end.body.append(bytes, count);
+    return count;
+}
+
+std::size_t on_header(char* bytes, std::size_t, std::size_t count, void* user)
+{
+    auto& one = *static_cast<transfer*>(user);
+    const std::string line(bytes, count);
+    const auto colon = line.find(':');
+    if (colon == std::string::npos)
+        return count;
+    auto name = line.substr(0, colon);
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char letter)
+                   { return static_cast<char>(std::tolower(letter)); });
+    const auto first = line.find_first_not_of(' ', colon + 1);
+    const auto last = line.find_last_not_of("\r\n ");
+    if (first != std::string::npos && last >= first)
+        one.end.headers[name] = line.substr(first, last - first + 1);
+    return count;
+}
+
+void prepare(transfer& one)
+{
+    one.handle = curl_easy_init();
+    auto* handle = one.handle;
+    curl_easy_setopt(handle, CURLOPT_URL, one.call.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, one.call.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_limit_ms);
+    if (one.call.timeout.count() > 0)
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                         static_cast<long>(one.call.timeout.count()));
+    // The server library never answers "100-continue".
+    one.list = curl_slist_append(one.list, "Expect:");
+    for (const auto& [name, value] : one.call.headers)
+        one.list = curl_slist_append(one.list, (name + ": " + value).c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, one.list);
+    if (!one.call.body.empty() || one.call.method == "POST" ||
+        one.call.method == "PUT")
+    {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(one.call.body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, one.call.body.data());
+    }
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &one);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &one);
+}
+
+void conclude(transfer& one, CURLcode code)
+{
+    long status = 0;
+    curl_easy_getinfo(one.handle, CURLINFO_RESPONSE_CODE, &status);
+    one.end.status = static_cast<int>(status);
+    if (code == CURLE_OK)
+        one.end.reach = http_reach::answered;
+    else if (code == CURLE_COULDNT_CONNECT ||
+             code == CURLE_COULDNT_RESOLVE_HOST)
+        one.end.reach = http_reach::not_sent;
+    else
+        one.end.reach = http_reach::interrupted;
+    if (code != CURLE_OK)
+        one.end.fault = curl_easy_strerror(code);
+}
+
+void release(transfer& one)
+{
+    curl_easy_cleanup(one.handle);
+    curl_slist_free_all(one.list);
+}
+
+struct library
+{
+    library() { curl_global_init(CURL_GLOBAL_DEFAULT); }
+};
+
+void use_library() { static const library once; }
+
+} // namespace internal
+
+struct http_client::implementation
+    : std::enable_shared_from_this<http_client::implementation>
+{
+    explicit implementation(event_loop& target) : loop(target) {}
+
+    void run()
+    {
+        while (!stopping)
+        {
+            take_orders();
+            int running = 0;
+            curl_multi_perform(multi, &running);
+            collect();
+            curl_multi_poll(multi, nullptr, 0, internal::poll_ms, nullptr);
+        }
+    }
+
+    void take_orders()
+    {
+        std::vector<std::unique_ptr<internal::transfer>> fresh;
+        std::vector<call_id> ended;
+        {
+            const std::lock_guard guard(mutex);
+            fresh.swap(to_start);
+            ended.swap(to_cancel);
+        }
+        for (auto& one : fresh)
+        {
+            internal::prepare(*one);
+            curl_easy_setopt(one->handle, CURLOPT_PRIVATE, one.get());
+            curl_multi_add_handle(multi, one->handle);
+            const auto id = one->id;
+            active.emplace(id, std::move(one));
+        }
+        for (const auto id : ended)
+            drop(id);
+    }
+
+    void drop(call_id id)
+    {
+        const auto found = active.find(id);
+        if (found == active.end())
+            return;
+        curl_multi_remove_handle(multi, found->second->handle);
+        internal::release(*found->second);
+        active.erase(found);
+    }
+
+    void collect()
+    {
+        int left = 0;
+        while (const auto* told = curl_multi_info_read(multi, &left))
+        {
+            if (told->msg != CURLMSG_DONE)
+                continue;
+            char* user = nullptr;
+            curl_easy_getinfo(told->easy_handle, CURLINFO_PRIVATE, &user);
+            auto& one = *reinterpret_cast<internal::transfer*>(user);
+            internal::conclude(one, told->data.result);
+            finish(one);
+            drop(one.id);
+        }
+    }
+
+    void finish(internal::transfer& one)
+    {
+        loop.post([self = shared_from_this(), id = one.id,
+                   done = std::move(one.done), end = std::move(one.end)]
+                  {
+                      if (self->open.erase(id) > 0)
+                          done(end);
+                  });
+    }
+
+    event_loop& loop;
+    CURLM* multi{nullptr};
+    std::thread thread;
+    std::atomic<bool> stopping{false};
+    std::mutex mutex;
+    std::vector<std::unique_ptr<internal::transfer>> to_start;
+    std::vector<call_id> to_cancel;
+    std::unordered_map<call_id, std::unique_ptr<internal::transfer>> active;
+    std::unordered_set<call_id> open;
+    call_id last_id{0};
+};
+
+http_client::http_client(event_loop& loop)
+    : self(std::make_shared<implementation>(loop))
+{
+    internal::use_library();
+    self->multi = curl_multi_init();
+    curl_multi_setopt(self->multi, CURLMOPT_MAXCONNECTS,
+                      internal::max_idle_connections);
+    self->thread = std::thread([shared = self.get()] { shared->run(); });
+}
+
+http_client::~http_client()
+{
+    self->stopping = true;
+    curl_multi_wakeup(self->multi);
+    self->thread.join();
+    while (!self->active.empty())
+        self->drop(self->active.begin()->first);
+    curl_multi_cleanup(self->multi);
+}
+
+http_client::call_id http_client::start(http_call call, done_callback done,
+                                        data_callback data)
+{
+    auto one = std::make_unique<internal::transfer>();
+    const auto id = ++self->last_id;
+    one->id = id;
+    one->call = std::move(call);
+    one->done = std::move(done);
+    if (data)
+    {
+        one->deliver = [shared = self, id, data](int status, std::string bytes)
+        {
+            shared->loop.post(
+                [shared, id, data, status, part = std::move(bytes)]() mutable
+                {
+                    if (shared->open.contains(id))
+                        data(status, std::move(part));
+                });
+        };
+    }
+    self->open.insert(id);
+    {
+        const std::lock_guard guard(self->mutex);
+        self->to_start.push_back(std::move(one));
+    }
+    curl_multi_wakeup(self->multi);
+    return id;
+}
+
+void http_client::cancel(call_id which)
+{
+    if (self->open.erase(which) == 0)
+        return;
+    {
+        const std::lock_guard guard(self->mutex);
+        self->to_cancel.push_back(which);
+    }
+    curl_multi_wakeup(self->multi);
+}
+
+std::size_t http_client::size() const { return self->open.size(); }
+
+http_result perform(const http_call& call,
+                    const http_client::data_callback& data)
+{
+    internal::use_library();
+    internal::transfer one;
+    one.call = call;
+    one.deliver = data;
+    internal::prepare(one);
+    internal::conclude(one, curl_easy_perform(one.handle));
+    internal::release(one);
+    return std::move(one.end);
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/net/http_server.cpp
@@ -0,0 +1,337 @@
+#include "coursejunction/net/http_server.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cctype>
+#include <mutex>
+#include <unordered_map>
+
+#include <sys/socket.h>
+
+#include <pistache/endpoint.h>
+#include <pistache/http.h>
+#include <pistache/peer.h>
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+namespace pistache = Pistache;
+
+constexpr std::chrono::hours longest_answer{24};
+constexpr int listen_backlog = 1024;
+
+std::string lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char one)
+                   { return static_cast<char>(std::tolower(one)); });
+    return text;
+}
+
+int hex_digit(char one)
+{
+    if (one >= '0' && one <= '9')
+        return one - '0';
+    if (one >= 'a' && one <= 'f')
+        return one - 'a' + 10;
+    if (one >= 'A' && one <= 'F')
+        return one - 'A' + 10;
+    return -1;
+}
+
+/*! @brief Decodes %XX and + of a query value. */
+std::string percent_decoded(const std::string& text)
+{
+    std::string plain;
+    for (std::size_t at = 0; at < text.size(); ++at)
+    {
+        const bool escape = text[at] == '%' && at + 2 < text.size() &&
+                            hex_digit(text[at + 1]) >= 0 &&
+                            hex_digit(text[at + 2]) >= 0;
+        if (escape)
+        {
+            plain.push_back(static_cast<char>(hex_digit(text[at + 1]) * 16 +
+                                              hex_digit(text[at + 2])));
+            at += 2;
+        }
+        else
+        {
+            plain.push_back(text[at] == '+' ? ' ' : text[at]);
+        }
+    }
+    return plain;
+}
+
+std::string head_of(int status, std::string_view content_type,
+                    const header_map& headers)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+    head += pistache::Http::codeString(
+        static_cast<pistache::Http::Code>(status));
+    head += "\r\n";
+    if (!content_type.empty())
+        head.append("Content-Type: ").append(content_type).append("\r\n");
+    for (const auto& [name, value] : headers)
+        head.append(name).append(": ").append(value).append("\r\n");
+    return head;
+}
+
+/*! @brief Answer that writes framing to the peer itself, because the
+ * library's stream may only be used on the peer's own thread. */
+class reply : public http_reply
+{
+public:
+    explicit reply(std::shared_ptr<pistache::Tcp::Peer> to)
+        : peer(std::move(to))
+    {
+    }
+
+    void send(int status, std::string_view content_type,
+              const header_map& headers, std::string_view body) override
+    {
+        auto bytes = head_of(status, content_type, headers);
+        bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        bytes += body;
+        put(std::move(bytes), true);
+    }
+
+    void begin(int status, std::string_view content_type,
+               const header_map& headers) override
+    {
+        auto bytes = head_of(status, content_type, headers);
+        bytes += "Transfer-Encoding: chunked\r\n\r\n";
+        put(std::move(bytes), false);
+    }
+
+    void write(std::string_view bytes) override
+    {
+        if (bytes.empty())
+            return;
+        std::array<char, 16> size{};
+        const auto end = std::to_chars(size.data(), size.data() + size.size(),
+                                       bytes.size(), 16);
+        std::string framed(size.data(), end.ptr);
+        framed.reserve(framed.size() + bytes.size() + 4);
+        framed.append("\r\n").append(bytes).append("\r\n");
+        put(std::move(framed), false);
+    }
+
+    void finish() override { put("0\r\n\r\n", true); }
+
+    void cut() override
+    {
+        const std::lock_guard guard(mutex);
+        if (peer && !ended)
+            ::shutdown(static_cast<int>(peer->fd()), SHUT_RDWR);
+        ended = true;
+        peer.reset();
+    }
+
+    void on_abandoned(std::function<void()> call) override
+    {
+        {
+            const std::lock_guard guard(mutex);
+            if (ended)
+                return;
+            if (peer)
+            {
+                abandoned = std::move(call);
+                return;
+            }
+        }
+        call();
+    }
+
+    /*! @brief Called by the server when the connection is gone. */
+    void disconnected()
+    {
+        std::function<void()> call;
+        {
+            const std::lock_guard guard(mutex);
+            peer.reset();
+            if (!ended)
+                call = std::move(abandoned);
+        }
+        if (call)
+            call();
+    }
+
+    [[nodiscard]] bool done() const
+    {
+        const std::lock_guard guard(mutex);
+        return ended || !peer;
+    }
+
+private:
+    void put(std::string bytes, bool last)
+    {
+        const std::lock_guard guard(mutex);
+        if (!peer || ended)
+            return;
+        const auto size = bytes.size();
+        peer->send(pistache::RawBuffer(std::move(bytes), size));
+        if (last)
+        {
+            ended = true;
+            peer.reset();
+            abandoned = nullptr;
+        }
+    }
+
+    mutable std::mutex mutex;
+    std::shared_ptr<pistache::Tcp::Peer> peer;
+    std::function<void()> abandoned;
+    bool ended{false};
+};
+
+/*! @brief Open answers by peer, shared by the clones of the handler. */
+class open_replies
+{
+public:
+    void add(std::size_t peer, const std::shared_ptr<reply>& one)
+    {
+        const std::lock_guard guard(mutex);
+        auto& list = by_peer[peer];
+        std::erase_if(list, [](const auto& old) { return old->done(); });
+        list.push_back(one);
+    }
+
+    void disconnected(std::size_t peer)
+    {
+        std::vector<std::shared_ptr<reply>> gone;
+        {
+            const std::lock_guard guard(mutex);
+            const auto found = by_peer.find(peer);
+            if (found == by_peer.end())
+                return;
+            gone = std::move(found->second);
+            by_peer.erase(found);
+        }
+        for (const auto& one : gone)
+            one->disconnected();
+    }
+
+private:
+    std::mutex mutex;
+    std::unordered_map<std::size_t, std::vector<std::shared_ptr<reply>>>
+        by_peer;
+};
+
+class request_handler : public pistache::Http::Handler
+{
+public:
+    HTTP_PROTOTYPE(request_handler)
+
+    request_handler(http_server::handler call,
+                    std::shared_ptr<open_replies> shared)
+        : handle(std::move(call)), replies(std::move(shared))
+    {
+    }
+
+    void onRequest(const pistache::Http::Request& from,
+                   pistache::Http::ResponseWriter writer) override
+    {
+        const auto peer = writer.peer();
+        if (!peer)
+            return;
+        http_request request;
+        request.method = pistache::Http::methodString(from.method());
+        request.path = from.resource();
+        for (auto it = from.query().parameters_begin();
+             it != from.query().parameters_end(); ++it)
+            request.query[it->first] = percent_decoded(it->second);
+        for (const auto& [name, raw] : from.headers().rawList())
+            request.headers[lower(name)] = raw.value();
+        request.body = from.body();
+        auto answer = std::make_shared<reply>(peer);
+        replies->add(peer->getID(), answer);
+        handle(std::move(request), std::move(answer));
+    }
+
+    void onDisconnection(
+        const std::shared_ptr<pistache::Tcp::Peer>& peer) override
+    {
+        replies->disconnected(peer->getID());
+    }
+
+private:
+    http_server::handler handle;
+    std::shared_ptr<open_replies> replies;
+};
+
+} // namespace internal
+
+std::string http_request::header(const std::string& name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string{} : found->second;
+}
+
+std::optional<std::string>
+http_request::parameter(const std::string& name) const
+{
+    const auto found = query.find(name);
+    if (found == query.end())
+        return std::nullopt;
+    return found->second;
+}
+
+struct http_server::implementation
+{
+    std::unique_ptr<Pistache::Http::Endpoint> endpoint;
+};
+
+http_server::http_server(std::unique_ptr<implementation> owned)
+    : self(std::move(owned))
+{
+}
+
+http_server::~http_server()
+{
+    if (self && self->endpoint)
+        self->endpoint->shutdown();
+}
+
+result<std::unique_ptr<http_server>>
+http_server::create(const std::string& address, std::uint16_t port,
+                    const http_options& options, handler handle)
+{
+    try
+    {
+        auto made = std::make_unique<implementation>();
+        made->endpoint = std::make_unique<Pistache::Http::Endpoint>(
+            Pistache::Address(address, Pistache::Port(port)));
+        auto setting = Pistache::Http::Endpoint::options();
+        setting.threads(static_cast<int>(options.threads))
+            .backlog(internal::listen_backlog)
+            .maxRequestSize(options.max_request_bytes)
+            .headerTimeout(options.head_limit)
+            .bodyTimeout(options.body_limit)
+            .keepaliveTimeout(internal::longest_answer)
+            .flags(Pistache::Tcp::Options::ReuseAddr |
+                   Pistache::Tcp::Options::NoDelay |
+                   Pistache::Tcp::Options::CloseOnExec);
+        made->endpoint->init(setting);
+        made->endpoint->setHandler(std::make_shared<internal::request_handler>(
+            std::move(handle), std::make_shared<internal::open_replies>()));
+        made->endpoint->serveThreaded();
+        return std::unique_ptr<http_server>(new http_server(std::move(made)));
+    }
+    catch (const std::exception& caught)
+    {
+        return failure(error_kind::unavailable, address + ":" +
+                                                    std::to_string(port) +
+                                                    ": " + caught.what());
+    }
+}
+
+std::uint16_t http_server::port() const
+{
+    return static_cast<std::uint16_t>(self->endpoint->getPort());
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/resource/internal/deployment_json.hpp
@@ -0,0 +1,19 @@
+/*! @file
+ * @brief JSON of a deployment, shared by the files of this module.
+ */
+#ifndef COURSEJUNCTION_RESOURCE_INTERNAL_DEPLOYMENT_JSON_HPP
+#define COURSEJUNCTION_RESOURCE_INTERNAL_DEPLOYMENT_JSON_HPP
+
+#include <nlohmann/json.hpp>
+
+#include "coursejunction/resource/deployment.hpp"
+
+namespace coursejunction::internal
+{
+
+[[nodiscard]] nlohmann::json to_json(const deployment& from);
+[[nodiscard]] result<deployment> from_json(const nlohmann::json& from);
+
+} // namespace coursejunction::internal
+
+#endif
--- /dev/null
+++ b/src/coursejunction/rollout/assignment.cpp
@@ -0,0 +1,52 @@
+#include "coursejunction/rollout/assignment.hpp"
+
+#include <algorithm>
+
+#include "coursejunction/core/rendezvous.hpp"
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+bool matches(const upstream_slot& upstream, const placement& where)
+{
+    if (upstream.hall != where.hall)
+        return false;
+    return std::all_of(where.selector.begin(), where.selector.end(),
+                       [&](const std::string& label)
+                       {
+                           return std::find(upstream.labels.begin(),
+                                            upstream.labels.end(),
+                                            label) != upstream.labels.end();
+                       });
+}
+
+} // namespace internal
+
+std::map<instance_id, deployment_name>
+assign_deployments(const configuration& wanted,
+                   const std::vector<upstream_slot>& upstreams)
+{
+    std::map<instance_id, deployment_name> assigned;
+    for (const auto& [name, spec] : wanted.deployments())
+    {
+        for (const auto& where : spec.placements)
+        {
+            std::vector<instance_id> free;
+            for (const auto& one : upstreams)
+            {
+                if (internal::matches(one, where) &&
+                    !assigned.contains(one.instance))
+                    free.push_back(one.instance);
+            }
+            for (const auto& id :
+                 rendezvous_rank(name.value(), free, where.count))
+                assigned.emplace(id, name);
+        }
+    }
+    return assigned;
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/route/fair_queue.hpp
@@ -0,0 +1,257 @@
+/*! @file
+ * @brief Requests that wait for an upstream: fair between organisations,
+ * refused early when they cannot be served in time.
+ */
+#ifndef COURSEJUNCTION_ROUTE_FAIR_QUEUE_HPP
+#define COURSEJUNCTION_ROUTE_FAIR_QUEUE_HPP
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/types.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief One waiting request. */
+struct queued_request
+{
+    std::uint64_t number{0};
+    organisation_id organisation;
+    std::int32_t priority{0};
+    time_point deadline{};
+};
+
+/*! @brief Whether a request may wait. */
+struct queue_verdict
+{
+    bool accepted{false};
+    milliseconds retry_after{0}; /*!< When refused: when room is expected. */
+};
+
+/*! @brief Queues by organisation, served by virtual start time (start-time
+ * fair queueing, Goyal, Vin and Cheng, 1996), higher priorities first within
+ * an organisation. */
+class fair_queue
+{
+public:
+    using value_type = queued_request;
+    using size_type = std::size_t;
+
+    /*! @param most Requests that may wait in all. */
+    explicit fair_queue(size_type most) : limit(most) {}
+
+    /*! @brief Sets the weight of an organisation; 1 unless set. */
+    void weigh(const organisation_id& organisation, double weight)
+    {
+        flows[organisation].weight = weight;
+    }
+
+    /*! @brief Notes that a request ended, for the rate of service. */
+    void served(time_point now)
+    {
+        if (completions.size() == rate_window)
+            completions.pop_front();
+        completions.push_back(now);
+    }
+
+    /*! @brief Returns how long a request queued now would wait, by the rate
+     * at which requests ended lately; zero when nothing is known. */
+    [[nodiscard]] std::chrono::microseconds
+    expected_wait(const organisation_id& organisation, time_point now) const
+    {
+        const auto rate = service_rate(now);
+        if (rate <= 0)
+            return std::chrono::microseconds(0);
+        const auto found = flows.find(organisation);
+        const auto own =
+            found == flows.end() ? 0 : found->second.waiting.size();
+        // Under fair shares, an organisation waits for its own queue at its
+        // share of the rate, but never longer than for the whole queue.
+        const auto share = share_of(organisation);
+        const auto wait =
+            std::min(static_cast<double>(own + 1) / (rate * share),
+                     static_cast<double>(total + 1) / rate);
+        return from_seconds(wait);
+    }
+
+    /*! @brief Offers a request.
+     * @param service Time that the request itself is expected to take. */
+    [[nodiscard]] queue_verdict offer(queued_request one,
+                                      std::chrono::microseconds service,
+                                      time_point now)
+    {
+        const auto wait = expected_wait(one.organisation, now);
+        if (total >= limit || now + wait + service > one.deadline)
+            return {false, retry_after(wait)};
+        auto& flow = flows[one.organisation];
+        if (flow.waiting.empty())
+            flow.start = std::max(flow.start, virtual_now);
+        const auto place = std::upper_bound(
+            flow.waiting.begin(), flow.waiting.end(), one.priority,
+            [](std::int32_t priority, const queued_request& other)
+            { return priority > other.priority; });
+        flow.waiting.insert(place, std::move(one));
+        ++total;
+        return {true, milliseconds(0)};
+    }
+
+    /*! @brief Returns organisations with waiting requests in the order in
+     * which they are due. */
+    [[nodiscard]] std::vector<organisation_id> order() const
+    {
+        std::vector<std::pair<double, organisation_id>> due;
+        for (const auto& [id, flow] : flows)
+        {
+            if (!flow.waiting.empty())
+                due.emplace_back(flow.start, id);
+        }
+        std::sort(due.begin(), due.end());
+        std::vector<organisation_id> ids;
+        for (auto& [start, id] : due)
+            ids.push_back(std::move(id));
+        return ids;
+    }
+
+    /*! @brief Returns the first waiting request of an organisation. */
+    [[nodiscard]] const queued_request*
+    front(const organisation_id& organisation) const
+    {
+        const auto found = flows.find(organisation);
+        if (found == flows.end() || found->second.waiting.empty())
+            return nullptr;
+        return &found->second.waiting.front();
+    }
+
+    /*! @brief Takes the first waiting request of an organisation. */
+    queued_request pop(const organisation_id& organisation)
+    {
+        auto& flow = flows.at(organisation);
+        auto one = std::move(flow.waiting.front());
+        flow.waiting.pop_front();
+        --total;
+        charge(flow);
+        return one;
+    }
+
+    /*! @brief Charges an organisation for a request that did not wait. */
+    void charge(const organisation_id& organisation)
+    {
+        auto& flow = flows[organisation];
+        flow.start = std::max(flow.start, virtual_now);
+        charge(flow);
+    }
+
+    /*! @brief Takes out requests whose deadline cannot be met any more. */
+    [[nodiscard]] std::vector<queued_request>
+    expire(std::chrono::microseconds service, time_point now)
+    {
+        std::vector<queued_request> late;
+        for (auto& [id, flow] : flows)
+        {
+            auto& waiting = flow.waiting;
+            for (auto it = waiting.begin(); it != waiting.end();)
+            {
+                if (now + service <= it->deadline)
+                {
+                    ++it;
+                    continue;
+                }
+                late.push_back(std::move(*it));
+                it = waiting.erase(it);
+                --total;
+            }
+        }
+        return late;
+    }
+
+    /*! @brief Takes out one request, when its caller has left. */
+    bool remove(const organisation_id& organisation, std::uint64_t number)
+    {
+        const auto found = flows.find(organisation);
+        if (found == flows.end())
+            return false;
+        const auto gone =
+            std::erase_if(found->second.waiting,
+                          [&](const queued_request& one)
+                          { return one.number == number; });
+        total -= gone;
+        return gone > 0;
+    }
+
+    [[nodiscard]] size_type size() const noexcept { return total; }
+    [[nodiscard]] bool empty() const noexcept { return total == 0; }
+
+    /*! @brief Returns when a refused caller should come back. */
+    [[nodiscard]] static milliseconds
+    retry_after(std::chrono::microseconds wait)
+    {
+        const auto rounded =
+            std::chrono::duration_cast<milliseconds>(wait) + milliseconds(1);
+        return std::clamp(rounded, retry_least, retry_most);
+    }
+
+private:
+    static constexpr size_type rate_window = 64;
+    static constexpr milliseconds retry_least{100};
+    static constexpr milliseconds retry_most{60'000};
+
+    struct flow_state
+    {
+        double weight{1};
+        double start{0};
+        std::deque<queued_request> waiting;
+    };
+
+    void charge(flow_state& flow)
+    {
+        virtual_now = std::max(virtual_now, flow.start);
+        flow.start += 1.0 / flow.weight;
+    }
+
+    [[nodiscard]] double service_rate(time_point now) const
+    {
+        if (completions.size() < 2)
+            return 0;
+        const auto span = to_seconds(now - completions.front());
+        return span <= 0 ? 0 : static_cast<double>(completions.size()) / span;
+    }
+
+    [[nodiscard]] double share_of(const organisation_id& organisation) const
+    {
+        double own = 1;
+        double all = 0;
+        bool counted = false;
+        for (const auto& [id, flow] : flows)
+        {
+            if (id == organisation)
+            {
+                own = flow.weight;
+                counted = true;
+                all += flow.weight;
+            }
+            else if (!flow.waiting.empty())
+            {
+                all += flow.weight;
+            }
+        }
+        return own / (counted ? all : all + own);
+    }
+
+    size_type limit;
+    size_type total{0};
+    double virtual_now{0};
+    std::map<organisation_id, flow_state> flows;
+    std::deque<time_point> completions;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/route/fwd.hpp
@@ -0,0 +1,22 @@
+/*! @file
+ * @brief Declares the types of the route module.
+ */
+#ifndef COURSEJUNCTION_ROUTE_FWD_HPP
+#define COURSEJUNCTION_ROUTE_FWD_HPP
+
+#include <cstdint>
+
+namespace coursejunction
+{
+
+struct upstream_state;
+struct route_request;
+class upstream_table;
+class scored_policy;
+class round_robin_policy;
+class least_loaded_policy;
+class fair_queue;
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/route/upstream_table.hpp
@@ -0,0 +1,295 @@
+/*! @file
+ * @brief What an entry believes of the upstreams, and how it chooses one.
+ */
+#ifndef COURSEJUNCTION_ROUTE_UPSTREAM_TABLE_HPP
+#define COURSEJUNCTION_ROUTE_UPSTREAM_TABLE_HPP
+
+#include <algorithm>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "coursejunction/core/rendezvous.hpp"
+#include "coursejunction/core/types.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief One upstream as last reported, and what was sent since. */
+struct upstream_state
+{
+    instance_id id;
+    hall_id hall;
+    region_id region;
+    std::string model;
+    std::string kind;
+    std::size_t slots{0};
+    std::size_t reported{0}; /*!< Requests running there, lagging. */
+    std::size_t own{0};      /*!< Requests of this entry there now. */
+    std::size_t own_at_report{0};
+    double service_s{0}; /*!< Smoothed time of one request; 0 when unknown. */
+    bool open{false};
+    bool leaving{false};
+    time_point heard{};
+    time_point avoid_until{};
+    unsigned failures{0};
+    std::unordered_set<std::uint64_t> cached;
+
+    /*! @brief Returns the requests believed to run there now. */
+    [[nodiscard]] std::size_t load() const
+    {
+        const auto others =
+            reported > own_at_report ? reported - own_at_report : 0;
+        return others + own;
+    }
+};
+
+/*! @brief What is to be routed. */
+struct route_request
+{
+    std::string model;
+    std::string kind;
+    std::string affinity; /*!< Key that should meet the same upstream. */
+    std::vector<std::uint64_t> prefixes; /*!< Hashes, the longest first. */
+    std::vector<instance_id> excluded;
+};
+
+/*! @brief Chooses among candidates that can take the request now. */
+template <typename Policy>
+concept Route_policy =
+    requires(Policy policy, const std::vector<const upstream_state*>& from,
+             const route_request& request, const hall_id& hall,
+             const region_id& region) {
+        {
+            policy.choose(from, request, hall, region)
+        } -> std::same_as<const upstream_state*>;
+    };
+
+/*! @brief Expected wait, distance and cached prefix in one score.
+ *
+ * A cached prefix saves prefill, a fuller upstream decodes slower and a
+ * farther one adds its latency; all three are portions of a request, so a
+ * wrong or late belief costs time only. */
+class scored_policy
+{
+public:
+    static constexpr double cached_gain = 0.35;
+    static constexpr double affinity_gain = 0.1;
+    static constexpr double hall_cost = 0.05;
+    static constexpr double region_cost = 0.3;
+
+    [[nodiscard]] const upstream_state*
+    choose(const std::vector<const upstream_state*>& from,
+           const route_request& request, const hall_id& hall,
+           const region_id& region) const
+    {
+        const upstream_state* best = nullptr;
+        double least = 0;
+        for (const auto* one : from)
+        {
+            const auto cost = score(*one, request, hall, region);
+            if (best != nullptr && cost >= least)
+                continue;
+            best = one;
+            least = cost;
+        }
+        return best;
+    }
+
+private:
+    static double score(const upstream_state& one, const route_request& request,
+                        const hall_id& hall, const region_id& region)
+    {
+        double cost = static_cast<double>(one.load()) /
+                      static_cast<double>(std::max<std::size_t>(one.slots, 1));
+        if (one.region != region)
+            cost += region_cost;
+        else if (one.hall != hall)
+            cost += hall_cost;
+        cost -= cached_gain * cached_portion(one, request);
+        if (!request.affinity.empty())
+            cost -= affinity_gain *
+                    static_cast<double>(
+                        rendezvous_weight(request.affinity, one.id.value()) >>
+                        11U) /
+                    static_cast<double>(std::uint64_t{1} << 53U);
+        return cost;
+    }
+
+    static double cached_portion(const upstream_state& one,
+                                 const route_request& request)
+    {
+        const auto count = request.prefixes.size();
+        for (std::size_t at = 0; at < count; ++at)
+        {
+            if (one.cached.contains(request.prefixes[at]))
+                return static_cast<double>(count - at) /
+                       static_cast<double>(count);
+        }
+        return 0;
+    }
+};
+
+/*! @brief One after another; a baseline. */
+class round_robin_policy
+{
+public:
+    [[nodiscard]] const upstream_state*
+    choose(const std::vector<const upstream_state*>& from, const route_request&,
+           const hall_id&, const region_id&)
+    {
+        return from.empty() ? nullptr : from[turn++ % from.size()];
+    }
+
+private:
+    std::size_t turn{0};
+};
+
+/*! @brief The least filled; a baseline. */
+class least_loaded_policy
+{
+public:
+    [[nodiscard]] const upstream_state*
+    choose(const std::vector<const upstream_state*>& from, const route_request&,
+           const hall_id&, const region_id&) const
+    {
+        const auto fill = [](const upstream_state* one)
+        {
+            return static_cast<double>(one->load()) /
+                   static_cast<double>(std::max<std::size_t>(one->slots, 1));
+        };
+        const auto least = std::min_element(
+            from.begin(), from.end(),
+            [&](const auto* left, const auto* right)
+            { return fill(left) < fill(right); });
+        return least == from.end() ? nullptr : *least;
+    }
+};
+
+/*! @brief Upstreams by the instance of their side. */
+class upstream_table
+{
+public:
+    using value_type = upstream_state;
+    using size_type = std::size_t;
+
+    /*! @brief Reports older than this say nothing of openness. */
+    static constexpr milliseconds report_validity{5000};
+
+    /*! @brief Returns the state of an upstream, made when absent. */
+    upstream_state& operator[](const instance_id& id)
+    {
+        auto& one = states[id];
+        one.id = id;
+        return one;
+    }
+
+    [[nodiscard]] upstream_state* find(const instance_id& id)
+    {
+        const auto found = states.find(id);
+        return found == states.end() ? nullptr : &found->second;
+    }
+
+    void erase(const instance_id& id) { states.erase(id); }
+
+    [[nodiscard]] size_type size() const { return states.size(); }
+    [[nodiscard]] bool contains(const instance_id& id) const
+    {
+        return states.contains(id);
+    }
+    [[nodiscard]] const std::map<instance_id, upstream_state>& all() const
+    {
+        return states;
+    }
+
+    /*! @brief Chooses an upstream that serves the model and has room.
+     * @return The upstream, or nothing. */
+    template <Route_policy Policy>
+    [[nodiscard]] std::optional<instance_id>
+    choose(Policy& policy, const route_request& request, const hall_id& hall,
+           const region_id& region, time_point now) const
+    {
+        std::vector<const upstream_state*> candidates;
+        for (const auto& [id, one] : states)
+        {
+            if (serves(one, request, now) && one.load() < one.slots &&
+                std::find(request.excluded.begin(), request.excluded.end(),
+                          id) == request.excluded.end())
+                candidates.push_back(&one);
+        }
+        const auto* best = policy.choose(candidates, request, hall, region);
+        if (best == nullptr)
+            return std::nullopt;
+        return best->id;
+    }
+
+    /*! @brief Tells whether anybody serves the model, with room or not. */
+    [[nodiscard]] bool served(const route_request& request,
+                              time_point now) const
+    {
+        return std::any_of(states.begin(), states.end(),
+                           [&](const auto& one)
+                           { return serves(one.second, request, now); });
+    }
+
+    /*! @brief Returns the slots of all upstreams that serve the model. */
+    [[nodiscard]] size_type capacity(const route_request& request,
+                                     time_point now) const
+    {
+        size_type total = 0;
+        for (const auto& [id, one] : states)
+            total += serves(one, request, now) ? one.slots : 0;
+        return total;
+    }
+
+    /*! @brief An attempt failed: the upstream is avoided for a time that
+     * doubles with each failure in a row. */
+    void failed(const instance_id& id, time_point now)
+    {
+        auto* one = find(id);
+        if (one == nullptr)
+            return;
+        constexpr unsigned most_doublings = 5;
+        one->avoid_until =
+            now + avoid_least * (1 << std::min(one->failures, most_doublings));
+        ++one->failures;
+    }
+
+    /*! @brief An attempt succeeded.
+     * @param took How long the request ran. */
+    void succeeded(const instance_id& id, std::chrono::microseconds took)
+    {
+        auto* one = find(id);
+        if (one == nullptr)
+            return;
+        constexpr double smoothing = 0.1;
+        const auto seconds = to_seconds(took);
+        one->failures = 0;
+        one->service_s =
+            one->service_s == 0
+                ? seconds
+                : one->service_s + (seconds - one->service_s) * smoothing;
+    }
+
+private:
+    static constexpr milliseconds avoid_least{250};
+
+    static bool serves(const upstream_state& one, const route_request& request,
+                       time_point now)
+    {
+        return one.open && !one.leaving && one.model == request.model &&
+               one.kind == request.kind && now >= one.avoid_until &&
+               now - one.heard <= report_validity;
+    }
+
+    std::map<instance_id, upstream_state> states;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/run/fwd.hpp
@@ -0,0 +1,18 @@
+/*! @file
+ * @brief Declares the types of the run module.
+ */
+#ifndef COURSEJUNCTION_RUN_FWD_HPP
+#define COURSEJUNCTION_RUN_FWD_HPP
+
+#include <cstdint>
+
+namespace coursejunction
+{
+
+enum class admission : std::uint8_t;
+class run_registry;
+class retry_budget;
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -0,0 +1,584 @@
+/*! @file
+ * @brief Decides which chunk an instance asks from whom, and when.
+ */
+#ifndef COURSEJUNCTION_TRANSFER_TRANSFER_PLANNER_HPP
+#define COURSEJUNCTION_TRANSFER_TRANSFER_PLANNER_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/assert.hpp"
+#include "coursejunction/transfer/source_policy.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Limits of a planner. */
+struct planner_limits
+{
+    std::size_t pending{4};        /*!< Chunks asked from holders at once. */
+    std::size_t origin_pending{2}; /*!< Chunks asked from the origin at once. */
+    std::size_t waiting{16};       /*!< Chunks waited for at first sources. */
+    std::size_t peer_queue{4};     /*!< Queue at a holder above which to skip. */
+    milliseconds stall_floor{10'000}; /*!< Least time without any progress. */
+    std::uint32_t seed{1};
+};
+
+/*! @brief One thing to do. */
+struct transfer_request
+{
+    enum class kind : std::uint8_t
+    {
+        holder, /*!< Ask a peer that holds the chunk. */
+        waiting, /*!< Ask a peer to send the chunk once it holds it. */
+        origin  /*!< Ask the origin. */
+    };
+
+    kind how{kind::holder};
+    chunk_index chunk{0};
+    instance_id peer;
+};
+
+/*! @brief Plans the transfer of one manifest to one instance. Pure: it is
+ * told what happened and what time it is.
+ * @tparam Policy A `Source_policy`. */
+template <Source_policy Policy>
+class transfer_planner
+{
+public:
+    /*! @brief Known holders a planner can follow. */
+    static constexpr std::size_t max_holders = 64;
+
+    /*! @brief Peers that sent this many bad chunks are asked no more. */
+    static constexpr std::size_t max_bad = 2;
+
+    transfer_planner(manifest of, instance_id self, planner_limits set,
+                     Policy how, time_point now)
+        : plan(std::move(of)), own(std::move(self)), limits(set),
+          policy(std::move(how)), random(set.seed), chunks(plan.size()),
+          missing(plan.size()), last_news(now)
+    {
+        for (chunk_index at = 0; at < chunks.size(); ++at)
+            open.push_back(at);
+        for (std::size_t at = 0; at < open.size(); ++at)
+            chunks[open[at]].place = at;
+    }
+
+    /*! @brief Sets who takes part; called again when the list changes. */
+    void participants(const std::vector<participant>& all, time_point now)
+    {
+        hall_of.clear();
+        for (const auto& one : all)
+            hall_of.emplace(one.id, one.hall);
+        policy.assign(plan, all, own);
+        for (const auto& id : policy.watched())
+            watch(id, now);
+    }
+
+    /*! @brief Starts to expect signs of life of a peer. */
+    void watch(const instance_id& peer, time_point now)
+    {
+        if (peer != own)
+            heard_at.emplace(peer, now);
+    }
+
+    /*! @brief Returns the peers whose signs of life are expected. */
+    [[nodiscard]] std::vector<instance_id> watched() const
+    {
+        std::vector<instance_id> ids;
+        for (const auto& [id, when] : heard_at)
+            ids.push_back(id);
+        return ids;
+    }
+
+    /*! @brief Notes a sign of life of a peer. */
+    void heard(const instance_id& peer, time_point now)
+    {
+        const auto found = heard_at.find(peer);
+        if (found != heard_at.end())
+            found->second = now;
+        lost.erase(peer);
+    }
+
+    /*! @brief Notes chunks that a peer holds and the length of its queue. */
+    void holds(const instance_id& peer, const std::vector<chunk_index>& held,
+               std::uint32_t queue, time_point now)
+    {
+        heard(peer, now);
+        const bool near = same_hall(peer);
+        const auto number =
+            near ? holder_number(peer) : std::optional<std::size_t>{};
+        const auto mask = number ? bit(*number) : std::uint64_t{0};
+        if (number)
+            holders[*number].queue = queue;
+        for (const auto at : held)
+        {
+            if (at >= chunks.size())
+                continue;
+            if (!chunks[at].seen && !chunks[at].held)
+                news(now);
+            chunks[at].seen = true;
+            chunks[at].holders |= mask;
+        }
+    }
+
+    /*! @brief Notes that this instance now holds a chunk. */
+    void held(chunk_index at, time_point now)
+    {
+        auto& one = chunks[at];
+        if (one.held)
+            return;
+        if (!one.seen)
+            news(now);
+        one.seen = true;
+        measure(one, now);
+        settle(at);
+        one.held = true;
+        remove_open(at);
+        --missing;
+    }
+
+    /*! @brief Notes that a request got no chunk. */
+    void refused(chunk_index at, const instance_id& peer, bool absent,
+                 std::uint32_t queue, time_point now)
+    {
+        if (at >= chunks.size())
+            return;
+        const auto number = same_hall(peer) ? holder_number(peer)
+                                            : std::optional<std::size_t>{};
+        if (number && absent)
+            chunks[at].holders &= ~bit(*number);
+        if (number)
+            busy(*number, queue, now);
+        if (absent)
+            refused_until[peer] = now + refused_pause;
+        if (!chunks[at].held && chunks[at].asked_peer == peer)
+            settle(at);
+    }
+
+    /*! @brief Notes that the origin did not give a chunk. */
+    void origin_failed(chunk_index at, time_point now)
+    {
+        if (chunks[at].how == transfer_request::kind::origin)
+            settle(at);
+        origin_backoff = std::clamp(origin_backoff * 2, origin_least,
+                                    origin_most);
+        origin_after = now + origin_backoff;
+    }
+
+
+    /*! @brief Notes a chunk with a wrong hash. */
+    void corrupt(chunk_index at, const instance_id& peer)
+    {
+        if (!peer.empty() && ++bad[peer] >= max_bad)
+            forget(peer);
+        if (at < chunks.size() && !chunks[at].held)
+            settle(at);
+    }
+
+    /*! @brief Notes that a peer cannot be reached. */
+    void gone(const instance_id& peer)
+    {
+        lost.insert(peer);
+        forget(peer);
+    }
+
+    /*! @brief Returns what to ask now. */
+    [[nodiscard]] std::vector<transfer_request> next(time_point now)
+    {
+        std::vector<transfer_request> requests;
+        if (complete())
+            return requests;
+        expire(now);
+        escalate(now);
+        ask_first_sources(requests, now);
+        if constexpr (Policy::uses_possession)
+            ask_holders(requests, now);
+        return requests;
+    }
+
+    /*! @brief Tells whether every chunk is held. */
+    [[nodiscard]] bool complete() const noexcept { return missing == 0; }
+
+    /*! @brief Returns how often first sources stalled. */
+    [[nodiscard]] std::size_t level() const noexcept { return stall_level; }
+
+    /*! @brief Tells whether a peer has sent too many bad chunks. */
+    [[nodiscard]] bool banned(const instance_id& peer) const
+    {
+        const auto found = bad.find(peer);
+        return found != bad.end() && found->second >= max_bad;
+    }
+
+    /*! @brief Returns how many requests are open, waits left out. */
+    [[nodiscard]] std::size_t pending() const noexcept
+    {
+        return holder_pending;
+    }
+
+private:
+    static constexpr milliseconds origin_least{200};
+    static constexpr milliseconds origin_most{3000};
+    static constexpr milliseconds busy_pause{50};
+    static constexpr milliseconds refused_pause{300};
+    static constexpr milliseconds silence{1500};
+    static constexpr milliseconds longest_origin_request{60'000};
+    static constexpr milliseconds least_deadline{500};
+    static constexpr std::size_t sample = 48;
+    static constexpr std::size_t most_levels = 4;
+    static constexpr double stall_intervals = 20;
+    static constexpr double smoothing = 0.1;
+    static constexpr double deadline_ratio = 4;
+    static constexpr std::size_t scanned_most = 4096;
+
+    struct chunk_state
+    {
+        std::uint64_t holders{0};
+        bool held{false};
+        bool seen{false};
+        bool asked{false};
+        transfer_request::kind how{};
+        instance_id asked_peer;
+        time_point asked_at{};
+        time_point deadline{};
+        std::size_t place{0};
+    };
+
+    struct holder_state
+    {
+        instance_id id;
+        std::uint32_t queue{0};
+        std::uint32_t asked{0};
+        time_point not_before{};
+    };
+
+    [[nodiscard]] bool same_hall(const instance_id& peer) const
+    {
+        const auto mine = hall_of.find(own);
+        const auto other = hall_of.find(peer);
+        return mine != hall_of.end() && other != hall_of.end() &&
+               mine->second == other->second;
+    }
+
+    /*! @brief A peer is alive unless its connection failed or its expected
+     * signs of life are missing. */
+    [[nodiscard]] bool alive(const instance_id& peer, time_point now) const
+    {
+        if (lost.contains(peer) || banned(peer))
+            return false;
+        const auto found = heard_at.find(peer);
+        return found == heard_at.end() || now - found->second <= silence;
+    }
+
+    static std::uint64_t bit(std::size_t number)
+    {
+        return std::uint64_t{1} << number;
+    }
+
+    std::optional<std::size_t> holder_number(const instance_id& peer)
+    {
+        if (banned(peer) || peer == own)
+            return std::nullopt;
+        for (std::size_t at = 0; at < holders.size(); ++at)
+        {
+            if (holders[at].id == peer)
+                return at;
+        }
+        for (std::size_t at = 0; at < holders.size(); ++at)
+        {
+            if (!holders[at].id.empty())
+                continue;
+            holders[at] = holder_state{peer, 0, 0, {}};
+            return at;
+        }
+        if (holders.size() == max_holders)
+            return std::nullopt;
+        holders.push_back(holder_state{peer, 0, 0, {}});
+        return holders.size() - 1;
+    }
+
+    void busy(std::size_t number, std::uint32_t queue, time_point now)
+    {
+        holders[number].queue = queue;
+        holders[number].not_before = now + busy_pause;
+    }
+
+    void forget(const instance_id& peer)
+    {
+        for (chunk_index at = 0; at < chunks.size(); ++at)
+        {
+            if (chunks[at].asked && chunks[at].asked_peer == peer)
+                settle(at);
+        }
+        for (std::size_t at = 0; at < holders.size(); ++at)
+        {
+            if (holders[at].id != peer)
+                continue;
+            for (auto& one : chunks)
+                one.holders &= ~bit(at);
+            holders[at] = holder_state{};
+        }
+    }
+
+    /*! @brief A chunk is seen for the first time anywhere. */
+    void news(time_point now)
+    {
+        const auto gap = to_seconds(now - last_news);
+        interval = interval == 0 ? gap
+                                 : interval + (gap - interval) * smoothing;
+        last_news = now;
+    }
+
+    /*! @brief Learns from how long a chunk took. */
+    void measure(const chunk_state& one, time_point now)
+    {
+        if (!one.asked)
+            return;
+        const auto took = now - one.asked_at;
+        if (one.how == transfer_request::kind::holder)
+            chunk_seconds += (to_seconds(took) - chunk_seconds) * smoothing;
+        if (one.how == transfer_request::kind::origin)
+            origin_backoff = milliseconds(0);
+    }
+
+    /*! @brief Ends the request for a chunk. */
+    void settle(chunk_index at)
+    {
+        auto& one = chunks[at];
+        if (!one.asked)
+            return;
+        one.asked = false;
+        switch (one.how)
+        {
+        case transfer_request::kind::holder:
+            --holder_pending;
+            for (auto& peer : holders)
+            {
+                if (peer.id == one.asked_peer && peer.asked > 0)
+                    --peer.asked;
+            }
+            break;
+        case transfer_request::kind::waiting:
+            --waiting_pending;
+            break;
+        case transfer_request::kind::origin:
+            --origin_pending;
+            break;
+        }
+        one.asked_peer = instance_id();
+    }
+
+    void remove_open(chunk_index at)
+    {
+        const auto place = chunks[at].place;
+        open[place] = open.back();
+        chunks[open[place]].place = place;
+        open.pop_back();
+    }
+
+    void ask(std::vector<transfer_request>& requests, chunk_index at,
+             transfer_request::kind how, instance_id peer, time_point now,
+             std::chrono::microseconds allowed)
+    {
+        auto& one = chunks[at];
+        COURSEJUNCTION_ASSERT(!one.asked && !one.held, "asked twice");
+        one.asked = true;
+        one.how = how;
+        one.asked_peer = peer;
+        one.asked_at = now;
+        one.deadline = now + allowed;
+        if (how == transfer_request::kind::holder)
+            ++holder_pending;
+        else if (how == transfer_request::kind::waiting)
+            ++waiting_pending;
+        else
+            ++origin_pending;
+        requests.push_back({how, at, std::move(peer)});
+    }
+
+    /*! @brief Gives up requests whose deadline has passed. A late chunk is
+     * still taken when it comes. */
+    void expire(time_point now)
+    {
+        for (const auto at : open)
+        {
+            auto& one = chunks[at];
+            if (!one.asked)
+                continue;
+            const bool silent =
+                !one.asked_peer.empty() && !alive(one.asked_peer, now);
+            if (now < one.deadline && !silent)
+                continue;
+            if (one.how == transfer_request::kind::holder)
+            {
+                const auto number = holder_number(one.asked_peer);
+                if (number)
+                    holders[*number].not_before = now + least_deadline;
+            }
+            settle(at);
+        }
+    }
+
+    /*! @brief Lets later ranks stand in although earlier ones are alive, when
+     * nothing new is seen for long, measured by how often something new was
+     * seen before. Each further step takes twice as long. */
+    void escalate(time_point now)
+    {
+        const auto least = std::max<std::chrono::microseconds>(
+            limits.stall_floor, from_seconds(interval * stall_intervals));
+        if (now - last_news < least * (1 << std::min(stall_level, most_levels)))
+            return;
+        ++stall_level;
+        last_news = now;
+        for (const auto at : open)
+        {
+            if (chunks[at].asked &&
+                chunks[at].how != transfer_request::kind::holder)
+                settle(at);
+        }
+    }
+
+    /*! @brief Returns how long a chunk may take from a holder: a multiple of
+     * what chunks took lately. */
+    std::chrono::microseconds allowance() const
+    {
+        return std::max<std::chrono::microseconds>(
+            least_deadline, from_seconds(chunk_seconds * deadline_ratio *
+                                         static_cast<double>(
+                                             limits.peer_queue + 1)));
+    }
+
+    void ask_first_sources(std::vector<transfer_request>& requests,
+                           time_point now)
+    {
+        constexpr std::size_t examined_most = 512;
+        std::size_t examined = 0;
+        if (open.empty())
+            return;
+        const liveness living = [&](const instance_id& peer)
+        { return alive(peer, now); };
+        const auto start = random() % open.size();
+        for (std::size_t step = 0;
+             step < open.size() && examined < examined_most; ++step)
+        {
+            const auto at = open[(start + step) % open.size()];
+            auto& one = chunks[at];
+            if (one.asked ||
+                (Policy::uses_possession && one.holders != 0))
+                continue;
+            ++examined;
+            const auto from = policy.source(at, living, stall_level);
+            ask_first_source(requests, at, from, now);
+        }
+    }
+
+    void ask_first_source(std::vector<transfer_request>& requests,
+                          chunk_index at, const chunk_source& from,
+                          time_point now)
+    {
+        if (from.kind == chunk_source::origin_kind::origin &&
+            origin_pending < limits.origin_pending && now >= origin_after)
+            ask(requests, at, transfer_request::kind::origin, {}, now,
+                longest_origin_request);
+        if (from.kind == chunk_source::origin_kind::peer &&
+            waiting_pending < limits.waiting && !banned(from.peer) &&
+            from.peer != own && now >= refused_until[from.peer])
+            ask(requests, at, transfer_request::kind::waiting, from.peer, now,
+                longest_origin_request);
+    }
+
+    void ask_holders(std::vector<transfer_request>& requests, time_point now)
+    {
+        while (holder_pending < limits.pending)
+        {
+            if (!ask_best_holder(requests, now))
+                return;
+        }
+    }
+
+    /*! @brief Asks the least busy holder for the rarest of some chunks. */
+    bool ask_best_holder(std::vector<transfer_request>& requests,
+                         time_point now)
+    {
+        std::vector<std::pair<std::uint64_t, std::size_t>> order;
+        for (std::size_t at = 0; at < holders.size(); ++at)
+        {
+            const auto& one = holders[at];
+            const auto load = one.queue + one.asked;
+            if (one.id.empty() || load > limits.peer_queue ||
+                now < one.not_before)
+                continue;
+            order.emplace_back((std::uint64_t{load} << 32U) | random(), at);
+        }
+        std::sort(order.begin(), order.end());
+        for (const auto& [load, number] : order)
+        {
+            const auto at = rarest_of(number);
+            if (!at)
+                continue;
+            ++holders[number].asked;
+            ask(requests, *at, transfer_request::kind::holder,
+                holders[number].id, now, allowance());
+            return true;
+        }
+        return false;
+    }
+
+    std::optional<chunk_index> rarest_of(std::size_t number)
+    {
+        std::optional<chunk_index> best;
+        int fewest = static_cast<int>(max_holders) + 1;
+        std::size_t seen = 0;
+        const auto start = random() % open.size();
+        for (std::size_t step = 0; step < open.size() && step < scanned_most && seen < sample;
+             ++step)
+        {
+            const auto at = open[(start + step) % open.size()];
+            const auto& one = chunks[at];
+            if (one.asked || (one.holders & bit(number)) == 0)
+                continue;
+            ++seen;
+            const int count = __builtin_popcountll(one.holders);
+            if (count >= fewest)
+                continue;
+            fewest = count;
+            best = at;
+        }
+        return best;
+    }
+
+    manifest plan;
+    instance_id own;
+    planner_limits limits;
+    Policy policy;
+    std::minstd_rand random;
+    std::vector<chunk_state> chunks;
+    std::vector<chunk_index> open;
+    std::vector<holder_state> holders;
+    std::map<instance_id, std::size_t> bad;
+    std::size_t missing;
+    std::size_t holder_pending{0};
+    std::size_t waiting_pending{0};
+    std::size_t origin_pending{0};
+    std::size_t stall_level{0};
+    milliseconds origin_backoff{0};
+    time_point origin_after{};
+    time_point last_news;
+    double interval{0};
+    double chunk_seconds{0.1};
+    std::map<instance_id, hall_id> hall_of;
+    std::map<instance_id, time_point> heard_at;
+    std::set<instance_id> lost;
+    std::map<instance_id, time_point> refused_until;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/transfer/upload_queue.hpp
@@ -0,0 +1,108 @@
+/*! @file
+ * @brief Orders what an instance's uplink sends.
+ */
+#ifndef COURSEJUNCTION_TRANSFER_UPLOAD_QUEUE_HPP
+#define COURSEJUNCTION_TRANSFER_UPLOAD_QUEUE_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/transfer/fwd.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Chunks to send, those that other halls wait for first. Requests
+ * beyond the limit are refused at once, so that the asker turns elsewhere. */
+class upload_queue
+{
+public:
+    using size_type = std::size_t;
+
+    /*! @brief One chunk for one peer. */
+    struct upload
+    {
+        instance_id to;
+        chunk_index chunk{0};
+
+        friend auto operator<=>(const upload&, const upload&) = default;
+    };
+
+    /*! @param most Plain requests that may queue. */
+    explicit upload_queue(size_type most) : limit(most) {}
+
+    /*! @brief Queues a chunk that is held.
+     * @return False when the queue is full. */
+    [[nodiscard]] bool offer(upload one)
+    {
+        if (plain.size() >= limit)
+            return false;
+        if (std::find(plain.begin(), plain.end(), one) == plain.end())
+            plain.push_back(std::move(one));
+        return true;
+    }
+
+    /*! @brief Notes that a peer waits for a chunk that is not yet held. */
+    void wait(upload one) { waiting[one.chunk].insert(std::move(one.to)); }
+
+    /*! @brief Queues a chunk before all plain requests. */
+    void urge(upload one) { urgent.push_back(std::move(one)); }
+
+    /*! @brief Moves those that wait for a chunk to the front.
+     * @return Whether any did. */
+    bool release(chunk_index chunk)
+    {
+        const auto found = waiting.find(chunk);
+        if (found == waiting.end())
+            return false;
+        for (const auto& to : found->second)
+            urgent.push_back({to, chunk});
+        waiting.erase(found);
+        return true;
+    }
+
+    /*! @brief Takes the next upload. */
+    [[nodiscard]] std::optional<upload> next()
+    {
+        auto& from = urgent.empty() ? plain : urgent;
+        if (from.empty())
+            return std::nullopt;
+        auto one = std::move(from.front());
+        from.pop_front();
+        return one;
+    }
+
+    /*! @brief Forgets a peer that is gone. */
+    void drop(const instance_id& peer)
+    {
+        const auto same = [&](const upload& one) { return one.to == peer; };
+        std::erase_if(plain, same);
+        std::erase_if(urgent, same);
+        for (auto& [chunk, peers] : waiting)
+            peers.erase(peer);
+    }
+
+    /*! @brief Returns how many uploads are queued. */
+    [[nodiscard]] size_type size() const
+    {
+        return plain.size() + urgent.size();
+    }
+
+    [[nodiscard]] bool empty() const { return size() == 0; }
+
+private:
+    size_type limit;
+    std::deque<upload> plain;
+    std::deque<upload> urgent;
+    std::map<chunk_index, std::set<instance_id>> waiting;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/wire/codec.cpp
@@ -0,0 +1,190 @@
+#include "coursejunction/wire/codec.hpp"
+
+#include <array>
+#include <cstring>
+#include <stdexcept>
+#include <type_traits>
+
+#include <cereal/cereal.hpp>
+#include <cereal/details/traits.hpp>
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+/*! @brief cereal archive that appends to a string, little endian. */
+class writer : public cereal::OutputArchive<writer>
+{
+public:
+    writer() : cereal::OutputArchive<writer>(this) {}
+
+    void bytes(const void* from, std::size_t count)
+    {
+        text.append(static_cast<const char*>(from), count);
+    }
+
+    std::string text;
+};
+
+/*! @brief cereal archive that reads from a bounded view. */
+class reader : public cereal::InputArchive<reader>
+{
+public:
+    explicit reader(std::string_view from)
+        : cereal::InputArchive<reader>(this), left(from)
+    {
+    }
+
+    void bytes(void* into, std::size_t count)
+    {
+        if (count > left.size())
+            throw std::length_error("head is cut");
+        std::memcpy(into, left.data(), count);
+        left.remove_prefix(count);
+    }
+
+    /*! @brief Refuses a run that cannot fit into what is left. */
+    std::size_t run(std::size_t element_bytes)
+    {
+        std::uint32_t count = 0;
+        bytes(&count, sizeof(count));
+        if (count > left.size() / element_bytes)
+            throw std::length_error("a length lies");
+        return count;
+    }
+
+    std::string_view left;
+};
+
+template <typename Value>
+concept plain = std::is_arithmetic_v<Value>;
+
+template <plain Value>
+void CEREAL_SAVE_FUNCTION_NAME(writer& archive, const Value& value)
+{
+    archive.bytes(&value, sizeof(value));
+}
+
+template <plain Value>
+void CEREAL_LOAD_FUNCTION_NAME(reader& archive, Value& value)
+{
+    if constexpr (std::is_same_v<Value, bool>)
+    {
+        std::uint8_t raw = 0;
+        archive.bytes(&raw, sizeof(raw));
+        value = raw != 0;
+    }
+    else
+    {
+        archive.bytes(&value, sizeof(value));
+    }
+}
+
+void CEREAL_SAVE_FUNCTION_NAME(writer& archive, const std::string& value)
+{
+    const auto count = static_cast<std::uint32_t>(value.size());
+    archive.bytes(&count, sizeof(count));
+    archive.bytes(value.data(), value.size());
+}
+
+void CEREAL_LOAD_FUNCTION_NAME(reader& archive, std::string& value)
+{
+    value.resize(archive.run(1));
+    archive.bytes(value.data(), value.size());
+}
+
+void CEREAL_SAVE_FUNCTION_NAME(writer& archive, const digest::value_type& value)
+{
+    archive.bytes(value.data(), value.size());
+}
+
+void CEREAL_LOAD_FUNCTION_NAME(reader& archive, digest::value_type& value)
+{
+    archive.bytes(value.data(), value.size());
+}
+
+template <typename Element>
+void CEREAL_SAVE_FUNCTION_NAME(writer& archive,
+                               const std::vector<Element>& value)
+{
+    const auto count = static_cast<std::uint32_t>(value.size());
+    archive.bytes(&count, sizeof(count));
+    for (const auto& one : value)
+        archive(one);
+}
+
+template <typename Element>
+void CEREAL_LOAD_FUNCTION_NAME(reader& archive, std::vector<Element>& value)
+{
+    constexpr std::size_t least =
+        std::is_arithmetic_v<Element> ? sizeof(Element) : 32;
+    const auto count = archive.run(least);
+    value.clear();
+    value.reserve(count);
+    for (std::size_t at = 0; at < count; ++at)
+        archive(value.emplace_back());
+}
+
+} // namespace internal
+
+} // namespace coursejunction
+
+CEREAL_SETUP_ARCHIVE_TRAITS(coursejunction::internal::reader,
+                            coursejunction::internal::writer)
+
+namespace coursejunction
+{
+
+template <typename Message>
+std::string encode(const Message& from)
+{
+    internal::writer archive;
+    archive(from);
+    return std::move(archive.text);
+}
+
+template <typename Message>
+result<Message> decode(std::string_view head)
+{
+    try
+    {
+        internal::reader archive(head);
+        Message read;
+        archive(read);
+        if (!archive.left.empty())
+            return failure(error_kind::refused, "head is too long");
+        return read;
+    }
+    catch (const std::exception& caught)
+    {
+        return failure(error_kind::refused, caught.what());
+    }
+}
+
+#define COURSEJUNCTION_CODEC(Name)                                             \
+    template std::string encode(const message::Name&);                         \
+    template result<message::Name> decode(std::string_view);
+
+COURSEJUNCTION_CODEC(hello)
+COURSEJUNCTION_CODEC(dispatch)
+COURSEJUNCTION_CODEC(answer_part)
+COURSEJUNCTION_CODEC(answer_end)
+COURSEJUNCTION_CODEC(cancel)
+COURSEJUNCTION_CODEC(report)
+COURSEJUNCTION_CODEC(subscribe)
+COURSEJUNCTION_CODEC(configuration_pull)
+COURSEJUNCTION_CODEC(configuration_snapshot)
+COURSEJUNCTION_CODEC(have)
+COURSEJUNCTION_CODEC(chunk_request)
+COURSEJUNCTION_CODEC(chunk_reply)
+COURSEJUNCTION_CODEC(manifest_request)
+COURSEJUNCTION_CODEC(manifest_reply)
+COURSEJUNCTION_CODEC(permit_request)
+COURSEJUNCTION_CODEC(permit_reply)
+COURSEJUNCTION_CODEC(status_query)
+COURSEJUNCTION_CODEC(status_reply)
+COURSEJUNCTION_CODEC(heartbeat)
+
+} // namespace coursejunction
--- /dev/null
+++ b/standin/key_value.cpp
@@ -0,0 +1,271 @@
+/*! @file
+ * @brief Stand-in of the platform's key-value service: the part of Consul's
+ * published HTTP interface that the system uses (values, check-and-set,
+ * blocking queries, sessions that delete what they hold).
+ */
+#include <map>
+#include <optional>
+
+#include <openssl/evp.h>
+
+#include "coursejunction/core/digest.hpp"
+#include "coursejunction/core/pacing.hpp"
+#include "standin.hpp"
+
+namespace standin
+{
+
+using coursejunction::time_point;
+
+std::string base64(const std::string& plain)
+{
+    std::string text(4 * ((plain.size() + 2) / 3) + 1, '\0');
+    const auto count = EVP_EncodeBlock(
+        reinterpret_cast<unsigned char*>(text.data()),
+        reinterpret_cast<const unsigned char*>(plain.data()),
+        static_cast<int>(plain.size()));
+    text.resize(static_cast<std::size_t>(count));
+    return text;
+}
+
+class key_value
+{
+public:
+    key_value(event_loop& target, double reads, double writes)
+        : loop(target), later(target), read_limit(reads, reads),
+          write_limit(writes, writes)
+    {
+    }
+
+    void handle(http_request request, const reply_pointer& reply)
+    {
+        if (request.path == "/faults")
+            return set_faults(request, reply);
+        if (request.path == "/counts")
+            return send_json(reply, 200, counts());
+        if (down)
+            return reply->cut();
+        if (delay.count() > 0)
+            return later.after(delay,
+                               [this, request = std::move(request), reply]
+                               { serve(request, reply); });
+        serve(request, reply);
+    }
+
+private:
+    struct entry
+    {
+        std::string value;
+        std::string session;
+        std::uint64_t index{0};
+    };
+
+    struct watch
+    {
+        std::string key;
+        std::uint64_t index{0};
+        reply_pointer reply;
+    };
+
+    static constexpr std::size_t max_value = std::size_t{1} << 20U;
+
+    void set_faults(const http_request& request, const reply_pointer& reply)
+    {
+        const auto body = json::parse(request.body);
+        const bool was_down = down;
+        down = body.value("down", down);
+        delay = std::chrono::milliseconds(
+            body.value("delay_ms", std::int64_t{delay.count() / 1000}));
+        lose_answers = body.value("lose_answers", lose_answers);
+        stale_reads = body.value("stale_reads", stale_reads);
+        if (down && !was_down)
+        {
+            for (auto& one : watches)
+                one.reply->cut();
+            watches.clear();
+        }
+        send_json(reply, 200, {{"done", true}});
+    }
+
+    json counts() const
+    {
+        return {{"reads", reads},       {"writes", writes},
+                {"watches", watched},   {"watching", watches.size()},
+                {"refused", refused},   {"keys", entries.size()}};
+    }
+
+    void serve(const http_request& request, const reply_pointer& reply)
+    {
+        constexpr std::string_view keys = "/v1/kv/";
+        if (request.path == "/v1/session/create")
+            return create_session(request, reply);
+        if (request.path.rfind(keys, 0) != 0)
+            return reply->send(404, "", {}, "");
+        const auto key = request.path.substr(keys.size());
+        if (request.method == "GET")
+            return read(key, request, reply);
+        if (request.method == "PUT")
+            return write(key, request, reply);
+        reply->send(405, "", {}, "");
+    }
+
+    bool within(coursejunction::token_bucket& limit, const reply_pointer& reply)
+    {
+        if (limit.take(1, event_loop::now()))
+            return true;
+        ++refused;
+        reply->send(429, "text/plain", {}, "rate limit");
+        return false;
+    }
+
+    void create_session(const http_request& request,
+                        const reply_pointer& reply)
+    {
+        if (!within(write_limit, reply))
+            return;
+        ++writes;
+        const auto id = coursejunction::random_id();
+        const auto body = json::parse(request.body, nullptr, false);
+        const auto ttl = std::stol(body.value("TTL", "15s"));
+        later.after(std::chrono::seconds(ttl), [this, id] { expire(id); });
+        send_json(reply, 200, {{"ID", id}});
+    }
+
+    void expire(const std::string& session)
+    {
+        std::erase_if(entries, [&](const auto& one)
+                      { return one.second.session == session; });
+    }
+
+    void read(const std::string& key, const http_request& request,
+              const reply_pointer& reply)
+    {
+        if (!within(read_limit, reply))
+            return;
+        const auto index = request.parameter("index");
+        const auto found = entries.find(key);
+        const auto now = found == entries.end() ? 0 : found->second.index;
+        if (!index || std::stoull(*index) < now)
+        {
+            ++reads;
+            return send_entry(key, reply);
+        }
+        ++watched;
+        watches.push_back({key, std::stoull(*index), reply});
+        const auto wait = request.parameter("wait").value_or("10s");
+        later.after(std::chrono::seconds(std::stol(wait)),
+                    [this, reply] { end_watch(reply); });
+    }
+
+    void end_watch(const reply_pointer& reply)
+    {
+        std::erase_if(watches,
+                      [&](const watch& one)
+                      {
+                          if (one.reply != reply)
+                              return false;
+                          send_entry(one.key, reply);
+                          return true;
+                      });
+    }
+
+    void send_entry(const std::string& key, const reply_pointer& reply)
+    {
+        const auto found = entries.find(key);
+        const bool stale = stale_reads > 0 && previous.contains(key);
+        const header_map headers{{"X-Consul-Index", std::to_string(last)}};
+        if (found == entries.end())
+            return reply->send(404, "", headers, "");
+        const auto& one = stale ? previous.at(key) : found->second;
+        stale_reads -= stale ? 1 : 0;
+        const json body = json::array(
+            {{{"Key", key}, {"ModifyIndex", one.index},
+              {"Value", base64(one.value)}}});
+        reply->send(200, "application/json", headers, body.dump());
+    }
+
+    void write(const std::string& key, const http_request& request,
+               const reply_pointer& reply)
+    {
+        if (!within(write_limit, reply))
+            return;
+        ++writes;
+        if (request.body.size() > max_value)
+            return reply->send(413, "", {}, "");
+        const bool done = apply(key, request);
+        if (lose_answers > 0)
+        {
+            --lose_answers;
+            return reply->cut();
+        }
+        reply->send(200, "application/json", {}, done ? "true" : "false");
+    }
+
+    bool apply(const std::string& key, const http_request& request)
+    {
+        const auto found = entries.find(key);
+        const auto cas = request.parameter("cas");
+        const auto now = found == entries.end() ? 0 : found->second.index;
+        if (cas && std::stoull(*cas) != now)
+            return false;
+        const auto session = request.parameter("acquire").value_or("");
+        if (!session.empty() && found != entries.end() &&
+            found->second.session != session)
+            return false;
+        if (found != entries.end())
+            previous[key] = found->second;
+        entries[key] = {request.body, session, ++last};
+        wake(key);
+        return true;
+    }
+
+    void wake(const std::string& key)
+    {
+        std::vector<watch> due;
+        std::erase_if(watches,
+                      [&](const watch& one)
+                      {
+                          if (one.key != key)
+                              return false;
+                          due.push_back(one);
+                          return true;
+                      });
+        for (const auto& one : due)
+            send_entry(one.key, one.reply);
+    }
+
+    event_loop& loop;
+    delayer later;
+    coursejunction::token_bucket read_limit;
+    coursejunction::token_bucket write_limit;
+    std::map<std::string, entry> entries;
+    std::map<std::string, entry> previous;
+    std::vector<watch> watches;
+    std::uint64_t last{0};
+    std::uint64_t reads{0};
+    std::uint64_t writes{0};
+    std::uint64_t watched{0};
+    std::uint64_t refused{0};
+    bool down{false};
+    std::chrono::microseconds delay{0};
+    int lose_answers{0};
+    int stale_reads{0};
+};
+
+} // namespace standin
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("key_value", "stand-in of the key-value service");
+    options.add_options()(
+        "reads", "reads a second",
+        cxxopts::value<double>()->default_value("2000"))(
+        "writes", "writes a second",
+        cxxopts::value<double>()->default_value("300"));
+    const auto parsed = standin::parse(options, argc, argv);
+    coursejunction::event_loop loop;
+    standin::key_value service(loop, parsed["reads"].as<double>(),
+                               parsed["writes"].as<double>());
+    return standin::run(loop, service, parsed["port"].as<std::uint16_t>(), 2,
+                        std::size_t{2} << 20U);
+}
