--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -30,6 +30,8 @@
 constexpr milliseconds least_deadline{1};
 constexpr milliseconds most_deadline{3'600'000};
 constexpr std::string_view services_path = "/services/";
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view event_start = "data: {";
 
 std::string_view name_of(outcome what)
 {
@@ -78,7 +80,9 @@
         bool begun{false};
         bool running{false};
         std::uint32_t parts{0};
+        std::uint32_t events{0}; /*!< Whole events given to the caller. */
         std::string gathered;
+        std::string pending; /*!< Start of an event that is not yet whole. */
         instance_id upstream;
         time_point arrived{};
         time_point started{};
@@ -211,9 +215,9 @@
             .first->second;
     }
 
-    std::chrono::microseconds service_time(const route_request& route) const
+    std::chrono::microseconds service_time(const queue_key& key) const
     {
-        const auto found = service_s.find({route.kind, route.model});
+        const auto found = service_s.find(key);
         return from_seconds(found == service_s.end() ? 0 : found->second);
     }
 
@@ -236,7 +240,7 @@
         const auto verdict =
             queue.offer({one->stream, one->organisation, one->priority,
                          one->deadline},
-                        service_time(one->route), now());
+                        service_time({one->route.kind, one->route.model}), now());
         if (!verdict.accepted)
         {
             host.counters().count("requests_refused_total");
@@ -307,6 +311,7 @@
         ++one->attempt;
         one->parts = 0;
         one->gathered.clear();
+        one->pending.clear();
         ++table[to].own;
         message::dispatch ask;
         ask.stream = one->stream;
@@ -319,6 +324,9 @@
         ask.deadline_ms = static_cast<std::uint32_t>(
             std::max<std::int64_t>(1, left(*one).count()));
         ask.not_repeatable = one->not_repeatable;
+        ask.seed = stable_hash(one->id.value());
+        ask.resume_from = one->events;
+        ask.weights = one->route.weights;
         if (!host.send(to, ask, one->body))
             attempt_ended(one, outcome::not_run, 503, "side is not known",
                           milliseconds(100));
@@ -368,15 +376,39 @@
             one->gathered += bytes;
             return;
         }
+        pass_events(one, bytes);
+    }
+
+    /*! @brief Gives the caller whole events only, so that a stream can be
+     * resumed elsewhere exactly behind the last one. */
+    void pass_events(const pointer& one, const std::string& bytes)
+    {
+        one->pending += bytes;
+        const auto end = one->pending.rfind(internal::event_end);
+        if (end == std::string::npos)
+            return;
+        const auto whole = one->pending.substr(
+            0, end + internal::event_end.size());
+        one->pending.erase(0, whole.size());
         if (!one->begun)
-        {
-            one->begun = true;
-            one->reply->begin(200, "text/event-stream",
-                              {{"Request-Id", one->id.value()}});
-            host.counters().observe("time_to_first_token_seconds",
-                                    to_seconds(now() - one->arrived));
-        }
-        one->reply->write(bytes);
+            begin(one);
+        for (auto at = whole.find(internal::event_start);
+             at != std::string::npos;
+             at = whole.find(internal::event_start, at + 1))
+            ++one->events;
+        one->reply->write(whole);
+    }
+
+    void begin(const pointer& one)
+    {
+        one->begun = true;
+        const auto* state = table.find(one->upstream);
+        if (state != nullptr)
+            one->route.weights = state->weights;
+        one->reply->begin(200, "text/event-stream",
+                          {{"Request-Id", one->id.value()}});
+        host.counters().observe("time_to_first_token_seconds",
+                                to_seconds(now() - one->arrived));
     }
 
     void broken(const pointer& one, const std::string& reason)
@@ -398,7 +430,8 @@
         const auto one = attempt_of(from, head.stream, head.attempt);
         if (!one)
             return;
-        if (head.result == outcome::answered && head.parts != one->parts)
+        if (head.result == outcome::answered &&
+            (head.parts != one->parts || !one->pending.empty()))
             return broken(one, "parts of the answer are missing");
         if (head.result == outcome::answered)
             return answered(one, head);
@@ -478,8 +511,10 @@
     bool may_retry(const live_request& one, outcome what,
                    const std::string& reason)
     {
-        if (one.begun || one.attempt >= internal::max_attempts ||
-            left(one).count() <= 0)
+        // A begun stream goes on only with the same weights and sampling.
+        if (one.begun && (one.route.weights.empty() || one.not_repeatable))
+            return false;
+        if (one.attempt >= internal::max_attempts || left(one).count() <= 0)
             return false;
         if (what == outcome::unknown && one.not_repeatable)
             return false;
@@ -489,10 +524,15 @@
         return gate || budget.spend();
     }
 
+    /*! @brief A begun stream is cut rather than queued: its weights may be
+     * gone by the time there is room. */
     void retry(const pointer& one)
     {
         if (const auto to = choose(*one))
             return dispatch(one, *to);
+        if (one->begun)
+            return give_up(one, 502, "no upstream to resume the stream",
+                           milliseconds(0));
         // Everybody else is full: all may be asked again.
         one->route.excluded.clear();
         place(one);
@@ -500,11 +540,13 @@
 
     // Answers without a run.
 
+    /*! @brief Ends a request that runs nowhere. A begun stream did run. */
     void give_up(const pointer& one, int status, const std::string& reason,
                  milliseconds retry_after)
     {
         live.erase(one->stream);
-        conclude(*one, outcome::not_run, status, reason, retry_after);
+        conclude(*one, one->begun ? outcome::unknown : outcome::not_run,
+                 status, reason, retry_after);
     }
 
     void answer_not_run(const live_request& one, int status,
@@ -575,6 +617,7 @@
         state.region = region_id(one.region);
         state.model = one.model;
         state.kind = one.kind;
+        state.weights = one.serving;
         state.slots = one.slots;
         state.reported = one.running;
         state.own_at_report = state.own;
@@ -611,7 +654,7 @@
         for (auto& [key, queue] : queues)
         {
             const auto service =
-                service_time({key.second, key.first, {}, {}, {}});
+                service_time(key);
             for (const auto& late : queue.expire(service, now()))
                 expired(late.number, queue);
         }
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -87,7 +87,7 @@
         one->from = from;
         one->body = std::move(body);
         one->began = now();
-        const auto why = refusal();
+        const auto why = refusal(ask);
         one->ask = std::move(ask);
         if (!why.empty())
             return end(one, outcome::not_run, 503, why, internal::busy_retry);
@@ -97,13 +97,15 @@
         start(one);
     }
 
-    std::string refusal() const
+    std::string refusal(const message::dispatch& ask) const
     {
         if (host.is_leaving())
             return "leaving";
         auto why = gate.closed();
         if (!why.empty())
             return why;
+        if (!ask.weights.empty() && ask.weights != gate.weights().hex())
+            return "closed";
         return runs.size() >= host.settings().upstream_slots ? "busy" : "";
     }
 
@@ -218,7 +220,11 @@
         call.headers = {{"Content-Type", "application/json"},
                         {"Request-Id", one->ask.request},
                         {"Organisation", one->ask.organisation},
-                        {"Priority", std::to_string(one->ask.priority)}};
+                        {"Priority", std::to_string(one->ask.priority)},
+                        {"Seed", std::to_string(one->ask.seed)}};
+        if (one->ask.resume_from > 0)
+            call.headers["Resume-From"] =
+                std::to_string(one->ask.resume_from);
         call.body = std::move(one->body);
         call.timeout = milliseconds(one->ask.deadline_ms);
         one->call = host.http().start(
--- a/src/coursejunction/route/upstream_table.hpp
+++ b/src/coursejunction/route/upstream_table.hpp
@@ -28,6 +28,7 @@
     region_id region;
     std::string model;
     std::string kind;
+    std::string weights;
     std::size_t slots{0};
     std::size_t reported{0}; /*!< Requests running there, lagging. */
     std::size_t own{0};      /*!< Requests of this entry there now. */
@@ -54,6 +55,7 @@
 {
     std::string model;
     std::string kind;
+    std::string weights;  /*!< Needed weights; empty for any. */
     std::string affinity; /*!< Key that should meet the same upstream. */
     std::vector<std::uint64_t> prefixes; /*!< Hashes, the longest first. */
     std::vector<instance_id> excluded;
@@ -283,7 +285,9 @@
                        time_point now)
     {
         return one.open && !one.leaving && one.model == request.model &&
-               one.kind == request.kind && now >= one.avoid_until &&
+               one.kind == request.kind &&
+               (request.weights.empty() || one.weights == request.weights) &&
+               now >= one.avoid_until &&
                now - one.heard <= report_validity;
     }
 
--- a/src/coursejunction/wire/message.hpp
+++ b/src/coursejunction/wire/message.hpp
@@ -57,12 +57,16 @@
     std::int32_t priority{0};
     std::uint32_t deadline_ms{0};
     bool not_repeatable{false};
+    std::uint64_t seed{0};         /*!< Of the sampling, the same for all
+                                      attempts of a request. */
+    std::uint32_t resume_from{0};  /*!< Events the caller already has. */
+    std::string weights;           /*!< Needed weights; empty for any. */
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
         archive(stream, attempt, request, organisation, model, path, priority,
-                deadline_ms, not_repeatable);
+                deadline_ms, not_repeatable, seed, resume_from, weights);
     }
 };
 
--- a/standin/model_engine.cpp
+++ b/standin/model_engine.cpp
@@ -40,6 +40,7 @@
     int priority{0};
     std::size_t tokens{0};
     std::size_t done{0};
+    std::size_t first{0};
     bool stream{false};
     bool gone{false};
     bool mixed{false};
@@ -227,7 +228,12 @@
         one->tokens = body.value("max_tokens", std::size_t{8});
         one->stream = body.value("stream", false);
         one->prompt = body.value("prompt", "");
-        one->seed = coursejunction::stable_hash(one->prompt);
+        const auto seed = request.header("seed");
+        one->seed = seed.empty() ? coursejunction::stable_hash(one->prompt)
+                                 : std::stoull(seed);
+        const auto resume = request.header("resume-from");
+        one->done = resume.empty() ? 0 : std::stoul(resume);
+        one->first = one->done;
         one->reply = reply;
         reply->on_abandoned([one] { one->gone = true; });
         const auto place = std::upper_bound(
@@ -291,8 +297,9 @@
             one->mixed = true;
         if (cut_after > 0 && one->done >= cut_after)
             return drop(one);
-        emit(*one);
-        if (one->done == one->tokens)
+        if (one->done < one->tokens)
+            emit(*one);
+        if (one->done >= one->tokens)
             return end(one);
         // Decoding slows down as the batch fills.
         const auto fill_ratio = static_cast<double>(running.size()) /
@@ -318,7 +325,7 @@
             one.text += (one.text.empty() ? "" : " ") + word;
             return;
         }
-        if (one.done == 1)
+        if (one.done == one.first + 1)
             one.reply->begin(200, "text/event-stream",
                              {{"Weights", one.weights}});
         one.reply->write("data: " + event.dump() + "\n\n");
