Keep long answers whole: close idle connections ourselves

Cause: the HTTP library counts its head limit from the last request, so it answered 408 into any answer that took longer than 10 s, streams included. Ruled out: only raising the limit (half-sent heads would then hold connections for ever); resetting the library's parser from another thread (a data race); its list of peers (not guarded).

--- a/src/coursejunction/net/http_server.cpp
+++ b/src/coursejunction/net/http_server.cpp
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cctype>
+#include <charconv>
+#include <chrono>
+#include <condition_variable>
 #include <mutex>
+#include <thread>
 #include <unordered_map>
 
 #include <sys/socket.h>
@@ -188,16 +191,34 @@
     bool ended{false};
 };
 
-/*! @brief Open answers by peer, shared by the clones of the handler. */
-class open_replies
+/*! @brief Connections and their open answers, shared by the clones of the
+ * handler. The library's own limits would cut answers that take long, so
+ * connections that are slow or idle are closed here. */
+class open_connections
 {
 public:
-    void add(std::size_t peer, const std::shared_ptr<reply>& one)
+    using clock = std::chrono::steady_clock;
+    using peer_pointer = std::shared_ptr<pistache::Tcp::Peer>;
+
+    explicit open_connections(std::chrono::milliseconds limit)
+        : idle_limit(limit)
+    {
+    }
+
+    void connected(const peer_pointer& peer)
+    {
+        const std::lock_guard guard(mutex);
+        by_peer[peer->getID()] = {peer, clock::now(), {}};
+    }
+
+    void add(const peer_pointer& peer, const std::shared_ptr<reply>& one)
     {
         const std::lock_guard guard(mutex);
-        auto& list = by_peer[peer];
-        std::erase_if(list, [](const auto& old) { return old->done(); });
-        list.push_back(one);
+        auto& state = by_peer[peer->getID()];
+        state.peer = peer;
+        std::erase_if(state.replies,
+                      [](const auto& old) { return old->done(); });
+        state.replies.push_back(one);
     }
 
     void disconnected(std::size_t peer)
@@ -208,17 +229,80 @@
             const auto found = by_peer.find(peer);
             if (found == by_peer.end())
                 return;
-            gone = std::move(found->second);
+            gone = std::move(found->second.replies);
             by_peer.erase(found);
         }
         for (const auto& one : gone)
             one->disconnected();
     }
 
+    /*! @brief Closes connections on which neither an answer is open nor a
+     * whole request came within the limit. The library closes a descriptor
+     * only after `disconnected`, so under the lock it is still theirs. */
+    void sweep()
+    {
+        const std::lock_guard guard(mutex);
+        const auto now = clock::now();
+        for (auto& [id, state] : by_peer)
+        {
+            const bool busy =
+                std::any_of(state.replies.begin(), state.replies.end(),
+                            [](const auto& one) { return !one->done(); });
+            if (busy)
+                state.active = now;
+            const auto peer = state.peer.lock();
+            if (!busy && peer && now - state.active > idle_limit)
+                ::shutdown(static_cast<int>(peer->fd()), SHUT_RDWR);
+        }
+    }
+
+private:
+    struct connection
+    {
+        std::weak_ptr<pistache::Tcp::Peer> peer;
+        clock::time_point active{};
+        std::vector<std::shared_ptr<reply>> replies;
+    };
+
+    std::chrono::milliseconds idle_limit;
+    std::mutex mutex;
+    std::unordered_map<std::size_t, connection> by_peer;
+};
+
+/*! @brief Calls `sweep` regularly on a thread of its own. */
+class sweeper
+{
+public:
+    sweeper(std::shared_ptr<open_connections> which,
+            std::chrono::milliseconds interval)
+        : connections(std::move(which)),
+          thread([this, interval] { run(interval); })
+    {
+    }
+
+    ~sweeper()
+    {
+        {
+            const std::lock_guard guard(mutex);
+            stopping = true;
+        }
+        wake.notify_all();
+        thread.join();
+    }
+
 private:
+    void run(std::chrono::milliseconds interval)
+    {
+        std::unique_lock guard(mutex);
+        while (!wake.wait_for(guard, interval, [this] { return stopping; }))
+            connections->sweep();
+    }
+
+    std::shared_ptr<open_connections> connections;
     std::mutex mutex;
-    std::unordered_map<std::size_t, std::vector<std::shared_ptr<reply>>>
-        by_peer;
+    std::condition_variable wake;
+    bool stopping{false};
+    std::thread thread;
 };
 
 class request_handler : public pistache::Http::Handler
@@ -227,8 +311,8 @@
     HTTP_PROTOTYPE(request_handler)
 
     request_handler(http_server::handler call,
-                    std::shared_ptr<open_replies> shared)
-        : handle(std::move(call)), replies(std::move(shared))
+                    std::shared_ptr<open_connections> shared)
+        : handle(std::move(call)), connections(std::move(shared))
     {
     }
 
@@ -248,19 +332,31 @@
             request.headers[lower(name)] = raw.value();
         request.body = from.body();
         auto answer = std::make_shared<reply>(peer);
-        replies->add(peer->getID(), answer);
+        connections->add(peer, answer);
         handle(std::move(request), std::move(answer));
     }
 
+    /*! @brief Does what the library's own, private one does, and notes the
+     * connection: a peer gets its parser under this key. */
+    void onConnection(const std::shared_ptr<pistache::Tcp::Peer>& peer) override
+    {
+        peer->putData(parser_key,
+                      std::make_shared<pistache::Http::RequestParser>(
+                          getMaxRequestSize()));
+        connections->connected(peer);
+    }
+
     void onDisconnection(
         const std::shared_ptr<pistache::Tcp::Peer>& peer) override
     {
-        replies->disconnected(peer->getID());
+        connections->disconnected(peer->getID());
     }
 
 private:
+    static constexpr const char* parser_key = "__Parser";
+
     http_server::handler handle;
-    std::shared_ptr<open_replies> replies;
+    std::shared_ptr<open_connections> connections;
 };
 
 } // namespace internal
@@ -283,6 +379,7 @@
 struct http_server::implementation
 {
     std::unique_ptr<Pistache::Http::Endpoint> endpoint;
+    std::unique_ptr<internal::sweeper> sweeper;
 };
 
 http_server::http_server(std::unique_ptr<implementation> owned)
@@ -309,16 +406,20 @@
         setting.threads(static_cast<int>(options.threads))
             .backlog(internal::listen_backlog)
             .maxRequestSize(options.max_request_bytes)
-            .headerTimeout(options.head_limit)
-            .bodyTimeout(options.body_limit)
+            .headerTimeout(internal::longest_answer)
+            .bodyTimeout(internal::longest_answer)
             .keepaliveTimeout(internal::longest_answer)
             .flags(Pistache::Tcp::Options::ReuseAddr |
                    Pistache::Tcp::Options::NoDelay |
                    Pistache::Tcp::Options::CloseOnExec);
         made->endpoint->init(setting);
+        auto connections =
+            std::make_shared<internal::open_connections>(options.head_limit);
         made->endpoint->setHandler(std::make_shared<internal::request_handler>(
-            std::move(handle), std::make_shared<internal::open_replies>()));
+            std::move(handle), connections));
         made->endpoint->serveThreaded();
+        made->sweeper = std::make_unique<internal::sweeper>(
+            std::move(connections), options.head_limit / 2);
         return std::unique_ptr<http_server>(new http_server(std::move(made)));
     }
     catch (const std::exception& caught)
--- a/src/coursejunction/net/http_server.hpp
+++ b/src/coursejunction/net/http_server.hpp
@@ -75,8 +75,9 @@
 {
     std::size_t threads{1};
     std::size_t max_request_bytes{std::size_t{1} << 20U};
-    milliseconds head_limit{10'000};
-    milliseconds body_limit{30'000};
+    /*! @brief A connection without an open answer is closed when no whole
+     * request came for this long. */
+    milliseconds head_limit{60'000};
 };
 
 /*! @brief Serves HTTP/1.1 on its own threads. */
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
