--- /dev/null
+++ b/tests/control/configuration_writer.cpp
@@ -0,0 +1,240 @@
+#include "coursejunction/control/configuration_writer.hpp"
+
+#include <deque>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "coursejunction/control/configuration_view.hpp"
+
+namespace cj = coursejunction;
+
+namespace
+{
+
+cj::configuration_change create(const std::string& name)
+{
+    cj::configuration_change change;
+    change.name = cj::deployment_name(name);
+    change.spec.name = change.name;
+    change.spec.model = "m";
+    change.spec.version = cj::digest::of("v");
+    change.spec.placements.push_back({cj::hall_id("north"), 1, {}});
+    return change;
+}
+
+/*! @brief What the fake service does with one call. */
+enum class fault
+{
+    none,
+    refuse,       /*!< Not sent. */
+    lose_answer,  /*!< Carried out, answer lost. */
+    lose_request, /*!< Not carried out, answer lost. */
+    late          /*!< Carried out only after the next call. */
+};
+
+/*! @brief The one key, in memory, with faults in a given order. */
+class fake_store
+{
+public:
+    void read(const std::function<void(cj::result<cj::stored_value>)>& done)
+    {
+        const auto what = next();
+        settle_late();
+        if (what != fault::none)
+            return done(cj::failure(cj::error_kind::unavailable, "down"));
+        done(value);
+    }
+
+    void swap(std::uint64_t index, const std::string& text,
+              const std::function<void(cj::swap_outcome)>& done)
+    {
+        const auto what = next();
+        settle_late();
+        if (what == fault::refuse)
+            return done(cj::swap_outcome::not_sent);
+        if (what == fault::lose_request)
+            return done(cj::swap_outcome::unknown);
+        if (what == fault::late)
+        {
+            late = {index, text};
+            return done(cj::swap_outcome::unknown);
+        }
+        const bool swapped = apply(index, text);
+        if (what == fault::lose_answer)
+            return done(cj::swap_outcome::unknown);
+        done(swapped ? cj::swap_outcome::swapped
+                     : cj::swap_outcome::lost_race);
+    }
+
+    void later(const std::function<void()>& task)
+    {
+        ++waits;
+        task();
+    }
+
+    bool expired() const { return waits >= patience; }
+
+    bool apply(std::uint64_t index, const std::string& text)
+    {
+        if (index != value.index)
+            return false;
+        value = {value.index + 1, text};
+        return true;
+    }
+
+    /*! @brief Another writer changes something else in between. */
+    void interfere(const std::string& name)
+    {
+        auto now = value.index == 0
+                       ? cj::configuration()
+                       : cj::configuration::parse(value.text).value();
+        apply(value.index,
+              now.apply(create(name), cj::write_id("other-" + name))
+                  .value()
+                  .text());
+    }
+
+    void settle_late()
+    {
+        if (!late)
+            return;
+        apply(late->index, late->text);
+        late.reset();
+    }
+
+    cj::stored_value value;
+    std::deque<fault> faults;
+    std::optional<cj::stored_value> late;
+    int waits{0};
+    int patience{20};
+
+private:
+    fault next()
+    {
+        if (faults.empty())
+            return fault::none;
+        const auto what = faults.front();
+        faults.pop_front();
+        return what;
+    }
+};
+
+cj::write_result write(fake_store& store, const std::string& name,
+                       std::uint64_t floor = 0)
+{
+    std::optional<cj::write_result> got;
+    cj::configuration_writer<fake_store>::start(
+        store, create(name), cj::write_id("write-" + name),
+        cj::revision(floor),
+        [&](cj::write_result end) { got.emplace(std::move(end)); });
+    REQUIRE(got);
+    return *got;
+}
+
+bool stored(const fake_store& store, const std::string& name)
+{
+    if (store.value.index == 0)
+        return false;
+    return cj::configuration::parse(store.value.text)
+               .value()
+               .find(cj::deployment_name(name)) != nullptr;
+}
+
+} // namespace
+
+SCENARIO("a write finds out what became of it", "[control]")
+{
+    fake_store store;
+    GIVEN("a service that answers")
+    {
+        CHECK(write(store, "tutor").end);
+        CHECK(stored(store, "tutor"));
+    }
+    GIVEN("an answer lost after the write took effect")
+    {
+        store.faults = {fault::none, fault::lose_answer};
+        const auto got = write(store, "tutor");
+        THEN("it is accepted once")
+        {
+            REQUIRE(got.end);
+            CHECK(got.end.value().number() == cj::revision(1));
+        }
+    }
+    GIVEN("a lost answer, and then an outage that lasts")
+    {
+        store.faults = {fault::none, fault::lose_answer};
+        store.faults.insert(store.faults.end(), 100, fault::refuse);
+        const auto got = write(store, "tutor");
+        THEN("the operator is told that it is unknown")
+        {
+            REQUIRE_FALSE(got.end);
+            CHECK(got.end.error().kind == cj::error_kind::unknown);
+        }
+    }
+    GIVEN("an outage from the start")
+    {
+        store.faults.assign(100, fault::refuse);
+        const auto got = write(store, "tutor");
+        THEN("the operator is told that nothing was changed")
+        {
+            REQUIRE_FALSE(got.end);
+            CHECK(got.end.error().kind == cj::error_kind::unavailable);
+            CHECK_FALSE(stored(store, "tutor"));
+        }
+    }
+    GIVEN("another operator who changes something else in between")
+    {
+        store.interfere("notes");
+        CHECK(write(store, "tutor").end);
+        CHECK(stored(store, "notes"));
+    }
+    GIVEN("a read that is older than what is in force")
+    {
+        const auto got = write(store, "tutor", 5);
+        THEN("it is not built on")
+        {
+            CHECK_FALSE(got.end);
+            CHECK_FALSE(stored(store, "tutor"));
+        }
+    }
+}
+
+TEST_CASE("what a writer says is true under any faults", "[control]")
+{
+    rc::prop(
+        "accepted means stored, refused means not stored",
+        [](const std::vector<std::uint8_t>& numbers)
+        {
+            fake_store store;
+            for (const auto number : numbers)
+                store.faults.push_back(static_cast<fault>(number % 5));
+            const auto got = write(store, "tutor");
+            store.settle_late();
+            if (got.end)
+                RC_ASSERT(stored(store, "tutor"));
+            else if (got.end.error().kind != cj::error_kind::unknown)
+                RC_ASSERT(!stored(store, "tutor"));
+            // Once only, whatever was tried again.
+            RC_ASSERT(store.value.index <= 1U);
+        });
+    rc::prop("a view's revision never falls",
+             [](const std::vector<std::uint8_t>& order)
+             {
+                 std::vector<cj::configuration> all(1);
+                 for (int at = 0; at < 8; ++at)
+                     all.push_back(all.back()
+                                       .apply(create("d" + std::to_string(at)),
+                                              {})
+                                       .value());
+                 cj::configuration_view view;
+                 std::uint64_t highest = 0;
+                 for (const auto at : order)
+                 {
+                     const auto& offered = all[at % all.size()];
+                     view.offer(offered);
+                     highest = std::max(highest, offered.number().value());
+                     RC_ASSERT(view.current().number().value() == highest);
+                 }
+             });
+}
--- /dev/null
+++ b/tests/rollout/permit_table.cpp
@@ -0,0 +1,56 @@
+#include "coursejunction/rollout/permit_table.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+SCENARIO("few replicas are closed at once", "[rollout]")
+{
+    const cj::deployment_name tutor("tutor");
+    const cj::time_point start{10s};
+    const auto now = start + 2s;
+    const cj::instance_id a("a");
+    const cj::instance_id b("b");
+    const cj::instance_id c("c");
+    cj::permit_table permits(start, 1500ms);
+
+    GIVEN("an entry that has just become the hall's first")
+    {
+        THEN("it grants nothing before it has heard the replicas")
+        {
+            CHECK_FALSE(permits.request(tutor, a, 2, start + 1s));
+        }
+    }
+    GIVEN("a limit of two")
+    {
+        CHECK(permits.request(tutor, a, 2, now));
+        CHECK(permits.request(tutor, a, 2, now));
+        CHECK(permits.request(tutor, b, 2, now));
+        CHECK_FALSE(permits.request(tutor, c, 2, now));
+        WHEN("one is open again")
+        {
+            permits.reported(tutor, a, false, false, now);
+            CHECK(permits.request(tutor, c, 2, now));
+        }
+        WHEN("one that was granted has not closed yet")
+        {
+            permits.reported(tutor, a, false, true, now);
+            THEN("it still counts")
+            {
+                CHECK_FALSE(permits.request(tutor, c, 2, now));
+            }
+        }
+        WHEN("one is never heard of again")
+        {
+            CHECK(permits.request(tutor, c, 2, now + 11s));
+        }
+    }
+    GIVEN("replicas that another entry let close")
+    {
+        permits.reported(tutor, a, true, false, now);
+        permits.reported(tutor, b, true, false, now);
+        CHECK_FALSE(permits.request(tutor, c, 2, now));
+        CHECK(permits.size(tutor) == 2);
+    }
+}
--- /dev/null
+++ b/tests/route/fair_queue.cpp
@@ -0,0 +1,130 @@
+#include "coursejunction/route/fair_queue.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const cj::time_point now{100s};
+
+cj::queued_request request(std::uint64_t number, const std::string& who,
+                           std::int32_t priority = 0)
+{
+    return {number, cj::organisation_id(who), priority, now + 60s};
+}
+
+std::string take(cj::fair_queue& queue)
+{
+    return queue.pop(queue.order().front()).organisation.value();
+}
+
+} // namespace
+
+SCENARIO("organisations share fairly", "[route]")
+{
+    cj::fair_queue queue(1000);
+    std::uint64_t number = 0;
+    GIVEN("a large organisation that floods and a small one")
+    {
+        for (int at = 0; at < 50; ++at)
+            REQUIRE(queue.offer(request(++number, "large"), 0s, now).accepted);
+        for (int at = 0; at < 5; ++at)
+            REQUIRE(queue.offer(request(++number, "small"), 0s, now).accepted);
+        THEN("the small one gets every other turn")
+        {
+            int small = 0;
+            for (int at = 0; at < 10; ++at)
+                small += take(queue) == "small" ? 1 : 0;
+            CHECK(small == 5);
+        }
+    }
+    GIVEN("weights")
+    {
+        queue.weigh(cj::organisation_id("large"), 3);
+        for (int at = 0; at < 40; ++at)
+        {
+            REQUIRE(queue.offer(request(++number, "large"), 0s, now).accepted);
+            REQUIRE(queue.offer(request(++number, "small"), 0s, now).accepted);
+        }
+        int large = 0;
+        for (int at = 0; at < 40; ++at)
+            large += take(queue) == "large" ? 1 : 0;
+        CHECK(large == 30);
+    }
+    GIVEN("priorities within one organisation")
+    {
+        REQUIRE(queue.offer(request(1, "a", 0), 0s, now).accepted);
+        REQUIRE(queue.offer(request(2, "a", 5), 0s, now).accepted);
+        CHECK(queue.pop(cj::organisation_id("a")).number == 2);
+    }
+}
+
+SCENARIO("requests that cannot be served in time are refused", "[route]")
+{
+    cj::fair_queue queue(1000);
+    // Ten requests a second end.
+    for (int at = 0; at < 64; ++at)
+        queue.served(now - 6400ms + at * 100ms);
+    GIVEN("a deadline before the expected wait is over")
+    {
+        for (std::uint64_t at = 0; at < 20; ++at)
+            REQUIRE(queue.offer(request(at, "a"), 0s, now).accepted);
+        auto late = request(99, "a");
+        late.deadline = now + 1s;
+        const auto verdict = queue.offer(late, 0s, now);
+        THEN("it is refused at once, with the time to come back")
+        {
+            CHECK_FALSE(verdict.accepted);
+            CHECK(verdict.retry_after >= 1500ms);
+            CHECK(verdict.retry_after <= 2500ms);
+        }
+    }
+    GIVEN("one whose deadline came too near while it waited")
+    {
+        auto one = request(1, "a");
+        one.deadline = now + 1s;
+        REQUIRE(queue.offer(one, 200ms, now).accepted);
+        CHECK(queue.expire(200ms, now + 700ms).empty());
+        CHECK(queue.expire(200ms, now + 900ms).size() == 1);
+        CHECK(queue.empty());
+    }
+    GIVEN("a full queue")
+    {
+        cj::fair_queue small(1);
+        REQUIRE(small.offer(request(1, "a"), 0s, now).accepted);
+        CHECK_FALSE(small.offer(request(2, "b"), 0s, now).accepted);
+    }
+}
+
+TEST_CASE("no request is lost or doubled in the queue", "[route]")
+{
+    rc::prop("whoever comes and goes",
+             [](const std::vector<std::uint8_t>& steps)
+             {
+                 cj::fair_queue queue(50);
+                 std::uint64_t number = 0;
+                 std::size_t inside = 0;
+                 for (const auto step : steps)
+                 {
+                     const auto who = std::string(1, "abc"[step % 3]);
+                     if (step % 4 != 0)
+                     {
+                         const auto verdict =
+                             queue.offer(request(++number, who), 0s, now);
+                         inside += verdict.accepted ? 1 : 0;
+                         RC_ASSERT(verdict.accepted ||
+                                   verdict.retry_after > 0ms);
+                     }
+                     else if (!queue.empty())
+                     {
+                         take(queue);
+                         --inside;
+                     }
+                     RC_ASSERT(queue.size() == inside);
+                 }
+             });
+}
--- /dev/null
+++ b/tests/route/upstream_table.cpp
@@ -0,0 +1,128 @@
+#include "coursejunction/route/upstream_table.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const cj::time_point now{10s};
+const cj::hall_id north("north");
+const cj::region_id east("east");
+
+cj::upstream_table table_of(std::size_t count)
+{
+    cj::upstream_table table;
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        auto& one = table[cj::instance_id("s" + std::to_string(at))];
+        one.hall = north;
+        one.region = east;
+        one.model = "tutor";
+        one.kind = "model";
+        one.slots = 10;
+        one.open = true;
+        one.heard = now;
+    }
+    return table;
+}
+
+cj::route_request wanting()
+{
+    cj::route_request request;
+    request.model = "tutor";
+    request.kind = "model";
+    return request;
+}
+
+} // namespace
+
+SCENARIO("a request goes where it is served best", "[route]")
+{
+    auto table = table_of(2);
+    const cj::instance_id a("s0");
+    const cj::instance_id b("s1");
+    cj::scored_policy policy;
+    auto request = wanting();
+    const auto choose = [&]
+    { return table.choose(policy, request, north, east, now); };
+
+    GIVEN("one that is fuller")
+    {
+        table[a].reported = 6;
+        CHECK(choose() == b);
+    }
+    GIVEN("reports that lag behind what was sent from here")
+    {
+        table[a].own = 5;
+        CHECK(choose() == b);
+    }
+    GIVEN("one in another region")
+    {
+        table[a].region = cj::region_id("west");
+        table[b].reported = 2;
+        CHECK(choose() == b);
+        table[b].reported = 8;
+        CHECK(choose() == a);
+    }
+    GIVEN("one that has the prompt's prefix cached")
+    {
+        request.prefixes = {2, 1};
+        table[a].cached = {1, 2};
+        table[a].reported = 2;
+        CHECK(choose() == a);
+        THEN("it is left when it is much fuller")
+        {
+            table[a].reported = 9;
+            CHECK(choose() == b);
+        }
+    }
+    GIVEN("one that may not be used")
+    {
+        SECTION("leaving") { table[a].leaving = true; }
+        SECTION("closed") { table[a].open = false; }
+        SECTION("full") { table[a].reported = 10; }
+        SECTION("not heard of") { table[a].heard = now - 6s; }
+        SECTION("failed just now") { table.failed(a, now); }
+        SECTION("other model") { table[a].model = "notes"; }
+        SECTION("other weights")
+        {
+            request.weights = "w";
+            table[b].weights = "w";
+        }
+        SECTION("tried before") { request.excluded = {a}; }
+        CHECK(choose() == b);
+    }
+    GIVEN("a failure in a row of failures")
+    {
+        for (int at = 0; at < 3; ++at)
+            table.failed(a, now);
+        CHECK(table.find(a)->avoid_until == now + 1s);
+        table.succeeded(a, 10ms);
+        table.failed(a, now);
+        CHECK(table.find(a)->avoid_until == now + 250ms);
+    }
+}
+
+SCENARIO("the baselines", "[route]")
+{
+    auto table = table_of(3);
+    const auto request = wanting();
+    SECTION("round robin takes turns")
+    {
+        cj::round_robin_policy policy;
+        const auto first = table.choose(policy, request, north, east, now);
+        const auto second = table.choose(policy, request, north, east, now);
+        CHECK(first != second);
+    }
+    SECTION("least loaded")
+    {
+        cj::least_loaded_policy policy;
+        table[cj::instance_id("s0")].reported = 3;
+        table[cj::instance_id("s1")].reported = 3;
+        CHECK(table.choose(policy, request, north, east, now) ==
+              cj::instance_id("s2"));
+    }
+}
--- /dev/null
+++ b/tests/run/retry_budget.cpp
@@ -0,0 +1,23 @@
+#include "coursejunction/run/retry_budget.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace cj = coursejunction;
+
+TEST_CASE("retries stay a portion of requests", "[run]")
+{
+    rc::prop("however many fail",
+             [](std::uint16_t requests)
+             {
+                 cj::retry_budget budget(0.1, 10);
+                 std::size_t retries = 0;
+                 for (std::size_t at = 0; at < requests; ++at)
+                 {
+                     budget.request();
+                     while (budget.spend())
+                         ++retries;
+                 }
+                 RC_ASSERT(retries <= requests / 10 + 11U);
+             });
+}
--- /dev/null
+++ b/tests/settings/node_settings.cpp
@@ -0,0 +1,81 @@
+#include "coursejunction/settings/node_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cj = coursejunction;
+
+namespace
+{
+
+const std::string good = R"([instance]
+role = side
+id = side-1
+hall = antigua
+region = valley
+address = 127.0.0.1
+peer_port = 7000
+http_port = 7001
+[security]
+keys = 1:00112233445566778899aabbccddeeff
+active_key = 1
+[platform]
+instance_list = http://127.0.0.1:1/instances
+key_value = http://127.0.0.1:2
+[upstream]
+url = http://127.0.0.1:3
+)";
+
+std::string fault_of(const std::string& text)
+{
+    const auto read = cj::node_settings::parse("a.ini", text);
+    return read ? std::string{} : read.error().message;
+}
+
+std::string with(const std::string& from, const std::string& to)
+{
+    auto text = good;
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+SCENARIO("settings are checked key by key", "[settings]")
+{
+    GIVEN("a whole file")
+    {
+        const auto read = cj::node_settings::parse("a.ini", good);
+        REQUIRE(read);
+        CHECK(read.value().kind == cj::role::side);
+        CHECK(read.value().heartbeat_interval == cj::milliseconds(1000));
+        CHECK(read.value().keys.at(1).size() == 16);
+    }
+    GIVEN("faults")
+    {
+        THEN("each is one line with file, section and key")
+        {
+            CHECK(fault_of(with("hall = antigua\n", "")) ==
+                  "a.ini: [instance] hall: value is missing");
+            CHECK(fault_of(good + "colour = red\n") ==
+                  "a.ini: [upstream] colour: key is unknown");
+            CHECK(fault_of(good + "[membership]\nheartbeat_interval = 5\n") ==
+                  "a.ini: [membership] heartbeat_interval: '5' is no duration "
+                  "with a unit: ms, s, min or h");
+            CHECK(fault_of(good + "[transfer]\nupload_rate = 5MiB\n") ==
+                  "a.ini: [transfer] upload_rate: '5MiB' needs a unit: B/s, "
+                  "KiB/s, MiB/s or GiB/s");
+            CHECK(fault_of(with("7000", "70000")) ==
+                  "a.ini: [instance] peer_port: must lie between 0 and 65535");
+            CHECK(fault_of(with("active_key = 1", "active_key = 2")) ==
+                  "a.ini: [security] active_key: no key has this number");
+            CHECK(fault_of(with("role = side", "role = boss")) ==
+                  "a.ini: [instance] role: must be entry or side");
+            CHECK(fault_of("nonsense\n") == "a.ini: line 1 is not INI");
+        }
+        THEN("an unreadable file is named")
+        {
+            const auto read = cj::node_settings::load("/nonexistent.ini");
+            REQUIRE_FALSE(read);
+            CHECK(read.error().message == "/nonexistent.ini: cannot be read");
+        }
+    }
+}
--- /dev/null
+++ b/tests/transfer/staging.cpp
@@ -0,0 +1,60 @@
+#include "coursejunction/transfer/staging.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "transfer/fixtures.hpp"
+
+namespace cj = coursejunction;
+using addition = cj::staging::addition;
+
+SCENARIO("staging holds only what is right", "[transfer]")
+{
+    const auto bytes = fixtures::model_bytes(4);
+    const auto chunk = [&](std::size_t at)
+    { return bytes.substr(at * fixtures::chunk_bytes, fixtures::chunk_bytes); };
+    cj::staging held(fixtures::manifest_of(bytes));
+
+    GIVEN("chunks that come in any order, some twice")
+    {
+        CHECK(held.add(2, chunk(2)) == addition::added);
+        CHECK(held.add(2, chunk(2)) == addition::already_held);
+        CHECK(held.bytes() == fixtures::chunk_bytes);
+        CHECK_FALSE(held.complete());
+    }
+    GIVEN("a chunk that is another one, cut, or outside")
+    {
+        CHECK(held.add(1, chunk(2)) == addition::corrupt);
+        CHECK(held.add(1, chunk(1).substr(1)) == addition::corrupt);
+        CHECK(held.add(9, chunk(1)) == addition::corrupt);
+        CHECK(held.size() == 0);
+    }
+    GIVEN("another version that shares half of the chunks")
+    {
+        const auto other_bytes = bytes.substr(0, 2 * fixtures::chunk_bytes) +
+                                 fixtures::model_bytes(2, 'z');
+        cj::staging other(fixtures::manifest_of(other_bytes));
+        for (cj::chunk_index at = 0; at < 4; ++at)
+            held.add(at, chunk(at));
+        THEN("what is common is not fetched again")
+        {
+            CHECK(other.adopt(held) == std::vector<cj::chunk_index>{0, 1});
+            CHECK(other.size() == 2);
+        }
+    }
+}
+
+TEST_CASE("no change to a chunk goes unnoticed", "[transfer]")
+{
+    rc::prop("whichever byte",
+             []
+             {
+                 const auto bytes = fixtures::model_bytes(1);
+                 auto changed = bytes;
+                 const auto at =
+                     *rc::gen::inRange<std::size_t>(0, bytes.size());
+                 changed[at] ^= static_cast<char>(*rc::gen::inRange(1, 127));
+                 cj::staging held(fixtures::manifest_of(bytes));
+                 RC_ASSERT(held.add(0, changed) == addition::corrupt);
+             });
+}
--- /dev/null
+++ b/tests/transfer/transfer_planner.cpp
@@ -0,0 +1,232 @@
+#include "coursejunction/transfer/transfer_planner.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "transfer/fixtures.hpp"
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+using planner = cj::transfer_planner<cj::swarm_policy>;
+using kind = cj::transfer_request::kind;
+
+namespace
+{
+
+const cj::time_point start{100s};
+
+std::vector<cj::chunk_index> range(cj::chunk_index count)
+{
+    std::vector<cj::chunk_index> all;
+    for (cj::chunk_index at = 0; at < count; ++at)
+        all.push_back(at);
+    return all;
+}
+
+/*! @brief Three instances of one hall, seen by the first. */
+std::vector<cj::participant> hall_of_three()
+{
+    const cj::hall_id hall("a");
+    const cj::region_id region("x");
+    return {{cj::instance_id("me"), hall, region},
+            {cj::instance_id("p"), hall, region},
+            {cj::instance_id("q"), hall, region}};
+}
+
+planner make(std::size_t chunks, cj::planner_limits limits = {})
+{
+    planner made(fixtures::manifest_of(fixtures::model_bytes(chunks)),
+                 cj::instance_id("me"), limits, cj::swarm_policy(), start);
+    made.participants(hall_of_three(), start);
+    return made;
+}
+
+std::size_t count(const std::vector<cj::transfer_request>& requests, kind how)
+{
+    return static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(),
+                      [&](const auto& one) { return one.how == how; }));
+}
+
+} // namespace
+
+SCENARIO("a planner asks whoever holds a chunk", "[transfer]")
+{
+    const cj::instance_id p("p");
+    const cj::instance_id q("q");
+    GIVEN("two holders of everything, one of them busy")
+    {
+        auto plan = make(40);
+        plan.holds(p, range(40), 4, start);
+        plan.holds(q, range(40), 0, start);
+        const auto asked = plan.next(start);
+        THEN("the free one is asked first, within the limit")
+        {
+            REQUIRE(count(asked, kind::holder) == 4);
+            CHECK(asked.front().peer == q);
+            CHECK(plan.pending() == 4);
+        }
+        THEN("nothing is asked twice at once")
+        {
+            CHECK(plan.next(start).empty());
+        }
+    }
+    GIVEN("a holder that refuses as busy")
+    {
+        auto plan = make(8);
+        plan.holds(p, range(8), 0, start);
+        for (const auto& one : plan.next(start))
+            plan.refused(one.chunk, p, false, 9, start);
+        THEN("it is left alone until it is less busy")
+        {
+            CHECK(count(plan.next(start + 10ms), kind::holder) == 0);
+            plan.holds(p, {}, 0, start + 100ms);
+            CHECK(count(plan.next(start + 100ms), kind::holder) == 4);
+        }
+    }
+    GIVEN("a holder that stalls without a word")
+    {
+        auto plan = make(8);
+        plan.holds(p, range(8), 0, start);
+        plan.watch(p, start);
+        REQUIRE(count(plan.next(start), kind::holder) == 4);
+        plan.holds(q, range(8), 0, start + 1s);
+        THEN("others are asked once it is silent for too long")
+        {
+            const auto again = plan.next(start + 4s);
+            REQUIRE(count(again, kind::holder) == 4);
+            CHECK(again.front().peer == q);
+        }
+    }
+    GIVEN("a peer that lies")
+    {
+        auto plan = make(8);
+        plan.holds(p, range(8), 0, start);
+        const auto asked = plan.next(start);
+        plan.corrupt(asked[0].chunk, p);
+        CHECK_FALSE(plan.banned(p));
+        plan.corrupt(asked[1].chunk, p);
+        THEN("it is asked no more")
+        {
+            CHECK(plan.banned(p));
+            plan.holds(p, range(8), 0, start + 1s);
+            CHECK(count(plan.next(start + 1s), kind::holder) == 0);
+        }
+    }
+}
+
+SCENARIO("a planner draws little from the origin", "[transfer]")
+{
+    GIVEN("chunks that nobody is seen to hold")
+    {
+        auto plan = make(60);
+        const auto asked = plan.next(start);
+        THEN("only few are asked from the origin at once")
+        {
+            CHECK(count(asked, kind::origin) == 2);
+        }
+        WHEN("the origin fails")
+        {
+            for (const auto& one : asked)
+                plan.origin_failed(one.chunk, start);
+            THEN("it is asked again only after a pause that grows")
+            {
+                CHECK(count(plan.next(start + 50ms), kind::origin) == 0);
+                CHECK(count(plan.next(start + 1s), kind::origin) == 2);
+            }
+        }
+    }
+    GIVEN("live peers that own the rest, and an origin that is silent")
+    {
+        // An outage of the origin must not turn the others into owners.
+        auto plan = make(60);
+        std::set<cj::chunk_index> own;
+        for (int at = 0; at < 90; ++at)
+        {
+            const auto now = start + at * 100ms;
+            plan.heard(cj::instance_id("p"), now);
+            plan.heard(cj::instance_id("q"), now);
+            for (const auto& one : plan.next(now))
+            {
+                if (one.how != kind::origin)
+                    continue;
+                own.insert(one.chunk);
+                plan.origin_failed(one.chunk, now);
+            }
+        }
+        CHECK(plan.level() == 0);
+        CHECK(own.size() < 40);
+    }
+    GIVEN("an owner that died")
+    {
+        auto plan = make(60);
+        std::set<cj::chunk_index> asked;
+        const auto drain = [&](cj::time_point now)
+        {
+            for (int at = 0; at < 60; ++at)
+            {
+                for (const auto& one : plan.next(now))
+                {
+                    if (one.how != kind::origin)
+                        continue;
+                    asked.insert(one.chunk);
+                    plan.held(one.chunk, now);
+                }
+            }
+        };
+        drain(start);
+        const auto before = asked.size();
+        plan.gone(cj::instance_id("p"));
+        drain(start + 100ms);
+        THEN("this instance takes over its share of the dead one's chunks")
+        {
+            CHECK(asked.size() > before);
+            CHECK(asked.size() < 60);
+        }
+    }
+}
+
+TEST_CASE("a planner completes whatever order things happen in", "[transfer]")
+{
+    rc::prop(
+        "with refusals, bad chunks and losses",
+        [](const std::vector<std::uint8_t>& luck)
+        {
+            constexpr cj::chunk_index chunks = 24;
+            auto plan = make(chunks);
+            const std::vector<cj::instance_id> peers{cj::instance_id("p"),
+                                                     cj::instance_id("q")};
+            auto now = start;
+            std::size_t turn = 0;
+            const auto roll = [&]
+            { return luck.empty() ? 0 : luck[turn++ % luck.size()] % 8; };
+            for (int step = 0; step < 4000 && !plan.complete(); ++step)
+            {
+                now += 50ms;
+                // Bad luck ends at some time.
+                const bool bad = step < 300;
+                plan.holds(peers[step % 2], range(chunks), 0, now);
+                for (const auto& one : plan.next(now))
+                {
+                    switch (bad ? roll() : 0)
+                    {
+                    case 1:
+                        plan.refused(one.chunk, one.peer, true, 0, now);
+                        break;
+                    case 2:
+                        if (one.how == kind::origin)
+                            plan.origin_failed(one.chunk, now);
+                        else
+                            plan.gone(one.peer);
+                        break;
+                    case 3:
+                        break; // Lost without a word.
+                    default:
+                        plan.held(one.chunk, now);
+                    }
+                }
+            }
+            RC_ASSERT(plan.complete());
+            RC_ASSERT(plan.pending() == 0U);
+        });
+}
--- /dev/null
+++ b/tests/wire/codec.cpp
@@ -0,0 +1,89 @@
+#include "coursejunction/wire/codec.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace cj = coursejunction;
+namespace message = coursejunction::message;
+
+TEST_CASE("messages are read back as they were written", "[wire]")
+{
+    rc::prop("a dispatch",
+             [](const std::string& request, const std::string& path,
+                std::uint64_t stream, std::uint32_t attempt, bool once)
+             {
+                 message::dispatch from;
+                 from.request = request;
+                 from.path = path;
+                 from.stream = stream;
+                 from.attempt = attempt;
+                 from.not_repeatable = once;
+                 const auto read =
+                     cj::decode<message::dispatch>(cj::encode(from));
+                 RC_ASSERT(read);
+                 RC_ASSERT(read.value().request == request);
+                 RC_ASSERT(read.value().path == path);
+                 RC_ASSERT(read.value().stream == stream);
+                 RC_ASSERT(read.value().attempt == attempt);
+                 RC_ASSERT(read.value().not_repeatable == once);
+             });
+    rc::prop("chunks that are held",
+             [](const std::vector<std::uint32_t>& chunks)
+             {
+                 message::have from;
+                 from.chunks = chunks;
+                 const auto read = cj::decode<message::have>(cj::encode(from));
+                 RC_ASSERT(read.value().chunks == chunks);
+             });
+    rc::prop("reports in a status",
+             [](const std::vector<std::string>& names)
+             {
+                 message::status_reply from;
+                 for (const auto& name : names)
+                 {
+                     from.replicas.emplace_back();
+                     from.replicas.back().instance = name;
+                 }
+                 const auto read =
+                     cj::decode<message::status_reply>(cj::encode(from));
+                 RC_ASSERT(read);
+                 RC_ASSERT(read.value().replicas.size() == names.size());
+             });
+}
+
+TEST_CASE("hostile heads are refused without taking memory", "[wire]")
+{
+    SECTION("a length that lies")
+    {
+        // A vector that claims 3 GiB in a head of a few bytes.
+        std::string head(32, '\0');
+        head += std::string("\xff\xff\xff\xbf", 4);
+        head += "tiny";
+        CHECK_FALSE(cj::decode<message::have>(head));
+        CHECK_FALSE(cj::decode<message::status_reply>(head));
+    }
+    SECTION("a head that goes on")
+    {
+        CHECK_FALSE(cj::decode<message::cancel>(
+            cj::encode(message::cancel{}) + "more"));
+    }
+    rc::prop("any cut of a message is refused",
+             [](const std::string& reason)
+             {
+                 message::answer_end from;
+                 from.reason = reason;
+                 const auto whole = cj::encode(from);
+                 const auto size =
+                     *rc::gen::inRange<std::size_t>(0, whole.size());
+                 RC_ASSERT(!cj::decode<message::answer_end>(
+                     whole.substr(0, size)));
+             });
+    rc::prop("any bytes are read or refused",
+             [](const std::string& noise)
+             {
+                 static_cast<void>(cj::decode<message::report>(noise));
+                 static_cast<void>(cj::decode<message::status_reply>(noise));
+                 static_cast<void>(cj::decode<message::dispatch>(noise));
+                 static_cast<void>(cj::decode<message::heartbeat>(noise));
+             });
+}
