--- a/src/coursejunction/cli/api_client.cpp
+++ b/src/coursejunction/cli/api_client.cpp
@@ -52,8 +52,7 @@
 }
 
 api_answer api_client::call(const std::string& method, const std::string& path,
-                            const std::string& body,
-                            milliseconds timeout) const
+                            const std::string& body, milliseconds timeout) const
 {
     http_call call;
     call.method = method;
--- a/src/coursejunction/cli/commands.cpp
+++ b/src/coursejunction/cli/commands.cpp
@@ -107,12 +107,12 @@
         json spec;
         if (const auto code = read(spec); code != cli_exit::done)
             return code;
-        const auto number = options.revision.empty()
-                                ? std::to_string(spec.at("revision")
-                                                     .get<std::uint64_t>())
-                                : options.revision;
-        return say(client.call("DELETE",
-                               deployment_path() + "?revision=" + number));
+        const auto number =
+            options.revision.empty()
+                ? std::to_string(spec.at("revision").get<std::uint64_t>())
+                : options.revision;
+        return say(
+            client.call("DELETE", deployment_path() + "?revision=" + number));
     }
 
     cli_exit pause(bool paused)
@@ -198,9 +198,8 @@
     cli_exit replace(const json& spec)
     {
         const auto name = spec.at("name").get<std::string>();
-        return accepted(client.call("PUT", "/v1/deployments/" + name,
-                                    spec.dump()),
-                        name);
+        return accepted(
+            client.call("PUT", "/v1/deployments/" + name, spec.dump()), name);
     }
 
     cli_exit change(const std::function<void(json&)>& edit)
@@ -219,8 +218,7 @@
         const auto name = spec["name"].get<std::string>();
         const auto known = client.call("GET", "/v1/deployments/" + name);
         if (known.code == cli_exit::not_found)
-            return accepted(client.call("POST", "/v1/deployments",
-                                        spec.dump()),
+            return accepted(client.call("POST", "/v1/deployments", spec.dump()),
                             name);
         if (!known.ok())
             return fault(known);
@@ -253,8 +251,8 @@
             if (answer.code == cli_exit::not_found ||
                 answer.code == cli_exit::usage)
                 return fault(answer);
-            if (answer.ok() && show_progress(json::parse(answer.body),
-                                             progress))
+            if (answer.ok() &&
+                show_progress(json::parse(answer.body), progress))
                 return cli_exit::done;
             std::this_thread::sleep_for(poll_interval);
         }
@@ -309,9 +307,8 @@
             << std::setw(16) << one.at("model").get<std::string>()
             << std::setw(14)
             << one.at("version").get<std::string>().substr(0, short_hash)
-            << std::setw(10) << one.at("revision").get<std::uint64_t>()
-            << halls << (one.at("paused").get<bool>() ? " (paused)" : "")
-            << "\n";
+            << std::setw(10) << one.at("revision").get<std::uint64_t>() << halls
+            << (one.at("paused").get<bool>() ? " (paused)" : "") << "\n";
     }
 
     void print_status(const json& body)
@@ -435,8 +432,8 @@
     }
     catch (const nlohmann::json::exception& caught)
     {
-        err << "coursejunctionctl: the answer makes no sense: "
-            << caught.what() << "\n";
+        err << "coursejunctionctl: the answer makes no sense: " << caught.what()
+            << "\n";
         return cli_exit::failed;
     }
 }
--- a/src/coursejunction/cli/main.cpp
+++ b/src/coursejunction/cli/main.cpp
@@ -68,8 +68,8 @@
         const auto command = parsed.count("version") > 0
                                  ? std::string("version")
                                  : parsed["command"].as<std::string>();
-        return static_cast<int>(coursejunction::run_command(
-            command, chosen, std::cout, std::cerr));
+        return static_cast<int>(
+            coursejunction::run_command(command, chosen, std::cout, std::cerr));
     }
     catch (const cxxopts::exceptions::exception& caught)
     {
--- a/src/coursejunction/cli/rollout_progress.cpp
+++ b/src/coursejunction/cli/rollout_progress.cpp
@@ -32,10 +32,10 @@
 std::string rollout_progress::line() const
 {
     constexpr double mebibyte = 1024.0 * 1024;
-    const double portion =
-        last.bytes_total == 0 ? 0
-                              : 100.0 * static_cast<double>(last.bytes_done) /
-                                    static_cast<double>(last.bytes_total);
+    const double portion = last.bytes_total == 0
+                               ? 0
+                               : 100.0 * static_cast<double>(last.bytes_done) /
+                                     static_cast<double>(last.bytes_total);
     std::array<char, 160> text{};
     std::snprintf(text.data(), text.size(),
                   "%zu/%zu serving, %.0f%% of bytes, %.1f MiB from origin",
--- a/src/coursejunction/control/configuration_writer.hpp
+++ b/src/coursejunction/control/configuration_writer.hpp
@@ -48,12 +48,15 @@
 template <typename Store>
 concept Configuration_store =
     requires(Store store, std::function<void(result<stored_value>)> read,
-             std::function<void(swap_outcome)> swapped) {
-        store.read(read);
-        store.swap(std::uint64_t{}, std::string{}, swapped);
-        store.later(std::function<void()>{});
-        { store.expired() } -> std::convertible_to<bool>;
-    };
+             std::function<void(swap_outcome)> swapped)
+{
+    store.read(read);
+    store.swap(std::uint64_t{}, std::string{}, swapped);
+    store.later(std::function<void()>{});
+    {
+        store.expired()
+        } -> std::convertible_to<bool>;
+};
 
 /*! @brief One write from an operator, from first read to a certain end or to
  * "unknown" when the service stays silent until the store says `expired`.
@@ -114,9 +117,8 @@
     {
         const auto text = next.text();
         store.swap(index, text,
-                   [self = this->shared_from_this(),
-                    next = std::move(next)](swap_outcome end)
-                   { self->on_swap(end, next); });
+                   [self = this->shared_from_this(), next = std::move(next)](
+                       swap_outcome end) { self->on_swap(end, next); });
     }
 
     void on_swap(swap_outcome end, const configuration& next)
@@ -142,8 +144,7 @@
         if (!store.expired())
             return store.later([self = this->shared_from_this()]
                                { self->read(); });
-        const auto kind =
-            maybe_written ? error_kind::unknown : when_expired;
+        const auto kind = maybe_written ? error_kind::unknown : when_expired;
         finish(failure(kind, kind == error_kind::unknown
                                  ? "the change may or may not take effect"
                                  : "the key-value service does not answer; "
--- a/src/coursejunction/control/key_value_client.cpp
+++ b/src/coursejunction/control/key_value_client.cpp
@@ -19,10 +19,10 @@
 result<std::string> base64_decoded(const std::string& text)
 {
     std::string plain(text.size() / 4 * 3 + 1, '\0');
-    const int count = EVP_DecodeBlock(
-        reinterpret_cast<unsigned char*>(plain.data()),
-        reinterpret_cast<const unsigned char*>(text.data()),
-        static_cast<int>(text.size()));
+    const int count =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(plain.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
     if (count < 0)
         return failure(error_kind::refused, "not base64");
     auto length = static_cast<std::size_t>(count);
@@ -63,8 +63,8 @@
     if (end.ok())
         return end.body.rfind("true", 0) == 0 ? swap_outcome::swapped
                                               : swap_outcome::lost_race;
-    const bool refused = end.reach == http_reach::answered &&
-                         end.status == http_too_many;
+    const bool refused =
+        end.reach == http_reach::answered && end.status == http_too_many;
     if (refused || end.reach == http_reach::not_sent)
         return swap_outcome::not_sent;
     return swap_outcome::unknown;
@@ -145,9 +145,10 @@
     http_call call;
     call.method = "PUT";
     call.url = url + "/v1/session/create";
-    call.body = nlohmann::json{{"TTL", std::to_string(ttl.count()) + "s"},
-                               {"Behavior", "delete"}}
-                    .dump();
+    call.body = nlohmann::json{
+        {"TTL", std::to_string(ttl.count()) + "s"},
+        {"Behavior",
+         "delete"}}.dump();
     call.timeout = timeout;
     client.start(
         std::move(call),
--- a/src/coursejunction/daemon/node.cpp
+++ b/src/coursejunction/daemon/node.cpp
@@ -72,6 +72,12 @@
 
 struct node::implementation
 {
+    struct dialled_link
+    {
+        connection_id id;
+        std::string address;
+    };
+
     implementation(event_loop& owner, node_settings set)
         : loop(owner), settings(std::move(set)), client(owner),
           key_values(client, settings.key_value_url,
@@ -91,9 +97,9 @@
         { received(id, std::move(one)); };
         events.closed = [this](connection_id id) { closed(id); };
         const auto kind = settings.kind == role::entry ? "entry" : "side";
-        auto made_hub = peer_hub::create(
-            loop, settings.address, settings.peer_port, ring,
-            {settings.instance, kind}, std::move(events));
+        auto made_hub =
+            peer_hub::create(loop, settings.address, settings.peer_port, ring,
+                             {settings.instance, kind}, std::move(events));
         if (!made_hub)
             return failure(made_hub.error().kind, made_hub.error().message);
         hub = std::move(made_hub.value());
@@ -184,22 +190,32 @@
         const auto* own = members.find(settings.instance);
         if (own != nullptr && own->leaving)
             leave();
+        drop_moved();
         watch_if_designated();
         hooks.members_changed();
     }
 
     // Connections.
 
+    /*! @brief Returns the connection for an instance: the one opened to its
+     * listed address. A connection that the other end opened is used only to
+     * answer an instance that is not listed (yet): two processes may claim
+     * one id, and the list says which of them counts. */
     connection_id connection_to(const instance_id& to)
     {
-        const auto found = by_instance.find(to);
-        if (found != by_instance.end() && !found->second.empty())
-            return found->second.back();
+        const auto found = dialled.find(to);
+        if (found != dialled.end())
+            return found->second.id;
         const auto* listed_member = members.find(to);
-        if (listed_member == nullptr || to == settings.instance)
+        if (to == settings.instance)
             return {};
+        if (listed_member == nullptr)
+        {
+            const auto known = accepted.find(to);
+            return known == accepted.end() ? connection_id() : known->second;
+        }
         const auto id = hub->open(listed_member->peer_address);
-        by_instance[to].push_back(id);
+        dialled[to] = {id, listed_member->peer_address};
         by_connection[id] = to;
         return id;
     }
@@ -207,16 +223,20 @@
     void opened(connection_id id, const peer_identity& who)
     {
         const auto known = by_connection.find(id);
-        if (known != by_connection.end())
+        if (known == by_connection.end())
         {
-            // Another instance may have taken over the address.
-            if (known->second == who.instance)
-                return members.answered(who.instance);
-            drop(id);
+            by_connection[id] = who.instance;
+            accepted[who.instance] = id;
+            return;
         }
-        by_connection[id] = who.instance;
-        by_instance[who.instance].push_back(id);
-        members.answered(who.instance);
+        if (known->second == who.instance)
+            return members.answered(who.instance);
+        // Another instance has taken over the address.
+        const auto expected = known->second;
+        drop(id);
+        hub->close(id);
+        members.failed(expected, now());
+        hooks.peer_lost(expected);
     }
 
     void drop(connection_id id)
@@ -224,21 +244,45 @@
         const auto known = by_connection.find(id);
         if (known == by_connection.end())
             return;
-        auto& list = by_instance[known->second];
-        std::erase(list, id);
-        if (list.empty())
-            by_instance.erase(known->second);
+        const auto out = dialled.find(known->second);
+        if (out != dialled.end() && out->second.id == id)
+            dialled.erase(out);
+        const auto in = accepted.find(known->second);
+        if (in != accepted.end() && in->second == id)
+            accepted.erase(in);
         by_connection.erase(known);
     }
 
+    /*! @brief Leaves connections to addresses that are no longer listed. */
+    void drop_moved()
+    {
+        std::vector<instance_id> moved;
+        for (const auto& [instance, link] : dialled)
+        {
+            const auto* one = members.find(instance);
+            if (one != nullptr && one->peer_address != link.address)
+                moved.push_back(instance);
+        }
+        for (const auto& instance : moved)
+        {
+            const auto id = dialled.at(instance).id;
+            drop(id);
+            hub->close(id);
+            hooks.peer_lost(instance);
+        }
+    }
+
     void closed(connection_id id)
     {
         const auto known = by_connection.find(id);
         if (known == by_connection.end())
             return;
         const auto instance = known->second;
+        const auto out = dialled.find(instance);
+        const bool was_dialled = out != dialled.end() && out->second.id == id;
         drop(id);
-        members.failed(instance, now());
+        if (was_dialled)
+            members.failed(instance, now());
         hooks.peer_lost(instance);
     }
 
@@ -269,17 +313,16 @@
                             if (got)
                                 offer_stored(got.value());
                             else if (!view.ready())
-                                retry_timer = loop.after(
-                                    internal::watch_retry,
-                                    [this] { first_read(); });
+                                retry_timer =
+                                    loop.after(internal::watch_retry,
+                                               [this] { first_read(); });
                         });
     }
 
     void offer_stored(const stored_value& stored)
     {
-        auto parsed = stored.index == 0
-                          ? result<configuration>(configuration())
-                          : configuration::parse(stored.text);
+        auto parsed = stored.index == 0 ? result<configuration>(configuration())
+                                        : configuration::parse(stored.text);
         if (!parsed)
         {
             log::warning("configuration_unreadable",
@@ -298,8 +341,8 @@
             counters.set("configuration_revision",
                          static_cast<double>(view.current().number().value()));
             log::state("configuration_in_force",
-                       {{"revision", std::to_string(
-                                         view.current().number().value())}});
+                       {{"revision",
+                         std::to_string(view.current().number().value())}});
             announce();
         }
         if (newer || !was_ready)
@@ -323,21 +366,20 @@
         watching = designated;
         if (!designated)
             return;
-        key_values.watch(
-            configuration_key, watch_index, internal::watch_wait,
-            [this](result<stored_value> got)
-            {
-                counters.count("key_value_watches_total");
-                if (!got)
-                {
-                    retry_watch = loop.after(internal::watch_retry,
-                                             [this] { watch(); });
-                    return;
-                }
-                watch_index = got.value().index;
-                offer_stored(got.value());
-                watch();
-            });
+        key_values.watch(configuration_key, watch_index, internal::watch_wait,
+                         [this](result<stored_value> got)
+                         {
+                             counters.count("key_value_watches_total");
+                             if (!got)
+                             {
+                                 retry_watch = loop.after(internal::watch_retry,
+                                                          [this] { watch(); });
+                                 return;
+                             }
+                             watch_index = got.value().index;
+                             offer_stored(got.value());
+                             watch();
+                         });
     }
 
     void pulled(const instance_id& from, const frame& one)
@@ -388,8 +430,7 @@
     void datagram(std::string_view bytes)
     {
         const auto opened_frame = open_datagram(ring, bytes);
-        if (!opened_frame ||
-            opened_frame.value().type != frame_type::heartbeat)
+        if (!opened_frame || opened_frame.value().type != frame_type::heartbeat)
         {
             counters.count("datagrams_refused_total");
             return;
@@ -418,8 +459,8 @@
             if (!connection.empty())
                 hub->send(connection, pull);
         }
-        else if (beat.revision < own && now() - answered[from] >
-                                            internal::answer_gap)
+        else if (beat.revision < own &&
+                 now() - answered[from] > internal::answer_gap)
         {
             answered[from] = now();
             beat_to(from);
@@ -530,7 +571,8 @@
     std::unique_ptr<peer_hub> hub;
     std::unique_ptr<datagram_socket> gossip;
     std::unique_ptr<http_server> server;
-    std::map<instance_id, std::vector<connection_id>> by_instance;
+    std::map<instance_id, dialled_link> dialled;
+    std::map<instance_id, connection_id> accepted;
     std::map<connection_id, instance_id> by_connection;
     std::map<instance_id, time_point> answered;
     http_client::call_id list_call{0};
@@ -563,24 +605,25 @@
     return std::unique_ptr<node>(new node(std::move(made)));
 }
 
-void node::start(node_hooks hooks) { self->start(std::move(hooks)); }
+void node::start(node_hooks hooks)
+{
+    self->start(std::move(hooks));
+}
 
 connection_id node::connection_to(const instance_id& to)
 {
     return self->connection_to(to);
 }
 
-std::size_t node::unsent(const instance_id& to)
+void node::leave()
 {
-    const auto found = self->by_instance.find(to);
-    if (found == self->by_instance.end() || found->second.empty())
-        return 0;
-    return self->hub->unsent(found->second.back());
+    self->leave();
 }
 
-void node::leave() { self->leave(); }
-
-bool node::is_leaving() const { return self->leaving; }
+bool node::is_leaving() const
+{
+    return self->leaving;
+}
 
 std::chrono::microseconds node::leaving_for() const
 {
@@ -589,24 +632,54 @@
     return now() - self->leaving_since;
 }
 
-void node::adopt(const configuration& next) { self->offer(next); }
+void node::adopt(const configuration& next)
+{
+    self->offer(next);
+}
 
-std::uint64_t node::incarnation() const { return self->started; }
+std::uint64_t node::incarnation() const
+{
+    return self->started;
+}
 
-event_loop& node::loop() { return self->loop; }
+event_loop& node::loop()
+{
+    return self->loop;
+}
 
-peer_hub& node::hub() { return *self->hub; }
+peer_hub& node::hub()
+{
+    return *self->hub;
+}
 
-http_client& node::http() { return self->client; }
+http_client& node::http()
+{
+    return self->client;
+}
 
-key_value_client& node::key_values() { return self->key_values; }
+key_value_client& node::key_values()
+{
+    return self->key_values;
+}
 
-member_table& node::members() { return self->members; }
+member_table& node::members()
+{
+    return self->members;
+}
 
-const configuration_view& node::view() const { return self->view; }
+const configuration_view& node::view() const
+{
+    return self->view;
+}
 
-const node_settings& node::settings() const { return self->settings; }
+const node_settings& node::settings() const
+{
+    return self->settings;
+}
 
-metrics& node::counters() { return self->counters; }
+metrics& node::counters()
+{
+    return self->counters;
+}
 
 } // namespace coursejunction
--- a/src/coursejunction/daemon/node.hpp
+++ b/src/coursejunction/daemon/node.hpp
@@ -65,9 +65,6 @@
                hub().send(connection, message, payload, hashed_payload);
     }
 
-    /*! @brief Returns bytes to an instance that the kernel has not taken. */
-    [[nodiscard]] std::size_t unsent(const instance_id& to);
-
     /*! @brief Begins a planned stop: says so to everybody, finishes what is
      * in progress, then ends the loop. */
     void leave();
--- a/src/coursejunction/daemon/report_service.cpp
+++ b/src/coursejunction/daemon/report_service.cpp
@@ -37,8 +37,7 @@
     };
 
     implementation(node& owner, report_callback call)
-        : host(owner), heard(std::move(call)),
-          permits(now(), settling())
+        : host(owner), heard(std::move(call)), permits(now(), settling())
     {
     }
 
@@ -165,9 +164,8 @@
         reply.version = ask.version;
         const deployment_name name(ask.deployment);
         const auto* spec = host.view().current().find(name);
-        reply.granted = spec != nullptr &&
-                        halls.contains(hall_id(ask.hall)) && !spec->paused &&
-                        spec->version.hex() == ask.version &&
+        reply.granted = spec != nullptr && halls.contains(hall_id(ask.hall)) &&
+                        !spec->paused && spec->version.hex() == ask.version &&
                         permits.request(name, from, spec->max_closed, now());
         host.counters().count("permits_total", 1,
                               {{"granted", reply.granted ? "yes" : "no"}});
@@ -196,8 +194,8 @@
     {
         if (halls.contains(hall))
             return;
-        const auto entries = host.members().designated_entries(
-            hall, designated_per_hall, now());
+        const auto entries =
+            host.members().designated_entries(hall, designated_per_hall, now());
         bool sent = false;
         for (const auto& id : entries)
         {
@@ -302,7 +300,10 @@
 
 report_service::~report_service() = default;
 
-void report_service::members_changed() { self->members_changed(); }
+void report_service::members_changed()
+{
+    self->members_changed();
+}
 
 bool report_service::received(const instance_id& from, frame& one)
 {
@@ -334,14 +335,20 @@
     self->peer_lost(peer);
 }
 
-void report_service::tick() { self->tick(); }
+void report_service::tick()
+{
+    self->tick();
+}
 
 void report_service::status(status_callback done)
 {
     self->status(std::move(done));
 }
 
-std::size_t report_service::size() const { return self->reports.size(); }
+std::size_t report_service::size() const
+{
+    return self->reports.size();
+}
 
 std::string report_service::dump() const
 {
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -1,6 +1,7 @@
 #include "coursejunction/daemon/request_service.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <unordered_map>
 
@@ -26,6 +27,7 @@
 constexpr unsigned max_attempts = 4;
 constexpr double retry_portion = 0.1;
 constexpr double retry_depth = 20;
+constexpr double deviations = 2;
 constexpr milliseconds no_upstream_retry{1000};
 constexpr milliseconds least_deadline{1};
 constexpr milliseconds most_deadline{3'600'000};
@@ -79,6 +81,7 @@
         bool streamed{false};
         bool begun{false};
         bool running{false};
+        bool maybe_ran{false}; /*!< An attempt may have run. */
         std::uint32_t parts{0};
         std::uint32_t events{0}; /*!< Whole events given to the caller. */
         std::string gathered;
@@ -92,6 +95,16 @@
 
     using pointer = std::shared_ptr<live_request>;
 
+    /*! @brief How an attempt, or the whole request, ended without answer. */
+    struct attempt_end
+    {
+        outcome result{outcome::unknown};
+        refusal refused{refusal::none};
+        int status{0};
+        std::string reason;
+        milliseconds retry_after{0};
+    };
+
     explicit implementation(node& owner) : host(owner) {}
 
     static time_point now() { return event_loop::now(); }
@@ -106,11 +119,11 @@
         if (const auto fault = parse(*one, from); !fault.empty())
             return refuse_input(reply, fault);
         if (host.is_leaving() && host.leaving_for() > leave_accept)
-            return answer_not_run(*one, 503, "this entry is leaving",
-                                  milliseconds(100));
+            return give_up(one, 503, "this entry is leaving",
+                           milliseconds(100));
         if (live.size() >= host.settings().max_streams)
-            return answer_not_run(*one, 503, "too many requests in progress",
-                                  milliseconds(500));
+            return give_up(one, 503, "too many requests in progress",
+                           milliseconds(500));
         one->stream = ++streams;
         host.counters().count("requests_total");
         budget.request();
@@ -215,10 +228,23 @@
             .first->second;
     }
 
+    /*! @brief Smoothed time of a request and its mean deviation (as RFC 6298
+     * does for round trips). */
+    struct service_estimate
+    {
+        double mean{0};
+        double deviation{0};
+    };
+
+    /*! @brief Returns the time that a request should be given. */
     std::chrono::microseconds service_time(const queue_key& key) const
     {
-        const auto found = service_s.find(key);
-        return from_seconds(found == service_s.end() ? 0 : found->second);
+        const auto found = services.find(key);
+        if (found == services.end())
+            return std::chrono::microseconds(0);
+        const auto& known = found->second;
+        return from_seconds(known.mean +
+                            internal::deviations * known.deviation);
     }
 
     /*! @brief Dispatches a request, queues it, or refuses it at once. */
@@ -237,10 +263,9 @@
             return give_up(one, unserved_status(*one),
                            "no upstream serves " + one->route.model,
                            internal::no_upstream_retry);
-        const auto verdict =
-            queue.offer({one->stream, one->organisation, one->priority,
-                         one->deadline},
-                        service_time({one->route.kind, one->route.model}), now());
+        const auto verdict = queue.offer(
+            {one->stream, one->organisation, one->priority, one->deadline},
+            service_time({one->route.kind, one->route.model}), now());
         if (!verdict.accepted)
         {
             host.counters().count("requests_refused_total");
@@ -253,12 +278,14 @@
     int unserved_status(const live_request& one) const
     {
         const auto& specs = host.view().current().deployments();
-        const bool known = std::any_of(
-            specs.begin(), specs.end(), [&](const auto& spec)
-            { return spec.second.model == one.route.model; });
-        const bool seen = std::any_of(
-            table.all().begin(), table.all().end(), [&](const auto& state)
-            { return state.second.model == one.route.model; });
+        const bool known =
+            std::any_of(specs.begin(), specs.end(),
+                        [&](const auto& spec)
+                        { return spec.second.model == one.route.model; });
+        const bool seen =
+            std::any_of(table.all().begin(), table.all().end(),
+                        [&](const auto& state)
+                        { return state.second.model == one.route.model; });
         return known || seen ? 503 : 404;
     }
 
@@ -328,8 +355,8 @@
         ask.resume_from = one->events;
         ask.weights = one->route.weights;
         if (!host.send(to, ask, one->body))
-            attempt_ended(one, outcome::not_run, 503, "side is not known",
-                          milliseconds(100));
+            attempt_ended(one, {outcome::not_run, refusal::unreachable, 503,
+                                "side is not known", milliseconds(100)});
     }
 
     static milliseconds left(const live_request& one)
@@ -387,8 +414,8 @@
         const auto end = one->pending.rfind(internal::event_end);
         if (end == std::string::npos)
             return;
-        const auto whole = one->pending.substr(
-            0, end + internal::event_end.size());
+        const auto whole =
+            one->pending.substr(0, end + internal::event_end.size());
         one->pending.erase(0, whole.size());
         if (!one->begun)
             begin(one);
@@ -414,7 +441,8 @@
     void broken(const pointer& one, const std::string& reason)
     {
         cancel(one);
-        attempt_ended(one, outcome::unknown, 502, reason, milliseconds(0));
+        attempt_ended(one, {outcome::unknown, refusal::none, 502, reason,
+                            milliseconds(0)});
     }
 
     void cancel(const pointer& one)
@@ -435,16 +463,16 @@
             return broken(one, "parts of the answer are missing");
         if (head.result == outcome::answered)
             return answered(one, head);
-        attempt_ended(one, head.result, head.status, head.reason,
-                      milliseconds(head.retry_after_ms));
+        attempt_ended(one, {head.result, head.refused, head.status, head.reason,
+                            milliseconds(head.retry_after_ms)});
     }
 
     void answered(const pointer& one, const message::answer_end& head)
     {
         const auto took = now() - one->started;
-        table.succeeded(one->upstream,
-                        std::chrono::duration_cast<std::chrono::microseconds>(
-                            took));
+        table.succeeded(
+            one->upstream,
+            std::chrono::duration_cast<std::chrono::microseconds>(took));
         learn(one->route, to_seconds(took));
         queue_of(one->route).served(now());
         leave_upstream(one);
@@ -469,32 +497,41 @@
 
     void learn(const route_request& route, double seconds)
     {
-        constexpr double smoothing = 0.05;
-        auto& known = service_s[{route.kind, route.model}];
-        known = known == 0 ? seconds : known + (seconds - known) * smoothing;
+        constexpr double smoothing = 0.1;
+        auto& known = services[{route.kind, route.model}];
+        if (known.mean == 0)
+            known.mean = seconds;
+        const auto off = seconds - known.mean;
+        known.mean += off * smoothing;
+        known.deviation += (std::abs(off) - known.deviation) * smoothing;
     }
 
     /*! @brief An attempt gave no answer: try elsewhere, or say so. */
-    void attempt_ended(const pointer& one, outcome what, int status,
-                       const std::string& reason, milliseconds retry_after)
+    void attempt_ended(const pointer& one, const attempt_end& end)
     {
         leave_upstream(one);
-        const bool refused = what == outcome::not_run;
-        if (refused && reason == "busy")
+        one->maybe_ran = one->maybe_ran || end.result == outcome::unknown;
+        if (end.refused == refusal::busy)
             note_full(one->upstream);
-        else
+        else if (is_fault_of_upstream(end.refused))
             table.failed(one->upstream, now());
         one->route.excluded.push_back(one->upstream);
-        if (may_retry(*one, what, reason))
+        if (may_retry(*one, end))
         {
             host.counters().count("retries_total");
             return retry(one);
         }
         live.erase(one->stream);
-        conclude(*one, what, status, reason, retry_after);
+        conclude(one, end);
         pump();
     }
 
+    static bool is_fault_of_upstream(refusal why)
+    {
+        return why != refusal::claim && why != refusal::cancelled &&
+               why != refusal::duplicate;
+    }
+
     /*! @brief The side had no room although it seemed so here: other entries
      * use it too. */
     void note_full(const instance_id& upstream)
@@ -508,20 +545,30 @@
 
     /*! @brief Being refused by a gate or a full side costs nobody work, so it
      * spends none of the budget. */
-    bool may_retry(const live_request& one, outcome what,
-                   const std::string& reason)
+    bool may_retry(const live_request& one, const attempt_end& end)
     {
         // A begun stream goes on only with the same weights and sampling.
         if (one.begun && (one.route.weights.empty() || one.not_repeatable))
             return false;
         if (one.attempt >= internal::max_attempts || left(one).count() <= 0)
             return false;
-        if (what == outcome::unknown && one.not_repeatable)
+        if (end.result == outcome::unknown && one.not_repeatable)
             return false;
-        const bool gate = what == outcome::not_run &&
-                          (reason == "busy" || reason == "closed" ||
-                           reason == "leaving");
-        return gate || budget.spend();
+        switch (end.refused)
+        {
+        case refusal::busy:
+        case refusal::closed:
+        case refusal::leaving:
+            return true;
+        case refusal::claim:
+        case refusal::cancelled:
+        case refusal::duplicate:
+            return false;
+        case refusal::none:
+        case refusal::unreachable:
+            return budget.spend();
+        }
+        return false;
     }
 
     /*! @brief A begun stream is cut rather than queued: its weights may be
@@ -540,27 +587,38 @@
 
     // Answers without a run.
 
-    /*! @brief Ends a request that runs nowhere. A begun stream did run. */
     void give_up(const pointer& one, int status, const std::string& reason,
                  milliseconds retry_after)
     {
         live.erase(one->stream);
-        conclude(*one, one->begun ? outcome::unknown : outcome::not_run,
-                 status, reason, retry_after);
-    }
-
-    void answer_not_run(const live_request& one, int status,
-                        const std::string& reason, milliseconds retry_after)
-    {
-        conclude(one, outcome::not_run, status, reason, retry_after);
+        conclude(one, {outcome::not_run, refusal::none, status, reason,
+                       retry_after});
+    }
+
+    /*! @brief Gives the final answer at once. "Not run" is said only when no
+     * attempt may have run; for a request that may run only once, when nobody
+     * else has claimed its id either. */
+    void conclude(const pointer& one, attempt_end end)
+    {
+        if (one->maybe_ran || one->begun)
+            end.result = outcome::unknown;
+        if (end.result != outcome::not_run || !one->not_repeatable)
+            return answer(*one, end);
+        host.key_values().read(
+            claim_key(one->id),
+            [this, one, end](const result<stored_value>& got) mutable
+            {
+                if (!got || got.value().index != 0)
+                    end.result = outcome::unknown;
+                answer(*one, end);
+            });
     }
 
-    /*! @brief Gives the final answer at once; a stream that has begun is cut
-     * so that nobody takes it for whole. */
-    void conclude(const live_request& one, outcome what, int status,
-                  const std::string& reason, milliseconds retry_after)
+    /*! @brief Sends a final answer that is no answer of an upstream; a stream
+     * that has begun is cut so that nobody takes it for whole. */
+    void answer(const live_request& one, const attempt_end& end)
     {
-        const auto name = std::string(internal::name_of(what));
+        const auto name = std::string(internal::name_of(end.result));
         host.counters().count("answers_total", 1, {{"outcome", name}});
         if (one.begun)
         {
@@ -568,15 +626,15 @@
             return one.reply->cut();
         }
         header_map headers{{"Outcome", name}, {"Request-Id", one.id.value()}};
-        if (what == outcome::not_run && retry_after.count() > 0)
+        if (end.retry_after.count() > 0)
         {
             constexpr std::int64_t second = 1000;
-            headers["Retry-After"] = std::to_string(
-                (retry_after.count() + second - 1) / second);
-            headers["Retry-After-Ms"] = std::to_string(retry_after.count());
+            headers["Retry-After"] =
+                std::to_string((end.retry_after.count() + second - 1) / second);
+            headers["Retry-After-Ms"] = std::to_string(end.retry_after.count());
         }
-        const internal::json body{{"outcome", name}, {"error", reason}};
-        one.reply->send(status == 0 ? 502 : status, "application/json",
+        const internal::json body{{"outcome", name}, {"error", end.reason}};
+        one.reply->send(end.status == 0 ? 502 : end.status, "application/json",
                         headers, body.dump());
     }
 
@@ -625,8 +683,7 @@
                      (one.kind == "plain" || !one.serving.empty());
         state.leaving = one.leaving;
         state.heard = now();
-        state.cached = {one.cached_prefixes.begin(),
-                        one.cached_prefixes.end()};
+        state.cached = {one.cached_prefixes.begin(), one.cached_prefixes.end()};
         pump();
     }
 
@@ -642,9 +699,9 @@
                 affected.push_back(one);
         }
         for (const auto& one : affected)
-            attempt_ended(one, outcome::unknown, 502,
-                          "the connection to the side was lost",
-                          milliseconds(0));
+            attempt_ended(one, {outcome::unknown, refusal::none, 502,
+                                "the connection to the side was lost",
+                                milliseconds(0)});
     }
 
     // Time.
@@ -653,8 +710,7 @@
     {
         for (auto& [key, queue] : queues)
         {
-            const auto service =
-                service_time(key);
+            const auto service = service_time(key);
             for (const auto& late : queue.expire(service, now()))
                 expired(late.number, queue);
         }
@@ -690,8 +746,8 @@
             cancel(one);
             leave_upstream(one);
             live.erase(one->stream);
-            conclude(*one, outcome::unknown, 504, "the deadline has passed",
-                     milliseconds(0));
+            conclude(one, {outcome::unknown, refusal::none, 504,
+                           "the deadline has passed", milliseconds(0)});
         }
     }
 
@@ -703,7 +759,7 @@
     scored_policy policy;
     retry_budget budget{internal::retry_portion, internal::retry_depth};
     std::map<queue_key, fair_queue> queues;
-    std::map<queue_key, double> service_s;
+    std::map<queue_key, service_estimate> services;
     std::unordered_map<std::uint64_t, pointer> live;
     std::uint64_t streams{0};
     time_point deadlines_checked{};
@@ -751,9 +807,15 @@
     self->peer_lost(peer);
 }
 
-void request_service::tick() { self->tick(); }
+void request_service::tick()
+{
+    self->tick();
+}
 
-std::size_t request_service::size() const { return self->live.size(); }
+std::size_t request_service::size() const
+{
+    return self->live.size();
+}
 
 std::string request_service::dump() const
 {
--- a/src/coursejunction/daemon/resource_api.cpp
+++ b/src/coursejunction/daemon/resource_api.cpp
@@ -235,8 +235,7 @@
         if (!host.view().ready() && from.method == "GET")
             return internal::send_error(reply, error_kind::unavailable,
                                         "no configuration is known yet");
-        const auto name =
-            parts.size() == 2 ? parts[1] : std::string{};
+        const auto name = parts.size() == 2 ? parts[1] : std::string{};
         if (from.method == "GET" && name.empty())
             return list(from, reply);
         if (from.method == "GET")
@@ -291,9 +290,9 @@
         json items = json::array();
         for (const auto& [name, spec] : now.deployments())
             items.push_back(json::parse(spec.json()));
-        internal::send_json(reply, 200,
-                            {{"revision", now.number().value()},
-                             {"items", std::move(items)}});
+        internal::send_json(
+            reply, 200,
+            {{"revision", now.number().value()}, {"items", std::move(items)}});
     }
 
     void configuration_changed()
@@ -340,8 +339,7 @@
         configuration_change change;
         change.kind = action::remove;
         change.name = name;
-        change.read =
-            revision(std::strtoull(number->c_str(), nullptr, 10));
+        change.read = revision(std::strtoull(number->c_str(), nullptr, 10));
         start(std::move(change), reply);
     }
 
@@ -363,10 +361,9 @@
     {
         if (!got.end)
         {
-            host.counters().count(
-                "configuration_writes_total", 1,
-                {{"result", std::string(internal::name_of(
-                                got.end.error().kind))}});
+            host.counters().count("configuration_writes_total", 1,
+                                  {{"result", std::string(internal::name_of(
+                                                  got.end.error().kind))}});
             json body{{"error", internal::name_of(got.end.error().kind)},
                       {"message", got.end.error().message}};
             if (got.end.error().kind == error_kind::unknown)
@@ -455,6 +452,9 @@
     self->request(from, reply);
 }
 
-void resource_api::configuration_changed() { self->configuration_changed(); }
+void resource_api::configuration_changed()
+{
+    self->configuration_changed();
+}
 
 } // namespace coursejunction
--- a/src/coursejunction/daemon/run_daemon.cpp
+++ b/src/coursejunction/daemon/run_daemon.cpp
@@ -16,7 +16,10 @@
 namespace internal
 {
 
-int code(daemon_exit value) { return static_cast<int>(value); }
+int code(daemon_exit value)
+{
+    return static_cast<int>(value);
+}
 
 int run_node(node_settings settings, chunk_filter filter)
 {
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -29,6 +29,30 @@
 constexpr std::size_t hash_digits = 64;
 constexpr std::size_t tail_kept = 128;
 
+std::string_view text_of(refusal why)
+{
+    switch (why)
+    {
+    case refusal::none:
+        return "";
+    case refusal::busy:
+        return "every slot of the upstream is taken";
+    case refusal::closed:
+        return "the upstream is closed";
+    case refusal::leaving:
+        return "the upstream is leaving";
+    case refusal::claim:
+        return "the key-value service does not answer";
+    case refusal::unreachable:
+        return "the upstream does not answer";
+    case refusal::duplicate:
+        return "the request was started before";
+    case refusal::cancelled:
+        return "the caller left";
+    }
+    return "";
+}
+
 /*! @brief Looks in a part of an answer for weights other than expected. */
 bool foreign_weights(std::string_view part, const std::string& expected)
 {
@@ -63,6 +87,7 @@
         bool claiming{false};
         bool orphan{false};
         bool mixed{false};
+        refusal refused{refusal::none};
         unsigned claims{0};
         time_point began{};
         timer retry;
@@ -87,26 +112,32 @@
         one->from = from;
         one->body = std::move(body);
         one->began = now();
-        const auto why = refusal(ask);
+        const auto why = refused(ask);
         one->ask = std::move(ask);
-        if (!why.empty())
-            return end(one, outcome::not_run, 503, why, internal::busy_retry);
+        if (why != refusal::none)
+            return refuse(one, why, internal::busy_retry);
         runs[{from, one->ask.stream}] = one;
         if (one->ask.not_repeatable)
             return admit(one);
         start(one);
     }
 
-    std::string refusal(const message::dispatch& ask) const
+    refusal refused(const message::dispatch& ask) const
     {
         if (host.is_leaving())
-            return "leaving";
-        auto why = gate.closed();
-        if (!why.empty())
-            return why;
-        if (!ask.weights.empty() && ask.weights != gate.weights().hex())
-            return "closed";
-        return runs.size() >= host.settings().upstream_slots ? "busy" : "";
+            return refusal::leaving;
+        if (!gate.open() ||
+            (!ask.weights.empty() && ask.weights != gate.weights().hex()))
+            return refusal::closed;
+        return runs.size() >= gate.slots() ? refusal::busy : refusal::none;
+    }
+
+    /*! @brief Ends an attempt that did not start and never will. */
+    void refuse(const run_pointer& one, refusal why, milliseconds retry_after)
+    {
+        one->refused = why;
+        end(one, outcome::not_run, 503, std::string(internal::text_of(why)),
+            retry_after);
     }
 
     void admit(const run_pointer& one)
@@ -119,25 +150,30 @@
             return claim(one);
         case admission::claiming:
         case admission::running:
-            return end(one, outcome::unknown, 409, "the request is running",
-                       internal::outage_retry);
+            return duplicate(one, internal::outage_retry);
         case admission::ended:
             return repeat(one, registry.answer(id));
         case admission::elsewhere:
-            return end(one, outcome::unknown, 409,
-                       "the request was started before");
+            return duplicate(one);
         case admission::never:
-            return end(one, outcome::not_run, 409,
-                       "the request will not be started");
+            return refuse(one, refusal::cancelled, milliseconds(0));
         }
     }
 
+    /*! @brief Ends an attempt of a request that was started before. */
+    void duplicate(const run_pointer& one,
+                   milliseconds retry_after = milliseconds(0))
+    {
+        one->refused = refusal::duplicate;
+        end(one, outcome::unknown, 409,
+            std::string(internal::text_of(refusal::duplicate)), retry_after);
+    }
+
     /*! @brief Gives the kept answer of a request that has run. */
     void repeat(const run_pointer& one, const kept_answer* answer)
     {
         if (answer == nullptr)
-            return end(one, outcome::unknown, 409,
-                       "the request was started before");
+            return duplicate(one);
         one->content_type = answer->content_type;
         part(one, answer->body);
         end(one, outcome::answered, answer->status, "repeated answer");
@@ -150,10 +186,10 @@
         if (session.empty() || now() - session_since > internal::session_age)
             return open_session(one);
         ++one->claims;
-        host.key_values().acquire(
-            claim_key(request_id(one->ask.request)), session,
-            host.settings().instance.value(),
-            [this, one](swap_outcome done) { claimed(one, done); });
+        host.key_values().acquire(claim_key(request_id(one->ask.request)),
+                                  session, host.settings().instance.value(),
+                                  [this, one](swap_outcome done)
+                                  { claimed(one, done); });
     }
 
     void open_session(const run_pointer& one)
@@ -180,12 +216,11 @@
             one->claiming = false;
             if (registry.start(id))
                 return start(one);
-            return end(one, outcome::not_run, 499, "the caller left");
+            return refuse(one, refusal::cancelled, milliseconds(0));
         case swap_outcome::lost_race:
             one->claiming = false;
             registry.lost(id);
-            return end(one, outcome::unknown, 409,
-                       "the request was started before");
+            return duplicate(one);
         case swap_outcome::not_sent:
         case swap_outcome::unknown:
             // The same session may acquire again: if the write took effect,
@@ -204,8 +239,7 @@
     {
         one->claiming = false;
         registry.withdraw(request_id(one->ask.request));
-        end(one, outcome::not_run, 503, "the key-value service does not answer",
-            internal::outage_retry);
+        refuse(one, refusal::claim, internal::outage_retry);
     }
 
     // Running.
@@ -223,8 +257,7 @@
                         {"Priority", std::to_string(one->ask.priority)},
                         {"Seed", std::to_string(one->ask.seed)}};
         if (one->ask.resume_from > 0)
-            call.headers["Resume-From"] =
-                std::to_string(one->ask.resume_from);
+            call.headers["Resume-From"] = std::to_string(one->ask.resume_from);
         call.body = std::move(one->body);
         call.timeout = milliseconds(one->ask.deadline_ms);
         one->call = host.http().start(
@@ -280,6 +313,11 @@
     {
         if (done.reach == http_reach::not_sent)
             return unreached(one);
+        const bool late =
+            now() - one->began >= milliseconds(one->ask.deadline_ms);
+        if (done.reach == http_reach::interrupted && late)
+            return finish(one, outcome::unknown, 504,
+                          "the deadline has passed");
         if (done.reach == http_reach::interrupted)
         {
             gate.doubt();
@@ -287,27 +325,24 @@
                           "the upstream broke off: " + done.fault);
         }
         const auto type = done.headers.find("content-type");
-        one->content_type =
-            type == done.headers.end() ? "" : type->second;
+        one->content_type = type == done.headers.end() ? "" : type->second;
         if (done.status == 503 && !one->expected.empty())
         {
             gate.doubt();
-            return finish(one, outcome::not_run, 503, "nothing is loaded");
+            return refuse(one, refusal::closed, internal::busy_retry);
         }
         const auto weights = done.headers.find("weights");
         if (!one->expected.empty() && done.ok() &&
-            (weights == done.headers.end() ||
-             weights->second != one->expected))
+            (weights == done.headers.end() || weights->second != one->expected))
             return mixed(one);
         const bool stream =
             one->content_type.rfind("text/event-stream", 0) == 0;
-        if (stream &&
-            one->tail.find(internal::done_mark) == std::string::npos)
+        if (stream && one->tail.find(internal::done_mark) == std::string::npos)
             return finish(one, outcome::unknown, 502, "the stream has no end");
         if (!done.ok() && !done.body.empty())
             part(one, done.body);
-        finish(one, outcome::answered,
-               static_cast<std::uint16_t>(done.status), "");
+        finish(one, outcome::answered, static_cast<std::uint16_t>(done.status),
+               "");
     }
 
     /*! @brief The upstream was never connected to: it did not run. */
@@ -316,8 +351,7 @@
         if (one->ask.not_repeatable)
             registry.unreached(request_id(one->ask.request));
         gate.doubt();
-        end(one, outcome::not_run, 503, "the upstream does not answer",
-            internal::busy_retry);
+        refuse(one, refusal::unreachable, internal::busy_retry);
     }
 
     void finish(const run_pointer& one, outcome what, std::uint16_t status,
@@ -328,9 +362,9 @@
             const bool whole = what == outcome::answered &&
                                one->kept.size() <= internal::kept_body;
             registry.end(request_id(one->ask.request),
-                         whole ? kept_answer{status, one->content_type,
-                                             one->kept}
-                               : kept_answer{});
+                         whole
+                             ? kept_answer{status, one->content_type, one->kept}
+                             : kept_answer{});
         }
         end(one, what, status, reason);
     }
@@ -350,6 +384,7 @@
         end.stream = one->ask.stream;
         end.attempt = one->ask.attempt;
         end.result = what;
+        end.refused = one->refused;
         end.status = status;
         end.parts = one->parts;
         end.retry_after_ms = static_cast<std::uint32_t>(retry_after.count());
@@ -379,8 +414,7 @@
     void cancelled(const instance_id& from, const message::cancel& cancel)
     {
         const auto found = runs.find({from, cancel.stream});
-        if (found == runs.end() ||
-            found->second->ask.attempt != cancel.attempt)
+        if (found == runs.end() || found->second->ask.attempt != cancel.attempt)
             return;
         withdraw(found->second);
     }
@@ -452,9 +486,15 @@
     return false;
 }
 
-void run_service::peer_lost(const instance_id& peer) { self->peer_lost(peer); }
+void run_service::peer_lost(const instance_id& peer)
+{
+    self->peer_lost(peer);
+}
 
-std::size_t run_service::size() const { return self->runs.size(); }
+std::size_t run_service::size() const
+{
+    return self->runs.size();
+}
 
 std::string run_service::dump() const
 {
--- a/src/coursejunction/daemon/run_service.hpp
+++ b/src/coursejunction/daemon/run_service.hpp
@@ -23,8 +23,11 @@
 /*! @brief What the runs need to know of the replica. */
 struct run_gate
 {
-    /*! @brief Returns why new requests cannot run now, or nothing. */
-    std::function<std::string()> closed;
+    /*! @brief Tells whether new requests may run at the upstream. */
+    std::function<bool()> open;
+
+    /*! @brief Returns how many requests may run at once. */
+    std::function<std::size_t()> slots;
 
     /*! @brief Returns the hash that answers must carry; empty for a plain
      * service. */
--- a/src/coursejunction/daemon/side.cpp
+++ b/src/coursejunction/daemon/side.cpp
@@ -41,9 +41,9 @@
 {
     implementation(node& owner, chunk_filter filter)
         : host(owner), engine(owner.http(), owner.settings().upstream_url),
-          transfer(owner, engine,
-                   [this](const digest& version) { staged(version); },
-                   std::move(filter)),
+          transfer(
+              owner, engine, [this](const digest& version) { staged(version); },
+              std::move(filter)),
           runs(owner, engine, make_gate()),
           guard(owner.settings().upstream_fenced),
           plain(owner.settings().upstream_kind == "plain")
@@ -63,8 +63,8 @@
         };
         hooks.configuration_changed = [this] { reconcile(); };
         hooks.members_changed = [this] { reconcile(); };
-        hooks.http = [](const http_request&,
-                        const std::shared_ptr<http_reply>& reply)
+        hooks.http =
+            [](const http_request&, const std::shared_ptr<http_reply>& reply)
         { reply->send(404, "text/plain", {}, "no such path\n"); };
         hooks.dump = [this] { return dump(); };
         hooks.leaving = [this] { report(); };
@@ -81,7 +81,8 @@
     run_gate make_gate()
     {
         run_gate gate;
-        gate.closed = [this] { return plain || copy.open() ? "" : "closed"; };
+        gate.open = [this] { return plain || copy.open(); };
+        gate.slots = [this] { return slots_now(); };
         gate.weights = [this] { return plain ? digest() : copy.serving(); };
         gate.doubt = [this] { doubt(); };
         gate.first_token = [this](std::chrono::microseconds took)
@@ -91,6 +92,13 @@
 
     static time_point now() { return event_loop::now(); }
 
+    /*! @brief The settings' limit, or the engine's own when that is lower. */
+    std::size_t slots_now() const
+    {
+        const auto most = host.settings().upstream_slots;
+        return engine_slots == 0 ? most : std::min(most, engine_slots);
+    }
+
     // What is wanted.
 
     void reconcile()
@@ -213,9 +221,13 @@
     void seen(const engine_state& state)
     {
         cached = state.cached;
+        engine_slots = state.slots;
         if (state.loading)
             return;
         const auto before = copy.serving();
+        if (state.serving.empty() &&
+            (!before.empty() || copy.phase() == replica_phase::checking))
+            engine_lost_all();
         copy.read_back(state.serving, now());
         if (before != copy.serving())
         {
@@ -225,6 +237,14 @@
         changed();
     }
 
+    /*! @brief The engine serves nothing any more: it may have restarted and
+     * lost what was staged, so it is handed over again before an order. */
+    void engine_lost_all()
+    {
+        copy.unstage();
+        transfer.hand_over_again();
+    }
+
     /*! @brief Looks at the engine regularly: load, cache, and whether it
      * still serves what it should. */
     void poll_engine()
@@ -235,8 +255,8 @@
 
     void ask_permit()
     {
-        const auto first = host.members().designated_entries(
-            host.settings().hall, 1, now());
+        const auto first =
+            host.members().designated_entries(host.settings().hall, 1, now());
         if (first.empty())
             return;
         message::permit_request request;
@@ -307,15 +327,15 @@
 
     void confirm_token()
     {
-        host.key_values().read(
-            fence_key(host.settings().instance),
-            [this](const result<stored_value>& got)
-            {
-                if (!got)
-                    return order_later();
-                guard.confirmed(parse_token(got.value().text).token);
-                order();
-            });
+        host.key_values().read(fence_key(host.settings().instance),
+                               [this](const result<stored_value>& got)
+                               {
+                                   if (!got)
+                                       return order_later();
+                                   guard.confirmed(
+                                       parse_token(got.value().text).token);
+                                   order();
+                               });
     }
 
     struct token_record
@@ -358,10 +378,7 @@
         if (got.end == kind::stale)
             guard.refused();
         if (got.end == kind::incomplete)
-        {
-            copy.unstage();
-            transfer.hand_over_again();
-        }
+            engine_lost_all();
         if (got.end != kind::loaded)
             log::warning("load_failed", {{"reason", got.reason}});
         copy.loaded(got.end == kind::loaded, got.reason, now());
@@ -382,9 +399,8 @@
         else if (one.type == frame_type::permit_reply)
         {
             const auto reply = decode<message::permit_reply>(one.head);
-            const auto version =
-                reply ? digest::parse(reply.value().version)
-                      : digest::parse("");
+            const auto version = reply ? digest::parse(reply.value().version)
+                                       : digest::parse("");
             if (version && reply.value().granted)
                 copy.permit(version.value(), now());
         }
@@ -401,7 +417,7 @@
         now_state.kind = settings.upstream_kind;
         now_state.revision = host.view().current().number().value();
         now_state.running = static_cast<std::uint32_t>(runs.size());
-        now_state.slots = static_cast<std::uint32_t>(settings.upstream_slots);
+        now_state.slots = static_cast<std::uint32_t>(slots_now());
         now_state.leaving = host.is_leaving();
         if (plain)
         {
@@ -479,6 +495,7 @@
     deployment target;
     bool plain;
     bool reading{false};
+    std::size_t engine_slots{0};
     std::string process_id{random_id()};
     std::set<instance_id> subscribers;
     std::vector<std::uint64_t> cached;
--- a/src/coursejunction/daemon/transfer_service.cpp
+++ b/src/coursejunction/daemon/transfer_service.cpp
@@ -36,10 +36,9 @@
 constexpr std::size_t max_listeners = 64;
 constexpr std::chrono::seconds quiet_after{10};
 
-using any_planner = std::variant<transfer_planner<swarm_policy>,
-                                 transfer_planner<stripe_policy>,
-                                 transfer_planner<chain_policy>,
-                                 transfer_planner<origin_policy>>;
+using any_planner = std::variant<
+    transfer_planner<swarm_policy>, transfer_planner<stripe_policy>,
+    transfer_planner<chain_policy>, transfer_planner<origin_policy>>;
 
 any_planner make_planner(const manifest& of, const node_settings& settings,
                          weighting weigh, time_point now)
@@ -95,8 +94,7 @@
     implementation(node& owner, upstream_client& to, staged_callback call,
                    chunk_filter change)
         : host(owner), engine(to), staged(std::move(call)),
-          filter(std::move(change)),
-          up(owner.settings().upload_rate),
+          filter(std::move(change)), up(owner.settings().upload_rate),
           down(owner.settings().download_rate), queue(internal::upload_limit)
     {
     }
@@ -206,8 +204,7 @@
                 near.push_back(one.id);
         }
         auto chosen =
-            rendezvous_rank(settings().instance.value() +
-                                wanted->version.hex(),
+            rendezvous_rank(settings().instance.value() + wanted->version.hex(),
                             near, settings().transfer_neighbours);
         neighbours = {chosen.begin(), chosen.end()};
         with_planner(
@@ -301,10 +298,10 @@
                 if (end.ok())
                     return take_manifest(end.body);
                 ++wanted->origin_failures;
-                wanted->reason = "origin does not give the manifest: " +
-                                 (end.fault.empty()
-                                      ? "status " + std::to_string(end.status)
-                                      : end.fault);
+                wanted->reason =
+                    "origin does not give the manifest: " +
+                    (end.fault.empty() ? "status " + std::to_string(end.status)
+                                       : end.fault);
             });
     }
 
@@ -360,9 +357,9 @@
         request.chunk = one.chunk;
         request.wait = one.how == transfer_request::kind::waiting;
         if (!host.send(one.peer, request))
-            with_planner([&](auto& planner)
-                         { planner.refused(one.chunk, one.peer, true, 0,
-                                           now()); });
+            with_planner(
+                [&](auto& planner)
+                { planner.refused(one.chunk, one.peer, true, 0, now()); });
     }
 
     void ask_origin(chunk_index chunk)
@@ -398,10 +395,10 @@
     void origin_failed(chunk_index chunk, const http_result& end)
     {
         ++wanted->origin_failures;
-        wanted->reason = "origin does not give a chunk: " +
-                         (end.fault.empty()
-                              ? "status " + std::to_string(end.status)
-                              : end.fault);
+        wanted->reason =
+            "origin does not give a chunk: " +
+            (end.fault.empty() ? "status " + std::to_string(end.status)
+                               : end.fault);
         with_planner([&](auto& planner)
                      { planner.origin_failed(chunk, now()); });
     }
@@ -440,8 +437,7 @@
             have.value().manifest != wanted->version)
             return;
         with_planner(
-            [&](auto& planner)
-            {
+            [&](auto& planner) {
                 planner.holds(from, have.value().chunks, have.value().queue,
                               now());
             });
@@ -470,7 +466,8 @@
         {
             const bool soon = wanted && wanted->version == ask.manifest;
             return refuse(from, ask,
-                          soon ? message::chunk_status::absent : message::chunk_status::foreign);
+                          soon ? message::chunk_status::absent
+                               : message::chunk_status::foreign);
         }
         asked_at = now();
         if (wanted && wanted->chunks && wanted->version == ask.manifest)
@@ -607,8 +604,8 @@
                 return;
             send_chunk(*next);
         }
-        upload_timer = host.loop().after(up.backlog(now()),
-                                         [this] { send_uploads(); });
+        upload_timer =
+            host.loop().after(up.backlog(now()), [this] { send_uploads(); });
     }
 
     void send_chunk(const upload_queue::upload& one)
@@ -712,8 +709,7 @@
             wanted->to_hand_over.push_back(chunk);
         if (!done)
             return; // The next tick tries again.
-        if (wanted->handed_over == wanted->chunks->of().size() &&
-            !wanted->told)
+        if (wanted->handed_over == wanted->chunks->of().size() && !wanted->told)
         {
             wanted->told = true;
             return staged(wanted->version);
@@ -831,7 +827,10 @@
     self->want(version, weigh);
 }
 
-void transfer_service::want_nothing() { self->stop(); }
+void transfer_service::want_nothing()
+{
+    self->stop();
+}
 
 void transfer_service::serving(const digest& version)
 {
@@ -839,7 +838,10 @@
     self->release();
 }
 
-void transfer_service::hand_over_again() { self->hand_over_again(); }
+void transfer_service::hand_over_again()
+{
+    self->hand_over_again();
+}
 
 void transfer_service::participants(std::vector<participant> all)
 {
@@ -859,7 +861,10 @@
     self->peer_lost(peer);
 }
 
-void transfer_service::tick() { self->tick(); }
+void transfer_service::tick()
+{
+    self->tick();
+}
 
 void transfer_service::first_token(std::chrono::microseconds took)
 {
@@ -869,7 +874,10 @@
     self->governor.first_token(took, running);
 }
 
-bool transfer_service::idle() const { return self->queue.empty(); }
+bool transfer_service::idle() const
+{
+    return self->queue.empty();
+}
 
 transfer_progress transfer_service::progress() const
 {
@@ -911,21 +919,20 @@
                 wanted["pending"] = planner.pending();
             });
     }
-    return nlohmann::json{
-        {"held", std::move(held)},
-        {"wanted", std::move(wanted)},
-        {"listeners", self->listeners.size()},
-        {"neighbours", self->neighbours.size()},
-        {"upload_queue", self->queue.size()},
-        {"link_portion", self->up.fraction()},
-        {"origin_bytes", counts.origin_bytes},
-        {"weight_store_bytes", counts.weight_store_bytes},
-        {"peer_bytes", counts.peer_bytes},
-        {"cross_hall_bytes", counts.cross_hall_bytes},
-        {"cross_region_bytes", counts.cross_region_bytes},
-        {"sent_bytes", counts.sent_bytes},
-        {"corrupt", counts.corrupt},
-        {"duplicate", counts.duplicate}}
+    return nlohmann::json{{"held", std::move(held)},
+                          {"wanted", std::move(wanted)},
+                          {"listeners", self->listeners.size()},
+                          {"neighbours", self->neighbours.size()},
+                          {"upload_queue", self->queue.size()},
+                          {"link_portion", self->up.fraction()},
+                          {"origin_bytes", counts.origin_bytes},
+                          {"weight_store_bytes", counts.weight_store_bytes},
+                          {"peer_bytes", counts.peer_bytes},
+                          {"cross_hall_bytes", counts.cross_hall_bytes},
+                          {"cross_region_bytes", counts.cross_region_bytes},
+                          {"sent_bytes", counts.sent_bytes},
+                          {"corrupt", counts.corrupt},
+                          {"duplicate", counts.duplicate}}
         .dump();
 }
 
--- a/src/coursejunction/daemon/upstream_client.cpp
+++ b/src/coursejunction/daemon/upstream_client.cpp
@@ -84,8 +84,8 @@
     call.url = base_url + path;
     call.body = std::move(body);
     call.timeout = internal::stage_timeout;
-    client.start(std::move(call), [done = std::move(done)](
-                                      const http_result& end)
+    client.start(std::move(call),
+                 [done = std::move(done)](const http_result& end)
                  { done(end.ok()); });
 }
 
@@ -116,8 +116,8 @@
                                {"token", order.token.value()}}
                     .dump();
     call.timeout = internal::load_timeout;
-    client.start(std::move(call), [done = std::move(done)](
-                                      const http_result& end)
+    client.start(std::move(call),
+                 [done = std::move(done)](const http_result& end)
                  { done(internal::parse_load(end)); });
 }
 
--- a/src/coursejunction/member/member_table.cpp
+++ b/src/coursejunction/member/member_table.cpp
@@ -19,9 +19,9 @@
     std::sort(ids.begin(), ids.end(),
               [&](const auto& left, const auto& right)
               { return place(left) < place(right); });
-    const auto start = std::find_if(ids.begin(), ids.end(),
-                                    [&](const auto& id)
-                                    { return place(own) < place(id); });
+    const auto start =
+        std::find_if(ids.begin(), ids.end(),
+                     [&](const auto& id) { return place(own) < place(id); });
     std::rotate(ids.begin(), start, ids.end());
     return ids;
 }
@@ -99,15 +99,14 @@
     return !seen->second.failed_at || now - *seen->second.failed_at > suspicion;
 }
 
-std::vector<member>
-member_table::select(role kind, const std::optional<hall_id>& hall,
-                     time_point now) const
+std::vector<member> member_table::select(role kind,
+                                         const std::optional<hall_id>& hall,
+                                         time_point now) const
 {
     std::vector<member> chosen;
     for (const auto& [id, one] : listed_members)
     {
-        if (one.kind == kind && (!hall || one.hall == *hall) &&
-            usable(id, now))
+        if (one.kind == kind && (!hall || one.hall == *hall) && usable(id, now))
             chosen.push_back(one);
     }
     return chosen;
@@ -129,15 +128,14 @@
     chosen.resize((count + 1) / 2);
     std::erase_if(others, [&](const auto& id)
                   { return std::count(chosen.begin(), chosen.end(), id) > 0; });
-    for (auto& id :
-         rendezvous_rank(own.value(), others, count - chosen.size()))
+    for (auto& id : rendezvous_rank(own.value(), others, count - chosen.size()))
         chosen.push_back(std::move(id));
     return chosen;
 }
 
-std::vector<instance_id>
-member_table::designated_entries(const hall_id& hall, size_type count,
-                                 time_point now) const
+std::vector<instance_id> member_table::designated_entries(const hall_id& hall,
+                                                          size_type count,
+                                                          time_point now) const
 {
     const auto entries = select(role::entry, std::nullopt, now);
     const auto region = region_of(hall);
@@ -153,8 +151,8 @@
     };
     auto ids = ids_where([&](const member& one) { return one.hall == hall; });
     if (ids.empty())
-        ids = ids_where([&](const member& one)
-                        { return one.region == region; });
+        ids =
+            ids_where([&](const member& one) { return one.region == region; });
     if (ids.empty())
         ids = ids_where([](const member&) { return true; });
     return rendezvous_rank(hall.value(), ids, count);
--- a/src/coursejunction/net/datagram_socket.cpp
+++ b/src/coursejunction/net/datagram_socket.cpp
@@ -41,8 +41,8 @@
     void deliver(std::size_t count)
     {
         total += count;
-        const auto from = sender.address().to_string() + ":" +
-                          std::to_string(sender.port());
+        const auto from =
+            sender.address().to_string() + ":" + std::to_string(sender.port());
         received(from, {input.data(), count});
     }
 
@@ -101,6 +101,9 @@
     self->socket.send_to(asio::buffer(bytes), {ip, port}, 0, fault);
 }
 
-std::uint64_t datagram_socket::bytes() const { return self->total; }
+std::uint64_t datagram_socket::bytes() const
+{
+    return self->total;
+}
 
 } // namespace coursejunction
--- a/src/coursejunction/net/event_loop.cpp
+++ b/src/coursejunction/net/event_loop.cpp
@@ -61,7 +61,10 @@
     return *this;
 }
 
-timer::~timer() { stop(); }
+timer::~timer()
+{
+    stop();
+}
 
 void timer::stop()
 {
@@ -86,9 +89,15 @@
     self->context.run();
 }
 
-void event_loop::stop() { self->context.stop(); }
+void event_loop::stop()
+{
+    self->context.stop();
+}
 
-void event_loop::post(work task) { asio::post(self->context, std::move(task)); }
+void event_loop::post(work task)
+{
+    asio::post(self->context, std::move(task));
+}
 
 timer event_loop::after(std::chrono::microseconds delay, work task)
 {
@@ -123,6 +132,9 @@
         std::chrono::steady_clock::now());
 }
 
-void* event_loop::native() noexcept { return &self->context; }
+void* event_loop::native() noexcept
+{
+    return &self->context;
+}
 
 } // namespace coursejunction
--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -124,7 +124,10 @@
     library() { curl_global_init(CURL_GLOBAL_DEFAULT); }
 };
 
-void use_library() { static const library once; }
+void use_library()
+{
+    static const library once;
+}
 
 } // namespace internal
 
@@ -194,12 +197,13 @@
 
     void finish(internal::transfer& one)
     {
-        loop.post([self = shared_from_this(), id = one.id,
-                   done = std::move(one.done), end = std::move(one.end)]
-                  {
-                      if (self->open.erase(id) > 0)
-                          done(end);
-                  });
+        loop.post(
+            [self = shared_from_this(), id = one.id, done = std::move(one.done),
+             end = std::move(one.end)]
+            {
+                if (self->open.erase(id) > 0)
+                    done(end);
+            });
     }
 
     event_loop& loop;
@@ -274,7 +278,10 @@
     curl_multi_wakeup(self->multi);
 }
 
-std::size_t http_client::size() const { return self->open.size(); }
+std::size_t http_client::size() const
+{
+    return self->open.size();
+}
 
 http_result perform(const http_call& call,
                     const http_client::data_callback& data)
--- a/src/coursejunction/net/http_client.hpp
+++ b/src/coursejunction/net/http_client.hpp
@@ -19,9 +19,9 @@
 /*! @brief How far a call got. */
 enum class http_reach : std::uint8_t
 {
-    answered,     /*!< A whole answer came. */
-    not_sent,     /*!< No connection: the server never saw the call. */
-    interrupted   /*!< The server may have acted. */
+    answered,   /*!< A whole answer came. */
+    not_sent,   /*!< No connection: the server never saw the call. */
+    interrupted /*!< The server may have acted. */
 };
 
 /*! @brief One call. */
--- a/src/coursejunction/net/http_server.cpp
+++ b/src/coursejunction/net/http_server.cpp
@@ -73,8 +73,8 @@
                     const header_map& headers)
 {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
-    head += pistache::Http::codeString(
-        static_cast<pistache::Http::Code>(status));
+    head +=
+        pistache::Http::codeString(static_cast<pistache::Http::Code>(status));
     head += "\r\n";
     if (!content_type.empty())
         head.append("Content-Type: ").append(content_type).append("\r\n");
@@ -346,8 +346,8 @@
         connections->connected(peer);
     }
 
-    void onDisconnection(
-        const std::shared_ptr<pistache::Tcp::Peer>& peer) override
+    void
+    onDisconnection(const std::shared_ptr<pistache::Tcp::Peer>& peer) override
     {
         connections->disconnected(peer->getID());
     }
--- a/src/coursejunction/net/http_server.hpp
+++ b/src/coursejunction/net/http_server.hpp
@@ -84,7 +84,8 @@
 class http_server
 {
 public:
-    using handler = std::function<void(http_request, std::shared_ptr<http_reply>)>;
+    using handler =
+        std::function<void(http_request, std::shared_ptr<http_reply>)>;
 
     /*! @brief Listens; port 0 takes any free one. The handler is called on a
      * thread of the server.
--- a/src/coursejunction/net/peer_hub.cpp
+++ b/src/coursejunction/net/peer_hub.cpp
@@ -61,8 +61,8 @@
     connection(asio::io_context& context, owner& hub, connection_id number,
                const key_ring& ring, const peer_identity& self_identity,
                hub_counters& counts, bool dialled)
-        : id(number), socket(context), limit(context), parent(&hub),
-          keys(ring), own(self_identity), counters(counts), client(dialled),
+        : id(number), socket(context), limit(context), parent(&hub), keys(ring),
+          own(self_identity), counters(counts), client(dialled),
           nonce(random_bytes(nonce_bytes)), sealer(ring), opener(ring)
     {
     }
@@ -213,8 +213,7 @@
         if (!client)
             send_hello();
         // Both ends use the client's key, so that keys can be rotated.
-        const auto& shared =
-            keys.keys.at(client ? keys.active : key_number);
+        const auto& shared = keys.keys.at(client ? keys.active : key_number);
         const auto& first = client ? nonce : hello.nonce;
         const auto& second = client ? hello.nonce : nonce;
         const auto from_client =
@@ -402,9 +401,9 @@
     if (!fault)
         made->acceptor.listen(asio::socket_base::max_listen_connections, fault);
     if (fault)
-        return failure(error_kind::unavailable,
-                       address + ":" + std::to_string(port) + ": " +
-                           fault.message());
+        return failure(error_kind::unavailable, address + ":" +
+                                                    std::to_string(port) +
+                                                    ": " + fault.message());
     made->accept();
     return std::unique_ptr<peer_hub>(new peer_hub(std::move(made)));
 }
@@ -423,8 +422,7 @@
         made->dial(endpoint.value());
         return made->id;
     }
-    asio::post(self->context,
-               [hub = self, made] { hub->ended(*made); });
+    asio::post(self->context, [hub = self, made] { hub->ended(*made); });
     return made->id;
 }
 
@@ -454,8 +452,14 @@
     return found == self->connections.end() ? 0 : found->second->unsent();
 }
 
-const hub_counters& peer_hub::counters() const { return self->counters; }
+const hub_counters& peer_hub::counters() const
+{
+    return self->counters;
+}
 
-std::size_t peer_hub::size() const { return self->connections.size(); }
+std::size_t peer_hub::size() const
+{
+    return self->connections.size();
+}
 
 } // namespace coursejunction
--- a/src/coursejunction/resource/configuration.hpp
+++ b/src/coursejunction/resource/configuration.hpp
@@ -61,8 +61,8 @@
     /*! @brief Makes the next configuration.
      * @return The next one, `conflict` with the current revision of the
      * resource, `not_found`, or `invalid` when it would grow too large. */
-    [[nodiscard]] result<configuration> apply(const configuration_change& change,
-                                              const write_id& id) const;
+    [[nodiscard]] result<configuration>
+    apply(const configuration_change& change, const write_id& id) const;
 
     /*! @brief Returns the revision that a write made, if it is still kept. */
     [[nodiscard]] std::optional<revision> written(const write_id& id) const;
--- a/src/coursejunction/resource/deployment.cpp
+++ b/src/coursejunction/resource/deployment.cpp
@@ -152,8 +152,8 @@
     field_reader inner(from);
     read.hall = hall_id(inner.text("hall", true));
     if (inner.present("count", true))
-        read.count = static_cast<std::size_t>(
-            inner.number("count", 0, 0, max_replicas));
+        read.count =
+            static_cast<std::size_t>(inner.number("count", 0, 0, max_replicas));
     if (!inner.first.empty())
         reader.fault(at + "." + inner.first.substr(0, inner.first.find(':')),
                      inner.first.substr(inner.first.find(':') + 2));
@@ -249,8 +249,8 @@
         reader.number("max_closed_per_hall", 1, 1, max_replicas));
     read.weigh = read_weighting(reader);
     read.paused = reader.flag("paused");
-    read.changed = revision(static_cast<std::uint64_t>(
-        reader.number("revision", 0, 0, INT64_MAX)));
+    read.changed = revision(
+        static_cast<std::uint64_t>(reader.number("revision", 0, 0, INT64_MAX)));
     reader.only({"name", "model", "adapter", "role", "version", "previous",
                  "placements", "max_closed_per_hall", "weigh", "paused",
                  "revision"});
@@ -269,6 +269,9 @@
     return internal::from_json(parsed);
 }
 
-std::string deployment::json() const { return internal::to_json(*this).dump(); }
+std::string deployment::json() const
+{
+    return internal::to_json(*this).dump();
+}
 
 } // namespace coursejunction
--- a/src/coursejunction/rollout/fence.hpp
+++ b/src/coursejunction/rollout/fence.hpp
@@ -14,10 +14,10 @@
 /*! @brief Whether an order may be given now. */
 enum class fence_state : std::uint8_t
 {
-    none,       /*!< No token yet: take one by compare-and-swap. */
+    none,        /*!< No token yet: take one by compare-and-swap. */
     unconfirmed, /*!< It must be read again that no later token exists. */
-    held,       /*!< An order may be given. */
-    lost        /*!< A later holder exists: never order again. */
+    held,        /*!< An order may be given. */
+    lost         /*!< A later holder exists: never order again. */
 };
 
 /*! @brief Holds the fencing token that this process took.
--- a/src/coursejunction/rollout/permit_table.hpp
+++ b/src/coursejunction/rollout/permit_table.hpp
@@ -41,8 +41,7 @@
         if (now < grants_from)
             return false;
         auto& held = closed[deployment];
-        std::erase_if(held,
-                      [&](const auto& one) { return one.second < now; });
+        std::erase_if(held, [&](const auto& one) { return one.second < now; });
         if (!held.contains(instance) && held.size() >= limit)
             return false;
         held[instance] = now + validity;
--- a/src/coursejunction/rollout/replica.hpp
+++ b/src/coursejunction/rollout/replica.hpp
@@ -127,7 +127,12 @@
 
     /*! @brief The upstream lost what was staged: it must be handed over
      * again. */
-    void unstage() { staged_whole = false; }
+    void unstage()
+    {
+        staged_whole = false;
+        if (phase_now == replica_phase::waiting)
+            phase_now = replica_phase::staging;
+    }
 
     /*! @brief The wanted version cannot be had now. */
     void staging_failed(std::string reason, time_point now)
@@ -269,8 +274,8 @@
         else if (matches())
             phase_now = replica_phase::serving;
         else
-            phase_now = staged_whole ? replica_phase::waiting
-                                     : replica_phase::staging;
+            phase_now =
+                staged_whole ? replica_phase::waiting : replica_phase::staging;
     }
 
     void fail(std::string reason, time_point now)
@@ -278,9 +283,8 @@
         why = std::move(reason);
         phase_now = replica_phase::failed;
         constexpr unsigned most_doublings = 6;
-        const auto wait =
-            retry_least * (std::int64_t{1} << std::min(failures,
-                                                       most_doublings));
+        const auto wait = retry_least * (std::int64_t{1}
+                                         << std::min(failures, most_doublings));
         action_at = now + std::min(wait, retry_most);
         ++failures;
         permitted = false;
--- a/src/coursejunction/route/fair_queue.hpp
+++ b/src/coursejunction/route/fair_queue.hpp
@@ -84,9 +84,8 @@
 
     /*! @brief Offers a request.
      * @param service Time that the request itself is expected to take. */
-    [[nodiscard]] queue_verdict offer(queued_request one,
-                                      std::chrono::microseconds service,
-                                      time_point now)
+    [[nodiscard]] queue_verdict
+    offer(queued_request one, std::chrono::microseconds service, time_point now)
     {
         const auto wait = expected_wait(one.organisation, now);
         if (total >= limit || now + wait + service > one.deadline)
@@ -179,8 +178,7 @@
         if (found == flows.end())
             return false;
         const auto gone =
-            std::erase_if(found->second.waiting,
-                          [&](const queued_request& one)
+            std::erase_if(found->second.waiting, [&](const queued_request& one)
                           { return one.number == number; });
         total -= gone;
         return gone > 0;
@@ -221,7 +219,8 @@
         if (completions.size() < 2)
             return 0;
         const auto span = to_seconds(now - completions.front());
-        return span <= 0 ? 0 : static_cast<double>(completions.size()) / span;
+        return span <= 0 ? 0
+                         : static_cast<double>(completions.size() - 1) / span;
     }
 
     [[nodiscard]] double share_of(const organisation_id& organisation) const
--- a/src/coursejunction/route/upstream_table.hpp
+++ b/src/coursejunction/route/upstream_table.hpp
@@ -63,14 +63,15 @@
 
 /*! @brief Chooses among candidates that can take the request now. */
 template <typename Policy>
-concept Route_policy =
-    requires(Policy policy, const std::vector<const upstream_state*>& from,
-             const route_request& request, const hall_id& hall,
-             const region_id& region) {
-        {
-            policy.choose(from, request, hall, region)
+concept Route_policy = requires(Policy policy,
+                                const std::vector<const upstream_state*>& from,
+                                const route_request& request,
+                                const hall_id& hall, const region_id& region)
+{
+    {
+        policy.choose(from, request, hall, region)
         } -> std::same_as<const upstream_state*>;
-    };
+};
 
 /*! @brief Expected wait, distance and cached prefix in one score.
  *
@@ -165,10 +166,10 @@
             return static_cast<double>(one->load()) /
                    static_cast<double>(std::max<std::size_t>(one->slots, 1));
         };
-        const auto least = std::min_element(
-            from.begin(), from.end(),
-            [&](const auto* left, const auto* right)
-            { return fill(left) < fill(right); });
+        const auto least =
+            std::min_element(from.begin(), from.end(),
+                             [&](const auto* left, const auto* right)
+                             { return fill(left) < fill(right); });
         return least == from.end() ? nullptr : *least;
     }
 };
@@ -219,7 +220,8 @@
         std::vector<const upstream_state*> candidates;
         for (const auto& [id, one] : states)
         {
-            if (serves(one, request, now) && one.load() < one.slots &&
+            if (serves(one, request, now) && now >= one.avoid_until &&
+                one.load() < one.slots &&
                 std::find(request.excluded.begin(), request.excluded.end(),
                           id) == request.excluded.end())
                 candidates.push_back(&one);
@@ -230,7 +232,8 @@
         return best->id;
     }
 
-    /*! @brief Tells whether anybody serves the model, with room or not. */
+    /*! @brief Tells whether anybody serves the model, with room or not, even
+     * if it is avoided for a short while. */
     [[nodiscard]] bool served(const route_request& request,
                               time_point now) const
     {
@@ -287,7 +290,6 @@
         return one.open && !one.leaving && one.model == request.model &&
                one.kind == request.kind &&
                (request.weights.empty() || one.weights == request.weights) &&
-               now >= one.avoid_until &&
                now - one.heard <= report_validity;
     }
 
--- a/src/coursejunction/run/run_registry.hpp
+++ b/src/coursejunction/run/run_registry.hpp
@@ -19,12 +19,12 @@
 /*! @brief Whether a request may start at this side. */
 enum class admission : std::uint8_t
 {
-    start,    /*!< It may start now. */
-    claiming, /*!< The same request is being claimed. */
-    running,  /*!< The same request runs. */
-    ended,    /*!< The same request ran; its answer may be kept. */
+    start,     /*!< It may start now. */
+    claiming,  /*!< The same request is being claimed. */
+    running,   /*!< The same request runs. */
+    ended,     /*!< The same request ran; its answer may be kept. */
     elsewhere, /*!< Another side holds the claim. */
-    never     /*!< It was promised that it will never start here. */
+    never      /*!< It was promised that it will never start here. */
 };
 
 /*! @brief Answer of a request that ran, kept for a caller who asks again. */
--- a/src/coursejunction/settings/ini_file.cpp
+++ b/src/coursejunction/settings/ini_file.cpp
@@ -85,9 +85,8 @@
     };
     const int line = ini_parse_string(text.c_str(), handler, &parsed);
     if (line != 0)
-        return failure(error_kind::invalid, name + ": line " +
-                                                std::to_string(line) +
-                                                " is not INI");
+        return failure(error_kind::invalid,
+                       name + ": line " + std::to_string(line) + " is not INI");
     return parsed;
 }
 
--- a/src/coursejunction/settings/node_settings.cpp
+++ b/src/coursejunction/settings/node_settings.cpp
@@ -56,10 +56,10 @@
     for (const auto& part : split_list(text))
     {
         const auto colon = part.find(':');
-        const auto key = colon == std::string::npos
-                             ? result<std::string>(failure(
-                                   error_kind::invalid, "no colon"))
-                             : from_hex(part.substr(colon + 1));
+        const auto key =
+            colon == std::string::npos
+                ? result<std::string>(failure(error_kind::invalid, "no colon"))
+                : from_hex(part.substr(colon + 1));
         if (!key || key.value().size() < min_key_bytes || colon != 1 ||
             part[0] < '0' || part[0] > '9')
         {
@@ -119,12 +119,11 @@
     into.download_rate = file.bytes("transfer", "download_rate", 0.0, true);
     into.transfer_neighbours = static_cast<std::size_t>(
         file.number("transfer", "neighbours", 24, 1, 256));
-    into.staged_limit = file.bytes("transfer", "staged_limit",
-                                   2048 * mebibyte, false);
-    into.origin_extra =
-        static_cast<double>(file.number("transfer", "origin_extra_percent", 0,
-                                        0, 400)) /
-        100;
+    into.staged_limit =
+        file.bytes("transfer", "staged_limit", 2048 * mebibyte, false);
+    into.origin_extra = static_cast<double>(file.number(
+                            "transfer", "origin_extra_percent", 0, 0, 400)) /
+                        100;
     const auto policy = file.text("transfer", "policy", "swarm");
     if (policy == "stripes")
         into.policy = transfer_policy::stripes;
--- a/src/coursejunction/transfer/source_policy.cpp
+++ b/src/coursejunction/transfer/source_policy.cpp
@@ -57,11 +57,10 @@
 bool among_first(const std::vector<participant>& ranks, const instance_id& own,
                  std::size_t count)
 {
-    const auto end =
-        ranks.begin() +
-        static_cast<std::ptrdiff_t>(std::min(count, ranks.size()));
-    return std::any_of(ranks.begin(), end, [&](const participant& one)
-                       { return one.id == own; });
+    const auto end = ranks.begin() +
+                     static_cast<std::ptrdiff_t>(std::min(count, ranks.size()));
+    return std::any_of(ranks.begin(), end,
+                       [&](const participant& one) { return one.id == own; });
 }
 
 /*! @brief Returns how many instances besides the first fetch a chunk from the
@@ -87,9 +86,9 @@
                           const std::vector<participant>& all,
                           const instance_id& own)
 {
-    const auto found = std::find_if(all.begin(), all.end(),
-                                    [&](const participant& one)
-                                    { return one.id == own; });
+    const auto found =
+        std::find_if(all.begin(), all.end(),
+                     [&](const participant& one) { return one.id == own; });
     slots.clear();
     if (found == all.end())
         return;
--- a/src/coursejunction/transfer/source_policy.hpp
+++ b/src/coursejunction/transfer/source_policy.hpp
@@ -59,11 +59,18 @@
 concept Source_policy = requires(Policy policy, const manifest& of,
                                  const std::vector<participant>& all,
                                  const instance_id& own, chunk_index chunk,
-                                 const liveness& alive, std::size_t level) {
+                                 const liveness& alive, std::size_t level)
+{
     policy.assign(of, all, own);
-    { policy.source(chunk, alive, level) } -> std::same_as<chunk_source>;
-    { policy.watched() } -> std::same_as<std::vector<instance_id>>;
-    { Policy::uses_possession } -> std::convertible_to<bool>;
+    {
+        policy.source(chunk, alive, level)
+        } -> std::same_as<chunk_source>;
+    {
+        policy.watched()
+        } -> std::same_as<std::vector<instance_id>>;
+    {
+        Policy::uses_possession
+        } -> std::convertible_to<bool>;
 };
 
 /*! @brief First receipts by rendezvous hash, the rest from any holder.
--- a/src/coursejunction/transfer/staging.hpp
+++ b/src/coursejunction/transfer/staging.hpp
@@ -33,10 +33,7 @@
         corrupt
     };
 
-    explicit staging(manifest of)
-        : plan(std::move(of)), chunks(plan.size())
-    {
-    }
+    explicit staging(manifest of) : plan(std::move(of)), chunks(plan.size()) {}
 
     /*! @brief Verifies a chunk and keeps it when it is right. */
     addition add(chunk_index at, std::string bytes)
--- a/src/coursejunction/transfer/transfer_governor.hpp
+++ b/src/coursejunction/transfer/transfer_governor.hpp
@@ -34,8 +34,8 @@
         const auto seconds = to_seconds(took);
         if (!transferring)
         {
-            quiet = quiet == 0 ? seconds
-                               : quiet + (seconds - quiet) * smoothing;
+            quiet =
+                quiet == 0 ? seconds : quiet + (seconds - quiet) * smoothing;
             return;
         }
         recent.push_back(seconds);
@@ -53,8 +53,8 @@
     {
         auto sorted = recent;
         recent.clear();
-        const auto middle = sorted.begin() +
-                            static_cast<std::ptrdiff_t>(sorted.size() / 2);
+        const auto middle =
+            sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
         std::nth_element(sorted.begin(), middle, sorted.end());
         const bool slow = quiet > 0 && *middle > quiet * slow_ratio &&
                           *middle > quiet + slow_floor_s;
--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -26,7 +26,7 @@
     std::size_t pending{4};        /*!< Chunks asked from holders at once. */
     std::size_t origin_pending{2}; /*!< Chunks asked from the origin at once. */
     std::size_t waiting{16};       /*!< Chunks waited for at first sources. */
-    std::size_t peer_queue{4};     /*!< Queue at a holder above which to skip. */
+    std::size_t peer_queue{4}; /*!< Queue at a holder above which to skip. */
     milliseconds stall_floor{10'000}; /*!< Least time without any progress. */
     std::uint32_t seed{1};
 };
@@ -36,9 +36,9 @@
 {
     enum class kind : std::uint8_t
     {
-        holder, /*!< Ask a peer that holds the chunk. */
+        holder,  /*!< Ask a peer that holds the chunk. */
         waiting, /*!< Ask a peer to send the chunk once it holds it. */
-        origin  /*!< Ask the origin. */
+        origin   /*!< Ask the origin. */
     };
 
     kind how{kind::holder};
@@ -168,12 +168,11 @@
     {
         if (chunks[at].how == transfer_request::kind::origin)
             settle(at);
-        origin_backoff = std::clamp(origin_backoff * 2, origin_least,
-                                    origin_most);
+        origin_backoff =
+            std::clamp(origin_backoff * 2, origin_least, origin_most);
         origin_after = now + origin_backoff;
     }
 
-
     /*! @brief Notes a chunk with a wrong hash. */
     void corrupt(chunk_index at, const instance_id& peer)
     {
@@ -331,8 +330,8 @@
     void news(time_point now)
     {
         const auto gap = to_seconds(now - last_news);
-        interval = interval == 0 ? gap
-                                 : interval + (gap - interval) * smoothing;
+        interval =
+            interval == 0 ? gap : interval + (gap - interval) * smoothing;
         last_news = now;
     }
 
@@ -450,9 +449,9 @@
     std::chrono::microseconds allowance() const
     {
         return std::max<std::chrono::microseconds>(
-            least_deadline, from_seconds(chunk_seconds * deadline_ratio *
-                                         static_cast<double>(
-                                             limits.peer_queue + 1)));
+            least_deadline,
+            from_seconds(chunk_seconds * deadline_ratio *
+                         static_cast<double>(limits.peer_queue + 1)));
     }
 
     void ask_first_sources(std::vector<transfer_request>& requests,
@@ -470,8 +469,7 @@
         {
             const auto at = open[(start + step) % open.size()];
             auto& one = chunks[at];
-            if (one.asked ||
-                (Policy::uses_possession && one.holders != 0))
+            if (one.asked || (Policy::uses_possession && one.holders != 0))
                 continue;
             ++examined;
             const auto from = policy.source(at, living, stall_level);
@@ -537,8 +535,8 @@
         int fewest = static_cast<int>(max_holders) + 1;
         std::size_t seen = 0;
         const auto start = random() % open.size();
-        for (std::size_t step = 0; step < open.size() && step < scanned_most && seen < sample;
-             ++step)
+        for (std::size_t step = 0;
+             step < open.size() && step < scanned_most && seen < sample; ++step)
         {
             const auto at = open[(start + step) % open.size()];
             const auto& one = chunks[at];
--- a/src/coursejunction/wire/frame.cpp
+++ b/src/coursejunction/wire/frame.cpp
@@ -41,8 +41,9 @@
 {
     Number value = 0;
     for (std::size_t byte = 0; byte < sizeof(Number); ++byte)
-        value |= static_cast<Number>(static_cast<unsigned char>(from[at + byte]))
-                 << (8 * byte);
+        value |=
+            static_cast<Number>(static_cast<unsigned char>(from[at + byte]))
+            << (8 * byte);
     return value;
 }
 
@@ -135,8 +136,8 @@
     bytes.reserve(bytes.size() + head.size() + payload.size() +
                   frame_code_bytes);
     bytes.append(head);
-    const auto code = keyed_code(key, bytes,
-                                 hashed_payload ? std::string_view{} : payload);
+    const auto code =
+        keyed_code(key, bytes, hashed_payload ? std::string_view{} : payload);
     bytes.append(payload);
     internal::append_code(bytes, code);
     return bytes;
@@ -169,8 +170,8 @@
         return failure(prefix.error().kind, prefix.error().message);
     const auto& read = prefix.value();
     const bool hashed = (read.flags & internal::flag_hashed_payload) != 0;
-    if (hashed && read.type != static_cast<std::uint8_t>(
-                                   frame_type::chunk_reply))
+    if (hashed &&
+        read.type != static_cast<std::uint8_t>(frame_type::chunk_reply))
         return failure(error_kind::refused, "payload must be keyed");
     const auto body = frame_prefix_bytes + read.head_length;
     const auto total = body + read.payload_length + frame_code_bytes;
@@ -180,10 +181,9 @@
     if (key == keys.end())
         return failure(error_kind::refused, "key number is not known");
     const auto payload = waiting.substr(body, read.payload_length);
-    const auto code =
-        keyed_code(session_key.empty() ? key->second : session_key,
-                   waiting.substr(0, body),
-                   hashed ? std::string_view{} : payload);
+    const auto code = keyed_code(
+        session_key.empty() ? key->second : session_key,
+        waiting.substr(0, body), hashed ? std::string_view{} : payload);
     if (!internal::same_code(code, waiting.substr(total - frame_code_bytes)))
         return failure(error_kind::refused, "frame has a wrong code");
     if (read.sequence != expected_sequence)
--- a/src/coursejunction/wire/message.hpp
+++ b/src/coursejunction/wire/message.hpp
@@ -26,6 +26,19 @@
     unknown   /*!< It may have run, or was cut while it ran. */
 };
 
+/*! @brief Why an attempt was refused before it started. */
+enum class refusal : std::uint8_t
+{
+    none,        /*!< It was not refused. */
+    busy,        /*!< Every slot is taken. */
+    closed,      /*!< The gate is closed, or other weights are served. */
+    leaving,     /*!< The side takes no new work. */
+    claim,       /*!< The key-value service does not answer. */
+    unreachable, /*!< The upstream cannot be connected to. */
+    duplicate,   /*!< The same request was started before. */
+    cancelled    /*!< The caller left first. */
+};
+
 namespace message
 {
 
@@ -57,10 +70,10 @@
     std::int32_t priority{0};
     std::uint32_t deadline_ms{0};
     bool not_repeatable{false};
-    std::uint64_t seed{0};         /*!< Of the sampling, the same for all
-                                      attempts of a request. */
-    std::uint32_t resume_from{0};  /*!< Events the caller already has. */
-    std::string weights;           /*!< Needed weights; empty for any. */
+    std::uint64_t seed{0};        /*!< Of the sampling, the same for all
+                                     attempts of a request. */
+    std::uint32_t resume_from{0}; /*!< Events the caller already has. */
+    std::string weights;          /*!< Needed weights; empty for any. */
 
     template <typename Archive>
     void serialize(Archive& archive)
@@ -92,6 +105,7 @@
     std::uint64_t stream{0};
     std::uint32_t attempt{0};
     outcome result{outcome::unknown};
+    refusal refused{refusal::none};
     std::uint16_t status{0};
     std::uint32_t parts{0};
     std::uint32_t retry_after_ms{0};
@@ -103,8 +117,8 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(stream, attempt, result, status, parts, retry_after_ms, load,
-                content_type, weights, reason);
+        archive(stream, attempt, result, refused, status, parts, retry_after_ms,
+                load, content_type, weights, reason);
     }
 };
 
--- a/standin/instance_list.cpp
+++ b/standin/instance_list.cpp
@@ -12,10 +12,7 @@
 class instance_list
 {
 public:
-    explicit instance_list(event_loop& target) : later(target)
-    {
-        publish();
-    }
+    explicit instance_list(event_loop& target) : later(target) { publish(); }
 
     void handle(http_request request, const reply_pointer& reply)
     {
--- a/standin/key_value.cpp
+++ b/standin/key_value.cpp
@@ -20,10 +20,10 @@
 std::string base64(const std::string& plain)
 {
     std::string text(4 * ((plain.size() + 2) / 3) + 1, '\0');
-    const auto count = EVP_EncodeBlock(
-        reinterpret_cast<unsigned char*>(text.data()),
-        reinterpret_cast<const unsigned char*>(plain.data()),
-        static_cast<int>(plain.size()));
+    const auto count =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<const unsigned char*>(plain.data()),
+                        static_cast<int>(plain.size()));
     text.resize(static_cast<std::size_t>(count));
     return text;
 }
@@ -46,9 +46,8 @@
         if (down)
             return reply->cut();
         if (delay.count() > 0)
-            return later.after(delay,
-                               [this, request = std::move(request), reply]
-                               { serve(request, reply); });
+            return later.after(delay, [this, request = std::move(request),
+                                       reply] { serve(request, reply); });
         serve(request, reply);
     }
 
@@ -78,6 +77,7 @@
             body.value("delay_ms", std::int64_t{delay.count() / 1000}));
         lose_answers = body.value("lose_answers", lose_answers);
         stale_reads = body.value("stale_reads", stale_reads);
+        down_after_write = body.value("down_after_write", false);
         if (down && !was_down)
         {
             for (auto& one : watches)
@@ -89,9 +89,9 @@
 
     json counts() const
     {
-        return {{"reads", reads},       {"writes", writes},
-                {"watches", watched},   {"watching", watches.size()},
-                {"refused", refused},   {"keys", entries.size()}};
+        return {{"reads", reads},     {"writes", writes},
+                {"watches", watched}, {"watching", watches.size()},
+                {"refused", refused}, {"keys", entries.size()}};
     }
 
     void serve(const http_request& request, const reply_pointer& reply)
@@ -118,8 +118,7 @@
         return false;
     }
 
-    void create_session(const http_request& request,
-                        const reply_pointer& reply)
+    void create_session(const http_request& request, const reply_pointer& reply)
     {
         if (!within(write_limit, reply))
             return;
@@ -178,9 +177,9 @@
             return reply->send(404, "", headers, "");
         const auto& one = stale ? previous.at(key) : found->second;
         stale_reads -= stale ? 1 : 0;
-        const json body = json::array(
-            {{{"Key", key}, {"ModifyIndex", one.index},
-              {"Value", base64(one.value)}}});
+        const json body = json::array({{{"Key", key},
+                                        {"ModifyIndex", one.index},
+                                        {"Value", base64(one.value)}}});
         reply->send(200, "application/json", headers, body.dump());
     }
 
@@ -193,6 +192,11 @@
         if (request.body.size() > max_value)
             return reply->send(413, "", {}, "");
         const bool done = apply(key, request);
+        if (down_after_write)
+        {
+            down = true;
+            return reply->cut();
+        }
         if (lose_answers > 0)
         {
             --lose_answers;
@@ -247,6 +251,7 @@
     std::uint64_t watched{0};
     std::uint64_t refused{0};
     bool down{false};
+    bool down_after_write{false};
     std::chrono::microseconds delay{0};
     int lose_answers{0};
     int stale_reads{0};
@@ -257,9 +262,8 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("key_value", "stand-in of the key-value service");
-    options.add_options()(
-        "reads", "reads a second",
-        cxxopts::value<double>()->default_value("2000"))(
+    options.add_options()("reads", "reads a second",
+                          cxxopts::value<double>()->default_value("2000"))(
         "writes", "writes a second",
         cxxopts::value<double>()->default_value("300"));
     const auto parsed = standin::parse(options, argc, argv);
--- a/standin/model_engine.cpp
+++ b/standin/model_engine.cpp
@@ -112,10 +112,10 @@
 
     json record() const
     {
-        return {{"answers", answers},     {"orders", orders},
-                {"refused", refused},     {"loads", loads},
-                {"partial", partial},     {"mixed", mixed},
-                {"cut_by_load", cut},     {"cancelled", cancelled}};
+        return {{"answers", answers}, {"orders", orders},
+                {"refused", refused}, {"loads", loads},
+                {"partial", partial}, {"mixed", mixed},
+                {"cut_by_load", cut}, {"cancelled", cancelled}};
     }
 
     json state() const
@@ -125,8 +125,8 @@
                 {"token", token},
                 {"running", running.size() + waiting.size()},
                 {"slots", options.slots},
-                {"cached", std::vector<std::uint64_t>(cached.begin(),
-                                                      cached.end())}};
+                {"cached",
+                 std::vector<std::uint64_t>(cached.begin(), cached.end())}};
     }
 
     void stage(const std::vector<std::string>& parts,
@@ -162,7 +162,8 @@
             {
                 return one.first < parsed.value().size() &&
                        parsed.value()[static_cast<coursejunction::chunk_index>(
-                           one.first)].hex() == one.second;
+                                          one.first)]
+                               .hex() == one.second;
             });
     }
 
@@ -236,10 +237,10 @@
         one->first = one->done;
         one->reply = reply;
         reply->on_abandoned([one] { one->gone = true; });
-        const auto place = std::upper_bound(
-            waiting.begin(), waiting.end(), one->priority,
-            [](int priority, const generation_pointer& other)
-            { return priority > other->priority; });
+        const auto place =
+            std::upper_bound(waiting.begin(), waiting.end(), one->priority,
+                             [](int priority, const generation_pointer& other)
+                             { return priority > other->priority; });
         waiting.insert(place, one);
         fill();
     }
@@ -269,10 +270,10 @@
             else
                 remember(hash);
         }
-        const double left =
-            blocks == 0 ? 1.0
-                        : 1.0 - 0.8 * static_cast<double>(known) /
-                                    static_cast<double>(blocks);
+        const double left = blocks == 0
+                                ? 1.0
+                                : 1.0 - 0.8 * static_cast<double>(known) /
+                                            static_cast<double>(blocks);
         return scaled(options.prefill, left);
     }
 
@@ -311,10 +312,10 @@
     void emit(generation& one)
     {
         const auto word =
-            "w" + std::to_string(coursejunction::stable_hash(
-                                     one.weights +
-                                     std::to_string(one.seed + one.done)) %
-                                 1000);
+            "w" + std::to_string(
+                      coursejunction::stable_hash(
+                          one.weights + std::to_string(one.seed + one.done)) %
+                      1000);
         const json event{{"id", one.id},
                          {"index", one.done},
                          {"text", word},
@@ -419,9 +420,8 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("model_engine", "stand-in of model engines");
-    options.add_options()(
-        "slots", "requests that run at once",
-        cxxopts::value<std::size_t>()->default_value("16"))(
+    options.add_options()("slots", "requests that run at once",
+                          cxxopts::value<std::size_t>()->default_value("16"))(
         "token-us", "time of a token",
         cxxopts::value<std::int64_t>()->default_value("5000"))(
         "prefill-us", "time of a prefill",
@@ -432,7 +432,8 @@
     const auto parsed = standin::parse(options, argc, argv);
     standin::engine_options set;
     set.slots = parsed["slots"].as<std::size_t>();
-    set.token = std::chrono::microseconds(parsed["token-us"].as<std::int64_t>());
+    set.token =
+        std::chrono::microseconds(parsed["token-us"].as<std::int64_t>());
     set.prefill =
         std::chrono::microseconds(parsed["prefill-us"].as<std::int64_t>());
     set.load = std::chrono::milliseconds(parsed["load-ms"].as<std::int64_t>());
--- a/standin/origin.cpp
+++ b/standin/origin.cpp
@@ -40,7 +40,8 @@
             return set_faults(request, reply);
         if (request.path == "/counts")
             return send_json(reply, 200,
-                             {{"bytes", bytes}, {"requests", requests},
+                             {{"bytes", bytes},
+                              {"requests", requests},
                               {"corrupted", corrupted}});
         if (request.path == "/models" && request.method == "POST")
             return create(request, reply);
--- a/tests/control/configuration_writer.cpp
+++ b/tests/control/configuration_writer.cpp
@@ -63,8 +63,7 @@
         const bool swapped = apply(index, text);
         if (what == fault::lose_answer)
             return done(cj::swap_outcome::unknown);
-        done(swapped ? cj::swap_outcome::swapped
-                     : cj::swap_outcome::lost_race);
+        done(swapped ? cj::swap_outcome::swapped : cj::swap_outcome::lost_race);
     }
 
     void later(const std::function<void()>& task)
@@ -125,8 +124,7 @@
 {
     std::optional<cj::write_result> got;
     cj::configuration_writer<fake_store>::start(
-        store, create(name), cj::write_id("write-" + name),
-        cj::revision(floor),
+        store, create(name), cj::write_id("write-" + name), cj::revision(floor),
         [&](cj::write_result end) { got.emplace(std::move(end)); });
     REQUIRE(got);
     return *got;
@@ -202,31 +200,30 @@
 
 TEST_CASE("what a writer says is true under any faults", "[control]")
 {
-    rc::prop(
-        "accepted means stored, refused means not stored",
-        [](const std::vector<std::uint8_t>& numbers)
-        {
-            fake_store store;
-            for (const auto number : numbers)
-                store.faults.push_back(static_cast<fault>(number % 5));
-            const auto got = write(store, "tutor");
-            store.settle_late();
-            if (got.end)
-                RC_ASSERT(stored(store, "tutor"));
-            else if (got.end.error().kind != cj::error_kind::unknown)
-                RC_ASSERT(!stored(store, "tutor"));
-            // Once only, whatever was tried again.
-            RC_ASSERT(store.value.index <= 1U);
-        });
+    rc::prop("accepted means stored, refused means not stored",
+             [](const std::vector<std::uint8_t>& numbers)
+             {
+                 fake_store store;
+                 for (const auto number : numbers)
+                     store.faults.push_back(static_cast<fault>(number % 5));
+                 const auto got = write(store, "tutor");
+                 store.settle_late();
+                 if (got.end)
+                     RC_ASSERT(stored(store, "tutor"));
+                 else if (got.end.error().kind != cj::error_kind::unknown)
+                     RC_ASSERT(!stored(store, "tutor"));
+                 // Once only, whatever was tried again.
+                 RC_ASSERT(store.value.index <= 1U);
+             });
     rc::prop("a view's revision never falls",
              [](const std::vector<std::uint8_t>& order)
              {
                  std::vector<cj::configuration> all(1);
                  for (int at = 0; at < 8; ++at)
-                     all.push_back(all.back()
-                                       .apply(create("d" + std::to_string(at)),
-                                              {})
-                                       .value());
+                     all.push_back(
+                         all.back()
+                             .apply(create("d" + std::to_string(at)), {})
+                             .value());
                  cj::configuration_view view;
                  std::uint64_t highest = 0;
                  for (const auto at : order)
--- a/tests/core/digest.cpp
+++ b/tests/core/digest.cpp
@@ -20,7 +20,6 @@
 
 TEST_CASE("hexadecimal digits are read back", "[core]")
 {
-    rc::prop("for any bytes",
-             [](const std::string& bytes)
+    rc::prop("for any bytes", [](const std::string& bytes)
              { RC_ASSERT(cj::from_hex(cj::to_hex(bytes)).value() == bytes); });
 }
--- a/tests/core/pacing.cpp
+++ b/tests/core/pacing.cpp
@@ -36,8 +36,8 @@
                  {
                      total += size;
                      const auto end = link.reserve(size, now);
-                     RC_ASSERT(end >= start + cj::from_seconds(total / 1000) -
-                                          1ms);
+                     RC_ASSERT(end >=
+                               start + cj::from_seconds(total / 1000) - 1ms);
                      now += std::chrono::microseconds(size);
                  }
              });
--- a/tests/net/http_server.cpp
+++ b/tests/net/http_server.cpp
@@ -87,30 +87,30 @@
         cj::http_options options;
         options.head_limit = 300ms;
         std::vector<std::thread> threads;
-        auto server = serve(
-            options,
-            [&](const cj::http_request& request,
-                const std::shared_ptr<cj::http_reply>& reply)
-            {
-                threads.emplace_back(
-                    [reply, path = request.path]
-                    {
-                        if (path == "/whole")
-                        {
-                            std::this_thread::sleep_for(2500ms);
-                            return reply->send(200, "text/plain", {}, "late");
-                        }
-                        reply->begin(200, "text/plain", {});
-                        for (int at = 0; at < 25; ++at)
-                        {
-                            reply->write("x");
-                            std::this_thread::sleep_for(100ms);
-                        }
-                        if (path == "/cut")
-                            return reply->cut();
-                        reply->finish();
-                    });
-            });
+        auto server = serve(options,
+                            [&](const cj::http_request& request,
+                                const std::shared_ptr<cj::http_reply>& reply)
+                            {
+                                threads.emplace_back(
+                                    [reply, path = request.path]
+                                    {
+                                        if (path == "/whole")
+                                        {
+                                            std::this_thread::sleep_for(2500ms);
+                                            return reply->send(
+                                                200, "text/plain", {}, "late");
+                                        }
+                                        reply->begin(200, "text/plain", {});
+                                        for (int at = 0; at < 25; ++at)
+                                        {
+                                            reply->write("x");
+                                            std::this_thread::sleep_for(100ms);
+                                        }
+                                        if (path == "/cut")
+                                            return reply->cut();
+                                        reply->finish();
+                                    });
+                            });
 
         WHEN("an answer takes longer than that limit")
         {
--- a/tests/resource/configuration.cpp
+++ b/tests/resource/configuration.cpp
@@ -85,10 +85,9 @@
                  cj::configuration now;
                  for (const auto name : names)
                  {
-                     auto next = now.apply(change(action::create,
-                                                  "d" + std::to_string(name),
-                                                  0),
-                                           cj::write_id(cj::random_id()));
+                     auto next = now.apply(
+                         change(action::create, "d" + std::to_string(name), 0),
+                         cj::write_id(cj::random_id()));
                      if (next)
                          now = next.value();
                  }
@@ -97,7 +96,6 @@
                  RC_ASSERT(read.value().text() == now.text());
                  RC_ASSERT(read.value().deployments() == now.deployments());
              });
-    rc::prop("noise is refused",
-             [](const std::string& noise)
+    rc::prop("noise is refused", [](const std::string& noise)
              { RC_ASSERT(!cj::configuration::parse(noise)); });
 }
--- a/tests/rollout/replica.cpp
+++ b/tests/rollout/replica.cpp
@@ -123,53 +123,53 @@
 
 TEST_CASE("the gate is open only on one whole version", "[rollout]")
 {
-    rc::prop(
-        "whatever happens in whatever order",
-        [](const std::vector<std::uint8_t>& events)
-        {
-            cj::replica copy;
-            cj::time_point now{10s};
-            cj::digest engine = one; // What the upstream really serves.
-            bool loading = false;
-            for (const auto event : events)
-            {
-                now += 100ms;
-                switch (event % 8)
-                {
-                case 0:
-                    copy.want(target(event % 16 < 8 ? one : two));
-                    break;
-                case 1:
-                    copy.staged(event % 16 < 8 ? one : two);
-                    break;
-                case 2:
-                    copy.permit(event % 16 < 8 ? one : two, now);
-                    break;
-                case 3:
-                    if (loading)
-                    {
-                        const bool done = event % 16 < 8;
-                        engine = done ? copy.target()->version : cj::digest();
-                        loading = false;
-                        copy.loaded(done, "", now);
-                    }
-                    break;
-                case 4:
-                    if (!loading)
-                        copy.read_back(engine, now);
-                    break;
-                default:
-                    if (copy.next(0, now) == action::order_load)
-                    {
-                        loading = true;
-                        engine = {};
-                    }
-                }
-                if (copy.open())
-                {
-                    RC_ASSERT(!loading);
-                    RC_ASSERT(copy.serving() == engine);
-                }
-            }
-        });
+    rc::prop("whatever happens in whatever order",
+             [](const std::vector<std::uint8_t>& events)
+             {
+                 cj::replica copy;
+                 cj::time_point now{10s};
+                 cj::digest engine = one; // What the upstream really serves.
+                 bool loading = false;
+                 for (const auto event : events)
+                 {
+                     now += 100ms;
+                     switch (event % 8)
+                     {
+                     case 0:
+                         copy.want(target(event % 16 < 8 ? one : two));
+                         break;
+                     case 1:
+                         copy.staged(event % 16 < 8 ? one : two);
+                         break;
+                     case 2:
+                         copy.permit(event % 16 < 8 ? one : two, now);
+                         break;
+                     case 3:
+                         if (loading)
+                         {
+                             const bool done = event % 16 < 8;
+                             engine =
+                                 done ? copy.target()->version : cj::digest();
+                             loading = false;
+                             copy.loaded(done, "", now);
+                         }
+                         break;
+                     case 4:
+                         if (!loading)
+                             copy.read_back(engine, now);
+                         break;
+                     default:
+                         if (copy.next(0, now) == action::order_load)
+                         {
+                             loading = true;
+                             engine = {};
+                         }
+                     }
+                     if (copy.open())
+                     {
+                         RC_ASSERT(!loading);
+                         RC_ASSERT(copy.serving() == engine);
+                     }
+                 }
+             });
 }
--- a/tests/route/upstream_table.cpp
+++ b/tests/route/upstream_table.cpp
@@ -81,18 +81,39 @@
     }
     GIVEN("one that may not be used")
     {
-        SECTION("leaving") { table[a].leaving = true; }
-        SECTION("closed") { table[a].open = false; }
-        SECTION("full") { table[a].reported = 10; }
-        SECTION("not heard of") { table[a].heard = now - 6s; }
-        SECTION("failed just now") { table.failed(a, now); }
-        SECTION("other model") { table[a].model = "notes"; }
+        SECTION("leaving")
+        {
+            table[a].leaving = true;
+        }
+        SECTION("closed")
+        {
+            table[a].open = false;
+        }
+        SECTION("full")
+        {
+            table[a].reported = 10;
+        }
+        SECTION("not heard of")
+        {
+            table[a].heard = now - 6s;
+        }
+        SECTION("failed just now")
+        {
+            table.failed(a, now);
+        }
+        SECTION("other model")
+        {
+            table[a].model = "notes";
+        }
         SECTION("other weights")
         {
             request.weights = "w";
             table[b].weights = "w";
         }
-        SECTION("tried before") { request.excluded = {a}; }
+        SECTION("tried before")
+        {
+            request.excluded = {a};
+        }
         CHECK(choose() == b);
     }
     GIVEN("a failure in a row of failures")
--- /dev/null
+++ b/tests/session/test_configuration.py
@@ -0,0 +1,151 @@
+"""Accepted means in force everywhere, and it never goes back."""
+
+import json
+import pathlib
+import unittest
+
+from support import LabCase, ask, call, wait_for
+
+AUTH = {"Authorization": "Bearer operators"}
+VERSION = "a" * 64
+
+
+def spec(name, **more):
+    return {"name": name, "model": name, "version": VERSION,
+            "placements": [{"hall": "north", "count": 1}], **more}
+
+
+class Configuration(LabCase):
+    def setUp(self):
+        super().setUp()
+        for hall in self.lab.halls:
+            for at in range(2):
+                self.lab.start_entry(f"entry-{hall}-{at}", hall)
+        self.wait_ready()
+
+    def wait_ready(self):
+        for one in self.lab.entries.values():
+            wait_for("ready", lambda one=one: self.lab.dump(one)["ready"])
+
+    def write(self, name, entry="entry-north-0", **more):
+        status, _, text = call("POST", self.lab.entries[entry].url + "/v1/deployments", spec(name, **more), AUTH)
+        return status, json.loads(text)
+
+    def everywhere(self, revision):
+        for one in self.lab.entries.values():
+            if one.running():
+                wait_for(f"revision {revision}", lambda one=one: self.lab.dump(one)["revision"] >= revision)
+
+    def test_a_change_reaches_everybody_with_few_watchers(self):
+        status, body = self.write("a")
+        self.assertEqual(status, 200)
+        self.everywhere(1)
+        self.assertLessEqual(ask(self.lab.kv.url + "/counts")["watching"], 6)
+
+    def test_an_answer_lost_after_the_write(self):
+        ask(self.lab.kv.url + "/faults", {"lose_answers": 1})
+        status, body = self.write("b")
+        self.assertEqual((status, body["revision"]), (200, 1))
+        self.everywhere(1)
+
+    def test_a_write_that_stays_unknown_can_be_asked_for(self):
+        # The answer is lost, and the service goes down before it is read back.
+        self.write("first")
+        ask(self.lab.kv.url + "/faults", {"down_after_write": True})
+        status, body = self.write("c")
+        ask(self.lab.kv.url + "/faults", {"down": False})
+        self.assertEqual((status, body["error"]), (503, "unknown"))
+        wait_for("settled", lambda: call(
+            "GET", self.lab.entries["entry-south-0"].url + "/v1/writes/" + body["write"], headers=AUTH)[0] == 200)
+        self.everywhere(2)
+
+    def test_an_outage_changes_nothing_and_a_cold_entry_learns_from_peers(self):
+        self.write("d")
+        self.everywhere(1)
+        ask(self.lab.kv.url + "/faults", {"down": True})
+        status, body = self.write("e")
+        self.assertEqual((status, body["error"]), (503, "unavailable"))
+        self.lab.start_entry("entry-north-9", "north")
+        self.everywhere(1)
+        self.assertEqual(self.lab.dump(self.lab.entries["entry-north-9"])["revision"], 1)
+
+    def test_stale_reads_do_not_take_it_back(self):
+        self.write("f")
+        self.write("g")
+        self.everywhere(2)
+        ask(self.lab.kv.url + "/faults", {"stale_reads": 50})
+        late = self.lab.start_entry("entry-north-9", "north")
+        wait_for("cold entry", lambda: self.lab.dump(late)["revision"] == 2)
+        for one in self.lab.entries.values():
+            self.assertEqual(self.lab.dump(one)["revision"], 2)
+
+    def test_racing_operators_one_of_them_loses(self):
+        self.write("h")
+        self.everywhere(1)
+        results = []
+        for at, entry in enumerate(("entry-north-0", "entry-south-0")):
+            status, _, text = call("PUT", self.lab.entries[entry].url + "/v1/deployments/h",
+                                   spec("h", revision=1, max_closed_per_hall=at + 2), AUTH)
+            results.append((status, json.loads(text)))
+        self.assertEqual([status for status, _ in results], [200, 409])
+        self.assertIn("is at revision 2", results[1][1]["message"])
+
+    def test_a_watch_hears_of_the_next_revision(self):
+        self.write("i")
+        self.everywhere(1)
+        import threading
+        got = []
+        watcher = threading.Thread(target=lambda: got.append(call(
+            "GET", self.lab.entries["entry-lake-0"].url + "/v1/deployments?watch=true&revision=1", headers=AUTH)))
+        watcher.start()
+        self.write("j")
+        watcher.join(60)
+        self.assertEqual(json.loads(got[0][2])["revision"], 2)
+
+    def test_bad_input_is_refused_with_the_field(self):
+        status, body = self.write("k", weigh="money")
+        self.assertEqual((status, body["message"]), (400, "weigh: must be time or origin"))
+        url = self.lab.entries["entry-north-0"].url
+        self.assertEqual(call("GET", url + "/v1/deployments", headers={"Authorization": "Bearer no"})[0], 401)
+        self.assertEqual(call("POST", url + "/v1/deployments", "{", AUTH)[0], 400)
+
+    def test_settings_are_checked_by_the_daemon(self):
+        from lab import binary
+        import subprocess
+        path = self.lab.settings("entry", "bad", "north", {"requests": {"max_body": "12"}})
+        done = subprocess.run([binary("coursejunctiond"), "--check", str(path)], capture_output=True, text=True)
+        self.assertEqual(done.returncode, 2)
+        self.assertEqual(done.stderr.count("\n"), 1)
+        self.assertIn("[requests] max_body: '12' needs a unit", done.stderr)
+        good = self.lab.settings("entry", "good", "north", {})
+        self.assertEqual(subprocess.run([binary("coursejunctiond"), "--check", str(good)]).returncode, 0)
+
+
+class RegionCut(LabCase):
+    """A region cut off serves itself."""
+
+    def test_the_other_region_frozen_changes_nothing_for_callers(self):
+        lab = self.lab
+        lab.start_origin()
+        lab.start_engines()
+        for hall in ("north", "lake"):
+            lab.start_entry(f"entry-{hall}", hall)
+            lab.start_side(f"side-{hall}", hall)
+        version = lab.create_model("one", 1 << 18, chunk=1 << 15)
+        lab.apply("tutor", version, {"north": 1, "lake": 1}, entry=lab.entries["entry-north"])
+        wait_for("converged", lambda: all(
+            lab.dump(one)["state"]["serving"] == version for one in lab.sides.values()))
+        self.heard("entry-north", 1)
+        for name in ("entry-lake", "side-lake"):
+            (lab.entries.get(name) or lab.sides[name]).freeze()
+        two = lab.create_model("two", 1 << 18, chunk=1 << 15, seed=2)
+        lab.apply("tutor", two, {"north": 1, "lake": 1}, entry=lab.entries["entry-north"])
+        wait_for("own region", lambda: lab.dump(lab.sides["side-north"])["state"]["serving"] == two)
+        self.assertEqual(lab.complete(lab.entries["entry-north"], "tutor")[0], 200)
+        for name in ("entry-lake", "side-lake"):
+            (lab.entries.get(name) or lab.sides[name]).wake()
+        wait_for("caught up", lambda: lab.dump(lab.sides["side-lake"])["state"]["serving"] == two)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/transfer/source_policy.cpp
+++ b/tests/transfer/source_policy.cpp
@@ -78,8 +78,8 @@
                          [](const auto& one) { return one.second == 1; })
                 ->first;
         const auto counted = count<cj::swarm_policy>(
-            all, of, 7,
-            [&](const cj::instance_id& id) { return id != owner; }, {owner});
+            all, of, 7, [&](const cj::instance_id& id) { return id != owner; },
+            {owner});
         THEN("exactly one other fetches in its place")
         {
             CHECK(counted.origin == 1);
@@ -93,8 +93,8 @@
             cj::swarm_policy policy(1.5);
             policy.assign(of, all, one.id);
             for (cj::chunk_index chunk = 0; chunk < of.size(); ++chunk)
-                fetched += policy.source(chunk, everybody, 0).kind ==
-                           kind::origin;
+                fetched +=
+                    policy.source(chunk, everybody, 0).kind == kind::origin;
         }
         CHECK(fetched >= 2 * of.size());
         CHECK(fetched <= 3 * of.size());
@@ -119,8 +119,8 @@
                     policy_type policy;
                     policy.assign(of, all, one.id);
                     const auto from = policy.source(chunk, everybody, 0);
-                    const bool gets = from.kind == kind::origin ||
-                                      have.contains(from.peer);
+                    const bool gets =
+                        from.kind == kind::origin || have.contains(from.peer);
                     grown |= gets && have.insert(one.id).second;
                 }
             }
@@ -128,6 +128,12 @@
             CHECK(count<policy_type>(all, of, chunk, everybody).origin == 1);
         }
     };
-    SECTION("stripes") { reaches_all(cj::stripe_policy()); }
-    SECTION("chain") { reaches_all(cj::chain_policy()); }
+    SECTION("stripes")
+    {
+        reaches_all(cj::stripe_policy());
+    }
+    SECTION("chain")
+    {
+        reaches_all(cj::chain_policy());
+    }
 }
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -188,45 +188,44 @@
 
 TEST_CASE("a planner completes whatever order things happen in", "[transfer]")
 {
-    rc::prop(
-        "with refusals, bad chunks and losses",
-        [](const std::vector<std::uint8_t>& luck)
-        {
-            constexpr cj::chunk_index chunks = 24;
-            auto plan = make(chunks);
-            const std::vector<cj::instance_id> peers{cj::instance_id("p"),
-                                                     cj::instance_id("q")};
-            auto now = start;
-            std::size_t turn = 0;
-            const auto roll = [&]
-            { return luck.empty() ? 0 : luck[turn++ % luck.size()] % 8; };
-            for (int step = 0; step < 4000 && !plan.complete(); ++step)
-            {
-                now += 50ms;
-                // Bad luck ends at some time.
-                const bool bad = step < 300;
-                plan.holds(peers[step % 2], range(chunks), 0, now);
-                for (const auto& one : plan.next(now))
-                {
-                    switch (bad ? roll() : 0)
-                    {
-                    case 1:
-                        plan.refused(one.chunk, one.peer, true, 0, now);
-                        break;
-                    case 2:
-                        if (one.how == kind::origin)
-                            plan.origin_failed(one.chunk, now);
-                        else
-                            plan.gone(one.peer);
-                        break;
-                    case 3:
-                        break; // Lost without a word.
-                    default:
-                        plan.held(one.chunk, now);
-                    }
-                }
-            }
-            RC_ASSERT(plan.complete());
-            RC_ASSERT(plan.pending() == 0U);
-        });
+    rc::prop("with refusals, bad chunks and losses",
+             [](const std::vector<std::uint8_t>& luck)
+             {
+                 constexpr cj::chunk_index chunks = 24;
+                 auto plan = make(chunks);
+                 const std::vector<cj::instance_id> peers{cj::instance_id("p"),
+                                                          cj::instance_id("q")};
+                 auto now = start;
+                 std::size_t turn = 0;
+                 const auto roll = [&]
+                 { return luck.empty() ? 0 : luck[turn++ % luck.size()] % 8; };
+                 for (int step = 0; step < 4000 && !plan.complete(); ++step)
+                 {
+                     now += 50ms;
+                     // Bad luck ends at some time.
+                     const bool bad = step < 300;
+                     plan.holds(peers[step % 2], range(chunks), 0, now);
+                     for (const auto& one : plan.next(now))
+                     {
+                         switch (bad ? roll() : 0)
+                         {
+                         case 1:
+                             plan.refused(one.chunk, one.peer, true, 0, now);
+                             break;
+                         case 2:
+                             if (one.how == kind::origin)
+                                 plan.origin_failed(one.chunk, now);
+                             else
+                                 plan.gone(one.peer);
+                             break;
+                         case 3:
+                             break; // Lost without a word.
+                         default:
+                             plan.held(one.chunk, now);
+                         }
+                     }
+                 }
+                 RC_ASSERT(plan.complete());
+                 RC_ASSERT(plan.pending() == 0U);
+             });
 }
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -64,20 +64,19 @@
     }
     SECTION("a head that goes on")
     {
-        CHECK_FALSE(cj::decode<message::cancel>(
-            cj::encode(message::cancel{}) + "more"));
+        CHECK_FALSE(cj::decode<message::cancel>(cj::encode(message::cancel{}) +
+                                                "more"));
     }
-    rc::prop("any cut of a message is refused",
-             [](const std::string& reason)
-             {
-                 message::answer_end from;
-                 from.reason = reason;
-                 const auto whole = cj::encode(from);
-                 const auto size =
-                     *rc::gen::inRange<std::size_t>(0, whole.size());
-                 RC_ASSERT(!cj::decode<message::answer_end>(
-                     whole.substr(0, size)));
-             });
+    rc::prop(
+        "any cut of a message is refused",
+        [](const std::string& reason)
+        {
+            message::answer_end from;
+            from.reason = reason;
+            const auto whole = cj::encode(from);
+            const auto size = *rc::gen::inRange<std::size_t>(0, whole.size());
+            RC_ASSERT(!cj::decode<message::answer_end>(whole.substr(0, size)));
+        });
     rc::prop("any bytes are read or refused",
              [](const std::string& noise)
              {
--- a/tests/wire/frame.cpp
+++ b/tests/wire/frame.cpp
@@ -22,8 +22,7 @@
 {
     cj::frame_sealer sealer(ring());
     cj::frame_opener opener(ring());
-    const auto first =
-        sealer.seal(cj::frame_type::report, "head", "payload");
+    const auto first = sealer.seal(cj::frame_type::report, "head", "payload");
 
     GIVEN("a frame that comes in pieces")
     {
@@ -41,7 +40,10 @@
         WHEN("it is replayed")
         {
             opener.append(first);
-            THEN("it is refused") { CHECK_FALSE(opener.next()); }
+            THEN("it is refused")
+            {
+                CHECK_FALSE(opener.next());
+            }
         }
     }
     GIVEN("a frame under another key")
@@ -87,7 +89,10 @@
         opener.append(first);
         REQUIRE(opener.next().value());
         opener.append(sealer.seal(cj::frame_type::report, "secret"));
-        THEN("the shared key does not open it") { CHECK_FALSE(opener.next()); }
+        THEN("the shared key does not open it")
+        {
+            CHECK_FALSE(opener.next());
+        }
     }
     GIVEN("a datagram")
     {
@@ -108,7 +113,8 @@
                  cj::frame_sealer sealer(ring());
                  auto bytes =
                      sealer.seal(cj::frame_type::dispatch, head, payload);
-                 const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+                 const auto at =
+                     *rc::gen::inRange<std::size_t>(0, bytes.size());
                  const auto bit = *rc::gen::inRange(0, 8);
                  bytes[at] = static_cast<char>(bytes[at] ^ (1 << bit));
                  cj::frame_opener opener(ring());
