Look for designated entries between list changes too

Cause: the demo showed a hall as silent after its only entry had left: the region's other entry took over only when the list changed. Change: an entry looks every two seconds at which halls it is designated for.

--- a/src/coursejunction/daemon/entry.cpp
+++ b/src/coursejunction/daemon/entry.cpp
@@ -15,6 +15,7 @@
 
 constexpr milliseconds entry_tick{20};
 constexpr milliseconds subscribe_interval{500};
+constexpr milliseconds choose_interval{2000};
 
 bool is_caller_path(const http_request& request)
 {
@@ -61,6 +62,9 @@
                                        [this] { requests.tick(); });
         subscribe_timer = host.loop().every(internal::subscribe_interval,
                                             [this] { reports.tick(); });
+        // Entries come and go between two changes of the list as well.
+        choose_timer = host.loop().every(internal::choose_interval, [this]
+                                         { reports.members_changed(); });
     }
 
     void http(http_request request, const std::shared_ptr<http_reply>& reply)
@@ -86,6 +90,7 @@
     resource_api resources;
     timer tick_timer;
     timer subscribe_timer;
+    timer choose_timer;
 };
 
 entry::entry(node& owner) : self(std::make_unique<implementation>(owner))
