--- a/src/coursejunction/daemon/entry.cpp
+++ b/src/coursejunction/daemon/entry.cpp
@@ -63,8 +63,8 @@
         subscribe_timer = host.loop().every(internal::subscribe_interval,
                                             [this] { reports.tick(); });
         // Entries come and go between two changes of the list as well.
-        choose_timer = host.loop().every(internal::choose_interval, [this]
-                                         { reports.members_changed(); });
+        choose_timer = host.loop().every(internal::choose_interval,
+                                         [this] { reports.members_changed(); });
     }
 
     void http(http_request request, const std::shared_ptr<http_reply>& reply)
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -153,7 +153,8 @@
         into.not_repeatable = not_repeatable == "true";
         if (into.not_repeatable && id.empty())
             return "Request-Id: is needed with Not-Repeatable";
-        if (const auto fault = parse_deadline(into, from); !fault.empty())
+        auto fault = parse_deadline(into, from);
+        if (!fault.empty())
             return fault;
         into.body = std::move(from.body);
         if (from.path.rfind(internal::services_path, 0) == 0)
--- a/src/coursejunction/daemon/transfer_service.cpp
+++ b/src/coursejunction/daemon/transfer_service.cpp
@@ -65,31 +65,33 @@
                                           now);
 }
 
+/*! @brief The fetch of the wanted version. */
+struct fetch
+{
+    digest version;
+    weighting weigh{weighting::time};
+    std::shared_ptr<staging> chunks;
+    std::optional<any_planner> planner;
+    std::map<chunk_index, http_client::call_id> origin_calls;
+    std::deque<chunk_index> to_hand_over;
+    std::size_t handing_over{0};
+    std::size_t handed_over{0};
+    bool manifest_handed{false};
+    bool told{false};
+    unsigned manifest_attempts{0};
+    time_point manifest_after{};
+    bool manifest_asked_origin{false};
+    std::uint64_t serial{0};
+    std::string reason;
+    time_point began{};
+    unsigned origin_failures{0};
+};
+
 } // namespace internal
 
 struct transfer_service::implementation
 {
-    /*! @brief The fetch of the wanted version. */
-    struct fetch
-    {
-        digest version;
-        weighting weigh{weighting::time};
-        std::shared_ptr<staging> chunks;
-        std::optional<internal::any_planner> planner;
-        std::map<chunk_index, http_client::call_id> origin_calls;
-        std::deque<chunk_index> to_hand_over;
-        std::size_t handing_over{0};
-        std::size_t handed_over{0};
-        bool manifest_handed{false};
-        bool told{false};
-        unsigned manifest_attempts{0};
-        time_point manifest_after{};
-        bool manifest_asked_origin{false};
-        std::uint64_t serial{0};
-        std::string reason;
-        time_point began{};
-        unsigned origin_failures{0};
-    };
+    using fetch = internal::fetch;
 
     implementation(node& owner, upstream_client& to, staged_callback call,
                    chunk_filter change)
--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -82,7 +82,11 @@
     // The server library never answers "100-continue".
     one.list = curl_slist_append(one.list, "Expect:");
     for (const auto& [name, value] : one.call.headers)
-        one.list = curl_slist_append(one.list, (name + ": " + value).c_str());
+    {
+        auto line = name;
+        line.append(": ").append(value);
+        one.list = curl_slist_append(one.list, line.c_str());
+    }
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, one.list);
     if (!one.call.body.empty() || one.call.method == "POST" ||
         one.call.method == "PUT")
--- a/src/coursejunction/resource/deployment.cpp
+++ b/src/coursejunction/resource/deployment.cpp
@@ -161,7 +161,8 @@
     for (const auto& [name, value] : from.items())
     {
         if (name != "hall" && name != "count" && name != "selector")
-            reader.fault(at + "." + name, "is not a field of a placement");
+            reader.fault(std::string(at).append(".").append(name),
+                         "is not a field of a placement");
     }
     return read;
 }
--- a/src/coursejunction/route/fair_queue.hpp
+++ b/src/coursejunction/route/fair_queue.hpp
@@ -114,6 +114,7 @@
         }
         std::sort(due.begin(), due.end());
         std::vector<organisation_id> ids;
+        ids.reserve(due.size());
         for (auto& [start, id] : due)
             ids.push_back(std::move(id));
         return ids;
--- a/src/coursejunction/transfer/source_policy.cpp
+++ b/src/coursejunction/transfer/source_policy.cpp
@@ -170,6 +170,7 @@
                            const instance_id& own)
 {
     std::vector<instance_id> ids;
+    ids.reserve(all.size());
     for (const auto& one : all)
         ids.push_back(one.id);
     const auto order = rendezvous_rank(of.id().hex(), ids, ids.size());
