Refuse early by each organisation's own rate; late answers stay whole

Change: no time limit at the side but one on silence; the wait is predicted by the rate at which the organisation's requests left the queue; what clearly will be late is told at once; fast streams are given in groups of 10 ms.

--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -29,6 +29,7 @@
 constexpr double retry_depth = 20;
 constexpr double deviations = 2;
 constexpr milliseconds no_upstream_retry{1000};
+constexpr milliseconds flush_interval{10};
 constexpr milliseconds least_deadline{1};
 constexpr milliseconds most_deadline{3'600'000};
 constexpr std::string_view services_path = "/services/";
@@ -86,6 +87,8 @@
         std::uint32_t events{0}; /*!< Whole events given to the caller. */
         std::string gathered;
         std::string pending; /*!< Start of an event that is not yet whole. */
+        std::string held;    /*!< Whole events for the next flush. */
+        time_point given_at{};
         instance_id upstream;
         time_point arrived{};
         time_point started{};
@@ -105,7 +108,11 @@
         milliseconds retry_after{0};
     };
 
-    explicit implementation(node& owner) : host(owner) {}
+    explicit implementation(node& owner)
+        : host(owner), flush_timer(owner.loop().every(internal::flush_interval,
+                                                      [this] { flush(); }))
+    {
+    }
 
     static time_point now() { return event_loop::now(); }
 
@@ -323,6 +330,7 @@
             if (!to)
                 continue;
             queue.pop(organisation);
+            queue.dispatched(organisation, now());
             dispatch(one, *to);
             return true;
         }
@@ -424,7 +432,39 @@
              at != std::string::npos;
              at = whole.find(internal::event_start, at + 1))
             ++one->events;
-        one->reply->write(whole);
+        give(one, whole);
+    }
+
+    /*! @brief Gives events to the caller: at once, unless the last ones were
+     * given so shortly before that the next flush does for both. */
+    void give(const pointer& one, const std::string& events)
+    {
+        const bool soon = now() - one->given_at < internal::flush_interval;
+        if (!soon && one->held.empty())
+        {
+            one->given_at = now();
+            return one->reply->write(events);
+        }
+        if (one->held.empty())
+            to_flush.push_back(one);
+        one->held += events;
+    }
+
+    void flush(live_request& one)
+    {
+        if (one.held.empty())
+            return;
+        one.reply->write(one.held);
+        one.held.clear();
+        one.given_at = now();
+    }
+
+    /*! @brief Gives all events that were held back. */
+    void flush()
+    {
+        for (const auto& one : to_flush)
+            flush(*one);
+        to_flush.clear();
     }
 
     void begin(const pointer& one)
@@ -481,6 +521,7 @@
         host.counters().count("answers_total", 1, {{"outcome", "answered"}});
         if (one->begun)
         {
+            flush(*one);
             one->reply->write("event: outcome\ndata: answered\n\n");
             one->reply->finish();
         }
@@ -617,12 +658,13 @@
 
     /*! @brief Sends a final answer that is no answer of an upstream; a stream
      * that has begun is cut so that nobody takes it for whole. */
-    void answer(const live_request& one, const attempt_end& end)
+    void answer(live_request& one, const attempt_end& end)
     {
         const auto name = std::string(internal::name_of(end.result));
         host.counters().count("answers_total", 1, {{"outcome", name}});
         if (one.begun)
         {
+            flush(one);
             one.reply->write("event: outcome\ndata: " + name + "\n\n");
             return one.reply->cut();
         }
@@ -762,6 +804,8 @@
     std::map<queue_key, fair_queue> queues;
     std::map<queue_key, service_estimate> services;
     std::unordered_map<std::uint64_t, pointer> live;
+    std::vector<pointer> to_flush;
+    timer flush_timer;
     std::uint64_t streams{0};
     time_point deadlines_checked{};
 };
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kept_body = std::size_t{64} << 10U;
 constexpr std::chrono::hours session_ttl{24};
 constexpr std::chrono::hours session_age{1};
+constexpr std::chrono::seconds longest_silence{300};
 constexpr unsigned claim_attempts = 3;
 constexpr milliseconds claim_retry{150};
 constexpr milliseconds outage_retry{1000};
@@ -259,7 +260,8 @@
         if (one->ask.resume_from > 0)
             call.headers["Resume-From"] = std::to_string(one->ask.resume_from);
         call.body = std::move(one->body);
-        call.timeout = milliseconds(one->ask.deadline_ms);
+        // The entry ends what is late; a begun answer may be late and whole.
+        call.stall = internal::longest_silence;
         one->call = host.http().start(
             std::move(call),
             [this, one](const http_result& done) { ended(one, done); },
@@ -313,11 +315,6 @@
     {
         if (done.reach == http_reach::not_sent)
             return unreached(one);
-        const bool late =
-            now() - one->began >= milliseconds(one->ask.deadline_ms);
-        if (done.reach == http_reach::interrupted && late)
-            return finish(one, outcome::unknown, 504,
-                          "the deadline has passed");
         if (done.reach == http_reach::interrupted)
         {
             gate.doubt();
--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -79,6 +79,12 @@
     if (one.call.timeout.count() > 0)
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                          static_cast<long>(one.call.timeout.count()));
+    if (one.call.stall.count() > 0)
+    {
+        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
+        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME,
+                         static_cast<long>(one.call.stall.count()));
+    }
     // The server library never answers "100-continue".
     one.list = curl_slist_append(one.list, "Expect:");
     for (const auto& [name, value] : one.call.headers)
--- a/src/coursejunction/net/http_client.hpp
+++ b/src/coursejunction/net/http_client.hpp
@@ -31,7 +31,8 @@
     std::string url;
     header_map headers;
     std::string body;
-    milliseconds timeout{0};
+    milliseconds timeout{0};       /*!< Of the whole call; zero for none. */
+    std::chrono::seconds stall{0}; /*!< Without a byte; zero for none. */
 };
 
 /*! @brief The end of a call. */
--- a/src/coursejunction/route/fair_queue.hpp
+++ b/src/coursejunction/route/fair_queue.hpp
@@ -67,19 +67,10 @@
     [[nodiscard]] std::chrono::microseconds
     expected_wait(const organisation_id& organisation, time_point now) const
     {
-        const auto rate = service_rate(now);
-        if (rate <= 0)
-            return std::chrono::microseconds(0);
         const auto found = flows.find(organisation);
         const auto own =
             found == flows.end() ? 0 : found->second.waiting.size();
-        // Under fair shares, an organisation waits for its own queue at its
-        // share of the rate, but never longer than for the whole queue.
-        const auto share = share_of(organisation);
-        const auto wait =
-            std::min(static_cast<double>(own + 1) / (rate * share),
-                     static_cast<double>(total + 1) / rate);
-        return from_seconds(wait);
+        return wait_at(organisation, own, now);
     }
 
     /*! @brief Offers a request.
@@ -141,6 +132,16 @@
         return one;
     }
 
+    /*! @brief Notes that a request of an organisation left the queue for an
+     * upstream, for the organisation's own rate. */
+    void dispatched(const organisation_id& organisation, time_point now)
+    {
+        auto& flow = flows[organisation];
+        if (flow.dispatches.size() == flow_window)
+            flow.dispatches.pop_front();
+        flow.dispatches.push_back(now);
+    }
+
     /*! @brief Charges an organisation for a request that did not wait. */
     void charge(const organisation_id& organisation)
     {
@@ -149,7 +150,9 @@
         charge(flow);
     }
 
-    /*! @brief Takes out requests whose deadline cannot be met any more. */
+    /*! @brief Takes out requests whose deadline cannot be met any more: those
+     * that are late already, and those behind so many others that they clearly
+     * will be. They are told at once, not when their time is over. */
     [[nodiscard]] std::vector<queued_request>
     expire(std::chrono::microseconds service, time_point now)
     {
@@ -157,11 +160,16 @@
         for (auto& [id, flow] : flows)
         {
             auto& waiting = flow.waiting;
+            std::size_t place = 0;
             for (auto it = waiting.begin(); it != waiting.end();)
             {
-                if (now + service <= it->deadline)
+                const auto left = it->deadline - now - service;
+                const auto wait = wait_at(id, place, now);
+                if (left.count() >= 0 &&
+                    to_seconds(wait) <= to_seconds(left) * clearly_late)
                 {
                     ++it;
+                    ++place;
                     continue;
                 }
                 late.push_back(std::move(*it));
@@ -199,6 +207,10 @@
 
 private:
     static constexpr size_type rate_window = 64;
+    static constexpr size_type flow_window = 32;
+    static constexpr size_type flow_least = 8;
+    static constexpr std::chrono::seconds flow_age{2};
+    static constexpr double clearly_late = 1.3;
     static constexpr milliseconds retry_least{100};
     static constexpr milliseconds retry_most{60'000};
 
@@ -207,6 +219,7 @@
         double weight{1};
         double start{0};
         std::deque<queued_request> waiting;
+        std::deque<time_point> dispatches;
     };
 
     void charge(flow_state& flow)
@@ -215,13 +228,32 @@
         flow.start += 1.0 / flow.weight;
     }
 
-    [[nodiscard]] double service_rate(time_point now) const
+    static double rate_of(const std::deque<time_point>& times, time_point now)
     {
-        if (completions.size() < 2)
+        if (times.size() < 2)
             return 0;
-        const auto span = to_seconds(now - completions.front());
-        return span <= 0 ? 0
-                         : static_cast<double>(completions.size() - 1) / span;
+        const auto span = to_seconds(now - times.front());
+        return span <= 0 ? 0 : static_cast<double>(times.size() - 1) / span;
+    }
+
+    /*! @brief Returns the wait behind a number of requests of the same
+     * organisation: by the rate at which its own left the queue lately or,
+     * when too few did, by its fair share of all that ended. */
+    [[nodiscard]] std::chrono::microseconds
+    wait_at(const organisation_id& organisation, size_type place,
+            time_point now) const
+    {
+        const auto found = flows.find(organisation);
+        const auto ahead = static_cast<double>(place + 1);
+        if (found != flows.end() &&
+            found->second.dispatches.size() >= flow_least &&
+            now - found->second.dispatches.front() < flow_age)
+            return from_seconds(ahead / rate_of(found->second.dispatches, now));
+        const auto rate = rate_of(completions, now);
+        if (rate <= 0)
+            return std::chrono::microseconds(0);
+        return from_seconds(std::min(ahead / (rate * share_of(organisation)),
+                                     static_cast<double>(total + 1) / rate));
     }
 
     [[nodiscard]] double share_of(const organisation_id& organisation) const
