Make control cheap: loads instead of whole reports, one read buffer

Change: a side sends its whole state when it changes and small load reports only to entries that route to it; a connection waits without a buffer of its own; one pull of a revision at a time.

--- a/src/coursejunction/daemon/node.cpp
+++ b/src/coursejunction/daemon/node.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds watch_wait{10'000};
 constexpr std::chrono::milliseconds watch_retry{500};
 constexpr std::chrono::milliseconds answer_gap{200};
+constexpr std::chrono::milliseconds pull_patience{300};
 
 std::uint64_t wall_milliseconds()
 {
@@ -452,13 +453,7 @@
         }
         const auto own = view.current().number().value();
         if (beat.revision > own || !view.ready())
-        {
-            message::configuration_pull pull;
-            pull.known = own;
-            const auto connection = connection_to(from);
-            if (!connection.empty())
-                hub->send(connection, pull);
-        }
+            pull(from, own, beat.revision);
         else if (beat.revision < own &&
                  now() - answered[from] > internal::answer_gap)
         {
@@ -467,6 +462,22 @@
         }
     }
 
+    /*! @brief Asks a neighbour for a newer configuration, unless one at least
+     * as new has just been asked for. */
+    void pull(const instance_id& from, std::uint64_t own, std::uint64_t newest)
+    {
+        if (newest <= pull_asked && now() - pull_at < internal::pull_patience)
+            return;
+        const auto connection = connection_to(from);
+        if (connection.empty())
+            return;
+        pull_asked = newest;
+        pull_at = now();
+        message::configuration_pull ask;
+        ask.known = own;
+        hub->send(connection, ask);
+    }
+
     // Stopping.
 
     void leave()
@@ -579,6 +590,8 @@
     std::string list_tag;
     std::uint64_t started;
     std::uint64_t beats{0};
+    std::uint64_t pull_asked{0};
+    time_point pull_at{};
     std::uint64_t watch_index{0};
     bool designated{false};
     bool watching{false};
--- a/src/coursejunction/daemon/report_service.cpp
+++ b/src/coursejunction/daemon/report_service.cpp
@@ -56,7 +56,7 @@
     void members_changed()
     {
         choose_halls();
-        const auto& settings = host.settings();
+        const auto before = routed;
         std::vector<instance_id> near;
         std::vector<instance_id> far;
         wanted.clear();
@@ -66,13 +66,16 @@
                 continue;
             if (halls.contains(one.hall))
                 wanted.insert(id);
-            else
-                (one.hall == settings.hall ? near : far).push_back(id);
+            (one.hall == host.settings().hall ? near : far).push_back(id);
         }
         fill(near);
         fill(far);
+        choose_routed(near);
         std::erase_if(subscribed,
-                      [&](const auto& id) { return !wanted.contains(id); });
+                      [&](const auto& id) {
+                          return !wanted.contains(id) ||
+                                 before.contains(id) != routed.contains(id);
+                      });
         std::erase_if(reports, [&](const auto& one)
                       { return !wanted.contains(one.first); });
         tick();
@@ -88,6 +91,21 @@
             wanted.insert(std::move(id));
     }
 
+    /*! @brief Chooses the part that this entry sends requests to: its own
+     * hall's sides first, the same ones as long as they are listed. */
+    void choose_routed(const std::vector<instance_id>& near)
+    {
+        const auto most = host.settings().max_upstreams;
+        const auto chosen =
+            rendezvous_rank(host.settings().instance.value(), near, most);
+        routed = {chosen.begin(), chosen.end()};
+        for (const auto& id : wanted)
+        {
+            if (routed.size() < most)
+                routed.insert(id);
+        }
+    }
+
     /*! @brief Finds the halls that this entry is designated for. When they
      * change, it listens for a while before it grants permits. */
     void choose_halls()
@@ -119,7 +137,7 @@
             if (subscribed.contains(id) || !host.members().usable(id, now()))
                 continue;
             message::subscribe ask;
-            ask.instance = host.settings().instance.value();
+            ask.routing = routed.contains(id);
             if (host.send(id, ask))
                 subscribed.insert(id);
         }
@@ -154,6 +172,18 @@
         reports[from] = std::move(one);
     }
 
+    /*! @brief Takes what has changed since the last whole report. */
+    void load_reported(const instance_id& from, const message::load_report& one)
+    {
+        const auto found = reports.find(from);
+        if (found == reports.end())
+            return;
+        found->second.running = one.running;
+        found->second.slots = one.slots;
+        if (found->second.phase != "unreachable")
+            heard(found->second);
+    }
+
     // Permits.
 
     void asked_permit(const instance_id& from,
@@ -287,6 +317,7 @@
     permit_table permits;
     std::set<hall_id> halls;
     std::set<instance_id> wanted;
+    std::set<instance_id> routed;
     std::set<instance_id> subscribed;
     std::map<instance_id, message::report> reports;
     std::map<std::uint64_t, query> queries;
@@ -313,6 +344,10 @@
         if (auto got = decode<message::report>(one.head))
             self->reported(from, std::move(got.value()));
         return true;
+    case frame_type::load_report:
+        if (const auto got = decode<message::load_report>(one.head))
+            self->load_reported(from, got.value());
+        return true;
     case frame_type::permit_request:
         if (const auto got = decode<message::permit_request>(one.head))
             self->asked_permit(from, got.value());
@@ -363,6 +398,7 @@
     for (const auto& hall : self->halls)
         halls.push_back(hall.value());
     return nlohmann::json{{"designated_halls", std::move(halls)},
+                          {"routed", self->routed.size()},
                           {"subscribed", self->subscribed.size()},
                           {"reports", std::move(list)}}
         .dump();
--- a/src/coursejunction/daemon/side.cpp
+++ b/src/coursejunction/daemon/side.cpp
@@ -1,7 +1,7 @@
 #include "coursejunction/daemon/side.hpp"
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 #include <nlohmann/json.hpp>
 
@@ -22,6 +22,7 @@
 constexpr milliseconds side_tick{20};
 constexpr milliseconds engine_poll{500};
 constexpr milliseconds token_retry{300};
+constexpr int slow_reports = 4;
 constexpr std::string_view service_label = "service=";
 
 /*! @brief Name of the plain service that labels give an upstream. */
@@ -39,6 +40,12 @@
 
 struct side::implementation
 {
+    struct subscription
+    {
+        bool routing{false};
+        time_point told{};
+    };
+
     implementation(node& owner, chunk_filter filter)
         : host(owner), engine(owner.http(), owner.settings().upstream_url),
           transfer(
@@ -72,7 +79,7 @@
         host.start(std::move(hooks));
         tick_timer = host.loop().every(internal::side_tick, [this] { tick(); });
         report_timer = host.loop().every(host.settings().report_interval,
-                                         [this] { report(); });
+                                         [this] { report_load(); });
         if (!plain)
             poll_timer = host.loop().every(internal::engine_poll,
                                            [this] { poll_engine(); });
@@ -393,7 +400,10 @@
             return;
         if (one.type == frame_type::subscribe)
         {
-            subscribers.insert(from);
+            const auto ask = decode<message::subscribe>(one.head);
+            if (!ask)
+                return;
+            subscribers[from] = {ask.value().routing, now()};
             host.send(from, state());
         }
         else if (one.type == frame_type::permit_reply)
@@ -463,11 +473,43 @@
         report();
     }
 
+    /*! @brief Tells everybody the whole state. */
     void report()
     {
         const auto now_state = state();
-        for (const auto& one : subscribers)
-            host.send(one, now_state);
+        told_cached = cached;
+        told_running = now_state.running;
+        told_reason = now_state.reason;
+        told_bytes = now_state.bytes_done;
+        for (auto& [id, one] : subscribers)
+        {
+            one.told = now();
+            host.send(id, now_state);
+        }
+    }
+
+    /*! @brief Tells what has changed since: the load to those that route
+     * here, and to everybody slowly that this side is alive. */
+    void report_load()
+    {
+        const auto whole = state();
+        if (cached != told_cached || whole.reason != told_reason ||
+            whole.bytes_done != told_bytes)
+            return report();
+        message::load_report load;
+        load.running = whole.running;
+        load.slots = whole.slots;
+        const bool moved = load.running != told_running;
+        const auto slowly =
+            host.settings().report_interval * internal::slow_reports;
+        told_running = load.running;
+        for (auto& [id, one] : subscribers)
+        {
+            if (now() - one.told < slowly && !(moved && one.routing))
+                continue;
+            one.told = now();
+            host.send(id, load);
+        }
     }
 
     std::string dump() const
@@ -497,8 +539,12 @@
     bool reading{false};
     std::size_t engine_slots{0};
     std::string process_id{random_id()};
-    std::set<instance_id> subscribers;
+    std::map<instance_id, subscription> subscribers;
     std::vector<std::uint64_t> cached;
+    std::vector<std::uint64_t> told_cached;
+    std::uint32_t told_running{0};
+    std::string told_reason;
+    std::uint64_t told_bytes{0};
     std::pair<replica_phase, digest> reported{};
     timer tick_timer;
     timer report_timer;
--- a/src/coursejunction/net/peer_hub.cpp
+++ b/src/coursejunction/net/peer_hub.cpp
@@ -1,6 +1,5 @@
 #include "coursejunction/net/peer_hub.hpp"
 
-#include <array>
 #include <deque>
 #include <unordered_map>
 #include <vector>
@@ -60,10 +59,11 @@
 
     connection(asio::io_context& context, owner& hub, connection_id number,
                const key_ring& ring, const peer_identity& self_identity,
-               hub_counters& counts, bool dialled)
-        : id(number), socket(context), limit(context), parent(&hub), keys(ring),
-          own(self_identity), counters(counts), client(dialled),
-          nonce(random_bytes(nonce_bytes)), sealer(ring), opener(ring)
+               hub_counters& counts, std::vector<char>& buffer, bool dialled)
+        : id(number), socket(context), limit(context), shared_input(buffer),
+          parent(&hub), keys(ring), own(self_identity), counters(counts),
+          client(dialled), nonce(random_bytes(nonce_bytes)), sealer(ring),
+          opener(ring)
     {
     }
 
@@ -84,6 +84,7 @@
     {
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        socket.non_blocking(true, ignored);
         if (client)
             send_hello();
         else
@@ -146,22 +147,32 @@
         write(sealer.seal(frame_type::hello, encode(hello)));
     }
 
+    /*! @brief Waits until bytes are there and takes them through one buffer
+     * that all connections share, so that an idle one costs no buffer. */
     void read()
     {
-        socket.async_read_some(
-            asio::buffer(input),
-            [self = shared_from_this()](const boost::system::error_code& fault,
-                                        std::size_t count)
+        socket.async_wait(
+            tcp::socket::wait_read,
+            [self = shared_from_this()](const boost::system::error_code& fault)
             {
                 if (fault)
                     return self->fail();
-                self->counters.bytes_in += count;
-                self->opener.append({self->input.data(), count});
-                if (self->drain())
-                    self->read();
+                self->take();
             });
     }
 
+    void take()
+    {
+        boost::system::error_code fault;
+        const auto count = socket.read_some(asio::buffer(shared_input), fault);
+        if (fault && fault != asio::error::would_block)
+            return fail();
+        counters.bytes_in += count;
+        opener.append({shared_input.data(), count});
+        if (drain())
+            read();
+    }
+
     bool drain()
     {
         while (parent != nullptr)
@@ -282,6 +293,7 @@
     }
 
     asio::steady_timer limit;
+    std::vector<char>& shared_input;
     owner* parent;
     key_ring keys;
     peer_identity own;
@@ -292,7 +304,6 @@
     std::string nonce;
     frame_sealer sealer;
     frame_opener opener;
-    std::array<char, read_bytes> input{};
     std::deque<std::string> out;
     std::size_t out_bytes{0};
     std::vector<early_frame> early;
@@ -316,7 +327,7 @@
     {
         const connection_id id(++last_id);
         auto made = std::make_shared<internal::connection>(
-            context, *this, id, ring, own, counters, dialled);
+            context, *this, id, ring, own, counters, input, dialled);
         connections.emplace(id, made);
         return made;
     }
@@ -364,6 +375,7 @@
     std::unordered_map<connection_id, std::shared_ptr<internal::connection>>
         connections;
     hub_counters counters;
+    std::vector<char> input = std::vector<char>(internal::read_bytes);
     std::uint64_t last_id{0};
     bool shut{false};
 };
--- a/src/coursejunction/wire/frame.cpp
+++ b/src/coursejunction/wire/frame.cpp
@@ -17,6 +17,7 @@
 constexpr std::array<char, 2> magic{'C', 'J'};
 constexpr std::uint8_t flag_hashed_payload = 1;
 constexpr std::size_t compact_above = std::size_t{1} << 16U;
+constexpr std::size_t keep_below = std::size_t{1} << 17U;
 
 struct prefix
 {
@@ -84,7 +85,7 @@
     if (read.payload_length > max_payload_bytes)
         return failure(error_kind::refused, "payload is too long");
     if (read.type < static_cast<std::uint8_t>(frame_type::hello) ||
-        read.type > static_cast<std::uint8_t>(frame_type::heartbeat))
+        read.type > static_cast<std::uint8_t>(last_frame_type))
         return failure(error_kind::refused, "unknown frame type");
     return read;
 }
@@ -156,6 +157,9 @@
     {
         buffer.erase(0, consumed);
         consumed = 0;
+        // A burst's memory is given back once it has passed.
+        if (buffer.empty() && buffer.capacity() > internal::keep_below)
+            buffer.shrink_to_fit();
     }
     buffer.append(bytes);
 }
--- a/src/coursejunction/wire/frame.hpp
+++ b/src/coursejunction/wire/frame.hpp
@@ -44,9 +44,13 @@
     permit_reply = 16,
     status_query = 17,
     status_reply = 18,
-    heartbeat = 19
+    heartbeat = 19,
+    load_report = 20
 };
 
+/*! @brief Highest number of a frame type. */
+inline constexpr frame_type last_frame_type = frame_type::load_report;
+
 /*! @brief Version in each frame; an unknown one is refused. */
 inline constexpr std::uint8_t protocol_version = 1;
 inline constexpr std::size_t frame_prefix_bytes = 24;
--- a/src/coursejunction/wire/message.hpp
+++ b/src/coursejunction/wire/message.hpp
@@ -136,7 +136,22 @@
     }
 };
 
-/*! @brief Side to entry: state of a replica, on change and periodically. */
+/*! @brief Side to entry: how busy it is. Sent each second to entries that
+ * route to it when it changed, and slowly as a sign of life. */
+struct load_report
+{
+    static constexpr auto type = frame_type::load_report;
+    std::uint32_t running{0};
+    std::uint32_t slots{0};
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(running, slots);
+    }
+};
+
+/*! @brief Side to entry: whole state of a replica, when it changes. */
 struct report
 {
     static constexpr auto type = frame_type::report;
@@ -174,12 +189,12 @@
 struct subscribe
 {
     static constexpr auto type = frame_type::subscribe;
-    std::string instance;
+    bool routing{false}; /*!< The entry sends requests: it needs loads. */
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(instance);
+        archive(routing);
     }
 };
 
