--- a/src/coursejunction/daemon/report_service.cpp
+++ b/src/coursejunction/daemon/report_service.cpp
@@ -180,6 +180,10 @@
             return;
         found->second.running = one.running;
         found->second.slots = one.slots;
+        found->second.bytes_done = one.bytes_done;
+        found->second.bytes_total = one.bytes_total;
+        found->second.origin_bytes = one.origin_bytes;
+        found->second.cross_hall_bytes = one.cross_hall_bytes;
         if (found->second.phase != "unreachable")
             heard(found->second);
     }
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <unordered_map>
+#include <variant>
 
 #include <nlohmann/json.hpp>
 
@@ -36,18 +37,21 @@
 constexpr std::string_view event_end = "\n\n";
 constexpr std::string_view event_start = "data: {";
 
-std::string_view name_of(outcome what)
+using any_policy =
+    std::variant<scored_policy, least_loaded_policy, round_robin_policy>;
+
+any_policy make_policy(routing_policy which)
 {
-    switch (what)
+    switch (which)
     {
-    case outcome::answered:
-        return "answered";
-    case outcome::not_run:
-        return "not_run";
-    case outcome::unknown:
-        return "unknown";
+    case routing_policy::scored:
+        break;
+    case routing_policy::least_loaded:
+        return least_loaded_policy();
+    case routing_policy::round_robin:
+        return round_robin_policy();
     }
-    return "unknown";
+    return scored_policy();
 }
 
 /*! @brief Hashes of a prompt's prefixes in whole blocks, longest first. */
@@ -299,8 +303,14 @@
 
     std::optional<instance_id> choose(const live_request& one)
     {
-        return table.choose(policy, one.route, host.settings().hall,
-                            host.settings().region, now());
+        const auto& settings = host.settings();
+        return std::visit(
+            [&](auto& chosen)
+            {
+                return table.choose(chosen, one.route, settings.hall,
+                                    settings.region, now());
+            },
+            policy);
     }
 
     void pump()
@@ -660,7 +670,7 @@
      * that has begun is cut so that nobody takes it for whole. */
     void answer(live_request& one, const attempt_end& end)
     {
-        const auto name = std::string(internal::name_of(end.result));
+        const auto name = std::string(to_string(end.result));
         host.counters().count("answers_total", 1, {{"outcome", name}});
         if (one.begun)
         {
@@ -799,7 +809,7 @@
 
     node& host;
     upstream_table table;
-    scored_policy policy;
+    internal::any_policy policy;
     retry_budget budget{internal::retry_portion, internal::retry_depth};
     std::map<queue_key, fair_queue> queues;
     std::map<queue_key, service_estimate> services;
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -30,30 +30,6 @@
 constexpr std::size_t hash_digits = 64;
 constexpr std::size_t tail_kept = 128;
 
-std::string_view text_of(refusal why)
-{
-    switch (why)
-    {
-    case refusal::none:
-        return "";
-    case refusal::busy:
-        return "every slot of the upstream is taken";
-    case refusal::closed:
-        return "the upstream is closed";
-    case refusal::leaving:
-        return "the upstream is leaving";
-    case refusal::claim:
-        return "the key-value service does not answer";
-    case refusal::unreachable:
-        return "the upstream does not answer";
-    case refusal::duplicate:
-        return "the request was started before";
-    case refusal::cancelled:
-        return "the caller left";
-    }
-    return "";
-}
-
 /*! @brief Looks in a part of an answer for weights other than expected. */
 bool foreign_weights(std::string_view part, const std::string& expected)
 {
@@ -137,7 +113,7 @@
     void refuse(const run_pointer& one, refusal why, milliseconds retry_after)
     {
         one->refused = why;
-        end(one, outcome::not_run, 503, std::string(internal::text_of(why)),
+        end(one, outcome::not_run, 503, std::string(to_string(why)),
             retry_after);
     }
 
@@ -167,7 +143,7 @@
     {
         one->refused = refusal::duplicate;
         end(one, outcome::unknown, 409,
-            std::string(internal::text_of(refusal::duplicate)), retry_after);
+            std::string(to_string(refusal::duplicate)), retry_after);
     }
 
     /*! @brief Gives the kept answer of a request that has run. */
@@ -374,7 +350,7 @@
         if (found != runs.end() && found->second == one)
             runs.erase(found);
         host.counters().count("runs_ended_total", 1,
-                              {{"outcome", name_of(what)}});
+                              {{"outcome", std::string(to_string(what))}});
         if (one->orphan)
             return;
         message::answer_end end;
@@ -392,20 +368,6 @@
         host.send(one->from, end);
     }
 
-    static std::string name_of(outcome what)
-    {
-        switch (what)
-        {
-        case outcome::answered:
-            return "answered";
-        case outcome::not_run:
-            return "not_run";
-        case outcome::unknown:
-            return "unknown";
-        }
-        return "unknown";
-    }
-
     // Cancelling.
 
     void cancelled(const instance_id& from, const message::cancel& cancel)
--- a/src/coursejunction/daemon/side.cpp
+++ b/src/coursejunction/daemon/side.cpp
@@ -480,7 +480,6 @@
         told_cached = cached;
         told_running = now_state.running;
         told_reason = now_state.reason;
-        told_bytes = now_state.bytes_done;
         for (auto& [id, one] : subscribers)
         {
             one.told = now();
@@ -493,12 +492,15 @@
     void report_load()
     {
         const auto whole = state();
-        if (cached != told_cached || whole.reason != told_reason ||
-            whole.bytes_done != told_bytes)
+        if (cached != told_cached || whole.reason != told_reason)
             return report();
         message::load_report load;
         load.running = whole.running;
         load.slots = whole.slots;
+        load.bytes_done = whole.bytes_done;
+        load.bytes_total = whole.bytes_total;
+        load.origin_bytes = whole.origin_bytes;
+        load.cross_hall_bytes = whole.cross_hall_bytes;
         const bool moved = load.running != told_running;
         const auto slowly =
             host.settings().report_interval * internal::slow_reports;
@@ -544,7 +546,6 @@
     std::vector<std::uint64_t> told_cached;
     std::uint32_t told_running{0};
     std::string told_reason;
-    std::uint64_t told_bytes{0};
     std::pair<replica_phase, digest> reported{};
     timer tick_timer;
     timer report_timer;
--- a/src/coursejunction/daemon/transfer_service.cpp
+++ b/src/coursejunction/daemon/transfer_service.cpp
@@ -17,7 +17,6 @@
 #include "coursejunction/transfer/staging.hpp"
 #include "coursejunction/transfer/transfer_governor.hpp"
 #include "coursejunction/transfer/transfer_planner.hpp"
-#include "coursejunction/transfer/upload_queue.hpp"
 
 namespace coursejunction
 {
@@ -25,7 +24,6 @@
 namespace internal
 {
 
-constexpr std::size_t upload_limit = 4;
 constexpr std::size_t hand_over_limit = 4;
 constexpr milliseconds have_batch{50};
 constexpr milliseconds have_interval{500};
@@ -96,13 +94,25 @@
     implementation(node& owner, upstream_client& to, staged_callback call,
                    chunk_filter change)
         : host(owner), engine(to), staged(std::move(call)),
-          filter(std::move(change)), up(owner.settings().upload_rate),
-          down(owner.settings().download_rate), queue(internal::upload_limit)
+          uploads(
+              owner,
+              [this](const digest& version, chunk_index chunk)
+              { return find(version, chunk); },
+              std::move(change)),
+          down(owner.settings().download_rate)
     {
     }
 
     static time_point now() { return event_loop::now(); }
 
+    /*! @brief Finds a chunk of any version that is held. */
+    std::shared_ptr<const std::string> find(const digest& version,
+                                            chunk_index chunk) const
+    {
+        const auto known = held.find(version);
+        return known == held.end() ? nullptr : known->second->find(chunk);
+    }
+
     const node_settings& settings() const { return host.settings(); }
 
     // What is wanted.
@@ -131,6 +141,7 @@
             return;
         for (const auto& [chunk, call] : wanted->origin_calls)
             host.http().cancel(call);
+        uploads.give_up(wanted->version);
         wanted.reset();
         listeners.clear();
         neighbours.clear();
@@ -230,7 +241,7 @@
         message::have have;
         have.manifest = wanted->version;
         have.chunks = std::move(chunks);
-        have.queue = static_cast<std::uint32_t>(queue.size());
+        have.queue = static_cast<std::uint32_t>(uploads.size());
         host.send(to, have);
     }
 
@@ -476,15 +487,13 @@
             listen(from);
         const bool here = found->second->contains(ask.chunk);
         if (!here && ask.wait && wanted && wanted->version == ask.manifest)
-            return queue.wait({from, ask.chunk});
+            return uploads.wait({from, ask.manifest, ask.chunk});
         if (!here)
             return refuse(from, ask, message::chunk_status::absent);
         if (ask.wait)
-            queue.urge({from, ask.chunk});
-        else if (!queue.offer({from, ask.chunk}))
-            return refuse(from, ask, message::chunk_status::busy);
-        upload_manifest[{from, ask.chunk}] = ask.manifest;
-        send_uploads();
+            return uploads.urge({from, ask.manifest, ask.chunk});
+        if (!uploads.offer({from, ask.manifest, ask.chunk}))
+            refuse(from, ask, message::chunk_status::busy);
     }
 
     void refuse(const instance_id& to, const message::chunk_request& ask,
@@ -494,7 +503,7 @@
         reply.manifest = ask.manifest;
         reply.chunk = ask.chunk;
         reply.status = why;
-        reply.queue = static_cast<std::uint32_t>(queue.size());
+        reply.queue = static_cast<std::uint32_t>(uploads.size());
         host.send(to, reply);
     }
 
@@ -578,8 +587,7 @@
         with_planner([&](auto& planner) { planner.held(chunk, now()); });
         fresh.push_back(chunk);
         fetching.to_hand_over.push_back(chunk);
-        if (queue.release(chunk))
-            send_uploads();
+        uploads.release(fetching.version, chunk);
         hand_over();
         ask_chunks();
         if (fetching.chunks->complete())
@@ -595,52 +603,6 @@
              {"seconds", std::to_string(to_seconds(now() - wanted->began))}});
     }
 
-    // Sending.
-
-    void send_uploads()
-    {
-        while (up.backlog(now()) <= internal::send_ahead)
-        {
-            const auto next = queue.next();
-            if (!next)
-                return;
-            send_chunk(*next);
-        }
-        upload_timer =
-            host.loop().after(up.backlog(now()), [this] { send_uploads(); });
-    }
-
-    void send_chunk(const upload_queue::upload& one)
-    {
-        auto version = wanted ? wanted->version : served;
-        const auto named = upload_manifest.find(one);
-        if (named != upload_manifest.end())
-        {
-            version = named->second;
-            upload_manifest.erase(named);
-        }
-        const auto found = held.find(version);
-        const auto chunk =
-            found == held.end() ? nullptr : found->second->find(one.chunk);
-        if (!chunk)
-            return;
-        message::chunk_reply reply;
-        reply.manifest = version;
-        reply.chunk = one.chunk;
-        reply.status = message::chunk_status::given;
-        reply.queue = static_cast<std::uint32_t>(queue.size());
-        up.reserve(static_cast<double>(chunk->size()), now());
-        counts.sent_bytes += chunk->size();
-        if (!filter)
-        {
-            host.send(one.to, reply, *chunk, true);
-            return;
-        }
-        auto changed = *chunk;
-        filter(changed);
-        host.send(one.to, reply, changed, true);
-    }
-
     void asked_manifest(const instance_id& from,
                         const result<message::manifest_request>& request)
     {
@@ -741,7 +703,7 @@
     {
         if (!wanted)
             return;
-        up.limit_to(governor.portion());
+        uploads.limit_to(governor.portion());
         if (!wanted->chunks)
             return ask_manifest();
         hand_over();
@@ -776,7 +738,7 @@
 
     void peer_lost(const instance_id& peer)
     {
-        queue.drop(peer);
+        uploads.drop(peer);
         listeners.erase(peer);
         with_planner([&](auto& planner) { planner.gone(peer); });
     }
@@ -793,16 +755,13 @@
     node& host;
     upstream_client& engine;
     staged_callback staged;
-    chunk_filter filter;
-    link_pacer up;
+    chunk_uploader uploads;
     link_pacer down;
-    upload_queue queue;
     transfer_governor governor;
     transfer_counters counts;
     std::optional<fetch> wanted;
     digest served;
     std::map<digest, std::shared_ptr<staging>> held;
-    std::map<upload_queue::upload, digest> upload_manifest;
     std::vector<participant> everybody;
     std::set<instance_id> neighbours;
     std::map<instance_id, time_point> listeners;
@@ -811,7 +770,6 @@
     std::uint64_t serials{0};
     time_point told_at{};
     time_point asked_at{};
-    timer upload_timer;
     timer arrival_timer;
 };
 
@@ -872,13 +830,13 @@
 {
     const bool running =
         self->wanted && self->wanted->chunks &&
-        (!self->wanted->chunks->complete() || !self->queue.empty());
+        (!self->wanted->chunks->complete() || !self->uploads.empty());
     self->governor.first_token(took, running);
 }
 
 bool transfer_service::idle() const
 {
-    return self->queue.empty();
+    return self->uploads.empty();
 }
 
 transfer_progress transfer_service::progress() const
@@ -925,14 +883,14 @@
                           {"wanted", std::move(wanted)},
                           {"listeners", self->listeners.size()},
                           {"neighbours", self->neighbours.size()},
-                          {"upload_queue", self->queue.size()},
-                          {"link_portion", self->up.fraction()},
+                          {"upload_queue", self->uploads.size()},
+                          {"link_portion", self->uploads.portion()},
                           {"origin_bytes", counts.origin_bytes},
                           {"weight_store_bytes", counts.weight_store_bytes},
                           {"peer_bytes", counts.peer_bytes},
                           {"cross_hall_bytes", counts.cross_hall_bytes},
                           {"cross_region_bytes", counts.cross_region_bytes},
-                          {"sent_bytes", counts.sent_bytes},
+                          {"sent_bytes", self->uploads.bytes()},
                           {"corrupt", counts.corrupt},
                           {"duplicate", counts.duplicate}}
         .dump();
--- a/src/coursejunction/daemon/transfer_service.hpp
+++ b/src/coursejunction/daemon/transfer_service.hpp
@@ -12,6 +12,7 @@
 
 #include "coursejunction/core/digest.hpp"
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/daemon/chunk_uploader.hpp"
 #include "coursejunction/resource/deployment.hpp"
 #include "coursejunction/transfer/source_policy.hpp"
 #include "coursejunction/wire/frame.hpp"
@@ -30,7 +31,6 @@
     std::uint64_t peer_bytes{0};
     std::uint64_t cross_hall_bytes{0};
     std::uint64_t cross_region_bytes{0};
-    std::uint64_t sent_bytes{0};
     std::uint64_t corrupt{0};
     std::uint64_t duplicate{0};
 };
@@ -43,9 +43,6 @@
     std::string reason;
 };
 
-/*! @brief Changes a chunk before it is sent; only a faulty build sets one. */
-using chunk_filter = std::function<void(std::string&)>;
-
 /*! @brief Gets the wanted version whole into the engine's staging area, and
  * serves the versions it holds to others. */
 class transfer_service
--- a/src/coursejunction/settings/node_settings.cpp
+++ b/src/coursejunction/settings/node_settings.cpp
@@ -148,6 +148,14 @@
         file.duration("requests", "default_deadline", milliseconds(60'000));
     into.max_upstreams = static_cast<std::size_t>(
         file.number("requests", "max_upstreams", 64, 1, 10'000));
+    const auto routing = file.text("requests", "routing", "scored");
+    if (routing == "least_loaded")
+        into.routing = routing_policy::least_loaded;
+    else if (routing == "round_robin")
+        into.routing = routing_policy::round_robin;
+    else if (routing != "scored")
+        file.fault("requests", "routing",
+                   "must be scored, least_loaded or round_robin");
 }
 
 result<node_settings> read_all(ini_file& file)
--- a/src/coursejunction/settings/node_settings.hpp
+++ b/src/coursejunction/settings/node_settings.hpp
@@ -33,6 +33,15 @@
     origin_only
 };
 
+/*! @brief How an entry chooses an upstream; `scored` is the product's, the
+ * others are baselines for the bench. */
+enum class routing_policy : std::uint8_t
+{
+    scored,
+    least_loaded,
+    round_robin
+};
+
 /*! @brief All settings of a daemon. Rates are bytes a second. */
 struct node_settings
 {
@@ -78,6 +87,7 @@
     std::size_t queue_limit{0};
     milliseconds default_deadline{0};
     std::size_t max_upstreams{0};
+    routing_policy routing{routing_policy::scored};
 
     /*! @brief Reads and checks a settings file.
      * @return The settings, or `invalid` with one line that names file,
--- a/src/coursejunction/transfer/upload_queue.hpp
+++ b/src/coursejunction/transfer/upload_queue.hpp
@@ -10,8 +10,10 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
+#include "coursejunction/core/digest.hpp"
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/transfer/fwd.hpp"
 
@@ -29,6 +31,7 @@
     struct upload
     {
         instance_id to;
+        digest manifest;
         chunk_index chunk{0};
 
         friend auto operator<=>(const upload&, const upload&) = default;
@@ -49,20 +52,23 @@
     }
 
     /*! @brief Notes that a peer waits for a chunk that is not yet held. */
-    void wait(upload one) { waiting[one.chunk].insert(std::move(one.to)); }
+    void wait(upload one)
+    {
+        waiting[{one.manifest, one.chunk}].insert(std::move(one.to));
+    }
 
     /*! @brief Queues a chunk before all plain requests. */
     void urge(upload one) { urgent.push_back(std::move(one)); }
 
     /*! @brief Moves those that wait for a chunk to the front.
      * @return Whether any did. */
-    bool release(chunk_index chunk)
+    bool release(const digest& manifest, chunk_index chunk)
     {
-        const auto found = waiting.find(chunk);
+        const auto found = waiting.find({manifest, chunk});
         if (found == waiting.end())
             return false;
         for (const auto& to : found->second)
-            urgent.push_back({to, chunk});
+            urgent.push_back({to, manifest, chunk});
         waiting.erase(found);
         return true;
     }
@@ -88,6 +94,13 @@
             peers.erase(peer);
     }
 
+    /*! @brief Forgets who waits for chunks of a version that is given up. */
+    void give_up(const digest& manifest)
+    {
+        std::erase_if(waiting, [&](const auto& one)
+                      { return one.first.first == manifest; });
+    }
+
     /*! @brief Returns how many uploads are queued. */
     [[nodiscard]] size_type size() const
     {
@@ -100,7 +113,7 @@
     size_type limit;
     std::deque<upload> plain;
     std::deque<upload> urgent;
-    std::map<chunk_index, std::set<instance_id>> waiting;
+    std::map<std::pair<digest, chunk_index>, std::set<instance_id>> waiting;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/wire/message.hpp
+++ b/src/coursejunction/wire/message.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "coursejunction/core/digest.hpp"
@@ -26,6 +27,21 @@
     unknown   /*!< It may have run, or was cut while it ran. */
 };
 
+/*! @brief Returns the name that callers see. */
+[[nodiscard]] constexpr std::string_view to_string(outcome what)
+{
+    switch (what)
+    {
+    case outcome::answered:
+        return "answered";
+    case outcome::not_run:
+        return "not_run";
+    case outcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 /*! @brief Why an attempt was refused before it started. */
 enum class refusal : std::uint8_t
 {
@@ -39,6 +55,31 @@
     cancelled    /*!< The caller left first. */
 };
 
+/*! @brief Returns a line for people. */
+[[nodiscard]] constexpr std::string_view to_string(refusal why)
+{
+    switch (why)
+    {
+    case refusal::none:
+        return "";
+    case refusal::busy:
+        return "every slot of the upstream is taken";
+    case refusal::closed:
+        return "the upstream is closed";
+    case refusal::leaving:
+        return "the upstream is leaving";
+    case refusal::claim:
+        return "the key-value service does not answer";
+    case refusal::unreachable:
+        return "the upstream does not answer";
+    case refusal::duplicate:
+        return "the request was started before";
+    case refusal::cancelled:
+        return "the caller left";
+    }
+    return "";
+}
+
 namespace message
 {
 
@@ -136,18 +177,24 @@
     }
 };
 
-/*! @brief Side to entry: how busy it is. Sent each second to entries that
- * route to it when it changed, and slowly as a sign of life. */
+/*! @brief Side to entry: how busy it is and how far its transfer is. Sent
+ * each second to entries that route to it when the load changed, and slowly
+ * as a sign of life. */
 struct load_report
 {
     static constexpr auto type = frame_type::load_report;
     std::uint32_t running{0};
     std::uint32_t slots{0};
+    std::uint64_t bytes_done{0};
+    std::uint64_t bytes_total{0};
+    std::uint64_t origin_bytes{0};
+    std::uint64_t cross_hall_bytes{0};
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(running, slots);
+        archive(running, slots, bytes_done, bytes_total, origin_bytes,
+                cross_hall_bytes);
     }
 };
 
