Bound what callers' names take; parse requests in a file of their own

Change: queues only for what is served; idle organisations are forgotten above 1,024; caller_request parses; the setting chooses the policy. Transfers tell possession in batches of 100 ms, to other halls twice a second.

--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "coursejunction/core/digest.hpp"
+#include "coursejunction/daemon/caller_request.hpp"
 #include "coursejunction/daemon/node.hpp"
 #include "coursejunction/route/fair_queue.hpp"
 #include "coursejunction/route/upstream_table.hpp"
@@ -22,8 +23,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t prefix_block = 64;
-constexpr std::size_t max_prefix_blocks = 32;
 constexpr std::size_t max_whole_answer = std::size_t{32} << 20U;
 constexpr unsigned max_attempts = 4;
 constexpr double retry_portion = 0.1;
@@ -31,9 +30,6 @@
 constexpr double deviations = 2;
 constexpr milliseconds no_upstream_retry{1000};
 constexpr milliseconds flush_interval{10};
-constexpr milliseconds least_deadline{1};
-constexpr milliseconds most_deadline{3'600'000};
-constexpr std::string_view services_path = "/services/";
 constexpr std::string_view event_end = "\n\n";
 constexpr std::string_view event_start = "data: {";
 
@@ -54,17 +50,6 @@
     return scored_policy();
 }
 
-/*! @brief Hashes of a prompt's prefixes in whole blocks, longest first. */
-std::vector<std::uint64_t> prefix_hashes(std::string_view prompt)
-{
-    std::vector<std::uint64_t> hashes;
-    const auto blocks =
-        std::min(prompt.size() / prefix_block, max_prefix_blocks);
-    for (std::size_t count = blocks; count > 0; --count)
-        hashes.push_back(stable_hash(prompt.substr(0, count * prefix_block)));
-    return hashes;
-}
-
 } // namespace internal
 
 struct request_service::implementation
@@ -72,18 +57,10 @@
     using queue_key = std::pair<std::string, std::string>;
 
     /*! @brief One request of a caller. */
-    struct live_request
+    struct live_request : caller_request
     {
         std::uint64_t stream{0};
         std::uint32_t attempt{0};
-        request_id id;
-        organisation_id organisation;
-        route_request route;
-        std::string path;
-        std::string body;
-        std::int32_t priority{0};
-        bool not_repeatable{false};
-        bool streamed{false};
         bool begun{false};
         bool running{false};
         bool maybe_ran{false}; /*!< An attempt may have run. */
@@ -113,8 +90,9 @@
     };
 
     explicit implementation(node& owner)
-        : host(owner), flush_timer(owner.loop().every(internal::flush_interval,
-                                                      [this] { flush(); }))
+        : host(owner), policy(internal::make_policy(owner.settings().routing)),
+          flush_timer(
+              owner.loop().every(internal::flush_interval, [this] { flush(); }))
     {
     }
 
@@ -124,11 +102,15 @@
 
     void request(http_request from, const std::shared_ptr<http_reply>& reply)
     {
+        auto parsed =
+            parse_caller_request(from, host.settings().default_deadline);
+        if (!parsed)
+            return refuse_input(reply, parsed.error().message);
         auto one = std::make_shared<live_request>();
+        static_cast<caller_request&>(*one) = std::move(parsed.value());
         one->reply = reply;
         one->arrived = now();
-        if (const auto fault = parse(*one, from); !fault.empty())
-            return refuse_input(reply, fault);
+        one->deadline = one->arrived + one->allowed;
         if (host.is_leaving() && host.leaving_for() > leave_accept)
             return give_up(one, 503, "this entry is leaving",
                            milliseconds(100));
@@ -145,89 +127,6 @@
         place(one);
     }
 
-    /*! @brief Reads head and body.
-     * @return What is wrong, or nothing. */
-    std::string parse(live_request& into, http_request& from)
-    {
-        const auto id = from.header("request-id");
-        into.id = request_id(id.empty() ? random_id() : id);
-        if (id.size() > 256)
-            return "Request-Id: must have at most 256 bytes";
-        const auto organisation = from.header("organisation");
-        into.organisation =
-            organisation_id(organisation.empty() ? "unnamed" : organisation);
-        into.priority = std::atoi(from.header("priority").c_str());
-        const auto not_repeatable = from.header("not-repeatable");
-        if (!not_repeatable.empty() && not_repeatable != "true" &&
-            not_repeatable != "false")
-            return "Not-Repeatable: must be true or false";
-        into.not_repeatable = not_repeatable == "true";
-        if (into.not_repeatable && id.empty())
-            return "Request-Id: is needed with Not-Repeatable";
-        auto fault = parse_deadline(into, from);
-        if (!fault.empty())
-            return fault;
-        into.body = std::move(from.body);
-        if (from.path.rfind(internal::services_path, 0) == 0)
-            return parse_service(into, from.path);
-        return parse_completion(into, from.path);
-    }
-
-    std::string parse_deadline(live_request& into, const http_request& from)
-    {
-        const auto text = from.header("deadline-ms");
-        auto allowed = host.settings().default_deadline;
-        if (!text.empty())
-        {
-            allowed = milliseconds(std::atoll(text.c_str()));
-            if (allowed < internal::least_deadline ||
-                allowed > internal::most_deadline)
-                return "Deadline-Ms: must lie between 1 and 3600000";
-        }
-        into.deadline = into.arrived + allowed;
-        return {};
-    }
-
-    static std::string parse_service(live_request& into,
-                                     const std::string& path)
-    {
-        const auto rest = path.substr(internal::services_path.size());
-        const auto slash = rest.find('/');
-        into.route.kind = "plain";
-        into.route.model = rest.substr(0, slash);
-        into.path = slash == std::string::npos ? "/" : rest.substr(slash);
-        // The same id meets the same side, which may still know its answer.
-        into.route.affinity = into.id.value();
-        return into.route.model.empty() ? "path: names no service" : "";
-    }
-
-    static std::string parse_completion(live_request& into,
-                                        const std::string& path)
-    {
-        const auto body = internal::json::parse(into.body, nullptr, false);
-        if (!body.is_object())
-            return "body: must be a JSON object";
-        if (!body.contains("model") || !body["model"].is_string())
-            return "model: must be a text";
-        if (body.contains("prompt") && !body["prompt"].is_string())
-            return "prompt: must be a text";
-        if (body.contains("stream") && !body["stream"].is_boolean())
-            return "stream: must be true or false";
-        into.route.kind = "model";
-        into.route.model = body["model"].get<std::string>();
-        into.path = path;
-        into.streamed = body.value("stream", false);
-        if (body.contains("prompt"))
-        {
-            const auto& prompt = body["prompt"].get_ref<const std::string&>();
-            into.route.prefixes = internal::prefix_hashes(prompt);
-            if (!into.route.prefixes.empty())
-                into.route.affinity =
-                    std::to_string(into.route.prefixes.back());
-        }
-        return {};
-    }
-
     // Queue and routing.
 
     fair_queue& queue_of(const route_request& route)
@@ -262,6 +161,11 @@
     /*! @brief Dispatches a request, queues it, or refuses it at once. */
     void place(const pointer& one)
     {
+        // A queue is made only for what is served: names come from outside.
+        if (!table.served(one->route, now()))
+            return give_up(one, unserved_status(*one),
+                           "no upstream serves " + one->route.model,
+                           internal::no_upstream_retry);
         auto& queue = queue_of(one->route);
         if (queue.empty())
         {
@@ -271,10 +175,6 @@
                 return dispatch(one, *to);
             }
         }
-        if (!table.served(one->route, now()))
-            return give_up(one, unserved_status(*one),
-                           "no upstream serves " + one->route.model,
-                           internal::no_upstream_retry);
         const auto verdict = queue.offer(
             {one->stream, one->organisation, one->priority, one->deadline},
             service_time({one->route.kind, one->route.model}), now());
--- a/src/coursejunction/daemon/transfer_service.cpp
+++ b/src/coursejunction/daemon/transfer_service.cpp
@@ -25,7 +25,7 @@
 {
 
 constexpr std::size_t hand_over_limit = 4;
-constexpr milliseconds have_batch{50};
+constexpr milliseconds have_batch{100};
 constexpr milliseconds have_interval{500};
 constexpr milliseconds manifest_interval{100};
 constexpr milliseconds origin_timeout{60'000};
@@ -146,6 +146,7 @@
         listeners.clear();
         neighbours.clear();
         fresh.clear();
+        unheard.clear();
         release();
     }
 
@@ -207,6 +208,7 @@
         choose_neighbours();
     }
 
+    /*! @brief Picks half of the neighbours; about as many pick this one. */
     void choose_neighbours()
     {
         std::vector<instance_id> near;
@@ -218,7 +220,7 @@
         }
         auto chosen =
             rendezvous_rank(settings().instance.value() + wanted->version.hex(),
-                            near, settings().transfer_neighbours);
+                            near, (settings().transfer_neighbours + 1) / 2);
         neighbours = {chosen.begin(), chosen.end()};
         with_planner(
             [&](auto& planner)
@@ -464,7 +466,8 @@
         if (listeners.contains(peer) ||
             listeners.size() >= internal::max_listeners)
             return;
-        listeners[peer] = now();
+        const auto* known = host.members().find(peer);
+        listeners[peer] = known != nullptr && known->hall == settings().hall;
         send_have(peer, wanted->chunks->held());
     }
 
@@ -711,23 +714,36 @@
         tell();
     }
 
-    /*! @brief Tells listeners what is new, and regularly that this instance
-     * is alive. */
+    /*! @brief Tells listeners of the own hall what is new, in small batches,
+     * and those of other halls more slowly: they only need signs of life. */
     void tell()
     {
-        const bool due = now() - told_at >= internal::have_interval;
-        const bool batch =
-            !fresh.empty() && now() - told_at >= internal::have_batch;
-        if (!due && !batch)
+        if (now() - told_far >= internal::have_interval)
+            return tell_all();
+        if (fresh.empty() || now() - told_near < internal::have_batch)
             return;
-        told_at = now();
+        told_near = now();
+        for (const auto& [peer, near] : listeners)
+        {
+            if (near)
+                send_have(peer, fresh);
+        }
+        unheard.insert(unheard.end(), fresh.begin(), fresh.end());
+        fresh.clear();
+    }
+
+    void tell_all()
+    {
+        told_far = told_near = now();
         if (wanted->chunks->complete() &&
             now() - asked_at > internal::quiet_after)
             listeners.clear();
-        for (const auto& [peer, since] : listeners)
-            send_have(peer, fresh);
+        unheard.insert(unheard.end(), fresh.begin(), fresh.end());
+        for (const auto& [peer, near] : listeners)
+            send_have(peer, near ? fresh : unheard);
         fresh.clear();
-        if (!due || wanted->chunks->complete())
+        unheard.clear();
+        if (wanted->chunks->complete())
             return;
         for (const auto& id : neighbours)
         {
@@ -764,11 +780,13 @@
     std::map<digest, std::shared_ptr<staging>> held;
     std::vector<participant> everybody;
     std::set<instance_id> neighbours;
-    std::map<instance_id, time_point> listeners;
-    std::vector<chunk_index> fresh;
+    std::map<instance_id, bool> listeners; /*!< Whether in the own hall. */
+    std::vector<chunk_index> fresh;        /*!< Not yet told to anybody. */
+    std::vector<chunk_index> unheard;      /*!< Not yet told to other halls. */
     std::deque<arrival> arrivals;
     std::uint64_t serials{0};
-    time_point told_at{};
+    time_point told_near{};
+    time_point told_far{};
     time_point asked_at{};
     timer arrival_timer;
 };
--- a/src/coursejunction/route/fair_queue.hpp
+++ b/src/coursejunction/route/fair_queue.hpp
@@ -81,6 +81,7 @@
         const auto wait = expected_wait(one.organisation, now);
         if (total >= limit || now + wait + service > one.deadline)
             return {false, retry_after(wait)};
+        forget_idle();
         auto& flow = flows[one.organisation];
         if (flow.waiting.empty())
             flow.start = std::max(flow.start, virtual_now);
@@ -145,6 +146,7 @@
     /*! @brief Charges an organisation for a request that did not wait. */
     void charge(const organisation_id& organisation)
     {
+        forget_idle();
         auto& flow = flows[organisation];
         flow.start = std::max(flow.start, virtual_now);
         charge(flow);
@@ -193,6 +195,12 @@
         return gone > 0;
     }
 
+    /*! @brief Returns how many organisations are remembered. */
+    [[nodiscard]] size_type organisations() const noexcept
+    {
+        return flows.size();
+    }
+
     [[nodiscard]] size_type size() const noexcept { return total; }
     [[nodiscard]] bool empty() const noexcept { return total == 0; }
 
@@ -207,6 +215,7 @@
 
 private:
     static constexpr size_type rate_window = 64;
+    static constexpr size_type max_flows = 1024;
     static constexpr size_type flow_window = 32;
     static constexpr size_type flow_least = 8;
     static constexpr std::chrono::seconds flow_age{2};
@@ -222,6 +231,17 @@
         std::deque<time_point> dispatches;
     };
 
+    /*! @brief Names of organisations come from outside: when there are many,
+     * those are forgotten that wait for nothing and have no weight. */
+    void forget_idle()
+    {
+        if (flows.size() < max_flows)
+            return;
+        std::erase_if(
+            flows, [](const auto& one)
+            { return one.second.waiting.empty() && one.second.weight == 1; });
+    }
+
     void charge(flow_state& flow)
     {
         virtual_now = std::max(virtual_now, flow.start);
--- a/tests/route/fair_queue.cpp
+++ b/tests/route/fair_queue.cpp
@@ -100,6 +100,20 @@
     }
 }
 
+SCENARIO("organisations' names from outside take bounded memory", "[route]")
+{
+    cj::fair_queue queue(100);
+    for (std::uint64_t at = 0; at < 20'000; ++at)
+    {
+        const auto name = std::to_string(at);
+        queue.charge(cj::organisation_id(name));
+        static_cast<void>(queue.offer(request(at, name), 0s, now));
+        if (!queue.empty())
+            take(queue);
+    }
+    CHECK(queue.organisations() <= 1100);
+}
+
 TEST_CASE("no request is lost or doubled in the queue", "[route]")
 {
     rc::prop("whoever comes and goes",
