Hold a run while it is cancelled (use after free)

Ruled out: by chance harmless: the freed pointer was read again. Change: hold the run. The test of a paused side that wakes depended on which of two processes looked at the engine first; the new one now sleeps meanwhile, which also proves its way back after a pause.

--- a/bench/lab.py
+++ b/bench/lab.py
@@ -21,8 +21,8 @@
 
 
 def binary(name):
-    build = os.environ.get("COURSEJUNCTION_BUILD", str(ROOT / "build"))
-    return str(pathlib.Path(build) / "bin" / name)
+    build = os.environ.get("COURSEJUNCTION_BUILD", "build")
+    return str(ROOT / build / "bin" / name)
 
 
 def call(method, url, body=None, headers=None, timeout=30):
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -375,7 +375,9 @@
         const auto found = runs.find({from, cancel.stream});
         if (found == runs.end() || found->second->ask.attempt != cancel.attempt)
             return;
-        withdraw(found->second);
+        // Ending the run takes it out of the map: hold it meanwhile.
+        const auto one = found->second;
+        withdraw(one);
     }
 
     /*! @brief Ends a run whose caller has left. */
--- a/tests/session/test_rollout.py
+++ b/tests/session/test_rollout.py
@@ -159,8 +159,12 @@
         old.wake()
         # It hears of nothing new; its own wish is the first version.
         # With an upstream that serves nothing it would load without a permit.
+        # The new one sleeps meanwhile, so that the old one surely sees it.
+        new.freeze()
         ask(lab.engines.url + "/side-1/faults", {"restart": True})
         wait_for("refrains", lambda: "another side" in lab.dump(old)["state"]["reason"])
+        self.assertEqual(lab.record("side-1")["orders"], before)
+        new.wake()
         wait_for("new one loads again", lambda: ask(lab.engines.url + "/side-1/v1/state")["serving"] == two)
         wait_for("new one serves again", lambda: lab.dump(new)["state"]["serving"] == two)
         record = lab.record("side-1")
