Confirm the fencing token before each order to an unchecking engine

Ruled out: a shorter gap (a busy machine pauses a process that long). Change: the token is read again before each such order; when the service does not answer, only a process that noticed no pause goes on. Conclusion: what remains is a freeze between that read and the order's arrival (docs/PROOFS.md).

--- a/src/coursejunction/daemon/side.cpp
+++ b/src/coursejunction/daemon/side.cpp
@@ -334,15 +334,19 @@
 
     void confirm_token()
     {
-        host.key_values().read(fence_key(host.settings().instance),
-                               [this](const result<stored_value>& got)
-                               {
-                                   if (!got)
-                                       return order_later();
-                                   guard.confirmed(
-                                       parse_token(got.value().text).token);
-                                   order();
-                               });
+        host.key_values().read(
+            fence_key(host.settings().instance),
+            [this](const result<stored_value>& got)
+            {
+                if (!got)
+                {
+                    guard.unanswered();
+                    return guard.state() == fence_state::held ? order()
+                                                              : order_later();
+                }
+                guard.confirmed(parse_token(got.value().text).token);
+                order();
+            });
     }
 
     struct token_record
@@ -375,6 +379,7 @@
         order.adapter = copy.target()->adapter;
         order.engine_role = target.engine_role;
         order.token = guard.token();
+        guard.ordered();
         host.counters().count("load_orders_total");
         engine.load(order, [this](const load_answer& got) { loaded(got); });
     }
--- a/src/coursejunction/rollout/fence.hpp
+++ b/src/coursejunction/rollout/fence.hpp
@@ -56,6 +56,7 @@
             return;
         own = token;
         doubt = false;
+        fresh = true;
         superseded = false;
     }
 
@@ -65,8 +66,17 @@
         if (newest > own)
             superseded = true;
         doubt = false;
+        fresh = true;
     }
 
+    /*! @brief The service did not answer when asked to confirm: nobody can
+     * take a later token meanwhile, so a process that was not paused goes
+     * on. */
+    void unanswered() { fresh = !doubt; }
+
+    /*! @brief An order was given: the next one is confirmed anew. */
+    void ordered() { fresh = false; }
+
     /*! @brief An upstream refused the token as old. */
     void refused() { superseded = true; }
 
@@ -77,7 +87,7 @@
             return fence_state::none;
         if (superseded)
             return fence_state::lost;
-        if (!upstream_checks && doubt)
+        if (!upstream_checks && (doubt || !fresh))
             return fence_state::unconfirmed;
         return fence_state::held;
     }
@@ -89,6 +99,7 @@
     bool upstream_checks;
     bool ticked{false};
     bool doubt{false};
+    bool fresh{false};
     bool superseded{false};
     fencing_token own;
     time_point last_tick{};
--- a/tests/rollout/fence.cpp
+++ b/tests/rollout/fence.cpp
@@ -39,6 +39,20 @@
                 CHECK(guard.state() == cj::fence_state::held);
             }
         }
+        WHEN("an order was given, upstream checks: " << checked)
+        {
+            // Another may have taken over in a pause too short to notice.
+            guard.ordered();
+            CHECK(guard.state() == (checked ? cj::fence_state::held
+                                            : cj::fence_state::unconfirmed));
+            guard.unanswered();
+            CHECK(guard.state() == cj::fence_state::held);
+            guard.ordered();
+            guard.tick(now + 5s);
+            guard.unanswered();
+            CHECK(guard.state() == (checked ? cj::fence_state::held
+                                            : cj::fence_state::unconfirmed));
+        }
         WHEN("the upstream refuses the token, checks: " << checked)
         {
             guard.refused();
