Remove state that nothing read

Cause: reading the whole change: the replica kept a flag that was written and never read (its phase says the same), and the session tests' base class had a run method that waited for an attribute nobody sets. Ruled out: the repeated look of the two to_string functions: different enums. Change: both are gone; no behaviour, no assertion changed. The whole of scripts/test and a clean clone were not run for this commit when it was made.

--- a/src/coursejunction/rollout/replica.hpp
+++ b/src/coursejunction/rollout/replica.hpp
@@ -107,7 +107,6 @@
         failures = 0;
         why.clear();
         staged_whole = false;
-        permitted = false;
         // An order that is out must be read back before anything else.
         if (phase_now != replica_phase::loading &&
             phase_now != replica_phase::checking &&
@@ -147,7 +146,6 @@
         if (wanted_target && wanted_target->version == version &&
             phase_now == replica_phase::waiting && !wanted_target->paused)
         {
-            permitted = true;
             phase_now = replica_phase::draining;
         }
     }
@@ -287,7 +285,6 @@
                                          << std::min(failures, most_doublings));
         action_at = now + std::min(wait, retry_most);
         ++failures;
-        permitted = false;
     }
 
     replica_action next_waiting(time_point now)
@@ -317,7 +314,6 @@
     digest serving_now;
     std::string why;
     bool staged_whole{false};
-    bool permitted{false};
     bool load_refused{false};
     unsigned failures{0};
     time_point action_at{};
--- a/tests/session/support.py
+++ b/tests/session/support.py
@@ -16,7 +16,7 @@
 
 
 class LabCase(unittest.TestCase):
-    """A case with a lab of its own; the log is shown when it fails."""
+    """A case with a lab of its own."""
 
     halls = None
 
@@ -24,13 +24,6 @@
         self.lab = Lab(self.halls)
         self.addCleanup(self.lab.close)
 
-    def run(self, result=None):
-        before = len(result.failures) + len(result.errors) if result else 0
-        super().run(result)
-        after = len(result.failures) + len(result.errors) if result else 0
-        if after > before and hasattr(self, "tail"):
-            print(self.tail, file=sys.stderr)
-
     def serving_model(self, sides, engine_args=(), entries=("entry-1",), hall="north", **spec):
         """Starts entries and sides in one hall that serve one small model."""
         lab = self.lab
