--- a/src/coursejunction/core/log.cpp
+++ b/src/coursejunction/core/log.cpp
@@ -1,5 +1,8 @@
 #include "coursejunction/core/log.hpp"
 
+#include <chrono>
+
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/level.h>
@@ -7,12 +10,17 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
 
+#include "coursejunction/core/pacing.hpp"
+
 namespace coursejunction::log
 {
 
 namespace internal
 {
 
+/*! @brief Lines that wait for the writing thread; about 1 MB. */
+constexpr int most_waiting = 2048;
+
 log4cxx::LoggerPtr logger()
 {
     static const auto named = log4cxx::Logger::getLogger("coursejunction");
@@ -29,19 +37,69 @@
         log4cxx::MDC::remove(std::string(name));
 }
 
+/*! @brief Lets lines pass at a rate and tells how many it held back. */
+class allowance
+{
+public:
+    explicit allowance(double per_second) : bucket(per_second, per_second) {}
+
+    bool take()
+    {
+        const auto now = std::chrono::time_point_cast<std::chrono::microseconds>(
+            std::chrono::steady_clock::now());
+        if (!bucket.take(1, now))
+        {
+            ++dropped;
+            return false;
+        }
+        tell_dropped();
+        return true;
+    }
+
+private:
+    void tell_dropped()
+    {
+        if (dropped == 0)
+            return;
+        const auto count = std::to_string(dropped);
+        dropped = 0;
+        warning("log_lines_dropped", {{"count", count}});
+    }
+
+    token_bucket bucket;
+    std::uint64_t dropped{0};
+};
+
+allowance& decisions()
+{
+    static allowance one(decisions_per_second);
+    return one;
+}
+
+allowance& problems()
+{
+    static allowance one(problems_per_second);
+    return one;
+}
+
 } // namespace internal
 
 void open(std::string_view instance, std::string_view level)
 {
     auto layout = std::make_shared<log4cxx::JSONLayout>();
     layout->setLocationInfo(false);
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemOut());
     log4cxx::helpers::Pool pool;
-    appender->activateOptions(pool);
+    console->activateOptions(pool);
+    auto apart = std::make_shared<log4cxx::AsyncAppender>();
+    apart->setBufferSize(internal::most_waiting);
+    apart->setBlocking(false);
+    apart->addAppender(console);
+    apart->activateOptions(pool);
     auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    root->addAppender(apart);
     root->setLevel(log4cxx::Level::toLevel(std::string(level)));
     log4cxx::MDC::put("instance", std::string(instance));
 }
@@ -58,4 +116,16 @@
         fields, [&] { LOG4CXX_WARN(internal::logger(), std::string(event)); });
 }
 
+void decision(std::string_view event, std::initializer_list<field> fields)
+{
+    if (internal::decisions().take())
+        state(event, fields);
+}
+
+void problem(std::string_view event, std::initializer_list<field> fields)
+{
+    if (internal::problems().take())
+        warning(event, fields);
+}
+
 } // namespace coursejunction::log
--- /dev/null
+++ b/src/coursejunction/daemon/status_page.cpp
@@ -0,0 +1,36 @@
+#include "coursejunction/daemon/status_page.hpp"
+
+#include <utility>
+
+namespace coursejunction
+{
+
+result<std::unique_ptr<status_page>>
+status_page::create(event_loop& loop, metrics& counters,
+                    const std::string& address, std::uint16_t port)
+{
+    auto made = std::make_unique<status_page>();
+    if (port == 0)
+        return made;
+    auto server = http_server::create(
+        address, port, {},
+        [&loop, &counters](http_request request,
+                           std::shared_ptr<http_reply> reply)
+        {
+            loop.post(
+                [&counters, path = std::move(request.path),
+                 reply = std::move(reply)]
+                {
+                    if (path == "/metrics")
+                        reply->send(200, "text/plain", {}, counters.text());
+                    else
+                        reply->send(404, "text/plain", {}, "only /metrics\n");
+                });
+        });
+    if (!server)
+        return failure(server.error().kind, server.error().message);
+    made->server = std::move(server.value());
+    return made;
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/daemon/status_page.hpp
@@ -0,0 +1,36 @@
+/*! @file
+ * @brief Serves a process's metrics to whoever collects them.
+ */
+#ifndef COURSEJUNCTION_DAEMON_STATUS_PAGE_HPP
+#define COURSEJUNCTION_DAEMON_STATUS_PAGE_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "coursejunction/core/result.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/http_server.hpp"
+#include "coursejunction/net/metrics.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief `GET /metrics` on a port of its own. */
+class status_page
+{
+public:
+    /*! @brief Listens.
+     * @param port 0 serves nothing.
+     * @return The page, or `unavailable`. */
+    [[nodiscard]] static result<std::unique_ptr<status_page>>
+    create(event_loop& loop, metrics& counters, const std::string& address,
+           std::uint16_t port);
+
+private:
+    std::unique_ptr<http_server> server;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -0,0 +1,404 @@
+/*! @file
+ * @brief What every process of an installation does whatever its role: it
+ * mirrors the platform's store, directly or through its peers, and tells its
+ * peers that it lives and how far its mirror is.
+ */
+#ifndef COURSEJUNCTION_FLEET_FLEET_NODE_HPP
+#define COURSEJUNCTION_FLEET_FLEET_NODE_HPP
+
+#include <charconv>
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/core/result.hpp"
+#include "coursejunction/fleet/node_address.hpp"
+#include "coursejunction/fleet/peer_directory.hpp"
+#include "coursejunction/fleet/store_mirror.hpp"
+#include "coursejunction/net/datagram_socket.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/net/stream_client.hpp"
+#include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/wire/codec.hpp"
+#include "coursejunction/wire/fleet_message.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Keys that a store showed, as of a revision. */
+struct store_page
+{
+    store_mirror::items items;
+    std::uint64_t revision{0};
+};
+
+/*! @brief Reads the platform's store; answers come on the loop's thread. An
+ * error `not_found` of a watch says that its history is gone. */
+template <typename Store>
+concept Readable_store = requires(Store& store, std::uint64_t after,
+                                  milliseconds wait,
+                                  std::function<void(result<store_page>)> done)
+{
+    store.list(done);
+    store.watch(after, wait, done);
+};
+
+/*! @brief How a node finds its peers. */
+struct fleet_options
+{
+    std::string address;
+    std::uint16_t port{0}; /*!< Alike on every instance of an installation. */
+    hall_id hall;
+    bool entry{false};
+    std::vector<std::string> seeds; /*!< IP addresses of entries. */
+};
+
+/*! @brief What a role adds to a node. */
+struct fleet_hooks
+{
+    std::function<void(const std::vector<std::string>& keys)> changed;
+    std::function<void(const std::string& from,
+                       const message::fleet_heartbeat&)>
+        heard;
+    std::function<void(message::fleet_heartbeat&)> describe;
+    std::function<void(stream_request, stream_reply)> request;
+};
+
+/*! @brief One process among its peers.
+ * @tparam Store A `Readable_store`. */
+template <typename Store>
+class fleet_node
+{
+public:
+    /*! @brief Heartbeats between two changes; a leaving upstream has 2 s, so
+     * that several may be lost. */
+    static constexpr milliseconds beat_interval{200};
+
+    /*! @brief How long one watch waits. A watch that hangs on a dead
+     * connection is noticed this late, and a change has 2 s to be in force
+     * once the store has been calm for 3 s. */
+    static constexpr milliseconds watch_wait{2500};
+
+    /*! @brief Pause after a failed call of the store. */
+    static constexpr milliseconds store_pause{150};
+
+    /*! @brief Time of a pull of the mirror from a peer. */
+    static constexpr milliseconds pull_time{600};
+
+    /*! @brief Opens the ports.
+     * @return The node, or `unavailable`. */
+    [[nodiscard]] static result<std::unique_ptr<fleet_node>>
+    create(event_loop& loop, Store& store, metrics& counters,
+           fleet_options options)
+    {
+        std::unique_ptr<fleet_node> made(
+            new fleet_node(loop, store, counters, std::move(options)));
+        auto opened = made->open();
+        if (!opened)
+            return failure(opened.error().kind, opened.error().message);
+        return made;
+    }
+
+    /*! @brief Starts to act; called once when the role is ready. */
+    void start(fleet_hooks given)
+    {
+        hooks = std::move(given);
+        const auto now = event_loop::now();
+        for (const auto& seed : options.seeds)
+        {
+            if (seed != options.address)
+                directory.seed(seed, now);
+        }
+        announce();
+        beat_timer = loop.every(beat_interval, [this] { announce(); });
+        if (options.entry)
+            list();
+    }
+
+    /*! @brief Tells every peer at once; called when something changed. */
+    void announce()
+    {
+        const auto now = event_loop::now();
+        directory.expire(now);
+        const auto datagram = encode(beat(now));
+        for (const auto& [address, one] : directory.all())
+        {
+            if (options.entry || one.entry)
+                socket->send(address + port_suffix, datagram);
+        }
+    }
+
+    /*! @brief Marks the node as leaving in its heartbeats. */
+    void leave()
+    {
+        leaving = true;
+        announce();
+    }
+
+    /*! @brief Notes a peer that the role knows of. */
+    void name_peer(const std::string& address, bool entry)
+    {
+        if (address != options.address)
+            directory.name(address, entry, event_loop::now());
+    }
+
+    [[nodiscard]] const store_mirror& mirror() const { return copy; }
+    [[nodiscard]] const peer_directory& peers() const { return directory; }
+    [[nodiscard]] stream_client& client() { return calls; }
+    [[nodiscard]] const fleet_options& settings() const { return options; }
+
+    /*! @brief Returns when the store last failed to answer; the epoch when it
+     * never did. */
+    [[nodiscard]] time_point store_failed() const { return failed_at; }
+
+    /*! @brief Returns the address of a peer's port for the system's own. */
+    [[nodiscard]] std::string peer_port(const std::string& address) const
+    {
+        return address + port_suffix;
+    }
+
+private:
+    fleet_node(event_loop& owner, Store& service, metrics& counted,
+               fleet_options set)
+        : loop(owner), store(service), counters(counted),
+          options(std::move(set)), calls(owner),
+          port_suffix(":" + std::to_string(options.port)),
+          incarnation(static_cast<std::uint64_t>(
+              std::chrono::duration_cast<milliseconds>(
+                  std::chrono::system_clock::now().time_since_epoch())
+                  .count()))
+    {
+    }
+
+    result<bool> open()
+    {
+        auto made = datagram_socket::create(
+            loop, options.address, options.port,
+            [this](const std::string& from, std::string_view bytes)
+            { datagram(host_of(from), bytes); });
+        if (!made)
+            return failure(made.error().kind, made.error().message);
+        socket = std::move(made.value());
+        auto served = stream_server::create(
+            loop, options.address, options.port, {},
+            [this](stream_request request, stream_reply reply)
+            { request_of_peer(std::move(request), std::move(reply)); });
+        if (!served)
+            return failure(served.error().kind, served.error().message);
+        server = std::move(served.value());
+        return true;
+    }
+
+    message::fleet_heartbeat beat(time_point now)
+    {
+        message::fleet_heartbeat made;
+        made.incarnation = incarnation;
+        made.sequence = ++sequence;
+        made.mirror_revision = copy.revision();
+        made.hall = options.hall.value();
+        made.entry = options.entry;
+        made.leaving = leaving;
+        for (const auto& [address, one] : directory.all())
+        {
+            const auto number = address_number(address);
+            if (one.entry && number && peer_directory::alive(one, now) &&
+                made.entries.size() < most_named)
+                made.entries.push_back(*number);
+        }
+        if (hooks.describe)
+            hooks.describe(made);
+        return made;
+    }
+
+    void datagram(const std::string& from, std::string_view bytes)
+    {
+        const auto read = decode<message::fleet_heartbeat>(bytes);
+        if (!read)
+        {
+            counters.count("fleet_datagrams_refused_total");
+            return;
+        }
+        const auto now = event_loop::now();
+        const bool known = directory.alive(from, now);
+        if (!directory.heard(from, read.value(), now))
+            return;
+        if (!known)
+            log::state("peer_heard",
+                       {{"peer", from},
+                        {"entry", read.value().entry ? "true" : "false"}});
+        for (const auto number : read.value().entries)
+        {
+            const auto address = address_text(number);
+            if (address != options.address &&
+                directory.find(address) == nullptr)
+                directory.name(address, true, now);
+        }
+        if (read.value().mirror_revision > copy.revision())
+            pull(from);
+        if (hooks.heard)
+            hooks.heard(from, read.value());
+    }
+
+    /*! @brief Fetches from a peer what it knows and we do not. */
+    void pull(const std::string& from)
+    {
+        if (pulling)
+            return;
+        pulling = true;
+        stream_call call;
+        call.address = peer_port(from);
+        call.target = "/mirror?after=" + std::to_string(copy.revision());
+        call.timeout = pull_time;
+        calls.gather(std::move(call),
+                     [this, from](const stream_client::answer& answer)
+                     {
+                         pulling = false;
+                         pulled(from, answer);
+                     });
+    }
+
+    void pulled(const std::string& from, const stream_client::answer& answer)
+    {
+        counters.count("fleet_mirror_pulls_total");
+        auto page = answer.is(200)
+                        ? decode<message::mirror_page>(answer.body)
+                        : result<message::mirror_page>(failure(
+                              error_kind::unavailable, answer.why));
+        if (!page)
+        {
+            log::state("mirror_pull_failed",
+                       {{"peer", from}, {"why", page.error().message}});
+            return;
+        }
+        const auto& got = page.value();
+        took(copy.apply(got.items, got.revision, event_loop::now()), from);
+    }
+
+    void request_of_peer(stream_request request, stream_reply reply)
+    {
+        constexpr std::string_view mirror_target = "/mirror?after=";
+        if (!request.target.starts_with(mirror_target))
+        {
+            if (hooks.request)
+                return hooks.request(std::move(request), std::move(reply));
+            return reply.send(404, {}, "no such resource\n");
+        }
+        const auto text =
+            std::string_view(request.target).substr(mirror_target.size());
+        std::uint64_t after = 0;
+        std::from_chars(text.data(), text.data() + text.size(), after);
+        reply.send(200, {}, encode(copy.since(after, event_loop::now())));
+    }
+
+    void list()
+    {
+        counters.count("store_calls_total", 1, {{"call", "list"}});
+        store.list(
+            [this](result<store_page> answer)
+            {
+                if (!answer)
+                    return store_lost(answer.error().message, false);
+                store_answered();
+                const auto& page = answer.value();
+                const auto changed =
+                    copy.replace(page.items, page.revision, event_loop::now());
+                took(changed, "store");
+                watch();
+            });
+    }
+
+    void watch()
+    {
+        counters.count("store_calls_total", 1, {{"call", "watch"}});
+        store.watch(
+            copy.revision(), watch_wait,
+            [this](result<store_page> answer)
+            {
+                if (!answer)
+                    return store_lost(answer.error().message,
+                                      answer.error().kind ==
+                                          error_kind::not_found);
+                store_answered();
+                const auto& page = answer.value();
+                const auto changed =
+                    copy.apply(page.items, page.revision, event_loop::now());
+                took(changed, "store");
+                watch();
+            });
+    }
+
+    /*! @brief A call failed: the whole is listed again, at once when only the
+     * history is gone. */
+    void store_lost(const std::string& why, bool history_gone)
+    {
+        failed_at = event_loop::now();
+        if (store_up || history_gone)
+            log::warning("store_lost",
+                         {{"why", why},
+                          {"revision", std::to_string(copy.revision())}});
+        store_up = false;
+        if (history_gone)
+            return list();
+        store_timer = loop.after(store_pause, [this] { list(); });
+    }
+
+    void store_answered()
+    {
+        if (store_up)
+            return;
+        store_up = true;
+        log::state("store_reached",
+                   {{"revision", std::to_string(copy.revision())}});
+    }
+
+    void took(const std::vector<std::string>& changed, const std::string& from)
+    {
+        if (changed.empty())
+            return;
+        for (const auto& key : changed)
+        {
+            const auto found = copy.all().find(key);
+            log::state("mirror_changed",
+                       {{"key", key},
+                        {"from", from},
+                        {"revision", std::to_string(found->second.revision)},
+                        {"removed",
+                         found->second.removed ? "true" : "false"}});
+        }
+        if (hooks.changed)
+            hooks.changed(changed);
+        announce();
+    }
+
+    /*! @brief Entries named in one heartbeat, so that it fits a datagram. */
+    static constexpr std::size_t most_named = 64;
+
+    event_loop& loop;
+    Store& store;
+    metrics& counters;
+    fleet_options options;
+    fleet_hooks hooks;
+    stream_client calls;
+    std::string port_suffix;
+    std::uint64_t incarnation;
+    std::uint64_t sequence{0};
+    store_mirror copy;
+    peer_directory directory;
+    std::unique_ptr<datagram_socket> socket;
+    std::unique_ptr<stream_server> server;
+    timer beat_timer;
+    timer store_timer;
+    time_point failed_at{};
+    bool store_up{false};
+    bool pulling{false};
+    bool leaving{false};
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -0,0 +1,202 @@
+/*! @file
+ * @brief The mirror's items as the product's own types.
+ */
+#ifndef COURSEJUNCTION_FLEET_FLEET_VIEW_HPP
+#define COURSEJUNCTION_FLEET_FLEET_VIEW_HPP
+
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/core/result.hpp"
+#include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/fleet/store_mirror.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief What a key of the store holds. */
+enum class item_kind : std::uint8_t
+{
+    configuration,
+    upstream,
+    version,
+    other
+};
+
+/*! @brief Reads the platform's items; pure. */
+template <typename Catalogue>
+concept Item_catalogue = requires(const std::string& key,
+                                  const std::string& payload)
+{
+    {
+        Catalogue::kind(key)
+        } -> std::same_as<item_kind>;
+    {
+        Catalogue::configuration(payload)
+        } -> std::same_as<result<installation>>;
+    {
+        Catalogue::upstream(key, payload)
+        } -> std::same_as<result<upstream_record>>;
+    {
+        Catalogue::upstream_id(key)
+        } -> std::same_as<instance_id>;
+    {
+        Catalogue::version(payload)
+        } -> std::same_as<result<version_target>>;
+};
+
+/*! @brief One change of an upstream's record. */
+struct upstream_change
+{
+    instance_id id;
+    bool removed{false};
+};
+
+/*! @brief Configuration, upstreams and named versions, kept up to date.
+ * @tparam Platform Names the `catalogue`, an `Item_catalogue`. */
+template <typename Platform>
+class fleet_view
+{
+public:
+    using catalogue = typename Platform::catalogue;
+
+    /*! @brief Reads keys that changed.
+     * @return The upstreams that changed. */
+    std::vector<upstream_change> update(const store_mirror& mirror,
+                                        const std::vector<std::string>& keys)
+    {
+        std::vector<upstream_change> changes;
+        for (const auto& key : keys)
+        {
+            const auto* value = mirror.find(key);
+            switch (catalogue::kind(key))
+            {
+            case item_kind::configuration:
+                if (value != nullptr)
+                    read_configuration(key, *value);
+                break;
+            case item_kind::upstream:
+                changes.push_back(read_upstream(key, value));
+                break;
+            case item_kind::version:
+                if (value != nullptr)
+                    read_version(key, *value);
+                break;
+            case item_kind::other:
+                break;
+            }
+        }
+        return changes;
+    }
+
+    /*! @brief Returns the configuration in force, or null. */
+    [[nodiscard]] const installation* rules() const { return current.get(); }
+
+    /*! @brief Returns the configuration in force for sharing, or null. */
+    [[nodiscard]] std::shared_ptr<const installation> shared_rules() const
+    {
+        return current;
+    }
+
+    [[nodiscard]] const std::map<instance_id, upstream_record>&
+    upstreams() const
+    {
+        return records;
+    }
+
+    /*! @brief Returns the named versions with the times of their naming. */
+    [[nodiscard]] const std::map<std::pair<std::string, std::uint64_t>,
+                                 time_point>&
+    versions() const
+    {
+        return targets;
+    }
+
+    /*! @brief Returns the newest version of a model; 1 when none was named. */
+    [[nodiscard]] std::uint64_t newest(const std::string& model) const
+    {
+        std::uint64_t version = 1;
+        for (const auto& [key, known] : targets)
+        {
+            if (key.first == model)
+                version = std::max(version, key.second);
+        }
+        return version;
+    }
+
+    /*! @brief Returns when a version was named, as far as is known. */
+    [[nodiscard]] time_point named_at(const std::string& model,
+                                      std::uint64_t version) const
+    {
+        const auto found = targets.find({model, version});
+        return found == targets.end() ? time_point{} : found->second;
+    }
+
+private:
+    void read_configuration(const std::string& key, const mirrored_value& value)
+    {
+        auto read = catalogue::configuration(value.payload);
+        if (!read)
+            return unreadable(key, value, read.error().message);
+        if (current && read.value().version < current->version)
+            return unreadable(key, value, "version goes back");
+        current =
+            std::make_shared<const installation>(std::move(read.value()));
+        log::state("configuration_in_force",
+                   {{"version", std::to_string(current->version)},
+                    {"revision", std::to_string(value.revision)}});
+    }
+
+    upstream_change read_upstream(const std::string& key,
+                                  const mirrored_value* value)
+    {
+        const auto id = catalogue::upstream_id(key);
+        if (value == nullptr)
+        {
+            records.erase(id);
+            return {id, true};
+        }
+        auto read = catalogue::upstream(key, value->payload);
+        if (read)
+            records[id] = std::move(read.value());
+        else
+            unreadable(key, *value, read.error().message);
+        return {id, !records.contains(id)};
+    }
+
+    void read_version(const std::string& key, const mirrored_value& value)
+    {
+        const auto read = catalogue::version(value.payload);
+        if (!read)
+            return unreadable(key, value, read.error().message);
+        const auto& named = read.value();
+        targets.try_emplace({named.model, named.version}, value.learnt);
+        log::state("version_named",
+                   {{"model", named.model},
+                    {"version", std::to_string(named.version)},
+                    {"revision", std::to_string(value.revision)}});
+    }
+
+    static void unreadable(const std::string& key, const mirrored_value& value,
+                           const std::string& why)
+    {
+        log::warning("item_unreadable",
+                     {{"key", key},
+                      {"revision", std::to_string(value.revision)},
+                      {"why", why}});
+    }
+
+    std::shared_ptr<const installation> current;
+    std::map<instance_id, upstream_record> records;
+    std::map<std::pair<std::string, std::uint64_t>, time_point> targets;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -0,0 +1,25 @@
+/*! @file
+ * @brief Declares the types of the fleet module.
+ */
+#ifndef COURSEJUNCTION_FLEET_FWD_HPP
+#define COURSEJUNCTION_FLEET_FWD_HPP
+
+#include <cstdint>
+
+namespace coursejunction
+{
+
+enum class request_kind : std::uint8_t;
+struct route_rule;
+struct engine_profile;
+struct service_profile;
+struct installation;
+struct upstream_record;
+class store_mirror;
+class peer_directory;
+template <typename Store>
+class fleet_node;
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/net/event_loop.cpp
+++ b/src/coursejunction/net/event_loop.cpp
@@ -12,6 +12,26 @@
 
 namespace asio = boost::asio;
 
+namespace internal
+{
+
+/*! @brief Waits again after each signal: a second one of a kind must not end
+ * the process. */
+void wait_for_signal(asio::signal_set& set,
+                     const std::shared_ptr<event_loop::work>& task)
+{
+    set.async_wait(
+        [&set, task](const boost::system::error_code& fault, int)
+        {
+            if (fault)
+                return;
+            wait_for_signal(set, task);
+            (*task)();
+        });
+}
+
+} // namespace internal
+
 class timer::state : public std::enable_shared_from_this<timer::state>
 {
 public:
@@ -118,12 +138,7 @@
 void event_loop::on_signal(int number, work task)
 {
     auto& set = self->signals.emplace_back(self->context, number);
-    set.async_wait(
-        [call = std::move(task)](const boost::system::error_code& fault, int)
-        {
-            if (!fault)
-                call();
-        });
+    internal::wait_for_signal(set, std::make_shared<work>(std::move(task)));
 }
 
 time_point event_loop::now()
--- /dev/null
+++ b/src/coursejunction/net/stream_client.cpp
@@ -0,0 +1,335 @@
+#include "coursejunction/net/stream_client.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cstdlib>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "coursejunction/net/event_loop.hpp"
+
+namespace coursejunction
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace internal
+{
+
+/*! @brief Bytes taken from the network at once. */
+constexpr std::size_t read_bytes = 16384;
+
+/*! @brief Unacknowledged bytes after which the kernel gives a peer up. */
+constexpr int call_user_timeout_ms = 4000;
+
+std::string request_text(const stream_call& call)
+{
+    http::request<http::empty_body> head;
+    head.version(11);
+    head.method_string(call.method);
+    head.target(call.target);
+    for (const auto& one : call.headers)
+        head.insert(one.name, one.value);
+    if (!head.count(http::field::host))
+        head.set(http::field::host, call.address);
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
+        head.set(http::field::content_length,
+                 std::to_string(call.body.size()));
+    http::request_serializer<http::empty_body> writer(head);
+    writer.split(true);
+    std::string text;
+    boost::system::error_code fault;
+    while (!writer.is_header_done())
+    {
+        writer.next(fault,
+                    [&](boost::system::error_code&, const auto& buffers)
+                    {
+                        text += boost::beast::buffers_to_string(buffers);
+                        writer.consume(boost::asio::buffer_size(buffers));
+                    });
+    }
+    text += call.body;
+    return text;
+}
+
+/*! @brief One call on its connection. */
+class stream_exchange : public std::enable_shared_from_this<stream_exchange>
+{
+public:
+    using finished_callback = std::function<void()>;
+
+    stream_exchange(asio::io_context& context, stream_call what,
+                    stream_client::callbacks to, finished_callback over)
+        : socket(context), clock(context), limit(context),
+          call(std::move(what)), target(std::move(to)),
+          finished(std::move(over))
+    {
+        parser.header_limit(max_head);
+        parser.body_limit(most_body);
+        parser.skip(call.method == "HEAD");
+    }
+
+    void start()
+    {
+        const auto colon = call.address.rfind(':');
+        boost::system::error_code fault;
+        const auto ip =
+            asio::ip::make_address(call.address.substr(0, colon), fault);
+        if (fault || colon == std::string::npos)
+            return later(stream_end::not_sent, "wrong address");
+        const auto port = static_cast<std::uint16_t>(
+            std::strtoul(call.address.c_str() + colon + 1, nullptr, 10));
+        arm(clock, call.connect_time, "connection timed out");
+        if (call.timeout.count() > 0)
+            arm(limit, call.timeout, "call timed out");
+        socket.async_connect(
+            tcp::endpoint(ip, port),
+            [self = shared_from_this()](const boost::system::error_code& failed)
+            { self->connected(failed); });
+    }
+
+    void abandon()
+    {
+        over = true;
+        clock.cancel();
+        limit.cancel();
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
+private:
+    static constexpr std::uint32_t max_head = 65536;
+    // A limit of none compares as smaller than any length in Beast 1.74.
+    static constexpr std::uint64_t most_body = std::uint64_t{1} << 40U;
+
+    void arm(asio::steady_timer& timer, milliseconds wait, const char* why)
+    {
+        timer.expires_after(wait);
+        timer.async_wait(
+            [self = shared_from_this(),
+             why](const boost::system::error_code& fault)
+            {
+                if (!fault)
+                    self->end(self->sent ? stream_end::broken
+                                         : stream_end::not_sent,
+                              why);
+            });
+    }
+
+    void later(stream_end how, std::string why)
+    {
+        asio::post(socket.get_executor(),
+                   [self = shared_from_this(), how, why = std::move(why)]
+                   { self->end(how, why); });
+    }
+
+    void connected(const boost::system::error_code& fault)
+    {
+        if (over)
+            return;
+        if (fault)
+            return end(stream_end::not_sent, fault.message());
+        clock.cancel();
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        const int wait = call_user_timeout_ms;
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                     &wait, sizeof wait);
+        output = request_text(call);
+        sent = true;
+        asio::async_write(
+            socket, asio::buffer(output),
+            [self = shared_from_this()](const boost::system::error_code&,
+                                        std::size_t)
+            {
+                // A failed write shows in the read: the answer may still come.
+            });
+        read_head();
+    }
+
+    void read_head()
+    {
+        http::async_read_header(
+            socket, input, parser,
+            [self = shared_from_this()](const boost::system::error_code& fault,
+                                        std::size_t)
+            { self->head_read(fault); });
+    }
+
+    void head_read(const boost::system::error_code& fault)
+    {
+        if (over)
+            return;
+        if (fault)
+            return failed(fault);
+        stream_head head;
+        head.status = static_cast<int>(parser.get().result_int());
+        for (const auto& field : parser.get())
+            head.headers.push_back(std::string(field.name_string()),
+                                   std::string(field.value()));
+        const auto held = shared_from_this();
+        target.head(head);
+        if (over)
+            return;
+        read_body();
+    }
+
+    void read_body()
+    {
+        if (parser.is_done())
+            return end(stream_end::whole, {});
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        http::async_read_some(
+            socket, input, parser,
+            [self = shared_from_this()](const boost::system::error_code& fault,
+                                        std::size_t)
+            { self->body_read(fault); });
+    }
+
+    void body_read(boost::system::error_code fault)
+    {
+        if (over)
+            return;
+        if (fault == http::error::need_buffer)
+            fault = {};
+        const auto count = part.size() - parser.get().body().size;
+        if (count > 0)
+        {
+            const auto held = shared_from_this();
+            target.data({part.data(), count});
+            if (over)
+                return;
+        }
+        if (fault)
+            return failed(fault);
+        read_body();
+    }
+
+    void failed(const boost::system::error_code& fault)
+    {
+        const bool protocol =
+            fault.category() ==
+                make_error_code(http::error::bad_method).category() &&
+            fault != http::error::end_of_stream &&
+            fault != http::error::partial_message;
+        end(protocol ? stream_end::malformed : stream_end::broken,
+            fault.message());
+    }
+
+    void end(stream_end how, const std::string& why)
+    {
+        if (over)
+            return;
+        const auto held = shared_from_this();
+        abandon();
+        const auto call_back = std::move(target.ended);
+        finished();
+        call_back(how, why);
+    }
+
+    tcp::socket socket;
+    asio::steady_timer clock;
+    asio::steady_timer limit;
+    stream_call call;
+    stream_client::callbacks target;
+    finished_callback finished;
+    boost::beast::flat_buffer input;
+    http::response_parser<http::buffer_body> parser;
+    std::array<char, read_bytes> part{};
+    std::string output;
+    bool sent{false};
+    bool over{false};
+};
+
+} // namespace internal
+
+struct stream_client::implementation
+    : std::enable_shared_from_this<implementation>
+{
+    explicit implementation(asio::io_context& owner) : context(owner) {}
+
+    asio::io_context& context;
+    std::unordered_map<call_id, std::shared_ptr<internal::stream_exchange>>
+        open;
+    call_id last{0};
+};
+
+stream_client::stream_client(event_loop& loop)
+    : self(std::make_shared<implementation>(
+          *static_cast<asio::io_context*>(loop.native())))
+{
+}
+
+stream_client::~stream_client()
+{
+    for (const auto& [id, one] : self->open)
+        one->abandon();
+}
+
+stream_client::call_id stream_client::start(stream_call call, callbacks to)
+{
+    const auto id = ++self->last;
+    auto one = std::make_shared<internal::stream_exchange>(
+        self->context, std::move(call), std::move(to),
+        [shared = std::weak_ptr(self), id]
+        {
+            if (const auto held = shared.lock())
+                held->open.erase(id);
+        });
+    self->open.emplace(id, one);
+    one->start();
+    return id;
+}
+
+void stream_client::cancel(call_id which)
+{
+    const auto found = self->open.find(which);
+    if (found == self->open.end())
+        return;
+    const auto one = found->second;
+    self->open.erase(found);
+    one->abandon();
+}
+
+stream_client::call_id
+stream_client::gather(stream_call call, std::function<void(answer)> done)
+{
+    const auto gathered = std::make_shared<answer>();
+    callbacks to;
+    to.head = [gathered](const stream_head& head)
+    {
+        gathered->status = head.status;
+        gathered->headers = head.headers;
+    };
+    to.data = [gathered](std::string_view bytes)
+    { gathered->body.append(bytes); };
+    to.ended = [gathered, done = std::move(done)](stream_end how,
+                                                  const std::string& why)
+    {
+        gathered->end = how;
+        gathered->why = why;
+        done(std::move(*gathered));
+    };
+    return start(std::move(call), std::move(to));
+}
+
+std::size_t stream_client::size() const
+{
+    return self->open.size();
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -0,0 +1,691 @@
+/*! @file
+ * @brief Carries callers' requests to upstreams and their answers back.
+ */
+#ifndef COURSEJUNCTION_PROXY_EXCHANGE_SERVICE_HPP
+#define COURSEJUNCTION_PROXY_EXCHANGE_SERVICE_HPP
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/net/stream_client.hpp"
+#include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/proxy/event_splitter.hpp"
+#include "coursejunction/proxy/request_codec.hpp"
+#include "coursejunction/route/placement.hpp"
+#include "coursejunction/route/upstream_book.hpp"
+#include "coursejunction/route/version_floor.hpp"
+#include "coursejunction/run/retry_budget.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Times and shares of the service, with where they come from. */
+struct exchange_options
+{
+    /*! @brief Part of the target for which a request may wait here for a
+     * place; a refusal within a quarter of the target costs least. */
+    double wait_part{0.2};
+    /*! @brief How often waiting requests are looked at. */
+    milliseconds tick{15};
+    /*! @brief Silence of a stream after which its upstream is given up; the
+     * longest pause that counts as in time is 400 ms. */
+    milliseconds stream_silence{900};
+    /*! @brief A first event later than this many times its prediction, plus
+     * `first_slack`, is given up. */
+    double first_factor{3};
+    milliseconds first_slack{700};
+    /*! @brief Retries earned by each request; the installations allow 0.2. */
+    double retry_portion{0.1};
+    /*! @brief Retries that all entries together may save up; the smallest
+     * allowance of the installations seen is 104 in ten seconds. */
+    double retry_reserve{60};
+    milliseconds least_retry_after{200};
+    milliseconds most_retry_after{1500};
+};
+
+/*! @brief How far a failed attempt got. */
+enum class attempt_reach : std::uint8_t
+{
+    not_sent,    /*!< No byte was written: it never arrived. */
+    not_run,     /*!< The upstream says that it did not run it. */
+    may_have_run /*!< Nothing proves that it did not run. */
+};
+
+/*! @brief Every request from its arrival to its final answer.
+ * @tparam Codec A `Request_codec`. */
+template <typename Codec>
+class exchange_service
+{
+public:
+    exchange_service(event_loop& owner, stream_client& carrier,
+                     upstream_book& known, metrics& counted, placer choice,
+                     exchange_options set)
+        : loop(owner), client(carrier), book(known), counters(counted),
+          places(std::move(choice)), options(set)
+    {
+        ticking = loop.every(options.tick, [this] { tick(); });
+    }
+
+    /*! @brief Puts a configuration into force. */
+    void configure(std::shared_ptr<const installation> next)
+    {
+        current = std::move(next);
+    }
+
+    /*! @brief Returns the bounds on versions, to be kept up by the owner. */
+    [[nodiscard]] version_floor& floors() { return floor; }
+
+    /*! @brief Tells how many entries share the upstreams. */
+    void entries(std::size_t count)
+    {
+        entry_count = std::max<std::size_t>(count, 1);
+    }
+
+    /*! @brief Takes a request. */
+    void request(stream_request from, stream_reply reply)
+    {
+        const auto number = ++last_number;
+        auto one = std::make_shared<exchange>();
+        one->number = number;
+        one->arrived = event_loop::now();
+        one->asked = Codec::decode(from);
+        one->original = std::move(from);
+        one->reply = std::move(reply);
+        counters.count("requests_total");
+        const auto refused = admit(*one);
+        if (refused != 0)
+            return reject(*one, refused);
+        open.emplace(number, one);
+        one->reply.on_left([this, number] { left(number); });
+        arm_limit(*one);
+        place(*one);
+    }
+
+    /*! @brief Looks at waiting requests again: an upstream may be free. */
+    void tick()
+    {
+        const std::vector<std::uint64_t> waited(waiting.begin(),
+                                                waiting.end());
+        for (const auto number : waited)
+        {
+            const auto found = open.find(number);
+            if (found == open.end())
+                std::erase(waiting, number);
+            else
+                place(*found->second);
+        }
+    }
+
+    /*! @brief Returns how many requests are open. */
+    [[nodiscard]] std::size_t size() const { return open.size(); }
+
+    /*! @brief Returns how many requests wait for a place. */
+    [[nodiscard]] std::size_t queued() const { return waiting.size(); }
+
+private:
+    struct exchange
+    {
+        std::uint64_t number{0};
+        time_point arrived{};
+        time_point ends{};
+        caller_request asked;
+        stream_request original;
+        stream_reply reply;
+        std::shared_ptr<const installation> rules;
+        const route_rule* route{nullptr};
+        service_name service;
+        std::optional<organisation_id> owner;
+        timer limit;
+
+        // The attempt in progress.
+        stream_client::call_id call{0};
+        std::uint64_t attempt{0};
+        upstream_choice at;
+        time_point sent{};
+        stream_head head;
+        std::string body;
+        timer silence;
+        bool progressed{false};
+
+        std::vector<instance_id> tried;
+        std::size_t runs{0}; /*!< Attempts that may have run. */
+        event_splitter events;
+        bool streaming{false}; /*!< The caller has our head. */
+        bool in_queue{false};
+    };
+
+    // --- Admission -------------------------------------------------------
+
+    /*! @brief Returns 0, or the status with which the request is refused. */
+    int admit(exchange& one)
+    {
+        if (!current)
+            return 503;
+        one.rules = current;
+        one.route = one.rules->route(one.asked.host, one.asked.path);
+        if (one.route == nullptr)
+            return 404;
+        if (one.rules->keyed && !one.route->open)
+        {
+            const auto* owner = one.asked.key
+                                    ? one.rules->owner(*one.asked.key)
+                                    : nullptr;
+            if (owner == nullptr)
+                return 401;
+            one.owner = owner->id;
+        }
+        if (one.asked.id.empty())
+            return 400;
+        const auto hash = std::hash<std::string>{}(one.asked.id.value());
+        const auto* service = service_for(*one.route, hash);
+        if (service == nullptr)
+            return 503;
+        one.service = *service;
+        one.ends = one.arrived + one.route->timeout;
+        if (one.asked.deadline)
+            one.ends = std::min<time_point>(
+                one.ends, one.arrived + *one.asked.deadline);
+        budget(one.service).request();
+        return 0;
+    }
+
+    void reject(exchange& one, int status)
+    {
+        counters.count("requests_refused_total", 1,
+                       {{"status", std::to_string(status)}});
+        log::problem("request_rejected",
+                     {{"request", one.asked.id.value()},
+                      {"status", std::to_string(status)},
+                      {"configuration",
+                       current ? std::to_string(current->version) : "none"},
+                      {"host", one.asked.host},
+                      {"path", one.asked.path}});
+        constexpr milliseconds soon{500};
+        one.reply.send(status,
+                       status == 503 ? Codec::refusal_headers(soon)
+                                     : header_list{},
+                       "");
+    }
+
+    void arm_limit(exchange& one)
+    {
+        one.limit = loop.after(one.ends - one.arrived,
+                               [this, number = one.number]
+                               { limit_reached(number); });
+    }
+
+    // --- Placement -------------------------------------------------------
+
+    void place(exchange& one)
+    {
+        const auto now = event_loop::now();
+        const auto* service = one.rules->service(one.service);
+        static const service_profile plain{};
+        placement_request wanted;
+        wanted.service = one.service;
+        wanted.model = one.asked.model;
+        wanted.prompt = one.asked.prompt_tokens;
+        wanted.target = one.route->target;
+        wanted.must = one.streaming;
+        wanted.excluded = one.tried;
+        if (!one.asked.model.empty())
+            wanted.least_version = floor.least(one.asked.model, now);
+        no_placement why;
+        const auto found = places.choose(
+            book, service != nullptr ? *service : plain, wanted, now, why);
+        if (found)
+            return send(one, *found);
+        wait_or_refuse(one, why, now);
+    }
+
+    void wait_or_refuse(exchange& one, const no_placement& why, time_point now)
+    {
+        const auto longest =
+            one.streaming
+                ? std::chrono::microseconds(options.stream_silence)
+                : std::chrono::microseconds(static_cast<std::int64_t>(
+                      static_cast<double>(one.route->target.count()) *
+                      options.wait_part * 1000));
+        const auto since = one.streaming ? one.sent : one.arrived;
+        if (now - since < longest)
+        {
+            if (!one.in_queue)
+            {
+                one.in_queue = true;
+                waiting.push_back(one.number);
+                log::decision("request_queued",
+                              {{"request", one.asked.id.value()},
+                               {"usable", std::to_string(why.usable)},
+                               {"least_ms", text(why.least_ms)}});
+            }
+            return;
+        }
+        if (one.streaming)
+            return cut(one, "no upstream takes the stream on");
+        refuse(one, why);
+    }
+
+    void refuse(exchange& one, const no_placement& why)
+    {
+        const auto target = static_cast<double>(one.route->target.count());
+        const auto over = why.usable == 0
+                              ? target
+                              : why.least_ms - target * target_part;
+        const auto wait = std::clamp(
+            milliseconds(static_cast<std::int64_t>(std::max(over, 0.0))),
+            options.least_retry_after, options.most_retry_after);
+        counters.count("requests_refused_total", 1, {{"status", "503"}});
+        log::problem("request_refused",
+                     {{"request", one.asked.id.value()},
+                      {"route", one.route->name},
+                      {"reason", why.usable == 0 ? "no usable upstream"
+                                                 : "target would be missed"},
+                      {"usable", std::to_string(why.usable)},
+                      {"least_ms", text(why.least_ms)},
+                      {"target_ms", text(target)},
+                      {"retry_after_ms", std::to_string(wait.count())}});
+        one.reply.send(503, Codec::refusal_headers(wait), "");
+        forget(one);
+    }
+
+    // --- One attempt -----------------------------------------------------
+
+    void send(exchange& one, const upstream_choice& at)
+    {
+        const auto now = event_loop::now();
+        leave_queue(one);
+        one.at = at;
+        one.attempt = ++last_attempt;
+        one.sent = now;
+        one.head = {};
+        one.body.clear();
+        one.progressed = false;
+        one.tried.push_back(at.upstream);
+        one.events.drop_rest();
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(one.ends - now);
+        attempt_facts facts;
+        facts.upstream = at.upstream;
+        facts.organisation = one.owner;
+        facts.left = std::max(left, milliseconds(1));
+        facts.version = at.version;
+        facts.last_event =
+            one.events.last_id() ? one.events.last_id() : one.asked.last_event;
+        stream_call call;
+        call.address = at.address;
+        call.method = one.original.method;
+        call.target = one.original.target;
+        call.headers = Codec::attempt_headers(one.original, facts);
+        call.body = one.original.body;
+        book.begin(at.upstream, one.attempt, one.asked.prompt_tokens, now);
+        counters.count("attempts_total");
+        log::decision("request_sent",
+                      {{"request", one.asked.id.value()},
+                       {"upstream", at.upstream.value()},
+                       {"attempt", std::to_string(one.tried.size())},
+                       {"predicted_ms", text(at.predicted_ms)},
+                       {"version", std::to_string(at.version)},
+                       {"left_ms", std::to_string(left.count())}});
+        one.call = client.start(std::move(call), callbacks(one.number));
+        arm_silence(one);
+    }
+
+    stream_client::callbacks callbacks(std::uint64_t number)
+    {
+        stream_client::callbacks to;
+        to.head = [this, number](const stream_head& head)
+        { with(number, [&](exchange& one) { got_head(one, head); }); };
+        to.data = [this, number](std::string_view bytes)
+        { with(number, [&](exchange& one) { got_data(one, bytes); }); };
+        to.ended = [this, number](stream_end how, const std::string& why)
+        { with(number, [&](exchange& one) { got_end(one, how, why); }); };
+        return to;
+    }
+
+    /*! @brief Gives a stream's upstream up when it is silent for too long. */
+    void arm_silence(exchange& one)
+    {
+        if (one.route->kind != request_kind::stream || !one.route->resumable)
+            return;
+        const auto first = milliseconds(static_cast<std::int64_t>(
+                               one.at.predicted_ms * options.first_factor)) +
+                           options.first_slack;
+        one.silence = loop.after(
+            one.progressed ? options.stream_silence : first,
+            [this, number = one.number]
+            {
+                with(number,
+                     [&](exchange& found)
+                     {
+                         client.cancel(found.call);
+                         failed(found, attempt_reach::may_have_run,
+                                "upstream is silent");
+                     });
+            });
+    }
+
+    void got_head(exchange& one, const stream_head& head)
+    {
+        one.head = head;
+        const auto facts = Codec::facts(head);
+        if (facts.id == one.asked.id || facts.not_run)
+            return;
+        // The answer to another request: nothing on this connection is ours.
+        client.cancel(one.call);
+        failed(one, attempt_reach::may_have_run,
+                      "answer carries another request's id");
+    }
+
+    [[nodiscard]] bool passes_events(const exchange& one) const
+    {
+        return one.route->kind == request_kind::stream &&
+               one.head.status == 200;
+    }
+
+    void got_data(exchange& one, std::string_view bytes)
+    {
+        if (!passes_events(one))
+        {
+            one.body.append(bytes);
+            return;
+        }
+        const auto events = one.events.take(bytes);
+        if (events.empty())
+            return;
+        if (!one.progressed)
+            first_event(one);
+        begin_stream(one);
+        one.reply.write(events);
+        arm_silence(one);
+    }
+
+    void first_event(exchange& one)
+    {
+        one.progressed = true;
+        book.began(one.at.upstream, one.attempt);
+        const auto took = to_seconds(event_loop::now() - one.sent);
+        constexpr double ms = 1000;
+        book.seen(one.at.upstream, one.at.predicted_ms, took * ms);
+        counters.observe("first_event_seconds", took);
+        if (!one.streaming)
+            log::decision("first_event",
+                          {{"request", one.asked.id.value()},
+                           {"upstream", one.at.upstream.value()},
+                           {"predicted_ms", text(one.at.predicted_ms)},
+                           {"seen_ms", text(took * ms)}});
+    }
+
+    void begin_stream(exchange& one)
+    {
+        if (one.streaming)
+            return;
+        one.streaming = true;
+        one.reply.begin(one.head.status, Codec::answer_headers(one.head));
+    }
+
+    void got_end(exchange& one, stream_end how, const std::string& why)
+    {
+        if (how != stream_end::whole)
+            return failed(one,
+                          how == stream_end::not_sent
+                              ? attempt_reach::not_sent
+                              : attempt_reach::may_have_run,
+                          why);
+        const auto facts = Codec::facts(one.head);
+        if (facts.not_run)
+            return failed(one, attempt_reach::not_run,
+                          "upstream did not run it (" +
+                              std::to_string(one.head.status) + ")");
+        if (facts.id != one.asked.id)
+            return failed(one, attempt_reach::may_have_run,
+                      "answer carries another request's id");
+        if (passes_events(one))
+            return finish_stream(one);
+        answered(one);
+    }
+
+    void finish_stream(exchange& one)
+    {
+        const auto rest = one.events.rest();
+        begin_stream(one);
+        one.reply.write(rest);
+        one.reply.finish();
+        settle(one, true, "answered");
+    }
+
+    /*! @brief A whole answer that is not a stream. */
+    void answered(exchange& one)
+    {
+        const int status = one.head.status;
+        constexpr int server_error = 500;
+        if (status >= server_error && !one.streaming && may_repeat(one))
+            return failed(one, attempt_reach::may_have_run,
+                          "upstream answered " + std::to_string(status));
+        if (one.streaming)
+            return cut(one, "upstream answered " + std::to_string(status) +
+                                " to a stream that goes on");
+        // These would promise that the request did not run; only an upstream
+        // that says so may be passed on.
+        constexpr std::array<int, 4> promises{408, 421, 429, 503};
+        if (std::find(promises.begin(), promises.end(), status) !=
+            promises.end())
+        {
+            one.reply.send(502, {}, "");
+            return settle(one, false, "upstream answered " +
+                                          std::to_string(status) +
+                                          " without proof that it did not run");
+        }
+        one.reply.send(status, Codec::answer_headers(one.head), one.body);
+        settle(one, status < server_error, "answered");
+    }
+
+    // --- Failure ---------------------------------------------------------
+
+    /*! @brief Tells whether the request may be sent once more although an
+     * attempt may have run. */
+    [[nodiscard]] bool may_repeat(const exchange& one) const
+    {
+        return one.route->repeatable() &&
+               one.runs + 1 < one.route->most_upstreams;
+    }
+
+    /*! @brief An attempt failed: it is sent again where that is allowed. */
+    void failed(exchange& one, attempt_reach reach, const std::string& why)
+    {
+        const auto now = event_loop::now();
+        const bool may_have_run = reach == attempt_reach::may_have_run;
+        one.silence.stop();
+        book.end(one.at.upstream, one.attempt, false, now);
+        counters.count("attempts_failed_total", 1,
+                       {{"may_have_run", may_have_run ? "true" : "false"}});
+        const bool again = may_have_run ? may_repeat(one)
+                                        : one.tried.size() < most_tries;
+        if (may_have_run)
+            ++one.runs;
+        // What never arrived costs the service nothing.
+        const bool paid = again && (reach == attempt_reach::not_sent ||
+                                    budget(one.service).spend());
+        log::problem("attempt_failed",
+                     {{"request", one.asked.id.value()},
+                      {"upstream", one.at.upstream.value()},
+                      {"why", why},
+                      {"may_have_run", may_have_run ? "true" : "false"},
+                      {"sent_again", paid ? "true" : "false"},
+                      {"after_ms", text(to_seconds(now - one.sent) * 1000)}});
+        if (paid)
+            return place(one);
+        give_up(one, again ? "retry budget is spent" : why);
+    }
+
+    /*! @brief No attempt is left: the final answer, at once. */
+    void give_up(exchange& one, const std::string& why)
+    {
+        if (one.streaming)
+            return cut(one, why);
+        const bool not_run = one.runs == 0;
+        one.reply.send(not_run ? 503 : 502,
+                       not_run ? Codec::refusal_headers(
+                                     options.least_retry_after)
+                               : header_list{},
+                       "");
+        finish_log(one, not_run ? "not run" : "unknown", why);
+        forget(one);
+    }
+
+    void cut(exchange& one, const std::string& why)
+    {
+        one.reply.cut();
+        finish_log(one, "cut", why);
+        forget(one);
+    }
+
+    void limit_reached(std::uint64_t number)
+    {
+        with(number,
+             [&](exchange& one)
+             {
+                 abandon_attempt(one);
+                 if (one.streaming)
+                     return cut(one, "time limit");
+                 const bool not_run = one.tried.empty();
+                 one.reply.send(not_run ? 503 : 504,
+                                not_run ? Codec::refusal_headers(
+                                              options.least_retry_after)
+                                        : header_list{},
+                                "");
+                 finish_log(one, "late", "time limit");
+                 forget(one);
+             });
+    }
+
+    void left(std::uint64_t number)
+    {
+        with(number,
+             [&](exchange& one)
+             {
+                 abandon_attempt(one);
+                 finish_log(one, "cancelled", "caller left");
+                 forget(one);
+             });
+    }
+
+    void abandon_attempt(exchange& one)
+    {
+        if (one.attempt == 0)
+            return;
+        client.cancel(one.call);
+        book.withdraw(one.at.upstream, one.attempt);
+    }
+
+    // --- End -------------------------------------------------------------
+
+    void settle(exchange& one, bool good, const std::string& how)
+    {
+        book.end(one.at.upstream, one.attempt, good, event_loop::now());
+        counters.count("requests_answered_total", 1,
+                       {{"status", std::to_string(one.head.status)}});
+        log::decision("request_answered",
+                      {{"request", one.asked.id.value()},
+                       {"upstream", one.at.upstream.value()},
+                       {"status", std::to_string(one.head.status)},
+                       {"outcome", how},
+                       {"events", std::to_string(one.events.size())},
+                       {"took_ms", text(to_seconds(event_loop::now() -
+                                                   one.arrived) *
+                                        1000)}});
+        forget(one);
+    }
+
+    void finish_log(exchange& one, std::string_view outcome,
+                    const std::string& why)
+    {
+        counters.count("requests_failed_total", 1,
+                       {{"outcome", std::string(outcome)}});
+        log::problem(
+            "request_failed",
+            {{"request", one.asked.id.value()},
+             {"outcome", std::string(outcome)},
+             {"why", why},
+             {"attempts", std::to_string(one.tried.size())},
+             {"upstream", one.at.upstream.value()},
+             {"events", std::to_string(one.events.size())},
+             {"took_ms",
+              text(to_seconds(event_loop::now() - one.arrived) * 1000)}});
+    }
+
+    void leave_queue(exchange& one)
+    {
+        if (!one.in_queue)
+            return;
+        one.in_queue = false;
+        std::erase(waiting, one.number);
+    }
+
+    void forget(exchange& one)
+    {
+        leave_queue(one);
+        one.limit.stop();
+        one.silence.stop();
+        open.erase(one.number);
+    }
+
+    template <typename Call>
+    void with(std::uint64_t number, Call call)
+    {
+        const auto found = open.find(number);
+        if (found == open.end())
+            return;
+        const auto held = found->second;
+        call(*held);
+    }
+
+    retry_budget& budget(const service_name& service)
+    {
+        const auto most =
+            options.retry_reserve / static_cast<double>(entry_count);
+        return budgets
+            .try_emplace(service, options.retry_portion, std::max(most, 1.0))
+            .first->second;
+    }
+
+    static std::string text(double value)
+    {
+        return std::to_string(static_cast<std::int64_t>(value));
+    }
+
+    /*! @brief Attempts at most, those that certainly did not run included. */
+    static constexpr std::size_t most_tries = 3;
+    static constexpr double target_part = 0.9;
+
+    event_loop& loop;
+    stream_client& client;
+    upstream_book& book;
+    metrics& counters;
+    placer places;
+    exchange_options options;
+    version_floor floor;
+    std::shared_ptr<const installation> current;
+    std::map<std::uint64_t, std::shared_ptr<exchange>> open;
+    std::vector<std::uint64_t> waiting;
+    std::map<service_name, retry_budget> budgets;
+    std::size_t entry_count{1};
+    std::uint64_t last_number{0};
+    std::uint64_t last_attempt{0};
+    timer ticking;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -0,0 +1,21 @@
+/*! @file
+ * @brief Declares the types of the proxy module.
+ */
+#ifndef COURSEJUNCTION_PROXY_FWD_HPP
+#define COURSEJUNCTION_PROXY_FWD_HPP
+
+namespace coursejunction
+{
+
+class event_splitter;
+struct caller_request;
+struct attempt_facts;
+struct answer_facts;
+template <typename Codec>
+class exchange_service;
+template <typename Platform>
+class gateway;
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -0,0 +1,259 @@
+/*! @file
+ * @brief The entry role: takes callers' requests, says whether it is ready,
+ * and stops without cutting anything.
+ */
+#ifndef COURSEJUNCTION_PROXY_GATEWAY_HPP
+#define COURSEJUNCTION_PROXY_GATEWAY_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/fleet/fleet_node.hpp"
+#include "coursejunction/fleet/fleet_view.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/proxy/exchange_service.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Addresses and times of an entry. */
+struct gateway_options
+{
+    std::string caller_address; /*!< `IP:port` for callers. */
+    std::string ready_address;  /*!< `IP:port` for the balancer's question. */
+    std::string ready_path;
+    /*! @brief Time within which a named version must be used; the bound less
+     * a second for news that comes late. */
+    milliseconds version_time{6500};
+    /*! @brief A stop that takes longer is ended by force. */
+    milliseconds stop_grace{8000};
+    exchange_options exchange;
+    placement_weights weights;
+};
+
+/*! @brief Serves callers.
+ * @tparam Platform Names the `store`, `catalogue` and `codec`. */
+template <typename Platform>
+class gateway
+{
+public:
+    using codec = typename Platform::codec;
+    using node_type = fleet_node<typename Platform::store>;
+
+    /*! @brief Opens the ports.
+     * @return The entry, or `unavailable`. */
+    [[nodiscard]] static result<std::unique_ptr<gateway>>
+    create(event_loop& loop, node_type& node, metrics& counters,
+           gateway_options options)
+    {
+        std::unique_ptr<gateway> made(
+            new gateway(loop, node, counters, std::move(options)));
+        auto opened = made->open();
+        if (!opened)
+            return failure(opened.error().kind, opened.error().message);
+        return made;
+    }
+
+    /*! @brief Starts to act. */
+    void start()
+    {
+        fleet_hooks hooks;
+        hooks.changed = [this](const std::vector<std::string>& keys)
+        { changed(keys); };
+        hooks.heard =
+            [this](const std::string& from, const message::fleet_heartbeat& one)
+        { heard(from, one); };
+        node.start(std::move(hooks));
+        ticking = loop.every(tick_interval, [this] { tick(); });
+    }
+
+    /*! @brief Begins a planned stop; `done` is called when nothing is open. */
+    void stop(std::function<void()> done)
+    {
+        if (leaving)
+            return;
+        leaving = true;
+        stopped_at = event_loop::now();
+        stopped = std::move(done);
+        log::state("stop_begun",
+                   {{"open_requests", std::to_string(exchanges.size())}});
+        node.leave();
+    }
+
+    [[nodiscard]] const fleet_view<Platform>& view() const { return fleet; }
+    [[nodiscard]] const upstream_book& upstreams() const { return book; }
+    [[nodiscard]] std::size_t open_requests() const { return exchanges.size(); }
+
+private:
+    /*! @brief How often lapses, readiness and a stop are looked at. */
+    static constexpr milliseconds tick_interval{100};
+
+    /*! @brief After a stop began, the balancer still sends for this long: it
+     * asks each second and believes the second miss. */
+    static constexpr milliseconds balancer_notice{2300};
+
+    /*! @brief Idle connections are closed from then on: every answer since has
+     * told the caller to leave. */
+    static constexpr milliseconds idle_notice{3300};
+
+    /*! @brief What is left of the grace when the rest is cut. */
+    static constexpr milliseconds last_moment{500};
+
+    /*! @brief Records that go this soon after the store failed may come back. */
+    static constexpr milliseconds lapse_window{4000};
+
+    gateway(event_loop& owner, node_type& peers, metrics& counted,
+            gateway_options set)
+        : loop(owner), node(peers), counters(counted), options(std::move(set)),
+          exchanges(owner, peers.client(), book, counted,
+                    placer(options.weights, peers.settings().hall,
+                           peers.settings().address),
+                    options.exchange)
+    {
+    }
+
+    result<bool> open()
+    {
+        auto made = listen(options.caller_address,
+                           [this](stream_request request, stream_reply reply)
+                           {
+                               exchanges.request(std::move(request),
+                                                 std::move(reply));
+                           });
+        if (!made)
+            return failure(made.error().kind, made.error().message);
+        callers = std::move(made.value());
+        auto asked = listen(options.ready_address,
+                            [this](const stream_request&, stream_reply reply)
+                            { reply.send(ready() ? 200 : 503, {}, ""); });
+        if (!asked)
+            return failure(asked.error().kind, asked.error().message);
+        readiness = std::move(asked.value());
+        return true;
+    }
+
+    result<std::unique_ptr<stream_server>> listen(const std::string& address,
+                                                  stream_server::handler call)
+    {
+        const auto colon = address.rfind(':');
+        const auto port = static_cast<std::uint16_t>(
+            std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+        return stream_server::create(loop, address.substr(0, colon), port, {},
+                                     std::move(call));
+    }
+
+    /*! @brief Ready means: knows what to do with a request. */
+    [[nodiscard]] bool ready() const
+    {
+        return !leaving && fleet.rules() != nullptr;
+    }
+
+    void changed(const std::vector<std::string>& keys)
+    {
+        const auto now = event_loop::now();
+        const auto* before = fleet.rules();
+        const bool lapse = node.store_failed() != time_point{} &&
+                           now - node.store_failed() < lapse_window;
+        for (const auto& one : fleet.update(node.mirror(), keys))
+        {
+            if (one.removed)
+                book.remove(one.id, lapse, now);
+            else
+                book.record(fleet.upstreams().at(one.id));
+            log::state("upstream_changed",
+                       {{"upstream", one.id.value()},
+                        {"removed", one.removed ? "true" : "false"},
+                        {"lapse", lapse ? "true" : "false"}});
+        }
+        for (const auto& [key, named] : fleet.versions())
+            exchanges.floors().name(key.first, key.second, named,
+                                    options.version_time);
+        if (fleet.rules() != before)
+            configure();
+        name_sides();
+    }
+
+    void configure()
+    {
+        exchanges.configure(fleet.shared_rules());
+        const auto& limits = fleet.rules()->limits;
+        callers->limits({limits.head_bytes, limits.body_bytes, limits.head_time,
+                         limits.idle_time});
+    }
+
+    /*! @brief Sides stand beside the upstreams that have an engine. */
+    void name_sides()
+    {
+        const auto* rules = fleet.rules();
+        if (rules == nullptr)
+            return;
+        for (const auto& [id, one] : fleet.upstreams())
+        {
+            const auto* service = rules->service(one.service);
+            if (service != nullptr && service->engine)
+                node.name_peer(host_of(one.address), false);
+        }
+    }
+
+    void heard(const std::string& from, const message::fleet_heartbeat& one)
+    {
+        if (one.entry)
+            return;
+        book.status(from, one.upstream, event_loop::now());
+        if (exchanges.queued() > 0)
+            exchanges.tick();
+    }
+
+    void tick()
+    {
+        const auto now = event_loop::now();
+        book.expire(now);
+        exchanges.entries(node.peers().entries(now) + 1);
+        if (leaving)
+            go_on_stopping(now);
+    }
+
+    void go_on_stopping(time_point now)
+    {
+        const auto since = now - stopped_at;
+        if (since >= balancer_notice)
+            callers->retire();
+        if (since >= idle_notice)
+            callers->close_idle();
+        const bool idle =
+            since >= idle_notice && callers->size() == 0 && exchanges.size() == 0;
+        if (!idle && since < options.stop_grace - last_moment)
+            return;
+        const auto call = std::exchange(stopped, nullptr);
+        if (!call)
+            return;
+        log::state("stop_done",
+                   {{"open_requests", std::to_string(exchanges.size())},
+                    {"connections", std::to_string(callers->size())}});
+        call();
+    }
+
+    event_loop& loop;
+    node_type& node;
+    metrics& counters;
+    gateway_options options;
+    upstream_book book;
+    fleet_view<Platform> fleet;
+    exchange_service<codec> exchanges;
+    std::unique_ptr<stream_server> callers;
+    std::unique_ptr<stream_server> readiness;
+    std::function<void()> stopped;
+    time_point stopped_at{};
+    bool leaving{false};
+    timer ticking;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/proxy/request_codec.hpp
@@ -0,0 +1,80 @@
+/*! @file
+ * @brief What an edge tells of requests and answers, whatever its headers are
+ * called.
+ */
+#ifndef COURSEJUNCTION_PROXY_REQUEST_CODEC_HPP
+#define COURSEJUNCTION_PROXY_REQUEST_CODEC_HPP
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/net/header_list.hpp"
+#include "coursejunction/net/stream_client.hpp"
+#include "coursejunction/net/stream_server.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief A caller's request as far as decisions need it. */
+struct caller_request
+{
+    request_id id;
+    std::string host; /*!< Without a port, in lower case. */
+    std::string path; /*!< Without the query. */
+    std::optional<milliseconds> deadline;
+    std::optional<std::string> key;
+    std::string model;      /*!< Empty for plain requests. */
+    double prompt_tokens{0};
+    double most_tokens{0};  /*!< Largest answer. */
+    double likely_tokens{0}; /*!< The caller's estimate; 0 when not told. */
+    std::optional<std::uint64_t> last_event;
+};
+
+/*! @brief What one attempt tells its upstream. */
+struct attempt_facts
+{
+    instance_id upstream;
+    std::optional<organisation_id> organisation;
+    milliseconds left{0};
+    std::uint64_t version{0}; /*!< Expected weights; 0 for any. */
+    std::optional<std::uint64_t> last_event;
+};
+
+/*! @brief What an upstream's answer tells. */
+struct answer_facts
+{
+    request_id id;
+    bool not_run{false}; /*!< The upstream says that it did not run it. */
+    bool signed_{false};
+    bool events{false};
+};
+
+/*! @brief Decodes callers' requests and encodes attempts; pure. */
+template <typename Codec>
+concept Request_codec = requires(const stream_request& request,
+                                 const attempt_facts& attempt,
+                                 const stream_head& head, milliseconds wait)
+{
+    {
+        Codec::decode(request)
+        } -> std::same_as<caller_request>;
+    {
+        Codec::attempt_headers(request, attempt)
+        } -> std::same_as<header_list>;
+    {
+        Codec::facts(head)
+        } -> std::same_as<answer_facts>;
+    {
+        Codec::answer_headers(head)
+        } -> std::same_as<header_list>;
+    {
+        Codec::refusal_headers(wait)
+        } -> std::same_as<header_list>;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/rollout/turn_policy.hpp
@@ -0,0 +1,68 @@
+/*! @file
+ * @brief When a side may close its upstream to load new weights; pure.
+ */
+#ifndef COURSEJUNCTION_ROLLOUT_TURN_POLICY_HPP
+#define COURSEJUNCTION_ROLLOUT_TURN_POLICY_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "coursejunction/core/rendezvous.hpp"
+#include "coursejunction/core/types.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Limits of a rollout inside one hall. */
+struct turn_limits
+{
+    /*! @brief Part of a hall's upstreams that may be closed at once. */
+    double closed_part{0.34};
+    /*! @brief Time after which an upstream closes whatever the others do: a
+     * version has 8 s, of which a full engine drains for up to 3. */
+    milliseconds latest{4500};
+};
+
+/*! @brief Another side of the same hall, as it last told. */
+struct hall_neighbour
+{
+    instance_id id;
+    bool closed{false};  /*!< Takes nothing new. */
+    bool behind{false};  /*!< Does not serve the wanted version yet. */
+};
+
+/*! @brief Tells whether a side may close now. Nobody grants it: each side
+ * counts those that it hears, and ties go by rank. Sides that do not hear each
+ * other may close together, which costs room for a moment but no rule.
+ * @param known How long ago the version was named. */
+[[nodiscard]] inline bool may_close(const turn_limits& limits,
+                                    const instance_id& own,
+                                    const std::vector<hall_neighbour>& others,
+                                    const std::string& version,
+                                    std::chrono::microseconds known)
+{
+    if (known >= limits.latest)
+        return true;
+    const auto size = static_cast<double>(others.size() + 1);
+    const auto most = std::max<std::size_t>(
+        1, static_cast<std::size_t>(size * limits.closed_part + 0.5));
+    std::size_t closed = 0;
+    std::size_t before = 0;
+    const auto rank = rendezvous_weight(version, own.value());
+    for (const auto& one : others)
+    {
+        if (one.closed)
+            ++closed;
+        else if (one.behind &&
+                 rendezvous_weight(version, one.id.value()) > rank)
+            ++before;
+    }
+    // Those before us may close first, as long as there is room for all.
+    return closed < most && before < most - closed;
+}
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -0,0 +1,425 @@
+/*! @file
+ * @brief The side role: brings the upstream of its instance to the version
+ * that is named, and tells the entries what it does.
+ */
+#ifndef COURSEJUNCTION_ROLLOUT_UPSTREAM_AGENT_HPP
+#define COURSEJUNCTION_ROLLOUT_UPSTREAM_AGENT_HPP
+
+#include <charconv>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/fleet/fleet_node.hpp"
+#include "coursejunction/fleet/fleet_view.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/rollout/turn_policy.hpp"
+#include "coursejunction/rollout/upstream_engine.hpp"
+#include "coursejunction/transfer/chunk_transfer.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Times of the side role. */
+struct agent_options
+{
+    /*! @brief How often the upstream's state is read; entries place requests
+     * by it, and 12 upstreams get some 10 requests a second each. */
+    milliseconds poll{50};
+    /*! @brief Statuses that say the same are told this seldom. */
+    milliseconds quiet{200};
+    milliseconds poll_time{400};
+    /*! @brief Between the news that the upstream closes and the order, so that
+     * requests on their way still arrive before it. */
+    milliseconds close_pause{30};
+    /*! @brief Without effect for this long, an order is given again. */
+    milliseconds order_patience{5000};
+    turn_limits turns;
+};
+
+/*! @brief Acts for one upstream.
+ * @tparam Platform Names the `store`, `catalogue`, `engine` and `origin`. */
+template <typename Platform>
+class upstream_agent
+{
+public:
+    using store_type = typename Platform::store;
+    using engine_type = typename Platform::engine;
+    using origin_type = typename Platform::origin;
+    using node_type = fleet_node<store_type>;
+    using transfer_type = chunk_transfer<engine_type, origin_type>;
+
+    upstream_agent(event_loop& owner, node_type& peers, engine_type& beside,
+                   origin_type& weights, metrics& counted, agent_options set)
+        : loop(owner), node(peers), engine(beside), origin(weights),
+          counters(counted), options(set), own(node.settings().address)
+    {
+    }
+
+    /*! @brief Starts to act. */
+    void start()
+    {
+        fleet_hooks hooks;
+        hooks.changed = [this](const std::vector<std::string>& keys)
+        { changed(keys); };
+        hooks.heard =
+            [this](const std::string& from, const message::fleet_heartbeat& one)
+        { heard(from, one); };
+        hooks.describe = [this](message::fleet_heartbeat& into)
+        { describe(into); };
+        hooks.request = [this](stream_request request, stream_reply reply)
+        { serve_peer(request, std::move(reply)); };
+        node.start(std::move(hooks));
+        polling = loop.every(options.poll, [this] { poll(); });
+    }
+
+    [[nodiscard]] const fleet_view<Platform>& view() const { return fleet; }
+
+private:
+    // --- What is wanted --------------------------------------------------
+
+    void changed(const std::vector<std::string>& keys)
+    {
+        fleet.update(node.mirror(), keys);
+        for (const auto& [id, one] : fleet.upstreams())
+        {
+            if (!one.weights.empty() || has_engine(one))
+                node.name_peer(host_of(one.address), false);
+        }
+        decide();
+    }
+
+    [[nodiscard]] bool has_engine(const upstream_record& one) const
+    {
+        const auto* rules = fleet.rules();
+        const auto* service =
+            rules != nullptr ? rules->service(one.service) : nullptr;
+        return service != nullptr && service->engine.has_value();
+    }
+
+    /*! @brief Returns the model that this upstream is for. */
+    [[nodiscard]] std::string model() const
+    {
+        if (last && !last->model.empty())
+            return last->model;
+        const auto* rules = fleet.rules();
+        if (rules == nullptr)
+            return {};
+        for (const auto& [name, service] : rules->services)
+        {
+            if (service.engine && !service.engine->models.empty())
+                return service.engine->models.front();
+        }
+        return {};
+    }
+
+    void decide()
+    {
+        const auto name = model();
+        if (name.empty() || !last)
+            return;
+        const model_version wanted{name, fleet.newest(name)};
+        if (!transfer || transfer->version() != wanted)
+            want(wanted);
+        if (last->version != wanted.version)
+        {
+            transfer->fetch();
+            advance();
+        }
+        else if (closing)
+            opened();
+    }
+
+    void want(const model_version& wanted)
+    {
+        log::state("version_wanted",
+                   {{"model", wanted.model},
+                    {"version", std::to_string(wanted.version)},
+                    {"serves", std::to_string(last->version)}});
+        typename transfer_type::surroundings around;
+        around.origin = [this]
+        {
+            const auto* rules = fleet.rules();
+            const auto* from = rules != nullptr ? rules->origin() : nullptr;
+            return from != nullptr ? from->origin : std::string();
+        };
+        around.participants = [this] { return participants(); };
+        around.peer_port = [this](const instance_id& id)
+        { return node.peer_port(id.value()); };
+        transfer = std::make_shared<transfer_type>(
+            loop, node.client(), engine, origin, counters, wanted,
+            instance_id(own), std::move(around), chunk_transfer_options{});
+        transfer->start();
+        verified = false;
+    }
+
+    /*! @brief Returns every side of the installation, this one included. */
+    [[nodiscard]] std::vector<participant> participants() const
+    {
+        std::vector<participant> all;
+        for (const auto& [id, one] : fleet.upstreams())
+        {
+            if (has_engine(one))
+                all.push_back({instance_id(host_of(one.address)), one.hall,
+                               region_id(one.hall.value())});
+        }
+        return all;
+    }
+
+    // --- The upstream ----------------------------------------------------
+
+    void poll()
+    {
+        if (polls_open)
+            return;
+        polls_open = true;
+        engine.report(
+            [this](result<engine_report> told)
+            {
+                polls_open = false;
+                if (told)
+                    return reported(std::move(told.value()));
+                unreachable(told.error().message);
+            });
+    }
+
+    void unreachable(const std::string& why)
+    {
+        if (!reachable)
+            return;
+        reachable = false;
+        log::warning("upstream_lost", {{"why", why}});
+        ++status_sequence;
+        node.announce();
+    }
+
+    void reported(engine_report told)
+    {
+        const bool restarted =
+            last && (told.sequence < last->sequence ||
+                     (told.version == 0 && last->version != 0 && !closing));
+        if (!reachable || !last || told.version != last->version)
+            log::state("upstream_read",
+                       {{"model", told.model},
+                        {"version", std::to_string(told.version)},
+                        {"sequence", std::to_string(told.sequence)}});
+        if (restarted)
+            upstream_restarted();
+        const bool differs = !reachable || !last ||
+                             told.running != last->running ||
+                             told.waiting != last->waiting ||
+                             told.version != last->version ||
+                             told.ordered != last->ordered;
+        reachable = true;
+        last = std::move(told);
+        ++status_sequence;
+        decide();
+        const auto now = event_loop::now();
+        if (differs || now - told_at >= options.quiet)
+        {
+            told_at = now;
+            node.announce();
+        }
+    }
+
+    void upstream_restarted()
+    {
+        log::warning("upstream_restarted", {});
+        closing = false;
+        verified = false;
+        if (transfer)
+            transfer->upstream_restarted();
+    }
+
+    void opened()
+    {
+        closing = false;
+        log::state("version_served",
+                   {{"model", last->model},
+                    {"version", std::to_string(last->version)}});
+        counters.count("versions_loaded_total");
+    }
+
+    // --- Loading ---------------------------------------------------------
+
+    /*! @brief Takes the next step towards the wanted version. */
+    void advance()
+    {
+        const auto now = event_loop::now();
+        if (closing)
+        {
+            if (now - ordered_at > options.order_patience)
+            {
+                log::warning("order_without_effect", {});
+                closing = false;
+                verified = false;
+            }
+            return;
+        }
+        if (verifying || !transfer->staged() || !my_turn(now))
+            return;
+        verifying = true;
+        transfer->verify(
+            [this, of = transfer->version()](bool right)
+            {
+                verifying = false;
+                if (!right || !transfer || transfer->version() != of)
+                    return;
+                close();
+            });
+    }
+
+    [[nodiscard]] bool my_turn(time_point now) const
+    {
+        if (last->version == 0)
+            return true;
+        const auto& wanted = transfer->version();
+        std::vector<hall_neighbour> others;
+        for (const auto& [address, one] : node.peers().all())
+        {
+            if (one.entry || !peer_directory::alive(one, now) ||
+                one.last.hall != node.settings().hall.value())
+                continue;
+            others.push_back({instance_id(address), !one.last.upstream.open,
+                              one.last.upstream.version < wanted.version});
+        }
+        const auto known = now - fleet.named_at(wanted.model, wanted.version);
+        return may_close(options.turns, instance_id(own), others,
+                         wanted.model + std::to_string(wanted.version), known);
+    }
+
+    /*! @brief Tells the entries first, then gives the order. */
+    void close()
+    {
+        closing = true;
+        ordered_at = event_loop::now();
+        ++status_sequence;
+        node.announce();
+        order_timer = loop.after(options.close_pause, [this] { order(); });
+    }
+
+    void order()
+    {
+        if (!transfer || !last)
+            return;
+        const auto wanted = transfer->version();
+        counters.count("orders_total");
+        engine.load(
+            wanted, last->sequence,
+            [this, wanted](order_outcome outcome)
+            {
+                log::state("order_given",
+                           {{"model", wanted.model},
+                            {"version", std::to_string(wanted.version)},
+                            {"outcome",
+                             std::to_string(static_cast<int>(outcome))}});
+                if (outcome == order_outcome::begun ||
+                    outcome == order_outcome::done ||
+                    outcome == order_outcome::unknown)
+                    return;
+                closing = false;
+                ++status_sequence;
+                node.announce();
+            });
+    }
+
+    // --- Peers -----------------------------------------------------------
+
+    void describe(message::fleet_heartbeat& into) const
+    {
+        auto& told = into.upstream;
+        told.sequence = status_sequence;
+        told.reachable = reachable;
+        if (last)
+        {
+            told.model = last->model;
+            told.version = last->version;
+            told.running = last->running;
+            told.waiting = last->waiting;
+            told.memory_used = last->memory_used;
+            told.memory_size = last->memory_size;
+            told.pace = last->pace;
+            told.open = !closing && last->version > 0;
+        }
+        if (transfer)
+            into.chunks = transfer->possession();
+    }
+
+    void heard(const std::string& from, const message::fleet_heartbeat& one)
+    {
+        if (transfer && !one.entry)
+            transfer->peer_holds(instance_id(from), one.chunks);
+    }
+
+    static std::string_view parameter(std::string_view target,
+                                      std::string_view name)
+    {
+        auto at = target.find('?');
+        while (at != std::string_view::npos)
+        {
+            const auto from = at + 1;
+            at = target.find('&', from);
+            const auto part = target.substr(
+                from, at == std::string_view::npos ? at : at - from);
+            if (part.starts_with(name) && part.size() > name.size() &&
+                part[name.size()] == '=')
+                return part.substr(name.size() + 1);
+        }
+        return {};
+    }
+
+    static std::uint64_t number(std::string_view text)
+    {
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
+
+    void serve_peer(const stream_request& request, stream_reply reply)
+    {
+        const model_version asked{
+            std::string(parameter(request.target, "model")),
+            number(parameter(request.target, "version"))};
+        if (!transfer || transfer->version() != asked)
+            return reply.send(404, {}, "");
+        if (request.target.starts_with("/chunks?"))
+        {
+            const auto text = transfer->manifest_text();
+            return reply.send(text.empty() ? 404 : 200, {}, text);
+        }
+        transfer->give(static_cast<chunk_index>(
+                           number(parameter(request.target, "index"))),
+                       !parameter(request.target, "wait").empty(),
+                       std::move(reply));
+    }
+
+    event_loop& loop;
+    node_type& node;
+    engine_type& engine;
+    origin_type& origin;
+    metrics& counters;
+    agent_options options;
+    std::string own;
+    fleet_view<Platform> fleet;
+    std::shared_ptr<transfer_type> transfer;
+    std::optional<engine_report> last;
+    std::uint64_t status_sequence{0};
+    time_point told_at{};
+    time_point ordered_at{};
+    bool reachable{false};
+    bool polls_open{false};
+    bool closing{false};
+    bool verifying{false};
+    bool verified{false};
+    timer polling;
+    timer order_timer;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/route/engine_estimate.hpp
@@ -0,0 +1,79 @@
+/*! @file
+ * @brief Predicts when a batching engine gives the first event of a request.
+ */
+#ifndef COURSEJUNCTION_ROUTE_ENGINE_ESTIMATE_HPP
+#define COURSEJUNCTION_ROUTE_ENGINE_ESTIMATE_HPP
+
+#include <algorithm>
+#include <cmath>
+
+#include "coursejunction/fleet/installation.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief What an engine is believed to be doing. */
+struct engine_load
+{
+    double running{0};       /*!< Requests that have a place. */
+    double waiting{0};       /*!< Requests that wait for a place. */
+    double unread_tokens{0}; /*!< Prompt tokens that wait to be read. */
+    double pace{1};          /*!< How many times slower than its figures. */
+};
+
+/*! @brief Returns the ms of one token for each of the running requests. */
+[[nodiscard]] inline double step_ms(const engine_profile& engine,
+                                    double running)
+{
+    const auto context = engine.usual_prompt + engine.usual_answer / 2;
+    return engine.step_ms + engine.step_per_running * running +
+           engine.step_per_kilo * running * context / 1000;
+}
+
+/*! @brief Returns the ms that reading a prompt alone takes. */
+[[nodiscard]] inline double read_ms(const engine_profile& engine, double prompt)
+{
+    constexpr double million = 1e6;
+    return prompt / engine.read_per_ms +
+           engine.pairs_per_million * prompt * prompt / 2 / million;
+}
+
+/*! @brief Returns the ms for which a usual request holds its place on a full
+ * engine: it writes its answer, and meanwhile the engine reads one prompt for
+ * each place that changes hands. */
+[[nodiscard]] inline double holding_ms(const engine_profile& engine)
+{
+    const auto slots = static_cast<double>(engine.slots);
+    return engine.usual_answer * step_ms(engine, slots) +
+           slots * read_ms(engine, engine.usual_prompt);
+}
+
+/*! @brief Returns the ms until an engine gives the first event of a request
+ * that arrives now.
+ *
+ * The pass under way ends; prompts that wait are read, a chunk a pass, with
+ * the writers' strides in between; then the first stride is written. When
+ * every place is taken, one frees after the holding time over the places. */
+[[nodiscard]] inline double first_event_ms(const engine_profile& engine,
+                                           const engine_load& load,
+                                           double prompt)
+{
+    const auto slots = static_cast<double>(engine.slots);
+    const auto inside = load.running + load.waiting;
+    const auto writers = std::min(inside, slots);
+    const auto stride =
+        engine.stride * step_ms(engine, std::min(writers + 1, slots));
+    const auto tokens = load.unread_tokens + prompt;
+    const auto passes =
+        std::max(1.0, std::ceil(tokens / std::max(engine.read_chunk, 1.0)));
+    const auto reading = read_ms(engine, prompt) +
+                         load.unread_tokens / engine.read_per_ms;
+    auto total = stride / 2 + reading + passes * stride;
+    if (inside >= slots)
+        total += (inside - slots + 1) * holding_ms(engine) / slots;
+    return total * std::max(load.pace, 1.0);
+}
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/route/placement.hpp
@@ -0,0 +1,166 @@
+/*! @file
+ * @brief Decides which upstream a request goes to, or that none takes it now;
+ * pure. "Why did this request go there" and "why was it refused" end here.
+ */
+#ifndef COURSEJUNCTION_ROUTE_PLACEMENT_HPP
+#define COURSEJUNCTION_ROUTE_PLACEMENT_HPP
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coursejunction/core/rendezvous.hpp"
+#include "coursejunction/route/upstream_book.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Weights of the choice, in ms of a first event. */
+struct placement_weights
+{
+    /*! @brief What another hall costs: its delay there and back, and bytes
+     * between regions, which the installations price highest. */
+    double other_hall_ms{60};
+    /*! @brief Entries prefer different upstreams by up to this much, so that
+     * those that learn of a free one at once do not all choose it. */
+    double spread_ms{25};
+    /*! @brief What a share of failed attempts costs. */
+    double fault_ms{600};
+    /*! @brief Part of the target that a predicted first event may take. */
+    double target_part{0.9};
+    /*! @brief Requests a plain upstream may have waiting beyond its slots. */
+    double plain_queue{4};
+};
+
+/*! @brief What is to be placed. */
+struct placement_request
+{
+    service_name service;
+    std::string model;           /*!< Empty for plain requests. */
+    std::uint64_t least_version{0}; /*!< Older weights may not be used. */
+    double prompt{0};
+    milliseconds target{0};
+    bool must{false}; /*!< A stream that goes on: late is better than never. */
+    std::vector<instance_id> excluded;
+};
+
+/*! @brief Chooses among the upstreams of a book. */
+class placer
+{
+public:
+    placer(placement_weights set, hall_id home, std::string self)
+        : weights(set), hall(std::move(home)), own(std::move(self))
+    {
+    }
+
+    /*! @brief Returns a place, or nothing with the reason in `why`. */
+    [[nodiscard]] std::optional<upstream_choice>
+    choose(const upstream_book& book, const service_profile& service,
+           const placement_request& request, time_point now,
+           no_placement& why) const
+    {
+        std::optional<upstream_choice> best;
+        double least_cost = 0;
+        why = {};
+        for (const auto& [id, one] : book.all())
+        {
+            if (!usable(one, request, now))
+                continue;
+            const auto predicted = predict(one, service, request, now);
+            why.least_ms = why.usable == 0 ? predicted
+                                           : std::min(why.least_ms, predicted);
+            ++why.usable;
+            if (!fits(one, service, request, predicted, now))
+                continue;
+            const auto cost = predicted + penalty(one);
+            if (best && cost >= least_cost)
+                continue;
+            least_cost = cost;
+            best = upstream_choice{id, one.record.address, predicted,
+                             request.model.empty()
+                                 ? 0
+                                 : upstream_book::version(one, request.model,
+                                                          now)};
+        }
+        return best;
+    }
+
+private:
+    [[nodiscard]] static bool usable(const known_upstream& one,
+                                     const placement_request& request,
+                                     time_point now)
+    {
+        if (one.record.service != request.service || one.record.leaving ||
+            now < one.avoid_until)
+            return false;
+        if (std::find(request.excluded.begin(), request.excluded.end(),
+                      one.record.id) != request.excluded.end())
+            return false;
+        if (request.model.empty())
+            return true;
+        const bool told =
+            one.status && now - one.status_at <= upstream_book::status_validity;
+        if (told && (!one.status->open || !one.status->reachable))
+            return false;
+        const auto version = upstream_book::version(one, request.model, now);
+        return version > 0 && version >= request.least_version;
+    }
+
+    [[nodiscard]] static double predict(const known_upstream& one,
+                                        const service_profile& service,
+                                        const placement_request& request,
+                                        time_point now)
+    {
+        if (service.engine)
+            return first_event_ms(
+                       *service.engine,
+                       upstream_book::load(one, *service.engine, now),
+                       request.prompt) *
+                   std::max(one.lateness, 1.0);
+        // A plain upstream: what waits beyond its slots, in units of a request
+        // that takes half of its target.
+        const auto inside = static_cast<double>(one.attempts.size());
+        const auto slots = static_cast<double>(
+            std::max<std::size_t>(one.record.slots, 1));
+        const auto usual = static_cast<double>(request.target.count()) / 4;
+        return usual * (1 + inside / slots);
+    }
+
+    [[nodiscard]] bool fits(const known_upstream& one,
+                            const service_profile& service,
+                            const placement_request& request, double predicted,
+                            time_point) const
+    {
+        if (request.must)
+            return true;
+        if (service.engine)
+            return predicted <= weights.target_part *
+                                    static_cast<double>(request.target.count());
+        return static_cast<double>(one.attempts.size()) <
+               static_cast<double>(one.record.slots) + weights.plain_queue;
+    }
+
+    [[nodiscard]] double penalty(const known_upstream& one) const
+    {
+        constexpr double range = 1024;
+        const auto rank = static_cast<double>(
+                              rendezvous_weight(own, one.record.id.value()) %
+                              static_cast<std::uint64_t>(range)) /
+                          range;
+        auto cost = rank * weights.spread_ms +
+                    one.fault_share * weights.fault_ms;
+        if (one.record.hall != hall)
+            cost += weights.other_hall_ms;
+        return cost;
+    }
+
+    placement_weights weights;
+    hall_id hall;
+    std::string own;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -0,0 +1,271 @@
+/*! @file
+ * @brief What an entry believes of every upstream, from the store's records,
+ * from the sides' heartbeats and from its own attempts; pure.
+ */
+#ifndef COURSEJUNCTION_ROUTE_UPSTREAM_BOOK_HPP
+#define COURSEJUNCTION_ROUTE_UPSTREAM_BOOK_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/route/engine_estimate.hpp"
+#include "coursejunction/wire/fleet_message.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief One attempt of this entry that is in progress. */
+struct open_attempt
+{
+    time_point sent{};
+    double prompt{0};
+    bool began{false}; /*!< Its first event came. */
+};
+
+/*! @brief One upstream and what was seen of it. */
+struct known_upstream
+{
+    upstream_record record;
+    std::optional<message::upstream_status> status;
+    time_point status_at{};
+    std::map<std::uint64_t, open_attempt> attempts;
+    std::size_t ended_since_status{0};
+    unsigned failures{0};      /*!< In a row. */
+    double fault_share{0};     /*!< Smoothed share of attempts that failed. */
+    double lateness{1};        /*!< Smoothed seen over predicted time. */
+    time_point avoid_until{};
+    std::optional<time_point> lapses_at; /*!< Its record went in an outage. */
+};
+
+/*! @brief A place for a request. */
+struct upstream_choice
+{
+    instance_id upstream;
+    std::string address;
+    double predicted_ms{0};
+    std::uint64_t version{0};
+};
+
+/*! @brief Why nothing was placed. */
+struct no_placement
+{
+    std::size_t usable{0};     /*!< Upstreams that could take it at all. */
+    double least_ms{0};        /*!< The soonest first event, when usable. */
+};
+
+/*! @brief Upstreams by id. */
+class upstream_book
+{
+public:
+    /*! @brief Status older than this no longer tells the load; ten reports. */
+    static constexpr milliseconds status_validity{1000};
+
+    /*! @brief An upstream whose record went while the store was away may have
+     * lapsed only: the platform's pages give it two seconds to come back. */
+    static constexpr milliseconds lapse_grace{2000};
+
+    /*! @brief Takes or replaces a record. */
+    void record(upstream_record one)
+    {
+        auto& known = book[one.id];
+        known.lapses_at.reset();
+        known.record = std::move(one);
+    }
+
+    /*! @brief The record is gone.
+     * @param lapse Whether the store was away, so that it may come back. */
+    void remove(const instance_id& id, bool lapse, time_point now)
+    {
+        const auto found = book.find(id);
+        if (found == book.end())
+            return;
+        if (lapse && !found->second.record.leaving)
+            found->second.lapses_at = now + lapse_grace;
+        else
+            book.erase(found);
+    }
+
+    /*! @brief Forgets records whose grace is over. */
+    void expire(time_point now)
+    {
+        std::erase_if(book,
+                      [&](const auto& one)
+                      {
+                          const auto& at = one.second.lapses_at;
+                          return at && now >= *at;
+                      });
+    }
+
+    /*! @brief Takes the status that a side at an address tells. */
+    void status(const std::string& host, const message::upstream_status& told,
+                time_point now)
+    {
+        for (auto& [id, one] : book)
+        {
+            if (one.record.address.substr(0, one.record.address.rfind(':')) !=
+                host)
+                continue;
+            if (one.status && one.status->sequence == told.sequence)
+                continue;
+            one.status = told;
+            one.status_at = now;
+            one.ended_since_status = 0;
+        }
+    }
+
+    /*! @brief Notes an attempt that is about to be sent. */
+    void begin(const instance_id& id, std::uint64_t attempt, double prompt,
+               time_point now)
+    {
+        book[id].attempts[attempt] = open_attempt{now, prompt, false};
+    }
+
+    /*! @brief The first event of an attempt came. */
+    void began(const instance_id& id, std::uint64_t attempt)
+    {
+        const auto found = book.find(id);
+        if (found == book.end())
+            return;
+        const auto one = found->second.attempts.find(attempt);
+        if (one != found->second.attempts.end())
+            one->second.began = true;
+    }
+
+    /*! @brief An attempt ended. */
+    void end(const instance_id& id, std::uint64_t attempt, bool good,
+             time_point now)
+    {
+        const auto found = book.find(id);
+        if (found == book.end())
+            return;
+        auto& one = found->second;
+        const auto open = one.attempts.find(attempt);
+        if (open != one.attempts.end())
+        {
+            if (open->second.sent < one.status_at)
+                ++one.ended_since_status;
+            one.attempts.erase(open);
+        }
+        constexpr double smoothing = 0.15;
+        one.fault_share += ((good ? 0.0 : 1.0) - one.fault_share) * smoothing;
+        if (good)
+            one.failures = 0;
+        else
+            avoid(one, now);
+    }
+
+    /*! @brief An attempt was taken back: it says nothing of the upstream. */
+    void withdraw(const instance_id& id, std::uint64_t attempt)
+    {
+        const auto found = book.find(id);
+        if (found == book.end())
+            return;
+        if (found->second.attempts.erase(attempt) > 0)
+            ++found->second.ended_since_status;
+    }
+
+    /*! @brief Compares what was predicted with what was seen. */
+    void seen(const instance_id& id, double predicted_ms, double seen_ms)
+    {
+        const auto found = book.find(id);
+        if (found == book.end() || predicted_ms <= 0)
+            return;
+        constexpr double smoothing = 0.1;
+        constexpr double most = 8;
+        const auto ratio = std::clamp(seen_ms / predicted_ms, 0.5, most);
+        found->second.lateness +=
+            (ratio - found->second.lateness) * smoothing;
+    }
+
+    [[nodiscard]] const known_upstream* find(const instance_id& id) const
+    {
+        const auto found = book.find(id);
+        return found == book.end() ? nullptr : &found->second;
+    }
+
+    [[nodiscard]] const std::map<instance_id, known_upstream>& all() const
+    {
+        return book;
+    }
+
+    /*! @brief Returns the weights of a model that an upstream serves. */
+    [[nodiscard]] static std::uint64_t version(const known_upstream& one,
+                                               const std::string& model,
+                                               time_point now)
+    {
+        if (one.status && now - one.status_at <= status_validity)
+            return one.status->model == model ? one.status->version : 0;
+        const auto found = one.record.weights.find(model);
+        return found == one.record.weights.end() ? 0 : found->second;
+    }
+
+    /*! @brief Returns what an engine is believed to be doing now. */
+    [[nodiscard]] static engine_load load(const known_upstream& one,
+                                          const engine_profile& engine,
+                                          time_point now)
+    {
+        engine_load made;
+        const bool fresh = one.status && now - one.status_at <= status_validity;
+        double unread = 0;
+        double unseen = 0;
+        for (const auto& [number, attempt] : one.attempts)
+        {
+            if (!attempt.began)
+                unread += attempt.prompt;
+            // A status may have been taken just before an attempt arrived.
+            constexpr milliseconds travel{10};
+            if (!fresh || attempt.sent + travel > one.status_at)
+                unseen += 1;
+        }
+        if (!fresh)
+        {
+            made.running = unseen * blind_factor;
+            made.unread_tokens = unread * blind_factor;
+            return made;
+        }
+        const auto told =
+            static_cast<double>(one.status->running + one.status->waiting);
+        const auto inside =
+            std::max(0.0, told - static_cast<double>(one.ended_since_status)) +
+            unseen;
+        made.running = inside;
+        made.pace = one.status->pace;
+        // Others' prompts that wait are not told: a usual one each.
+        const auto own_unread = std::count_if(
+            one.attempts.begin(), one.attempts.end(),
+            [](const auto& attempt) { return !attempt.second.began; });
+        const auto others =
+            std::max(0.0, static_cast<double>(one.status->waiting) -
+                              static_cast<double>(own_unread));
+        made.unread_tokens = unread + others * engine.usual_prompt;
+        return made;
+    }
+
+private:
+    /*! @brief Load that others are taken to cause for each of our own requests
+     * where no status tells. */
+    static constexpr double blind_factor = 3;
+    static constexpr milliseconds avoid_least{300};
+    static constexpr unsigned most_doublings = 3;
+
+    static void avoid(known_upstream& one, time_point now)
+    {
+        one.avoid_until =
+            now + avoid_least * (1 << std::min(one.failures, most_doublings));
+        ++one.failures;
+    }
+
+    std::map<instance_id, known_upstream> book;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -0,0 +1,645 @@
+/*! @file
+ * @brief Brings one version of a model to one instance: from what its upstream
+ * still has staged, from peers, and from the origin.
+ */
+#ifndef COURSEJUNCTION_TRANSFER_CHUNK_TRANSFER_HPP
+#define COURSEJUNCTION_TRANSFER_CHUNK_TRANSFER_HPP
+
+#include <charconv>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/net/stream_client.hpp"
+#include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/rollout/upstream_engine.hpp"
+#include "coursejunction/transfer/staging.hpp"
+#include "coursejunction/transfer/transfer_planner.hpp"
+#include "coursejunction/wire/fleet_message.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Times and numbers of a transfer. */
+struct chunk_transfer_options
+{
+    /*! @brief Longest call of a peer; a chunk of 32 KiB takes 35 ms alone on a
+     * link of 7.6 Mbit/s and ten times that on a shared one. */
+    milliseconds peer_time{2500};
+    /*! @brief How long a peer may hold a call for a chunk it does not have. */
+    milliseconds peer_wait{1500};
+    /*! @brief Pause before the manifest is asked again. */
+    milliseconds manifest_pause{250};
+    /*! @brief Chunks put to or read from the upstream at once. */
+    std::size_t local_calls{4};
+    /*! @brief Times the origin may send a wrong chunk before its manifest is
+     * taken to be the wrong one. */
+    std::size_t most_corrupt{3};
+    milliseconds tick{20};
+};
+
+/*! @brief One version on its way to one upstream.
+ * @tparam Engine A `Staging_engine`.
+ * @tparam Origin A `Weight_origin`. */
+template <typename Engine, typename Origin>
+class chunk_transfer
+    : public std::enable_shared_from_this<chunk_transfer<Engine, Origin>>
+{
+public:
+    /*! @brief What the owner knows of the surroundings. */
+    struct surroundings
+    {
+        std::function<std::string()> origin; /*!< Address; empty if none. */
+        std::function<std::vector<participant>()> participants;
+        std::function<std::string(const instance_id&)> peer_port;
+    };
+
+    chunk_transfer(event_loop& owner, stream_client& carrier, Engine& beside,
+                   Origin& from, metrics& counted, model_version wanted,
+                   instance_id self, surroundings around,
+                   chunk_transfer_options set)
+        : loop(owner), client(carrier), engine(beside), origin(from),
+          counters(counted), what(std::move(wanted)), own(std::move(self)),
+          view(std::move(around)), options(set), began(event_loop::now())
+    {
+    }
+
+    ~chunk_transfer()
+    {
+        for (const auto id : calls)
+            client.cancel(id);
+    }
+
+    /*! @brief Begins; the object is held by a shared pointer. */
+    void start() { ask_manifest(); }
+
+    /*! @brief Lets chunks be fetched from peers and the origin. Until then only
+     * what the upstream has staged is read. */
+    void fetch()
+    {
+        if (fetching)
+            return;
+        fetching = true;
+        if (store)
+            start_planner();
+    }
+
+    [[nodiscard]] const model_version& version() const { return what; }
+
+    /*! @brief Tells whether every chunk is held and staged at the upstream. */
+    [[nodiscard]] bool staged() const
+    {
+        return store && store->complete() &&
+               put_chunks.size() == store->of().size();
+    }
+
+    /*! @brief Returns what others may be told. */
+    [[nodiscard]] message::chunk_possession possession() const
+    {
+        message::chunk_possession made;
+        made.model = what.model;
+        made.version = what.version;
+        made.queue = static_cast<std::uint32_t>(waiters.size());
+        if (!store)
+            return made;
+        constexpr std::size_t bits = 64;
+        made.held.assign((store->of().size() + bits - 1) / bits, 0);
+        for (const auto at : store->held())
+            made.held[at / bits] |= std::uint64_t{1} << (at % bits);
+        return made;
+    }
+
+    /*! @brief Takes what a peer tells of its chunks. */
+    void peer_holds(const instance_id& peer,
+                    const message::chunk_possession& told)
+    {
+        if (!planner)
+            return;
+        const auto now = event_loop::now();
+        if (told.model != what.model || told.version != what.version)
+            return planner->heard(peer, now);
+        constexpr std::size_t bits = 64;
+        std::vector<chunk_index> held;
+        for (std::size_t word = 0; word < told.held.size(); ++word)
+        {
+            for (std::size_t bit = 0; bit < bits; ++bit)
+            {
+                if ((told.held[word] >> bit & 1U) != 0)
+                    held.push_back(
+                        static_cast<chunk_index>(word * bits + bit));
+            }
+        }
+        planner->holds(peer, held, told.queue, now);
+    }
+
+    /*! @brief Answers a peer that asks for a chunk, now or once it is here. */
+    void give(chunk_index at, bool wait, stream_reply reply)
+    {
+        if (store && store->contains(at))
+            return give_now(at, reply);
+        if (!wait)
+            return reply.send(404, {}, "");
+        waiters[at].push_back({std::move(reply), event_loop::now()});
+    }
+
+    /*! @brief Reads every staged chunk back and puts wrong ones anew.
+     * @param done Told whether all were right; when not, `staged` says when to
+     * try again. */
+    void verify(std::function<void(bool)> done)
+    {
+        auto check = std::make_shared<verification>();
+        check->done = std::move(done);
+        verify_more(check);
+    }
+
+    /*! @brief Forgets what was put: the upstream has lost it. */
+    void upstream_restarted()
+    {
+        put_chunks.clear();
+        putting.clear();
+        put_more();
+    }
+
+private:
+    struct verification
+    {
+        std::function<void(bool)> done;
+        chunk_index next{0};
+        std::size_t open{0};
+        std::size_t wrong{0};
+    };
+
+    struct waiter
+    {
+        stream_reply reply;
+        time_point since{};
+    };
+
+    template <typename Call>
+    auto guarded(Call call)
+    {
+        return [weak = this->weak_from_this(),
+                call = std::move(call)](auto&&... values)
+        {
+            if (const auto held = weak.lock())
+                call(std::forward<decltype(values)>(values)...);
+        };
+    }
+
+    // --- Manifest --------------------------------------------------------
+
+    void ask_manifest()
+    {
+        const auto address = view.origin();
+        if (address.empty())
+            return ask_manifest_later("no origin is configured");
+        origin.chunks(address, what,
+                      guarded(
+                          [this](result<manifest> answer)
+                          {
+                              if (answer)
+                                  return manifest_known(
+                                      std::move(answer.value()));
+                              ask_manifest_of_peer(answer.error().message);
+                          }));
+    }
+
+    /*! @brief The origin does not answer: a peer may know the manifest. */
+    void ask_manifest_of_peer(const std::string& why)
+    {
+        const auto all = view.participants();
+        if (all.empty())
+            return ask_manifest_later(why);
+        const auto& peer = all[manifest_peer++ % all.size()].id;
+        if (peer == own)
+            return ask_manifest_later(why);
+        stream_call call;
+        call.address = view.peer_port(peer);
+        call.target = "/chunks?model=" + what.model +
+                      "&version=" + std::to_string(what.version);
+        call.timeout = options.peer_wait;
+        client.gather(std::move(call),
+                      guarded(
+                          [this, why](const stream_client::answer& answer)
+                          {
+                              auto read = answer.is(200)
+                                              ? read_manifest(answer.body)
+                                              : result<manifest>(failure(
+                                                    error_kind::unavailable,
+                                                    answer.why));
+                              if (read)
+                                  return manifest_known(
+                                      std::move(read.value()));
+                              ask_manifest_later(why);
+                          }));
+    }
+
+    void ask_manifest_later(const std::string& why)
+    {
+        log::state("manifest_missing",
+                   {{"model", what.model},
+                    {"version", std::to_string(what.version)},
+                    {"why", why}});
+        retry = loop.after(options.manifest_pause, [this] { ask_manifest(); });
+    }
+
+    void manifest_known(manifest list)
+    {
+        log::state("manifest_known",
+                   {{"model", what.model},
+                    {"version", std::to_string(what.version)},
+                    {"chunks", std::to_string(list.size())}});
+        store.emplace(std::move(list));
+        corrupt.clear();
+        engine.staged(what.model,
+                      guarded(
+                          [this](result<std::vector<chunk_index>> held)
+                          {
+                              if (held)
+                                  local_left = {held.value().begin(),
+                                                held.value().end()};
+                              read_local();
+                          }));
+    }
+
+public:
+    /*! @brief Returns the manifest as lines: chunk size, then the hashes;
+     * empty when it is not known. */
+    [[nodiscard]] std::string manifest_text() const
+    {
+        if (!store)
+            return {};
+        std::string text =
+            std::to_string(store->of().chunk_bytes(0)).append("\n");
+        for (chunk_index at = 0; at < store->of().size(); ++at)
+            text.append(store->of()[at].hex()).append("\n");
+        return text;
+    }
+
+private:
+    static result<manifest> read_manifest(const std::string& text)
+    {
+        std::vector<digest> hashes;
+        std::size_t bytes = 0;
+        std::size_t from = 0;
+        while (from < text.size())
+        {
+            auto end = text.find('\n', from);
+            end = end == std::string::npos ? text.size() : end;
+            const auto line = std::string_view(text).substr(from, end - from);
+            from = end + 1;
+            if (bytes == 0)
+            {
+                std::from_chars(line.data(), line.data() + line.size(), bytes);
+                continue;
+            }
+            const auto hash = digest::parse(line);
+            if (!hash)
+                return failure(error_kind::refused, "a hash is wrong");
+            hashes.push_back(hash.value());
+        }
+        return manifest::assemble(bytes, std::move(hashes));
+    }
+
+    // --- What the upstream has staged ------------------------------------
+
+    void read_local()
+    {
+        while (local_open < options.local_calls && !local_left.empty())
+        {
+            const auto at = local_left.front();
+            local_left.pop_front();
+            ++local_open;
+            engine.staged_chunk(
+                what.model, at,
+                guarded(
+                    [this, at](result<std::string> bytes)
+                    {
+                        --local_open;
+                        if (bytes && store->add(at, std::move(bytes.value())) ==
+                                         staging::addition::added)
+                        {
+                            put_chunks.insert(at);
+                            chunk_here(at);
+                        }
+                        read_local();
+                    }));
+        }
+        if (local_open > 0 || local_read)
+            return;
+        local_read = true;
+        log::state("staged_chunks_read",
+                   {{"model", what.model},
+                    {"version", std::to_string(what.version)},
+                    {"right", std::to_string(store->size())}});
+        if (fetching)
+            start_planner();
+    }
+
+    // --- Fetching --------------------------------------------------------
+
+    void start_planner()
+    {
+        if (planner || !local_read)
+            return;
+        planner_limits limits;
+        constexpr milliseconds stall{700};
+        limits.stall_floor = stall;
+        limits.seed = static_cast<std::uint32_t>(
+            std::hash<std::string>{}(own.value()));
+        planner.emplace(store->of(), own, limits, swarm_policy(),
+                        event_loop::now());
+        for (const auto at : store->held())
+            planner->held(at, event_loop::now());
+        ticking = loop.every(options.tick, [this] { plan(); });
+        plan();
+    }
+
+    void plan()
+    {
+        const auto now = event_loop::now();
+        expire_waiters(now);
+        if (!planner || planner->complete())
+            return;
+        auto all = view.participants();
+        if (all != taking_part)
+        {
+            taking_part = std::move(all);
+            planner->participants(taking_part, now);
+        }
+        for (const auto& one : planner->next(now))
+            ask(one);
+    }
+
+    void ask(const transfer_request& one)
+    {
+        if (one.how == transfer_request::kind::origin)
+            return ask_origin(one.chunk);
+        stream_call call;
+        call.address = view.peer_port(one.peer);
+        call.target = "/chunk?model=" + what.model +
+                      "&version=" + std::to_string(what.version) +
+                      "&index=" + std::to_string(one.chunk);
+        if (one.how == transfer_request::kind::waiting)
+            call.target += "&wait=1";
+        call.timeout = options.peer_time;
+        const auto id = std::make_shared<stream_client::call_id>();
+        *id = client.gather(
+            std::move(call),
+            guarded(
+                [this, one, id](stream_client::answer answer)
+                {
+                    calls.erase(*id);
+                    peer_answered(one, std::move(answer));
+                }));
+        calls.insert(*id);
+    }
+
+    void peer_answered(const transfer_request& one,
+                       stream_client::answer answer)
+    {
+        if (!planner)
+            return;
+        const auto now = event_loop::now();
+        if (answer.end != stream_end::whole)
+        {
+            planner->refused(one.chunk, one.peer, true, 0, now);
+            return plan();
+        }
+        if (!answer.is(200))
+        {
+            planner->refused(one.chunk, one.peer, answer.status == 404, 0, now);
+            return plan();
+        }
+        counters.count("chunk_bytes_total",
+                       static_cast<double>(answer.body.size()),
+                       {{"from", "peer"}});
+        took(one.chunk, std::move(answer.body), one.peer);
+    }
+
+    void ask_origin(chunk_index at)
+    {
+        const auto address = view.origin();
+        if (address.empty())
+            return planner->origin_failed(at, event_loop::now());
+        origin.chunk(address, what, at,
+                     guarded(
+                         [this, at](result<std::string> bytes)
+                         {
+                             if (!planner)
+                                 return;
+                             if (!bytes)
+                             {
+                                 planner->origin_failed(at, event_loop::now());
+                                 return;
+                             }
+                             counters.count(
+                                 "chunk_bytes_total",
+                                 static_cast<double>(bytes.value().size()),
+                                 {{"from", "origin"}});
+                             took(at, std::move(bytes.value()), {});
+                         }));
+    }
+
+    void took(chunk_index at, std::string bytes, const instance_id& from)
+    {
+        switch (store->add(at, std::move(bytes)))
+        {
+        case staging::addition::added:
+            chunk_here(at);
+            put_queue.push_back(at);
+            put_more();
+            break;
+        case staging::addition::already_held:
+            planner->held(at, event_loop::now());
+            break;
+        case staging::addition::corrupt:
+            chunk_corrupt(at, from);
+            break;
+        }
+        plan();
+    }
+
+    void chunk_corrupt(chunk_index at, const instance_id& from)
+    {
+        counters.count("chunks_corrupt_total");
+        log::warning("chunk_corrupt",
+                     {{"model", what.model},
+                      {"version", std::to_string(what.version)},
+                      {"chunk", std::to_string(at)},
+                      {"from", from.empty() ? "origin" : from.value()}});
+        planner->corrupt(at, from);
+        if (!from.empty() || ++corrupt[at] < options.most_corrupt)
+            return;
+        // The manifest itself may have come spoilt.
+        planner.reset();
+        ticking.stop();
+        store.reset();
+        put_chunks.clear();
+        put_queue.clear();
+        local_read = false;
+        ask_manifest_later("chunks of the origin do not match its manifest");
+    }
+
+    void chunk_here(chunk_index at)
+    {
+        if (planner)
+            planner->held(at, event_loop::now());
+        const auto found = waiters.find(at);
+        if (found != waiters.end())
+        {
+            for (auto& one : found->second)
+                give_now(at, one.reply);
+            waiters.erase(found);
+        }
+        if (store->complete())
+            log::state("chunks_complete",
+                       {{"model", what.model},
+                        {"version", std::to_string(what.version)},
+                        {"took_ms", std::to_string(static_cast<std::int64_t>(
+                                        to_seconds(event_loop::now() - began) *
+                                        1000))}});
+    }
+
+    void give_now(chunk_index at, stream_reply& reply)
+    {
+        counters.count("chunks_given_total");
+        reply.send(200, {}, *store->find(at));
+    }
+
+    void expire_waiters(time_point now)
+    {
+        for (auto& [at, list] : waiters)
+        {
+            std::erase_if(list,
+                          [&](waiter& one)
+                          {
+                              if (now - one.since < options.peer_wait)
+                                  return false;
+                              one.reply.send(404, {}, "");
+                              return true;
+                          });
+        }
+        std::erase_if(waiters,
+                      [](const auto& one) { return one.second.empty(); });
+    }
+
+    // --- Putting chunks to the upstream ----------------------------------
+
+    void put_more()
+    {
+        if (!store)
+            return;
+        if (put_queue.empty() && putting.empty())
+        {
+            for (const auto at : store->held())
+            {
+                if (!put_chunks.contains(at))
+                    put_queue.push_back(at);
+            }
+        }
+        while (putting.size() < options.local_calls && !put_queue.empty())
+        {
+            const auto at = put_queue.front();
+            put_queue.pop_front();
+            if (!putting.insert(at).second)
+                continue;
+            engine.stage(what.model, at, *store->find(at),
+                         guarded(
+                             [this, at](bool done)
+                             {
+                                 putting.erase(at);
+                                 if (done && store)
+                                     put_chunks.insert(at);
+                                 else
+                                     put_again =
+                                         loop.after(options.manifest_pause,
+                                                    [this] { put_more(); });
+                                 if (done)
+                                     put_more();
+                             }));
+        }
+    }
+
+    // --- Reading back ----------------------------------------------------
+
+    void verify_more(const std::shared_ptr<verification>& check)
+    {
+        while (store && check->open < options.local_calls &&
+               check->next < store->of().size())
+        {
+            const auto at = check->next++;
+            ++check->open;
+            engine.staged_chunk(
+                what.model, at,
+                guarded(
+                    [this, check, at](result<std::string> bytes)
+                    {
+                        --check->open;
+                        if (!bytes || !store ||
+                            digest::of(bytes.value()) != store->of()[at])
+                            chunk_turned_bad(at, *check);
+                        verify_more(check);
+                    }));
+        }
+        const bool over = !store || check->next >= store->of().size();
+        if (over && check->open == 0 && check->done)
+        {
+            const auto done = std::exchange(check->done, nullptr);
+            done(store && check->wrong == 0);
+        }
+    }
+
+    void chunk_turned_bad(chunk_index at, verification& check)
+    {
+        ++check.wrong;
+        log::warning("staged_chunk_wrong",
+                     {{"model", what.model},
+                      {"version", std::to_string(what.version)},
+                      {"chunk", std::to_string(at)}});
+        put_chunks.erase(at);
+        put_queue.push_back(at);
+        put_more();
+    }
+
+    event_loop& loop;
+    stream_client& client;
+    Engine& engine;
+    Origin& origin;
+    metrics& counters;
+    model_version what;
+    instance_id own;
+    surroundings view;
+    chunk_transfer_options options;
+    time_point began;
+    std::optional<staging> store;
+    std::optional<transfer_planner<swarm_policy>> planner;
+    std::vector<participant> taking_part;
+    std::set<stream_client::call_id> calls;
+    std::map<chunk_index, std::vector<waiter>> waiters;
+    std::map<chunk_index, std::size_t> corrupt;
+    std::deque<chunk_index> local_left;
+    std::size_t local_open{0};
+    std::set<chunk_index> put_chunks;
+    std::set<chunk_index> putting;
+    std::deque<chunk_index> put_queue;
+    std::size_t manifest_peer{0};
+    bool local_read{false};
+    bool fetching{false};
+    timer ticking;
+    timer retry;
+    timer put_again;
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/transfer/manifest.cpp
+++ b/src/coursejunction/transfer/manifest.cpp
@@ -55,6 +55,23 @@
     return read;
 }
 
+result<manifest> manifest::assemble(std::size_t chunk_bytes,
+                                    std::vector<digest> hashes)
+{
+    if (chunk_bytes == 0 || chunk_bytes > internal::max_chunk_bytes ||
+        hashes.empty())
+        return failure(error_kind::refused, "manifest lists no chunks");
+    manifest made;
+    std::string joined;
+    for (const auto& one : hashes)
+        joined.append(one.hex());
+    made.own = digest::of(joined);
+    made.each = chunk_bytes;
+    made.total = std::uint64_t{chunk_bytes} * hashes.size();
+    made.chunks = std::move(hashes);
+    return made;
+}
+
 std::string manifest::describe(const std::string& path, std::string_view bytes,
                                std::size_t chunk_bytes)
 {
--- a/src/coursejunction/transfer/manifest.hpp
+++ b/src/coursejunction/transfer/manifest.hpp
@@ -30,6 +30,12 @@
     [[nodiscard]] static result<manifest> parse(std::string_view text,
                                                 const digest& expected);
 
+    /*! @brief Makes a manifest of chunks of one size whose hashes an outside
+     * system lists.
+     * @return The manifest, or `refused` when there are none. */
+    [[nodiscard]] static result<manifest>
+    assemble(std::size_t chunk_bytes, std::vector<digest> hashes);
+
     /*! @brief Makes the text of a manifest.
      * @param path Path of the bytes at the origin.
      * @param bytes The whole model.
--- a/src/coursejunction/wire/codec.cpp
+++ b/src/coursejunction/wire/codec.cpp
@@ -8,6 +8,8 @@
 #include <cereal/cereal.hpp>
 #include <cereal/details/traits.hpp>
 
+#include "coursejunction/wire/fleet_message.hpp"
+
 namespace coursejunction
 {
 
@@ -187,5 +189,7 @@
 COURSEJUNCTION_CODEC(status_query)
 COURSEJUNCTION_CODEC(status_reply)
 COURSEJUNCTION_CODEC(heartbeat)
+COURSEJUNCTION_CODEC(fleet_heartbeat)
+COURSEJUNCTION_CODEC(mirror_page)
 
 } // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -0,0 +1,104 @@
+/*! @file
+ * @brief Messages between the processes of one installation that share the
+ * platform's store: datagrams and pages of the mirror.
+ */
+#ifndef COURSEJUNCTION_WIRE_FLEET_MESSAGE_HPP
+#define COURSEJUNCTION_WIRE_FLEET_MESSAGE_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace coursejunction::message
+{
+
+/*! @brief What a side knows of its upstream, as of its last poll. */
+struct upstream_status
+{
+    std::string model;
+    std::uint64_t version{0};  /*!< Weights that are whole; 0 for none. */
+    std::uint64_t sequence{0}; /*!< Rises with each status of a side. */
+    std::uint32_t running{0};
+    std::uint32_t waiting{0};
+    std::uint64_t memory_used{0};
+    std::uint64_t memory_size{0};
+    double pace{1};
+    bool open{false};      /*!< Takes new requests. */
+    bool reachable{false}; /*!< The upstream answered the last poll. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(model, version, sequence, running, waiting, memory_used,
+                memory_size, pace, open, reachable);
+    }
+};
+
+/*! @brief Chunks that a side can give to others. */
+struct chunk_possession
+{
+    std::string model;
+    std::uint64_t version{0};
+    std::uint32_t queue{0};           /*!< Uploads that wait. */
+    std::vector<std::uint64_t> held; /*!< Bit n of word w: chunk 64 w + n. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(model, version, queue, held);
+    }
+};
+
+/*! @brief Datagram between any two processes of an installation. */
+struct fleet_heartbeat
+{
+    std::uint64_t incarnation{0};
+    std::uint64_t sequence{0};
+    std::uint64_t mirror_revision{0}; /*!< The mirror is whole up to this. */
+    std::string hall;
+    bool entry{false};
+    bool leaving{false};
+    std::vector<std::uint32_t> entries; /*!< Known entries, IPv4 addresses. */
+    upstream_status upstream;           /*!< Of a side. */
+    chunk_possession chunks;            /*!< Of a side. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(incarnation, sequence, mirror_revision, hall, entry, leaving,
+                entries, upstream, chunks);
+    }
+};
+
+/*! @brief One item of the store as mirrored. */
+struct mirror_item
+{
+    std::string key;
+    std::string payload;
+    std::uint64_t revision{0};
+    std::uint64_t age_ms{0}; /*!< Since some process first learnt it. */
+    bool removed{false};
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(key, payload, revision, age_ms, removed);
+    }
+};
+
+/*! @brief All items of a mirror that changed after a revision. */
+struct mirror_page
+{
+    std::uint64_t revision{0}; /*!< The sender's mirror is whole up to this. */
+    std::vector<mirror_item> items;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(revision, items);
+    }
+};
+
+} // namespace coursejunction::message
+
+#endif
