Spread weights beside live answers: paced uploads, kept local connections, versions in a pipeline

Cause: chunk uploads filled the sides' links, so that live events came more than 120 ms late; sides did not tell each other what they hold; each local poll opened a connection; a version named while another spread threw that away. Ruled out: the upstreams being slow (p50 of first events was 147 ms while 108 of 272 streams counted as late). Open: versions named 4 s apart.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -120,18 +120,11 @@
             list();
     }
 
-    /*! @brief Tells every peer at once; called when something changed. */
-    void announce()
-    {
-        const auto now = event_loop::now();
-        directory.expire(now);
-        const auto datagram = encode(beat(now));
-        for (const auto& [address, one] : directory.all())
-        {
-            if (options.entry || one.entry)
-                socket->send(address + port_suffix, datagram);
-        }
-    }
+    /*! @brief Tells every peer; called when something changed that all need. */
+    void announce() { tell(false); }
+
+    /*! @brief Tells the entries only; called when a load changed. */
+    void announce_to_entries() { tell(true); }
 
     /*! @brief Marks the node as leaving in its heartbeats. */
     void leave()
@@ -194,6 +187,18 @@
         return true;
     }
 
+    void tell(bool entries_only)
+    {
+        const auto now = event_loop::now();
+        directory.expire(now);
+        const auto datagram = encode(beat(now));
+        for (const auto& [address, one] : directory.all())
+        {
+            if (one.entry || !entries_only)
+                socket->send(address + port_suffix, datagram);
+        }
+    }
+
     message::fleet_heartbeat beat(time_point now)
     {
         message::fleet_heartbeat made;
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -5,8 +5,11 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <cstdlib>
+#include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -32,6 +35,9 @@
 /*! @brief Bytes taken from the network at once. */
 constexpr std::size_t read_bytes = 16384;
 
+/*! @brief Idle connections kept to one address. */
+constexpr std::size_t most_kept = 8;
+
 /*! @brief Unacknowledged bytes after which the kernel gives a peer up. */
 constexpr int call_user_timeout_ms = 4000;
 
@@ -69,17 +75,26 @@
 class stream_exchange : public std::enable_shared_from_this<stream_exchange>
 {
 public:
-    using finished_callback = std::function<void()>;
+    /*! @brief Told at the end; takes the socket when it may be kept. */
+    using finished_callback = std::function<void(std::optional<tcp::socket>)>;
 
-    stream_exchange(asio::io_context& context, stream_call what,
+    stream_exchange(asio::io_context& owner, stream_call what,
                     stream_client::callbacks to, finished_callback over)
-        : socket(context), clock(context), limit(context),
+        : context(owner), socket(owner), clock(owner), limit(owner),
           call(std::move(what)), target(std::move(to)),
           finished(std::move(over))
     {
-        parser.header_limit(max_head);
-        parser.body_limit(most_body);
-        parser.skip(call.method == "HEAD");
+        prepare();
+    }
+
+    /*! @brief Starts on a connection that an earlier call left. */
+    void start_on(tcp::socket kept)
+    {
+        socket = std::move(kept);
+        reused = true;
+        if (call.timeout.count() > 0)
+            arm(limit, call.timeout, "call timed out");
+        write();
     }
 
     void start()
@@ -148,6 +163,11 @@
         const int wait = call_user_timeout_ms;
         ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                      &wait, sizeof wait);
+        write();
+    }
+
+    void write()
+    {
         output = request_text(call);
         sent = true;
         asio::async_write(
@@ -160,10 +180,32 @@
         read_head();
     }
 
+    void prepare()
+    {
+        parser.emplace();
+        parser->header_limit(max_head);
+        parser->body_limit(most_body);
+        parser->skip(call.method == "HEAD");
+    }
+
+    /*! @brief The kept connection was dead: once more on a new one. */
+    void start_anew()
+    {
+        reused = false;
+        boost::system::error_code ignored;
+        socket.close(ignored);
+        socket = tcp::socket(context);
+        input.clear();
+        prepare();
+        limit.cancel();
+        sent = false;
+        start();
+    }
+
     void read_head()
     {
         http::async_read_header(
-            socket, input, parser,
+            socket, input, *parser,
             [self = shared_from_this()](const boost::system::error_code& fault,
                                         std::size_t)
             { self->head_read(fault); });
@@ -171,13 +213,15 @@
 
     void head_read(const boost::system::error_code& fault)
     {
-        if (over)
+        if (over || fault == asio::error::operation_aborted)
             return;
+        if (fault && reused)
+            return start_anew();
         if (fault)
             return failed(fault);
         stream_head head;
-        head.status = static_cast<int>(parser.get().result_int());
-        for (const auto& field : parser.get())
+        head.status = static_cast<int>(parser->get().result_int());
+        for (const auto& field : parser->get())
             head.headers.push_back(std::string(field.name_string()),
                                    std::string(field.value()));
         const auto held = shared_from_this();
@@ -189,12 +233,12 @@
 
     void read_body()
     {
-        if (parser.is_done())
-            return end(stream_end::whole, {});
-        parser.get().body().data = part.data();
-        parser.get().body().size = part.size();
+        if (parser->is_done())
+            return ended_whole();
+        parser->get().body().data = part.data();
+        parser->get().body().size = part.size();
         http::async_read_some(
-            socket, input, parser,
+            socket, input, *parser,
             [self = shared_from_this()](const boost::system::error_code& fault,
                                         std::size_t)
             { self->body_read(fault); });
@@ -206,7 +250,7 @@
             return;
         if (fault == http::error::need_buffer)
             fault = {};
-        const auto count = part.size() - parser.get().body().size;
+        const auto count = part.size() - parser->get().body().size;
         if (count > 0)
         {
             const auto held = shared_from_this();
@@ -230,6 +274,14 @@
             fault.message());
     }
 
+    /*! @brief Keeps the connection when nothing surplus came on it. */
+    void ended_whole()
+    {
+        if (call.repeatable && parser->keep_alive() && input.size() == 0)
+            keep.emplace(std::move(socket));
+        end(stream_end::whole, {});
+    }
+
     void end(stream_end how, const std::string& why)
     {
         if (over)
@@ -237,10 +289,11 @@
         const auto held = shared_from_this();
         abandon();
         const auto call_back = std::move(target.ended);
-        finished();
+        finished(std::move(keep));
         call_back(how, why);
     }
 
+    asio::io_context& context;
     tcp::socket socket;
     asio::steady_timer clock;
     asio::steady_timer limit;
@@ -248,11 +301,13 @@
     stream_client::callbacks target;
     finished_callback finished;
     boost::beast::flat_buffer input;
-    http::response_parser<http::buffer_body> parser;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<tcp::socket> keep;
     std::array<char, read_bytes> part{};
     std::string output;
     bool sent{false};
     bool over{false};
+    bool reused{false};
 };
 
 } // namespace internal
@@ -262,9 +317,36 @@
 {
     explicit implementation(asio::io_context& owner) : context(owner) {}
 
+    /*! @brief Takes a kept connection to an address that is still open and on
+     * which nothing came unasked. */
+    std::optional<tcp::socket> take(const std::string& address)
+    {
+        auto& list = idle[address];
+        while (!list.empty())
+        {
+            auto socket = std::move(list.back());
+            list.pop_back();
+            char byte = 0;
+            const auto count = ::recv(socket.native_handle(), &byte, 1,
+                                      MSG_PEEK | MSG_DONTWAIT);
+            if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+                return socket;
+        }
+        idle.erase(address);
+        return std::nullopt;
+    }
+
+    void put(const std::string& address, tcp::socket socket)
+    {
+        auto& list = idle[address];
+        if (list.size() < internal::most_kept)
+            list.push_back(std::move(socket));
+    }
+
     asio::io_context& context;
     std::unordered_map<call_id, std::shared_ptr<internal::stream_exchange>>
         open;
+    std::unordered_map<std::string, std::vector<tcp::socket>> idle;
     call_id last{0};
 };
 
@@ -283,15 +365,25 @@
 stream_client::call_id stream_client::start(stream_call call, callbacks to)
 {
     const auto id = ++self->last;
+    auto kept =
+        call.repeatable ? self->take(call.address) : std::nullopt;
     auto one = std::make_shared<internal::stream_exchange>(
-        self->context, std::move(call), std::move(to),
-        [shared = std::weak_ptr(self), id]
+        self->context, call, std::move(to),
+        [shared = std::weak_ptr(self), id,
+         address = call.address](std::optional<tcp::socket> socket)
         {
-            if (const auto held = shared.lock())
-                held->open.erase(id);
+            const auto held = shared.lock();
+            if (!held)
+                return;
+            held->open.erase(id);
+            if (socket)
+                held->put(address, std::move(*socket));
         });
     self->open.emplace(id, one);
-    one->start();
+    if (kept)
+        one->start_on(std::move(*kept));
+    else
+        one->start();
     return id;
 }
 
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -18,8 +18,8 @@
 namespace coursejunction
 {
 
-/*! @brief One call, on a connection of its own: no earlier call can have left
- * bytes on it, and it cannot be half closed. */
+/*! @brief One call. Unless `repeatable` is set it has a connection of its own:
+ * no earlier call can have left bytes on it, and it cannot be half closed. */
 struct stream_call
 {
     std::string address; /*!< `IP:port`. */
@@ -29,6 +29,9 @@
     std::string body;
     milliseconds connect_time{250};
     milliseconds timeout{0}; /*!< Of the whole call; zero for none. */
+    /*! @brief The call may go out on a kept connection, and once more on a new
+     * one when the kept one turns out to be dead. */
+    bool repeatable{false};
 };
 
 /*! @brief How a call ended. */
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -29,8 +29,8 @@
     std::string ready_address;  /*!< `IP:port` for the balancer's question. */
     std::string ready_path;
     /*! @brief Time within which a named version must be used; the bound less
-     * a second for news that comes late. */
-    milliseconds version_time{6500};
+     * a time for a request to begin at an upstream that is full. */
+    milliseconds version_time{6800};
     /*! @brief A stop that takes longer is ended by force. */
     milliseconds stop_grace{8000};
     exchange_options exchange;
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -6,6 +6,7 @@
 #define COURSEJUNCTION_ROLLOUT_UPSTREAM_AGENT_HPP
 
 #include <charconv>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -39,6 +40,8 @@
     milliseconds close_pause{30};
     /*! @brief Without effect for this long, an order is given again. */
     milliseconds order_patience{5000};
+    /*! @brief Rate of the instance's link; zero for no limit. */
+    byte_rate link_rate{0};
     turn_limits turns;
 };
 
@@ -57,7 +60,8 @@
     upstream_agent(event_loop& owner, node_type& peers, engine_type& beside,
                    origin_type& weights, metrics& counted, agent_options set)
         : loop(owner), node(peers), engine(beside), origin(weights),
-          counters(counted), options(set), own(node.settings().address)
+          counters(counted), options(set), own(node.settings().address),
+          uploads(owner, set.link_rate)
     {
     }
 
@@ -123,24 +127,72 @@
         const auto name = model();
         if (name.empty() || !last)
             return;
-        const model_version wanted{name, fleet.newest(name)};
-        if (!transfer || transfer->version() != wanted)
-            want(wanted);
-        if (last->version != wanted.version)
+        const auto serves = last->version;
+        const auto newest = fleet.newest(name);
+        drop_transfers(name, serves, newest);
+        auto& wanted = want({name, newest});
+        if (serves == newest)
         {
-            transfer->fetch();
-            advance();
+            wanted.stage();
+            return closing ? opened() : void();
         }
-        else if (closing)
+        wanted.fetch();
+        if (closing && serves == ordered_version)
             opened();
+        advance(next_version(serves, newest));
     }
 
-    void want(const model_version& wanted)
+    /*! @brief Forgets versions that no longer matter: older than what is
+     * served, of another model, or passed over before they were whole. */
+    void drop_transfers(const std::string& name, std::uint64_t serves,
+                        std::uint64_t newest)
     {
+        std::erase_if(transfers,
+                      [&](const auto& one)
+                      {
+                          const auto version = one.first;
+                          if (one.second->version().model != name)
+                              return true;
+                          if (version == newest || version == serves)
+                              return false;
+                          return version < serves || !one.second->complete();
+                      });
+    }
+
+    /*! @brief Returns the version to load next: the newest, or until it is
+     * whole here, an older one that is. */
+    [[nodiscard]] std::uint64_t next_version(std::uint64_t serves,
+                                             std::uint64_t newest) const
+    {
+        std::uint64_t best = newest;
+        if (transfers.at(newest)->complete())
+            return best;
+        for (const auto& [version, one] : transfers)
+        {
+            if (version > serves && version < newest && one->complete())
+                best = version;
+        }
+        return best;
+    }
+
+    transfer_type& want(const model_version& wanted)
+    {
+        auto& found = transfers[wanted.version];
+        if (found)
+            return *found;
         log::state("version_wanted",
                    {{"model", wanted.model},
                     {"version", std::to_string(wanted.version)},
                     {"serves", std::to_string(last->version)}});
+        found = std::make_shared<transfer_type>(
+            loop, node.client(), engine, origin, counters, wanted,
+            instance_id(own), surroundings(), chunk_transfer_options{});
+        found->start();
+        return *found;
+    }
+
+    [[nodiscard]] typename transfer_type::surroundings surroundings()
+    {
         typename transfer_type::surroundings around;
         around.origin = [this]
         {
@@ -151,11 +203,8 @@
         around.participants = [this] { return participants(); };
         around.peer_port = [this](const instance_id& id)
         { return node.peer_port(id.value()); };
-        transfer = std::make_shared<transfer_type>(
-            loop, node.client(), engine, origin, counters, wanted,
-            instance_id(own), std::move(around), chunk_transfer_options{});
-        transfer->start();
-        verified = false;
+        around.uploads = &uploads;
+        return around;
     }
 
     /*! @brief Returns every side of the installation, this one included. */
@@ -223,7 +272,7 @@
         if (differs || now - told_at >= options.quiet)
         {
             told_at = now;
-            node.announce();
+            node.announce_to_entries();
         }
     }
 
@@ -231,9 +280,8 @@
     {
         log::warning("upstream_restarted", {});
         closing = false;
-        verified = false;
-        if (transfer)
-            transfer->upstream_restarted();
+        for (auto& [version, one] : transfers)
+            one->upstream_restarted();
     }
 
     void opened()
@@ -247,8 +295,8 @@
 
     // --- Loading ---------------------------------------------------------
 
-    /*! @brief Takes the next step towards the wanted version. */
-    void advance()
+    /*! @brief Takes the next step towards a version. */
+    void advance(std::uint64_t version)
     {
         const auto now = event_loop::now();
         if (closing)
@@ -257,28 +305,28 @@
             {
                 log::warning("order_without_effect", {});
                 closing = false;
-                verified = false;
             }
             return;
         }
-        if (verifying || !transfer->staged() || !my_turn(now))
+        const auto& next = transfers.at(version);
+        next->stage();
+        if (verifying || !next->staged() || !my_turn(next->version(), now))
             return;
         verifying = true;
-        transfer->verify(
-            [this, of = transfer->version()](bool right)
+        next->verify(
+            [this, version](bool right)
             {
                 verifying = false;
-                if (!right || !transfer || transfer->version() != of)
-                    return;
-                close();
+                if (right && transfers.contains(version))
+                    close(version);
             });
     }
 
-    [[nodiscard]] bool my_turn(time_point now) const
+    [[nodiscard]] bool my_turn(const model_version& wanted,
+                               time_point now) const
     {
         if (last->version == 0)
             return true;
-        const auto& wanted = transfer->version();
         std::vector<hall_neighbour> others;
         for (const auto& [address, one] : node.peers().all())
         {
@@ -294,10 +342,11 @@
     }
 
     /*! @brief Tells the entries first, then gives the order. */
-    void close()
+    void close(std::uint64_t version)
     {
         closing = true;
         ordered_at = event_loop::now();
+        ordered_version = version;
         ++status_sequence;
         node.announce();
         order_timer = loop.after(options.close_pause, [this] { order(); });
@@ -305,9 +354,10 @@
 
     void order()
     {
-        if (!transfer || !last)
+        const auto found = transfers.find(ordered_version);
+        if (found == transfers.end() || !last)
             return;
-        const auto wanted = transfer->version();
+        const auto wanted = found->second->version();
         counters.count("orders_total");
         engine.load(
             wanted, last->sequence,
@@ -346,14 +396,20 @@
             told.pace = last->pace;
             told.open = !closing && last->version > 0;
         }
-        if (transfer)
-            into.chunks = transfer->possession();
+        for (const auto& [version, one] : transfers)
+            into.chunks.push_back(one->possession());
     }
 
     void heard(const std::string& from, const message::fleet_heartbeat& one)
     {
-        if (transfer && !one.entry)
-            transfer->peer_holds(instance_id(from), one.chunks);
+        if (one.entry)
+            return;
+        for (const auto& told : one.chunks)
+        {
+            const auto found = transfers.find(told.version);
+            if (found != transfers.end())
+                found->second->peer_holds(instance_id(from), told);
+        }
     }
 
     static std::string_view parameter(std::string_view target,
@@ -385,8 +441,10 @@
         const model_version asked{
             std::string(parameter(request.target, "model")),
             number(parameter(request.target, "version"))};
-        if (!transfer || transfer->version() != asked)
+        const auto found = transfers.find(asked.version);
+        if (found == transfers.end() || found->second->version() != asked)
             return reply.send(404, {}, "");
+        auto& transfer = found->second;
         if (request.target.starts_with("/chunks?"))
         {
             const auto text = transfer->manifest_text();
@@ -406,16 +464,17 @@
     agent_options options;
     std::string own;
     fleet_view<Platform> fleet;
-    std::shared_ptr<transfer_type> transfer;
+    paced_uploads uploads;
+    std::map<std::uint64_t, std::shared_ptr<transfer_type>> transfers;
     std::optional<engine_report> last;
     std::uint64_t status_sequence{0};
     time_point told_at{};
     time_point ordered_at{};
+    std::uint64_t ordered_version{0};
     bool reachable{false};
     bool polls_open{false};
     bool closing{false};
     bool verifying{false};
-    bool verified{false};
     timer polling;
     timer order_timer;
 };
--- a/src/coursejunction/settings/gateway_settings.cpp
+++ b/src/coursejunction/settings/gateway_settings.cpp
@@ -76,7 +76,10 @@
         made.ready_address = endpoint(file, "callers", "ready_address");
     }
     else
+    {
         made.upstream_address = endpoint(file, "upstream", "address");
+        made.link_rate = file.bytes("link", "rate", 0.0, true);
+    }
     made.status_port = static_cast<std::uint16_t>(
         file.number("status", "port", 0, 0, highest_port));
     made.version_time =
--- a/src/coursejunction/settings/gateway_settings.hpp
+++ b/src/coursejunction/settings/gateway_settings.hpp
@@ -31,6 +31,7 @@
     std::string ready_address;  /*!< Of an entry, `IP:port`. */
     std::string store_address;  /*!< `IP:port`. */
     std::string upstream_address; /*!< Of a side, `IP:port`. */
+    byte_rate link_rate{0}; /*!< Of a side's instance, bytes a second. */
     std::uint16_t status_port{0}; /*!< Metrics and state dump; 0 for none. */
 
     milliseconds version_time{0}; /*!< A named version is used within this. */
--- a/src/coursejunction/settings/ini_file.cpp
+++ b/src/coursejunction/settings/ini_file.cpp
@@ -23,7 +23,8 @@
                                     unit{"min", 60'000}, unit{"h", 3'600'000}};
 constexpr std::array size_units{unit{"B", 1}, unit{"KiB", 1024},
                                 unit{"MiB", 1024.0 * 1024},
-                                unit{"GiB", 1024.0 * 1024 * 1024}};
+                                unit{"GiB", 1024.0 * 1024 * 1024},
+                                unit{"Mbit", 1e6 / 8}};
 
 struct quantity
 {
@@ -186,8 +187,8 @@
     if (!amount || rated != per_second)
         fault(section, key,
               "'" + *found + "' needs a unit: " +
-                  (per_second ? "B/s, KiB/s, MiB/s or GiB/s"
-                              : "B, KiB, MiB or GiB"));
+                  (per_second ? "B/s, KiB/s, MiB/s, GiB/s or Mbit/s"
+                              : "B, KiB, MiB, GiB or Mbit"));
     return amount.value_or(0);
 }
 
--- a/src/coursejunction/settings/ini_file.hpp
+++ b/src/coursejunction/settings/ini_file.hpp
@@ -46,7 +46,7 @@
                           std::optional<milliseconds> fallback);
 
     /*! @brief Returns a size in bytes written with its unit: `B`, `KiB`,
-     * `MiB`, `GiB`, or the same followed by `/s` for rates. */
+     * `MiB`, `GiB`, `Mbit`, or the same followed by `/s` for rates. */
     double bytes(std::string_view section, std::string_view key,
                  std::optional<double> fallback, bool per_second);
 
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -22,6 +22,7 @@
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
+#include "coursejunction/transfer/paced_uploads.hpp"
 #include "coursejunction/transfer/staging.hpp"
 #include "coursejunction/transfer/transfer_planner.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
@@ -35,6 +36,9 @@
     /*! @brief Longest call of a peer; a chunk of 32 KiB takes 35 ms alone on a
      * link of 7.6 Mbit/s and ten times that on a shared one. */
     milliseconds peer_time{2500};
+    /*! @brief Longest opening of a connection to a peer: its link may be full
+     * of chunks, of which four at once take 140 ms. */
+    milliseconds connect_time{1500};
     /*! @brief How long a peer may hold a call for a chunk it does not have. */
     milliseconds peer_wait{1500};
     /*! @brief Pause before the manifest is asked again. */
@@ -61,6 +65,7 @@
         std::function<std::string()> origin; /*!< Address; empty if none. */
         std::function<std::vector<participant>()> participants;
         std::function<std::string(const instance_id&)> peer_port;
+        paced_uploads* uploads{nullptr};
     };
 
     chunk_transfer(event_loop& owner, stream_client& carrier, Engine& beside,
@@ -95,6 +100,19 @@
 
     [[nodiscard]] const model_version& version() const { return what; }
 
+    /*! @brief Lets chunks be put to the upstream, which has room for one
+     * version only. */
+    void stage()
+    {
+        if (staging_allowed)
+            return;
+        staging_allowed = true;
+        put_more();
+    }
+
+    /*! @brief Tells whether every chunk is held here. */
+    [[nodiscard]] bool complete() const { return store && store->complete(); }
+
     /*! @brief Tells whether every chunk is held and staged at the upstream. */
     [[nodiscard]] bool staged() const
     {
@@ -108,7 +126,7 @@
         message::chunk_possession made;
         made.model = what.model;
         made.version = what.version;
-        made.queue = static_cast<std::uint32_t>(waiters.size());
+        made.queue = static_cast<std::uint32_t>(view.uploads->size());
         if (!store)
             return made;
         constexpr std::size_t bits = 64;
@@ -145,7 +163,7 @@
     void give(chunk_index at, bool wait, stream_reply reply)
     {
         if (store && store->contains(at))
-            return give_now(at, reply);
+            return give_now(at, std::move(reply), wait);
         if (!wait)
             return reply.send(404, {}, "");
         waiters[at].push_back({std::move(reply), event_loop::now()});
@@ -170,6 +188,13 @@
     }
 
 private:
+    /*! @brief Chunks asked of holders at once: what arrives together holds up
+     * the requests that arrive on the same link. */
+    static constexpr std::size_t holder_calls = 2;
+
+    /*! @brief Chunks waited for at first sources of other halls. */
+    static constexpr std::size_t waiting_calls = 8;
+
     struct verification
     {
         std::function<void(bool)> done;
@@ -354,6 +379,9 @@
         planner_limits limits;
         constexpr milliseconds stall{700};
         limits.stall_floor = stall;
+        limits.pending = holder_calls;
+        limits.origin_pending = 1;
+        limits.waiting = waiting_calls;
         limits.seed = static_cast<std::uint32_t>(
             std::hash<std::string>{}(own.value()));
         planner.emplace(store->of(), own, limits, swarm_policy(),
@@ -392,6 +420,7 @@
         if (one.how == transfer_request::kind::waiting)
             call.target += "&wait=1";
         call.timeout = options.peer_time;
+        call.connect_time = options.connect_time;
         const auto id = std::make_shared<stream_client::call_id>();
         *id = client.gather(
             std::move(call),
@@ -412,6 +441,7 @@
         const auto now = event_loop::now();
         if (answer.end != stream_end::whole)
         {
+            log_failed(one.chunk, one.peer.value(), answer.why);
             planner->refused(one.chunk, one.peer, true, 0, now);
             return plan();
         }
@@ -439,6 +469,8 @@
                                  return;
                              if (!bytes)
                              {
+                                 log_failed(at, "origin",
+                                            bytes.error().message);
                                  planner->origin_failed(at, event_loop::now());
                                  return;
                              }
@@ -450,6 +482,17 @@
                          }));
     }
 
+    void log_failed(chunk_index at, const std::string& from,
+                    const std::string& why)
+    {
+        log::problem("chunk_failed",
+                     {{"model", what.model},
+                      {"version", std::to_string(what.version)},
+                      {"chunk", std::to_string(at)},
+                      {"from", from},
+                      {"why", why}});
+    }
+
     void took(chunk_index at, std::string bytes, const instance_id& from)
     {
         switch (store->add(at, std::move(bytes)))
@@ -498,7 +541,7 @@
         if (found != waiters.end())
         {
             for (auto& one : found->second)
-                give_now(at, one.reply);
+                give_now(at, std::move(one.reply), true);
             waiters.erase(found);
         }
         if (store->complete())
@@ -510,10 +553,19 @@
                                         1000))}});
     }
 
-    void give_now(chunk_index at, stream_reply& reply)
+    void give_now(chunk_index at, stream_reply reply, bool urgent)
     {
-        counters.count("chunks_given_total");
-        reply.send(200, {}, *store->find(at));
+        const auto bytes = store->find(at);
+        auto shared = std::make_shared<stream_reply>(std::move(reply));
+        const bool taken = view.uploads->offer(
+            bytes->size(), urgent,
+            [this_counters = &counters, bytes, shared]
+            {
+                this_counters->count("chunks_given_total");
+                shared->send(200, {}, *bytes);
+            });
+        if (!taken)
+            shared->send(503, {}, "");
     }
 
     void expire_waiters(time_point now)
@@ -537,7 +589,7 @@
 
     void put_more()
     {
-        if (!store)
+        if (!store || !staging_allowed)
             return;
         if (put_queue.empty() && putting.empty())
         {
@@ -635,6 +687,7 @@
     std::size_t manifest_peer{0};
     bool local_read{false};
     bool fetching{false};
+    bool staging_allowed{false};
     timer ticking;
     timer retry;
     timer put_again;
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -60,7 +60,7 @@
     bool leaving{false};
     std::vector<std::uint32_t> entries; /*!< Known entries, IPv4 addresses. */
     upstream_status upstream;           /*!< Of a side. */
-    chunk_possession chunks;            /*!< Of a side. */
+    std::vector<chunk_possession> chunks; /*!< Of a side, by version. */
 
     template <typename Archive>
     void serialize(Archive& archive)
