--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -154,11 +154,16 @@
         std::uint64_t attempt{0};
         upstream_choice at;
         time_point sent{};
+        time_point failed_at{};
         stream_head head;
         std::string body;
         timer silence;
         bool progressed{false};
 
+        // An upstream's own failure, passed on when no other attempt is left.
+        std::optional<stream_head> own_failure;
+        std::string own_failure_body;
+
         std::vector<instance_id> tried;
         std::size_t runs{0}; /*!< Attempts that may have run. */
         event_splitter events;
@@ -258,7 +263,7 @@
                 : std::chrono::microseconds(static_cast<std::int64_t>(
                       static_cast<double>(one.route->target.count()) *
                       options.wait_part * 1000));
-        const auto since = one.streaming ? one.sent : one.arrived;
+        const auto since = one.runs > 0 ? one.failed_at : one.arrived;
         if (now - since < longest)
         {
             if (!one.in_queue)
@@ -272,8 +277,8 @@
             }
             return;
         }
-        if (one.streaming)
-            return cut(one, "no upstream takes the stream on");
+        if (one.runs > 0)
+            return give_up(one, "no other upstream takes it");
         refuse(one, why);
     }
 
@@ -471,8 +476,12 @@
         const int status = one.head.status;
         constexpr int server_error = 500;
         if (status >= server_error && !one.streaming && may_repeat(one))
+        {
+            one.own_failure = one.head;
+            one.own_failure_body = std::move(one.body);
             return failed(one, attempt_reach::may_have_run,
                           "upstream answered " + std::to_string(status));
+        }
         if (one.streaming)
             return cut(one, "upstream answered " + std::to_string(status) +
                                 " to a stream that goes on");
@@ -512,6 +521,7 @@
                        {{"may_have_run", may_have_run ? "true" : "false"}});
         const bool again = may_have_run ? may_repeat(one)
                                         : one.tried.size() < most_tries;
+        one.failed_at = now;
         if (may_have_run)
             ++one.runs;
         // What never arrived costs the service nothing.
@@ -534,6 +544,10 @@
     {
         if (one.streaming)
             return cut(one, why);
+        if (one.own_failure && one.own_failure->status != 503)
+            one.reply.send(one.own_failure->status,
+                           Codec::answer_headers(*one.own_failure),
+                           one.own_failure_body);
         const bool not_run = one.runs == 0;
         one.reply.send(not_run ? 503 : 502,
                        not_run ? Codec::refusal_headers(
