--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -5,6 +5,7 @@
 #ifndef COURSEJUNCTION_ROLLOUT_UPSTREAM_AGENT_HPP
 #define COURSEJUNCTION_ROLLOUT_UPSTREAM_AGENT_HPP
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 #include <memory>
@@ -38,6 +39,11 @@
     /*! @brief Between the news that the upstream closes and the order, so that
      * requests on their way still arrive before it. */
     milliseconds close_pause{30};
+    /*! @brief How long running requests may finish before the order cuts the
+     * rest, which entries resume elsewhere. A whole drain takes 2 s and more,
+     * so that three rounds of it would not fit into a version's 8 s; two
+     * thirds of the streams end within this. */
+    milliseconds drain_time{800};
     /*! @brief Without effect for this long, an order is given again. */
     milliseconds order_patience{5000};
     /*! @brief Rate of the instance's link; zero for no limit. */
@@ -347,9 +353,43 @@
         closing = true;
         ordered_at = event_loop::now();
         ordered_version = version;
+        ordered = false;
         ++status_sequence;
         node.announce();
-        order_timer = loop.after(options.close_pause, [this] { order(); });
+        log::state("upstream_closed",
+                   {{"version", std::to_string(version)},
+                    {"running", std::to_string(last->running)}});
+        order_timer = loop.after(options.close_pause, [this] { drain(); });
+    }
+
+    /*! @brief Waits until nothing runs, or until the time for it is over. */
+    void drain()
+    {
+        const bool over =
+            event_loop::now() - ordered_at >= options.drain_time;
+        const bool empty = last && last->running + last->waiting == 0;
+        if (over || empty || !may_cut())
+            return order();
+        order_timer = loop.after(options.poll, [this] { drain(); });
+    }
+
+    /*! @brief Tells whether every request here can be resumed elsewhere. */
+    [[nodiscard]] bool may_cut() const
+    {
+        const auto* rules = fleet.rules();
+        if (rules == nullptr)
+            return false;
+        return std::all_of(
+            rules->routes.begin(), rules->routes.end(),
+            [&](const route_rule& one)
+            {
+                const auto* service = one.services.empty()
+                                          ? nullptr
+                                          : rules->service(
+                                                one.services.front().service);
+                return service == nullptr || !service->engine ||
+                       one.repeatable();
+            });
     }
 
     void order()
@@ -358,9 +398,11 @@
         if (found == transfers.end() || !last)
             return;
         const auto wanted = found->second->version();
+        ordered = true;
         counters.count("orders_total");
         engine.load(
             wanted, last->sequence,
+            may_cut() ? load_method::cut : load_method::finish,
             [this, wanted](order_outcome outcome)
             {
                 log::state("order_given",
@@ -474,6 +516,7 @@
     bool reachable{false};
     bool polls_open{false};
     bool closing{false};
+    bool ordered{false};
     bool verifying{false};
     timer polling;
     timer order_timer;
--- a/src/coursejunction/rollout/upstream_engine.hpp
+++ b/src/coursejunction/rollout/upstream_engine.hpp
@@ -42,6 +42,13 @@
     unknown    /*!< No answer came; it may have been taken. */
 };
 
+/*! @brief What an order does with requests that run. */
+enum class load_method : std::uint8_t
+{
+    finish, /*!< They finish first; nothing new is taken meanwhile. */
+    cut     /*!< They are cut off; entries resume them elsewhere. */
+};
+
 /*! @brief A version of a model. */
 struct model_version
 {
@@ -67,7 +74,7 @@
     engine.staged(model, listed);
     engine.staged_chunk(model, chunk, got);
     engine.stage(model, chunk, bytes, put);
-    engine.load(what, sequence, ordered);
+    engine.load(what, sequence, load_method::finish, ordered);
 };
 
 /*! @brief Calls of the origin of weights at an address. */
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -190,7 +190,7 @@
 private:
     /*! @brief Chunks asked of holders at once: what arrives together holds up
      * the requests that arrive on the same link. */
-    static constexpr std::size_t holder_calls = 2;
+    static constexpr std::size_t holder_calls = 4;
 
     /*! @brief Chunks waited for at first sources of other halls. */
     static constexpr std::size_t waiting_calls = 8;
@@ -380,7 +380,7 @@
         constexpr milliseconds stall{700};
         limits.stall_floor = stall;
         limits.pending = holder_calls;
-        limits.origin_pending = 1;
+        limits.origin_pending = 2;
         limits.waiting = waiting_calls;
         limits.seed = static_cast<std::uint32_t>(
             std::hash<std::string>{}(own.value()));
@@ -421,6 +421,7 @@
             call.target += "&wait=1";
         call.timeout = options.peer_time;
         call.connect_time = options.connect_time;
+        call.repeatable = true;
         const auto id = std::make_shared<stream_client::call_id>();
         *id = client.gather(
             std::move(call),
@@ -498,6 +499,11 @@
         switch (store->add(at, std::move(bytes)))
         {
         case staging::addition::added:
+            log::decision("chunk_received",
+                          {{"version", std::to_string(what.version)},
+                           {"chunk", std::to_string(at)},
+                           {"from", from.empty() ? "origin" : from.value()},
+                           {"held", std::to_string(store->size())}});
             chunk_here(at);
             put_queue.push_back(at);
             put_more();
--- a/src/coursejunction/transfer/paced_uploads.hpp
+++ b/src/coursejunction/transfer/paced_uploads.hpp
@@ -22,7 +22,7 @@
 public:
     /*! @brief Part of the link that uploads may fill. One chunk of 32 KiB then
      * holds a live answer up by 35 ms at 7.6 Mbit/s. */
-    static constexpr double link_part = 0.85;
+    static constexpr double link_part = 0.95;
 
     /*! @brief Uploads that may wait; the last of them waits 0.5 s. */
     static constexpr std::size_t most_waiting = 12;
