End older weights at 6 s, resume streams first, keep connections for repeatable requests

While weights spread, a new connection waited twice in the side's downlink (first events 1.3 to 1.9 times the prediction, 1.0 at rest). Change: older weights take nothing after 6 s; kept connections for requests that may be repeated; priority for streams that go on; the retry budget nearer to what the installations allow; chunks are told to the hall each 60 ms.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -121,10 +121,23 @@
     }
 
     /*! @brief Tells every peer; called when something changed that all need. */
-    void announce() { tell(false); }
+    void announce()
+    {
+        tell([](const peer_state&) { return true; });
+    }
 
     /*! @brief Tells the entries only; called when a load changed. */
-    void announce_to_entries() { tell(true); }
+    void announce_to_entries()
+    {
+        tell([](const peer_state& one) { return one.entry; });
+    }
+
+    /*! @brief Tells the sides of the own hall; called while chunks spread. */
+    void announce_to_hall()
+    {
+        tell([this](const peer_state& one)
+             { return !one.entry && one.last.hall == options.hall.value(); });
+    }
 
     /*! @brief Marks the node as leaving in its heartbeats. */
     void leave()
@@ -187,14 +200,15 @@
         return true;
     }
 
-    void tell(bool entries_only)
+    template <typename Which>
+    void tell(Which which)
     {
         const auto now = event_loop::now();
         directory.expire(now);
         const auto datagram = encode(beat(now));
         for (const auto& [address, one] : directory.all())
         {
-            if (one.entry || !entries_only)
+            if (which(one))
                 socket->send(address + port_suffix, datagram);
         }
     }
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -172,10 +172,11 @@
         sent = true;
         asio::async_write(
             socket, asio::buffer(output),
-            [self = shared_from_this()](const boost::system::error_code&,
+            [self = shared_from_this()](const boost::system::error_code& fault,
                                         std::size_t)
             {
                 // A failed write shows in the read: the answer may still come.
+                self->written = !fault;
             });
         read_head();
     }
@@ -192,6 +193,7 @@
     void start_anew()
     {
         reused = false;
+        written = false;
         boost::system::error_code ignored;
         socket.close(ignored);
         socket = tcp::socket(context);
@@ -277,7 +279,8 @@
     /*! @brief Keeps the connection when nothing surplus came on it. */
     void ended_whole()
     {
-        if (call.repeatable && parser->keep_alive() && input.size() == 0)
+        if (call.repeatable && written && parser->keep_alive() &&
+            input.size() == 0)
             keep.emplace(std::move(socket));
         end(stream_end::whole, {});
     }
@@ -308,6 +311,7 @@
     bool sent{false};
     bool over{false};
     bool reused{false};
+    bool written{false};
 };
 
 } // namespace internal
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -46,11 +46,12 @@
      * `first_slack`, is given up. */
     double first_factor{3};
     milliseconds first_slack{700};
-    /*! @brief Retries earned by each request; the installations allow 0.2. */
-    double retry_portion{0.1};
+    /*! @brief Retries earned by each request; the installations allow 0.2 in
+     * each ten seconds. */
+    double retry_portion{0.15};
     /*! @brief Retries that all entries together may save up; the smallest
      * allowance of the installations seen is 104 in ten seconds. */
-    double retry_reserve{60};
+    double retry_reserve{80};
     milliseconds least_retry_after{200};
     milliseconds most_retry_after{1500};
 };
@@ -328,12 +329,15 @@
         facts.version = at.version;
         facts.last_event =
             one.events.last_id() ? one.events.last_id() : one.asked.last_event;
+        facts.urgent = one.streaming;
         stream_call call;
         call.address = at.address;
         call.method = one.original.method;
         call.target = one.original.target;
         call.headers = Codec::attempt_headers(one.original, facts);
         call.body = one.original.body;
+        // What may run once goes out on a connection that cannot be half dead.
+        call.repeatable = one.route->repeatable();
         book.begin(at.upstream, one.attempt, one.asked.prompt_tokens, now);
         counters.count("attempts_total");
         log::decision("request_sent",
@@ -430,6 +434,14 @@
                            {"upstream", one.at.upstream.value()},
                            {"predicted_ms", text(one.at.predicted_ms)},
                            {"seen_ms", text(took * ms)}});
+        else
+            log::decision("stream_resumed",
+                          {{"request", one.asked.id.value()},
+                           {"upstream", one.at.upstream.value()},
+                           {"predicted_ms", text(one.at.predicted_ms)},
+                           {"gap_ms", text(to_seconds(event_loop::now() -
+                                                      one.failed_at) *
+                                           ms)}});
     }
 
     void begin_stream(exchange& one)
--- a/src/coursejunction/proxy/request_codec.hpp
+++ b/src/coursejunction/proxy/request_codec.hpp
@@ -41,6 +41,7 @@
     milliseconds left{0};
     std::uint64_t version{0}; /*!< Expected weights; 0 for any. */
     std::optional<std::uint64_t> last_event;
+    bool urgent{false}; /*!< A stream that goes on: its caller reads already. */
 };
 
 /*! @brief What an upstream's answer tells. */
--- a/src/coursejunction/rollout/turn_policy.hpp
+++ b/src/coursejunction/rollout/turn_policy.hpp
@@ -22,7 +22,7 @@
     double closed_part{0.34};
     /*! @brief Time after which an upstream closes whatever the others do: a
      * version has 8 s, of which a full engine drains for up to 3. */
-    milliseconds latest{5500};
+    milliseconds latest{5300};
 };
 
 /*! @brief Another side of the same hall, as it last told. */
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -35,14 +35,16 @@
     milliseconds poll{50};
     /*! @brief Statuses that say the same are told this seldom. */
     milliseconds quiet{200};
-    milliseconds poll_time{400};
+    /*! @brief How often chunks are told to the hall while they come; one
+     * chunk takes 35 ms on a side's link. */
+    milliseconds spread{60};
     /*! @brief Between the news that the upstream closes and the order, so that
      * requests on their way still arrive before it. */
     milliseconds close_pause{30};
     /*! @brief How long running requests may finish before the order cuts the
      * rest, which entries resume elsewhere. A whole drain takes 2 s and more,
      * so that three rounds of it would not fit into a version's 8 s; two
-     * thirds of the streams end within this. */
+     * thirds of the streams end within 800 ms. */
     milliseconds drain_time{800};
     /*! @brief Without effect for this long, an order is given again. */
     milliseconds order_patience{5000};
@@ -86,6 +88,7 @@
         { serve_peer(request, std::move(reply)); };
         node.start(std::move(hooks));
         polling = loop.every(options.poll, [this] { poll(); });
+        spreading = loop.every(options.spread, [this] { spread(); });
     }
 
     [[nodiscard]] const fleet_view<Platform>& view() const { return fleet; }
@@ -226,6 +229,16 @@
         return all;
     }
 
+    /*! @brief While chunks still come, the hall hears of each soon. */
+    void spread()
+    {
+        const bool incomplete =
+            std::any_of(transfers.begin(), transfers.end(),
+                        [](const auto& one) { return !one.second->complete(); });
+        if (incomplete)
+            node.announce_to_hall();
+    }
+
     // --- The upstream ----------------------------------------------------
 
     void poll()
@@ -519,6 +532,7 @@
     bool ordered{false};
     bool verifying{false};
     timer polling;
+    timer spreading;
     timer order_timer;
 };
 
--- /dev/null
+++ b/tests/net/stream_client.cpp
@@ -0,0 +1,183 @@
+#include "coursejunction/net/stream_client.hpp"
+
+#include <atomic>
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "net/loopback.hpp"
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/*! @brief Accepts connections and answers each with the next given bytes. */
+class scripted_peer
+{
+public:
+    explicit scripted_peer(std::vector<std::string> given)
+        : answers(std::move(given)), file(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(file, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+        REQUIRE(::listen(file, 8) == 0);
+        socklen_t size = sizeof at;
+        ::getsockname(file, reinterpret_cast<sockaddr*>(&at), &size);
+        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+        thread = std::thread([this] { run(); });
+    }
+
+    ~scripted_peer()
+    {
+        ::shutdown(file, SHUT_RDWR);
+        thread.join();
+        ::close(file);
+    }
+
+    scripted_peer(const scripted_peer&) = delete;
+    scripted_peer& operator=(const scripted_peer&) = delete;
+
+    std::string address;
+
+private:
+    void run()
+    {
+        for (const auto& one : answers)
+        {
+            const int caller = ::accept(file, nullptr, nullptr);
+            if (caller < 0)
+                return;
+            char part[4096];
+            const auto got = ::recv(caller, part, sizeof part, 0);
+            const auto done =
+                ::send(caller, one.data(), one.size(), MSG_NOSIGNAL);
+            static_cast<void>(got);
+            static_cast<void>(done);
+            ::close(caller);
+        }
+    }
+
+    std::vector<std::string> answers;
+    int file;
+    std::thread thread;
+};
+
+cj::stream_client::answer call(const std::string& address,
+                               bool repeatable = false)
+{
+    loopback::running_loop running;
+    std::unique_ptr<cj::stream_client> client;
+    std::optional<cj::stream_client::answer> told;
+    std::atomic<bool> done{false};
+    running.on_loop(
+        [&]
+        {
+            client = std::make_unique<cj::stream_client>(running.loop);
+            cj::stream_call one;
+            one.address = address;
+            one.target = "/";
+            one.timeout = 5000ms;
+            one.connect_time = 3000ms;
+            one.repeatable = repeatable;
+            client->gather(std::move(one),
+                           [&](cj::stream_client::answer answer)
+                           {
+                               told = std::move(answer);
+                               done = true;
+                               done.notify_all();
+                           });
+        });
+    done.wait(false);
+    running.on_loop([&] { client.reset(); });
+    return *told;
+}
+
+} // namespace
+
+SCENARIO("a call tells how far it got", "[net]")
+{
+    using cj::stream_end;
+    SECTION("a whole answer with a length")
+    {
+        scripted_peer peer(
+            {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokmore"});
+        const auto answer = call(peer.address);
+        CHECK(answer.end == stream_end::whole);
+        CHECK(answer.body == "ok");
+    }
+    SECTION("an answer without a length ends with its connection")
+    {
+        scripted_peer peer({"HTTP/1.1 200 OK\r\n\r\nall of it"});
+        const auto answer = call(peer.address);
+        CHECK(answer.end == stream_end::whole);
+        CHECK(answer.body == "all of it");
+    }
+    SECTION("an answer that ends early is broken")
+    {
+        scripted_peer peer({"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"});
+        CHECK(call(peer.address).end == stream_end::broken);
+    }
+    SECTION("chunks without their end are broken")
+    {
+        scripted_peer peer({"HTTP/1.1 200 OK\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"});
+        CHECK(call(peer.address).end == stream_end::broken);
+    }
+    SECTION("bytes that are no answer")
+    {
+        scripted_peer peer({"nonsense\r\n\r\n"});
+        CHECK(call(peer.address).end == stream_end::malformed);
+    }
+    SECTION("silence and an end")
+    {
+        scripted_peer peer({""});
+        CHECK(call(peer.address).end == stream_end::broken);
+    }
+    SECTION("nobody listens: nothing was sent")
+    {
+        std::string address;
+        {
+            scripted_peer gone(std::vector<std::string>{});
+            address = gone.address;
+        }
+        CHECK(call(address).end == stream_end::not_sent);
+    }
+}
+
+SCENARIO("a kept connection that is dead costs no failure", "[net]")
+{
+    const std::string kept = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    scripted_peer peer({kept, kept});
+    loopback::running_loop running;
+    std::unique_ptr<cj::stream_client> client;
+    std::atomic<int> good{0};
+    const auto ask = [&](int number)
+    {
+        running.on_loop(
+            [&]
+            {
+                if (!client)
+                    client = std::make_unique<cj::stream_client>(running.loop);
+                cj::stream_call one;
+                one.address = peer.address;
+                one.target = "/";
+                one.repeatable = true;
+                one.connect_time = 3000ms;
+                client->gather(std::move(one),
+                               [&](const cj::stream_client::answer& answer)
+                               {
+                                   good += answer.is(200) ? 1 : 100;
+                                   good.notify_all();
+                               });
+            });
+        good.wait(number - 1);
+    };
+    ask(1);
+    ask(2);
+    CHECK(good == 2);
+    running.on_loop([&] { client.reset(); });
+}
--- /dev/null
+++ b/tests/platform/catalogue.cpp
@@ -0,0 +1,126 @@
+#include "platform/catalogue.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace cj = coursejunction;
+using cj::platform::catalogue;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string configuration_text = R"({"version":7,
+"routes":[
+ {"name":"r1","hostname":"a.example","pathPrefix":"/x/","type":"streaming",
+  "timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"llm",
+  "maxAttempts":2,"public":false,"sticky":true,"resumable":true,
+  "targetItlMs":400},
+ {"name":"r2","hostname":"b.example","pathPrefix":"/y/",
+  "type":"non_idempotent","timeoutMs":1500.0,"targetLatencyMs":300,
+  "trafficSplit":[{"service":"one","weight":90},{"service":"two","weight":10}],
+  "maxAttempts":1,"public":true}],
+"services":[
+ {"name":"llm","healthPath":"/healthz","maxConnections":374,
+  "backend":{"slots":16,"kvCapacity":1180000,"stride":5,
+   "modelList":[{"name":"m","pace":1.0,"loadS":4.0,"warmupS":0.3}],
+   "step_ms":8.87,"per_seq_ms":0.0388,"context_per_k":0.0227,
+   "read_per_s":19100.0,"pairs_per_m":1.47,"chunk":2048,
+   "usual":{"prompt":977,"answer":94},"layers":16,"blocks":64,
+   "blockBytes":32768}},
+ {"name":"weights","origin":"172.20.0.3:8006","zone":"z","linkMbps":9.9,
+  "maxConnections":48}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+ "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})";
+
+} // namespace
+
+SCENARIO("a configuration is decoded into the product's types", "[platform]")
+{
+    const auto read = catalogue::configuration(configuration_text);
+    REQUIRE(read);
+    const auto& rules = read.value();
+    CHECK(rules.version == 7);
+    REQUIRE(rules.routes.size() == 2);
+
+    THEN("routes say what may be repeated")
+    {
+        const auto& stream = rules.routes[0];
+        CHECK(stream.kind == cj::request_kind::stream);
+        CHECK(stream.repeatable());
+        CHECK(stream.timeout == 6000ms);
+        CHECK(stream.most_upstreams == 2);
+        CHECK(rules.routes[1].kind == cj::request_kind::single);
+        CHECK_FALSE(rules.routes[1].repeatable());
+        CHECK(rules.routes[1].open);
+        CHECK(rules.routes[1].services.size() == 2);
+    }
+    THEN("an engine's figures have their units")
+    {
+        const auto* llm = rules.service(cj::service_name("llm"));
+        REQUIRE(llm != nullptr);
+        REQUIRE(llm->engine);
+        CHECK(llm->engine->read_per_ms == Approx(19.1));
+        CHECK(llm->engine->usual_prompt == 977);
+        CHECK(llm->engine->models == std::vector<std::string>{"m"});
+        CHECK(llm->engine->load_s == Approx(0.3));
+    }
+    THEN("the origin is found with its rate in bytes")
+    {
+        REQUIRE(rules.origin() != nullptr);
+        CHECK(rules.origin()->origin == "172.20.0.3:8006");
+        CHECK(rules.origin()->origin_rate == Approx(9.9e6 / 8));
+    }
+    THEN("keys have their owner")
+    {
+        CHECK(rules.keyed);
+        CHECK(rules.owner("k2")->id.value() == "t1");
+        CHECK(rules.owner("k3") == nullptr);
+    }
+}
+
+SCENARIO("upstreams and versions are decoded", "[platform]")
+{
+    CHECK(catalogue::kind("op/config") == cj::item_kind::configuration);
+    CHECK(catalogue::kind("op/version/m") == cj::item_kind::version);
+    CHECK(catalogue::kind("servers/i-1") == cj::item_kind::upstream);
+    CHECK(catalogue::kind("mine") == cj::item_kind::other);
+
+    const auto one = catalogue::upstream(
+        "servers/i-1",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"z","version":"v1",
+        "slots":16,"state":"draining","coldRemainingMs":5,
+        "modelList":[{"name":"m","version":3,"loras":[]}],"sequence":4})");
+    REQUIRE(one);
+    CHECK(one.value().id.value() == "i-1");
+    CHECK(one.value().leaving);
+    CHECK(one.value().weights.at("m") == 3);
+    CHECK(one.value().cold_ms == 5);
+
+    const auto named = catalogue::version(R"({"modelId":"m","version":2})");
+    REQUIRE(named);
+    CHECK(named.value().model == "m");
+    CHECK(named.value().version == 2);
+}
+
+SCENARIO("items that cannot be read are errors, not crashes", "[platform]")
+{
+    CHECK_FALSE(catalogue::configuration("nonsense"));
+    CHECK_FALSE(catalogue::configuration("[]"));
+    CHECK_FALSE(catalogue::configuration(R"({"version":1})"));
+    CHECK_FALSE(catalogue::configuration(
+        R"({"version":"x","routes":[],"services":[]})"));
+    CHECK_FALSE(catalogue::upstream("servers/i", R"({"service":5})"));
+    rc::prop("hostile bytes",
+             []
+             {
+                 const auto cut = *rc::gen::inRange<std::size_t>(
+                     0, configuration_text.size());
+                 auto text = configuration_text.substr(0, cut);
+                 text += *rc::gen::arbitrary<std::string>();
+                 static_cast<void>(catalogue::configuration(text));
+                 static_cast<void>(catalogue::upstream("servers/i", text));
+                 static_cast<void>(catalogue::version(text));
+             });
+}
--- /dev/null
+++ b/tests/proxy/exchange_service.cpp
@@ -0,0 +1,457 @@
+#include "coursejunction/proxy/exchange_service.hpp"
+
+#include <atomic>
+#include <charconv>
+#include <functional>
+#include <memory>
+#include <mutex>
+
+#include <catch2/catch.hpp>
+
+#include "net/loopback.hpp"
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/*! @brief Headers of a made-up edge: the service knows none by name. */
+struct plain_codec
+{
+    static cj::caller_request decode(const cj::stream_request& from)
+    {
+        cj::caller_request made;
+        made.id = cj::request_id(std::string(from.headers.find("Id")));
+        made.host = std::string(from.headers.find("Host"));
+        made.path = from.target;
+        if (from.headers.contains("Key"))
+            made.key = std::string(from.headers.find("Key"));
+        return made;
+    }
+
+    static cj::header_list attempt_headers(const cj::stream_request& original,
+                                           const cj::attempt_facts& attempt)
+    {
+        auto made = original.headers;
+        made.assign("To", attempt.upstream.value());
+        if (attempt.last_event)
+            made.assign("Last", std::to_string(*attempt.last_event));
+        return made;
+    }
+
+    static cj::answer_facts facts(const cj::stream_head& head)
+    {
+        cj::answer_facts made;
+        made.id = cj::request_id(std::string(head.headers.find("Id")));
+        made.not_run = head.headers.contains("Not-Run");
+        return made;
+    }
+
+    static cj::header_list answer_headers(const cj::stream_head& head)
+    {
+        auto made = head.headers;
+        made.erase_connection_fields();
+        return made;
+    }
+
+    static cj::header_list refusal_headers(cj::milliseconds)
+    {
+        cj::header_list made;
+        made.push_back("Retry-After", "1");
+        return made;
+    }
+};
+
+/*! @brief An upstream that answers each connection with the next bytes. */
+class scripted_upstream
+{
+public:
+    explicit scripted_upstream(std::vector<std::string> given)
+        : answers(std::move(given)), file(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(file, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+        REQUIRE(::listen(file, 8) == 0);
+        socklen_t size = sizeof at;
+        ::getsockname(file, reinterpret_cast<sockaddr*>(&at), &size);
+        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+        thread = std::thread([this] { run(); });
+    }
+
+    ~scripted_upstream()
+    {
+        ::shutdown(file, SHUT_RDWR);
+        thread.join();
+        ::close(file);
+    }
+
+    scripted_upstream(const scripted_upstream&) = delete;
+    scripted_upstream& operator=(const scripted_upstream&) = delete;
+
+    std::vector<std::string> arrivals()
+    {
+        const std::lock_guard guard(mutex);
+        return seen;
+    }
+
+    std::string address;
+
+private:
+    void run()
+    {
+        for (std::size_t turn = 0;; ++turn)
+        {
+            const int caller = ::accept(file, nullptr, nullptr);
+            if (caller < 0)
+                return;
+            char part[8192];
+            const auto count = ::recv(caller, part, sizeof part, 0);
+            {
+                const std::lock_guard guard(mutex);
+                seen.emplace_back(part,
+                                  static_cast<std::size_t>(std::max<ssize_t>(
+                                      count, 0)));
+            }
+            const auto& bytes =
+                answers[std::min(turn, answers.size() - 1)];
+            if (bytes == "hang")
+            {
+                // Holds the connection until the other end closes it.
+                static_cast<void>(::recv(caller, part, sizeof part, 0));
+                closed_by_caller = true;
+                closed_by_caller.notify_all();
+            }
+            else
+            {
+                const auto done = ::send(caller, bytes.data(), bytes.size(),
+                                         MSG_NOSIGNAL);
+                static_cast<void>(done);
+            }
+            ::close(caller);
+        }
+    }
+
+    std::vector<std::string> answers;
+    int file;
+    std::mutex mutex;
+    std::vector<std::string> seen;
+    std::thread thread;
+
+public:
+    std::atomic<bool> closed_by_caller{false};
+};
+
+/*! @brief An entry between a caller's connection and scripted upstreams. */
+struct entry_on_loopback
+{
+    entry_on_loopback()
+    {
+        running.on_loop(
+            [&]
+            {
+                client = std::make_unique<cj::stream_client>(running.loop);
+                cj::exchange_options options;
+                options.retry_reserve = 10;
+                service = std::make_unique<cj::exchange_service<plain_codec>>(
+                    running.loop, *client, book, counters,
+                    cj::placer({}, cj::hall_id("h"), "self"), options);
+                auto made = cj::stream_server::create(
+                    running.loop, "127.0.0.1", 0, {},
+                    [this](cj::stream_request request, cj::stream_reply reply)
+                    {
+                        service->request(std::move(request), std::move(reply));
+                    });
+                REQUIRE(made);
+                server = std::move(made.value());
+                port = server->port();
+            });
+    }
+
+    ~entry_on_loopback()
+    {
+        running.on_loop(
+            [&]
+            {
+                server.reset();
+                service.reset();
+                client.reset();
+            });
+        running.stop();
+    }
+
+    /*! @brief Puts one route to one service into force. */
+    void route(cj::request_kind kind, bool resumable = false,
+               cj::milliseconds timeout = 5000ms)
+    {
+        auto rules = std::make_shared<cj::installation>();
+        rules->version = 1;
+        cj::route_rule one;
+        one.name = "r";
+        one.host = "h";
+        one.prefix = "/";
+        one.kind = kind;
+        one.resumable = resumable;
+        one.open = true;
+        one.timeout = timeout;
+        one.target = 1000ms;
+        one.most_upstreams = 2;
+        one.services = {{cj::service_name("s"), 1}};
+        rules->routes.push_back(one);
+        one.prefix = "/keyed/";
+        one.open = false;
+        rules->routes.push_back(one);
+        rules->keyed = true;
+        rules->keys["k"] = {cj::organisation_id("o"), 0};
+        cj::service_profile profile;
+        profile.name = cj::service_name("s");
+        rules->services[profile.name] = profile;
+        running.on_loop([&] { service->configure(rules); });
+    }
+
+    void upstream(const std::string& id, const std::string& address)
+    {
+        cj::upstream_record one;
+        one.id = cj::instance_id(id);
+        one.service = cj::service_name("s");
+        one.address = address;
+        // Ids in order of preference: the first in this entry's hall.
+        one.hall = cj::hall_id(id == "a" ? "h" : "other");
+        one.slots = 4;
+        running.on_loop([&] { book.record(one); });
+    }
+
+    std::string ask(const std::string& path = "/x",
+                    const std::string& more = {})
+    {
+        loopback::raw_connection caller(port);
+        caller.send("POST " + path +
+                    " HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
+                    "Connection: close\r\nContent-Length: 2\r\n" +
+                    more + "\r\nhi");
+        return caller.drain();
+    }
+
+    cj::upstream_book book;
+    cj::metrics counters;
+    loopback::running_loop running;
+    std::unique_ptr<cj::stream_client> client;
+    std::unique_ptr<cj::exchange_service<plain_codec>> service;
+    std::unique_ptr<cj::stream_server> server;
+    std::uint16_t port{0};
+};
+
+std::string whole(const std::string& body, const std::string& id = "7",
+                  const std::string& status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\nId: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+/*! @brief Events in chunks, as streams come.
+ * @param ended Whether the last chunk follows. */
+std::string stream(const std::string& events, bool ended,
+                   const std::string& signature = "one")
+{
+    char size[32];
+    std::snprintf(size, sizeof size, "%zx", events.size());
+    return "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: " + signature +
+           "\r\nTransfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + events +
+           "\r\n" + (ended ? "0\r\n\r\n" : "");
+}
+
+} // namespace
+
+SCENARIO("a request is answered by its upstream", "[proxy]")
+{
+    entry_on_loopback entry;
+
+    SECTION("nothing is known yet: it has not run")
+    {
+        const auto answer = entry.ask();
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(answer.find("Retry-After") != std::string::npos);
+    }
+    GIVEN("a configuration")
+    {
+        entry.route(cj::request_kind::repeatable);
+        SECTION("a path without a route")
+        {
+            CHECK(entry.ask("nowhere").starts_with("HTTP/1.1 4"));
+        }
+        SECTION("a key that nobody has")
+        {
+            CHECK(entry.ask("/keyed/x").starts_with("HTTP/1.1 401"));
+            CHECK(entry.ask("/keyed/x", "Key: z\r\n")
+                      .starts_with("HTTP/1.1 401"));
+        }
+        SECTION("no upstream: refused, with the time to come back")
+        {
+            const auto answer = entry.ask();
+            CHECK(answer.starts_with("HTTP/1.1 503"));
+            CHECK(answer.find("Retry-After") != std::string::npos);
+        }
+        SECTION("an upstream: its answer, unchanged")
+        {
+            scripted_upstream one({whole("hello")});
+            entry.upstream("a", one.address);
+            CHECK(entry.ask("/x?b=2&a").ends_with("hello"));
+            const auto seen = one.arrivals();
+            REQUIRE(seen.size() == 1);
+            CHECK(seen[0].starts_with("POST /x?b=2&a HTTP/1.1"));
+            CHECK(seen[0].ends_with("hi"));
+        }
+    }
+}
+
+SCENARIO("what may run once is sent once", "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.route(cj::request_kind::single);
+
+    SECTION("a connection that breaks after the request: unknown, at once")
+    {
+        scripted_upstream one({""});
+        scripted_upstream two({whole("no")});
+        entry.upstream("a", one.address);
+        entry.upstream("b", two.address);
+        CHECK(entry.ask().starts_with("HTTP/1.1 502"));
+        CHECK(one.arrivals().size() == 1);
+        CHECK(two.arrivals().empty());
+    }
+    SECTION("an upstream that says that it did not run it")
+    {
+        scripted_upstream one({"HTTP/1.1 503 No\r\nId: 7\r\nNot-Run: 1\r\n"
+                               "Content-Length: 0\r\n\r\n"});
+        scripted_upstream two({whole("yes")});
+        entry.upstream("a", one.address);
+        entry.upstream("b", two.address);
+        CHECK(entry.ask().ends_with("yes"));
+    }
+    SECTION("503 without that proof is not passed on as a promise")
+    {
+        scripted_upstream one({whole("", "7", "503 No")});
+        entry.upstream("a", one.address);
+        CHECK(entry.ask().starts_with("HTTP/1.1 502"));
+    }
+    SECTION("the answer to another request is not passed on")
+    {
+        scripted_upstream one({whole("other's", "8")});
+        entry.upstream("a", one.address);
+        const auto answer = entry.ask();
+        CHECK(answer.starts_with("HTTP/1.1 502"));
+        CHECK(answer.find("other's") == std::string::npos);
+    }
+    SECTION("an answer that ends early does not look whole")
+    {
+        scripted_upstream one(
+            {"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 9\r\n\r\nhalf"});
+        entry.upstream("a", one.address);
+        CHECK(entry.ask().starts_with("HTTP/1.1 502"));
+    }
+}
+
+SCENARIO("what may be repeated goes to a second upstream", "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.route(cj::request_kind::repeatable);
+
+    SECTION("after a broken connection")
+    {
+        scripted_upstream one({""});
+        scripted_upstream two({whole("second")});
+        entry.upstream("a", one.address);
+        entry.upstream("b", two.address);
+        CHECK(entry.ask().ends_with("second"));
+    }
+    SECTION("after the upstream's own failure")
+    {
+        scripted_upstream one({whole("", "7", "500 Bad")});
+        scripted_upstream two({whole("second")});
+        entry.upstream("a", one.address);
+        entry.upstream("b", two.address);
+        CHECK(entry.ask().ends_with("second"));
+    }
+    SECTION("and without a second one that failure is passed on, not a "
+            "promise that it did not run")
+    {
+        scripted_upstream one({whole("why", "7", "500 Bad")});
+        entry.upstream("a", one.address);
+        const auto answer = entry.ask();
+        CHECK(answer.starts_with("HTTP/1.1 500"));
+        CHECK(answer.ends_with("why"));
+    }
+    SECTION("but no further than the route allows")
+    {
+        scripted_upstream one({""});
+        scripted_upstream two({""});
+        scripted_upstream three({""});
+        entry.upstream("a", one.address);
+        entry.upstream("b", two.address);
+        entry.upstream("c", three.address);
+        CHECK(entry.ask().starts_with("HTTP/1.1 502"));
+        CHECK(one.arrivals().size() + two.arrivals().size() +
+                  three.arrivals().size() ==
+              2);
+    }
+}
+
+SCENARIO("a stream goes on at another upstream", "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.route(cj::request_kind::stream, true);
+    scripted_upstream one(
+        {stream("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", false)});
+    scripted_upstream two({stream("id: 3\ndata: c\n\n", true, "two")});
+
+    SECTION("after the last whole event, with the first head")
+    {
+        entry.upstream("a", one.address);
+        entry.upstream("b", two.address);
+        const auto answer = entry.ask();
+        CHECK(answer.find("Signed: one") != std::string::npos);
+        CHECK(answer.find("Signed: two") == std::string::npos);
+        CHECK(answer.find("data: c") != std::string::npos);
+        CHECK(answer.find("id: 3\nda\r") == std::string::npos);
+        CHECK(answer.ends_with("0\r\n\r\n"));
+        const auto seen = two.arrivals();
+        REQUIRE(seen.size() == 1);
+        CHECK(seen[0].find("Last: 2\r\n") != std::string::npos);
+    }
+    SECTION("or is cut visibly when there is none")
+    {
+        entry.upstream("a", one.address);
+        const auto answer = entry.ask();
+        CHECK(answer.find("data: b") != std::string::npos);
+        CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    }
+}
+
+SCENARIO("time limits and callers that leave end the work", "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.route(cj::request_kind::single, false, 100ms);
+    scripted_upstream one({"hang"});
+    entry.upstream("a", one.address);
+
+    SECTION("the route's timeout gives the final answer")
+    {
+        CHECK(entry.ask().starts_with("HTTP/1.1 504"));
+        one.closed_by_caller.wait(false);
+    }
+    SECTION("a caller that leaves cancels at the upstream")
+    {
+        entry.route(cj::request_kind::single, false, 60'000ms);
+        {
+            loopback::raw_connection caller(entry.port);
+            caller.send("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n");
+            while (one.arrivals().empty())
+                std::this_thread::sleep_for(1ms);
+        }
+        one.closed_by_caller.wait(false);
+        CHECK(one.closed_by_caller);
+    }
+}
--- /dev/null
+++ b/tests/route/placement.cpp
@@ -0,0 +1,178 @@
+#include "coursejunction/route/placement.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+cj::upstream_record record(const std::string& id, const std::string& hall,
+                           const std::string& address)
+{
+    cj::upstream_record one;
+    one.id = cj::instance_id(id);
+    one.service = cj::service_name("llm");
+    one.address = address;
+    one.hall = cj::hall_id(hall);
+    one.slots = 4;
+    one.weights["m"] = 1;
+    return one;
+}
+
+cj::service_profile llm()
+{
+    cj::service_profile one;
+    one.name = cj::service_name("llm");
+    cj::engine_profile engine;
+    engine.slots = 4;
+    engine.step_ms = 9;
+    engine.read_per_ms = 19;
+    engine.stride = 5;
+    one.engine = engine;
+    return one;
+}
+
+cj::message::upstream_status status(std::uint64_t sequence)
+{
+    cj::message::upstream_status one;
+    one.model = "m";
+    one.version = 1;
+    one.sequence = sequence;
+    one.open = true;
+    one.reachable = true;
+    return one;
+}
+
+cj::placement_request wanted()
+{
+    cj::placement_request one;
+    one.service = cj::service_name("llm");
+    one.model = "m";
+    one.least_version = 1;
+    one.prompt = 1000;
+    one.target = 400ms;
+    return one;
+}
+
+} // namespace
+
+SCENARIO("a request goes where its first event is met", "[route]")
+{
+    cj::upstream_book book;
+    const cj::time_point now{100s};
+    const cj::placer places({}, cj::hall_id("north"), "10.0.0.9");
+    const auto service = llm();
+    cj::no_placement why;
+    book.record(record("near", "north", "10.0.0.1:80"));
+    book.record(record("far", "south", "10.0.0.2:80"));
+    book.status("10.0.0.1", status(1), now);
+    book.status("10.0.0.2", status(1), now);
+
+    THEN("the own hall is preferred")
+    {
+        const auto at = places.choose(book, service, wanted(), now, why);
+        REQUIRE(at);
+        CHECK(at->upstream.value() == "near");
+        CHECK(at->version == 1);
+    }
+    GIVEN("the near one is full")
+    {
+        auto told = status(2);
+        told.running = 12;
+        book.status("10.0.0.1", told, now);
+        const auto at = places.choose(book, service, wanted(), now, why);
+        REQUIRE(at);
+        CHECK(at->upstream.value() == "far");
+        AND_GIVEN("the far one too")
+        {
+            book.status("10.0.0.2", told, now);
+            THEN("nothing is placed, and it is told when a place is expected")
+            {
+                CHECK_FALSE(places.choose(book, service, wanted(), now, why));
+                CHECK(why.usable == 2);
+                CHECK(why.least_ms > 360);
+            }
+            THEN("a stream that must go on is placed all the same")
+            {
+                auto must = wanted();
+                must.must = true;
+                CHECK(places.choose(book, service, must, now, why));
+            }
+        }
+    }
+    GIVEN("the near one closes to load other weights")
+    {
+        auto told = status(2);
+        told.open = false;
+        book.status("10.0.0.1", told, now);
+        CHECK(places.choose(book, service, wanted(), now, why)
+                  ->upstream.value() == "far");
+    }
+    GIVEN("older weights may no longer be used")
+    {
+        auto newer = wanted();
+        newer.least_version = 2;
+        CHECK_FALSE(places.choose(book, service, newer, now, why));
+        CHECK(why.usable == 0);
+        auto told = status(2);
+        told.version = 2;
+        book.status("10.0.0.2", told, now);
+        CHECK(places.choose(book, service, newer, now, why)->version == 2);
+    }
+    GIVEN("the near one is leaving")
+    {
+        auto leaving = record("near", "north", "10.0.0.1:80");
+        leaving.leaving = true;
+        book.record(leaving);
+        CHECK(places.choose(book, service, wanted(), now, why)
+                  ->upstream.value() == "far");
+    }
+    GIVEN("an attempt at the near one failed")
+    {
+        book.begin(cj::instance_id("near"), 1, 1000, now);
+        book.end(cj::instance_id("near"), 1, false, now);
+        CHECK(places.choose(book, service, wanted(), now, why)
+                  ->upstream.value() == "far");
+    }
+    GIVEN("the side is silent")
+    {
+        const auto later = now + 5s;
+        THEN("the record's version and the own attempts decide")
+        {
+            CHECK(places.choose(book, service, wanted(), later, why));
+        }
+    }
+}
+
+SCENARIO("records that went while the store was away may come back", "[route]")
+{
+    cj::upstream_book book;
+    const cj::time_point now{100s};
+    const cj::instance_id id("near");
+    book.record(record("near", "north", "10.0.0.1:80"));
+
+    WHEN("one goes in an outage")
+    {
+        book.remove(id, true, now);
+        book.expire(now + 1s);
+        CHECK(book.find(id) != nullptr);
+        THEN("it is gone after the grace")
+        {
+            book.expire(now + 2s);
+            CHECK(book.find(id) == nullptr);
+        }
+        THEN("it stays when it comes back")
+        {
+            book.record(record("near", "north", "10.0.0.1:80"));
+            book.expire(now + 10s);
+            CHECK(book.find(id) != nullptr);
+        }
+    }
+    WHEN("one goes otherwise")
+    {
+        book.remove(id, false, now);
+        THEN("it is gone at once") { CHECK(book.find(id) == nullptr); }
+    }
+}
--- /dev/null
+++ b/tests/settings/gateway_settings.cpp
@@ -0,0 +1,50 @@
+#include "coursejunction/settings/gateway_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string side_text = "[instance]\nid=s\nrole=side\naddress=10.0.0.1\n"
+                              "hall=h\nregion=r\n[peers]\nports=7700,7715\n"
+                              "seeds=10.0.0.2:8000,10.0.0.3:8000\n"
+                              "[store]\naddress=10.0.0.9:80\n"
+                              "[upstream]\naddress=10.0.0.1:8001\n"
+                              "[link]\nrate=7.6Mbit/s\n"
+                              "[bounds]\nversion_time=8000ms\nstop_grace=8s\n";
+
+} // namespace
+
+SCENARIO("settings of an installation are checked", "[settings]")
+{
+    SECTION("a side's")
+    {
+        const auto read = cj::gateway_settings::parse("s.ini", side_text);
+        REQUIRE(read);
+        CHECK(read.value().kind == cj::role::side);
+        CHECK(read.value().peer_port == 7700);
+        CHECK(read.value().seeds ==
+              std::vector<std::string>{"10.0.0.2", "10.0.0.3"});
+        CHECK(read.value().link_rate == Approx(950'000));
+        CHECK(read.value().stop_grace == 8000ms);
+    }
+    SECTION("an unknown key is named with file and section")
+    {
+        const auto read = cj::gateway_settings::parse(
+            "s.ini", side_text + "[log]\nlevle=info\n");
+        REQUIRE_FALSE(read);
+        CHECK(read.error().message == "s.ini: [log] levle: key is unknown");
+    }
+    SECTION("a wrong role is refused")
+    {
+        auto text = side_text;
+        text.replace(text.find("side"), 4, "edge");
+        const auto read = cj::gateway_settings::parse("s.ini", text);
+        REQUIRE_FALSE(read);
+        CHECK(read.error().message ==
+              "s.ini: [instance] role: must be entry or side");
+    }
+}
--- a/tests/settings/node_settings.cpp
+++ b/tests/settings/node_settings.cpp
@@ -62,7 +62,7 @@
                   "with a unit: ms, s, min or h");
             CHECK(fault_of(good + "[transfer]\nupload_rate = 5MiB\n") ==
                   "a.ini: [transfer] upload_rate: '5MiB' needs a unit: B/s, "
-                  "KiB/s, MiB/s or GiB/s");
+                  "KiB/s, MiB/s, GiB/s or Mbit/s");
             CHECK(fault_of(with("7000", "70000")) ==
                   "a.ini: [instance] peer_port: must lie between 0 and 65535");
             CHECK(fault_of(with("active_key = 1", "active_key = 2")) ==
