--- a/src/coursejunction/core/log.cpp
+++ b/src/coursejunction/core/log.cpp
@@ -45,8 +45,9 @@
 
     bool take()
     {
-        const auto now = std::chrono::time_point_cast<std::chrono::microseconds>(
-            std::chrono::steady_clock::now());
+        const auto now =
+            std::chrono::time_point_cast<std::chrono::microseconds>(
+                std::chrono::steady_clock::now());
         if (!bucket.take(1, now))
         {
             ++dropped;
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -65,7 +65,8 @@
     std::function<void(const std::string& from,
                        const message::fleet_heartbeat&)>
         heard;
-    std::function<void(message::fleet_heartbeat&)> describe;
+    /*! @brief Adds what the role knows; only the load when not `whole`. */
+    std::function<void(message::fleet_heartbeat&, bool whole)> describe;
     std::function<void(stream_request, stream_reply)> request;
 };
 
@@ -79,14 +80,26 @@
      * that several may be lost. */
     static constexpr milliseconds beat_interval{200};
 
+    /*! @brief Entries that watch the store; all others hear from them. One may
+     * be cut from the store and one more stopped at the same time. */
+    static constexpr std::size_t most_watchers = 3;
+
     /*! @brief How long one watch waits. A watch that hangs on a dead
      * connection is noticed this late, and a change has 2 s to be in force
      * once the store has been calm for 3 s. */
-    static constexpr milliseconds watch_wait{2500};
+    static constexpr milliseconds watch_wait{1500};
+
+    /*! @brief Pause between two watches, so that changes that come together
+     * cost one call; a leaving upstream has 2 s. */
+    static constexpr milliseconds watch_pause{100};
 
     /*! @brief Pause after a failed call of the store. */
     static constexpr milliseconds store_pause{150};
 
+    /*! @brief How long peers of the own hall have to tell what one of another
+     * hall already told. */
+    static constexpr milliseconds near_first{80};
+
     /*! @brief Time of a pull of the mirror from a peer. */
     static constexpr milliseconds pull_time{600};
 
@@ -115,7 +128,12 @@
                 directory.seed(seed, now);
         }
         announce();
-        beat_timer = loop.every(beat_interval, [this] { announce(); });
+        beat_timer = loop.every(beat_interval,
+                                [this]
+                                {
+                                    announce();
+                                    watch_if_needed();
+                                });
         if (options.entry)
             list();
     }
@@ -123,20 +141,25 @@
     /*! @brief Tells every peer; called when something changed that all need. */
     void announce()
     {
-        tell([](const peer_state&) { return true; });
+        tell([](const peer_state&) { return true; }, true);
     }
 
-    /*! @brief Tells the entries only; called when a load changed. */
-    void announce_to_entries()
+    /*! @brief Tells the entries of the own hall that a load changed. Others
+     * hear of it with the next heartbeat: they send here only what their own
+     * hall cannot take, and bytes between regions cost most. */
+    void announce_load()
     {
-        tell([](const peer_state& one) { return one.entry; });
+        tell([this](const peer_state& one)
+             { return one.entry && own_hall(one); },
+             false);
     }
 
     /*! @brief Tells the sides of the own hall; called while chunks spread. */
     void announce_to_hall()
     {
         tell([this](const peer_state& one)
-             { return !one.entry && one.last.hall == options.hall.value(); });
+             { return !one.entry && own_hall(one); },
+             true);
     }
 
     /*! @brief Marks the node as leaving in its heartbeats. */
@@ -200,12 +223,17 @@
         return true;
     }
 
+    [[nodiscard]] bool own_hall(const peer_state& one) const
+    {
+        return one.last.hall == options.hall.value();
+    }
+
     template <typename Which>
-    void tell(Which which)
+    void tell(Which which, bool whole)
     {
         const auto now = event_loop::now();
         directory.expire(now);
-        const auto datagram = encode(beat(now));
+        const auto datagram = encode(beat(now, whole));
         for (const auto& [address, one] : directory.all())
         {
             if (which(one))
@@ -213,7 +241,7 @@
         }
     }
 
-    message::fleet_heartbeat beat(time_point now)
+    message::fleet_heartbeat beat(time_point now, bool whole)
     {
         message::fleet_heartbeat made;
         made.incarnation = incarnation;
@@ -222,15 +250,17 @@
         made.hall = options.hall.value();
         made.entry = options.entry;
         made.leaving = leaving;
+        made.watching = store_up && store_busy;
         for (const auto& [address, one] : directory.all())
         {
             const auto number = address_number(address);
-            if (one.entry && number && peer_directory::alive(one, now) &&
+            if (whole && one.entry && number &&
+                peer_directory::alive(one, now) &&
                 made.entries.size() < most_named)
                 made.entries.push_back(*number);
         }
         if (hooks.describe)
-            hooks.describe(made);
+            hooks.describe(made, whole);
         return made;
     }
 
@@ -258,11 +288,32 @@
                 directory.name(address, true, now);
         }
         if (read.value().mirror_revision > copy.revision())
-            pull(from);
+            pull_soon(from, read.value().hall == options.hall.value());
         if (hooks.heard)
             hooks.heard(from, read.value());
     }
 
+    /*! @brief A peer of another hall knows more: the own hall's peers, nearer
+     * and cheaper to ask, have a moment to tell the same. */
+    void pull_soon(const std::string& from, bool near)
+    {
+        if (near)
+            return pull(from);
+        if (pulling || pull_pending)
+            return;
+        pull_pending = true;
+        pull_timer =
+            loop.after(near_first,
+                       [this, from]
+                       {
+                           pull_pending = false;
+                           const auto* peer = directory.find(from);
+                           if (peer != nullptr &&
+                               peer->last.mirror_revision > copy.revision())
+                               pull(from);
+                       });
+    }
+
     /*! @brief Fetches from a peer what it knows and we do not. */
     void pull(const std::string& from)
     {
@@ -284,10 +335,9 @@
     void pulled(const std::string& from, const stream_client::answer& answer)
     {
         counters.count("fleet_mirror_pulls_total");
-        auto page = answer.is(200)
-                        ? decode<message::mirror_page>(answer.body)
-                        : result<message::mirror_page>(failure(
-                              error_kind::unavailable, answer.why));
+        auto page = answer.is(200) ? decode<message::mirror_page>(answer.body)
+                                   : result<message::mirror_page>(failure(
+                                         error_kind::unavailable, answer.why));
         if (!page)
         {
             log::state("mirror_pull_failed",
@@ -314,8 +364,23 @@
         reply.send(200, {}, encode(copy.since(after, event_loop::now())));
     }
 
+    /*! @brief Tells whether this entry is among those that watch the store. */
+    [[nodiscard]] bool is_watcher() const
+    {
+        return options.entry && !leaving &&
+               directory.watchers_before(options.address, event_loop::now()) <
+                   most_watchers;
+    }
+
+    void watch_if_needed()
+    {
+        if (!store_busy && is_watcher())
+            list();
+    }
+
     void list()
     {
+        store_busy = true;
         counters.count("store_calls_total", 1, {{"call", "list"}});
         store.list(
             [this](result<store_page> answer)
@@ -334,21 +399,34 @@
     void watch()
     {
         counters.count("store_calls_total", 1, {{"call", "watch"}});
-        store.watch(
-            copy.revision(), watch_wait,
-            [this](result<store_page> answer)
-            {
-                if (!answer)
-                    return store_lost(answer.error().message,
-                                      answer.error().kind ==
-                                          error_kind::not_found);
-                store_answered();
-                const auto& page = answer.value();
-                const auto changed =
-                    copy.apply(page.items, page.revision, event_loop::now());
-                took(changed, "store");
-                watch();
-            });
+        store.watch(copy.revision(), watch_wait,
+                    [this](result<store_page> answer)
+                    {
+                        if (!answer)
+                            return store_lost(answer.error().message,
+                                              answer.error().kind ==
+                                                  error_kind::not_found);
+                        store_answered();
+                        const auto& page = answer.value();
+                        const auto changed = copy.apply(
+                            page.items, page.revision, event_loop::now());
+                        took(changed, "store");
+                        watch_on(!page.items.empty());
+                    });
+    }
+
+    /*! @brief Watches on, or leaves it to others.
+     * @param changed Whether more changes may follow at once. */
+    void watch_on(bool changed)
+    {
+        if (!is_watcher())
+        {
+            store_busy = false;
+            return;
+        }
+        if (!changed)
+            return watch();
+        store_timer = loop.after(watch_pause, [this] { watch(); });
     }
 
     /*! @brief A call failed: the whole is listed again, at once when only the
@@ -357,9 +435,9 @@
     {
         failed_at = event_loop::now();
         if (store_up || history_gone)
-            log::warning("store_lost",
-                         {{"why", why},
-                          {"revision", std::to_string(copy.revision())}});
+            log::warning(
+                "store_lost",
+                {{"why", why}, {"revision", std::to_string(copy.revision())}});
         store_up = false;
         if (history_gone)
             return list();
@@ -386,8 +464,7 @@
                        {{"key", key},
                         {"from", from},
                         {"revision", std::to_string(found->second.revision)},
-                        {"removed",
-                         found->second.removed ? "true" : "false"}});
+                        {"removed", found->second.removed ? "true" : "false"}});
         }
         if (hooks.changed)
             hooks.changed(changed);
@@ -412,9 +489,12 @@
     std::unique_ptr<stream_server> server;
     timer beat_timer;
     timer store_timer;
+    timer pull_timer;
     time_point failed_at{};
     bool store_up{false};
+    bool store_busy{false}; /*!< A call or a pause of the watch runs. */
     bool pulling{false};
+    bool pull_pending{false};
     bool leaving{false};
 };
 
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -146,8 +146,7 @@
             return unreadable(key, value, read.error().message);
         if (current && read.value().version < current->version)
             return unreadable(key, value, "version goes back");
-        current =
-            std::make_shared<const installation>(std::move(read.value()));
+        current = std::make_shared<const installation>(std::move(read.value()));
         log::state("configuration_in_force",
                    {{"version", std::to_string(current->version)},
                     {"revision", std::to_string(value.revision)}});
--- a/src/coursejunction/fleet/installation.hpp
+++ b/src/coursejunction/fleet/installation.hpp
@@ -86,7 +86,7 @@
     service_name name;
     std::size_t most_connections{0};
     std::optional<engine_profile> engine;
-    std::string origin;      /*!< `IP:port` of an origin of weights. */
+    std::string origin; /*!< `IP:port` of an origin of weights. */
     hall_id origin_hall;
     byte_rate origin_rate{0};
 };
@@ -135,8 +135,8 @@
 
 /*! @brief Picks a route's service for a request: the same for every attempt
  * with the same hash. */
-[[nodiscard]] const service_name*
-service_for(const route_rule& route, std::uint64_t hash);
+[[nodiscard]] const service_name* service_for(const route_rule& route,
+                                              std::uint64_t hash);
 
 /*! @brief One upstream as it declares itself. */
 struct upstream_record
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -19,8 +19,8 @@
 struct peer_state
 {
     message::fleet_heartbeat last;
-    time_point heard{};    /*!< The epoch when never heard. */
-    time_point named{};    /*!< When somebody last named it. */
+    time_point heard{}; /*!< The epoch when never heard. */
+    time_point named{}; /*!< When somebody last named it. */
     bool entry{false};
     bool seed{false};
 };
@@ -56,8 +56,8 @@
 
     /*! @brief Takes a heartbeat.
      * @return False for one that is older than the last. */
-    bool heard(const std::string& address,
-               const message::fleet_heartbeat& beat, time_point now)
+    bool heard(const std::string& address, const message::fleet_heartbeat& beat,
+               time_point now)
     {
         auto& one = peers[address];
         const bool older = beat.incarnation < one.last.incarnation ||
@@ -75,12 +75,9 @@
     /*! @brief Forgets peers that nobody has named for long. */
     void expire(time_point now)
     {
-        std::erase_if(peers,
-                      [&](const auto& one)
-                      {
-                          return !one.second.seed &&
-                                 now - one.second.named > memory;
-                      });
+        std::erase_if(
+            peers, [&](const auto& one)
+            { return !one.second.seed && now - one.second.named > memory; });
     }
 
     /*! @brief Tells whether a peer was heard lately. */
@@ -116,6 +113,21 @@
         return count;
     }
 
+    /*! @brief Returns how many live entries that watch the store come before
+     * an address. */
+    [[nodiscard]] std::size_t watchers_before(const std::string& address,
+                                              time_point now) const
+    {
+        std::size_t count = 0;
+        for (const auto& [other, one] : peers)
+        {
+            if (other < address && one.entry && alive(one, now) &&
+                one.last.watching && !one.last.leaving)
+                ++count;
+        }
+        return count;
+    }
+
 private:
     std::map<std::string, peer_state> peers;
 };
--- a/src/coursejunction/fleet/store_mirror.hpp
+++ b/src/coursejunction/fleet/store_mirror.hpp
@@ -61,8 +61,7 @@
             listed[one.key] = true;
         for (auto& [key, value] : values)
         {
-            if (value.removed || value.revision > as_of ||
-                listed.contains(key))
+            if (value.removed || value.revision > as_of || listed.contains(key))
                 continue;
             value = mirrored_value{{}, as_of, now, true};
             changed.push_back(key);
--- a/src/coursejunction/net/header_list.cpp
+++ b/src/coursejunction/net/header_list.cpp
@@ -9,9 +9,9 @@
 {
 
 constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection",       "Keep-Alive",        "Proxy-Connection",
-    "Transfer-Encoding", "TE",               "Trailer",
-    "Upgrade",          "Content-Length",    "Expect"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+    "TE",         "Trailer",    "Upgrade",          "Content-Length",
+    "Expect"};
 
 std::vector<std::string> listed_names(std::string_view text)
 {
--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -146,6 +146,19 @@
 {
     explicit implementation(event_loop& target) : loop(target) {}
 
+    /*! @brief Starts the thread with the first call: a process that makes none
+     * pays for none. */
+    void begin()
+    {
+        if (multi != nullptr)
+            return;
+        internal::use_library();
+        multi = curl_multi_init();
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS,
+                          internal::max_idle_connections);
+        thread = std::thread([this] { run(); });
+    }
+
     void run()
     {
         while (!stopping)
@@ -231,15 +244,12 @@
 http_client::http_client(event_loop& loop)
     : self(std::make_shared<implementation>(loop))
 {
-    internal::use_library();
-    self->multi = curl_multi_init();
-    curl_multi_setopt(self->multi, CURLMOPT_MAXCONNECTS,
-                      internal::max_idle_connections);
-    self->thread = std::thread([shared = self.get()] { shared->run(); });
 }
 
 http_client::~http_client()
 {
+    if (self->multi == nullptr)
+        return;
     self->stopping = true;
     curl_multi_wakeup(self->multi);
     self->thread.join();
@@ -251,6 +261,7 @@
 http_client::call_id http_client::start(http_call call, done_callback done,
                                         data_callback data)
 {
+    self->begin();
     auto one = std::make_unique<internal::transfer>();
     const auto id = ++self->last_id;
     one->id = id;
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -52,8 +52,7 @@
     if (!head.count(http::field::host))
         head.set(http::field::host, call.address);
     if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
-        head.set(http::field::content_length,
-                 std::to_string(call.body.size()));
+        head.set(http::field::content_length, std::to_string(call.body.size()));
     http::request_serializer<http::empty_body> writer(head);
     writer.split(true);
     std::string text;
@@ -206,11 +205,10 @@
 
     void read_head()
     {
-        http::async_read_header(
-            socket, input, *parser,
-            [self = shared_from_this()](const boost::system::error_code& fault,
-                                        std::size_t)
-            { self->head_read(fault); });
+        http::async_read_header(socket, input, *parser,
+                                [self = shared_from_this()](
+                                    const boost::system::error_code& fault,
+                                    std::size_t) { self->head_read(fault); });
     }
 
     void head_read(const boost::system::error_code& fault)
@@ -239,11 +237,10 @@
             return ended_whole();
         parser->get().body().data = part.data();
         parser->get().body().size = part.size();
-        http::async_read_some(
-            socket, input, *parser,
-            [self = shared_from_this()](const boost::system::error_code& fault,
-                                        std::size_t)
-            { self->body_read(fault); });
+        http::async_read_some(socket, input, *parser,
+                              [self = shared_from_this()](
+                                  const boost::system::error_code& fault,
+                                  std::size_t) { self->body_read(fault); });
     }
 
     void body_read(boost::system::error_code fault)
@@ -369,8 +366,7 @@
 stream_client::call_id stream_client::start(stream_call call, callbacks to)
 {
     const auto id = ++self->last;
-    auto kept =
-        call.repeatable ? self->take(call.address) : std::nullopt;
+    auto kept = call.repeatable ? self->take(call.address) : std::nullopt;
     auto one = std::make_shared<internal::stream_exchange>(
         self->context, call, std::move(to),
         [shared = std::weak_ptr(self), id,
@@ -401,8 +397,8 @@
     one->abandon();
 }
 
-stream_client::call_id
-stream_client::gather(stream_call call, std::function<void(answer)> done)
+stream_client::call_id stream_client::gather(stream_call call,
+                                             std::function<void(answer)> done)
 {
     const auto gathered = std::make_shared<answer>();
     callbacks to;
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -37,10 +37,10 @@
 /*! @brief How a call ended. */
 enum class stream_end : std::uint8_t
 {
-    whole,     /*!< The answer is whole. */
-    not_sent,  /*!< No byte of the request was written. */
-    broken,    /*!< The connection ended or the time ran out. */
-    malformed  /*!< The answer was not HTTP. */
+    whole,    /*!< The answer is whole. */
+    not_sent, /*!< No byte of the request was written. */
+    broken,   /*!< The connection ended or the time ran out. */
+    malformed /*!< The answer was not HTTP. */
 };
 
 /*! @brief Head of an answer. */
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -1,9 +1,9 @@
 #include "coursejunction/net/stream_server.hpp"
 
-#include <sys/socket.h>
-#include <sys/types.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/types.h>
 
 #include <deque>
 #include <optional>
@@ -175,8 +175,7 @@
             return;
         if (unsent_bytes > internal::most_unsent)
             return close();
-        queue(version >= 11 ? internal::chunk_text(bytes)
-                            : std::string(bytes));
+        queue(version >= 11 ? internal::chunk_text(bytes) : std::string(bytes));
     }
 
     void finish(std::uint64_t of)
@@ -256,11 +255,10 @@
             static_cast<std::uint32_t>(server->bounds.head_bytes));
         parser->body_limit(server->bounds.body_bytes);
         arm(server->bounds.head_time, 408);
-        http::async_read_header(
-            socket, input, *parser,
-            [self = shared_from_this()](const boost::system::error_code& fault,
-                                        std::size_t)
-            { self->head_read(fault); });
+        http::async_read_header(socket, input, *parser,
+                                [self = shared_from_this()](
+                                    const boost::system::error_code& fault,
+                                    std::size_t) { self->head_read(fault); });
     }
 
     void head_read(const boost::system::error_code& fault)
@@ -339,22 +337,21 @@
     {
         if (input.size() > 0)
             return;
-        socket.async_wait(
-            tcp::socket::wait_read,
-            [self = shared_from_this(),
-             of = number](const boost::system::error_code& fault)
-            {
-                if (fault || !self->current(of))
-                    return;
-                self->look(of);
-            });
+        socket.async_wait(tcp::socket::wait_read,
+                          [self = shared_from_this(),
+                           of = number](const boost::system::error_code& fault)
+                          {
+                              if (fault || !self->current(of))
+                                  return;
+                              self->look(of);
+                          });
     }
 
     void look(std::uint64_t)
     {
         char byte = 0;
-        const auto count = ::recv(socket.native_handle(), &byte, 1,
-                                  MSG_PEEK | MSG_DONTWAIT);
+        const auto count =
+            ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         if (count > 0)
             return; // The next request waits; it is read after this answer.
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
@@ -397,8 +394,7 @@
         asio::async_write(
             socket, asio::buffer(output.front()),
             [self = shared_from_this()](const boost::system::error_code& fault,
-                                        std::size_t)
-            { self->written(fault); });
+                                        std::size_t) { self->written(fault); });
     }
 
     void written(const boost::system::error_code& fault)
@@ -554,8 +550,8 @@
                       std::uint16_t port, stream_limits limits, handler handle)
 {
     auto& context = *static_cast<asio::io_context*>(loop.native());
-    auto made = std::make_shared<implementation>(context, limits,
-                                                 std::move(handle));
+    auto made =
+        std::make_shared<implementation>(context, limits, std::move(handle));
     boost::system::error_code fault;
     const auto ip = asio::ip::make_address(address, fault);
     const tcp::endpoint at(ip, port);
@@ -566,8 +562,7 @@
     if (!fault)
         made->acceptor.bind(at, fault);
     if (!fault)
-        made->acceptor.listen(asio::socket_base::max_listen_connections,
-                              fault);
+        made->acceptor.listen(asio::socket_base::max_listen_connections, fault);
     if (fault)
         return failure(error_kind::unavailable, address + ":" +
                                                     std::to_string(port) +
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -117,8 +117,7 @@
     /*! @brief Looks at waiting requests again: an upstream may be free. */
     void tick()
     {
-        const std::vector<std::uint64_t> waited(waiting.begin(),
-                                                waiting.end());
+        const std::vector<std::uint64_t> waited(waiting.begin(), waiting.end());
         for (const auto number : waited)
         {
             const auto found = open.find(number);
@@ -185,9 +184,8 @@
             return 404;
         if (one.rules->keyed && !one.route->open)
         {
-            const auto* owner = one.asked.key
-                                    ? one.rules->owner(*one.asked.key)
-                                    : nullptr;
+            const auto* owner =
+                one.asked.key ? one.rules->owner(*one.asked.key) : nullptr;
             if (owner == nullptr)
                 return 401;
             one.owner = owner->id;
@@ -201,8 +199,8 @@
         one.service = *service;
         one.ends = one.arrived + one.route->timeout;
         if (one.asked.deadline)
-            one.ends = std::min<time_point>(
-                one.ends, one.arrived + *one.asked.deadline);
+            one.ends = std::min<time_point>(one.ends,
+                                            one.arrived + *one.asked.deadline);
         budget(one.service).request();
         return 0;
     }
@@ -219,17 +217,16 @@
                       {"host", one.asked.host},
                       {"path", one.asked.path}});
         constexpr milliseconds soon{500};
-        one.reply.send(status,
-                       status == 503 ? Codec::refusal_headers(soon)
-                                     : header_list{},
-                       "");
+        one.reply.send(
+            status,
+            status == 503 ? Codec::refusal_headers(soon) : header_list{}, "");
     }
 
     void arm_limit(exchange& one)
     {
-        one.limit = loop.after(one.ends - one.arrived,
-                               [this, number = one.number]
-                               { limit_reached(number); });
+        one.limit =
+            loop.after(one.ends - one.arrived,
+                       [this, number = one.number] { limit_reached(number); });
     }
 
     // --- Placement -------------------------------------------------------
@@ -259,11 +256,10 @@
     void wait_or_refuse(exchange& one, const no_placement& why, time_point now)
     {
         const auto longest =
-            one.streaming
-                ? std::chrono::microseconds(options.stream_silence)
-                : std::chrono::microseconds(static_cast<std::int64_t>(
-                      static_cast<double>(one.route->target.count()) *
-                      options.wait_part * 1000));
+            one.streaming ? std::chrono::microseconds(options.stream_silence)
+                          : std::chrono::microseconds(static_cast<std::int64_t>(
+                                static_cast<double>(one.route->target.count()) *
+                                options.wait_part * 1000));
         const auto since = one.runs > 0 ? one.failed_at : one.arrived;
         if (now - since < longest)
         {
@@ -286,9 +282,8 @@
     void refuse(exchange& one, const no_placement& why)
     {
         const auto target = static_cast<double>(one.route->target.count());
-        const auto over = why.usable == 0
-                              ? target
-                              : why.least_ms - target * target_part;
+        const auto over =
+            why.usable == 0 ? target : why.least_ms - target * target_part;
         const auto wait = std::clamp(
             milliseconds(static_cast<std::int64_t>(std::max(over, 0.0))),
             options.least_retry_after, options.most_retry_after);
@@ -345,6 +340,9 @@
                        {"upstream", at.upstream.value()},
                        {"attempt", std::to_string(one.tried.size())},
                        {"predicted_ms", text(at.predicted_ms)},
+                       {"inside", text(at.load.running)},
+                       {"unread_tokens", text(at.load.unread_tokens)},
+                       {"load_age_ms", text(at.load.age_ms)},
                        {"version", std::to_string(at.version)},
                        {"left_ms", std::to_string(left.count())}});
         one.call = client.start(std::move(call), callbacks(one.number));
@@ -371,18 +369,18 @@
         const auto first = milliseconds(static_cast<std::int64_t>(
                                one.at.predicted_ms * options.first_factor)) +
                            options.first_slack;
-        one.silence = loop.after(
-            one.progressed ? options.stream_silence : first,
-            [this, number = one.number]
-            {
-                with(number,
-                     [&](exchange& found)
-                     {
-                         client.cancel(found.call);
-                         failed(found, attempt_reach::may_have_run,
-                                "upstream is silent");
-                     });
-            });
+        one.silence =
+            loop.after(one.progressed ? options.stream_silence : first,
+                       [this, number = one.number]
+                       {
+                           with(number,
+                                [&](exchange& found)
+                                {
+                                    client.cancel(found.call);
+                                    failed(found, attempt_reach::may_have_run,
+                                           "upstream is silent");
+                                });
+                       });
     }
 
     void got_head(exchange& one, const stream_head& head)
@@ -394,7 +392,7 @@
         // The answer to another request: nothing on this connection is ours.
         client.cancel(one.call);
         failed(one, attempt_reach::may_have_run,
-                      "answer carries another request's id");
+               "answer carries another request's id");
     }
 
     [[nodiscard]] bool passes_events(const exchange& one) const
@@ -435,13 +433,13 @@
                            {"predicted_ms", text(one.at.predicted_ms)},
                            {"seen_ms", text(took * ms)}});
         else
-            log::decision("stream_resumed",
-                          {{"request", one.asked.id.value()},
-                           {"upstream", one.at.upstream.value()},
-                           {"predicted_ms", text(one.at.predicted_ms)},
-                           {"gap_ms", text(to_seconds(event_loop::now() -
-                                                      one.failed_at) *
-                                           ms)}});
+            log::decision(
+                "stream_resumed",
+                {{"request", one.asked.id.value()},
+                 {"upstream", one.at.upstream.value()},
+                 {"predicted_ms", text(one.at.predicted_ms)},
+                 {"gap_ms",
+                  text(to_seconds(event_loop::now() - one.failed_at) * ms)}});
     }
 
     void begin_stream(exchange& one)
@@ -467,7 +465,7 @@
                               std::to_string(one.head.status) + ")");
         if (facts.id != one.asked.id)
             return failed(one, attempt_reach::may_have_run,
-                      "answer carries another request's id");
+                          "answer carries another request's id");
         if (passes_events(one))
             return finish_stream(one);
         answered(one);
@@ -504,9 +502,9 @@
             promises.end())
         {
             one.reply.send(502, {}, "");
-            return settle(one, false, "upstream answered " +
-                                          std::to_string(status) +
-                                          " without proof that it did not run");
+            return settle(one, false,
+                          "upstream answered " + std::to_string(status) +
+                              " without proof that it did not run");
         }
         one.reply.send(status, Codec::answer_headers(one.head), one.body);
         settle(one, status < server_error, "answered");
@@ -531,8 +529,8 @@
         book.end(one.at.upstream, one.attempt, false, now);
         counters.count("attempts_failed_total", 1,
                        {{"may_have_run", may_have_run ? "true" : "false"}});
-        const bool again = may_have_run ? may_repeat(one)
-                                        : one.tried.size() < most_tries;
+        const bool again =
+            may_have_run ? may_repeat(one) : one.tried.size() < most_tries;
         one.failed_at = now;
         if (may_have_run)
             ++one.runs;
@@ -562,9 +560,9 @@
                            one.own_failure_body);
         const bool not_run = one.runs == 0;
         one.reply.send(not_run ? 503 : 502,
-                       not_run ? Codec::refusal_headers(
-                                     options.least_retry_after)
-                               : header_list{},
+                       not_run
+                           ? Codec::refusal_headers(options.least_retry_after)
+                           : header_list{},
                        "");
         finish_log(one, not_run ? "not run" : "unknown", why);
         forget(one);
@@ -586,11 +584,11 @@
                  if (one.streaming)
                      return cut(one, "time limit");
                  const bool not_run = one.tried.empty();
-                 one.reply.send(not_run ? 503 : 504,
-                                not_run ? Codec::refusal_headers(
-                                              options.least_retry_after)
-                                        : header_list{},
-                                "");
+                 one.reply.send(
+                     not_run ? 503 : 504,
+                     not_run ? Codec::refusal_headers(options.least_retry_after)
+                             : header_list{},
+                     "");
                  finish_log(one, "late", "time limit");
                  forget(one);
              });
@@ -622,15 +620,15 @@
         book.end(one.at.upstream, one.attempt, good, event_loop::now());
         counters.count("requests_answered_total", 1,
                        {{"status", std::to_string(one.head.status)}});
-        log::decision("request_answered",
-                      {{"request", one.asked.id.value()},
-                       {"upstream", one.at.upstream.value()},
-                       {"status", std::to_string(one.head.status)},
-                       {"outcome", how},
-                       {"events", std::to_string(one.events.size())},
-                       {"took_ms", text(to_seconds(event_loop::now() -
-                                                   one.arrived) *
-                                        1000)}});
+        log::decision(
+            "request_answered",
+            {{"request", one.asked.id.value()},
+             {"upstream", one.at.upstream.value()},
+             {"status", std::to_string(one.head.status)},
+             {"outcome", how},
+             {"events", std::to_string(one.events.size())},
+             {"took_ms",
+              text(to_seconds(event_loop::now() - one.arrived) * 1000)}});
         forget(one);
     }
 
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -107,7 +107,8 @@
     /*! @brief What is left of the grace when the rest is cut. */
     static constexpr milliseconds last_moment{500};
 
-    /*! @brief Records that go this soon after the store failed may come back. */
+    /*! @brief Records that go this soon after the store failed may come back.
+     */
     static constexpr milliseconds lapse_window{4000};
 
     gateway(event_loop& owner, node_type& peers, metrics& counted,
@@ -122,12 +123,11 @@
 
     result<bool> open()
     {
-        auto made = listen(options.caller_address,
-                           [this](stream_request request, stream_reply reply)
-                           {
-                               exchanges.request(std::move(request),
-                                                 std::move(reply));
-                           });
+        auto made =
+            listen(options.caller_address,
+                   [this](stream_request request, stream_reply reply) {
+                       exchanges.request(std::move(request), std::move(reply));
+                   });
         if (!made)
             return failure(made.error().kind, made.error().message);
         callers = std::move(made.value());
@@ -216,7 +216,9 @@
     {
         const auto now = event_loop::now();
         book.expire(now);
-        exchanges.entries(node.peers().entries(now) + 1);
+        const auto entries = node.peers().entries(now) + 1;
+        exchanges.entries(entries);
+        book.entries(entries);
         if (leaving)
             go_on_stopping(now);
     }
@@ -228,8 +230,8 @@
             callers->retire();
         if (since >= idle_notice)
             callers->close_idle();
-        const bool idle =
-            since >= idle_notice && callers->size() == 0 && exchanges.size() == 0;
+        const bool idle = since >= idle_notice && callers->size() == 0 &&
+                          exchanges.size() == 0;
         if (!idle && since < options.stop_grace - last_moment)
             return;
         const auto call = std::exchange(stopped, nullptr);
--- a/src/coursejunction/proxy/request_codec.hpp
+++ b/src/coursejunction/proxy/request_codec.hpp
@@ -26,9 +26,9 @@
     std::string path; /*!< Without the query. */
     std::optional<milliseconds> deadline;
     std::optional<std::string> key;
-    std::string model;      /*!< Empty for plain requests. */
+    std::string model; /*!< Empty for plain requests. */
     double prompt_tokens{0};
-    double most_tokens{0};  /*!< Largest answer. */
+    double most_tokens{0};   /*!< Largest answer. */
     double likely_tokens{0}; /*!< The caller's estimate; 0 when not told. */
     std::optional<std::uint64_t> last_event;
 };
--- a/src/coursejunction/rollout/turn_policy.hpp
+++ b/src/coursejunction/rollout/turn_policy.hpp
@@ -29,8 +29,8 @@
 struct hall_neighbour
 {
     instance_id id;
-    bool closed{false};  /*!< Takes nothing new. */
-    bool behind{false};  /*!< Does not serve the wanted version yet. */
+    bool closed{false}; /*!< Takes nothing new. */
+    bool behind{false}; /*!< Does not serve the wanted version yet. */
 };
 
 /*! @brief Tells whether a side may close now. Nobody grants it: each side
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -33,8 +33,6 @@
     /*! @brief How often the upstream's state is read; entries place requests
      * by it, and 12 upstreams get some 10 requests a second each. */
     milliseconds poll{50};
-    /*! @brief Statuses that say the same are told this seldom. */
-    milliseconds quiet{200};
     /*! @brief How often chunks are told to the hall while they come; one
      * chunk takes 35 ms on a side's link. */
     milliseconds spread{60};
@@ -82,8 +80,8 @@
         hooks.heard =
             [this](const std::string& from, const message::fleet_heartbeat& one)
         { heard(from, one); };
-        hooks.describe = [this](message::fleet_heartbeat& into)
-        { describe(into); };
+        hooks.describe = [this](message::fleet_heartbeat& into, bool whole)
+        { describe(into, whole); };
         hooks.request = [this](stream_request request, stream_reply reply)
         { serve_peer(request, std::move(reply)); };
         node.start(std::move(hooks));
@@ -232,9 +230,9 @@
     /*! @brief While chunks still come, the hall hears of each soon. */
     void spread()
     {
-        const bool incomplete =
-            std::any_of(transfers.begin(), transfers.end(),
-                        [](const auto& one) { return !one.second->complete(); });
+        const bool incomplete = std::any_of(
+            transfers.begin(), transfers.end(),
+            [](const auto& one) { return !one.second->complete(); });
         if (incomplete)
             node.announce_to_hall();
     }
@@ -278,29 +276,24 @@
                         {"sequence", std::to_string(told.sequence)}});
         if (restarted)
             upstream_restarted();
-        const bool differs = !reachable || !last ||
-                             told.running != last->running ||
-                             told.waiting != last->waiting ||
-                             told.version != last->version ||
-                             told.ordered != last->ordered;
+        const bool differs =
+            !reachable || !last || told.running != last->running ||
+            told.waiting != last->waiting || told.version != last->version ||
+            told.ordered != last->ordered;
         reachable = true;
         last = std::move(told);
         ++status_sequence;
         decide();
-        const auto now = event_loop::now();
-        if (differs || now - told_at >= options.quiet)
-        {
-            told_at = now;
-            node.announce_to_entries();
-        }
+        if (differs)
+            node.announce_load();
     }
 
     void upstream_restarted()
     {
         log::warning("upstream_restarted", {});
         closing = false;
-        for (auto& [version, one] : transfers)
-            one->upstream_restarted();
+        // What it has staged must be read anew.
+        transfers.clear();
     }
 
     void opened()
@@ -329,13 +322,14 @@
         }
         const auto& next = transfers.at(version);
         next->stage();
-        if (verifying || !next->staged() || !my_turn(next->version(), now))
+        if (!verified.expired() || !next->staged() ||
+            !my_turn(next->version(), now))
             return;
-        verifying = true;
+        verified = next;
         next->verify(
             [this, version](bool right)
             {
-                verifying = false;
+                verified.reset();
                 if (right && transfers.contains(version))
                     close(version);
             });
@@ -378,8 +372,7 @@
     /*! @brief Waits until nothing runs, or until the time for it is over. */
     void drain()
     {
-        const bool over =
-            event_loop::now() - ordered_at >= options.drain_time;
+        const bool over = event_loop::now() - ordered_at >= options.drain_time;
         const bool empty = last && last->running + last->waiting == 0;
         if (over || empty || !may_cut())
             return order();
@@ -392,17 +385,17 @@
         const auto* rules = fleet.rules();
         if (rules == nullptr)
             return false;
-        return std::all_of(
-            rules->routes.begin(), rules->routes.end(),
-            [&](const route_rule& one)
-            {
-                const auto* service = one.services.empty()
-                                          ? nullptr
-                                          : rules->service(
-                                                one.services.front().service);
-                return service == nullptr || !service->engine ||
-                       one.repeatable();
-            });
+        return std::all_of(rules->routes.begin(), rules->routes.end(),
+                           [&](const route_rule& one)
+                           {
+                               const auto* service =
+                                   one.services.empty()
+                                       ? nullptr
+                                       : rules->service(
+                                             one.services.front().service);
+                               return service == nullptr || !service->engine ||
+                                      one.repeatable();
+                           });
     }
 
     void order()
@@ -418,11 +411,11 @@
             may_cut() ? load_method::cut : load_method::finish,
             [this, wanted](order_outcome outcome)
             {
-                log::state("order_given",
-                           {{"model", wanted.model},
-                            {"version", std::to_string(wanted.version)},
-                            {"outcome",
-                             std::to_string(static_cast<int>(outcome))}});
+                log::state(
+                    "order_given",
+                    {{"model", wanted.model},
+                     {"version", std::to_string(wanted.version)},
+                     {"outcome", std::to_string(static_cast<int>(outcome))}});
                 if (outcome == order_outcome::begun ||
                     outcome == order_outcome::done ||
                     outcome == order_outcome::unknown)
@@ -435,7 +428,9 @@
 
     // --- Peers -----------------------------------------------------------
 
-    void describe(message::fleet_heartbeat& into) const
+    /*! @brief Adds what this side knows to a heartbeat.
+     * @param whole False for a load only, which must stay small. */
+    void describe(message::fleet_heartbeat& into, bool whole) const
     {
         auto& told = into.upstream;
         told.sequence = status_sequence;
@@ -451,6 +446,8 @@
             told.pace = last->pace;
             told.open = !closing && last->version > 0;
         }
+        if (!whole)
+            return;
         for (const auto& [version, one] : transfers)
             into.chunks.push_back(one->possession());
     }
@@ -523,14 +520,14 @@
     std::map<std::uint64_t, std::shared_ptr<transfer_type>> transfers;
     std::optional<engine_report> last;
     std::uint64_t status_sequence{0};
-    time_point told_at{};
     time_point ordered_at{};
     std::uint64_t ordered_version{0};
     bool reachable{false};
     bool polls_open{false};
     bool closing{false};
     bool ordered{false};
-    bool verifying{false};
+    /*! @brief The transfer whose staged chunks are being read back. */
+    std::weak_ptr<transfer_type> verified;
     timer polling;
     timer spreading;
     timer order_timer;
--- a/src/coursejunction/rollout/upstream_engine.hpp
+++ b/src/coursejunction/rollout/upstream_engine.hpp
@@ -22,7 +22,7 @@
 struct engine_report
 {
     std::string model;
-    std::uint64_t version{0}; /*!< Whole weights; 0 while any layer lacks. */
+    std::uint64_t version{0};  /*!< Whole weights; 0 while any layer lacks. */
     std::uint64_t sequence{0}; /*!< Orders taken since its start. */
     bool ordered{false};       /*!< An order is under way. */
     std::uint32_t running{0};
@@ -35,11 +35,11 @@
 /*! @brief What became of an order to load. */
 enum class order_outcome : std::uint8_t
 {
-    begun,     /*!< It is under way. */
-    done,      /*!< It holds already. */
-    conflict,  /*!< The upstream's state was another one. */
-    refused,   /*!< It will not be taken as it is. */
-    unknown    /*!< No answer came; it may have been taken. */
+    begun,    /*!< It is under way. */
+    done,     /*!< It holds already. */
+    conflict, /*!< The upstream's state was another one. */
+    refused,  /*!< It will not be taken as it is. */
+    unknown   /*!< No answer came; it may have been taken. */
 };
 
 /*! @brief What an order does with requests that run. */
@@ -67,8 +67,8 @@
     std::string bytes, const model_version& what, std::uint64_t sequence,
     std::function<void(result<engine_report>)> reported,
     std::function<void(result<std::vector<chunk_index>>)> listed,
-    std::function<void(result<std::string>)> got,
-    std::function<void(bool)> put, std::function<void(order_outcome)> ordered)
+    std::function<void(result<std::string>)> got, std::function<void(bool)> put,
+    std::function<void(order_outcome)> ordered)
 {
     engine.report(reported);
     engine.staged(model, listed);
@@ -79,10 +79,10 @@
 
 /*! @brief Calls of the origin of weights at an address. */
 template <typename Origin>
-concept Weight_origin = requires(
-    Origin& origin, const std::string& address, const model_version& what,
-    chunk_index chunk, std::function<void(result<manifest>)> listed,
-    std::function<void(result<std::string>)> got)
+concept Weight_origin = requires(Origin& origin, const std::string& address,
+                                 const model_version& what, chunk_index chunk,
+                                 std::function<void(result<manifest>)> listed,
+                                 std::function<void(result<std::string>)> got)
 {
     origin.chunks(address, what, listed);
     origin.chunk(address, what, chunk, got);
--- a/src/coursejunction/route/engine_estimate.hpp
+++ b/src/coursejunction/route/engine_estimate.hpp
@@ -19,6 +19,7 @@
     double waiting{0};       /*!< Requests that wait for a place. */
     double unread_tokens{0}; /*!< Prompt tokens that wait to be read. */
     double pace{1};          /*!< How many times slower than its figures. */
+    double age_ms{0};        /*!< Since this was told. */
 };
 
 /*! @brief Returns the ms of one token for each of the running requests. */
@@ -52,8 +53,10 @@
  * that arrives now.
  *
  * The pass under way ends; prompts that wait are read, a chunk a pass, with
- * the writers' strides in between; then the first stride is written. When
- * every place is taken, one frees after the holding time over the places. */
+ * the writers' strides in between; then the first stride is written. What
+ * others send meanwhile, or have sent since the load was told, is read in the
+ * same pass: as many as the engine usually takes in that time. When every
+ * place is taken, one frees after the holding time over the places. */
 [[nodiscard]] inline double first_event_ms(const engine_profile& engine,
                                            const engine_load& load,
                                            double prompt)
@@ -66,9 +69,12 @@
     const auto tokens = load.unread_tokens + prompt;
     const auto passes =
         std::max(1.0, std::ceil(tokens / std::max(engine.read_chunk, 1.0)));
-    const auto reading = read_ms(engine, prompt) +
-                         load.unread_tokens / engine.read_per_ms;
-    auto total = stride / 2 + reading + passes * stride;
+    const auto reading =
+        read_ms(engine, prompt) + load.unread_tokens / engine.read_per_ms;
+    const auto arrivals = inside / holding_ms(engine);
+    const auto companions = arrivals * (stride / 2 + reading + load.age_ms) *
+                            read_ms(engine, engine.usual_prompt);
+    auto total = stride / 2 + reading + companions + passes * stride;
     if (inside >= slots)
         total += (inside - slots + 1) * holding_ms(engine) / slots;
     return total * std::max(load.pace, 1.0);
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -25,7 +25,7 @@
     double other_hall_ms{60};
     /*! @brief Entries prefer different upstreams by up to this much, so that
      * those that learn of a free one at once do not all choose it. */
-    double spread_ms{25};
+    double spread_ms{60};
     /*! @brief What a share of failed attempts costs. */
     double fault_ms{600};
     /*! @brief Part of the target that a predicted first event may take. */
@@ -38,7 +38,7 @@
 struct placement_request
 {
     service_name service;
-    std::string model;           /*!< Empty for plain requests. */
+    std::string model;              /*!< Empty for plain requests. */
     std::uint64_t least_version{0}; /*!< Older weights may not be used. */
     double prompt{0};
     milliseconds target{0};
@@ -68,9 +68,9 @@
         {
             if (!usable(one, request, now))
                 continue;
-            const auto predicted = predict(one, service, request, now);
-            why.least_ms = why.usable == 0 ? predicted
-                                           : std::min(why.least_ms, predicted);
+            const auto predicted = predict(book, one, service, request, now);
+            why.least_ms =
+                why.usable == 0 ? predicted : std::min(why.least_ms, predicted);
             ++why.usable;
             if (!fits(one, service, request, predicted, now))
                 continue;
@@ -78,11 +78,13 @@
             if (best && cost >= least_cost)
                 continue;
             least_cost = cost;
-            best = upstream_choice{id, one.record.address, predicted,
-                             request.model.empty()
-                                 ? 0
-                                 : upstream_book::version(one, request.model,
-                                                          now)};
+            best = upstream_choice{
+                id, one.record.address, predicted,
+                request.model.empty()
+                    ? 0
+                    : upstream_book::version(one, request.model, now),
+                service.engine ? book.load(one, *service.engine, now)
+                               : engine_load{}};
         }
         return best;
     }
@@ -108,7 +110,8 @@
         return version > 0 && version >= request.least_version;
     }
 
-    [[nodiscard]] static double predict(const known_upstream& one,
+    [[nodiscard]] static double predict(const upstream_book& book,
+                                        const known_upstream& one,
                                         const service_profile& service,
                                         const placement_request& request,
                                         time_point now)
@@ -116,14 +119,14 @@
         if (service.engine)
             return first_event_ms(
                        *service.engine,
-                       upstream_book::load(one, *service.engine, now),
+                       book.load(one, *service.engine, now),
                        request.prompt) *
-                   std::max(one.lateness, 1.0);
+                   std::max(one.lateness, book.lateness());
         // A plain upstream: what waits beyond its slots, in units of a request
         // that takes half of its target.
         const auto inside = static_cast<double>(one.attempts.size());
-        const auto slots = static_cast<double>(
-            std::max<std::size_t>(one.record.slots, 1));
+        const auto slots =
+            static_cast<double>(std::max<std::size_t>(one.record.slots, 1));
         const auto usual = static_cast<double>(request.target.count()) / 4;
         return usual * (1 + inside / slots);
     }
@@ -145,12 +148,12 @@
     [[nodiscard]] double penalty(const known_upstream& one) const
     {
         constexpr double range = 1024;
-        const auto rank = static_cast<double>(
-                              rendezvous_weight(own, one.record.id.value()) %
-                              static_cast<std::uint64_t>(range)) /
-                          range;
-        auto cost = rank * weights.spread_ms +
-                    one.fault_share * weights.fault_ms;
+        const auto rank =
+            static_cast<double>(rendezvous_weight(own, one.record.id.value()) %
+                                static_cast<std::uint64_t>(range)) /
+            range;
+        auto cost =
+            rank * weights.spread_ms + one.fault_share * weights.fault_ms;
         if (one.record.hall != hall)
             cost += weights.other_hall_ms;
         return cost;
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -38,9 +38,9 @@
     time_point status_at{};
     std::map<std::uint64_t, open_attempt> attempts;
     std::size_t ended_since_status{0};
-    unsigned failures{0};      /*!< In a row. */
-    double fault_share{0};     /*!< Smoothed share of attempts that failed. */
-    double lateness{1};        /*!< Smoothed seen over predicted time. */
+    unsigned failures{0};  /*!< In a row. */
+    double fault_share{0}; /*!< Smoothed share of attempts that failed. */
+    double lateness{1};    /*!< Smoothed seen over predicted time. */
     time_point avoid_until{};
     std::optional<time_point> lapses_at; /*!< Its record went in an outage. */
 };
@@ -52,13 +52,14 @@
     std::string address;
     double predicted_ms{0};
     std::uint64_t version{0};
+    engine_load load; /*!< What the prediction was made from. */
 };
 
 /*! @brief Why nothing was placed. */
 struct no_placement
 {
-    std::size_t usable{0};     /*!< Upstreams that could take it at all. */
-    double least_ms{0};        /*!< The soonest first event, when usable. */
+    std::size_t usable{0}; /*!< Upstreams that could take it at all. */
+    double least_ms{0};    /*!< The soonest first event, when usable. */
 };
 
 /*! @brief Upstreams by id. */
@@ -178,13 +179,20 @@
         const auto found = book.find(id);
         if (found == book.end() || predicted_ms <= 0)
             return;
-        constexpr double smoothing = 0.1;
+        constexpr double own_smoothing = 0.1;
+        constexpr double all_smoothing = 0.15;
         constexpr double most = 8;
         const auto ratio = std::clamp(seen_ms / predicted_ms, 0.5, most);
         found->second.lateness +=
-            (ratio - found->second.lateness) * smoothing;
+            (ratio - found->second.lateness) * own_smoothing;
+        all_lateness += (ratio - all_lateness) * all_smoothing;
     }
 
+    /*! @brief Returns how many times later than predicted first events come
+     * lately, at all upstreams together: what everybody sends unseen shows
+     * here first. */
+    [[nodiscard]] double lateness() const { return std::max(all_lateness, 1.0); }
+
     [[nodiscard]] const known_upstream* find(const instance_id& id) const
     {
         const auto found = book.find(id);
@@ -197,9 +205,8 @@
     }
 
     /*! @brief Returns the weights of a model that an upstream serves. */
-    [[nodiscard]] static std::uint64_t version(const known_upstream& one,
-                                               const std::string& model,
-                                               time_point now)
+    [[nodiscard]] static std::uint64_t
+    version(const known_upstream& one, const std::string& model, time_point now)
     {
         if (one.status && now - one.status_at <= status_validity)
             return one.status->model == model ? one.status->version : 0;
@@ -207,52 +214,64 @@
         return found == one.record.weights.end() ? 0 : found->second;
     }
 
-    /*! @brief Returns what an engine is believed to be doing now. */
-    [[nodiscard]] static engine_load load(const known_upstream& one,
-                                          const engine_profile& engine,
-                                          time_point now)
+    /*! @brief Sets how many entries share the upstreams, this one included. */
+    void entries(std::size_t count)
+    {
+        sharers = 1 + share_of_others *
+                          static_cast<double>(std::max<std::size_t>(count, 1) -
+                                              1);
+    }
+
+    /*! @brief Returns what an engine is believed to be doing now.
+     *
+     * What this entry sent since the last status stands for what all entries
+     * did: they see the same loads and choose alike, above all an upstream that
+     * has just opened with nothing to do. */
+    [[nodiscard]] engine_load load(const known_upstream& one,
+                                   const engine_profile& engine,
+                                   time_point now) const
     {
         engine_load made;
         const bool fresh = one.status && now - one.status_at <= status_validity;
-        double unread = 0;
-        double unseen = 0;
+        double seen_unread = 0;
+        double new_unread = 0;
+        double new_attempts = 0;
+        double own_unread = 0;
         for (const auto& [number, attempt] : one.attempts)
         {
-            if (!attempt.began)
-                unread += attempt.prompt;
             // A status may have been taken just before an attempt arrived.
             constexpr milliseconds travel{10};
-            if (!fresh || attempt.sent + travel > one.status_at)
-                unseen += 1;
+            const bool unseen =
+                !fresh || attempt.sent + travel > one.status_at;
+            new_attempts += unseen ? 1 : 0;
+            if (attempt.began)
+                continue;
+            own_unread += 1;
+            (unseen ? new_unread : seen_unread) += attempt.prompt;
         }
+        made.running = new_attempts * sharers;
+        made.unread_tokens = seen_unread + new_unread * sharers;
         if (!fresh)
-        {
-            made.running = unseen * blind_factor;
-            made.unread_tokens = unread * blind_factor;
             return made;
-        }
         const auto told =
             static_cast<double>(one.status->running + one.status->waiting);
-        const auto inside =
-            std::max(0.0, told - static_cast<double>(one.ended_since_status)) +
-            unseen;
-        made.running = inside;
+        made.running +=
+            std::max(0.0, told - static_cast<double>(one.ended_since_status));
         made.pace = one.status->pace;
+        constexpr double ms = 1000;
+        made.age_ms = to_seconds(now - one.status_at) * ms;
         // Others' prompts that wait are not told: a usual one each.
-        const auto own_unread = std::count_if(
-            one.attempts.begin(), one.attempts.end(),
-            [](const auto& attempt) { return !attempt.second.began; });
-        const auto others =
-            std::max(0.0, static_cast<double>(one.status->waiting) -
-                              static_cast<double>(own_unread));
-        made.unread_tokens = unread + others * engine.usual_prompt;
+        const auto others = std::max(
+            0.0, static_cast<double>(one.status->waiting) - own_unread);
+        made.unread_tokens += others * engine.usual_prompt;
         return made;
     }
 
 private:
-    /*! @brief Load that others are taken to cause for each of our own requests
-     * where no status tells. */
-    static constexpr double blind_factor = 3;
+    /*! @brief Part of the other entries that are taken to choose the same
+     * upstream between two of its statuses; those of other halls prefer their
+     * own. */
+    static constexpr double share_of_others = 0.5;
     static constexpr milliseconds avoid_least{300};
     static constexpr unsigned most_doublings = 3;
 
@@ -264,6 +283,8 @@
     }
 
     std::map<instance_id, known_upstream> book;
+    double sharers{1};
+    double all_lateness{1};
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/route/version_floor.hpp
+++ b/src/coursejunction/route/version_floor.hpp
@@ -27,9 +27,9 @@
               milliseconds allowed)
     {
         auto& list = targets[model];
-        const auto found =
-            std::find_if(list.begin(), list.end(),
-                         [&](const auto& one) { return one.version == version; });
+        const auto found = std::find_if(list.begin(), list.end(),
+                                        [&](const auto& one)
+                                        { return one.version == version; });
         if (found == list.end())
             list.push_back({version, known + allowed});
     }
--- a/src/coursejunction/settings/gateway_settings.hpp
+++ b/src/coursejunction/settings/gateway_settings.hpp
@@ -22,16 +22,16 @@
     instance_id instance;
     hall_id hall;
     region_id region;
-    std::string address;          /*!< IPv4. */
-    std::uint16_t peer_port{0};   /*!< TCP and UDP, alike on all instances. */
+    std::string address;            /*!< IPv4. */
+    std::uint16_t peer_port{0};     /*!< TCP and UDP, alike on all instances. */
     std::vector<std::string> seeds; /*!< IPv4 addresses of entries. */
     std::string log_level;
 
-    std::string caller_address; /*!< Of an entry, `IP:port`. */
-    std::string ready_address;  /*!< Of an entry, `IP:port`. */
-    std::string store_address;  /*!< `IP:port`. */
+    std::string caller_address;   /*!< Of an entry, `IP:port`. */
+    std::string ready_address;    /*!< Of an entry, `IP:port`. */
+    std::string store_address;    /*!< `IP:port`. */
     std::string upstream_address; /*!< Of a side, `IP:port`. */
-    byte_rate link_rate{0}; /*!< Of a side's instance, bytes a second. */
+    byte_rate link_rate{0};       /*!< Of a side's instance, bytes a second. */
     std::uint16_t status_port{0}; /*!< Metrics and state dump; 0 for none. */
 
     milliseconds version_time{0}; /*!< A named version is used within this. */
--- a/src/coursejunction/settings/ini_file.cpp
+++ b/src/coursejunction/settings/ini_file.cpp
@@ -21,10 +21,9 @@
 
 constexpr std::array duration_units{unit{"ms", 1}, unit{"s", 1000},
                                     unit{"min", 60'000}, unit{"h", 3'600'000}};
-constexpr std::array size_units{unit{"B", 1}, unit{"KiB", 1024},
-                                unit{"MiB", 1024.0 * 1024},
-                                unit{"GiB", 1024.0 * 1024 * 1024},
-                                unit{"Mbit", 1e6 / 8}};
+constexpr std::array size_units{
+    unit{"B", 1}, unit{"KiB", 1024}, unit{"MiB", 1024.0 * 1024},
+    unit{"GiB", 1024.0 * 1024 * 1024}, unit{"Mbit", 1e6 / 8}};
 
 struct quantity
 {
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -152,8 +152,7 @@
             for (std::size_t bit = 0; bit < bits; ++bit)
             {
                 if ((told.held[word] >> bit & 1U) != 0)
-                    held.push_back(
-                        static_cast<chunk_index>(word * bits + bit));
+                    held.push_back(static_cast<chunk_index>(word * bits + bit));
             }
         }
         planner->holds(peer, held, told.queue, now);
@@ -179,14 +178,6 @@
         verify_more(check);
     }
 
-    /*! @brief Forgets what was put: the upstream has lost it. */
-    void upstream_restarted()
-    {
-        put_chunks.clear();
-        putting.clear();
-        put_more();
-    }
-
 private:
     /*! @brief Chunks asked of holders at once: what arrives together holds up
      * the requests that arrive on the same link. */
@@ -252,20 +243,19 @@
         call.target = "/chunks?model=" + what.model +
                       "&version=" + std::to_string(what.version);
         call.timeout = options.peer_wait;
-        client.gather(std::move(call),
-                      guarded(
-                          [this, why](const stream_client::answer& answer)
-                          {
-                              auto read = answer.is(200)
-                                              ? read_manifest(answer.body)
-                                              : result<manifest>(failure(
-                                                    error_kind::unavailable,
-                                                    answer.why));
-                              if (read)
-                                  return manifest_known(
-                                      std::move(read.value()));
-                              ask_manifest_later(why);
-                          }));
+        client.gather(
+            std::move(call),
+            guarded(
+                [this, why](const stream_client::answer& answer)
+                {
+                    auto read = answer.is(200)
+                                    ? read_manifest(answer.body)
+                                    : result<manifest>(failure(
+                                          error_kind::unavailable, answer.why));
+                    if (read)
+                        return manifest_known(std::move(read.value()));
+                    ask_manifest_later(why);
+                }));
     }
 
     void ask_manifest_later(const std::string& why)
@@ -279,21 +269,20 @@
 
     void manifest_known(manifest list)
     {
-        log::state("manifest_known",
-                   {{"model", what.model},
-                    {"version", std::to_string(what.version)},
-                    {"chunks", std::to_string(list.size())}});
+        log::state("manifest_known", {{"model", what.model},
+                                      {"version", std::to_string(what.version)},
+                                      {"chunks", std::to_string(list.size())}});
         store.emplace(std::move(list));
         corrupt.clear();
-        engine.staged(what.model,
-                      guarded(
-                          [this](result<std::vector<chunk_index>> held)
-                          {
-                              if (held)
-                                  local_left = {held.value().begin(),
-                                                held.value().end()};
-                              read_local();
-                          }));
+        engine.staged(
+            what.model,
+            guarded(
+                [this](result<std::vector<chunk_index>> held)
+                {
+                    if (held)
+                        local_left = {held.value().begin(), held.value().end()};
+                    read_local();
+                }));
     }
 
 public:
@@ -353,7 +342,7 @@
                         if (bytes && store->add(at, std::move(bytes.value())) ==
                                          staging::addition::added)
                         {
-                            put_chunks.insert(at);
+                            put(at);
                             chunk_here(at);
                         }
                         read_local();
@@ -382,8 +371,8 @@
         limits.pending = holder_calls;
         limits.origin_pending = 2;
         limits.waiting = waiting_calls;
-        limits.seed = static_cast<std::uint32_t>(
-            std::hash<std::string>{}(own.value()));
+        limits.seed =
+            static_cast<std::uint32_t>(std::hash<std::string>{}(own.value()));
         planner.emplace(store->of(), own, limits, swarm_policy(),
                         event_loop::now());
         for (const auto at : store->held())
@@ -423,14 +412,13 @@
         call.connect_time = options.connect_time;
         call.repeatable = true;
         const auto id = std::make_shared<stream_client::call_id>();
-        *id = client.gather(
-            std::move(call),
-            guarded(
-                [this, one, id](stream_client::answer answer)
-                {
-                    calls.erase(*id);
-                    peer_answered(one, std::move(answer));
-                }));
+        *id = client.gather(std::move(call),
+                            guarded(
+                                [this, one, id](stream_client::answer answer)
+                                {
+                                    calls.erase(*id);
+                                    peer_answered(one, std::move(answer));
+                                }));
         calls.insert(*id);
     }
 
@@ -462,36 +450,34 @@
         const auto address = view.origin();
         if (address.empty())
             return planner->origin_failed(at, event_loop::now());
-        origin.chunk(address, what, at,
-                     guarded(
-                         [this, at](result<std::string> bytes)
-                         {
-                             if (!planner)
-                                 return;
-                             if (!bytes)
-                             {
-                                 log_failed(at, "origin",
-                                            bytes.error().message);
-                                 planner->origin_failed(at, event_loop::now());
-                                 return;
-                             }
-                             counters.count(
-                                 "chunk_bytes_total",
-                                 static_cast<double>(bytes.value().size()),
-                                 {{"from", "origin"}});
-                             took(at, std::move(bytes.value()), {});
-                         }));
+        origin.chunk(
+            address, what, at,
+            guarded(
+                [this, at](result<std::string> bytes)
+                {
+                    if (!planner)
+                        return;
+                    if (!bytes)
+                    {
+                        log_failed(at, "origin", bytes.error().message);
+                        planner->origin_failed(at, event_loop::now());
+                        return;
+                    }
+                    counters.count("chunk_bytes_total",
+                                   static_cast<double>(bytes.value().size()),
+                                   {{"from", "origin"}});
+                    took(at, std::move(bytes.value()), {});
+                }));
     }
 
     void log_failed(chunk_index at, const std::string& from,
                     const std::string& why)
     {
-        log::problem("chunk_failed",
-                     {{"model", what.model},
-                      {"version", std::to_string(what.version)},
-                      {"chunk", std::to_string(at)},
-                      {"from", from},
-                      {"why", why}});
+        log::problem("chunk_failed", {{"model", what.model},
+                                      {"version", std::to_string(what.version)},
+                                      {"chunk", std::to_string(at)},
+                                      {"from", from},
+                                      {"why", why}});
     }
 
     void took(chunk_index at, std::string bytes, const instance_id& from)
@@ -554,26 +540,49 @@
             log::state("chunks_complete",
                        {{"model", what.model},
                         {"version", std::to_string(what.version)},
-                        {"took_ms", std::to_string(static_cast<std::int64_t>(
-                                        to_seconds(event_loop::now() - began) *
-                                        1000))}});
+                        {"took_ms",
+                         std::to_string(static_cast<std::int64_t>(
+                             to_seconds(event_loop::now() - began) * 1000))}});
     }
 
     void give_now(chunk_index at, stream_reply reply, bool urgent)
     {
-        const auto bytes = store->find(at);
         auto shared = std::make_shared<stream_reply>(std::move(reply));
         const bool taken = view.uploads->offer(
-            bytes->size(), urgent,
-            [this_counters = &counters, bytes, shared]
-            {
-                this_counters->count("chunks_given_total");
-                shared->send(200, {}, *bytes);
-            });
+            store->of().chunk_bytes(at), urgent,
+            guarded([this, at, shared] { upload(at, *shared); }));
         if (!taken)
             shared->send(503, {}, "");
     }
 
+    /*! @brief Sends a chunk, read back from the upstream when its bytes are
+     * not in memory any more. */
+    void upload(chunk_index at, stream_reply reply)
+    {
+        if (!store || !store->contains(at))
+            return reply.send(404, {}, "");
+        if (const auto bytes = store->find(at))
+        {
+            counters.count("chunks_given_total");
+            return reply.send(200, {}, *bytes);
+        }
+        engine.staged_chunk(
+            what.model, at,
+            guarded(
+                [this, at,
+                 to = std::make_shared<stream_reply>(std::move(reply))](
+                    result<std::string> bytes)
+                {
+                    const bool right =
+                        bytes && store &&
+                        digest::of(bytes.value()) == store->of()[at];
+                    if (!right)
+                        return to->send(404, {}, "");
+                    counters.count("chunks_given_total");
+                    to->send(200, {}, bytes.value());
+                }));
+    }
+
     void expire_waiters(time_point now)
     {
         for (auto& [at, list] : waiters)
@@ -609,15 +618,16 @@
         {
             const auto at = put_queue.front();
             put_queue.pop_front();
-            if (!putting.insert(at).second)
+            const auto bytes = store->find(at);
+            if (!bytes || !putting.insert(at).second)
                 continue;
-            engine.stage(what.model, at, *store->find(at),
+            engine.stage(what.model, at, *bytes,
                          guarded(
                              [this, at](bool done)
                              {
                                  putting.erase(at);
                                  if (done && store)
-                                     put_chunks.insert(at);
+                                     put(at);
                                  else
                                      put_again =
                                          loop.after(options.manifest_pause,
@@ -628,6 +638,13 @@
         }
     }
 
+    /*! @brief The upstream has a chunk: it need not lie in memory as well. */
+    void put(chunk_index at)
+    {
+        put_chunks.insert(at);
+        store->release(at);
+    }
+
     // --- Reading back ----------------------------------------------------
 
     void verify_more(const std::shared_ptr<verification>& check)
@@ -637,17 +654,17 @@
         {
             const auto at = check->next++;
             ++check->open;
-            engine.staged_chunk(
-                what.model, at,
-                guarded(
-                    [this, check, at](result<std::string> bytes)
-                    {
-                        --check->open;
-                        if (!bytes || !store ||
-                            digest::of(bytes.value()) != store->of()[at])
-                            chunk_turned_bad(at, *check);
-                        verify_more(check);
-                    }));
+            engine.staged_chunk(what.model, at,
+                                guarded(
+                                    [this, check, at](result<std::string> bytes)
+                                    {
+                                        --check->open;
+                                        if (!bytes || !store ||
+                                            digest::of(bytes.value()) !=
+                                                store->of()[at])
+                                            chunk_turned_bad(at, *check);
+                                        verify_more(check);
+                                    }));
         }
         const bool over = !store || check->next >= store->of().size();
         if (over && check->open == 0 && check->done)
@@ -665,8 +682,14 @@
                       {"version", std::to_string(what.version)},
                       {"chunk", std::to_string(at)}});
         put_chunks.erase(at);
-        put_queue.push_back(at);
-        put_more();
+        if (!store)
+            return;
+        store->lose(at);
+        // A new plan asks for what is missing now.
+        planner.reset();
+        ticking.stop();
+        if (fetching)
+            start_planner();
     }
 
     event_loop& loop;
--- a/src/coursejunction/transfer/manifest.hpp
+++ b/src/coursejunction/transfer/manifest.hpp
@@ -33,8 +33,8 @@
     /*! @brief Makes a manifest of chunks of one size whose hashes an outside
      * system lists.
      * @return The manifest, or `refused` when there are none. */
-    [[nodiscard]] static result<manifest>
-    assemble(std::size_t chunk_bytes, std::vector<digest> hashes);
+    [[nodiscard]] static result<manifest> assemble(std::size_t chunk_bytes,
+                                                   std::vector<digest> hashes);
 
     /*! @brief Makes the text of a manifest.
      * @param path Path of the bytes at the origin.
--- a/src/coursejunction/transfer/paced_uploads.hpp
+++ b/src/coursejunction/transfer/paced_uploads.hpp
@@ -66,8 +66,7 @@
         queue.pop_front();
         one.send();
         const auto now = event_loop::now();
-        const auto free_at =
-            link.reserve(static_cast<double>(one.bytes), now);
+        const auto free_at = link.reserve(static_cast<double>(one.bytes), now);
         pause = loop.after(free_at - now, [this] { next(); });
     }
 
--- a/src/coursejunction/transfer/staging.hpp
+++ b/src/coursejunction/transfer/staging.hpp
@@ -33,14 +33,17 @@
         corrupt
     };
 
-    explicit staging(manifest of) : plan(std::move(of)), chunks(plan.size()) {}
+    explicit staging(manifest of)
+        : plan(std::move(of)), chunks(plan.size()), elsewhere(plan.size())
+    {
+    }
 
     /*! @brief Verifies a chunk and keeps it when it is right. */
     addition add(chunk_index at, std::string bytes)
     {
         if (at >= chunks.size())
             return addition::corrupt;
-        if (chunks[at])
+        if (contains(at))
             return addition::already_held;
         if (bytes.size() != plan.chunk_bytes(at) ||
             digest::of(bytes) != plan[at])
@@ -71,7 +74,7 @@
         return taken;
     }
 
-    /*! @brief Returns a chunk, or null when it is not held. */
+    /*! @brief Returns a chunk, or null when its bytes are not held here. */
     [[nodiscard]] value_type find(chunk_index at) const
     {
         return at < chunks.size() ? chunks[at] : nullptr;
@@ -79,7 +82,29 @@
 
     [[nodiscard]] bool contains(chunk_index at) const
     {
-        return at < chunks.size() && chunks[at] != nullptr;
+        return at < chunks.size() && (chunks[at] != nullptr || elsewhere[at]);
+    }
+
+    /*! @brief Frees a chunk's bytes: it lies whole somewhere else, from where
+     * the owner reads it when asked. */
+    void release(chunk_index at)
+    {
+        if (!contains(at) || elsewhere[at])
+            return;
+        total -= chunks[at]->size();
+        chunks[at].reset();
+        elsewhere[at] = true;
+    }
+
+    /*! @brief Forgets a chunk: it must be fetched again. */
+    void lose(chunk_index at)
+    {
+        if (!contains(at))
+            return;
+        total -= chunks[at] ? chunks[at]->size() : 0;
+        chunks[at].reset();
+        elsewhere[at] = false;
+        --count;
     }
 
     /*! @brief Returns how many chunks are held. */
@@ -100,7 +125,7 @@
         std::vector<chunk_index> list;
         for (chunk_index at = 0; at < chunks.size(); ++at)
         {
-            if (chunks[at])
+            if (contains(at))
                 list.push_back(at);
         }
         return list;
@@ -119,6 +144,7 @@
 
     manifest plan;
     std::vector<value_type> chunks;
+    std::vector<bool> elsewhere; /*!< Held, but not in memory. */
     size_type count{0};
     std::uint64_t total{0};
 };
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -39,7 +39,7 @@
 {
     std::string model;
     std::uint64_t version{0};
-    std::uint32_t queue{0};           /*!< Uploads that wait. */
+    std::uint32_t queue{0};          /*!< Uploads that wait. */
     std::vector<std::uint64_t> held; /*!< Bit n of word w: chunk 64 w + n. */
 
     template <typename Archive>
@@ -58,15 +58,16 @@
     std::string hall;
     bool entry{false};
     bool leaving{false};
-    std::vector<std::uint32_t> entries; /*!< Known entries, IPv4 addresses. */
-    upstream_status upstream;           /*!< Of a side. */
+    bool watching{false}; /*!< Hears of changes from the store itself. */
+    std::vector<std::uint32_t> entries;   /*!< Known entries, IPv4 addresses. */
+    upstream_status upstream;             /*!< Of a side. */
     std::vector<chunk_possession> chunks; /*!< Of a side, by version. */
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
         archive(incarnation, sequence, mirror_revision, hall, entry, leaving,
-                entries, upstream, chunks);
+                watching, entries, upstream, chunks);
     }
 };
 
--- a/tests/net/header_list.cpp
+++ b/tests/net/header_list.cpp
@@ -21,7 +21,10 @@
     WHEN("a name is assigned")
     {
         list.assign("x-A", "4");
-        THEN("it stands once") { CHECK(list.size() == 2); }
+        THEN("it stands once")
+        {
+            CHECK(list.size() == 2);
+        }
     }
     GIVEN("fields of a single connection")
     {
--- a/tests/proxy/event_splitter.cpp
+++ b/tests/proxy/event_splitter.cpp
@@ -46,8 +46,8 @@
                  std::size_t from = 0;
                  while (from < text.size())
                  {
-                     const auto size = static_cast<std::size_t>(
-                         *rc::gen::inRange(1, 9));
+                     const auto size =
+                         static_cast<std::size_t>(*rc::gen::inRange(1, 9));
                      given += events.take(text.substr(from, size));
                      from += size;
                  }
--- a/tests/proxy/exchange_service.cpp
+++ b/tests/proxy/exchange_service.cpp
@@ -111,12 +111,10 @@
             const auto count = ::recv(caller, part, sizeof part, 0);
             {
                 const std::lock_guard guard(mutex);
-                seen.emplace_back(part,
-                                  static_cast<std::size_t>(std::max<ssize_t>(
-                                      count, 0)));
+                seen.emplace_back(part, static_cast<std::size_t>(
+                                            std::max<ssize_t>(count, 0)));
             }
-            const auto& bytes =
-                answers[std::min(turn, answers.size() - 1)];
+            const auto& bytes = answers[std::min(turn, answers.size() - 1)];
             if (bytes == "hang")
             {
                 // Holds the connection until the other end closes it.
@@ -126,8 +124,8 @@
             }
             else
             {
-                const auto done = ::send(caller, bytes.data(), bytes.size(),
-                                         MSG_NOSIGNAL);
+                const auto done =
+                    ::send(caller, bytes.data(), bytes.size(), MSG_NOSIGNAL);
                 static_cast<void>(done);
             }
             ::close(caller);
@@ -160,8 +158,7 @@
                     cj::placer({}, cj::hall_id("h"), "self"), options);
                 auto made = cj::stream_server::create(
                     running.loop, "127.0.0.1", 0, {},
-                    [this](cj::stream_request request, cj::stream_reply reply)
-                    {
+                    [this](cj::stream_request request, cj::stream_reply reply) {
                         service->request(std::move(request), std::move(reply));
                     });
                 REQUIRE(made);
--- a/tests/rollout/turn_policy.cpp
+++ b/tests/rollout/turn_policy.cpp
@@ -15,8 +15,8 @@
     const cj::turn_limits limits;
     std::vector<cj::hall_neighbour> all;
     for (std::size_t at = 0; at < count; ++at)
-        all.push_back({cj::instance_id("side-" + std::to_string(at)), false,
-                       true});
+        all.push_back(
+            {cj::instance_id("side-" + std::to_string(at)), false, true});
     std::vector<std::size_t> closed_each;
     for (int round = 0; round < 20; ++round)
     {
--- a/tests/route/engine_estimate.cpp
+++ b/tests/route/engine_estimate.cpp
@@ -26,8 +26,7 @@
 
 } // namespace
 
-SCENARIO("the first event is predicted from an engine's own figures",
-         "[route]")
+SCENARIO("the first event is predicted from an engine's own figures", "[route]")
 {
     const auto one = engine();
     cj::engine_load idle;
--- a/tests/route/placement.cpp
+++ b/tests/route/placement.cpp
@@ -173,6 +173,9 @@
     WHEN("one goes otherwise")
     {
         book.remove(id, false, now);
-        THEN("it is gone at once") { CHECK(book.find(id) == nullptr); }
+        THEN("it is gone at once")
+        {
+            CHECK(book.find(id) == nullptr);
+        }
     }
 }
