--- a/bench/lab.py
+++ b/bench/lab.py
@@ -12,6 +12,7 @@
 import signal
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -62,19 +63,34 @@
 
 
 class Process:
-    """One child whose first line of output is JSON with its ports."""
+    """One child that prints a line of JSON with its ports among its logs."""
 
     def __init__(self, args, log):
         self.args = args
         self.child = subprocess.Popen(
             args, stdout=subprocess.PIPE, stderr=log, stdin=subprocess.DEVNULL
         )
-        line = self.child.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{args[0]} ended with {self.child.wait()}")
-        self.ready = json.loads(line)
+        self.ready = self.read_ready(log)
         self.port = self.ready["http_port"]
         self.url = f"http://127.0.0.1:{self.port}"
+        self.reader = threading.Thread(
+            target=self.copy_output, args=(log,), daemon=True
+        )
+        self.reader.start()
+
+    def read_ready(self, log):
+        """Reads on to the line with the ports; logs may come before it."""
+        while line := self.child.stdout.readline():
+            told = json.loads(line)
+            if "http_port" in told:
+                return told
+            log.write(line)
+        raise RuntimeError(f"{self.args[0]} ended with {self.child.wait()}")
+
+    def copy_output(self, log):
+        """Logs come on standard output: they join the lab's log."""
+        while line := self.child.stdout.readline():
+            log.write(line)
 
     @property
     def pid(self):
@@ -138,6 +154,7 @@
             one.signal(signal.SIGKILL)
         for one in self.all:
             one.child.wait()
+            one.reader.join()
             one.child.stdout.close()
         self.log.close()
         self.dir.cleanup()
--- a/src/coursejunction/core/log.cpp
+++ b/src/coursejunction/core/log.cpp
@@ -1,5 +1,9 @@
 #include "coursejunction/core/log.hpp"
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <chrono>
 
 #include <log4cxx/asyncappender.h>
@@ -37,6 +41,19 @@
         log4cxx::MDC::remove(std::string(name));
 }
 
+/*! @brief Makes writes fail rather than wait when standard output is a pipe
+ * that nobody reads. A terminal is left alone: it is shared. */
+void never_wait_for_reader()
+{
+    struct stat kind{};
+    if (fstat(STDOUT_FILENO, &kind) != 0 ||
+        (!S_ISFIFO(kind.st_mode) && !S_ISSOCK(kind.st_mode)))
+        return;
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 /*! @brief Lets lines pass at a rate and tells how many it held back. */
 class allowance
 {
@@ -87,6 +104,7 @@
 
 void open(std::string_view instance, std::string_view level)
 {
+    internal::never_wait_for_reader();
     auto layout = std::make_shared<log4cxx::JSONLayout>();
     layout->setLocationInfo(false);
     auto console = std::make_shared<log4cxx::ConsoleAppender>(
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -68,6 +68,8 @@
     /*! @brief Adds what the role knows; only the load when not `whole`. */
     std::function<void(message::fleet_heartbeat&, bool whole)> describe;
     std::function<void(stream_request, stream_reply)> request;
+    /*! @brief Tells whether chunks are still to come to this process. */
+    std::function<bool()> spreading;
 };
 
 /*! @brief One process among its peers.
@@ -84,6 +86,11 @@
      * be cut from the store and one more stopped at the same time. */
     static constexpr std::size_t most_watchers = 3;
 
+    /*! @brief Sides of other halls hear each this many heartbeats: often while
+     * chunks come, for which each must know who lives, else seldom. */
+    static constexpr std::uint64_t far_beat_spreading = 2;
+    static constexpr std::uint64_t far_beat = 5;
+
     /*! @brief How long one watch waits. A watch that hangs on a dead
      * connection is noticed this late, and a change has 2 s to be in force
      * once the store has been calm for 3 s. */
@@ -131,7 +138,7 @@
         beat_timer = loop.every(beat_interval,
                                 [this]
                                 {
-                                    announce();
+                                    beat_on();
                                     watch_if_needed();
                                 });
         if (options.entry)
@@ -228,6 +235,18 @@
         return one.last.hall == options.hall.value();
     }
 
+    /*! @brief The regular heartbeat. Entries hear each, since they place
+     * requests by it; bytes between regions cost most. */
+    void beat_on()
+    {
+        const bool spreading = hooks.spreading && hooks.spreading();
+        const auto each = spreading ? far_beat_spreading : far_beat;
+        const bool far = ++beat_number % each == 0;
+        tell([&](const peer_state& one)
+             { return one.entry || own_hall(one) || far; },
+             true);
+    }
+
     template <typename Which>
     void tell(Which which, bool whole)
     {
@@ -483,6 +502,7 @@
     std::string port_suffix;
     std::uint64_t incarnation;
     std::uint64_t sequence{0};
+    std::uint64_t beat_number{0};
     store_mirror copy;
     peer_directory directory;
     std::unique_ptr<datagram_socket> socket;
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -84,6 +84,7 @@
         { describe(into, whole); };
         hooks.request = [this](stream_request request, stream_reply reply)
         { serve_peer(request, std::move(reply)); };
+        hooks.spreading = [this] { return incomplete(); };
         node.start(std::move(hooks));
         polling = loop.every(options.poll, [this] { poll(); });
         spreading = loop.every(options.spread, [this] { spread(); });
@@ -245,13 +246,21 @@
         return all;
     }
 
+    /*! @brief Tells whether a version that is wanted is not whole here. */
+    [[nodiscard]] bool incomplete() const
+    {
+        const auto serves = last ? last->version : 0;
+        return std::any_of(transfers.begin(), transfers.end(),
+                           [&](const auto& one) {
+                               return one.first > serves &&
+                                      !one.second->complete();
+                           });
+    }
+
     /*! @brief While chunks still come, the hall hears of each soon. */
     void spread()
     {
-        const bool incomplete = std::any_of(
-            transfers.begin(), transfers.end(),
-            [](const auto& one) { return !one.second->complete(); });
-        if (incomplete)
+        if (incomplete())
             node.announce_to_hall();
     }
 
--- a/tests/fleet/peer_directory.cpp
+++ b/tests/fleet/peer_directory.cpp
@@ -45,3 +45,30 @@
         }
     }
 }
+
+SCENARIO("a few entries watch the store for all", "[fleet]")
+{
+    cj::peer_directory peers;
+    const cj::time_point now{100s};
+    const auto hear = [&](const char* address, bool watching, bool leaving)
+    {
+        cj::message::fleet_heartbeat beat;
+        beat.incarnation = 1;
+        beat.sequence = 1;
+        beat.entry = true;
+        beat.watching = watching;
+        beat.leaving = leaving;
+        peers.heard(address, beat, now);
+    };
+    hear("10.0.0.1", true, false);
+    hear("10.0.0.2", false, false);
+    hear("10.0.0.3", true, true);
+    hear("10.0.0.4", true, false);
+
+    CHECK(peers.watchers_before("10.0.0.5", now) == 2);
+    CHECK(peers.watchers_before("10.0.0.2", now) == 1);
+    THEN("those that fall silent are replaced")
+    {
+        CHECK(peers.watchers_before("10.0.0.5", now + 5s) == 0);
+    }
+}
--- a/tests/route/placement.cpp
+++ b/tests/route/placement.cpp
@@ -179,3 +179,71 @@
         }
     }
 }
+
+SCENARIO("what others send unseen is counted", "[route]")
+{
+    cj::upstream_book book;
+    const cj::time_point now{100s};
+    const cj::instance_id id("near");
+    const auto service = llm();
+    book.record(record("near", "north", "10.0.0.1:80"));
+    book.status("10.0.0.1", status(1), now);
+    book.begin(id, 1, 1000, now + 20ms);
+    const auto load = [&]
+    { return book.load(*book.find(id), *service.engine, now + 20ms); };
+
+    THEN("a lone entry counts its own request")
+    {
+        CHECK(load().running == Approx(1));
+        CHECK(load().unread_tokens == Approx(1000));
+    }
+    GIVEN("five entries that see the same empty upstream")
+    {
+        book.entries(5);
+        CHECK(load().running == Approx(3));
+        CHECK(load().unread_tokens == Approx(3000));
+        AND_WHEN("a status tells of it")
+        {
+            auto told = status(2);
+            told.running = 1;
+            book.status("10.0.0.1", told, now + 50ms);
+            THEN("it is counted once") { CHECK(load().running == Approx(1)); }
+        }
+    }
+}
+
+SCENARIO("first events that come late correct the prediction", "[route]")
+{
+    cj::upstream_book book;
+    const cj::time_point now{100s};
+    const cj::placer places({}, cj::hall_id("north"), "10.0.0.9");
+    book.record(record("near", "north", "10.0.0.1:80"));
+    book.record(record("far", "south", "10.0.0.2:80"));
+    book.status("10.0.0.1", status(1), now);
+    book.status("10.0.0.2", status(1), now);
+    cj::no_placement why;
+    const auto before =
+        places.choose(book, llm(), wanted(), now, why)->predicted_ms;
+
+    WHEN("they come three times later than predicted at one upstream")
+    {
+        for (int at = 0; at < 200; ++at)
+            book.seen(cj::instance_id("far"), 100, 300);
+        THEN("all predictions rise: others send what this entry does not see")
+        {
+            const auto after =
+                places.choose(book, llm(), wanted(), now, why)->predicted_ms;
+            CHECK(after == Approx(3 * before).epsilon(0.05));
+        }
+    }
+    WHEN("they come sooner")
+    {
+        for (int at = 0; at < 200; ++at)
+            book.seen(cj::instance_id("far"), 100, 60);
+        THEN("a prediction is not trusted to be too high")
+        {
+            CHECK(places.choose(book, llm(), wanted(), now, why)
+                      ->predicted_ms == Approx(before));
+        }
+    }
+}
--- a/tests/transfer/staging.cpp
+++ b/tests/transfer/staging.cpp
@@ -58,3 +58,37 @@
                  RC_ASSERT(held.add(0, changed) == addition::corrupt);
              });
 }
+
+SCENARIO("bytes that lie elsewhere need not be kept", "[transfer]")
+{
+    const auto bytes = fixtures::model_bytes(4);
+    cj::staging held(fixtures::manifest_of(bytes));
+    held.add(1, bytes.substr(fixtures::chunk_bytes, fixtures::chunk_bytes));
+
+    WHEN("a chunk is released")
+    {
+        held.release(1);
+        held.release(1);
+        held.release(2);
+        THEN("it still counts as held, without its bytes")
+        {
+            CHECK(held.contains(1));
+            CHECK(held.find(1) == nullptr);
+            CHECK(held.bytes() == 0);
+            CHECK(held.size() == 1);
+            CHECK(held.held() == std::vector<cj::chunk_index>{1});
+        }
+        AND_WHEN("it turns out to be bad there")
+        {
+            held.lose(1);
+            THEN("it may come again")
+            {
+                CHECK_FALSE(held.contains(1));
+                CHECK(held.size() == 0);
+                CHECK(held.add(1, bytes.substr(fixtures::chunk_bytes,
+                                               fixtures::chunk_bytes)) ==
+                      addition::added);
+            }
+        }
+    }
+}
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -186,6 +186,38 @@
     }
 }
 
+SCENARIO("an origin that was away is not drawn on more often afterwards",
+         "[transfer]")
+{
+    cj::planner_limits limits;
+    limits.stall_floor = 700ms;
+    auto plan = make(40, limits);
+    auto now = start;
+    GIVEN("nothing came for long")
+    {
+        for (int step = 0; step < 2000; ++step)
+        {
+            now += 20ms;
+            for (const auto& one : plan.next(now))
+            {
+                if (one.how == kind::origin)
+                    plan.origin_failed(one.chunk, now);
+            }
+        }
+        REQUIRE(plan.level() > 0);
+        WHEN("chunks come again")
+        {
+            const auto level = plan.level();
+            for (cj::chunk_index at = 0; at < level; ++at)
+                plan.held(at, now += 30ms);
+            THEN("the stand-ins are called off")
+            {
+                CHECK(plan.level() == 0);
+            }
+        }
+    }
+}
+
 TEST_CASE("a planner completes whatever order things happen in", "[transfer]")
 {
     rc::prop("with refusals, bad chunks and losses",
