Give the staging area of an upstream to one version; take back attempts that wait on old weights

Change: one pure rule (rollout/version_order) says which version is staged next; staging another gives the first one up. An attempt on older weights without a first event is taken back 1.2 s after they take nothing new. Tests: version_order, exchange_service (an attempt that waits), version_floor.

--- a/src/coursejunction/core/log.cpp
+++ b/src/coursejunction/core/log.cpp
@@ -45,7 +45,9 @@
  * that nobody reads. A terminal is left alone: it is shared. */
 void never_wait_for_reader()
 {
-    struct stat kind{};
+    struct stat kind
+    {
+    };
     if (fstat(STDOUT_FILENO, &kind) != 0 ||
         (!S_ISFIFO(kind.st_mode) && !S_ISSOCK(kind.st_mode)))
         return;
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -46,6 +46,10 @@
      * `first_slack`, is given up. */
     double first_factor{3};
     milliseconds first_slack{700};
+    /*! @brief After older weights take nothing new, an attempt that still
+     * waits there is taken back; the bound leaves 2 s, and the end of the
+     * connection takes a part of one to arrive. */
+    milliseconds old_weights_grace{1200};
     /*! @brief Retries earned by each request; the installations allow 0.2 in
      * each ten seconds. */
     double retry_portion{0.15};
@@ -366,21 +370,36 @@
     {
         if (one.route->kind != request_kind::stream || !one.route->resumable)
             return;
-        const auto first = milliseconds(static_cast<std::int64_t>(
-                               one.at.predicted_ms * options.first_factor)) +
-                           options.first_slack;
-        one.silence =
-            loop.after(one.progressed ? options.stream_silence : first,
-                       [this, number = one.number]
-                       {
-                           with(number,
-                                [&](exchange& found)
-                                {
-                                    client.cancel(found.call);
-                                    failed(found, attempt_reach::may_have_run,
-                                           "upstream is silent");
-                                });
-                       });
+        one.silence = loop.after(
+            one.progressed ? std::chrono::microseconds(options.stream_silence)
+                           : first_event_limit(one),
+            [this, number = one.number]
+            {
+                with(number,
+                     [&](exchange& found)
+                     {
+                         client.cancel(found.call);
+                         failed(found, attempt_reach::may_have_run,
+                                "upstream is silent");
+                     });
+            });
+    }
+
+    /*! @brief Returns how long an attempt's first event is waited for: a few
+     * times its prediction, and no longer than its weights may begin requests,
+     * since it may still stand in a queue when they have become too old. */
+    [[nodiscard]] std::chrono::microseconds
+    first_event_limit(const exchange& one) const
+    {
+        std::chrono::microseconds limit =
+            milliseconds(static_cast<std::int64_t>(one.at.predicted_ms *
+                                                   options.first_factor)) +
+            options.first_slack;
+        const auto ends = floor.ends(one.asked.model, one.at.version);
+        if (ends)
+            limit = std::min(limit, *ends + options.old_weights_grace -
+                                        event_loop::now());
+        return std::max(limit, std::chrono::microseconds(0));
     }
 
     void got_head(exchange& one, const stream_head& head)
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -22,6 +22,7 @@
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/rollout/turn_policy.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
+#include "coursejunction/rollout/version_order.hpp"
 #include "coursejunction/transfer/chunk_transfer.hpp"
 
 namespace coursejunction
@@ -138,16 +139,17 @@
         const auto serves = last->version;
         const auto newest = fleet.newest(name);
         drop_transfers(name, serves, newest);
-        auto& wanted = want({name, newest});
-        if (serves == newest)
+        want({name, newest});
+        if (closing)
         {
-            wanted.stage();
-            return closing ? opened() : void();
+            if (serves == ordered_version)
+                opened();
+            return await_order();
         }
+        if (serves == newest)
+            return;
         fetch(serves);
-        if (closing && serves == ordered_version)
-            opened();
-        advance(next_version(serves, newest));
+        advance(assign_staging(serves));
     }
 
     /*! @brief Forgets versions that no longer matter: older than what is
@@ -185,27 +187,36 @@
         }
     }
 
-    /*! @brief Returns the version to load next: the newest, or until it is
-     * whole here, an older one that is. */
-    [[nodiscard]] std::uint64_t next_version(std::uint64_t serves,
-                                             std::uint64_t newest) const
+    /*! @brief Gives the staging area of the upstream, which has room for one
+     * version only, to the version that is to be loaded next. Chunks of any
+     * other that lay there are lost.
+     * @return That version. */
+    std::uint64_t assign_staging(std::uint64_t serves)
     {
-        std::uint64_t best = newest;
-        if (transfers.at(newest)->complete())
-            return best;
+        const auto now = event_loop::now();
+        std::vector<coming_version> coming;
         for (const auto& [version, one] : transfers)
-        {
-            if (version > serves && version < newest && one->complete())
-                best = version;
-        }
-        return best;
+            coming.push_back(
+                {version, one->complete(), one->stands_still(now)});
+        const auto next = next_version(coming, serves, staged_version);
+        if (next == staged_version)
+            return next;
+        log::state("staging_assigned",
+                   {{"version", std::to_string(next)},
+                    {"instead_of", std::to_string(staged_version)}});
+        std::erase_if(
+            transfers, [&](const auto& one)
+            { return one.first < next || one.first == staged_version; });
+        staged_version = next;
+        transfers.at(next)->stage();
+        return next;
     }
 
-    transfer_type& want(const model_version& wanted)
+    void want(const model_version& wanted)
     {
         auto& found = transfers[wanted.version];
         if (found)
-            return *found;
+            return;
         log::state("version_wanted",
                    {{"model", wanted.model},
                     {"version", std::to_string(wanted.version)},
@@ -214,7 +225,6 @@
             loop, node.client(), engine, origin, counters, wanted,
             instance_id(own), surroundings(), chunk_transfer_options{});
         found->start();
-        return *found;
     }
 
     [[nodiscard]] typename transfer_type::surroundings surroundings()
@@ -321,6 +331,7 @@
         closing = false;
         // What it has staged must be read anew.
         transfers.clear();
+        staged_version = 0;
     }
 
     void opened()
@@ -334,21 +345,22 @@
 
     // --- Loading ---------------------------------------------------------
 
+    /*! @brief An order is out, or about to be given. */
+    void await_order()
+    {
+        if (!closing ||
+            event_loop::now() - ordered_at <= options.order_patience)
+            return;
+        log::warning("order_without_effect",
+                     {{"version", std::to_string(ordered_version)}});
+        closing = false;
+    }
+
     /*! @brief Takes the next step towards a version. */
     void advance(std::uint64_t version)
     {
         const auto now = event_loop::now();
-        if (closing)
-        {
-            if (now - ordered_at > options.order_patience)
-            {
-                log::warning("order_without_effect", {});
-                closing = false;
-            }
-            return;
-        }
         const auto& next = transfers.at(version);
-        next->stage();
         if (!verified.expired() || !next->staged() ||
             !my_turn(next->version(), now))
             return;
@@ -399,6 +411,8 @@
     /*! @brief Waits until nothing runs, or until the time for it is over. */
     void drain()
     {
+        if (!closing)
+            return;
         const bool over = event_loop::now() - ordered_at >= options.drain_time;
         const bool empty = last && last->running + last->waiting == 0;
         if (over || empty || !may_cut())
@@ -428,7 +442,7 @@
     void order()
     {
         const auto found = transfers.find(ordered_version);
-        if (found == transfers.end() || !last)
+        if (!closing || found == transfers.end() || !last)
             return;
         const auto wanted = found->second->version();
         ordered = true;
@@ -549,6 +563,7 @@
     std::uint64_t status_sequence{0};
     time_point ordered_at{};
     std::uint64_t ordered_version{0};
+    std::uint64_t staged_version{0}; /*!< Holds the staging area; 0: none. */
     bool reachable{false};
     bool polls_open{false};
     bool closing{false};
--- /dev/null
+++ b/src/coursejunction/rollout/version_order.hpp
@@ -0,0 +1,54 @@
+/*! @file
+ * @brief Which of several named versions an upstream is brought to next; pure.
+ */
+#ifndef COURSEJUNCTION_ROLLOUT_VERSION_ORDER_HPP
+#define COURSEJUNCTION_ROLLOUT_VERSION_ORDER_HPP
+
+#include <cstdint>
+#include <vector>
+
+namespace coursejunction
+{
+
+/*! @brief A version that is on its way to an instance. */
+struct coming_version
+{
+    std::uint64_t version{0};
+    bool complete{false};     /*!< Every chunk is here. */
+    bool stands_still{false}; /*!< Nothing came for long. */
+};
+
+/*! @brief Returns the version to stage and load next.
+ *
+ * The newest once it is whole; until then the oldest that is newer than what is
+ * served and still comes, since it is whole soonest and each version binds on
+ * its own. Only one version can lie staged at an upstream: staging another one
+ * gives up what was staged before, so a version that stands still is left only
+ * for one that comes.
+ * @param coming Versions in rising order, at least one.
+ * @param serves What the upstream serves.
+ * @param staged The version that holds the staging area, or 0. */
+[[nodiscard]] inline std::uint64_t
+next_version(const std::vector<coming_version>& coming, std::uint64_t serves,
+             std::uint64_t staged)
+{
+    const auto& newest = coming.back();
+    if (newest.complete)
+        return newest.version;
+    for (const auto& one : coming)
+    {
+        if (one.version > serves && (one.complete || !one.stands_still))
+            return one.version;
+    }
+    // Everything stands still: what is staged is not given up for nothing.
+    for (const auto& one : coming)
+    {
+        if (one.version > serves && one.version == staged)
+            return one.version;
+    }
+    return newest.version;
+}
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/route/version_floor.hpp
+++ b/src/coursejunction/route/version_floor.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,23 @@
         return version;
     }
 
+    /*! @brief Returns when a version becomes too old to begin a request;
+     * nothing while no newer one is named. */
+    [[nodiscard]] std::optional<time_point> ends(const std::string& model,
+                                                 std::uint64_t version) const
+    {
+        std::optional<time_point> first;
+        const auto found = targets.find(model);
+        if (found == targets.end())
+            return first;
+        for (const auto& one : found->second)
+        {
+            if (one.version > version && (!first || one.binds_at < *first))
+                first = one.binds_at;
+        }
+        return first;
+    }
+
     /*! @brief Returns the newest version that was named, 1 when none was. */
     [[nodiscard]] std::uint64_t newest(const std::string& model) const
     {
--- a/tests/proxy/exchange_service.cpp
+++ b/tests/proxy/exchange_service.cpp
@@ -25,6 +25,7 @@
         made.id = cj::request_id(std::string(from.headers.find("Id")));
         made.host = std::string(from.headers.find("Host"));
         made.path = from.target;
+        made.model = std::string(from.headers.find("Model"));
         if (from.headers.contains("Key"))
             made.key = std::string(from.headers.find("Key"));
         return made;
@@ -427,6 +428,56 @@
     }
 }
 
+SCENARIO("an attempt that waits on weights that grow too old is taken back",
+         "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.route(cj::request_kind::stream, true);
+    scripted_upstream one({"hang"});
+    scripted_upstream two({stream("id: 1\ndata: a\n\n", true)});
+    const auto serve =
+        [&](const char* id, const std::string& address, std::uint64_t version)
+    {
+        entry.upstream(id, address);
+        entry.running.on_loop(
+            [&]
+            {
+                auto record = entry.book.find(cj::instance_id(id))->record;
+                record.weights["m"] = version;
+                entry.book.record(record);
+            });
+    };
+    serve("a", one.address, 2);
+    serve("b", two.address, 3);
+    const auto name = [&](cj::milliseconds allowed)
+    {
+        entry.running.on_loop(
+            [&] {
+                entry.service->floors().name("m", 3, cj::event_loop::now(),
+                                             allowed);
+            });
+    };
+
+    SECTION("one that was sent before goes to newer weights")
+    {
+        // The older weights take requests for 50 ms more, and an attempt that
+        // waits there is taken back long before the silence of 700 ms and
+        // three predictions would end it.
+        name(50ms);
+        CHECK(entry.ask("/x", "Model: m\r\n").find("data: a") !=
+              std::string::npos);
+        CHECK(one.arrivals().size() == 1);
+        one.closed_by_caller.wait(false);
+    }
+    SECTION("none is sent to them afterwards")
+    {
+        name(0ms);
+        CHECK(entry.ask("/x", "Model: m\r\n").find("data: a") !=
+              std::string::npos);
+        CHECK(one.arrivals().empty());
+    }
+}
+
 SCENARIO("time limits and callers that leave end the work", "[proxy]")
 {
     entry_on_loopback entry;
--- /dev/null
+++ b/tests/rollout/version_order.cpp
@@ -0,0 +1,40 @@
+#include "coursejunction/rollout/version_order.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cj = coursejunction;
+
+SCENARIO("versions named one after another are loaded in an order", "[rollout]")
+{
+    THEN("the newest goes first once it is whole")
+    {
+        CHECK(cj::next_version({{2, true, false}, {3, true, false}}, 1, 2) ==
+              3);
+    }
+    THEN("until then an older one that still comes keeps the staging area")
+    {
+        // Chunks of 3 must not be staged among those of 2: on hunted days
+        // upstreams loaded the mixture.
+        CHECK(cj::next_version({{2, false, false}, {3, false, false}}, 1, 2) ==
+              2);
+        CHECK(cj::next_version({{2, true, false}, {3, false, false}}, 1, 2) ==
+              2);
+    }
+    THEN("one that stands still is left for one that comes")
+    {
+        CHECK(cj::next_version({{2, false, true}, {3, false, false}}, 1, 2) ==
+              3);
+    }
+    THEN("but kept while nothing comes at all")
+    {
+        CHECK(cj::next_version({{2, false, true}, {3, false, true}}, 1, 2) ==
+              2);
+        CHECK(cj::next_version({{2, false, true}, {3, false, true}}, 1, 3) ==
+              3);
+    }
+    THEN("what is served already is passed over")
+    {
+        CHECK(cj::next_version({{2, true, false}, {3, false, false}}, 2, 2) ==
+              3);
+    }
+}
--- a/tests/route/placement.cpp
+++ b/tests/route/placement.cpp
@@ -207,7 +207,10 @@
             auto told = status(2);
             told.running = 1;
             book.status("10.0.0.1", told, now + 50ms);
-            THEN("it is counted once") { CHECK(load().running == Approx(1)); }
+            THEN("it is counted once")
+            {
+                CHECK(load().running == Approx(1));
+            }
         }
     }
 }
@@ -242,8 +245,9 @@
             book.seen(cj::instance_id("far"), 100, 60);
         THEN("a prediction is not trusted to be too high")
         {
-            CHECK(places.choose(book, llm(), wanted(), now, why)
-                      ->predicted_ms == Approx(before));
+            CHECK(
+                places.choose(book, llm(), wanted(), now, why)->predicted_ms ==
+                Approx(before));
         }
     }
 }
--- a/tests/route/version_floor.cpp
+++ b/tests/route/version_floor.cpp
@@ -15,6 +15,9 @@
     CHECK(floor.least("m", start + 7s) == 1);
     CHECK(floor.least("m", start + 8s) == 2);
     CHECK(floor.least("m", start + 12s) == 3);
+    CHECK(floor.ends("m", 1) == start + 8s);
+    CHECK(floor.ends("m", 2) == start + 12s);
+    CHECK_FALSE(floor.ends("m", 3));
     CHECK(floor.newest("m") == 3);
     CHECK(floor.least("other", start) == 1);
 
