Stop: say close at once, keep the word of answers that began, take nothing after 2.8 s

Change: answers announce the close from the stop on; idle connections end after 2.6 s; later requests are refused as not run; the last cut comes 0.25 s before the end. Outages of the store are told from single failures and from a history that is gone: only after them may a missing record have lapsed. Exchange state, options and manifest lines moved to files of their own.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -19,6 +19,7 @@
 #include "coursejunction/fleet/node_address.hpp"
 #include "coursejunction/fleet/peer_directory.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
+#include "coursejunction/fleet/store_outage.hpp"
 #include "coursejunction/net/datagram_socket.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
@@ -61,7 +62,12 @@
 /*! @brief What a role adds to a node. */
 struct fleet_hooks
 {
-    std::function<void(const std::vector<std::string>& keys)> changed;
+    /*! @brief Keys changed.
+     * @param store_returned Whether the store was away until just now, so that
+     * records may have lapsed only. */
+    std::function<void(const std::vector<std::string>& keys,
+                       bool store_returned)>
+        changed;
     std::function<void(const std::string& from,
                        const message::fleet_heartbeat&)>
         heard;
@@ -188,10 +194,6 @@
     [[nodiscard]] stream_client& client() { return calls; }
     [[nodiscard]] const fleet_options& settings() const { return options; }
 
-    /*! @brief Returns when the store last failed to answer; the epoch when it
-     * never did. */
-    [[nodiscard]] time_point store_failed() const { return failed_at; }
-
     /*! @brief Returns the address of a peer's port for the system's own. */
     [[nodiscard]] std::string peer_port(const std::string& address) const
     {
@@ -270,6 +272,7 @@
         made.entry = options.entry;
         made.leaving = leaving;
         made.watching = store_up && store_busy;
+        made.store_returned = outage.returned(now);
         for (const auto& [address, one] : directory.all())
         {
             const auto number = address_number(address);
@@ -452,7 +455,8 @@
      * history is gone. */
     void store_lost(const std::string& why, bool history_gone)
     {
-        failed_at = event_loop::now();
+        if (!history_gone)
+            outage.failed(event_loop::now());
         if (store_up || history_gone)
             log::warning(
                 "store_lost",
@@ -465,6 +469,7 @@
 
     void store_answered()
     {
+        outage.answered(event_loop::now());
         if (store_up)
             return;
         store_up = true;
@@ -485,8 +490,12 @@
                         {"revision", std::to_string(found->second.revision)},
                         {"removed", found->second.removed ? "true" : "false"}});
         }
+        const auto* peer = directory.find(from);
+        const bool returned = peer != nullptr
+                                  ? peer->last.store_returned
+                                  : outage.returned(event_loop::now());
         if (hooks.changed)
-            hooks.changed(changed);
+            hooks.changed(changed, returned);
         announce();
     }
 
@@ -510,7 +519,7 @@
     timer beat_timer;
     timer store_timer;
     timer pull_timer;
-    time_point failed_at{};
+    store_outage outage;
     bool store_up{false};
     bool store_busy{false}; /*!< A call or a pause of the watch runs. */
     bool pulling{false};
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -232,8 +232,6 @@
     void next_request()
     {
         state = step::idle;
-        if (server->retiring && input.size() == 0)
-            return close();
         if (input.size() > 0)
             return read_head();
         arm(server->bounds.idle_time, 0);
--- /dev/null
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -0,0 +1,43 @@
+/*! @file
+ * @brief Times and shares by which requests are carried.
+ */
+#ifndef COURSEJUNCTION_PROXY_EXCHANGE_OPTIONS_HPP
+#define COURSEJUNCTION_PROXY_EXCHANGE_OPTIONS_HPP
+
+#include "coursejunction/core/types.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Times and shares of the service, with where they come from. */
+struct exchange_options
+{
+    /*! @brief Part of the target for which a request may wait here for a
+     * place; a refusal within a quarter of the target costs least. */
+    double wait_part{0.2};
+    /*! @brief How often waiting requests are looked at. */
+    milliseconds tick{15};
+    /*! @brief Silence of a stream after which its upstream is given up; the
+     * longest pause that counts as in time is 400 ms. */
+    milliseconds stream_silence{900};
+    /*! @brief A first event later than this many times its prediction, plus
+     * `first_slack`, is given up. */
+    double first_factor{3};
+    milliseconds first_slack{700};
+    /*! @brief After older weights take nothing new, an attempt that still
+     * waits there is taken back; the bound leaves 2 s, and the end of the
+     * connection takes a part of one to arrive. */
+    milliseconds old_weights_grace{1200};
+    /*! @brief Retries earned by each request; the installations allow 0.2 in
+     * each ten seconds. */
+    double retry_portion{0.15};
+    /*! @brief Retries that all entries together may save up; the smallest
+     * allowance of the installations seen is 104 in ten seconds. */
+    double retry_reserve{80};
+    milliseconds least_retry_after{200};
+    milliseconds most_retry_after{1500};
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -21,7 +21,8 @@
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
-#include "coursejunction/proxy/event_splitter.hpp"
+#include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/exchange_options.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
 #include "coursejunction/route/placement.hpp"
 #include "coursejunction/route/upstream_book.hpp"
@@ -31,43 +32,6 @@
 namespace coursejunction
 {
 
-/*! @brief Times and shares of the service, with where they come from. */
-struct exchange_options
-{
-    /*! @brief Part of the target for which a request may wait here for a
-     * place; a refusal within a quarter of the target costs least. */
-    double wait_part{0.2};
-    /*! @brief How often waiting requests are looked at. */
-    milliseconds tick{15};
-    /*! @brief Silence of a stream after which its upstream is given up; the
-     * longest pause that counts as in time is 400 ms. */
-    milliseconds stream_silence{900};
-    /*! @brief A first event later than this many times its prediction, plus
-     * `first_slack`, is given up. */
-    double first_factor{3};
-    milliseconds first_slack{700};
-    /*! @brief After older weights take nothing new, an attempt that still
-     * waits there is taken back; the bound leaves 2 s, and the end of the
-     * connection takes a part of one to arrive. */
-    milliseconds old_weights_grace{1200};
-    /*! @brief Retries earned by each request; the installations allow 0.2 in
-     * each ten seconds. */
-    double retry_portion{0.15};
-    /*! @brief Retries that all entries together may save up; the smallest
-     * allowance of the installations seen is 104 in ten seconds. */
-    double retry_reserve{80};
-    milliseconds least_retry_after{200};
-    milliseconds most_retry_after{1500};
-};
-
-/*! @brief How far a failed attempt got. */
-enum class attempt_reach : std::uint8_t
-{
-    not_sent,    /*!< No byte was written: it never arrived. */
-    not_run,     /*!< The upstream says that it did not run it. */
-    may_have_run /*!< Nothing proves that it did not run. */
-};
-
 /*! @brief Every request from its arrival to its final answer.
  * @tparam Codec A `Request_codec`. */
 template <typename Codec>
@@ -139,42 +103,6 @@
     [[nodiscard]] std::size_t queued() const { return waiting.size(); }
 
 private:
-    struct exchange
-    {
-        std::uint64_t number{0};
-        time_point arrived{};
-        time_point ends{};
-        caller_request asked;
-        stream_request original;
-        stream_reply reply;
-        std::shared_ptr<const installation> rules;
-        const route_rule* route{nullptr};
-        service_name service;
-        std::optional<organisation_id> owner;
-        timer limit;
-
-        // The attempt in progress.
-        stream_client::call_id call{0};
-        std::uint64_t attempt{0};
-        upstream_choice at;
-        time_point sent{};
-        time_point failed_at{};
-        stream_head head;
-        std::string body;
-        timer silence;
-        bool progressed{false};
-
-        // An upstream's own failure, passed on when no other attempt is left.
-        std::optional<stream_head> own_failure;
-        std::string own_failure_body;
-
-        std::vector<instance_id> tried;
-        std::size_t runs{0}; /*!< Attempts that may have run. */
-        event_splitter events;
-        bool streaming{false}; /*!< The caller has our head. */
-        bool in_queue{false};
-    };
-
     // --- Admission -------------------------------------------------------
 
     /*! @brief Returns 0, or the status with which the request is refused. */
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -66,8 +66,9 @@
     void start()
     {
         fleet_hooks hooks;
-        hooks.changed = [this](const std::vector<std::string>& keys)
-        { changed(keys); };
+        hooks.changed =
+            [this](const std::vector<std::string>& keys, bool store_returned)
+        { changed(keys, store_returned); };
         hooks.heard =
             [this](const std::string& from, const message::fleet_heartbeat& one)
         { heard(from, one); };
@@ -83,6 +84,7 @@
         leaving = true;
         stopped_at = event_loop::now();
         stopped = std::move(done);
+        callers->retire();
         log::state("stop_begun",
                    {{"open_requests", std::to_string(exchanges.size())}});
         node.leave();
@@ -96,20 +98,17 @@
     /*! @brief How often lapses, readiness and a stop are looked at. */
     static constexpr milliseconds tick_interval{100};
 
-    /*! @brief After a stop began, the balancer still sends for this long: it
-     * asks each second and believes the second miss. */
-    static constexpr milliseconds balancer_notice{2300};
+    /*! @brief Idle connections are closed this long after a stop began: the
+     * balancer asks each second and believes the second miss, so that no new
+     * ones come, and every answer since has told its caller to leave. */
+    static constexpr milliseconds idle_notice{2600};
 
-    /*! @brief Idle connections are closed from then on: every answer since has
-     * told the caller to leave. */
-    static constexpr milliseconds idle_notice{3300};
+    /*! @brief Requests that come later are refused: a stream that begins now
+     * may not end before the process must. */
+    static constexpr milliseconds last_taken{2800};
 
     /*! @brief What is left of the grace when the rest is cut. */
-    static constexpr milliseconds last_moment{500};
-
-    /*! @brief Records that go this soon after the store failed may come back.
-     */
-    static constexpr milliseconds lapse_window{4000};
+    static constexpr milliseconds last_moment{250};
 
     gateway(event_loop& owner, node_type& peers, metrics& counted,
             gateway_options set)
@@ -123,11 +122,9 @@
 
     result<bool> open()
     {
-        auto made =
-            listen(options.caller_address,
-                   [this](stream_request request, stream_reply reply) {
-                       exchanges.request(std::move(request), std::move(reply));
-                   });
+        auto made = listen(options.caller_address,
+                           [this](stream_request request, stream_reply reply)
+                           { take(std::move(request), std::move(reply)); });
         if (!made)
             return failure(made.error().kind, made.error().message);
         callers = std::move(made.value());
@@ -150,18 +147,31 @@
                                      std::move(call));
     }
 
+    void take(stream_request request, stream_reply reply)
+    {
+        if (leaving && event_loop::now() - stopped_at >= last_taken)
+        {
+            constexpr milliseconds elsewhere{100};
+            counters.count("requests_refused_total", 1, {{"status", "503"}});
+            log::problem("request_refused",
+                         {{"request", codec::decode(request).id.value()},
+                          {"reason", "this entry stops"}});
+            return reply.send(503, codec::refusal_headers(elsewhere), "");
+        }
+        exchanges.request(std::move(request), std::move(reply));
+    }
+
     /*! @brief Ready means: knows what to do with a request. */
     [[nodiscard]] bool ready() const
     {
         return !leaving && fleet.rules() != nullptr;
     }
 
-    void changed(const std::vector<std::string>& keys)
+    /*! @param lapse Whether records that are gone may come back. */
+    void changed(const std::vector<std::string>& keys, bool lapse)
     {
         const auto now = event_loop::now();
         const auto* before = fleet.rules();
-        const bool lapse = node.store_failed() != time_point{} &&
-                           now - node.store_failed() < lapse_window;
         for (const auto& one : fleet.update(node.mirror(), keys))
         {
             if (one.removed)
@@ -226,8 +236,6 @@
     void go_on_stopping(time_point now)
     {
         const auto since = now - stopped_at;
-        if (since >= balancer_notice)
-            callers->retire();
         if (since >= idle_notice)
             callers->close_idle();
         const bool idle = since >= idle_notice && callers->size() == 0 &&
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -76,7 +76,7 @@
     void start()
     {
         fleet_hooks hooks;
-        hooks.changed = [this](const std::vector<std::string>& keys)
+        hooks.changed = [this](const std::vector<std::string>& keys, bool)
         { changed(keys); };
         hooks.heard =
             [this](const std::string& from, const message::fleet_heartbeat& one)
@@ -540,7 +540,7 @@
         auto& transfer = found->second;
         if (request.target.starts_with("/chunks?"))
         {
-            const auto text = transfer->manifest_text();
+            const auto text = transfer->manifest_lines();
             return reply.send(text.empty() ? 404 : 200, {}, text);
         }
         transfer->give(static_cast<chunk_index>(
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -22,6 +22,7 @@
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
+#include "coursejunction/transfer/chunk_transfer_options.hpp"
 #include "coursejunction/transfer/paced_uploads.hpp"
 #include "coursejunction/transfer/staging.hpp"
 #include "coursejunction/transfer/transfer_planner.hpp"
@@ -30,33 +31,6 @@
 namespace coursejunction
 {
 
-/*! @brief Times and numbers of a transfer. */
-struct chunk_transfer_options
-{
-    /*! @brief Longest call of a peer; a chunk of 32 KiB takes 35 ms alone on a
-     * link of 7.6 Mbit/s and ten times that on a shared one. */
-    milliseconds peer_time{2500};
-    /*! @brief Longest opening of a connection to a peer: its link may be full
-     * of chunks, of which four at once take 140 ms. */
-    milliseconds connect_time{1500};
-    /*! @brief How long a peer may hold a call for a chunk it does not have. */
-    milliseconds peer_wait{1500};
-    /*! @brief Pause before the manifest is asked again. */
-    milliseconds manifest_pause{250};
-    /*! @brief Chunks put to or read from the upstream at once. */
-    std::size_t local_calls{4};
-    /*! @brief Times the origin may send a wrong chunk before its manifest is
-     * taken to be the wrong one. */
-    std::size_t most_corrupt{3};
-    milliseconds tick{20};
-    /*! @brief Longest pause after failed calls of the origin; upstreams whose
-     * weights are too old serve nothing until it is back. */
-    milliseconds origin_pause{400};
-    /*! @brief Without a chunk for this long, a transfer stands still; at rest
-     * one comes every 50 ms. */
-    milliseconds still{700};
-};
-
 /*! @brief One version on its way to one upstream.
  * @tparam Engine A `Staging_engine`.
  * @tparam Origin A `Weight_origin`. */
@@ -117,6 +91,13 @@
         put_more();
     }
 
+    /*! @brief Returns the manifest as lines for a peer; empty when it is not
+     * known. */
+    [[nodiscard]] std::string manifest_lines() const
+    {
+        return store ? store->of().lines() : std::string();
+    }
+
     /*! @brief Tells whether nothing came for long. */
     [[nodiscard]] bool stands_still(time_point now) const
     {
@@ -262,7 +243,7 @@
                 [this, why](const stream_client::answer& answer)
                 {
                     auto read = answer.is(200)
-                                    ? read_manifest(answer.body)
+                                    ? manifest::from_lines(answer.body)
                                     : result<manifest>(failure(
                                           error_kind::unavailable, answer.why));
                     if (read)
@@ -298,45 +279,6 @@
                 }));
     }
 
-public:
-    /*! @brief Returns the manifest as lines: chunk size, then the hashes;
-     * empty when it is not known. */
-    [[nodiscard]] std::string manifest_text() const
-    {
-        if (!store)
-            return {};
-        std::string text =
-            std::to_string(store->of().chunk_bytes(0)).append("\n");
-        for (chunk_index at = 0; at < store->of().size(); ++at)
-            text.append(store->of()[at].hex()).append("\n");
-        return text;
-    }
-
-private:
-    static result<manifest> read_manifest(const std::string& text)
-    {
-        std::vector<digest> hashes;
-        std::size_t bytes = 0;
-        std::size_t from = 0;
-        while (from < text.size())
-        {
-            auto end = text.find('\n', from);
-            end = end == std::string::npos ? text.size() : end;
-            const auto line = std::string_view(text).substr(from, end - from);
-            from = end + 1;
-            if (bytes == 0)
-            {
-                std::from_chars(line.data(), line.data() + line.size(), bytes);
-                continue;
-            }
-            const auto hash = digest::parse(line);
-            if (!hash)
-                return failure(error_kind::refused, "a hash is wrong");
-            hashes.push_back(hash.value());
-        }
-        return manifest::assemble(bytes, std::move(hashes));
-    }
-
     // --- What the upstream has staged ------------------------------------
 
     void read_local()
--- /dev/null
+++ b/src/coursejunction/transfer/chunk_transfer_options.hpp
@@ -0,0 +1,43 @@
+/*! @file
+ * @brief Times and numbers of a transfer on an installation.
+ */
+#ifndef COURSEJUNCTION_TRANSFER_CHUNK_TRANSFER_OPTIONS_HPP
+#define COURSEJUNCTION_TRANSFER_CHUNK_TRANSFER_OPTIONS_HPP
+
+#include <cstddef>
+
+#include "coursejunction/core/types.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Times and numbers of a transfer. */
+struct chunk_transfer_options
+{
+    /*! @brief Longest call of a peer; a chunk of 32 KiB takes 35 ms alone on a
+     * link of 7.6 Mbit/s and ten times that on a shared one. */
+    milliseconds peer_time{2500};
+    /*! @brief Longest opening of a connection to a peer: its link may be full
+     * of chunks, of which four at once take 140 ms. */
+    milliseconds connect_time{1500};
+    /*! @brief How long a peer may hold a call for a chunk it does not have. */
+    milliseconds peer_wait{1500};
+    /*! @brief Pause before the manifest is asked again. */
+    milliseconds manifest_pause{250};
+    /*! @brief Chunks put to or read from the upstream at once. */
+    std::size_t local_calls{4};
+    /*! @brief Times the origin may send a wrong chunk before its manifest is
+     * taken to be the wrong one. */
+    std::size_t most_corrupt{3};
+    milliseconds tick{20};
+    /*! @brief Longest pause after failed calls of the origin; upstreams whose
+     * weights are too old serve nothing until it is back. */
+    milliseconds origin_pause{400};
+    /*! @brief Without a chunk for this long, a transfer stands still; at rest
+     * one comes every 50 ms. */
+    milliseconds still{700};
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/transfer/manifest.cpp
+++ b/src/coursejunction/transfer/manifest.cpp
@@ -1,6 +1,7 @@
 #include "coursejunction/transfer/manifest.hpp"
 
 #include <algorithm>
+#include <sstream>
 
 #include <nlohmann/json.hpp>
 
@@ -72,6 +73,31 @@
     return made;
 }
 
+result<manifest> manifest::from_lines(const std::string& text)
+{
+    std::istringstream stream(text);
+    std::size_t bytes = 0;
+    stream >> bytes;
+    std::vector<digest> hashes;
+    std::string line;
+    while (stream >> line)
+    {
+        const auto hash = digest::parse(line);
+        if (!hash)
+            return failure(error_kind::refused, "manifest names a wrong hash");
+        hashes.push_back(hash.value());
+    }
+    return assemble(bytes, std::move(hashes));
+}
+
+std::string manifest::lines() const
+{
+    std::string text = std::to_string(each) + "\n";
+    for (const auto& one : chunks)
+        text.append(one.hex()).append("\n");
+    return text;
+}
+
 std::string manifest::describe(const std::string& path, std::string_view bytes,
                                std::size_t chunk_bytes)
 {
--- a/src/coursejunction/transfer/manifest.hpp
+++ b/src/coursejunction/transfer/manifest.hpp
@@ -36,6 +36,13 @@
     [[nodiscard]] static result<manifest> assemble(std::size_t chunk_bytes,
                                                    std::vector<digest> hashes);
 
+    /*! @brief Reads what `lines` wrote.
+     * @return The manifest, or `refused`. */
+    [[nodiscard]] static result<manifest> from_lines(const std::string& text);
+
+    /*! @brief Returns the chunk size and the hashes, a line each. */
+    [[nodiscard]] std::string lines() const;
+
     /*! @brief Makes the text of a manifest.
      * @param path Path of the bytes at the origin.
      * @param bytes The whole model.
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -58,7 +58,8 @@
     std::string hall;
     bool entry{false};
     bool leaving{false};
-    bool watching{false}; /*!< Hears of changes from the store itself. */
+    bool watching{false};       /*!< Hears of changes from the store itself. */
+    bool store_returned{false}; /*!< An outage of the store ended just now. */
     std::vector<std::uint32_t> entries;   /*!< Known entries, IPv4 addresses. */
     upstream_status upstream;             /*!< Of a side. */
     std::vector<chunk_possession> chunks; /*!< Of a side, by version. */
@@ -67,7 +68,7 @@
     void serialize(Archive& archive)
     {
         archive(incarnation, sequence, mirror_revision, hall, entry, leaving,
-                watching, entries, upstream, chunks);
+                watching, store_returned, entries, upstream, chunks);
     }
 };
 
--- a/tests/net/stream_server.cpp
+++ b/tests/net/stream_server.cpp
@@ -234,3 +234,31 @@
     here.running.on_loop([&] { here.server->close_idle(); });
     CHECK(idle.drain().empty());
 }
+
+SCENARIO("an answer that began before a server retires keeps its word", "[net]")
+{
+    std::mutex mutex;
+    std::vector<cj::stream_reply> held;
+    served here({},
+                [&](const cj::stream_request& from, cj::stream_reply reply)
+                {
+                    reply.begin(200, {});
+                    if (from.target == "/2")
+                        reply.finish();
+                    const std::lock_guard guard(mutex);
+                    held.push_back(std::move(reply));
+                });
+    raw_connection caller(here.port);
+    caller.send(request("GET /1 HTTP/1.1\r\nHost: h"));
+    static_cast<void>(caller.until("\r\n\r\n"));
+    here.running.on_loop(
+        [&]
+        {
+            here.server->retire();
+            const std::lock_guard guard(mutex);
+            held.front().finish();
+        });
+    // It did not say that its connection closes, so the next request is taken.
+    caller.send(request("GET /2 HTTP/1.1\r\nHost: h"));
+    CHECK(caller.drain().find("Connection: close") != std::string::npos);
+}
--- a/tests/transfer/manifest.cpp
+++ b/tests/transfer/manifest.cpp
@@ -38,3 +38,23 @@
                       R"("chunks":[7]})"));
     }
 }
+
+SCENARIO("a manifest assembled from hashes is passed on as lines", "[transfer]")
+{
+    const auto made =
+        cj::manifest::assemble(16, {cj::digest::of("a"), cj::digest::of("b")});
+    REQUIRE(made);
+    CHECK(made.value().size() == 2);
+    CHECK(made.value().total_bytes() == 32);
+    CHECK(made.value().chunk_bytes(1) == 16);
+
+    const auto read = cj::manifest::from_lines(made.value().lines());
+    REQUIRE(read);
+    CHECK(read.value().id() == made.value().id());
+    CHECK(read.value()[1] == cj::digest::of("b"));
+
+    CHECK_FALSE(cj::manifest::from_lines(""));
+    CHECK_FALSE(cj::manifest::from_lines("16\nnonsense\n"));
+    CHECK_FALSE(cj::manifest::from_lines("0\n"));
+    CHECK_FALSE(cj::manifest::assemble(16, {}));
+}
