Do not let an older page bring back what a listing lacked

Ruled out: lapses after an outage (none was on), links (none harmed). Change: a mirror that is whole up to a revision ignores keys it does not know when they are told as of that revision or before.

--- a/src/coursejunction/fleet/store_mirror.hpp
+++ b/src/coursejunction/fleet/store_mirror.hpp
@@ -4,9 +4,12 @@
 #ifndef COURSEJUNCTION_FLEET_STORE_MIRROR_HPP
 #define COURSEJUNCTION_FLEET_STORE_MIRROR_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -42,7 +45,11 @@
         std::vector<std::string> changed;
         for (const auto& one : changes)
         {
-            if (put(one, now))
+            // The mirror is whole up to its revision: a key that it does not
+            // know was gone by then, whoever still tells of it.
+            const bool outdated =
+                one.revision <= upto && !values.contains(one.key);
+            if (!outdated && put(one, now))
                 changed.push_back(one.key);
         }
         upto = std::max(upto, complete_to);
@@ -55,10 +62,14 @@
     std::vector<std::string> replace(const items& all, std::uint64_t as_of,
                                      time_point now)
     {
-        auto changed = apply(all, 0, now);
-        std::map<std::string_view, bool> listed;
+        std::vector<std::string> changed;
+        std::set<std::string_view> listed;
         for (const auto& one : all)
-            listed[one.key] = true;
+        {
+            listed.insert(one.key);
+            if (put(one, now))
+                changed.push_back(one.key);
+        }
         for (auto& [key, value] : values)
         {
             if (value.removed || value.revision > as_of || listed.contains(key))
