Tell a cut node's own outage from one of the store

Change: the store counts as returned only when no live entry has watched it all the while. Ruled out: late news (the removal was known everywhere within 0.1 s). Test: peer_directory.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -272,7 +272,7 @@
         made.entry = options.entry;
         made.leaving = leaving;
         made.watching = store_up && store_busy;
-        made.store_returned = outage.returned(now);
+        made.store_returned = store_returned(now);
         for (const auto& [address, one] : directory.all())
         {
             const auto number = address_number(address);
@@ -467,6 +467,13 @@
         store_timer = loop.after(store_pause, [this] { list(); });
     }
 
+    /*! @brief Tells whether the store itself, not only the way to it from here,
+     * was away until just now. */
+    [[nodiscard]] bool store_returned(time_point now) const
+    {
+        return outage.returned(now) && !directory.steady_watcher(now);
+    }
+
     void store_answered()
     {
         outage.answered(event_loop::now());
@@ -493,7 +500,7 @@
         const auto* peer = directory.find(from);
         const bool returned = peer != nullptr
                                   ? peer->last.store_returned
-                                  : outage.returned(event_loop::now());
+                                  : store_returned(event_loop::now());
         if (hooks.changed)
             hooks.changed(changed, returned);
         announce();
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_FLEET_PEER_DIRECTORY_HPP
 #define COURSEJUNCTION_FLEET_PEER_DIRECTORY_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -128,6 +129,20 @@
         return count;
     }
 
+    /*! @brief Tells whether a live entry watches the store and saw no outage:
+     * then whoever lost the store was cut off itself. */
+    [[nodiscard]] bool steady_watcher(time_point now) const
+    {
+        return std::any_of(peers.begin(), peers.end(),
+                           [&](const auto& one)
+                           {
+                               const auto& last = one.second.last;
+                               return one.second.entry &&
+                                      alive(one.second, now) && last.watching &&
+                                      !last.store_returned;
+                           });
+    }
+
 private:
     std::map<std::string, peer_state> peers;
 };
--- a/tests/fleet/peer_directory.cpp
+++ b/tests/fleet/peer_directory.cpp
@@ -72,3 +72,31 @@
         CHECK(peers.watchers_before("10.0.0.5", now + 5s) == 0);
     }
 }
+
+SCENARIO("who was cut off learns that the store was not away", "[fleet]")
+{
+    cj::peer_directory peers;
+    const cj::time_point now{100s};
+    cj::message::fleet_heartbeat beat;
+    beat.incarnation = 1;
+    beat.sequence = 1;
+    beat.entry = true;
+    beat.watching = true;
+    beat.store_returned = true;
+    peers.heard("10.0.0.1", beat, now);
+
+    GIVEN("others that saw the same outage")
+    {
+        CHECK_FALSE(peers.steady_watcher(now));
+    }
+    GIVEN("one that watched all the while")
+    {
+        beat.store_returned = false;
+        peers.heard("10.0.0.2", beat, now);
+        CHECK(peers.steady_watcher(now));
+        THEN("but not when it is silent itself")
+        {
+            CHECK_FALSE(peers.steady_watcher(now + 5s));
+        }
+    }
+}
