Make one piece of code of what the change wrote twice

Two types for a caller's limits, two writers of a message's head, two scripted peers in the tests; a flag and a constant of the side role that nothing read. Change: stream_limits serves the configuration and the server; head_text writes both heads; the tests share one scripted peer, which still fails the test when it cannot listen; the dead flag and constant are gone. Behaviour stays as it was.

--- a/src/coursejunction/fleet/installation.hpp
+++ b/src/coursejunction/fleet/installation.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/net/stream_limits.hpp"
 
 namespace coursejunction
 {
@@ -98,15 +99,6 @@
     std::int32_t priority{0};
 };
 
-/*! @brief Bounds on what callers send. */
-struct caller_limits
-{
-    std::size_t head_bytes{16384};
-    std::size_t body_bytes{std::size_t{4} << 20U};
-    milliseconds head_time{3000};
-    milliseconds idle_time{15'000};
-};
-
 /*! @brief One version of the operators' configuration. */
 struct installation
 {
@@ -114,8 +106,8 @@
     std::vector<route_rule> routes;
     std::map<service_name, service_profile> services;
     std::map<std::string, organisation> keys;
-    bool keyed{false}; /*!< Requests need a key. */
-    caller_limits limits;
+    bool keyed{false};    /*!< Requests need a key. */
+    stream_limits limits; /*!< Of callers. */
 
     /*! @brief Returns the route of a host with the longest prefix of a path,
      * or null. */
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -21,6 +21,7 @@
 #include <boost/beast/http.hpp>
 
 #include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/head_text.hpp"
 
 namespace coursejunction
 {
@@ -53,21 +54,7 @@
         head.set(http::field::host, call.address);
     if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
         head.set(http::field::content_length, std::to_string(call.body.size()));
-    http::request_serializer<http::empty_body> writer(head);
-    writer.split(true);
-    std::string text;
-    boost::system::error_code fault;
-    while (!writer.is_header_done())
-    {
-        writer.next(fault,
-                    [&](boost::system::error_code&, const auto& buffers)
-                    {
-                        text += boost::beast::buffers_to_string(buffers);
-                        writer.consume(boost::asio::buffer_size(buffers));
-                    });
-    }
-    text += call.body;
-    return text;
+    return head_text(head) + call.body;
 }
 
 /*! @brief One call on its connection. */
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/http.hpp>
 
 #include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/head_text.hpp"
 
 namespace coursejunction
 {
@@ -47,8 +48,9 @@
     return 400;
 }
 
-std::string head_text(int status, const header_list& headers, unsigned version,
-                      std::optional<std::size_t> length, bool close)
+std::string answer_head(int status, const header_list& headers,
+                        unsigned version, std::optional<std::size_t> length,
+                        bool close)
 {
     http::response<http::empty_body> head;
     head.version(version);
@@ -61,20 +63,7 @@
         head.set(http::field::transfer_encoding, "chunked");
     if (close)
         head.set(http::field::connection, "close");
-    http::response_serializer<http::empty_body> writer(head);
-    writer.split(true);
-    std::string text;
-    boost::system::error_code fault;
-    while (!writer.is_header_done())
-    {
-        writer.next(fault,
-                    [&](boost::system::error_code&, const auto& buffers)
-                    {
-                        text += boost::beast::buffers_to_string(buffers);
-                        writer.consume(boost::asio::buffer_size(buffers));
-                    });
-    }
-    return text;
+    return head_text(head);
 }
 
 std::string chunk_text(std::string_view bytes)
@@ -152,7 +141,7 @@
         begun = true;
         const bool last = closing();
         auto text =
-            internal::head_text(status, headers, version, body.size(), last);
+            internal::answer_head(status, headers, version, body.size(), last);
         if (!head_only)
             text += body;
         queue(std::move(text));
@@ -165,8 +154,8 @@
             return;
         begun = true;
         close_after = closing() || version < 11;
-        queue(internal::head_text(status, headers, version, std::nullopt,
-                                  close_after));
+        queue(internal::answer_head(status, headers, version, std::nullopt,
+                                    close_after));
     }
 
     void write(std::uint64_t of, std::string_view bytes)
@@ -301,7 +290,7 @@
     {
         clock.cancel();
         state = step::closing;
-        queue(internal::head_text(status, {}, 11, 0, true));
+        queue(internal::answer_head(status, {}, 11, 0, true));
     }
 
     void request_read()
--- a/src/coursejunction/net/stream_server.hpp
+++ b/src/coursejunction/net/stream_server.hpp
@@ -16,6 +16,7 @@
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/net/fwd.hpp"
 #include "coursejunction/net/header_list.hpp"
+#include "coursejunction/net/stream_limits.hpp"
 
 namespace coursejunction
 {
@@ -30,15 +31,6 @@
     std::string from; /*!< The caller's `IP:port`. */
 };
 
-/*! @brief What a caller may send and how long it may take. */
-struct stream_limits
-{
-    std::size_t head_bytes{16384};
-    std::size_t body_bytes{std::size_t{4} << 20U};
-    milliseconds head_time{3000};
-    milliseconds idle_time{15'000};
-};
-
 /*! @brief Answers one request. All members do nothing once the caller has
  * left or the answer has ended. */
 class stream_reply
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -194,9 +194,7 @@
     void configure()
     {
         exchanges.configure(fleet.shared_rules());
-        const auto& limits = fleet.rules()->limits;
-        callers->limits({limits.head_bytes, limits.body_bytes, limits.head_time,
-                         limits.idle_time});
+        callers->limits(fleet.rules()->limits);
     }
 
     /*! @brief Sides stand beside the upstreams that have an engine. */
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -399,7 +399,6 @@
         closing = true;
         ordered_at = event_loop::now();
         ordered_version = version;
-        ordered = false;
         ++status_sequence;
         node.announce();
         log::state("upstream_closed",
@@ -445,7 +444,6 @@
         if (!closing || found == transfers.end() || !last)
             return;
         const auto wanted = found->second->version();
-        ordered = true;
         counters.count("orders_total");
         engine.load(
             wanted, last->sequence,
@@ -567,7 +565,6 @@
     bool reachable{false};
     bool polls_open{false};
     bool closing{false};
-    bool ordered{false};
     /*! @brief The transfer whose staged chunks are being read back. */
     std::weak_ptr<transfer_type> verified;
     timer polling;
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -9,10 +9,15 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
+#include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "coursejunction/net/event_loop.hpp"
 
@@ -82,6 +87,94 @@
     std::string taken;
 };
 
+/*! @brief Accepts connections and answers each with the next given bytes, the
+ * last ones for all further. */
+class scripted_peer
+{
+public:
+    /*! @brief Given in place of bytes: holds the connection until the other
+     * end closes it. */
+    static constexpr const char* hang = "hang";
+
+    explicit scripted_peer(std::vector<std::string> given)
+        : answers(std::move(given)), file(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (::bind(file, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
+            ::listen(file, 8) != 0)
+            throw std::runtime_error("cannot listen on loopback");
+        socklen_t size = sizeof at;
+        ::getsockname(file, reinterpret_cast<sockaddr*>(&at), &size);
+        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+        thread = std::thread([this] { run(); });
+    }
+
+    ~scripted_peer()
+    {
+        ::shutdown(file, SHUT_RDWR);
+        thread.join();
+        ::close(file);
+    }
+
+    scripted_peer(const scripted_peer&) = delete;
+    scripted_peer& operator=(const scripted_peer&) = delete;
+
+    /*! @brief Returns what each connection sent first. */
+    std::vector<std::string> arrivals()
+    {
+        const std::lock_guard guard(mutex);
+        return seen;
+    }
+
+    std::string address;
+    std::atomic<bool> closed_by_caller{false};
+
+private:
+    void run()
+    {
+        for (std::size_t turn = 0; !answers.empty(); ++turn)
+        {
+            const int caller = ::accept(file, nullptr, nullptr);
+            if (caller < 0)
+                return;
+            note(caller);
+            answer(caller, answers[std::min(turn, answers.size() - 1)]);
+            ::close(caller);
+        }
+    }
+
+    void note(int caller)
+    {
+        char part[8192];
+        const auto count = ::recv(caller, part, sizeof part, 0);
+        const std::lock_guard guard(mutex);
+        seen.emplace_back(
+            part, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    }
+
+    void answer(int caller, const std::string& bytes)
+    {
+        if (bytes != hang)
+        {
+            const auto done =
+                ::send(caller, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            return static_cast<void>(done);
+        }
+        char byte = 0;
+        static_cast<void>(::recv(caller, &byte, 1, 0));
+        closed_by_caller = true;
+        closed_by_caller.notify_all();
+    }
+
+    std::vector<std::string> answers;
+    int file;
+    std::mutex mutex;
+    std::vector<std::string> seen;
+    std::thread thread;
+};
+
 /*! @brief Runs a loop on a thread of its own while it lives. */
 class running_loop
 {
--- a/tests/net/stream_client.cpp
+++ b/tests/net/stream_client.cpp
@@ -9,63 +9,11 @@
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
+using loopback::scripted_peer;
 
 namespace
 {
 
-/*! @brief Accepts connections and answers each with the next given bytes. */
-class scripted_peer
-{
-public:
-    explicit scripted_peer(std::vector<std::string> given)
-        : answers(std::move(given)), file(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in at{};
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::bind(file, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
-        REQUIRE(::listen(file, 8) == 0);
-        socklen_t size = sizeof at;
-        ::getsockname(file, reinterpret_cast<sockaddr*>(&at), &size);
-        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
-        thread = std::thread([this] { run(); });
-    }
-
-    ~scripted_peer()
-    {
-        ::shutdown(file, SHUT_RDWR);
-        thread.join();
-        ::close(file);
-    }
-
-    scripted_peer(const scripted_peer&) = delete;
-    scripted_peer& operator=(const scripted_peer&) = delete;
-
-    std::string address;
-
-private:
-    void run()
-    {
-        for (const auto& one : answers)
-        {
-            const int caller = ::accept(file, nullptr, nullptr);
-            if (caller < 0)
-                return;
-            char part[4096];
-            const auto got = ::recv(caller, part, sizeof part, 0);
-            const auto done =
-                ::send(caller, one.data(), one.size(), MSG_NOSIGNAL);
-            static_cast<void>(got);
-            static_cast<void>(done);
-            ::close(caller);
-        }
-    }
-
-    std::vector<std::string> answers;
-    int file;
-    std::thread thread;
-};
-
 cj::stream_client::answer call(const std::string& address,
                                bool repeatable = false)
 {
--- a/tests/proxy/exchange_service.cpp
+++ b/tests/proxy/exchange_service.cpp
@@ -12,6 +12,7 @@
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
+using scripted_upstream = loopback::scripted_peer;
 
 namespace
 {
@@ -64,85 +65,6 @@
     }
 };
 
-/*! @brief An upstream that answers each connection with the next bytes. */
-class scripted_upstream
-{
-public:
-    explicit scripted_upstream(std::vector<std::string> given)
-        : answers(std::move(given)), file(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in at{};
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::bind(file, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
-        REQUIRE(::listen(file, 8) == 0);
-        socklen_t size = sizeof at;
-        ::getsockname(file, reinterpret_cast<sockaddr*>(&at), &size);
-        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
-        thread = std::thread([this] { run(); });
-    }
-
-    ~scripted_upstream()
-    {
-        ::shutdown(file, SHUT_RDWR);
-        thread.join();
-        ::close(file);
-    }
-
-    scripted_upstream(const scripted_upstream&) = delete;
-    scripted_upstream& operator=(const scripted_upstream&) = delete;
-
-    std::vector<std::string> arrivals()
-    {
-        const std::lock_guard guard(mutex);
-        return seen;
-    }
-
-    std::string address;
-
-private:
-    void run()
-    {
-        for (std::size_t turn = 0;; ++turn)
-        {
-            const int caller = ::accept(file, nullptr, nullptr);
-            if (caller < 0)
-                return;
-            char part[8192];
-            const auto count = ::recv(caller, part, sizeof part, 0);
-            {
-                const std::lock_guard guard(mutex);
-                seen.emplace_back(part, static_cast<std::size_t>(
-                                            std::max<ssize_t>(count, 0)));
-            }
-            const auto& bytes = answers[std::min(turn, answers.size() - 1)];
-            if (bytes == "hang")
-            {
-                // Holds the connection until the other end closes it.
-                static_cast<void>(::recv(caller, part, sizeof part, 0));
-                closed_by_caller = true;
-                closed_by_caller.notify_all();
-            }
-            else
-            {
-                const auto done =
-                    ::send(caller, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-                static_cast<void>(done);
-            }
-            ::close(caller);
-        }
-    }
-
-    std::vector<std::string> answers;
-    int file;
-    std::mutex mutex;
-    std::vector<std::string> seen;
-    std::thread thread;
-
-public:
-    std::atomic<bool> closed_by_caller{false};
-};
-
 /*! @brief An entry between a caller's connection and scripted upstreams. */
 struct entry_on_loopback
 {
@@ -433,7 +355,7 @@
 {
     entry_on_loopback entry;
     entry.route(cj::request_kind::stream, true);
-    scripted_upstream one({"hang"});
+    scripted_upstream one({scripted_upstream::hang});
     scripted_upstream two({stream("id: 1\ndata: a\n\n", true)});
     const auto serve =
         [&](const char* id, const std::string& address, std::uint64_t version)
@@ -482,7 +404,7 @@
 {
     entry_on_loopback entry;
     entry.route(cj::request_kind::single, false, 100ms);
-    scripted_upstream one({"hang"});
+    scripted_upstream one({scripted_upstream::hang});
     entry.upstream("a", one.address);
 
     SECTION("the route's timeout gives the final answer")
