Leave a source of weights that fails, also when calls fail in pairs

Which source to ask was the parity of a count of failures. Two calls are open at once; while both sources were down they failed in pairs, so the parity never changed again and the transfer asked the failing weight store for ever. Ruled out: the pause guard (no pause was noticed), permits, the planner's pauses. Change: transfer/origin_fallback moves on from the source that failed, whichever; a late failure of the other one changes nothing.

--- a/src/coursejunction/daemon/transfer_service.cpp
+++ b/src/coursejunction/daemon/transfer_service.cpp
@@ -14,6 +14,7 @@
 #include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/daemon/node.hpp"
 #include "coursejunction/daemon/upstream_client.hpp"
+#include "coursejunction/transfer/origin_fallback.hpp"
 #include "coursejunction/transfer/staging.hpp"
 #include "coursejunction/transfer/transfer_governor.hpp"
 #include "coursejunction/transfer/transfer_planner.hpp"
@@ -82,7 +83,7 @@
     std::uint64_t serial{0};
     std::string reason;
     time_point began{};
-    unsigned origin_failures{0};
+    origin_fallback sources{false};
 };
 
 } // namespace internal
@@ -126,6 +127,7 @@
         }
         stop();
         wanted.emplace();
+        wanted->sources = origin_fallback(!settings().weight_store_url.empty());
         wanted->version = version;
         wanted->weigh = weigh;
         wanted->serial = ++serials;
@@ -299,12 +301,12 @@
             return;
         fetching.manifest_asked_origin = true;
         http_call call;
-        call.url =
-            source_url(fetching) + "/manifests/" + fetching.version.hex();
+        const auto from = fetching.sources.current();
+        call.url = source_url(from) + "/manifests/" + fetching.version.hex();
         call.timeout = internal::origin_timeout;
         host.http().start(
             std::move(call),
-            [this, serial = fetching.serial](const http_result& end)
+            [this, from, serial = fetching.serial](const http_result& end)
             {
                 if (!wanted || wanted->serial != serial)
                     return;
@@ -312,7 +314,7 @@
                 counts.origin_bytes += end.body.size();
                 if (end.ok())
                     return take_manifest(end.body);
-                ++wanted->origin_failures;
+                wanted->sources.failed(from);
                 wanted->reason =
                     "origin does not give the manifest: " +
                     (end.fault.empty() ? "status " + std::to_string(end.status)
@@ -320,12 +322,10 @@
             });
     }
 
-    /*! @brief The weight store stands in while the origin fails. */
-    std::string source_url(const fetch& fetching) const
+    [[nodiscard]] const std::string& source_url(weight_source from) const
     {
-        const bool other = fetching.origin_failures % 2 == 1 &&
-                           !settings().weight_store_url.empty();
-        return other ? settings().weight_store_url : settings().origin_url;
+        return from == weight_source::store ? settings().weight_store_url
+                                            : settings().origin_url;
     }
 
     void take_manifest(const std::string& text)
@@ -386,30 +386,32 @@
         const auto& plan = fetching.chunks->of();
         const auto first = plan.offset(chunk);
         const auto last = first + plan.chunk_bytes(chunk) - 1;
-        const bool store = source_url(fetching) != settings().origin_url;
+        const auto from = fetching.sources.current();
         http_call call;
-        call.url = source_url(fetching) + plan.path();
+        call.url = source_url(from) + plan.path();
         call.headers["Range"] =
             "bytes=" + std::to_string(first) + "-" + std::to_string(last);
         call.timeout = internal::origin_timeout;
         fetching.origin_calls[chunk] = host.http().start(
             std::move(call),
-            [this, chunk, store, serial = fetching.serial](http_result end)
+            [this, chunk, from, serial = fetching.serial](http_result end)
             {
                 if (!wanted || wanted->serial != serial)
                     return;
                 wanted->origin_calls.erase(chunk);
-                (store ? counts.weight_store_bytes : counts.origin_bytes) +=
+                (from == weight_source::store ? counts.weight_store_bytes
+                                              : counts.origin_bytes) +=
                     end.body.size();
                 if (!end.ok())
-                    return origin_failed(chunk, end);
+                    return origin_failed(chunk, from, end);
                 arrive(chunk, std::move(end.body), instance_id());
             });
     }
 
-    void origin_failed(chunk_index chunk, const http_result& end)
+    void origin_failed(chunk_index chunk, weight_source from,
+                       const http_result& end)
     {
-        ++wanted->origin_failures;
+        wanted->sources.failed(from);
         wanted->reason =
             "origin does not give a chunk: " +
             (end.fault.empty() ? "status " + std::to_string(end.status)
--- a/src/coursejunction/transfer/fwd.hpp
+++ b/src/coursejunction/transfer/fwd.hpp
@@ -19,6 +19,7 @@
 class stripe_policy;
 class chain_policy;
 class origin_policy;
+class origin_fallback;
 
 /*! @brief Place of a chunk in its manifest. */
 using chunk_index = std::uint32_t;
