Tell heartbeats to those who need them instead of to all

Every process told every other of each advance of its mirror, sides told all others each second, and a version's chunks crossed links of 25 Mbit/s that these datagrams had filled: weights were whole 4.5 s after their naming, and all 76 sides closed together at 5.3 s. Ruled out: weights themselves (two copies across regions, 8 MB), answers. Change: fleet/beat_plan decides who hears what and why (pure, tests). A change goes from entry to entry to hall; a side that stays behind is told by any entry; far sides hear each other only while weights spread; chunks go to ring neighbours.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -6,6 +6,7 @@
 #ifndef COURSEJUNCTION_FLEET_FLEET_NODE_HPP
 #define COURSEJUNCTION_FLEET_FLEET_NODE_HPP
 
+#include <algorithm>
 #include <charconv>
 #include <concepts>
 #include <functional>
@@ -16,6 +17,7 @@
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
+#include "coursejunction/fleet/beat_plan.hpp"
 #include "coursejunction/fleet/node_address.hpp"
 #include "coursejunction/fleet/peer_directory.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
@@ -71,10 +73,10 @@
     std::function<void(const std::string& from,
                        const message::fleet_heartbeat&)>
         heard;
-    /*! @brief Adds what the role knows; only the load when not `whole`. */
+    /*! @brief Adds what the role knows; no chunks when not `whole`. */
     std::function<void(message::fleet_heartbeat&, bool whole)> describe;
     std::function<void(stream_request, stream_reply)> request;
-    /*! @brief Tells whether chunks are still to come to this process. */
+    /*! @brief Tells whether weights are on their way to some side. */
     std::function<bool()> spreading;
 };
 
@@ -92,10 +94,9 @@
      * be cut from the store and one more stopped at the same time. */
     static constexpr std::size_t most_watchers = 3;
 
-    /*! @brief Sides of other halls hear each this many heartbeats: often while
-     * chunks come, for which each must know who lives, else seldom. */
-    static constexpr std::uint64_t far_beat_spreading = 2;
-    static constexpr std::uint64_t far_beat = 5;
+    /*! @brief A side that is behind for this long is told so by an entry of
+     * any hall: its own hall may have no entry left. */
+    static constexpr milliseconds behind_grace{300};
 
     /*! @brief How long one watch waits. A watch that hangs on a dead
      * connection is noticed this late, and a change has 2 s to be in force
@@ -151,29 +152,17 @@
             list();
     }
 
-    /*! @brief Tells every peer; called when something changed that all need. */
-    void announce()
-    {
-        tell([](const peer_state&) { return true; }, true);
-    }
+    /*! @brief Tells at once that the state of this process changed. */
+    void announce() { tell(moment(beat_reason::state)); }
 
     /*! @brief Tells the entries of the own hall that a load changed. Others
      * hear of it with the next heartbeat: they send here only what their own
      * hall cannot take, and bytes between regions cost most. */
-    void announce_load()
-    {
-        tell([this](const peer_state& one)
-             { return one.entry && own_hall(one); },
-             false);
-    }
+    void announce_load() { tell(moment(beat_reason::load)); }
 
-    /*! @brief Tells the sides of the own hall; called while chunks spread. */
-    void announce_to_hall()
-    {
-        tell([this](const peer_state& one)
-             { return !one.entry && own_hall(one); },
-             true);
-    }
+    /*! @brief Tells neighbours of the own hall which chunks are here; called
+     * while chunks spread. */
+    void announce_chunks() { tell(moment(beat_reason::chunks)); }
 
     /*! @brief Marks the node as leaving in its heartbeats. */
     void leave()
@@ -182,11 +171,11 @@
         announce();
     }
 
-    /*! @brief Notes a peer that the role knows of. */
-    void name_peer(const std::string& address, bool entry)
+    /*! @brief Notes a side that the role knows of, and its hall. */
+    void name_side(const std::string& address, const hall_id& hall)
     {
         if (address != options.address)
-            directory.name(address, entry, event_loop::now());
+            directory.name_side(address, hall, event_loop::now());
     }
 
     [[nodiscard]] const store_mirror& mirror() const { return copy; }
@@ -237,33 +226,80 @@
         return one.last.hall == options.hall.value();
     }
 
-    /*! @brief The regular heartbeat. Entries hear each, since they place
-     * requests by it; bytes between regions cost most. */
+    [[nodiscard]] beat_moment moment(beat_reason why) const
+    {
+        beat_moment made;
+        made.reason = why;
+        made.number = beat_number;
+        made.from_entry = options.entry;
+        return made;
+    }
+
     void beat_on()
     {
-        const bool spreading = hooks.spreading && hooks.spreading();
-        const auto each = spreading ? far_beat_spreading : far_beat;
-        const bool far = ++beat_number % each == 0;
-        tell([&](const peer_state& one)
-             { return one.entry || own_hall(one) || far; },
-             true);
+        ++beat_number;
+        auto regular = moment(beat_reason::regular);
+        regular.spreading = hooks.spreading && hooks.spreading();
+        tell(regular);
+    }
+
+    /*! @brief Returns the sides of the own hall, this one included, in the
+     * order of their addresses. */
+    [[nodiscard]] std::vector<std::string> hall_ring() const
+    {
+        std::vector<std::string> ring;
+        for (const auto& [address, one] : directory.all())
+        {
+            if (!one.entry && own_hall(one))
+                ring.push_back(address);
+        }
+        if (!options.entry)
+            ring.insert(
+                std::upper_bound(ring.begin(), ring.end(), options.address),
+                options.address);
+        return ring;
+    }
+
+    static std::size_t place_of(const std::vector<std::string>& ring,
+                                const std::string& address)
+    {
+        return static_cast<std::size_t>(
+            std::lower_bound(ring.begin(), ring.end(), address) - ring.begin());
     }
 
-    template <typename Which>
-    void tell(Which which, bool whole)
+    void tell(beat_moment sent)
     {
         const auto now = event_loop::now();
         directory.expire(now);
-        const auto datagram = encode(beat(now, whole));
+        const auto ring = hall_ring();
+        const auto own = place_of(ring, options.address);
+        sent.hall_sides = ring.size();
+        const auto datagram = encode(beat(now, sent));
         for (const auto& [address, one] : directory.all())
         {
-            if (which(one))
+            beat_receiver to{one.entry, own_hall(one), false};
+            to.neighbour =
+                !options.entry && !one.entry && to.near &&
+                ring_neighbour(own, place_of(ring, address), ring.size());
+            const bool unheard = one.entry && one.heard == time_point{} &&
+                                 sent.reason == beat_reason::regular;
+            if (hears(sent, to) || unheard)
                 socket->send(address + port_suffix, datagram);
         }
     }
 
-    message::fleet_heartbeat beat(time_point now, bool whole)
+    /*! @brief Tells one peer that it is behind. */
+    void tell_behind(const std::string& address)
+    {
+        const auto now = event_loop::now();
+        socket->send(address + port_suffix,
+                     encode(beat(now, moment(beat_reason::mirror))));
+    }
+
+    message::fleet_heartbeat beat(time_point now, const beat_moment& sent)
     {
+        const bool names = sent.reason == beat_reason::regular &&
+                           sent.number % naming_beat == 0;
         message::fleet_heartbeat made;
         made.incarnation = incarnation;
         made.sequence = ++sequence;
@@ -276,13 +312,14 @@
         for (const auto& [address, one] : directory.all())
         {
             const auto number = address_number(address);
-            if (whole && one.entry && number &&
+            if (names && one.entry && number &&
                 peer_directory::alive(one, now) &&
                 made.entries.size() < most_named)
                 made.entries.push_back(*number);
         }
         if (hooks.describe)
-            hooks.describe(made, whole);
+            hooks.describe(made, sent.reason == beat_reason::regular ||
+                                     sent.reason == beat_reason::chunks);
         return made;
     }
 
@@ -307,8 +344,12 @@
             const auto address = address_text(number);
             if (address != options.address &&
                 directory.find(address) == nullptr)
-                directory.name(address, true, now);
+                directory.name_entry(address, now);
         }
+        if (options.entry && !read.value().entry &&
+            read.value().mirror_revision < copy.revision() &&
+            now - advanced_at >= behind_grace)
+            tell_behind(from);
         if (read.value().mirror_revision > copy.revision())
             pull_soon(from, read.value().hall == options.hall.value());
         if (hooks.heard)
@@ -501,9 +542,12 @@
         const bool returned = peer != nullptr
                                   ? peer->last.store_returned
                                   : store_returned(event_loop::now());
+        advanced_at = event_loop::now();
         if (hooks.changed)
             hooks.changed(changed, returned);
-        announce();
+        auto sent = moment(beat_reason::mirror);
+        sent.from_store = peer == nullptr;
+        tell(sent);
     }
 
     /*! @brief Entries named in one heartbeat, so that it fits a datagram. */
@@ -519,6 +563,7 @@
     std::uint64_t incarnation;
     std::uint64_t sequence{0};
     std::uint64_t beat_number{0};
+    time_point advanced_at{}; /*!< When the mirror last changed. */
     store_mirror copy;
     peer_directory directory;
     std::unique_ptr<datagram_socket> socket;
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -47,12 +47,23 @@
         one.named = now;
     }
 
-    /*! @brief Notes an address that somebody else told. */
-    void name(const std::string& address, bool entry, time_point now)
+    /*! @brief Notes an entry that somebody else told. */
+    void name_entry(const std::string& address, time_point now)
     {
         auto& one = peers[address];
-        one.entry = entry;
+        one.entry = true;
+        one.named = now;
+    }
+
+    /*! @brief Notes a side that the store's records tell, with its hall. */
+    void name_side(const std::string& address, const hall_id& hall,
+                   time_point now)
+    {
+        auto& one = peers[address];
+        one.entry = false;
         one.named = now;
+        if (one.heard == time_point{})
+            one.last.hall = hall.value();
     }
 
     /*! @brief Takes a heartbeat.
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -207,7 +207,7 @@
         {
             const auto* service = rules->service(one.service);
             if (service != nullptr && service->engine)
-                node.name_peer(host_of(one.address), false);
+                node.name_side(host_of(one.address), one.hall);
         }
     }
 
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -37,6 +37,9 @@
     /*! @brief How often chunks are told to the hall while they come; one
      * chunk takes 35 ms on a side's link. */
     milliseconds spread{60};
+    /*! @brief How long after a version was named some side may still fetch it:
+     * the time that a version has. */
+    milliseconds spread_time{8000};
     /*! @brief Between the news that the upstream closes and the order, so that
      * requests on their way still arrive before it. */
     milliseconds close_pause{30};
@@ -85,7 +88,7 @@
         { describe(into, whole); };
         hooks.request = [this](stream_request request, stream_reply reply)
         { serve_peer(request, std::move(reply)); };
-        hooks.spreading = [this] { return incomplete(); };
+        hooks.spreading = [this] { return spreading_now(); };
         node.start(std::move(hooks));
         polling = loop.every(options.poll, [this] { poll(); });
         spreading = loop.every(options.spread, [this] { spread(); });
@@ -102,7 +105,7 @@
         for (const auto& [id, one] : fleet.upstreams())
         {
             if (!one.weights.empty() || has_engine(one))
-                node.name_peer(host_of(one.address), false);
+                node.name_side(host_of(one.address), one.hall);
         }
         decide();
     }
@@ -267,11 +270,23 @@
                            });
     }
 
+    /*! @brief Tells whether sides of other halls may still need to know that
+     * this one lives: one of them may fetch from it. */
+    [[nodiscard]] bool spreading_now() const
+    {
+        if (incomplete())
+            return true;
+        const auto name = last ? last->model : std::string();
+        const auto newest = fleet.newest(name);
+        return newest > 1 && event_loop::now() - fleet.named_at(name, newest) <
+                                 options.spread_time;
+    }
+
     /*! @brief While chunks still come, the hall hears of each soon. */
     void spread()
     {
         if (incomplete())
-            node.announce_to_hall();
+            node.announce_chunks();
     }
 
     // --- The upstream ----------------------------------------------------
