Count retries over a sliding window

The budget saved up 80 retries of all entries, 5 each, while the installations allow 0.2 of the requests of ten seconds at once. Change: run/retry_window counts requests and retries of the window itself; its property test holds every window to the limit. The own interface keeps its bucket.

--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -28,11 +28,13 @@
      * waits there is taken back; the bound leaves 2 s, and the end of the
      * connection takes a part of one to arrive. */
     milliseconds old_weights_grace{1200};
-    /*! @brief Retries earned by each request; the installations allow 0.2 in
-     * each ten seconds. */
-    double retry_portion{0.15};
-    /*! @brief Retries that all entries together may save up; the smallest
-     * allowance of the installations seen is 104 in ten seconds. */
+    /*! @brief The window over which the installations count retries. */
+    milliseconds retry_window{10'000};
+    /*! @brief Retries for each request of a window; the installations allow
+     * 0.2, and entries count what arrives, not what callers sent. */
+    double retry_portion{0.17};
+    /*! @brief Retries of a window beside those, of all entries together; the
+     * smallest allowance of the installations seen is 104. */
     double retry_reserve{80};
     milliseconds least_retry_after{200};
     milliseconds most_retry_after{1500};
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -27,7 +27,7 @@
 #include "coursejunction/route/placement.hpp"
 #include "coursejunction/route/upstream_book.hpp"
 #include "coursejunction/route/version_floor.hpp"
-#include "coursejunction/run/retry_budget.hpp"
+#include "coursejunction/run/retry_window.hpp"
 
 namespace coursejunction
 {
@@ -133,7 +133,7 @@
         if (one.asked.deadline)
             one.ends = std::min<time_point>(one.ends,
                                             one.arrived + *one.asked.deadline);
-        budget(one.service).request();
+        budget(one.service).request(one.arrived);
         return 0;
     }
 
@@ -483,7 +483,7 @@
             ++one.runs;
         // What never arrived costs the service nothing.
         const bool paid = again && (reach == attempt_reach::not_sent ||
-                                    budget(one.service).spend());
+                                    budget(one.service).spend(now));
         log::problem("attempt_failed",
                      {{"request", one.asked.id.value()},
                       {"upstream", one.at.upstream.value()},
@@ -622,13 +622,18 @@
         call(*held);
     }
 
-    retry_budget& budget(const service_name& service)
+    retry_window& budget(const service_name& service)
     {
-        const auto most =
-            options.retry_reserve / static_cast<double>(entry_count);
-        return budgets
-            .try_emplace(service, options.retry_portion, std::max(most, 1.0))
-            .first->second;
+        const auto reserve = std::max(
+            options.retry_reserve / static_cast<double>(entry_count), 1.0);
+        auto& found =
+            budgets
+                .try_emplace(service,
+                             retry_limits{options.retry_window,
+                                          options.retry_portion, reserve})
+                .first->second;
+        found.reserve(reserve);
+        return found;
     }
 
     static std::string text(double value)
@@ -650,7 +655,7 @@
     std::shared_ptr<const installation> current;
     std::map<std::uint64_t, std::shared_ptr<exchange>> open;
     std::vector<std::uint64_t> waiting;
-    std::map<service_name, retry_budget> budgets;
+    std::map<service_name, retry_window> budgets;
     std::size_t entry_count{1};
     std::uint64_t last_number{0};
     std::uint64_t last_attempt{0};
--- a/src/coursejunction/run/fwd.hpp
+++ b/src/coursejunction/run/fwd.hpp
@@ -12,6 +12,7 @@
 enum class admission : std::uint8_t;
 class run_registry;
 class retry_budget;
+class retry_window;
 
 } // namespace coursejunction
 
--- a/tests/fleet/peer_directory.cpp
+++ b/tests/fleet/peer_directory.cpp
@@ -10,7 +10,7 @@
     cj::peer_directory peers;
     cj::time_point now{100s};
     peers.seed("10.0.0.1", now);
-    peers.name_side("10.0.0.2", hall_id("a"), now);
+    peers.name_side("10.0.0.2", cj::hall_id("a"), now);
     cj::message::fleet_heartbeat beat;
     beat.incarnation = 7;
     beat.sequence = 3;
--- /dev/null
+++ b/tests/run/retry_window.cpp
@@ -0,0 +1,84 @@
+#include "coursejunction/run/retry_window.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace coursejunction;
+using namespace std::chrono_literals;
+
+TEST_CASE("a window of retries", "[run]")
+{
+    retry_window window({10'000ms, 0.2, 5});
+    time_point now{100s};
+
+    SECTION("begins with its reserve")
+    {
+        int spent = 0;
+        while (window.spend(now))
+            ++spent;
+        REQUIRE(spent == 5);
+
+        SECTION("which comes back when the window has passed")
+        {
+            REQUIRE_FALSE(window.spend(now + 9s));
+            REQUIRE(window.spend(now + 11s));
+        }
+    }
+    SECTION("lets a burst spend what ten seconds of requests earned")
+    {
+        for (int at = 0; at < 100; ++at)
+            window.request(now + at * 90ms);
+        int spent = 0;
+        while (window.spend(now + 9s))
+            ++spent;
+        REQUIRE(spent == 25);
+    }
+    SECTION("forgets requests that are past")
+    {
+        for (int at = 0; at < 100; ++at)
+            window.request(now);
+        int spent = 0;
+        while (window.spend(now + 30s))
+            ++spent;
+        REQUIRE(spent == 5);
+    }
+}
+
+TEST_CASE("no window holds more retries than it may", "[run]")
+{
+    rc::prop("whenever requests and failures come",
+             [](const std::vector<std::uint16_t>& gaps)
+             {
+                 constexpr double portion = 0.2;
+                 constexpr double reserve = 3;
+                 retry_window window({10'000ms, portion, reserve});
+                 std::vector<time_point> requests;
+                 std::vector<time_point> retries;
+                 time_point now{50s};
+                 for (const auto gap : gaps)
+                 {
+                     now += milliseconds(gap % 800);
+                     window.request(now);
+                     requests.push_back(now);
+                     while (gap % 3 == 0 && window.spend(now))
+                         retries.push_back(now);
+                 }
+                 for (const auto end : retries)
+                 {
+                     const auto inside = [&](const std::vector<time_point>& all)
+                     {
+                         return std::count_if(all.begin(), all.end(),
+                                              [&](time_point at) {
+                                                  return at <= end &&
+                                                         at > end - 10s;
+                                              });
+                     };
+                     RC_ASSERT(static_cast<double>(inside(retries)) <=
+                               portion * static_cast<double>(inside(requests)) +
+                                   reserve + 1e-9);
+                 }
+             });
+}
