--- a/src/coursejunction/rollout/turn_policy.hpp
+++ b/src/coursejunction/rollout/turn_policy.hpp
@@ -22,7 +22,7 @@
     double closed_part{0.34};
     /*! @brief Time after which an upstream closes whatever the others do: a
      * version has 8 s, of which a full engine drains for up to 3. */
-    milliseconds latest{5300};
+    milliseconds latest{6000};
 };
 
 /*! @brief Another side of the same hall, as it last told. */
@@ -30,7 +30,7 @@
 {
     instance_id id;
     bool closed{false}; /*!< Takes nothing new. */
-    bool behind{false}; /*!< Does not serve the wanted version yet. */
+    bool ready{false};  /*!< Has the wanted version, but does not serve it. */
 };
 
 /*! @brief Tells whether a side may close now. Nobody grants it: each side
@@ -55,8 +55,7 @@
     {
         if (one.closed)
             ++closed;
-        else if (one.behind &&
-                 rendezvous_weight(version, one.id.value()) > rank)
+        else if (one.ready && rendezvous_weight(version, one.id.value()) > rank)
             ++before;
     }
     // Those before us may close first, as long as there is room for all.
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -376,8 +376,7 @@
     {
         const auto now = event_loop::now();
         const auto& next = transfers.at(version);
-        if (!verified.expired() || !next->staged() ||
-            !my_turn(next->version(), now))
+        if (!verified.expired() || !next->staged() || !my_turn(*next, now))
             return;
         verified = next;
         next->verify(
@@ -389,11 +388,11 @@
             });
     }
 
-    [[nodiscard]] bool my_turn(const model_version& wanted,
-                               time_point now) const
+    [[nodiscard]] bool my_turn(const transfer_type& next, time_point now) const
     {
         if (last->version == 0)
             return true;
+        const auto& wanted = next.version();
         std::vector<hall_neighbour> others;
         for (const auto& [address, one] : node.peers().all())
         {
@@ -401,11 +400,12 @@
                 one.last.hall != node.settings().hall.value())
                 continue;
             others.push_back({instance_id(address), !one.last.upstream.open,
-                              one.last.upstream.version < wanted.version});
+                              one.last.upstream.version < wanted.version &&
+                                  next.whole_at(one.last.chunks)});
         }
         const auto known = now - fleet.named_at(wanted.model, wanted.version);
         return may_close(options.turns, instance_id(own), others,
-                         wanted.model + std::to_string(wanted.version), known);
+                         next.turn_key(), known);
     }
 
     /*! @brief Tells the entries first, then gives the order. */
@@ -559,7 +559,7 @@
         transfer->give(static_cast<chunk_index>(
                            number(parameter(request.target, "index"))),
                        !parameter(request.target, "wait").empty(),
-                       std::move(reply));
+                       parameter(request.target, "by"), std::move(reply));
     }
 
     event_loop& loop;
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -5,7 +5,8 @@
 #ifndef COURSEJUNCTION_TRANSFER_CHUNK_TRANSFER_HPP
 #define COURSEJUNCTION_TRANSFER_CHUNK_TRANSFER_HPP
 
-#include <charconv>
+#include <algorithm>
+#include <bit>
 #include <deque>
 #include <functional>
 #include <map>
@@ -13,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -27,6 +29,7 @@
 #include "coursejunction/transfer/paced_uploads.hpp"
 #include "coursejunction/transfer/staging.hpp"
 #include "coursejunction/transfer/transfer_planner.hpp"
+#include "coursejunction/transfer/upload_order.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
 namespace coursejunction
@@ -82,6 +85,12 @@
 
     [[nodiscard]] const model_version& version() const { return what; }
 
+    /*! @brief Returns the name under which sides take turns. */
+    [[nodiscard]] std::string turn_key() const
+    {
+        return what.model + std::to_string(what.version);
+    }
+
     /*! @brief Lets chunks be put to the upstream, which has room for one
      * version only. */
     void stage()
@@ -131,6 +140,23 @@
         return made;
     }
 
+    /*! @brief Tells whether a peer that tells of its chunks has all of this
+     * version. */
+    [[nodiscard]] bool
+    whole_at(const std::vector<message::chunk_possession>& told) const
+    {
+        return std::any_of(
+            told.begin(), told.end(),
+            [&](const message::chunk_possession& one)
+            {
+                std::size_t count = 0;
+                for (const auto word : one.held)
+                    count += static_cast<std::size_t>(std::popcount(word));
+                return one.model == what.model && one.version == what.version &&
+                       store && count == store->of().size();
+            });
+    }
+
     /*! @brief Takes what a peer tells of its chunks. */
     void peer_holds(const instance_id& peer,
                     const message::chunk_possession& told)
@@ -153,11 +179,15 @@
         planner->holds(peer, held, told.queue, now);
     }
 
-    /*! @brief Answers a peer that asks for a chunk, now or once it is here. */
-    void give(chunk_index at, bool wait, stream_reply reply)
+    /*! @brief Answers a peer that asks for a chunk, now or once it is here.
+     * @param peer Who asks; empty when it does not say. */
+    void give(chunk_index at, bool wait, std::string_view peer,
+              stream_reply reply)
     {
         if (store && store->contains(at))
-            return give_now(at, std::move(reply), wait);
+            return give_now(at, std::move(reply),
+                            wait ? upload_order::urgent
+                                 : order_of(turn_key(), peer));
         if (!wait)
             return reply.send(404, {}, "");
         waiters[at].push_back({std::move(reply), event_loop::now()});
@@ -213,8 +243,7 @@
     void ask_manifest()
     {
         const auto before =
-            manifest_sources(what.model + std::to_string(what.version),
-                             view.participants(), own);
+            manifest_sources(turn_key(), view.participants(), own);
         if (manifest_calls < options.tree_calls && !before.empty())
         {
             const auto step = manifest_calls / options.calls_each;
@@ -393,7 +422,8 @@
         call.address = view.peer_port(one.peer);
         call.target = "/chunk?model=" + what.model +
                       "&version=" + std::to_string(what.version) +
-                      "&index=" + std::to_string(one.chunk);
+                      "&index=" + std::to_string(one.chunk) +
+                      "&by=" + own.value();
         if (one.how == transfer_request::kind::waiting)
             call.target += "&wait=1";
         call.timeout = options.peer_time;
@@ -524,7 +554,7 @@
         if (found != waiters.end())
         {
             for (auto& one : found->second)
-                give_now(at, std::move(one.reply), true);
+                give_now(at, std::move(one.reply), upload_order::urgent);
             waiters.erase(found);
         }
         if (store->complete())
@@ -536,11 +566,11 @@
                              to_seconds(event_loop::now() - began) * 1000))}});
     }
 
-    void give_now(chunk_index at, stream_reply reply, bool urgent)
+    void give_now(chunk_index at, stream_reply reply, upload_order order)
     {
         auto shared = std::make_shared<stream_reply>(std::move(reply));
         const bool taken = view.uploads->offer(
-            store->of().chunk_bytes(at), urgent,
+            store->of().chunk_bytes(at), order,
             guarded([this, at, shared] { upload(at, *shared); }));
         if (!taken)
             shared->send(503, {}, "");
--- a/src/coursejunction/transfer/manifest_route.hpp
+++ b/src/coursejunction/transfer/manifest_route.hpp
@@ -20,9 +20,9 @@
 inline constexpr std::size_t manifest_arity = 4;
 
 /*! @brief Returns the sides to ask for a manifest, the nearest first: a tree
- * over the own hall, in an order that differs by version. Nobody for its root,
- * which asks the origin: if all did, the manifests of 76 sides would hold the
- * chunks up for a quarter of a second. */
+ * over the own hall, whose root asks the first of all. That one has nobody and
+ * asks the origin: if all did, manifests would hold the chunks up, and those of
+ * other halls would wait behind the chunks of the first. */
 [[nodiscard]] inline std::vector<instance_id>
 manifest_sources(const std::string& version,
                  const std::vector<participant>& all, const instance_id& own)
@@ -32,18 +32,16 @@
                      [&](const participant& one) { return one.id == own; });
     if (self == all.end())
         return {};
-    std::vector<instance_id> hall;
+    std::vector<instance_id> ids;
+    std::vector<instance_id> near;
     for (const auto& one : all)
     {
+        ids.push_back(one.id);
         if (one.hall == self->hall)
-            hall.push_back(one.id);
+            near.push_back(one.id);
     }
-    std::sort(hall.begin(), hall.end(),
-              [&](const instance_id& left, const instance_id& right)
-              {
-                  return rendezvous_weight(version, left.value()) >
-                         rendezvous_weight(version, right.value());
-              });
+    const auto hall = rendezvous_rank(version, near, near.size());
+    const auto first = rendezvous_rank(version, ids, 1).front();
     std::vector<instance_id> sources;
     auto place = static_cast<std::size_t>(
         std::find(hall.begin(), hall.end(), own) - hall.begin());
@@ -52,6 +50,8 @@
         place = (place - 1) / manifest_arity;
         sources.push_back(hall[place]);
     }
+    if (first != hall.front())
+        sources.push_back(first);
     return sources;
 }
 
--- a/src/coursejunction/transfer/paced_uploads.hpp
+++ b/src/coursejunction/transfer/paced_uploads.hpp
@@ -5,6 +5,7 @@
 #ifndef COURSEJUNCTION_TRANSFER_PACED_UPLOADS_HPP
 #define COURSEJUNCTION_TRANSFER_PACED_UPLOADS_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -12,6 +13,7 @@
 
 #include "coursejunction/core/pacing.hpp"
 #include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/transfer/upload_order.hpp"
 
 namespace coursejunction
 {
@@ -33,16 +35,17 @@
     }
 
     /*! @brief Queues an upload.
-     * @param urgent Another hall waits for it: it goes first.
+     * @param order Lower ones go first; equal ones in the order they came.
      * @return False when too many wait. */
-    bool offer(std::size_t bytes, bool urgent, std::function<void()> send)
+    bool offer(std::size_t bytes, upload_order order,
+               std::function<void()> send)
     {
-        if (!urgent && queue.size() >= most_waiting)
+        if (order != upload_order::urgent && queue.size() >= most_waiting)
             return false;
-        if (urgent)
-            queue.push_front({bytes, std::move(send)});
-        else
-            queue.push_back({bytes, std::move(send)});
+        const auto place = std::upper_bound(
+            queue.begin(), queue.end(), order,
+            [](upload_order of, const upload& one) { return of < one.order; });
+        queue.insert(place, {bytes, order, std::move(send)});
         if (!running)
             next();
         return true;
@@ -54,6 +57,7 @@
     struct upload
     {
         std::size_t bytes{0};
+        upload_order order{};
         std::function<void()> send;
     };
 
@@ -66,13 +70,21 @@
         queue.pop_front();
         one.send();
         const auto now = event_loop::now();
-        const auto free_at = link.reserve(static_cast<double>(one.bytes), now);
-        pause = loop.after(free_at - now, [this] { next(); });
+        // A timer that fires late costs nothing of the rate.
+        const auto due = now - free_at <= late_timer ? free_at : now;
+        free_at = link.reserve(static_cast<double>(one.bytes), due);
+        pause = loop.after(std::max(free_at - now, time_point::duration(0)),
+                           [this] { next(); });
     }
 
+    /*! @brief A timer may fire this late while uploads wait; a chunk takes 36
+     * ms. */
+    static constexpr milliseconds late_timer{30};
+
     event_loop& loop;
     link_pacer link;
     std::deque<upload> queue;
+    time_point free_at{}; /*!< When the last upload has passed. */
     timer pause;
     bool running{false};
 };
--- /dev/null
+++ b/tests/transfer/upload_order.cpp
@@ -0,0 +1,35 @@
+#include "coursejunction/transfer/upload_order.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+#include "coursejunction/rollout/turn_policy.hpp"
+
+using namespace coursejunction;
+using namespace std::chrono_literals;
+
+TEST_CASE("who closes first gets the weights first")
+{
+    const std::string version = "tutor2";
+    std::vector<hall_neighbour> hall;
+    for (int at = 0; at < 24; ++at)
+        hall.push_back(
+            {instance_id("side-" + std::to_string(at)), false, true});
+    std::size_t first = 0;
+    for (const auto& one : hall)
+    {
+        auto others = hall;
+        std::erase_if(others, [&](const hall_neighbour& other)
+                      { return other.id == one.id; });
+        const bool closes =
+            may_close(turn_limits{}, one.id, others, version, 1s);
+        const auto order = order_of(version, one.id.value());
+        if (closes)
+            REQUIRE(order == upload_order::first);
+        first += order == upload_order::first ? 1 : 0;
+    }
+    REQUIRE(first > 6);
+    REQUIRE(first < 18);
+}
