Tell less while weights spread; hold the exact window of retries

Cause: of a side's 950 KB/s some 113 KB/s went into heartbeats while weights spread, and chunks got 20 a second instead of 27. Change: regular heartbeats to sides of the hall each 400 ms, chunks of coming versions only, those of all each 800 ms; chunks each 90 ms to neighbours. Found by the property test: a request from exactly ten seconds ago was still counted.

--- a/src/coursejunction/fleet/beat_plan.hpp
+++ b/src/coursejunction/fleet/beat_plan.hpp
@@ -35,6 +35,14 @@
     std::size_t hall_sides{0}; /*!< Sides of the sender's hall. */
 };
 
+/*! @brief Which chunks a heartbeat tells. */
+enum class chunk_detail : std::uint8_t
+{
+    none,
+    coming, /*!< Those of versions that are on their way. */
+    all
+};
+
 /*! @brief A peer that may hear it. */
 struct beat_receiver
 {
@@ -56,8 +64,25 @@
  * ms, and a transfer takes one for silent after 1.5 s. */
 inline constexpr std::uint64_t far_side_beat = 4;
 
-/*! @brief Each this many regular heartbeats names the known entries. */
-inline constexpr std::uint64_t naming_beat = 5;
+/*! @brief Sides of the own hall hear each this many: 400 ms, and they believe a
+ * peer to live for 1 s. */
+inline constexpr std::uint64_t near_side_beat = 2;
+
+/*! @brief Each this many regular heartbeats names the known entries and all
+ * chunks that are held; the others, while weights spread, only the chunks of
+ * versions that are on their way. */
+inline constexpr std::uint64_t naming_beat = 4;
+
+/*! @brief Returns what a heartbeat tells of chunks. */
+[[nodiscard]] inline chunk_detail chunks_told(const beat_moment& sent)
+{
+    if (sent.reason == beat_reason::chunks)
+        return chunk_detail::coming;
+    if (sent.reason != beat_reason::regular)
+        return chunk_detail::none;
+    return sent.number % naming_beat == 0 ? chunk_detail::all
+                                          : chunk_detail::coming;
+}
 
 /*! @brief Tells whether a peer hears a heartbeat. */
 [[nodiscard]] inline bool hears(const beat_moment& sent,
@@ -81,7 +106,9 @@
     if (to.entry)
         return to.near || sent.from_entry || sent.number % far_entry_beat == 0;
     if (to.near)
-        return sent.from_entry || to.neighbour || sent.hall_sides <= small_hall;
+        return sent.from_entry ||
+               (sent.number % near_side_beat == 0 &&
+                (to.neighbour || sent.hall_sides <= small_hall));
     return !sent.from_entry && sent.spreading &&
            sent.number % far_side_beat == 0;
 }
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -73,8 +73,8 @@
     std::function<void(const std::string& from,
                        const message::fleet_heartbeat&)>
         heard;
-    /*! @brief Adds what the role knows; no chunks when not `whole`. */
-    std::function<void(message::fleet_heartbeat&, bool whole)> describe;
+    /*! @brief Adds what the role knows. */
+    std::function<void(message::fleet_heartbeat&, chunk_detail)> describe;
     std::function<void(stream_request, stream_reply)> request;
     /*! @brief Tells whether weights are on their way to some side. */
     std::function<bool()> spreading;
@@ -318,8 +318,7 @@
                 made.entries.push_back(*number);
         }
         if (hooks.describe)
-            hooks.describe(made, sent.reason == beat_reason::regular ||
-                                     sent.reason == beat_reason::chunks);
+            hooks.describe(made, chunks_told(sent));
         return made;
     }
 
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -36,7 +36,7 @@
     milliseconds poll{50};
     /*! @brief How often chunks are told to the hall while they come; one
      * chunk takes 35 ms on a side's link. */
-    milliseconds spread{60};
+    milliseconds spread{90};
     /*! @brief How long after a version was named some side may still fetch it:
      * the time that a version has. */
     milliseconds spread_time{8000};
@@ -84,8 +84,9 @@
         hooks.heard =
             [this](const std::string& from, const message::fleet_heartbeat& one)
         { heard(from, one); };
-        hooks.describe = [this](message::fleet_heartbeat& into, bool whole)
-        { describe(into, whole); };
+        hooks.describe =
+            [this](message::fleet_heartbeat& into, chunk_detail detail)
+        { describe(into, detail); };
         hooks.request = [this](stream_request request, stream_reply reply)
         { serve_peer(request, std::move(reply)); };
         hooks.spreading = [this] { return spreading_now(); };
@@ -274,12 +275,15 @@
      * this one lives: one of them may fetch from it. */
     [[nodiscard]] bool spreading_now() const
     {
-        if (incomplete())
-            return true;
-        const auto name = last ? last->model : std::string();
-        const auto newest = fleet.newest(name);
-        return newest > 1 && event_loop::now() - fleet.named_at(name, newest) <
-                                 options.spread_time;
+        return incomplete() ||
+               (last && lately_named(fleet.newest(last->model)));
+    }
+
+    [[nodiscard]] bool lately_named(std::uint64_t version) const
+    {
+        return version > 1 && last &&
+               event_loop::now() - fleet.named_at(last->model, version) <
+                   options.spread_time;
     }
 
     /*! @brief While chunks still come, the hall hears of each soon. */
@@ -482,9 +486,8 @@
 
     // --- Peers -----------------------------------------------------------
 
-    /*! @brief Adds what this side knows to a heartbeat.
-     * @param whole False for a load only, which must stay small. */
-    void describe(message::fleet_heartbeat& into, bool whole) const
+    /*! @brief Adds what this side knows to a heartbeat. */
+    void describe(message::fleet_heartbeat& into, chunk_detail detail) const
     {
         auto& told = into.upstream;
         told.sequence = status_sequence;
@@ -500,16 +503,22 @@
             told.pace = last->pace;
             told.open = !closing && last->version > 0;
         }
-        if (!whole)
-            return;
+        const auto serves = last ? last->version : 0;
         for (const auto& [version, one] : transfers)
-            into.chunks.push_back(one->possession());
+        {
+            if (detail == chunk_detail::all ||
+                (detail == chunk_detail::coming &&
+                 (version > serves || lately_named(version))))
+                into.chunks.push_back(one->possession());
+        }
     }
 
     void heard(const std::string& from, const message::fleet_heartbeat& one)
     {
         if (one.entry)
             return;
+        for (const auto& [version, transfer] : transfers)
+            transfer->peer_lives(instance_id(from));
         for (const auto& told : one.chunks)
         {
             const auto found = transfers.find(told.version);
--- a/src/coursejunction/run/retry_window.hpp
+++ b/src/coursejunction/run/retry_window.hpp
@@ -48,7 +48,7 @@
         for (const auto& one : slots)
         {
             spent += one.spent;
-            if (one.began >= now - limits.window)
+            if (one.began > now - limits.window)
                 requests += one.requests;
         }
         if (spent > limits.portion * requests + limits.reserve)
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -157,6 +157,13 @@
             });
     }
 
+    /*! @brief Notes a sign of life of a peer. */
+    void peer_lives(const instance_id& peer)
+    {
+        if (planner)
+            planner->heard(peer, event_loop::now());
+    }
+
     /*! @brief Takes what a peer tells of its chunks. */
     void peer_holds(const instance_id& peer,
                     const message::chunk_possession& told)
--- a/tests/fleet/beat_plan.cpp
+++ b/tests/fleet/beat_plan.cpp
@@ -63,6 +63,18 @@
         ++regular.number;
         REQUIRE_FALSE(hears(regular, far_side));
     }
+    SECTION("of chunks those on their way, and now and then all")
+    {
+        auto regular = moment(beat_reason::regular, false);
+        regular.number = naming_beat;
+        REQUIRE(chunks_told(regular) == chunk_detail::all);
+        ++regular.number;
+        REQUIRE(chunks_told(regular) == chunk_detail::coming);
+        REQUIRE(chunks_told(moment(beat_reason::chunks, false)) ==
+                chunk_detail::coming);
+        REQUIRE(chunks_told(moment(beat_reason::load, false)) ==
+                chunk_detail::none);
+    }
     SECTION("in a large hall only its neighbours among the sides")
     {
         auto regular = moment(beat_reason::regular, false);
--- a/tests/run/retry_window.cpp
+++ b/tests/run/retry_window.cpp
@@ -36,6 +36,15 @@
             ++spent;
         REQUIRE(spent == 25);
     }
+    SECTION("does not count a request from exactly a window ago")
+    {
+        for (int at = 0; at < 5; ++at)
+            window.request(now);
+        int spent = 0;
+        while (window.spend(now + 10s))
+            ++spent;
+        REQUIRE(spent == 5);
+    }
     SECTION("forgets requests that are past")
     {
         for (int at = 0; at < 100; ++at)
