A soak of our own: the platform's daemons under faults from outside

A stand-in of the users' platform (store, engines, plain services, origin) in Python and a seeded soak on it: proxies that delay, reset, silence or cut one way, signals, crashes, versions and configurations that overlap. Judged by what callers and upstreams saw: at most once, 'not run' is true, answers whole and the caller's own, streams in order, weights whole, service and the newest version after the faults.

--- /dev/null
+++ b/tests/soak/platform_standin.py
@@ -0,0 +1,296 @@
+"""The users' platform in small, for tests: its store, model engines, a plain
+service and the origin of weights, each on loopback, written from the platform's
+published protocol. It records what reaches it, so that a test can judge."""
+
+import asyncio
+import base64
+import hashlib
+import json
+import urllib.parse
+
+MODEL = "tutor"
+CHUNKS = 8
+CHUNK_BYTES = 4096
+LAYERS = 4
+
+
+async def read_message(reader):
+    """One HTTP message: (first line, headers, body), or nothing at the end."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        headers = {}
+        for line in head[1:]:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        return head[0], headers, body
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+def answer(status, body=b"", headers=()):
+    lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
+def json_answer(status, value):
+    return answer(status, json.dumps(value).encode(), ["Content-Type: application/json"])
+
+
+class Server:
+    """Serves one address; `handle` answers a request or writes by itself."""
+
+    def __init__(self, host, port):
+        self.host, self.port = host, port
+        self.writers = set()
+        self.listener = None
+
+    async def start(self):
+        self.listener = await asyncio.start_server(self.serve, self.host, self.port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    def address(self):
+        return f"{self.host}:{self.port}"
+
+    async def stop(self):
+        """Ends as a crash does: nothing is answered any more."""
+        self.listener.close()
+        self.reset_all()
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while message := await read_message(reader):
+                first, headers, body = message
+                method, target, _ = first.split(" ", 2)
+                made = await self.handle(method, target, headers, body, writer)
+                if made is not None:
+                    writer.write(made)
+                await writer.drain()
+        except ConnectionError:
+            pass  # The caller left; what it was owed is judged on its side.
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+class Store(Server):
+    """Keys with revisions, ranges and watches."""
+
+    def __init__(self, host):
+        super().__init__(host, 0)
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.forgotten = 0
+        self.fault = "none"
+        self.changed = asyncio.Condition()
+
+    async def put(self, key, value):
+        self.revision += 1
+        payload = base64.b64encode(json.dumps(value).encode()).decode()
+        self.items[key] = {"keyFile": key, "payload": payload, "revision": self.revision,
+                           "created": self.revision, "leaseId": 0}
+        await self.tell(dict(self.items[key]))
+
+    async def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            await self.tell({"keyFile": key, "revision": self.revision, "compacted": True})
+
+    async def tell(self, event):
+        self.history.append(event)
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget(self):
+        self.history.clear()
+        self.forgotten = self.revision
+        self.reset_all()
+
+    async def handle(self, method, target, headers, body, writer):
+        parts = urllib.parse.urlsplit(target)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(parts.query).items()}
+        if self.fault == "busy":
+            return answer(503)
+        if self.fault == "silent":
+            await asyncio.sleep(30)
+        if self.fault == "slow":
+            await asyncio.sleep(0.3)
+        if parts.path == "/kv-range":
+            after = query.get("after", "")
+            keys = sorted(k for k in self.items if k > after)
+            page = [self.items[k] for k in keys[:5]]
+            return json_answer(200, {"entries": page, "hasMore": len(keys) > 5,
+                                     "timestamp": self.revision})
+        if parts.path != "/kv-watch":
+            return answer(404)
+        after = int(query["after"])
+        deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.forgotten:
+                return answer(410)
+            events = [one for one in self.history if one["revision"] > after]
+            left = deadline - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return json_answer(200, {"events": events, "timestamp": self.revision})
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+
+def chunk_of(version, index):
+    return hashlib.sha256(f"{version}/{index}".encode()).digest() * (CHUNK_BYTES // 32)
+
+
+class Origin(Server):
+    def __init__(self, host):
+        super().__init__(host, 0)
+        self.fault = "none"
+        self.sent = 0
+
+    async def handle(self, method, target, headers, body, writer):
+        if self.fault == "down":
+            writer.transport.abort()
+            return None
+        parts = urllib.parse.urlsplit(target)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(parts.query).items()}
+        version = int(query.get("version", "1"))
+        if parts.path.startswith("/manifest/"):
+            hashes = [hashlib.sha256(chunk_of(version, at)).hexdigest() for at in range(CHUNKS)]
+            return json_answer(200, {"modelId": MODEL, "version": version, "layers": LAYERS,
+                                     "blockBytes": CHUNK_BYTES, "hashes": hashes})
+        bytes_ = chunk_of(version, int(query["sampleCount"]))
+        self.sent += 1
+        if self.fault == "spoilt" and self.sent % 3 == 0:
+            bytes_ = b"x" + bytes_[1:]
+        return answer(200, bytes_)
+
+
+class Service(Server):
+    """A plain service; counts the runs of each request."""
+
+    def __init__(self, host, ident, faults):
+        super().__init__(host, 0)
+        self.id = ident
+        self.faults = faults
+        self.runs = {}
+
+    async def handle(self, method, target, headers, body, writer):
+        asked = headers["x-coursejunction-attempt-id"]
+        signed = [f"X-Coursejunction-Attempt-Id: {asked}"]
+        if headers.get("x-coursejunction-expect-instance") != self.id:
+            return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
+        self.runs[asked] = self.runs.get(asked, 0) + 1
+        if self.faults.random() < 0.03:
+            writer.transport.abort()  # It ran, and its answer is lost.
+            return None
+        await asyncio.sleep(0.01)
+        return answer(200, asked.encode(), signed + ["X-Coursejunction-Server-Signature: s"])
+
+
+class Engine(Server):
+    """A model engine with a staging area; streams events whose text names the
+    request and the position."""
+
+    EVENTS = 12
+
+    def __init__(self, host, number, faults, version):
+        super().__init__(host, 0)
+        self.number = number
+        self.faults = faults
+        self.restarts = 0
+        self.version = version
+        self.staged = {at: chunk_of(version, at) for at in range(CHUNKS)} if version else {}
+        self.sequence = 0
+        self.ordered = False
+        self.running = 0
+        self.wrong_weights = []
+        self.begun = []
+
+    @property
+    def id(self):
+        return f"engine-{self.number}-{self.restarts}"
+
+    def crash(self):
+        """A new life without weights."""
+        self.restarts += 1
+        self.version, self.staged, self.sequence, self.ordered = 0, {}, 0, False
+        self.reset_all()
+
+    def model_list(self):
+        if not self.version:
+            return []
+        return [{"name": MODEL, "version": self.version, "loras": []}]
+
+    async def handle(self, method, target, headers, body, writer):
+        parts = urllib.parse.urlsplit(target)
+        query = urllib.parse.parse_qs(parts.query)
+        at = int(query["sampleCount"][0]) if "sampleCount" in query else None
+        if parts.path == "/report":
+            layers = [{"source": 0, "targetVersion": LAYERS, "version": self.version}]
+            return json_answer(200, {
+                "phase": "colocated", "modelList": self.model_list(), "sequence": self.sequence,
+                "layers": layers if self.version else [], "utilization": self.ordered,
+                "queued": 0, "active": self.running, "kvInUse": 0, "kvSize": 1000, "pace": 1.0})
+        if parts.path.startswith("/stage-put/"):
+            self.staged[at] = body
+            return answer(200)
+        if parts.path.startswith("/stage-get/"):
+            if at is None:
+                return json_answer(200, {"held": sorted(self.staged)})
+            return answer(200, self.staged[at]) if at in self.staged else answer(404)
+        if parts.path == "/order":
+            return self.order(json.loads(body))
+        return await self.stream(headers, writer)
+
+    def order(self, wanted):
+        if wanted.get("expectedRevision", self.sequence) != self.sequence or self.ordered:
+            return answer(409)
+        self.sequence += 1
+        self.ordered = True
+        asyncio.get_running_loop().create_task(self.load(wanted, self.restarts))
+        return answer(202)
+
+    async def load(self, wanted, life):
+        taken = [self.staged.get(at) for at in range(CHUNKS)]
+        if taken != [chunk_of(wanted["version"], at) for at in range(CHUNKS)]:
+            self.wrong_weights.append((self.id, wanted["version"]))
+        self.version = 0
+        await asyncio.sleep(0.1)
+        if life == self.restarts:
+            self.version, self.ordered = wanted["version"], False
+
+    async def stream(self, headers, writer):
+        asked = headers["x-coursejunction-attempt-id"]
+        signed = [f"X-Coursejunction-Attempt-Id: {asked}"]
+        version = self.version
+        if headers.get("x-coursejunction-expect-instance") != self.id or not version:
+            return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
+        self.begun.append((asyncio.get_running_loop().time(), asked, version))
+        life = self.restarts
+        self.running += 1
+        try:
+            writer.write("\r\n".join([
+                "HTTP/1.1 200 X", *signed, "X-Coursejunction-Server-Signature: s",
+                f"X-Coursejunction-Weight-Versions: {version}",
+                "Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]).encode())
+            for at in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
+                await asyncio.sleep(0.03)
+                cut = self.version != version or life != self.restarts
+                if cut or self.faults.random() < 0.002:
+                    writer.transport.abort()
+                    return None
+                event = f"id: {at}\ndata: {asked} {at}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
+        return None
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,479 @@
+#!/usr/bin/env python3
+"""A randomized soak of the real daemon on the stand-in of the platform.
+
+    soak.py --seed N [--seconds S]     one run; every fault comes from the seed
+    soak.py --seeds A B                runs the seeds from A to B
+
+Entries and sides run as processes of their own; faults come from outside them:
+a proxy that delays, resets, silences or cuts one way, signals, and stand-ins that
+crash, forget and answer wrongly. The promises are judged by what callers and
+upstreams saw. Prints one line of JSON a seed; exits with 1 when a promise broke.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+from platform_standin import MODEL, Engine, Origin, Service, Store
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+HALLS = ["north", "south"]
+SETTLE_S = 36.0  # After the last fault: several versions' time of 8 s and a restart.
+GRACE_S = 8.0
+
+
+def free_port():
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return one.getsockname()[1]
+
+
+class Proxy:
+    """Stands before one address and spoils what passes."""
+
+    def __init__(self, host, target):
+        self.host, self.target, self.fault, self.open = host, target, "none", set()
+
+    async def start(self):
+        self.listener = await asyncio.start_server(self.accept, self.host, 0)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    def address(self):
+        return f"{self.host}:{self.port}"
+
+    def reset_all(self):
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def accept(self, reader, writer):
+        host, port = self.target().split(":")
+        try:
+            behind, to = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.open |= {writer, to}
+        await asyncio.gather(self.copy(reader, to, "out"), self.copy(behind, writer, "back"))
+        self.open -= {writer, to}
+
+    async def copy(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                while self.fault == "silent" or self.fault == f"cut_{way}":
+                    await asyncio.sleep(0.05)
+                if self.fault == "delay":
+                    await asyncio.sleep(0.08)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass  # One end is gone; the other is closed below.
+        finally:
+            writer.close()
+
+
+class Daemon:
+    """One process of the system; started again after it ends."""
+
+    def __init__(self, soak, name, settings):
+        self.soak, self.name = soak, name
+        self.path = soak.dir / f"{name}.ini"
+        self.path.write_text(settings)
+        self.child, self.paused, self.ended = None, False, False
+
+    def start(self):
+        environment = {**os.environ, "COURSEJUNCTION_SETTINGS": str(self.path)}
+        self.child = subprocess.Popen([self.soak.binary, "--platform"], env=environment,
+                                      stdout=self.soak.log, stderr=self.soak.log)
+
+    def send(self, number):
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    async def stop(self, number):
+        """Ends the process, at last by force, and starts it again."""
+        self.send(signal.SIGCONT)
+        self.send(number)
+        for _ in range(int(GRACE_S / 0.05)):
+            if self.child.poll() is not None:
+                break
+            await asyncio.sleep(0.05)
+        else:
+            self.soak.broken("stop", f"{self.name} still runs after its grace")
+        self.kill()
+        await asyncio.sleep(self.soak.dice.uniform(0, 0.5))
+        if not self.ended:
+            self.start()
+
+    def kill(self):
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait()
+
+
+class Soak:
+    def __init__(self, seed, seconds, binary):
+        self.seed, self.seconds, self.binary = seed, seconds, binary
+        self.dice = random.Random(seed)
+        self.temporary = tempfile.TemporaryDirectory(prefix="coursejunction-soak-")
+        self.dir = pathlib.Path(self.temporary.name)
+        self.log = open(self.dir / "log", "wb")
+        self.breaks, self.counts, self.faults, self.tasks = [], {}, [], []
+        self.answers = {}
+        self.version, self.configuration, self.number = 1, 1, 0
+        self.stopping = False
+
+    def broken(self, promise, what):
+        self.breaks.append(f"{promise}: {what}")
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    # Setting up.
+
+    async def set_up(self):
+        self.store, self.origin = Store("127.0.0.1"), Origin("127.0.0.1")
+        await self.store.start()
+        await self.origin.start()
+        self.services = [Service("127.0.0.1", f"plain-{at}", self.dice) for at in range(2)]
+        self.engines = [Engine(f"127.0.2.{at + 1}", at, self.dice, 1 if at < 3 else 0)
+                        for at in range(4)]
+        for one in self.services + self.engines:
+            await one.start()
+        self.fronts = {}
+        for one in self.engines:
+            proxy = Proxy(one.host, one.address)
+            await proxy.start()
+            self.fronts[one] = proxy
+        await self.store.put("op/config", self.rules())
+        await self.tell_upstreams()
+        port = free_port()
+        names = [f"entry-{at}" for at in range(3)]
+        self.proxies, self.entries, self.sides = {}, [], []
+        for at, name in enumerate(names):
+            host = f"127.0.1.{at + 1}"
+            self.entries.append(await self.daemon(name, "entry", host, HALLS[at % 2], port, (
+                f"[callers]\naddress={host}:{free_port()}\nready_address={host}:{free_port()}\n")))
+        for at, engine in enumerate(self.engines):
+            self.sides.append(await self.daemon(
+                f"side-{at}", "side", engine.host, HALLS[at % 2], port,
+                f"[upstream]\naddress={engine.address()}\n[link]\nrate=50Mbit/s\n"))
+        for one in self.entries + self.sides:
+            one.start()
+
+    async def daemon(self, name, role, host, hall, port, more):
+        proxy = Proxy(host, self.store.address)
+        await proxy.start()
+        self.proxies[name] = proxy
+        made = Daemon(self, name, (
+            f"[instance]\nid={name}\nrole={role}\naddress={host}\nhall={hall}\nregion={hall}\n"
+            f"[peers]\nports={port},{port}\nseeds=127.0.1.1:{port},127.0.1.2:{port}\n"
+            f"[store]\naddress={proxy.address()}\n{more}"
+            f"[bounds]\nversion_time=8000ms\nstop_grace=8s\n[status]\nport=0\n"))
+        made.callers = next((line[8:] for line in more.splitlines()
+                             if line.startswith("address=")), None)
+        return made
+
+    def rules(self):
+        return {
+            "version": self.configuration,
+            "routes": [
+                {"name": "chat", "hostname": "a.example", "pathPrefix": "/chat/",
+                 "type": "streaming", "resumable": True, "service": "llm", "timeoutMs": 6000,
+                 "targetLatencyMs": 900, "targetItlMs": 900, "maxAttempts": 3, "priority": 1},
+                {"name": "note", "hostname": "a.example", "pathPrefix": "/note/",
+                 "type": "non_idempotent", "service": "plain", "timeoutMs": 2000,
+                 "targetLatencyMs": 400, "maxAttempts": 1, "priority": 2}],
+            "services": [
+                {"name": "llm", "maxConnections": 300, "origin": self.origin.address(),
+                 "zone": HALLS[0], "linkMbps": 50.0,
+                 "backend": {"slots": 16, "step_ms": 2.0, "read_per_s": 50000.0, "chunk": 2048,
+                             "stride": 5, "usual": {"prompt": 100, "answer": 60},
+                             "layers": 4, "blocks": 8, "blockBytes": 4096,
+                             "modelList": [{"name": MODEL, "warmupS": 0.1}]}},
+                {"name": "plain", "maxConnections": 100}],
+            "tenants": [{"name": "school", "apiKeys": ["key"], "priority": 0}],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
+                       "headerTimeoutMs": 5000, "idleTimeoutMs": 20000}}
+
+    async def tell_upstreams(self):
+        """Keeps the records as the upstreams would."""
+        wanted = {}
+        for at, one in enumerate(self.engines):
+            wanted[f"servers/{one.id}"] = {
+                "service": "llm", "address": self.fronts[one].address(), "zone": HALLS[at % 2],
+                "slots": 16, "state": "ready", "modelList": one.model_list()}
+        for at, one in enumerate(self.services):
+            wanted[f"servers/{one.id}"] = {"service": "plain", "address": one.address(),
+                                           "zone": HALLS[at % 2], "slots": 8, "state": "ready"}
+        for key in [key for key in self.store.items if key.startswith("servers/")]:
+            if key not in wanted:
+                await self.store.remove(key)
+        for key, value in wanted.items():
+            if getattr(self, "told", {}).get(key) != value:
+                await self.store.put(key, value)
+        self.told = wanted
+
+    async def keep_records(self):
+        while not self.stopping:
+            await self.tell_upstreams()
+            await asyncio.sleep(0.2)
+
+    # Callers.
+
+    async def caller(self, dice):
+        """One caller that keeps its connection until it ends."""
+        reader = writer = None
+        while not self.stopping:
+            if writer is None or writer.is_closing():
+                host, port = dice.choice(self.entries).callers.split(":")
+                try:
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    await asyncio.sleep(0.1)
+                    continue
+            self.number += 1
+            asked = f"{self.seed:x}-{self.number:x}"
+            single = dice.random() < 0.4
+            keeps = await self.ask(reader, writer, asked, single)
+            if not keeps:
+                writer.close()
+                writer = None
+            await asyncio.sleep(dice.uniform(0, 0.1))
+        if writer is not None:
+            writer.close()
+
+    async def ask(self, reader, writer, asked, single):
+        path = "/note/x" if single else "/chat/x"
+        lines = [f"POST {path} HTTP/1.1", "Host: a.example", "Authorization: Token key",
+                 f"X-Coursejunction-Attempt-Id: {asked}", "Content-Length: 2",
+                 f"X-Coursejunction-Deadline-Ms: {2000 if single else 6000}"]
+        if not single:
+            lines += [f"X-Coursejunction-Model: {MODEL}", "X-Coursejunction-Token-Usage: 100,60"]
+        try:
+            writer.write(("\r\n".join(lines) + "\r\n\r\nhi").encode())
+            status, headers, text, whole = await asyncio.wait_for(self.read(reader), 9)
+        except asyncio.TimeoutError:
+            self.count("silent")
+            if not self.faults:
+                self.broken("limit", f"{asked} had no answer after 9 s")
+            return False
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.count("cut")
+            return False
+        self.count(f"{'note' if single else 'chat'} {status}{'' if whole else ' cut'}")
+        self.answers[asked] = (status, single)
+        self.judge(asked, single, status, headers, text, whole)
+        return whole and headers.get("connection", "").lower() != "close"
+
+    def judge(self, asked, single, status, headers, text, whole):
+        if status != 200:
+            if status in (400, 401, 404):
+                self.broken("denied", f"{asked} got {status}")
+            return
+        if headers.get("x-coursejunction-attempt-id") != asked:
+            self.broken("mixed", f"{asked} got the answer of another")
+        if single:
+            if whole and text != asked:
+                self.broken("mixed", f"{asked} got {text[:40]!r}")
+            return
+        events = [one.split("\n") for one in text.split("\n\n") if one]
+        wanted = [[f"id: {at}", f"data: {asked} {at}"] for at in range(1, Engine.EVENTS + 1)]
+        if events != wanted[:len(events)] or (whole and len(events) != len(wanted)):
+            self.broken("order", f"{asked} ended {'whole' if whole else 'cut'} as {events[-2:]}")
+
+    async def read(self, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        headers = {}
+        for line in head[1:]:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        status = int(head[0].split()[1])
+        if headers.get("transfer-encoding") != "chunked":
+            body = await reader.readexactly(int(headers.get("content-length", "0")))
+            return status, headers, body.decode(), True
+        text = b""
+        try:
+            while size := int(await reader.readline() or b"-", 16):
+                text += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+            return status, headers, text.decode(), True
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            # Events that came in part are not passed on as whole ones.
+            return status, headers, text.decode(), False
+
+    # Faults.
+
+    async def fault(self):
+        """One fault with its end; several overlap."""
+        kind = self.dice.choice([
+            "kill", "kill", "pause", "pause", "stop", "hang_up", "store", "way", "way", "engine",
+            "crash", "origin", "version", "rules", "forget", "reset"])
+        self.faults.append(kind)
+        self.count(f"fault {kind}")
+        length = self.dice.uniform(0.2, 2.5)
+        one = self.dice.choice(self.entries + self.sides)
+        if kind == "kill":
+            await one.stop(signal.SIGKILL)
+        elif kind == "stop":
+            await one.stop(signal.SIGTERM)
+        elif kind == "hang_up":
+            one.send(signal.SIGHUP)
+        elif kind == "pause":
+            one.send(signal.SIGSTOP)
+            await asyncio.sleep(length)
+            one.send(signal.SIGCONT)
+        elif kind == "store":
+            await self.spoil(self.store, self.dice.choice(["busy", "silent", "slow"]), length)
+        elif kind == "way":
+            way = self.dice.choice(["delay", "silent", "cut_out", "cut_back"])
+            await self.spoil(self.proxies[one.name], way, length)
+        elif kind == "engine":
+            way = self.dice.choice(["delay", "silent", "cut_out", "cut_back"])
+            await self.spoil(self.fronts[self.dice.choice(self.engines)], way, length)
+        elif kind == "crash":
+            self.dice.choice(self.engines).crash()
+        elif kind == "origin":
+            await self.spoil(self.origin, self.dice.choice(["down", "spoilt"]), length)
+        elif kind == "version":
+            self.version += 1
+            await self.store.put(f"op/version/{MODEL}",
+                                 {"modelId": MODEL, "version": self.version})
+        elif kind == "rules":
+            self.configuration += self.dice.randint(1, 3)
+            await self.store.put("op/config", self.rules())
+        elif kind == "forget":
+            self.store.forget()
+        elif kind == "reset":
+            self.dice.choice(list(self.fronts.values()) + list(self.proxies.values())).reset_all()
+        self.faults.remove(kind)
+
+    @staticmethod
+    async def spoil(what, how, length):
+        what.fault = how
+        await asyncio.sleep(length)
+        what.fault = "none"
+
+    # The run.
+
+    async def run(self):
+        await self.set_up()
+        self.tasks = [asyncio.create_task(self.keep_records())]
+        await asyncio.sleep(1.5)
+        self.tasks += [asyncio.create_task(self.caller(random.Random(self.dice.random())))
+                       for _ in range(12)]
+        end = asyncio.get_running_loop().time() + self.seconds
+        while asyncio.get_running_loop().time() < end:
+            self.tasks.append(asyncio.create_task(self.fault()))
+            await asyncio.sleep(self.dice.uniform(0.1, 0.9))
+        await self.settle()
+        self.stopping = True
+        await asyncio.gather(*self.tasks)
+        self.judge_upstreams()
+        await self.tear_down()
+        return self.result()
+
+    async def tear_down(self):
+        for one in self.entries + self.sides:
+            one.ended = True
+            one.kill()
+        # Connections that the killed processes leave are of no interest any more.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for one in rest:
+            one.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
+
+    async def settle(self):
+        """After the last fault everything must come back by itself."""
+        while self.faults:
+            await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + SETTLE_S
+        while loop.time() < end and any(one.version != self.version for one in self.engines):
+            await asyncio.sleep(0.2)
+        late = [f"{one.id} serves {one.version}" for one in self.engines
+                if one.version != self.version]
+        if late:
+            self.broken("weights", f"not {self.version} everywhere: {late}")
+        before = dict(self.counts)
+        await asyncio.sleep(3)
+        for kind in ("chat 200", "note 200"):
+            if self.counts.get(kind, 0) - before.get(kind, 0) < 10:
+                self.broken("recovery", f"{kind} too seldom in the calm after the faults")
+        for one in self.entries + self.sides:
+            if one.child.poll() is not None:
+                self.broken("process", f"{one.name} ended by itself")
+
+    def judge_upstreams(self):
+        runs = {}
+        for service in self.services:
+            for asked, count in service.runs.items():
+                runs[asked] = runs.get(asked, 0) + count
+        for asked, count in runs.items():
+            status, single = self.answers.get(asked, (0, True))
+            if count > 1:
+                self.broken("twice", f"{asked} ran {count} times")
+            if single and status in (408, 421, 429, 503):
+                self.broken("refused", f"{asked} ran and got {status}")
+        begun = {asked for one in self.engines for _, asked, _ in one.begun}
+        for asked, (status, single) in self.answers.items():
+            if not single and status in (408, 421, 429, 503) and asked in begun:
+                self.broken("refused", f"{asked} began and got {status}")
+        for one in self.engines:
+            if one.wrong_weights:
+                self.broken("whole", f"partial or mixed weights: {one.wrong_weights}")
+
+    def result(self):
+        return {"seed": self.seed, "broken": self.breaks[:10], "counts": self.counts,
+                "version": self.version}
+
+    def close(self, keep):
+        for one in getattr(self, "entries", []) + getattr(self, "sides", []):
+            one.ended = True
+            if one.child is not None:
+                one.kill()
+        self.log.close()
+        if keep:
+            target = pathlib.Path(tempfile.gettempdir()) / f"coursejunction-soak-{self.seed}.log"
+            target.write_bytes((self.dir / "log").read_bytes())
+            print(f"log kept: {target}", file=sys.stderr)
+        self.temporary.cleanup()
+
+
+def run_seed(seed, seconds):
+    build = os.environ.get("COURSEJUNCTION_BUILD", "build")
+    soak = Soak(seed, seconds, str(ROOT / build / "bin" / "coursejunctiond"))
+    made = {"broken": ["the soak did not end"]}
+    try:
+        made = asyncio.run(soak.run())
+    finally:
+        soak.close(keep=bool(made["broken"]))
+    return made
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds", type=int, nargs=2)
+    parser.add_argument("--seconds", type=float, default=15)
+    asked = parser.parse_args()
+    first, last = asked.seeds or (asked.seed, asked.seed)
+    bad = 0
+    for seed in range(first, last + 1):
+        made = run_seed(seed, asked.seconds)
+        print(json.dumps(made), flush=True)
+        bad += 1 if made["broken"] else 0
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
