Let stand-ins fetch chunks that do not spread

Version 2 was whole nowhere; at 6 s entries ended the older weights, and for 3 s everything was refused. Stand-ins came in only when nothing new was seen anywhere. Ruled out: a spoilt manifest (four wrong chunks, none three times), the origin. Change: a chunk that one holder of the hall has had for 1 s alone, or that the hall lacks 2.3 s after the beginning, is asked of stand-ins (two tests).

--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -392,6 +392,8 @@
         constexpr milliseconds stall{700};
         limits.stall_floor = stall;
         limits.origin_pause = options.origin_pause;
+        limits.lonely = options.lonely;
+        limits.first_copy = options.first_copy;
         limits.pending = holder_calls;
         limits.origin_pending = 2;
         limits.waiting = waiting_calls;
--- a/src/coursejunction/transfer/chunk_transfer_options.hpp
+++ b/src/coursejunction/transfer/chunk_transfer_options.hpp
@@ -42,6 +42,12 @@
     /*! @brief Longest pause after failed calls of the origin; upstreams whose
      * weights are too old serve nothing until it is back. */
     milliseconds origin_pause{400};
+    /*! @brief A chunk that its only holder in the hall has had for this long is
+     * asked of stand-ins; with a whole link it is with others after 0.3 s. */
+    milliseconds lonely{1000};
+    /*! @brief The hall has no copy of a chunk for this long: the origin's link
+     * gives the whole version in 1.7 s. */
+    milliseconds first_copy{2300};
     /*! @brief Without a chunk for this long, a transfer stands still; at rest
      * one comes every 50 ms. */
     milliseconds still{700};
--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -29,6 +29,12 @@
     std::size_t peer_queue{4}; /*!< Queue at a holder above which to skip. */
     milliseconds origin_pause{3000};  /*!< Longest after failures in a row. */
     milliseconds stall_floor{10'000}; /*!< Least time without any progress. */
+    /*! @brief A chunk that one holder of the hall has had for this long and
+     * that nobody got from it is asked of stand-ins; zero for never. */
+    milliseconds lonely{0};
+    /*! @brief A chunk that nobody of the hall has this long after the beginning
+     * is asked of stand-ins; zero for never. */
+    milliseconds first_copy{0};
     std::uint32_t seed{1};
 };
 
@@ -64,7 +70,7 @@
                      Policy how, time_point now)
         : plan(std::move(of)), own(std::move(self)), limits(set),
           policy(std::move(how)), random(set.seed), chunks(plan.size()),
-          missing(plan.size()), last_news(now)
+          missing(plan.size()), began(now), last_news(now)
     {
         for (chunk_index at = 0; at < chunks.size(); ++at)
             open.push_back(at);
@@ -126,6 +132,8 @@
             if (!chunks[at].seen && !chunks[at].held)
                 news(now);
             chunks[at].seen = true;
+            if (chunks[at].holders == 0 && mask != 0)
+                chunks[at].near_since = now;
             chunks[at].holders |= mask;
         }
     }
@@ -247,6 +255,7 @@
         instance_id asked_peer;
         time_point asked_at{};
         time_point deadline{};
+        time_point near_since{}; /*!< Since when the hall has a holder. */
         std::size_t place{0};
     };
 
@@ -473,14 +482,45 @@
         {
             const auto at = open[(start + step) % open.size()];
             auto& one = chunks[at];
-            if (one.asked || (Policy::uses_possession && one.holders != 0))
+            const auto late = late_level(one, now);
+            const bool asked_long = one.asked && late > 0 &&
+                                    now - one.asked_at > limits.lonely &&
+                                    one.how != transfer_request::kind::origin;
+            if ((one.asked && !asked_long) ||
+                (Policy::uses_possession && one.holders != 0 && late == 0))
                 continue;
             ++examined;
-            const auto from = policy.source(at, living, stall_level);
+            const auto from =
+                policy.source(at, living, std::max(stall_level, late));
+            if (from.kind == chunk_source::origin_kind::none ||
+                (one.asked && from.peer == one.asked_peer))
+                continue;
+            if (asked_long)
+                settle(at);
             ask_first_source(requests, at, from, now);
         }
     }
 
+    /*! @brief Returns how many ranks may stand in for a chunk that does not
+     * spread: the link of the only one who has it may be narrow, and all that
+     * ask it share that. Each further second lets one more stand in. */
+    [[nodiscard]] std::size_t late_level(const chunk_state& one,
+                                         time_point now) const
+    {
+        if (!Policy::uses_possession || limits.lonely.count() == 0)
+            return 0;
+        const int count = __builtin_popcountll(one.holders);
+        if (count > 1)
+            return 0;
+        const auto since = count == 1 ? one.near_since + limits.lonely
+                                      : began + limits.first_copy;
+        if (now < since)
+            return 0;
+        const auto more =
+            static_cast<std::size_t>((now - since) / limits.lonely);
+        return std::min(more + 1, most_levels);
+    }
+
     void ask_first_source(std::vector<transfer_request>& requests,
                           chunk_index at, const chunk_source& from,
                           time_point now)
@@ -572,6 +612,7 @@
     std::size_t stall_level{0};
     milliseconds origin_backoff{0};
     time_point origin_after{};
+    time_point began;
     time_point last_news;
     double interval{0};
     double chunk_seconds{0.1};
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -261,3 +261,47 @@
                  RC_ASSERT(plan.pending() == 0U);
              });
 }
+
+SCENARIO("a chunk whose only holder has a narrow link comes another way",
+         "[transfer]")
+{
+    cj::planner_limits limits;
+    limits.lonely = 1000ms;
+    limits.first_copy = 2300ms;
+    const cj::instance_id p("p");
+    GIVEN("one holder that has everything and gives nothing")
+    {
+        auto plan = make(12, limits);
+        auto now = start;
+        plan.holds(p, range(12), 0, now);
+        CHECK(count(plan.next(now), kind::origin) == 0);
+        THEN("it is asked for a while, and then the origin by stand-ins")
+        {
+            std::size_t origin = 0;
+            for (; now < start + 900ms; now += 100ms)
+            {
+                plan.holds(p, range(12), 0, now);
+                origin += count(plan.next(now), kind::origin);
+            }
+            CHECK(origin == 0);
+            for (; now < start + 4000ms; now += 100ms)
+            {
+                plan.holds(p, range(12), 0, now);
+                origin += count(plan.next(now), kind::origin);
+            }
+            CHECK(origin > 0);
+        }
+        THEN("a second holder is enough: the chunk spreads")
+        {
+            plan.holds(cj::instance_id("q"), range(12), 0, now);
+            std::size_t origin = 0;
+            for (; now < start + 4000ms; now += 100ms)
+            {
+                plan.holds(p, range(12), 0, now);
+                plan.holds(cj::instance_id("q"), range(12), 0, now);
+                origin += count(plan.next(now), kind::origin);
+            }
+            CHECK(origin == 0);
+        }
+    }
+}
