Use an upstream whose side is silent last

Ruled out: the closing of the connection (the entry gave the request up after 1.3 s, on time), the side (it took no step while it stood still). Change: a silent side costs half a target in the choice; an attempt that fails there keeps the upstream away for 8 s or until its side is heard (tests).

--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -28,6 +28,9 @@
     double spread_ms{60};
     /*! @brief What a share of failed attempts costs. */
     double fault_ms{600};
+    /*! @brief What it costs that an upstream's side is silent: its instance may
+     * stand still, and a request that waits there is lost. Half a target. */
+    double silent_ms{200};
     /*! @brief Part of the target that a predicted first event may take: the
      * prediction is a mean, half of those come sooner. 0.9, 1.05 and 1.25 were
      * played on both sites. */
@@ -76,7 +79,7 @@
             ++why.usable;
             if (!fits(one, service, request, predicted, now))
                 continue;
-            const auto cost = predicted + penalty(one);
+            const auto cost = predicted + penalty(one, now);
             if (best && cost >= least_cost)
                 continue;
             least_cost = cost;
@@ -156,7 +159,8 @@
                static_cast<double>(one.record.slots) + weights.plain_queue;
     }
 
-    [[nodiscard]] double penalty(const known_upstream& one) const
+    [[nodiscard]] double penalty(const known_upstream& one,
+                                 time_point now) const
     {
         constexpr double range = 1024;
         const auto rank =
@@ -167,6 +171,8 @@
             rank * weights.spread_ms + one.fault_share * weights.fault_ms;
         if (one.record.hall != hall)
             cost += weights.other_hall_ms;
+        if (upstream_book::side_silent(one, now))
+            cost += weights.silent_ms;
         return cost;
     }
 
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -117,6 +117,10 @@
                 continue;
             if (one.status && one.status->sequence == told.sequence)
                 continue;
+            // Its instance lives again: what was held against its silence is
+            // past.
+            if (one.status && side_silent(one, now))
+                one.avoid_until = std::min(one.avoid_until, now + avoid_least);
             one.status = told;
             one.status_at = now;
             one.ended_since_status = 0;
@@ -208,6 +212,14 @@
         return book;
     }
 
+    /*! @brief Tells whether the side of an upstream was heard before and is
+     * silent now. */
+    [[nodiscard]] static bool side_silent(const known_upstream& one,
+                                          time_point now)
+    {
+        return one.status && now - one.status_at > status_validity;
+    }
+
     /*! @brief Returns the weights of a model that an upstream serves. */
     [[nodiscard]] static std::uint64_t
     version(const known_upstream& one, const std::string& model, time_point now)
@@ -278,13 +290,25 @@
     static constexpr milliseconds avoid_least{300};
     static constexpr unsigned most_doublings = 3;
 
+    /*! @brief Avoids an upstream for a while after a failed attempt. When its
+     * side is silent too, the whole instance stands still or is cut off:
+     * what is sent there waits, and may begin when it wakes, on weights that
+     * are too old by then. */
     static void avoid(known_upstream& one, time_point now)
     {
         one.avoid_until =
-            now + avoid_least * (1 << std::min(one.failures, most_doublings));
+            side_silent(one, now)
+                ? now + avoid_silent
+                : now + avoid_least *
+                            (1 << std::min(one.failures, most_doublings));
         ++one.failures;
     }
 
+    /*! @brief How long an upstream is avoided that failed while its side was
+     * silent, unless the side is heard again; instances of the installations
+     * stood still for up to 7 s. */
+    static constexpr milliseconds avoid_silent{8000};
+
     std::map<instance_id, known_upstream> book;
     double sharers{1};
     double all_lateness{1};
--- a/tests/route/placement.cpp
+++ b/tests/route/placement.cpp
@@ -251,3 +251,40 @@
         }
     }
 }
+
+SCENARIO("an upstream whose side is silent is used last", "[route]")
+{
+    cj::upstream_book book;
+    cj::time_point now{100s};
+    const cj::placer places({}, cj::hall_id("north"), "10.0.0.9");
+    const auto service = llm();
+    cj::no_placement why;
+    book.record(record("still", "north", "10.0.0.1:80"));
+    book.record(record("far", "south", "10.0.0.2:80"));
+    book.status("10.0.0.1", status(1), now);
+    now += 2s;
+    book.status("10.0.0.2", status(1), now);
+
+    THEN("one of another hall is preferred")
+    {
+        const auto found = places.choose(book, service, wanted(), now, why);
+        REQUIRE(found);
+        CHECK(found->upstream == cj::instance_id("far"));
+    }
+    WHEN("an attempt fails there")
+    {
+        const cj::instance_id still("still");
+        book.begin(still, 1, 1000, now);
+        book.end(still, 1, false, now);
+        THEN("it is left alone for long")
+        {
+            CHECK(book.find(still)->avoid_until >= now + 5s);
+        }
+        THEN("but only until its side is heard again")
+        {
+            now += 1s;
+            book.status("10.0.0.1", status(2), now);
+            CHECK(book.find(still)->avoid_until <= now + 1s);
+        }
+    }
+}
