--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -25,6 +25,11 @@
     def test_promises_hold_under_faults(self):
         self.play(seed=20261202, seconds=6)
 
+    def test_a_process_that_is_stopped_twice_starts_once(self):
+        # Seeds 8, 101, 110 and 125 failed: two overlapping faults of the soak
+        # started one process twice, and the second found its address in use.
+        self.play(seed=8, seconds=6)
+
 
 if __name__ == "__main__":
     unittest.main()
