Reset connections of calls that are given up

Ruled out: sending less there. The requests were sent in the tenth of a second before its side could be missed. Change: a call that ends without its whole answer resets its connection, so that what still waits is discarded on the way. Test: net/stream_client, fails on the code before (the peer saw an end).

--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -102,12 +102,17 @@
             { self->connected(failed); });
     }
 
+    /*! @brief Ends the call and closes its connection. Where no whole answer
+     * came the connection is reset: what still waits on its way to the peer is
+     * then discarded, instead of being run after the call was given up. */
     void abandon()
     {
         over = true;
         clock.cancel();
         limit.cancel();
         boost::system::error_code ignored;
+        if (sent && !whole && socket.is_open())
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
         socket.close(ignored);
     }
 
@@ -266,6 +271,7 @@
         if (call.repeatable && written && parser->keep_alive() &&
             input.size() == 0)
             keep.emplace(std::move(socket));
+        whole = true;
         end(stream_end::whole, {});
     }
 
@@ -294,6 +300,7 @@
     std::string output;
     bool sent{false};
     bool over{false};
+    bool whole{false}; /*!< The whole answer came. */
     bool reused{false};
     bool written{false};
 };
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <cstdint>
 #include <mutex>
 #include <stdexcept>
@@ -130,6 +131,7 @@
 
     std::string address;
     std::atomic<bool> closed_by_caller{false};
+    std::atomic<bool> reset_by_caller{false}; /*!< Set before the other. */
 
 private:
     void run()
@@ -163,7 +165,8 @@
             return static_cast<void>(done);
         }
         char byte = 0;
-        static_cast<void>(::recv(caller, &byte, 1, 0));
+        const auto count = ::recv(caller, &byte, 1, 0);
+        reset_by_caller = count < 0 && errno == ECONNRESET;
         closed_by_caller = true;
         closed_by_caller.notify_all();
     }
--- a/tests/net/stream_client.cpp
+++ b/tests/net/stream_client.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <optional>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -129,3 +130,40 @@
     CHECK(good == 2);
     running.on_loop([&] { client.reset(); });
 }
+
+SCENARIO("a call that is given up resets its connection", "[net]")
+{
+    scripted_peer peer({scripted_peer::hang});
+    loopback::running_loop running;
+    std::unique_ptr<cj::stream_client> client;
+    cj::stream_client::call_id id{};
+    const auto ask = [&](std::chrono::milliseconds limit)
+    {
+        running.on_loop(
+            [&]
+            {
+                client = std::make_unique<cj::stream_client>(running.loop);
+                cj::stream_call one;
+                one.address = peer.address;
+                one.target = "/";
+                one.timeout = limit;
+                one.connect_time = 3000ms;
+                id = client->gather(std::move(one),
+                                    [](const cj::stream_client::answer&) {});
+            });
+        while (peer.arrivals().empty())
+            std::this_thread::sleep_for(1ms);
+    };
+    SECTION("when its owner cancels it")
+    {
+        ask(10'000ms);
+        running.on_loop([&] { client->cancel(id); });
+    }
+    SECTION("when its time is over")
+    {
+        ask(500ms);
+    }
+    peer.closed_by_caller.wait(false);
+    CHECK(peer.reset_by_caller);
+    running.on_loop([&] { client.reset(); });
+}
