Draw each chunk once after an outage of the origin

Version 3 was whole 6 s after the origin's return; nothing is served until then. Ruled out: the links of the sides (version 2 takes 3.7 s on the same ones). Change: lateness of chunks nobody has counts from when chunks began to come; first sources ask before stand-ins; after a failure of the origin stand-ins wait three times longer; the first chunk after a silence calls them off. A refusal while no upstream is usable tells 2 s instead of the target: outages of all upstreams last 1.3 to 6 s, and coming back after 0.5 s ended refused twice. Test: transfer_planner (31 foreign chunks before, at most 2 now), exchange_service.

--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -41,6 +41,9 @@
     double retry_reserve{80};
     milliseconds least_retry_after{200};
     milliseconds most_retry_after{1500};
+    /*! @brief When no upstream is usable at all: times without any lasted 1.3
+     * to 6 s on played days, and callers of 6 s wait for 2 s at most. */
+    milliseconds no_upstream_retry_after{2000};
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -214,11 +214,7 @@
     void refuse(exchange& one, const no_placement& why)
     {
         const auto target = static_cast<double>(one.route->target.count());
-        const auto over =
-            why.usable == 0 ? target : why.least_ms - target * target_part;
-        const auto wait = std::clamp(
-            milliseconds(static_cast<std::int64_t>(std::max(over, 0.0))),
-            options.least_retry_after, options.most_retry_after);
+        const auto wait = come_back_after(why, target);
         counters.count("requests_refused_total", 1, {{"status", "503"}});
         log::problem("request_refused",
                      {{"request", one.asked.id.value()},
@@ -233,6 +229,19 @@
         forget(one);
     }
 
+    /*! @brief Returns when a refused caller may find a place: when the least
+     * loaded upstream is expected to meet the target, or, while none is usable,
+     * after the time that weights or restarted upstreams need. */
+    [[nodiscard]] milliseconds come_back_after(const no_placement& why,
+                                               double target_ms) const
+    {
+        if (why.usable == 0)
+            return options.no_upstream_retry_after;
+        const auto over = std::max(why.least_ms - target_ms * target_part, 0.0);
+        return std::clamp(milliseconds(static_cast<std::int64_t>(over)),
+                          options.least_retry_after, options.most_retry_after);
+    }
+
     // --- One attempt -----------------------------------------------------
 
     void send(exchange& one, const upstream_choice& at)
--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -70,7 +70,8 @@
                      Policy how, time_point now)
         : plan(std::move(of)), own(std::move(self)), limits(set),
           policy(std::move(how)), random(set.seed), chunks(plan.size()),
-          missing(plan.size()), began(now), last_news(now)
+          missing(plan.size()), flow_began(now), last_news(now),
+          last_arrival(now)
     {
         for (chunk_index at = 0; at < chunks.size(); ++at)
             open.push_back(at);
@@ -240,6 +241,10 @@
     static constexpr milliseconds least_deadline{500};
     static constexpr std::size_t sample = 48;
     static constexpr std::size_t most_levels = 4;
+    /*! @brief After a failure of the origin stand-ins wait this many times
+     * longer: when it is back after an outage, first sources ask it first, and
+     * its link carries each chunk once. */
+    static constexpr int stand_in_pauses = 3;
     static constexpr double stall_intervals = 20;
     static constexpr double smoothing = 0.1;
     static constexpr double deadline_ratio = 4;
@@ -343,8 +348,14 @@
             interval == 0 ? gap : interval + (gap - interval) * smoothing;
         // Chunks come again: stand-ins asked while nothing came would now
         // only fetch the same ones more often.
-        if (stall_level > 0)
+        if (now - last_arrival > limits.stall_floor)
+        {
+            stall_level = 0;
+            flow_began = now;
+        }
+        else if (stall_level > 0)
             --stall_level;
+        last_arrival = now;
         last_news = now;
     }
 
@@ -467,22 +478,35 @@
                          static_cast<double>(limits.peer_queue + 1)));
     }
 
+    /*! @brief Asks for chunks that this instance is the first source of, then
+     * for those that it stands in for. */
     void ask_first_sources(std::vector<transfer_request>& requests,
                            time_point now)
     {
-        constexpr std::size_t examined_most = 512;
-        std::size_t examined = 0;
         if (open.empty())
             return;
+        const auto start = random() % open.size();
+        ask_sources(requests, now, start, false);
+        ask_sources(requests, now, start, true);
+    }
+
+    /*! @param stand_in Whether to ask for what others are first sources of. */
+    void ask_sources(std::vector<transfer_request>& requests, time_point now,
+                     std::size_t start, bool stand_in)
+    {
+        constexpr std::size_t examined_most = 512;
+        std::size_t examined = 0;
         const liveness living = [&](const instance_id& peer)
         { return alive(peer, now); };
-        const auto start = random() % open.size();
         for (std::size_t step = 0;
              step < open.size() && examined < examined_most; ++step)
         {
             const auto at = open[(start + step) % open.size()];
             auto& one = chunks[at];
-            const auto late = late_level(one, now);
+            const auto late = stand_in ? late_level(one, now) : 0;
+            const auto level = stand_in ? std::max(stall_level, late) : 0;
+            if (stand_in && level == 0)
+                continue;
             const bool asked_long = one.asked && late > 0 &&
                                     now - one.asked_at > limits.lonely &&
                                     one.how != transfer_request::kind::origin;
@@ -490,20 +514,20 @@
                 (Policy::uses_possession && one.holders != 0 && late == 0))
                 continue;
             ++examined;
-            const auto from =
-                policy.source(at, living, std::max(stall_level, late));
+            const auto from = policy.source(at, living, level);
             if (from.kind == chunk_source::origin_kind::none ||
                 (one.asked && from.peer == one.asked_peer))
                 continue;
             if (asked_long)
                 settle(at);
-            ask_first_source(requests, at, from, now);
+            ask_first_source(requests, at, from, now, stand_in);
         }
     }
 
     /*! @brief Returns how many ranks may stand in for a chunk that does not
      * spread: the link of the only one who has it may be narrow, and all that
-     * ask it share that. Each further second lets one more stand in. */
+     * ask it share that. Each further second lets one more stand in. While
+     * nothing comes at all, `escalate` decides alone. */
     [[nodiscard]] std::size_t late_level(const chunk_state& one,
                                          time_point now) const
     {
@@ -512,8 +536,10 @@
         const int count = __builtin_popcountll(one.holders);
         if (count > 1)
             return 0;
+        if (count == 0 && now - last_arrival > limits.stall_floor)
+            return 0;
         const auto since = count == 1 ? one.near_since + limits.lonely
-                                      : began + limits.first_copy;
+                                      : flow_began + limits.first_copy;
         if (now < since)
             return 0;
         const auto more =
@@ -523,10 +549,12 @@
 
     void ask_first_source(std::vector<transfer_request>& requests,
                           chunk_index at, const chunk_source& from,
-                          time_point now)
+                          time_point now, bool stand_in)
     {
         if (from.kind == chunk_source::origin_kind::origin &&
-            origin_pending < limits.origin_pending && now >= origin_after)
+            origin_pending < limits.origin_pending &&
+            now >= origin_after + (stand_in ? stand_in_pauses : 0) *
+                                      origin_backoff)
             ask(requests, at, transfer_request::kind::origin, {}, now,
                 longest_origin_request);
         if (from.kind == chunk_source::origin_kind::peer &&
@@ -612,8 +640,9 @@
     std::size_t stall_level{0};
     milliseconds origin_backoff{0};
     time_point origin_after{};
-    time_point began;
-    time_point last_news;
+    time_point flow_began; /*!< Since when chunks have come steadily. */
+    time_point last_news;  /*!< Of a chunk, or of a step of `escalate`. */
+    time_point last_arrival;
     double interval{0};
     double chunk_seconds{0.1};
     std::map<instance_id, hall_id> hall_of;
--- a/tests/proxy/exchange_service.cpp
+++ b/tests/proxy/exchange_service.cpp
@@ -57,10 +57,10 @@
         return made;
     }
 
-    static cj::header_list refusal_headers(cj::milliseconds)
+    static cj::header_list refusal_headers(cj::milliseconds wait)
     {
         cj::header_list made;
-        made.push_back("Retry-After", "1");
+        made.push_back("Retry-After", std::to_string(wait.count()));
         return made;
     }
 };
@@ -208,11 +208,27 @@
             CHECK(entry.ask("/keyed/x", "Key: z\r\n")
                       .starts_with("HTTP/1.1 401"));
         }
-        SECTION("no upstream: refused, with the time to come back")
+        SECTION("no upstream: refused, with the time that one needs to come")
         {
             const auto answer = entry.ask();
             CHECK(answer.starts_with("HTTP/1.1 503"));
-            CHECK(answer.find("Retry-After") != std::string::npos);
+            CHECK(answer.find("Retry-After: 2000\r\n") != std::string::npos);
+        }
+        SECTION("all places taken: refused, with the time until one is free")
+        {
+            scripted_upstream one({scripted_upstream::hang});
+            entry.upstream("a", one.address);
+            entry.running.on_loop(
+                [&]
+                {
+                    // Four slots, and what may wait beyond them.
+                    for (std::uint64_t at = 0; at < 9; ++at)
+                        entry.book.begin(cj::instance_id("a"), at, 0,
+                                         cj::event_loop::now());
+                });
+            const auto answer = entry.ask();
+            CHECK(answer.starts_with("HTTP/1.1 503"));
+            CHECK(answer.find("Retry-After: 200\r\n") != std::string::npos);
         }
         SECTION("an upstream: its answer, unchanged")
         {
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -218,6 +218,82 @@
     }
 }
 
+SCENARIO("after an outage of the origin each chunk is drawn once",
+         "[transfer]")
+{
+    cj::planner_limits limits;
+    limits.stall_floor = 700ms;
+    limits.lonely = 1000ms;
+    limits.first_copy = 2300ms;
+    limits.origin_pause = 400ms;
+    constexpr cj::chunk_index chunks = 60;
+    const std::vector<cj::instance_id> peers{cj::instance_id("p"),
+                                             cj::instance_id("q")};
+
+    // What this instance is the first source of.
+    std::set<cj::chunk_index> share;
+    auto calm = make(chunks, limits);
+    for (int step = 0; step < 100; ++step)
+    {
+        for (const auto& one : calm.next(start))
+        {
+            if (one.how != kind::origin)
+                continue;
+            share.insert(one.chunk);
+            calm.held(one.chunk, start);
+        }
+    }
+    REQUIRE(share.size() > 5);
+
+    GIVEN("an origin that was away for 6 s")
+    {
+        auto plan = make(chunks, limits);
+        auto now = start;
+        const auto alive = [&]
+        {
+            for (const auto& peer : peers)
+                plan.heard(peer, now);
+        };
+        for (int step = 0; step < 300; ++step)
+        {
+            now += 20ms;
+            alive();
+            for (const auto& one : plan.next(now))
+            {
+                if (one.how == kind::origin)
+                    plan.origin_failed(one.chunk, now);
+            }
+        }
+        WHEN("it is back and chunks come steadily")
+        {
+            std::size_t strange = 0;
+            std::vector<cj::chunk_index> others;
+            for (cj::chunk_index at = 0; at < chunks; ++at)
+            {
+                if (!share.contains(at))
+                    others.push_back(at);
+            }
+            for (const auto at : others)
+            {
+                now += 50ms;
+                alive();
+                plan.holds(peers[at % 2], {at}, 0, now);
+                for (const auto& one : plan.next(now))
+                {
+                    if (one.how == kind::origin && !share.contains(one.chunk))
+                        ++strange;
+                    plan.held(one.chunk, now);
+                }
+            }
+            THEN("this instance fetches its own share and hardly any other")
+            {
+                constexpr std::size_t probes = 2;
+                CHECK(strange <= probes);
+            }
+        }
+    }
+}
+
 TEST_CASE("a planner completes whatever order things happen in", "[transfer]")
 {
     rc::prop("with refusals, bad chunks and losses",
