Divide the time of a version by the settings' bound; rollout settings

Cause: entries and sides took 6 s and 5.3 s of an 8 s bound as constants and did not read version_time, so an installation with another bound would be served wrongly (found while reading). Change: rollout/version_times divides the bound; drain time and closed part are settings of a side, so that policies stay selectable.

--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -28,10 +28,8 @@
     std::string caller_address; /*!< `IP:port` for callers. */
     std::string ready_address;  /*!< `IP:port` for the balancer's question. */
     std::string ready_path;
-    /*! @brief Time after which older weights take no request any more: the
-     * bound of 8 s, less 2 s for news that came late, a link that holds the
-     * request up and a queue at the upstream. Hunted days with 1.2 s broke the
-     * bound through requests that were under way for that long. */
+    /*! @brief Time after which older weights take no request any more:
+     * `version_times::send_until`. */
     milliseconds version_time{6000};
     /*! @brief A stop that takes longer is ended by force. */
     milliseconds stop_grace{8000};
--- a/src/coursejunction/rollout/turn_policy.hpp
+++ b/src/coursejunction/rollout/turn_policy.hpp
@@ -20,10 +20,8 @@
 {
     /*! @brief Part of a hall's upstreams that may be closed at once. */
     double closed_part{0.34};
-    /*! @brief Time after which an upstream closes whatever the others do. A
-     * version has 8 s; what is sent over a narrow link takes up to 2 s to
-     * arrive and may then wait. 6 s was played: requests sent after 5.8 s began
-     * after 8.04 to 8.1 s on three days. */
+    /*! @brief Time after which an upstream closes whatever the others do:
+     * `version_times::close_latest`. */
     milliseconds latest{5300};
 };
 
--- /dev/null
+++ b/src/coursejunction/rollout/version_times.hpp
@@ -0,0 +1,47 @@
+/*! @file
+ * @brief How the time that a named version has is divided; pure.
+ */
+#ifndef COURSEJUNCTION_ROLLOUT_VERSION_TIMES_HPP
+#define COURSEJUNCTION_ROLLOUT_VERSION_TIMES_HPP
+
+#include <algorithm>
+
+#include "coursejunction/core/types.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Moments since a version was named. */
+struct version_times
+{
+    /*! @brief Upstreams that still serve older weights close now, whatever the
+     * others do. */
+    milliseconds close_latest{0};
+
+    /*! @brief Entries send no request to older weights any more. */
+    milliseconds send_until{0};
+
+    /*! @brief Divides the time that a version has.
+     * @param allowed From the naming until no request may begin on older
+     * weights.
+     *
+     * What is sent over a narrow link takes up to 2 s to arrive and may then
+     * wait: hunted days with 1.2 s for that broke the bound. Upstreams close
+     * 0.7 s earlier, so that their queues are empty by then; with closing at 6
+     * of 8 s, requests sent after 5.8 s began after 8.04 to 8.1 s on three
+     * days. Shorter times are divided in the same proportion. */
+    [[nodiscard]] static version_times of(milliseconds allowed)
+    {
+        constexpr milliseconds send_reserve{2000};
+        constexpr milliseconds close_reserve{2700};
+        constexpr milliseconds usual{8000};
+        const auto part = [&](milliseconds reserve) {
+            return std::min(reserve, allowed * reserve.count() / usual.count());
+        };
+        return {allowed - part(close_reserve), allowed - part(send_reserve)};
+    }
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/settings/gateway_settings.cpp
+++ b/src/coursejunction/settings/gateway_settings.cpp
@@ -54,6 +54,20 @@
     return text;
 }
 
+/*! @brief Reads how a side loads versions; the defaults were the best of those
+ * that were played (docs/PLATFORM.md). */
+void read_rollout(ini_file& file, gateway_settings& made)
+{
+    constexpr milliseconds usual_drain{800};
+    constexpr std::int64_t usual_percent = 34;
+    constexpr std::int64_t whole = 100;
+    made.drain_time = file.duration("rollout", "drain_time", usual_drain);
+    made.closed_part =
+        static_cast<double>(
+            file.number("rollout", "closed_percent", usual_percent, 1, whole)) /
+        static_cast<double>(whole);
+}
+
 result<gateway_settings> read(ini_file& file)
 {
     gateway_settings made;
@@ -79,6 +93,7 @@
     {
         made.upstream_address = endpoint(file, "upstream", "address");
         made.link_rate = file.bytes("link", "rate", 0.0, true);
+        read_rollout(file, made);
     }
     made.status_port = static_cast<std::uint16_t>(
         file.number("status", "port", 0, 0, highest_port));
--- a/src/coursejunction/settings/gateway_settings.hpp
+++ b/src/coursejunction/settings/gateway_settings.hpp
@@ -37,6 +37,12 @@
     milliseconds version_time{0}; /*!< A named version is used within this. */
     milliseconds stop_grace{0};
 
+    /*! @brief Of a side: how long running requests may finish before an order
+     * cuts the rest, which are resumed elsewhere. */
+    milliseconds drain_time{0};
+    /*! @brief Of a side: part of a hall's upstreams that close at once. */
+    double closed_part{0};
+
     /*! @brief Reads and checks a settings file.
      * @return The settings, or `invalid` with one line that names file,
      * section and key. */
--- a/tests/settings/gateway_settings.cpp
+++ b/tests/settings/gateway_settings.cpp
@@ -30,6 +30,22 @@
               std::vector<std::string>{"10.0.0.2", "10.0.0.3"});
         CHECK(read.value().link_rate == Approx(950'000));
         CHECK(read.value().stop_grace == 8000ms);
+        CHECK(read.value().drain_time == 800ms);
+        CHECK(read.value().closed_part == Approx(0.34));
+    }
+    SECTION("how a side loads versions")
+    {
+        const auto read = cj::gateway_settings::parse(
+            "s.ini",
+            side_text + "[rollout]\ndrain_time=300ms\nclosed_percent=25\n");
+        REQUIRE(read);
+        CHECK(read.value().drain_time == 300ms);
+        CHECK(read.value().closed_part == Approx(0.25));
+        const auto wrong = cj::gateway_settings::parse(
+            "s.ini", side_text + "[rollout]\nclosed_percent=0\n");
+        REQUIRE_FALSE(wrong);
+        CHECK(wrong.error().message.starts_with(
+            "s.ini: [rollout] closed_percent: "));
     }
     SECTION("an unknown key is named with file and section")
     {
