Expect what other entries send; let lateness fade

Change: an entry expects that half of the others send as often as it does, to what is predicted soonest (e-fold by 40 ms), since the last status; lateness halves toward one each 2 s.

--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -284,6 +284,7 @@
                        {"inside", text(at.load.running)},
                        {"unread_tokens", text(at.load.unread_tokens)},
                        {"load_age_ms", text(at.load.age_ms)},
+                       {"expected", text(at.load.expected)},
                        {"version", std::to_string(at.version)},
                        {"left_ms", std::to_string(left.count())}});
         one.call = client.start(std::move(call), callbacks(one.number));
@@ -390,7 +391,8 @@
         book.began(one.at.upstream, one.attempt);
         const auto took = to_seconds(event_loop::now() - one.sent);
         constexpr double ms = 1000;
-        book.seen(one.at.upstream, one.at.uncorrected_ms, took * ms);
+        book.seen(one.at.upstream, one.at.uncorrected_ms, took * ms,
+                  event_loop::now());
         counters.observe("first_event_seconds", took);
         if (!one.streaming)
             log::decision("first_event",
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -6,6 +6,8 @@
 #define COURSEJUNCTION_ROUTE_PLACEMENT_HPP
 
 #include <algorithm>
+#include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,6 +28,9 @@
     /*! @brief Entries prefer different upstreams by up to this much, so that
      * those that learn of a free one at once do not all choose it. */
     double spread_ms{60};
+    /*! @brief Upstreams whose predictions differ by this much are e times as
+     * likely to be chosen by other entries; about half of `spread_ms`. */
+    double alike_ms{40};
     /*! @brief What a share of failed attempts costs. */
     double fault_ms{600};
     /*! @brief What it costs that an upstream's side is silent: its instance may
@@ -69,30 +74,36 @@
         std::optional<upstream_choice> best;
         double least_cost = 0;
         why = {};
-        for (const auto& [id, one] : book.all())
+        const auto all = candidates(book, service, request, now);
+        const auto rates = others_rates(book, service, all, now);
+        for (std::size_t at = 0; at < all.size(); ++at)
         {
-            if (!usable(one, request, now))
-                continue;
-            const auto predicted = predict(book, one, service, request, now);
+            const auto& one = *all[at].upstream;
+            const auto load =
+                service.engine ? book.load(one, *service.engine, now, rates[at])
+                               : engine_load{};
+            const auto predicted =
+                service.engine
+                    ? predict(book, one, *service.engine, load, request, now)
+                    : all[at].predicted_ms;
             why.least_ms =
                 why.usable == 0 ? predicted : std::min(why.least_ms, predicted);
             ++why.usable;
-            if (!fits(one, service, request, predicted, now))
+            if (!fits(one, service, request, predicted))
                 continue;
             const auto cost = predicted + penalty(one, now);
             if (best && cost >= least_cost)
                 continue;
             least_cost = cost;
             best = upstream_choice{
-                id,
+                one.record.id,
                 one.record.address,
                 predicted,
-                predicted / correction(book, one),
+                predicted / correction(book, one, now),
                 request.model.empty()
                     ? 0
                     : upstream_book::version(one, request.model, now),
-                service.engine ? book.load(one, *service.engine, now)
-                               : engine_load{}};
+                load};
         }
         return best;
     }
@@ -118,26 +129,83 @@
         return version > 0 && version >= request.least_version;
     }
 
+    /*! @brief An upstream that may be used, as its last status tells. */
+    struct candidate
+    {
+        const known_upstream* upstream{nullptr};
+        double predicted_ms{0};
+    };
+
+    [[nodiscard]] static std::vector<candidate>
+    candidates(const upstream_book& book, const service_profile& service,
+               const placement_request& request, time_point now)
+    {
+        std::vector<candidate> all;
+        for (const auto& [id, one] : book.all())
+        {
+            if (!usable(one, request, now))
+                continue;
+            const auto predicted =
+                service.engine ? predict(book, one, *service.engine,
+                                         book.load(one, *service.engine, now),
+                                         request, now)
+                               : plain_ms(one, request);
+            all.push_back({&one, predicted});
+        }
+        return all;
+    }
+
+    /*! @brief Returns the requests a second that other entries are expected to
+     * send to each candidate: they prefer, as this one does, what is predicted
+     * soonest. Without this, all entries choose an upstream that has just
+     * opened before any of them hears of the others' requests. */
+    [[nodiscard]] std::vector<double>
+    others_rates(const upstream_book& book, const service_profile& service,
+                 const std::vector<candidate>& all, time_point now) const
+    {
+        std::vector<double> rates(all.size(), 0.0);
+        if (!service.engine || all.empty())
+            return rates;
+        const auto soonest =
+            std::min_element(all.begin(), all.end(),
+                             [](const candidate& a, const candidate& b)
+                             { return a.predicted_ms < b.predicted_ms; })
+                ->predicted_ms;
+        double sum = 0;
+        for (std::size_t at = 0; at < all.size(); ++at)
+        {
+            rates[at] =
+                std::exp((soonest - all[at].predicted_ms) / weights.alike_ms);
+            sum += rates[at];
+        }
+        const auto total = book.others_rate(now);
+        for (auto& one : rates)
+            one *= total / sum;
+        return rates;
+    }
+
     /*! @brief Returns how many times later first events come here lately. */
     [[nodiscard]] static double correction(const upstream_book& book,
-                                           const known_upstream& one)
+                                           const known_upstream& one,
+                                           time_point now)
     {
-        return std::max(one.lateness, book.lateness());
+        return std::max(one.lateness.value(now), book.lateness(now));
     }
 
-    [[nodiscard]] static double predict(const upstream_book& book,
-                                        const known_upstream& one,
-                                        const service_profile& service,
-                                        const placement_request& request,
-                                        time_point now)
+    [[nodiscard]] static double
+    predict(const upstream_book& book, const known_upstream& one,
+            const engine_profile& engine, const engine_load& load,
+            const placement_request& request, time_point now)
+    {
+        return first_event_ms(engine, load, request.prompt) *
+               correction(book, one, now);
+    }
+
+    /*! @brief Returns the ms of a plain upstream: what waits beyond its slots,
+     * in units of a request that takes a quarter of its target. */
+    [[nodiscard]] static double plain_ms(const known_upstream& one,
+                                         const placement_request& request)
     {
-        if (service.engine)
-            return first_event_ms(*service.engine,
-                                  book.load(one, *service.engine, now),
-                                  request.prompt) *
-                   correction(book, one);
-        // A plain upstream: what waits beyond its slots, in units of a request
-        // that takes half of its target.
         const auto inside = static_cast<double>(one.attempts.size());
         const auto slots =
             static_cast<double>(std::max<std::size_t>(one.record.slots, 1));
@@ -147,8 +215,8 @@
 
     [[nodiscard]] bool fits(const known_upstream& one,
                             const service_profile& service,
-                            const placement_request& request, double predicted,
-                            time_point) const
+                            const placement_request& request,
+                            double predicted) const
     {
         if (request.must)
             return true;
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -17,6 +17,8 @@
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/fleet/installation.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
+#include "coursejunction/route/fading_ratio.hpp"
+#include "coursejunction/route/send_rate.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
 namespace coursejunction
@@ -40,7 +42,7 @@
     std::size_t ended_since_status{0};
     unsigned failures{0};  /*!< In a row. */
     double fault_share{0}; /*!< Smoothed share of attempts that failed. */
-    double lateness{1};    /*!< Smoothed seen over predicted time. */
+    fading_ratio lateness; /*!< Seen over predicted time. */
     time_point avoid_until{};
     std::optional<time_point> lapses_at; /*!< Its record went in an outage. */
 };
@@ -132,6 +134,8 @@
                time_point now)
     {
         book[id].attempts[attempt] = open_attempt{now, prompt, false};
+        if (prompt > 0)
+            engine_sends.sent(now);
     }
 
     /*! @brief The first event of an attempt came. */
@@ -179,7 +183,8 @@
     }
 
     /*! @brief Compares what was predicted with what was seen. */
-    void seen(const instance_id& id, double predicted_ms, double seen_ms)
+    void seen(const instance_id& id, double predicted_ms, double seen_ms,
+              time_point now)
     {
         const auto found = book.find(id);
         if (found == book.end() || predicted_ms <= 0)
@@ -188,17 +193,16 @@
         constexpr double all_smoothing = 0.15;
         constexpr double most = 8;
         const auto ratio = std::clamp(seen_ms / predicted_ms, 0.5, most);
-        found->second.lateness +=
-            (ratio - found->second.lateness) * own_smoothing;
-        all_lateness += (ratio - all_lateness) * all_smoothing;
+        found->second.lateness.seen(ratio, own_smoothing, now);
+        all_lateness.seen(ratio, all_smoothing, now);
     }
 
     /*! @brief Returns how many times later than predicted first events come
      * lately, at all upstreams together: what everybody sends unseen shows
      * here first. */
-    [[nodiscard]] double lateness() const
+    [[nodiscard]] double lateness(time_point now) const
     {
-        return std::max(all_lateness, 1.0);
+        return std::max(all_lateness.value(now), 1.0);
     }
 
     [[nodiscard]] const known_upstream* find(const instance_id& id) const
@@ -238,14 +242,20 @@
                     static_cast<double>(std::max<std::size_t>(count, 1) - 1);
     }
 
+    /*! @brief Returns how many requests a second other entries are expected to
+     * send to engines that this one considers: as many as this one each. */
+    [[nodiscard]] double others_rate(time_point now) const
+    {
+        return engine_sends.per_second(now) * (sharers - 1);
+    }
+
     /*! @brief Returns what an engine is believed to be doing now.
-     *
-     * What this entry sent since the last status stands for what all entries
-     * did: they see the same loads and choose alike, above all an upstream that
-     * has just opened with nothing to do. */
+     * @param others Requests a second that other entries are expected to send
+     * there. They see the same loads and choose alike, above all an upstream
+     * that has just opened with nothing to do. */
     [[nodiscard]] engine_load load(const known_upstream& one,
-                                   const engine_profile& engine,
-                                   time_point now) const
+                                   const engine_profile& engine, time_point now,
+                                   double others = 0) const
     {
         engine_load made;
         const bool fresh = one.status && now - one.status_at <= status_validity;
@@ -264,8 +274,10 @@
             own_unread += 1;
             (unseen ? new_unread : seen_unread) += attempt.prompt;
         }
-        made.running = new_attempts * sharers;
-        made.unread_tokens = seen_unread + new_unread * sharers;
+        // Without a status what this entry sent stands for what all did.
+        const auto copies = fresh ? 1 : sharers;
+        made.running = new_attempts * copies;
+        made.unread_tokens = seen_unread + new_unread * copies;
         if (!fresh)
             return made;
         const auto told =
@@ -276,9 +288,13 @@
         constexpr double ms = 1000;
         made.age_ms = to_seconds(now - one.status_at) * ms;
         // Others' prompts that wait are not told: a usual one each.
-        const auto others = std::max(
+        const auto waiting = std::max(
             0.0, static_cast<double>(one.status->waiting) - own_unread);
-        made.unread_tokens += others * engine.usual_prompt;
+        made.unread_tokens += waiting * engine.usual_prompt;
+        made.expected = others * made.age_ms / ms;
+        made.running += made.expected;
+        made.unread_tokens += others * std::min(made.age_ms, reading_ms) / ms *
+                              engine.usual_prompt;
         return made;
     }
 
@@ -287,6 +303,9 @@
      * upstream between two of its statuses; those of other halls prefer their
      * own. */
     static constexpr double share_of_others = 0.5;
+    /*! @brief Prompts that came earlier have been read: two passes of a busy
+     * engine of the installations. */
+    static constexpr double reading_ms = 150;
     static constexpr milliseconds avoid_least{300};
     static constexpr unsigned most_doublings = 3;
 
@@ -311,7 +330,8 @@
 
     std::map<instance_id, known_upstream> book;
     double sharers{1};
-    double all_lateness{1};
+    fading_ratio all_lateness;
+    send_rate engine_sends; /*!< Of this entry, to all engines. */
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -553,8 +553,8 @@
     {
         if (from.kind == chunk_source::origin_kind::origin &&
             origin_pending < limits.origin_pending &&
-            now >= origin_after + (stand_in ? stand_in_pauses : 0) *
-                                      origin_backoff)
+            now >= origin_after +
+                       (stand_in ? stand_in_pauses : 0) * origin_backoff)
             ask(requests, at, transfer_request::kind::origin, {}, now,
                 longest_origin_request);
         if (from.kind == chunk_source::origin_kind::peer &&
--- a/tests/route/placement.cpp
+++ b/tests/route/placement.cpp
@@ -200,8 +200,26 @@
     GIVEN("five entries that see the same empty upstream")
     {
         book.entries(5);
-        CHECK(load().running == Approx(3));
-        CHECK(load().unread_tokens == Approx(3000));
+        THEN("two of the others are taken to send as often as this one")
+        {
+            const auto own = 1 / cj::to_seconds(cj::send_rate::span);
+            CHECK(book.others_rate(now + 20ms) == Approx(2 * own));
+        }
+        THEN("what they send since its status is counted beside the own one")
+        {
+            const auto load =
+                book.load(*book.find(id), *service.engine, now + 50ms, 40.0);
+            CHECK(load.expected == Approx(2));
+            CHECK(load.running == Approx(3));
+            CHECK(load.unread_tokens ==
+                  Approx(1000 + 2 * service.engine->usual_prompt));
+        }
+        THEN("without a status the own request stands for theirs")
+        {
+            const auto later = now + 5s;
+            CHECK(book.load(*book.find(id), *service.engine, later).running ==
+                  Approx(3));
+        }
         AND_WHEN("a status tells of it")
         {
             auto told = status(2);
@@ -215,6 +233,72 @@
     }
 }
 
+SCENARIO("entries do not all choose an upstream that has just opened",
+         "[route]")
+{
+    constexpr std::size_t entry_count = 16;
+    constexpr std::size_t upstream_count = 25;
+    const auto service = llm();
+    cj::time_point now{100s};
+    std::vector<cj::upstream_book> books(entry_count);
+    std::vector<cj::placer> placers;
+    for (std::size_t at = 0; at < entry_count; ++at)
+        placers.emplace_back(cj::placement_weights{}, cj::hall_id("north"),
+                             "10.0.0." + std::to_string(100 + at));
+    const auto tell = [&](std::uint64_t sequence)
+    {
+        for (auto& book : books)
+        {
+            book.entries(entry_count);
+            for (std::size_t at = 0; at < upstream_count; ++at)
+            {
+                const auto host = "10.1.0." + std::to_string(at + 1);
+                auto told = status(sequence);
+                told.running = at == 0 ? 0 : 2;
+                book.record(
+                    record("up" + std::to_string(at), "north", host + ":80"));
+                book.status(host, told, now);
+            }
+        }
+    };
+    std::uint64_t number = 0;
+    std::size_t chosen = 0;
+    const auto send = [&](std::size_t entry)
+    {
+        cj::no_placement why;
+        auto& book = books[entry];
+        const auto at =
+            placers[entry].choose(book, service, wanted(), now, why);
+        if (!at)
+            return;
+        chosen += at->upstream.value() == "up0" ? 1 : 0;
+        book.begin(at->upstream, ++number, 1000, now);
+        book.end(at->upstream, number, true, now);
+    };
+
+    // Each entry sends 30 requests a second, one after another; statuses come
+    // each 50 ms until one is late.
+    tell(1);
+    for (int step = 0; step < 480; ++step)
+    {
+        now += 2083us;
+        if (step % 24 == 0)
+            tell(static_cast<std::uint64_t>(step) + 2);
+        send(static_cast<std::size_t>(step) % entry_count);
+    }
+    chosen = 0;
+    for (int step = 0; step < 48; ++step)
+    {
+        now += 2083us;
+        send(static_cast<std::size_t>(step) % entry_count);
+    }
+    THEN("in the 100 ms after its last status it gets a few, not one of each")
+    {
+        CHECK(chosen >= 1);
+        CHECK(chosen <= entry_count / 2);
+    }
+}
+
 SCENARIO("first events that come late correct the prediction", "[route]")
 {
     cj::upstream_book book;
@@ -231,18 +315,27 @@
     WHEN("they come three times later than predicted at one upstream")
     {
         for (int at = 0; at < 200; ++at)
-            book.seen(cj::instance_id("far"), 100, 300);
+            book.seen(cj::instance_id("far"), 100, 300, now);
         THEN("all predictions rise: others send what this entry does not see")
         {
             const auto after =
                 places.choose(book, llm(), wanted(), now, why)->predicted_ms;
             CHECK(after == Approx(3 * before).epsilon(0.05));
         }
+        THEN("but not for long after a shortage is over")
+        {
+            const auto later = now + 10s;
+            book.status("10.0.0.1", status(2), later);
+            book.status("10.0.0.2", status(2), later);
+            const auto after =
+                places.choose(book, llm(), wanted(), later, why)->predicted_ms;
+            CHECK(after < 1.1 * before);
+        }
     }
     WHEN("they come sooner")
     {
         for (int at = 0; at < 200; ++at)
-            book.seen(cj::instance_id("far"), 100, 60);
+            book.seen(cj::instance_id("far"), 100, 60, now);
         THEN("a prediction is not trusted to be too high")
         {
             CHECK(
--- /dev/null
+++ b/tests/route/send_rate.cpp
@@ -0,0 +1,26 @@
+#include "coursejunction/route/send_rate.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+SCENARIO("the rate of sends is smoothed", "[route]")
+{
+    cj::send_rate rate;
+    cj::time_point now{100s};
+    CHECK(rate.per_second(now) == Approx(0));
+    GIVEN("a send each 25 ms")
+    {
+        for (int at = 0; at < 200; ++at)
+            rate.sent(now += 25ms);
+        THEN("it is 40 a second")
+        {
+            CHECK(rate.per_second(now) == Approx(40).epsilon(0.05));
+        }
+        THEN("it falls when none follow")
+        {
+            CHECK(rate.per_second(now + 3s) < 0.2);
+        }
+    }
+}
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -218,8 +218,7 @@
     }
 }
 
-SCENARIO("after an outage of the origin each chunk is drawn once",
-         "[transfer]")
+SCENARIO("after an outage of the origin each chunk is drawn once", "[transfer]")
 {
     cj::planner_limits limits;
     limits.stall_floor = 700ms;
