Expect of others only what the own sends do not stand for

Change: what other entries are expected to send counts only beyond an equal share and beyond what the own sends stand for; lateness no longer fades.

--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -391,8 +391,7 @@
         book.began(one.at.upstream, one.attempt);
         const auto took = to_seconds(event_loop::now() - one.sent);
         constexpr double ms = 1000;
-        book.seen(one.at.upstream, one.at.uncorrected_ms, took * ms,
-                  event_loop::now());
+        book.seen(one.at.upstream, one.at.uncorrected_ms, took * ms);
         counters.observe("first_event_seconds", took);
         if (!one.streaming)
             log::decision("first_event",
--- a/src/coursejunction/route/engine_estimate.hpp
+++ b/src/coursejunction/route/engine_estimate.hpp
@@ -20,7 +20,7 @@
     double unread_tokens{0}; /*!< Prompt tokens that wait to be read. */
     double pace{1};          /*!< How many times slower than its figures. */
     double age_ms{0};        /*!< Since this was told. */
-    double expected{0};      /*!< Sent by others since then, as expected. */
+    double expected{0}; /*!< Sent since then by others, beyond the usual. */
 };
 
 /*! @brief Returns the ms of one token for each of the running requests. */
@@ -55,9 +55,9 @@
  *
  * The pass under way ends; prompts that wait are read, a chunk a pass, with
  * the writers' strides in between; then the first stride is written. What
- * others send meanwhile is read in the same pass: as many as the engine usually
- * takes in that time. When every place is taken, one frees after the holding
- * time over the places. */
+ * others send meanwhile, or have sent since the load was told, is read in the
+ * same pass: as many as the engine usually takes in that time. When every
+ * place is taken, one frees after the holding time over the places. */
 [[nodiscard]] inline double first_event_ms(const engine_profile& engine,
                                            const engine_load& load,
                                            double prompt)
@@ -73,7 +73,7 @@
     const auto reading =
         read_ms(engine, prompt) + load.unread_tokens / engine.read_per_ms;
     const auto arrivals = inside / holding_ms(engine);
-    const auto companions = arrivals * (stride / 2 + reading) *
+    const auto companions = arrivals * (stride / 2 + reading + load.age_ms) *
                             read_ms(engine, engine.usual_prompt);
     auto total = stride / 2 + reading + companions + passes * stride;
     if (inside >= slots)
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -99,7 +99,7 @@
                 one.record.id,
                 one.record.address,
                 predicted,
-                predicted / correction(book, one, now),
+                predicted / correction(book, one),
                 request.model.empty()
                     ? 0
                     : upstream_book::version(one, request.model, now),
@@ -156,9 +156,10 @@
     }
 
     /*! @brief Returns the requests a second that other entries are expected to
-     * send to each candidate: they prefer, as this one does, what is predicted
-     * soonest. Without this, all entries choose an upstream that has just
-     * opened before any of them hears of the others' requests. */
+     * send to each candidate beyond an equal share: they prefer, as this one
+     * does, what is predicted soonest. Without this, all entries choose an
+     * upstream that has just opened before any of them hears of the others'
+     * requests. */
     [[nodiscard]] std::vector<double>
     others_rates(const upstream_book& book, const service_profile& service,
                  const std::vector<candidate>& all, time_point now) const
@@ -179,26 +180,27 @@
             sum += rates[at];
         }
         const auto total = book.others_rate(now);
+        const auto equal = total / static_cast<double>(all.size());
         for (auto& one : rates)
-            one *= total / sum;
+            one = std::max(0.0, one / sum * total - equal);
         return rates;
     }
 
     /*! @brief Returns how many times later first events come here lately. */
     [[nodiscard]] static double correction(const upstream_book& book,
-                                           const known_upstream& one,
-                                           time_point now)
+                                           const known_upstream& one)
     {
-        return std::max(one.lateness.value(now), book.lateness(now));
+        return std::max(one.lateness, book.lateness());
     }
 
-    [[nodiscard]] static double
-    predict(const upstream_book& book, const known_upstream& one,
-            const engine_profile& engine, const engine_load& load,
-            const placement_request& request, time_point now)
+    [[nodiscard]] static double predict(const upstream_book& book,
+                                        const known_upstream& one,
+                                        const engine_profile& engine,
+                                        const engine_load& load,
+                                        const placement_request& request)
     {
         return first_event_ms(engine, load, request.prompt) *
-               correction(book, one, now);
+               correction(book, one);
     }
 
     /*! @brief Returns the ms of a plain upstream: what waits beyond its slots,
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -17,7 +17,6 @@
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/fleet/installation.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
-#include "coursejunction/route/fading_ratio.hpp"
 #include "coursejunction/route/send_rate.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
@@ -42,7 +41,7 @@
     std::size_t ended_since_status{0};
     unsigned failures{0};  /*!< In a row. */
     double fault_share{0}; /*!< Smoothed share of attempts that failed. */
-    fading_ratio lateness; /*!< Seen over predicted time. */
+    double lateness{1};    /*!< Smoothed seen over predicted time. */
     time_point avoid_until{};
     std::optional<time_point> lapses_at; /*!< Its record went in an outage. */
 };
@@ -183,8 +182,7 @@
     }
 
     /*! @brief Compares what was predicted with what was seen. */
-    void seen(const instance_id& id, double predicted_ms, double seen_ms,
-              time_point now)
+    void seen(const instance_id& id, double predicted_ms, double seen_ms)
     {
         const auto found = book.find(id);
         if (found == book.end() || predicted_ms <= 0)
@@ -193,16 +191,17 @@
         constexpr double all_smoothing = 0.15;
         constexpr double most = 8;
         const auto ratio = std::clamp(seen_ms / predicted_ms, 0.5, most);
-        found->second.lateness.seen(ratio, own_smoothing, now);
-        all_lateness.seen(ratio, all_smoothing, now);
+        found->second.lateness +=
+            (ratio - found->second.lateness) * own_smoothing;
+        all_lateness += (ratio - all_lateness) * all_smoothing;
     }
 
     /*! @brief Returns how many times later than predicted first events come
      * lately, at all upstreams together: what everybody sends unseen shows
      * here first. */
-    [[nodiscard]] double lateness(time_point now) const
+    [[nodiscard]] double lateness() const
     {
-        return std::max(all_lateness.value(now), 1.0);
+        return std::max(all_lateness, 1.0);
     }
 
     [[nodiscard]] const known_upstream* find(const instance_id& id) const
@@ -250,9 +249,11 @@
     }
 
     /*! @brief Returns what an engine is believed to be doing now.
+     * What this entry sent since the last status stands for what all entries
+     * did: they see the same loads and choose alike. Where it has sent nothing
+     * yet, as to an upstream that has just opened, `others` stands for them.
      * @param others Requests a second that other entries are expected to send
-     * there. They see the same loads and choose alike, above all an upstream
-     * that has just opened with nothing to do. */
+     * there beyond those that every upstream gets. */
     [[nodiscard]] engine_load load(const known_upstream& one,
                                    const engine_profile& engine, time_point now,
                                    double others = 0) const
@@ -274,10 +275,9 @@
             own_unread += 1;
             (unseen ? new_unread : seen_unread) += attempt.prompt;
         }
-        // Without a status what this entry sent stands for what all did.
-        const auto copies = fresh ? 1 : sharers;
-        made.running = new_attempts * copies;
-        made.unread_tokens = seen_unread + new_unread * copies;
+        // What this entry sent stands for what all did.
+        made.running = new_attempts * sharers;
+        made.unread_tokens = seen_unread + new_unread * sharers;
         if (!fresh)
             return made;
         const auto told =
@@ -292,9 +292,13 @@
             0.0, static_cast<double>(one.status->waiting) - own_unread);
         made.unread_tokens += waiting * engine.usual_prompt;
         made.expected = others * made.age_ms / ms;
-        made.running += made.expected;
-        made.unread_tokens += others * std::min(made.age_ms, reading_ms) / ms *
-                              engine.usual_prompt;
+        made.running +=
+            std::max(0.0, made.expected - new_attempts * (sharers - 1));
+        const auto expected_unread = others *
+                                     std::min(made.age_ms, reading_ms) / ms *
+                                     engine.usual_prompt;
+        made.unread_tokens +=
+            std::max(0.0, expected_unread - new_unread * (sharers - 1));
         return made;
     }
 
@@ -330,7 +334,7 @@
 
     std::map<instance_id, known_upstream> book;
     double sharers{1};
-    fading_ratio all_lateness;
+    double all_lateness{1};
     send_rate engine_sends; /*!< Of this entry, to all engines. */
 };
 
