--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -84,7 +84,7 @@
                                : engine_load{};
             const auto predicted =
                 service.engine
-                    ? predict(book, one, *service.engine, load, request, now)
+                    ? predict(book, one, *service.engine, load, request)
                     : all[at].predicted_ms;
             why.least_ms =
                 why.usable == 0 ? predicted : std::min(why.least_ms, predicted);
@@ -146,10 +146,10 @@
             if (!usable(one, request, now))
                 continue;
             const auto predicted =
-                service.engine ? predict(book, one, *service.engine,
-                                         book.load(one, *service.engine, now),
-                                         request, now)
-                               : plain_ms(one, request);
+                service.engine
+                    ? predict(book, one, *service.engine,
+                              book.load(one, *service.engine, now), request)
+                    : plain_ms(one, request);
             all.push_back({&one, predicted});
         }
         return all;
