Ask for few chunks at once over a narrow link

Resets do not help there: the bytes are under way. Ruled out: entries that send late (it was sent 4.3 s after the naming, 3.7 s early). Change: transfer/call_window halves what may be on its way after a chunk that took 0.8 s or more, and opens again by one after each that came within 0.4 s.

--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -394,6 +394,7 @@
         limits.origin_pause = options.origin_pause;
         limits.lonely = options.lonely;
         limits.first_copy = options.first_copy;
+        limits.slow_chunk = options.slow_chunk;
         limits.pending = holder_calls;
         limits.origin_pending = 2;
         limits.waiting = waiting_calls;
--- a/src/coursejunction/transfer/chunk_transfer_options.hpp
+++ b/src/coursejunction/transfer/chunk_transfer_options.hpp
@@ -48,6 +48,9 @@
     /*! @brief The hall has no copy of a chunk for this long: the origin's link
      * gives the whole version in 1.7 s. */
     milliseconds first_copy{2300};
+    /*! @brief A chunk that takes this long from its call shows a narrow link:
+     * the longest queue of a sender with a whole link is 0.5 s. */
+    milliseconds slow_chunk{800};
     /*! @brief Without a chunk for this long, a transfer stands still; at rest
      * one comes every 50 ms. */
     milliseconds still{700};
--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "coursejunction/core/assert.hpp"
+#include "coursejunction/transfer/call_window.hpp"
 #include "coursejunction/transfer/source_policy.hpp"
 
 namespace coursejunction
@@ -35,6 +36,9 @@
     /*! @brief A chunk that nobody of the hall has this long after the beginning
      * is asked of stand-ins; zero for never. */
     milliseconds first_copy{0};
+    /*! @brief A peer's chunk that takes this long shows that the own link is
+     * narrow: fewer are asked at once; zero for never. */
+    milliseconds slow_chunk{0};
     std::uint32_t seed{1};
 };
 
@@ -69,7 +73,8 @@
     transfer_planner(manifest of, instance_id self, planner_limits set,
                      Policy how, time_point now)
         : plan(std::move(of)), own(std::move(self)), limits(set),
-          policy(std::move(how)), random(set.seed), chunks(plan.size()),
+          policy(std::move(how)), random(set.seed),
+          window(set.pending, set.slow_chunk), chunks(plan.size()),
           missing(plan.size()), flow_began(now), last_news(now),
           last_arrival(now)
     {
@@ -366,7 +371,11 @@
             return;
         const auto took = now - one.asked_at;
         if (one.how == transfer_request::kind::holder)
+        {
             chunk_seconds += (to_seconds(took) - chunk_seconds) * smoothing;
+            window.took(
+                std::chrono::duration_cast<std::chrono::microseconds>(took));
+        }
         if (one.how == transfer_request::kind::origin)
             origin_backoff = milliseconds(0);
     }
@@ -444,6 +453,9 @@
                 const auto number = holder_number(one.asked_peer);
                 if (number)
                     holders[*number].not_before = now + least_deadline;
+                window.took(
+                    std::chrono::duration_cast<std::chrono::microseconds>(
+                        now - one.asked_at));
             }
             settle(at);
         }
@@ -552,21 +564,22 @@
                           time_point now, bool stand_in)
     {
         if (from.kind == chunk_source::origin_kind::origin &&
-            origin_pending < limits.origin_pending &&
+            origin_pending < window.limit(limits.origin_pending) &&
             now >= origin_after +
                        (stand_in ? stand_in_pauses : 0) * origin_backoff)
             ask(requests, at, transfer_request::kind::origin, {}, now,
                 longest_origin_request);
         if (from.kind == chunk_source::origin_kind::peer &&
-            waiting_pending < limits.waiting && !banned(from.peer) &&
-            from.peer != own && now >= refused_until[from.peer])
+            waiting_pending < window.limit(limits.waiting) &&
+            !banned(from.peer) && from.peer != own &&
+            now >= refused_until[from.peer])
             ask(requests, at, transfer_request::kind::waiting, from.peer, now,
                 longest_origin_request);
     }
 
     void ask_holders(std::vector<transfer_request>& requests, time_point now)
     {
-        while (holder_pending < limits.pending)
+        while (holder_pending < window.limit(limits.pending))
         {
             if (!ask_best_holder(requests, now))
                 return;
@@ -629,6 +642,7 @@
     planner_limits limits;
     Policy policy;
     std::minstd_rand random;
+    call_window window;
     std::vector<chunk_state> chunks;
     std::vector<chunk_index> open;
     std::vector<holder_state> holders;
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -380,3 +380,34 @@
         }
     }
 }
+
+SCENARIO("a narrow link is not filled with chunks", "[transfer]")
+{
+    cj::planner_limits limits;
+    limits.slow_chunk = 800ms;
+    const cj::instance_id p("p");
+    const auto play = [&](cj::milliseconds each)
+    {
+        auto plan = make(60, limits);
+        auto now = start;
+        std::size_t last = 0;
+        for (int round = 0; round < 8; ++round)
+        {
+            plan.holds(p, range(60), 0, now);
+            const auto asked = plan.next(now);
+            last = count(asked, kind::holder);
+            now += each;
+            for (const auto& one : asked)
+                plan.held(one.chunk, now);
+        }
+        return last;
+    };
+    THEN("chunks that take long are asked one at a time")
+    {
+        CHECK(play(1200ms) == 1);
+    }
+    THEN("others as many at once as ever")
+    {
+        CHECK(play(150ms) == 4);
+    }
+}
