--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -409,7 +409,7 @@
         }
         const auto known = now - fleet.named_at(wanted.model, wanted.version);
         return may_close(options.turns, instance_id(own), others,
-                         next.turn_key(), known);
+                         wanted.rank_key(), known);
     }
 
     /*! @brief Tells the entries first, then gives the order. */
--- a/src/coursejunction/rollout/upstream_engine.hpp
+++ b/src/coursejunction/rollout/upstream_engine.hpp
@@ -55,6 +55,12 @@
     std::string model;
     std::uint64_t version{0};
 
+    /*! @brief Returns the name by which sides are ranked for this version. */
+    [[nodiscard]] std::string rank_key() const
+    {
+        return model + std::to_string(version);
+    }
+
     friend bool operator==(const model_version&,
                            const model_version&) = default;
 };
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -25,10 +25,11 @@
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
 #include "coursejunction/transfer/chunk_transfer_options.hpp"
-#include "coursejunction/transfer/manifest_route.hpp"
+#include "coursejunction/transfer/manifest_fetch.hpp"
 #include "coursejunction/transfer/paced_uploads.hpp"
 #include "coursejunction/transfer/staging.hpp"
 #include "coursejunction/transfer/transfer_planner.hpp"
+#include "coursejunction/transfer/transfer_surroundings.hpp"
 #include "coursejunction/transfer/upload_order.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
@@ -43,14 +44,7 @@
     : public std::enable_shared_from_this<chunk_transfer<Engine, Origin>>
 {
 public:
-    /*! @brief What the owner knows of the surroundings. */
-    struct surroundings
-    {
-        std::function<std::string()> origin; /*!< Address; empty if none. */
-        std::function<std::vector<participant>()> participants;
-        std::function<std::string(const instance_id&)> peer_port;
-        paced_uploads* uploads{nullptr};
-    };
+    using surroundings = transfer_surroundings;
 
     chunk_transfer(event_loop& owner, stream_client& carrier, Engine& beside,
                    Origin& from, metrics& counted, model_version wanted,
@@ -70,7 +64,14 @@
     }
 
     /*! @brief Begins; the object is held by a shared pointer. */
-    void start() { ask_manifest(); }
+    void start()
+    {
+        manifests = std::make_shared<manifest_fetch<Origin>>(
+            loop, client, origin, what, own, view, options,
+            guarded([this](manifest list)
+                    { manifest_known(std::move(list)); }));
+        manifests->start();
+    }
 
     /*! @brief Lets chunks be fetched from peers and the origin. Until then only
      * what the upstream has staged is read. */
@@ -85,12 +86,6 @@
 
     [[nodiscard]] const model_version& version() const { return what; }
 
-    /*! @brief Returns the name under which sides take turns. */
-    [[nodiscard]] std::string turn_key() const
-    {
-        return what.model + std::to_string(what.version);
-    }
-
     /*! @brief Lets chunks be put to the upstream, which has room for one
      * version only. */
     void stage()
@@ -194,7 +189,7 @@
         if (store && store->contains(at))
             return give_now(at, std::move(reply),
                             wait ? upload_order::urgent
-                                 : order_of(turn_key(), peer));
+                                 : order_of(what.rank_key(), peer));
         if (!wait)
             return reply.send(404, {}, "");
         waiters[at].push_back({std::move(reply), event_loop::now()});
@@ -245,90 +240,6 @@
 
     // --- Manifest --------------------------------------------------------
 
-    /*! @brief Asks the sides before this one in its hall's tree, and the origin
-     * when there are none or they do not give it. */
-    void ask_manifest()
-    {
-        const auto before =
-            manifest_sources(turn_key(), view.participants(), own);
-        if (manifest_calls < options.tree_calls && !before.empty())
-        {
-            const auto step = manifest_calls / options.calls_each;
-            const auto& peer = before[std::min(step, before.size() - 1)];
-            ++manifest_calls;
-            return ask_manifest_of(peer,
-                                   [this](const std::string&) {
-                                       retry =
-                                           loop.after(options.tree_pause, [this]
-                                                      { ask_manifest(); });
-                                   });
-        }
-        ask_manifest_of_origin();
-    }
-
-    void ask_manifest_of_origin()
-    {
-        const auto address = view.origin();
-        if (address.empty())
-            return ask_manifest_later("no origin is configured");
-        origin.chunks(address, what,
-                      guarded(
-                          [this](result<manifest> answer)
-                          {
-                              if (answer)
-                                  return manifest_known(
-                                      std::move(answer.value()));
-                              ask_manifest_of_any(answer.error().message);
-                          }));
-    }
-
-    /*! @brief The origin does not answer: any side may know the manifest. */
-    void ask_manifest_of_any(const std::string& why)
-    {
-        const auto all = view.participants();
-        if (all.empty())
-            return ask_manifest_later(why);
-        const auto& peer = all[manifest_peer++ % all.size()].id;
-        if (peer == own)
-            return ask_manifest_later(why);
-        ask_manifest_of(peer, [this, why](const std::string&)
-                        { ask_manifest_later(why); });
-    }
-
-    void ask_manifest_of(const instance_id& peer,
-                         std::function<void(const std::string&)> failed)
-    {
-        stream_call call;
-        call.address = view.peer_port(peer);
-        call.target = "/chunks?model=" + what.model +
-                      "&version=" + std::to_string(what.version);
-        call.timeout = options.manifest_time;
-        call.repeatable = true;
-        client.gather(
-            std::move(call),
-            guarded(
-                [this, failed = std::move(failed)](
-                    const stream_client::answer& answer)
-                {
-                    auto read = answer.is(200)
-                                    ? manifest::from_lines(answer.body)
-                                    : result<manifest>(failure(
-                                          error_kind::unavailable, answer.why));
-                    if (read)
-                        return manifest_known(std::move(read.value()));
-                    failed(read.error().message);
-                }));
-    }
-
-    void ask_manifest_later(const std::string& why)
-    {
-        log::state("manifest_missing",
-                   {{"model", what.model},
-                    {"version", std::to_string(what.version)},
-                    {"why", why}});
-        retry = loop.after(options.manifest_pause, [this] { ask_manifest(); });
-    }
-
     void manifest_known(manifest list)
     {
         log::state("manifest_known", {{"model", what.model},
@@ -545,14 +456,13 @@
             return;
         // The manifest itself may have come spoilt, from the origin or from a
         // side that took it so: the origin is asked again.
-        manifest_calls = options.tree_calls;
         planner.reset();
         ticking.stop();
         store.reset();
         put_chunks.clear();
         put_queue.clear();
         local_read = false;
-        ask_manifest_later("chunks do not match the manifest");
+        manifests->distrust("chunks do not match the manifest");
     }
 
     void chunk_here(chunk_index at)
@@ -745,13 +655,11 @@
     std::set<chunk_index> put_chunks;
     std::set<chunk_index> putting;
     std::deque<chunk_index> put_queue;
-    std::size_t manifest_peer{0};
-    std::size_t manifest_calls{0}; /*!< Of sides before this one. */
+    std::shared_ptr<manifest_fetch<Origin>> manifests;
     bool local_read{false};
     bool fetching{false};
     bool staging_allowed{false};
     timer ticking;
-    timer retry;
     timer put_again;
 };
 
--- /dev/null
+++ b/src/coursejunction/transfer/manifest_fetch.hpp
@@ -0,0 +1,160 @@
+/*! @file
+ * @brief Brings the manifest of one version to one instance.
+ */
+#ifndef COURSEJUNCTION_TRANSFER_MANIFEST_FETCH_HPP
+#define COURSEJUNCTION_TRANSFER_MANIFEST_FETCH_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/stream_client.hpp"
+#include "coursejunction/rollout/upstream_engine.hpp"
+#include "coursejunction/transfer/chunk_transfer_options.hpp"
+#include "coursejunction/transfer/manifest.hpp"
+#include "coursejunction/transfer/manifest_route.hpp"
+#include "coursejunction/transfer/transfer_surroundings.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Asks sides, then the origin, then any side, until a manifest comes.
+ * @tparam Origin A `Weight_origin`. */
+template <typename Origin>
+class manifest_fetch
+    : public std::enable_shared_from_this<manifest_fetch<Origin>>
+{
+public:
+    /*! @param told Given the manifest, each time one was asked for. */
+    manifest_fetch(event_loop& owner, stream_client& carrier, Origin& from,
+                   model_version wanted, instance_id self,
+                   transfer_surroundings around, chunk_transfer_options set,
+                   std::function<void(manifest)> told)
+        : loop(owner), client(carrier), origin(from), what(std::move(wanted)),
+          own(std::move(self)), view(std::move(around)), options(set),
+          known(std::move(told))
+    {
+    }
+
+    /*! @brief Begins; the object is held by a shared pointer. */
+    void start() { ask(); }
+
+    /*! @brief The manifest that came was wrong: the origin is asked. */
+    void distrust(const std::string& why)
+    {
+        calls = options.tree_calls;
+        ask_later(why);
+    }
+
+private:
+    template <typename Call>
+    auto guarded(Call call)
+    {
+        return [weak = this->weak_from_this(),
+                call = std::move(call)](auto&&... values)
+        {
+            if (const auto held = weak.lock())
+                call(std::forward<decltype(values)>(values)...);
+        };
+    }
+
+    /*! @brief Asks the sides before this one in its hall's tree, and the origin
+     * when there are none or they do not give it. */
+    void ask()
+    {
+        const auto before =
+            manifest_sources(what.rank_key(), view.participants(), own);
+        if (calls < options.tree_calls && !before.empty())
+        {
+            const auto step = calls / options.calls_each;
+            const auto& peer = before[std::min(step, before.size() - 1)];
+            ++calls;
+            return ask_side(
+                peer, [this](const std::string&)
+                { retry = loop.after(options.tree_pause, [this] { ask(); }); });
+        }
+        ask_origin();
+    }
+
+    void ask_origin()
+    {
+        const auto address = view.origin();
+        if (address.empty())
+            return ask_later("no origin is configured");
+        origin.chunks(address, what,
+                      guarded(
+                          [this](result<manifest> answer)
+                          {
+                              if (answer)
+                                  return known(std::move(answer.value()));
+                              ask_any(answer.error().message);
+                          }));
+    }
+
+    /*! @brief The origin does not answer: any side may know the manifest. */
+    void ask_any(const std::string& why)
+    {
+        const auto all = view.participants();
+        if (all.empty())
+            return ask_later(why);
+        const auto& peer = all[next_peer++ % all.size()].id;
+        if (peer == own)
+            return ask_later(why);
+        ask_side(peer, [this, why](const std::string&) { ask_later(why); });
+    }
+
+    void ask_side(const instance_id& peer,
+                  std::function<void(const std::string&)> failed)
+    {
+        stream_call call;
+        call.address = view.peer_port(peer);
+        call.target = "/chunks?model=" + what.model +
+                      "&version=" + std::to_string(what.version);
+        call.timeout = options.manifest_time;
+        call.repeatable = true;
+        client.gather(
+            std::move(call),
+            guarded(
+                [this, failed = std::move(failed)](
+                    const stream_client::answer& answer)
+                {
+                    auto read = answer.is(200)
+                                    ? manifest::from_lines(answer.body)
+                                    : result<manifest>(failure(
+                                          error_kind::unavailable, answer.why));
+                    if (read)
+                        return known(std::move(read.value()));
+                    failed(read.error().message);
+                }));
+    }
+
+    void ask_later(const std::string& why)
+    {
+        log::state("manifest_missing",
+                   {{"model", what.model},
+                    {"version", std::to_string(what.version)},
+                    {"why", why}});
+        retry = loop.after(options.manifest_pause, [this] { ask(); });
+    }
+
+    event_loop& loop;
+    stream_client& client;
+    Origin& origin;
+    model_version what;
+    instance_id own;
+    transfer_surroundings view;
+    chunk_transfer_options options;
+    std::function<void(manifest)> known;
+    std::size_t next_peer{0};
+    std::size_t calls{0}; /*!< Of sides before this one. */
+    timer retry;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/transfer/transfer_surroundings.hpp
@@ -0,0 +1,28 @@
+/*! @file
+ * @brief What a transfer needs to know of its instance and its peers.
+ */
+#ifndef COURSEJUNCTION_TRANSFER_TRANSFER_SURROUNDINGS_HPP
+#define COURSEJUNCTION_TRANSFER_TRANSFER_SURROUNDINGS_HPP
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "coursejunction/transfer/paced_uploads.hpp"
+#include "coursejunction/transfer/source_policy.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Looked up at each use: all of it changes while a transfer runs. */
+struct transfer_surroundings
+{
+    std::function<std::string()> origin; /*!< Address; empty if none. */
+    std::function<std::vector<participant>()> participants;
+    std::function<std::string(const instance_id&)> peer_port;
+    paced_uploads* uploads{nullptr}; /*!< Shared by all transfers. */
+};
+
+} // namespace coursejunction
+
+#endif
