Tell a process's state on request

GET /state on the status port answers what an entry believes of its peers and of each upstream (loads with their age, failures, why one is avoided), and how far each version is at a side. The platform's roles had metrics only. Test: daemon/state_dump.

--- /dev/null
+++ b/src/coursejunction/daemon/state_dump.cpp
@@ -0,0 +1,125 @@
+#include "coursejunction/daemon/state_dump.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace coursejunction
+{
+
+namespace internal
+{
+
+using nlohmann::json;
+
+constexpr int indent = 1;
+constexpr double ms = 1000;
+
+/*! @brief Returns an age in ms, or null for what never was. */
+json age_of(time_point when, time_point now)
+{
+    if (when == time_point{})
+        return nullptr;
+    return static_cast<std::int64_t>(to_seconds(now - when) * ms);
+}
+
+json peers_of(const peer_directory& peers, time_point now)
+{
+    auto list = json::array();
+    for (const auto& [address, one] : peers.all())
+        list.push_back({{"address", address},
+                        {"role", one.entry ? "entry" : "side"},
+                        {"alive", peer_directory::alive(one, now)},
+                        {"heard_ms_ago", age_of(one.heard, now)},
+                        {"hall", one.last.hall},
+                        {"revision", one.last.mirror_revision},
+                        {"leaving", one.last.leaving},
+                        {"watching", one.last.watching}});
+    return list;
+}
+
+json upstream_of(const known_upstream& one, time_point now)
+{
+    json made{
+        {"id", one.record.id.value()},
+        {"service", one.record.service.value()},
+        {"address", one.record.address},
+        {"hall", one.record.hall.value()},
+        {"slots", one.record.slots},
+        {"leaving", one.record.leaving},
+        {"lapsed", one.lapses_at.has_value()},
+        {"own_attempts", one.attempts.size()},
+        {"failures_in_a_row", one.failures},
+        {"fault_share", one.fault_share},
+        {"lateness", one.lateness},
+        {"avoided_for_ms", std::max<std::int64_t>(
+                               0, static_cast<std::int64_t>(
+                                      to_seconds(one.avoid_until - now) * ms))},
+        {"side_silent", upstream_book::side_silent(one, now)}};
+    if (one.status)
+        made["status"] = {{"told_ms_ago", age_of(one.status_at, now)},
+                          {"model", one.status->model},
+                          {"version", one.status->version},
+                          {"open", one.status->open},
+                          {"reachable", one.status->reachable},
+                          {"running", one.status->running},
+                          {"waiting", one.status->waiting},
+                          {"pace", one.status->pace}};
+    return made;
+}
+
+json versions_of(const agent_state& agent)
+{
+    auto list = json::array();
+    for (const auto& one : agent.versions)
+        list.push_back({{"version", one.version},
+                        {"chunks", one.chunks},
+                        {"held", one.held},
+                        {"staged", one.staged}});
+    return list;
+}
+
+json engine_of(const engine_report& one)
+{
+    return {{"model", one.model},     {"version", one.version},
+            {"orders", one.sequence}, {"ordered", one.ordered},
+            {"running", one.running}, {"waiting", one.waiting},
+            {"pace", one.pace}};
+}
+
+} // namespace internal
+
+std::string entry_dump(const store_mirror& mirror, const peer_directory& peers,
+                       const upstream_book& book, const entry_load& load,
+                       time_point now)
+{
+    auto upstreams = internal::json::array();
+    for (const auto& [id, one] : book.all())
+        upstreams.push_back(internal::upstream_of(one, now));
+    const internal::json made{{"role", "entry"},
+                              {"mirror_revision", mirror.revision()},
+                              {"open_requests", load.open},
+                              {"queued_requests", load.queued},
+                              {"peers", internal::peers_of(peers, now)},
+                              {"upstreams", std::move(upstreams)}};
+    return made.dump(internal::indent) + "\n";
+}
+
+std::string side_dump(const store_mirror& mirror, const peer_directory& peers,
+                      const agent_state& agent, time_point now)
+{
+    internal::json made{{"role", "side"},
+                        {"mirror_revision", mirror.revision()},
+                        {"reachable", agent.reachable},
+                        {"closing", agent.closing},
+                        {"ordered_version", agent.ordered_version},
+                        {"staged_version", agent.staged_version},
+                        {"uploads_waiting", agent.uploads_waiting},
+                        {"versions", internal::versions_of(agent)},
+                        {"peers", internal::peers_of(peers, now)}};
+    if (agent.upstream)
+        made["upstream"] = internal::engine_of(*agent.upstream);
+    return made.dump(internal::indent) + "\n";
+}
+
+} // namespace coursejunction
--- a/src/coursejunction/daemon/status_page.cpp
+++ b/src/coursejunction/daemon/status_page.cpp
@@ -14,17 +14,20 @@
         return made;
     auto server = http_server::create(
         address, port, {},
-        [&loop, &counters](http_request request,
-                           std::shared_ptr<http_reply> reply)
+        [&loop, &counters, state = made->state](
+            http_request request, std::shared_ptr<http_reply> reply)
         {
             loop.post(
-                [&counters, path = std::move(request.path),
+                [&counters, state, path = std::move(request.path),
                  reply = std::move(reply)]
                 {
                     if (path == "/metrics")
                         reply->send(200, "text/plain", {}, counters.text());
+                    else if (path == "/state" && state->dump)
+                        reply->send(200, "application/json", {}, state->dump());
                     else
-                        reply->send(404, "text/plain", {}, "only /metrics\n");
+                        reply->send(404, "text/plain", {},
+                                    "only /metrics and /state\n");
                 });
         });
     if (!server)
@@ -33,4 +36,9 @@
     return made;
 }
 
+void status_page::describe(std::function<std::string()> dump)
+{
+    state->dump = std::move(dump);
+}
+
 } // namespace coursejunction
--- a/src/coursejunction/daemon/status_page.hpp
+++ b/src/coursejunction/daemon/status_page.hpp
@@ -1,10 +1,11 @@
 /*! @file
- * @brief Serves a process's metrics to whoever collects them.
+ * @brief Serves a process's metrics and its state to whoever asks.
  */
 #ifndef COURSEJUNCTION_DAEMON_STATUS_PAGE_HPP
 #define COURSEJUNCTION_DAEMON_STATUS_PAGE_HPP
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -16,7 +17,7 @@
 namespace coursejunction
 {
 
-/*! @brief `GET /metrics` on a port of its own. */
+/*! @brief `GET /metrics` and `GET /state` on a port of its own. */
 class status_page
 {
 public:
@@ -27,7 +28,16 @@
     create(event_loop& loop, metrics& counters, const std::string& address,
            std::uint16_t port);
 
+    /*! @brief Sets what `/state` answers; called on the loop's thread. */
+    void describe(std::function<std::string()> dump);
+
 private:
+    struct described
+    {
+        std::function<std::string()> dump;
+    };
+
+    std::shared_ptr<described> state{std::make_shared<described>()};
     std::unique_ptr<http_server> server;
 };
 
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -91,6 +91,7 @@
     [[nodiscard]] const fleet_view<Platform>& view() const { return fleet; }
     [[nodiscard]] const upstream_book& upstreams() const { return book; }
     [[nodiscard]] std::size_t open_requests() const { return exchanges.size(); }
+    [[nodiscard]] std::size_t queued() const { return exchanges.queued(); }
 
 private:
     /*! @brief How often lapses, readiness and a stop are looked at. */
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -20,6 +20,7 @@
 #include "coursejunction/fleet/fleet_view.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
+#include "coursejunction/rollout/agent_state.hpp"
 #include "coursejunction/rollout/turn_policy.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
 #include "coursejunction/rollout/version_order.hpp"
@@ -97,6 +98,21 @@
 
     [[nodiscard]] const fleet_view<Platform>& view() const { return fleet; }
 
+    /*! @brief Returns what this side believes now. */
+    [[nodiscard]] agent_state state() const
+    {
+        agent_state made;
+        made.upstream = last;
+        made.reachable = reachable;
+        made.closing = closing;
+        made.ordered_version = ordered_version;
+        made.staged_version = staged_version;
+        made.uploads_waiting = uploads.size();
+        for (const auto& [version, one] : transfers)
+            made.versions.push_back(one->progress());
+        return made;
+    }
+
 private:
     // --- What is wanted --------------------------------------------------
 
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -23,6 +23,7 @@
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/rollout/agent_state.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
 #include "coursejunction/transfer/chunk_transfer_options.hpp"
 #include "coursejunction/transfer/manifest_fetch.hpp"
@@ -119,6 +120,13 @@
                put_chunks.size() == store->of().size();
     }
 
+    /*! @brief Returns how far this version is. */
+    [[nodiscard]] version_progress progress() const
+    {
+        return {what.version, store ? store->of().size() : 0,
+                store ? store->size() : 0, put_chunks.size()};
+    }
+
     /*! @brief Returns what others may be told. */
     [[nodiscard]] message::chunk_possession possession() const
     {
