--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -243,7 +243,7 @@
                     {"serves", std::to_string(last->version)}});
         found = std::make_shared<transfer_type>(
             loop, node.client(), engine, origin, counters, wanted,
-            instance_id(own), surroundings(), chunk_transfer_options{});
+            instance_id(own), surroundings(), transfer_options);
         found->start();
     }
 
@@ -260,6 +260,7 @@
         around.peer_port = [this](const instance_id& id)
         { return node.peer_port(id.value()); };
         around.uploads = &uploads;
+        around.window = window;
         return around;
     }
 
@@ -596,6 +597,9 @@
     std::string own;
     fleet_view<Platform> fleet;
     paced_uploads uploads;
+    chunk_transfer_options transfer_options;
+    std::shared_ptr<call_window> window{std::make_shared<call_window>(
+        transfer_options.holder_calls, transfer_options.slow_chunk)};
     std::map<std::uint64_t, std::shared_ptr<transfer_type>> transfers;
     std::optional<engine_report> last;
     std::uint64_t status_sequence{0};
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -214,10 +214,6 @@
     }
 
 private:
-    /*! @brief Chunks asked of holders at once: what arrives together holds up
-     * the requests that arrive on the same link. */
-    static constexpr std::size_t holder_calls = 4;
-
     /*! @brief Chunks waited for at first sources of other halls. */
     static constexpr std::size_t waiting_calls = 8;
 
@@ -314,13 +310,13 @@
         limits.lonely = options.lonely;
         limits.first_copy = options.first_copy;
         limits.slow_chunk = options.slow_chunk;
-        limits.pending = holder_calls;
+        limits.pending = options.holder_calls;
         limits.origin_pending = 2;
         limits.waiting = waiting_calls;
         limits.seed =
             static_cast<std::uint32_t>(std::hash<std::string>{}(own.value()));
         planner.emplace(store->of(), own, limits, swarm_policy(),
-                        event_loop::now());
+                        event_loop::now(), view.window);
         for (const auto at : store->held())
             planner->held(at, event_loop::now());
         ticking = loop.every(options.tick, [this] { plan(); });
--- a/src/coursejunction/transfer/chunk_transfer_options.hpp
+++ b/src/coursejunction/transfer/chunk_transfer_options.hpp
@@ -14,6 +14,9 @@
 /*! @brief Times and numbers of a transfer. */
 struct chunk_transfer_options
 {
+    /*! @brief Chunks asked of holders at once: what arrives together holds up
+     * the requests that arrive on the same link. */
+    std::size_t holder_calls{4};
     /*! @brief Longest call of a peer; a chunk of 32 KiB takes 35 ms alone on a
      * link of 7.6 Mbit/s and ten times that on a shared one. */
     milliseconds peer_time{2500};
--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -70,13 +71,18 @@
     /*! @brief Peers that sent this many bad chunks are asked no more. */
     static constexpr std::size_t max_bad = 2;
 
+    /*! @param link How narrow the own link was seen to be, shared by all
+     * versions that come over it; none makes one for this plan alone. */
     transfer_planner(manifest of, instance_id self, planner_limits set,
-                     Policy how, time_point now)
+                     Policy how, time_point now,
+                     std::shared_ptr<call_window> link = nullptr)
         : plan(std::move(of)), own(std::move(self)), limits(set),
           policy(std::move(how)), random(set.seed),
-          window(set.pending, set.slow_chunk), chunks(plan.size()),
-          missing(plan.size()), flow_began(now), last_news(now),
-          last_arrival(now)
+          window(link ? std::move(link)
+                      : std::make_shared<call_window>(set.pending,
+                                                      set.slow_chunk)),
+          chunks(plan.size()), missing(plan.size()), flow_began(now),
+          last_news(now), last_arrival(now)
     {
         for (chunk_index at = 0; at < chunks.size(); ++at)
             open.push_back(at);
@@ -373,7 +379,7 @@
         if (one.how == transfer_request::kind::holder)
         {
             chunk_seconds += (to_seconds(took) - chunk_seconds) * smoothing;
-            window.took(
+            window->took(
                 std::chrono::duration_cast<std::chrono::microseconds>(took));
         }
         if (one.how == transfer_request::kind::origin)
@@ -453,7 +459,7 @@
                 const auto number = holder_number(one.asked_peer);
                 if (number)
                     holders[*number].not_before = now + least_deadline;
-                window.took(
+                window->took(
                     std::chrono::duration_cast<std::chrono::microseconds>(
                         now - one.asked_at));
             }
@@ -564,13 +570,13 @@
                           time_point now, bool stand_in)
     {
         if (from.kind == chunk_source::origin_kind::origin &&
-            origin_pending < window.limit(limits.origin_pending) &&
+            origin_pending < window->limit(limits.origin_pending) &&
             now >= origin_after +
                        (stand_in ? stand_in_pauses : 0) * origin_backoff)
             ask(requests, at, transfer_request::kind::origin, {}, now,
                 longest_origin_request);
         if (from.kind == chunk_source::origin_kind::peer &&
-            waiting_pending < window.limit(limits.waiting) &&
+            waiting_pending < window->limit(limits.waiting) &&
             !banned(from.peer) && from.peer != own &&
             now >= refused_until[from.peer])
             ask(requests, at, transfer_request::kind::waiting, from.peer, now,
@@ -579,7 +585,7 @@
 
     void ask_holders(std::vector<transfer_request>& requests, time_point now)
     {
-        while (holder_pending < window.limit(limits.pending))
+        while (holder_pending < window->limit(limits.pending))
         {
             if (!ask_best_holder(requests, now))
                 return;
@@ -642,7 +648,7 @@
     planner_limits limits;
     Policy policy;
     std::minstd_rand random;
-    call_window window;
+    std::shared_ptr<call_window> window;
     std::vector<chunk_state> chunks;
     std::vector<chunk_index> open;
     std::vector<holder_state> holders;
--- a/src/coursejunction/transfer/transfer_surroundings.hpp
+++ b/src/coursejunction/transfer/transfer_surroundings.hpp
@@ -5,9 +5,11 @@
 #define COURSEJUNCTION_TRANSFER_TRANSFER_SURROUNDINGS_HPP
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "coursejunction/transfer/call_window.hpp"
 #include "coursejunction/transfer/paced_uploads.hpp"
 #include "coursejunction/transfer/source_policy.hpp"
 
@@ -21,6 +23,8 @@
     std::function<std::vector<participant>()> participants;
     std::function<std::string(const instance_id&)> peer_port;
     paced_uploads* uploads{nullptr}; /*!< Shared by all transfers. */
+    /*! @brief What may be on its way over the own link, for all versions. */
+    std::shared_ptr<call_window> window;
 };
 
 } // namespace coursejunction
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -410,4 +410,20 @@
     {
         CHECK(play(150ms) == 4);
     }
+    THEN("a version that comes after another one knows the link")
+    {
+        const auto link = std::make_shared<cj::call_window>(limits.pending,
+                                                            limits.slow_chunk);
+        for (int chunk = 0; chunk < 3; ++chunk)
+            link->took(2s);
+        planner next(fixtures::manifest_of(fixtures::model_bytes(60)),
+                     cj::instance_id("me"), limits, cj::swarm_policy(), start,
+                     link);
+        next.participants(hall_of_three(), start);
+        next.holds(p, range(30), 0, start);
+        const auto asked = next.next(start);
+        CHECK(count(asked, kind::holder) == 1);
+        CHECK(count(asked, kind::origin) <= 1);
+        CHECK(count(asked, kind::waiting) <= 1);
+    }
 }
