--- a/src/coursejunction/daemon/status_page.cpp
+++ b/src/coursejunction/daemon/status_page.cpp
@@ -23,11 +23,11 @@
                 {
                     if (path == "/metrics")
                         reply->send(200, "text/plain", {}, counters.text());
-                    else if (path == "/state" && state->dump)
+                    else if (path == "/dump" && state->dump)
                         reply->send(200, "application/json", {}, state->dump());
                     else
                         reply->send(404, "text/plain", {},
-                                    "only /metrics and /state\n");
+                                    "only /metrics and /dump\n");
                 });
         });
     if (!server)
--- a/src/coursejunction/daemon/status_page.hpp
+++ b/src/coursejunction/daemon/status_page.hpp
@@ -17,7 +17,7 @@
 namespace coursejunction
 {
 
-/*! @brief `GET /metrics` and `GET /state` on a port of its own. */
+/*! @brief `GET /metrics` and `GET /dump` on a port of its own. */
 class status_page
 {
 public:
@@ -28,7 +28,7 @@
     create(event_loop& loop, metrics& counters, const std::string& address,
            std::uint16_t port);
 
-    /*! @brief Sets what `/state` answers; called on the loop's thread. */
+    /*! @brief Sets what `/dump` answers; called on the loop's thread. */
     void describe(std::function<std::string()> dump);
 
 private:
