Leave a first source that stalls for the one that stands in

Change: a peer is passed over in the first pass while its chunk stalls; the origin is not. Test: transfer_planner (never elsewhere before).

--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -521,9 +521,9 @@
         {
             const auto at = open[(start + step) % open.size()];
             auto& one = chunks[at];
-            const auto late = stand_in ? late_level(one, now) : 0;
-            const auto level = stand_in ? std::max(stall_level, late) : 0;
-            if (stand_in && level == 0)
+            const auto late = late_level(one, now);
+            const auto stalled = std::max(stall_level, late);
+            if (stand_in && stalled == 0)
                 continue;
             const bool asked_long = one.asked && late > 0 &&
                                     now - one.asked_at > limits.lonely &&
@@ -532,8 +532,11 @@
                 (Policy::uses_possession && one.holders != 0 && late == 0))
                 continue;
             ++examined;
-            const auto from = policy.source(at, living, level);
+            const auto from = policy.source(at, living, stand_in ? stalled : 0);
+            // A peer that stalls is left for the one that stands in for it.
             if (from.kind == chunk_source::origin_kind::none ||
+                (!stand_in && stalled > 0 &&
+                 from.kind == chunk_source::origin_kind::peer) ||
                 (one.asked && from.peer == one.asked_peer))
                 continue;
             if (asked_long)
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -1,5 +1,7 @@
 #include "coursejunction/transfer/transfer_planner.hpp"
 
+#include <map>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -381,6 +383,37 @@
     }
 }
 
+SCENARIO("a first source that stalls is not waited for again and again",
+         "[transfer]")
+{
+    // The only instance of its hall: it waits for owners in another region.
+    const cj::region_id here("x");
+    const cj::region_id there("y");
+    const std::vector<cj::participant> all{
+        {cj::instance_id("me"), cj::hall_id("a"), here},
+        {cj::instance_id("p"), cj::hall_id("b"), there},
+        {cj::instance_id("q"), cj::hall_id("b"), there}};
+    cj::planner_limits limits;
+    limits.stall_floor = 700ms;
+    planner plan(fixtures::manifest_of(fixtures::model_bytes(60)),
+                 cj::instance_id("me"), limits, cj::swarm_policy(), start);
+    plan.participants(all, start);
+    std::map<cj::chunk_index, cj::instance_id> first;
+    std::size_t elsewhere = 0;
+    for (auto now = start; now < start + 3s; now += 100ms)
+    {
+        plan.heard(cj::instance_id("p"), now);
+        plan.heard(cj::instance_id("q"), now);
+        for (const auto& one : plan.next(now))
+        {
+            const auto seen = first.emplace(one.chunk, one.peer);
+            if (!seen.second && seen.first->second != one.peer)
+                ++elsewhere;
+        }
+    }
+    CHECK(elsewhere > 0);
+}
+
 SCENARIO("a narrow link is not filled with chunks", "[transfer]")
 {
     cj::planner_limits limits;
