--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -15,13 +15,13 @@
 #include <utility>
 #include <vector>
 
-#include "coursejunction/core/log.hpp"
 #include "coursejunction/fleet/installation.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/exchange_log.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
 #include "coursejunction/route/placement.hpp"
@@ -141,13 +141,7 @@
     {
         counters.count("requests_refused_total", 1,
                        {{"status", std::to_string(status)}});
-        log::problem("request_rejected",
-                     {{"request", one.asked.id.value()},
-                      {"status", std::to_string(status)},
-                      {"configuration",
-                       current ? std::to_string(current->version) : "none"},
-                      {"host", one.asked.host},
-                      {"path", one.asked.path}});
+        exchange_log::rejected(one, status, current.get());
         constexpr milliseconds soon{500};
         one.reply.send(
             status,
@@ -199,10 +193,7 @@
             {
                 one.in_queue = true;
                 waiting.push_back(one.number);
-                log::decision("request_queued",
-                              {{"request", one.asked.id.value()},
-                               {"usable", std::to_string(why.usable)},
-                               {"least_ms", text(why.least_ms)}});
+                exchange_log::queued(one, why);
             }
             return;
         }
@@ -213,18 +204,10 @@
 
     void refuse(exchange& one, const no_placement& why)
     {
-        const auto target = static_cast<double>(one.route->target.count());
-        const auto wait = come_back_after(why, target);
+        const auto wait = come_back_after(
+            why, static_cast<double>(one.route->target.count()));
         counters.count("requests_refused_total", 1, {{"status", "503"}});
-        log::problem("request_refused",
-                     {{"request", one.asked.id.value()},
-                      {"route", one.route->name},
-                      {"reason", why.usable == 0 ? "no usable upstream"
-                                                 : "target would be missed"},
-                      {"usable", std::to_string(why.usable)},
-                      {"least_ms", text(why.least_ms)},
-                      {"target_ms", text(target)},
-                      {"retry_after_ms", std::to_string(wait.count())}});
+        exchange_log::refused(one, why, wait);
         one.reply.send(503, Codec::refusal_headers(wait), "");
         forget(one);
     }
@@ -276,17 +259,7 @@
         call.repeatable = one.route->repeatable() && !ends_soon(one, now);
         book.begin(at.upstream, one.attempt, one.asked.prompt_tokens, now);
         counters.count("attempts_total");
-        log::decision("request_sent",
-                      {{"request", one.asked.id.value()},
-                       {"upstream", at.upstream.value()},
-                       {"attempt", std::to_string(one.tried.size())},
-                       {"predicted_ms", text(at.predicted_ms)},
-                       {"inside", text(at.load.running)},
-                       {"unread_tokens", text(at.load.unread_tokens)},
-                       {"load_age_ms", text(at.load.age_ms)},
-                       {"expected", text(at.load.expected)},
-                       {"version", std::to_string(at.version)},
-                       {"left_ms", std::to_string(left.count())}});
+        exchange_log::sent(one, left);
         one.call = client.start(std::move(call), callbacks(one.number));
         arm_silence(one);
     }
@@ -389,24 +362,12 @@
     {
         one.progressed = true;
         book.began(one.at.upstream, one.attempt);
-        const auto took = to_seconds(event_loop::now() - one.sent);
+        const auto now = event_loop::now();
+        const auto took = to_seconds(now - one.sent);
         constexpr double ms = 1000;
         book.seen(one.at.upstream, one.at.uncorrected_ms, took * ms);
         counters.observe("first_event_seconds", took);
-        if (!one.streaming)
-            log::decision("first_event",
-                          {{"request", one.asked.id.value()},
-                           {"upstream", one.at.upstream.value()},
-                           {"predicted_ms", text(one.at.predicted_ms)},
-                           {"seen_ms", text(took * ms)}});
-        else
-            log::decision(
-                "stream_resumed",
-                {{"request", one.asked.id.value()},
-                 {"upstream", one.at.upstream.value()},
-                 {"predicted_ms", text(one.at.predicted_ms)},
-                 {"gap_ms",
-                  text(to_seconds(event_loop::now() - one.failed_at) * ms)}});
+        exchange_log::first_event(one, now);
     }
 
     void begin_stream(exchange& one)
@@ -504,13 +465,7 @@
         // What never arrived costs the service nothing.
         const bool paid = again && (reach == attempt_reach::not_sent ||
                                     budget(one.service).spend(now));
-        log::problem("attempt_failed",
-                     {{"request", one.asked.id.value()},
-                      {"upstream", one.at.upstream.value()},
-                      {"why", why},
-                      {"may_have_run", may_have_run ? "true" : "false"},
-                      {"sent_again", paid ? "true" : "false"},
-                      {"after_ms", text(to_seconds(now - one.sent) * 1000)}});
+        exchange_log::attempt_failed(one, why, may_have_run, paid, now);
         if (paid)
             return place(one);
         give_up(one, again ? "retry budget is spent" : why);
@@ -587,15 +542,7 @@
         book.end(one.at.upstream, one.attempt, good, event_loop::now());
         counters.count("requests_answered_total", 1,
                        {{"status", std::to_string(one.head.status)}});
-        log::decision(
-            "request_answered",
-            {{"request", one.asked.id.value()},
-             {"upstream", one.at.upstream.value()},
-             {"status", std::to_string(one.head.status)},
-             {"outcome", how},
-             {"events", std::to_string(one.events.size())},
-             {"took_ms",
-              text(to_seconds(event_loop::now() - one.arrived) * 1000)}});
+        exchange_log::answered(one, how, event_loop::now());
         forget(one);
     }
 
@@ -604,16 +551,7 @@
     {
         counters.count("requests_failed_total", 1,
                        {{"outcome", std::string(outcome)}});
-        log::problem(
-            "request_failed",
-            {{"request", one.asked.id.value()},
-             {"outcome", std::string(outcome)},
-             {"why", why},
-             {"attempts", std::to_string(one.tried.size())},
-             {"upstream", one.at.upstream.value()},
-             {"events", std::to_string(one.events.size())},
-             {"took_ms",
-              text(to_seconds(event_loop::now() - one.arrived) * 1000)}});
+        exchange_log::failed(one, outcome, why, event_loop::now());
     }
 
     void leave_queue(exchange& one)
@@ -656,11 +594,6 @@
         return found;
     }
 
-    static std::string text(double value)
-    {
-        return std::to_string(static_cast<std::int64_t>(value));
-    }
-
     /*! @brief Attempts at most, those that certainly did not run included. */
     static constexpr std::size_t most_tries = 3;
     static constexpr double target_part = 0.9;
