--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "coursejunction/core/guarded.hpp"
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
@@ -234,12 +235,7 @@
     template <typename Call>
     auto guarded(Call call)
     {
-        return [weak = this->weak_from_this(),
-                call = std::move(call)](auto&&... values)
-        {
-            if (const auto held = weak.lock())
-                call(std::forward<decltype(values)>(values)...);
-        };
+        return guarded_by(this->weak_from_this(), std::move(call));
     }
 
     // --- Manifest --------------------------------------------------------
--- a/src/coursejunction/transfer/manifest_fetch.hpp
+++ b/src/coursejunction/transfer/manifest_fetch.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "coursejunction/core/guarded.hpp"
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/stream_client.hpp"
@@ -55,12 +56,7 @@
     template <typename Call>
     auto guarded(Call call)
     {
-        return [weak = this->weak_from_this(),
-                call = std::move(call)](auto&&... values)
-        {
-            if (const auto held = weak.lock())
-                call(std::forward<decltype(values)>(values)...);
-        };
+        return guarded_by(this->weak_from_this(), std::move(call));
     }
 
     /*! @brief Asks the sides before this one in its hall's tree, and the origin
