--- /dev/null
+++ b/bench/load_sweep.cpp
@@ -0,0 +1,115 @@
+/*! @file
+ * @brief Replays loads in virtual time and prints a table: how many callers are
+ * in time, late or refused, for fleets and loads of choice.
+ */
+#include <algorithm>
+#include <cstdint>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <cxxopts.hpp>
+
+#include "route/load_replay.hpp"
+
+namespace
+{
+
+/*! @brief What a fleet ends, in requests a second for each engine: measured in
+ * the replay at 1.3 times of it. */
+constexpr double ended_per_engine = 12.15;
+
+struct fleet
+{
+    std::size_t entries{0};
+    std::size_t engines{0};
+};
+
+/*! @brief Reads `5x12,14x45`.
+ * @return Nothing of what is not a pair of numbers. */
+std::vector<fleet> fleets(const std::string& text)
+{
+    std::vector<fleet> made;
+    std::istringstream parts(text);
+    std::string part;
+    while (std::getline(parts, part, ','))
+    {
+        std::istringstream pair(part);
+        fleet one;
+        char times = 0;
+        if (pair >> one.entries >> times >> one.engines && times == 'x')
+            made.push_back(one);
+        else
+            std::cerr << "load_sweep: '" << part
+                      << "' is not ENTRIESxENGINES\n";
+    }
+    return made;
+}
+
+void play(const fleet& size, double load, std::uint64_t seed, double seconds)
+{
+    load_replay::pattern played;
+    played.entries = size.entries;
+    played.engines = size.engines;
+    played.seconds = seconds;
+    played.seed = seed;
+    const double rate =
+        ended_per_engine * static_cast<double>(size.engines) * load;
+    played.rate = [rate](double) { return rate; };
+    const auto result = load_replay::player(played).play();
+    double worst = 1;
+    double best = 0;
+    for (const auto& [entry, one] : result.entries)
+    {
+        worst = std::min(worst, one.in_time_part());
+        best = std::max(best, one.in_time_part());
+    }
+    std::cout << size.entries << ',' << size.engines << ',' << load << ','
+              << seed << ',' << result.all.in_time_part() << ','
+              << result.all.late / result.all.asked << ','
+              << result.all.refused / result.all.asked << ',' << worst << ','
+              << best;
+    for (const auto& [kind, one] : result.kinds)
+        std::cout << ',' << one.in_time_part();
+    std::cout << '\n';
+}
+
+} // namespace
+
+int main(int count, char** words)
+{
+    cxxopts::Options options("load_sweep", "Replays loads in virtual time");
+    auto add = options.add_options();
+    add("fleets", "ENTRIESxENGINES, separated by commas",
+        cxxopts::value<std::string>()->default_value("5x12,14x45"));
+    add("loads", "times what the engines can end",
+        cxxopts::value<std::vector<double>>()->default_value("0.85,1.0,1.3,2"));
+    add("seeds", "seeds of each",
+        cxxopts::value<std::uint64_t>()->default_value("3"));
+    add("seconds", "length of a replay",
+        cxxopts::value<double>()->default_value("20"));
+    add("help", "this text");
+    try
+    {
+        const auto chosen = options.parse(count, words);
+        if (chosen.count("help") > 0)
+        {
+            std::cout << options.help();
+            return 0;
+        }
+        std::cout << "entries,engines,load,seed,in_time,late,refused,"
+                     "worst_entry,best_entry,long,middle,short\n";
+        for (const auto& size : fleets(chosen["fleets"].as<std::string>()))
+            for (const auto load : chosen["loads"].as<std::vector<double>>())
+                for (std::uint64_t seed = 1;
+                     seed <= chosen["seeds"].as<std::uint64_t>(); ++seed)
+                    play(size, load, seed, chosen["seconds"].as<double>());
+    }
+    catch (const cxxopts::exceptions::exception& fault)
+    {
+        std::cerr << "load_sweep: " << fault.what() << '\n';
+        return 2;
+    }
+    return 0;
+}
