One constant for the soonest time to come back

It stood twice with the same value (200 ms), in exchange_options and in admission_weights; the answers of given-up requests now take the second.

--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -35,7 +35,6 @@
     /*! @brief Retries of a window beside those, of all entries together; the
      * smallest allowance of the installations seen is 104. */
     double retry_reserve{80};
-    milliseconds least_retry_after{200};
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -473,6 +473,12 @@
         give_up(one, again ? "retry budget is spent" : why);
     }
 
+    /*! @brief Returns when a caller may come back that no overload refused. */
+    [[nodiscard]] milliseconds least_wait() const
+    {
+        return options.dispatch.admission.least_retry_after;
+    }
+
     /*! @brief No attempt is left: the final answer, at once. */
     void give_up(exchange& one, const std::string& why)
     {
@@ -487,11 +493,9 @@
             return forget(one);
         }
         const bool not_run = one.runs == 0;
-        one.reply.send(not_run ? 503 : 502,
-                       not_run
-                           ? Codec::refusal_headers(options.least_retry_after)
-                           : header_list{},
-                       "");
+        one.reply.send(
+            not_run ? 503 : 502,
+            not_run ? Codec::refusal_headers(least_wait()) : header_list{}, "");
         finish_log(one, not_run ? "not run" : "unknown", why);
         forget(one);
     }
@@ -512,11 +516,10 @@
                  if (one.streaming)
                      return cut(one, "time limit");
                  const bool not_run = one.tried.empty();
-                 one.reply.send(
-                     not_run ? 503 : 504,
-                     not_run ? Codec::refusal_headers(options.least_retry_after)
-                             : header_list{},
-                     "");
+                 one.reply.send(not_run ? 503 : 504,
+                                not_run ? Codec::refusal_headers(least_wait())
+                                        : header_list{},
+                                "");
                  finish_log(one, "late", "time limit");
                  forget(one);
              });
