Calls end for lack of progress, not for the size of their answer

Cause: a listing of the store had 0.7 s for the whole, so that one of 2.3 MB could not end over 24 Mbit/s (0.76 s for one reader alone), and was begun again from nothing. Ruled out: a longer limit for the whole, which only moves the size at which it fails.

--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -237,7 +237,8 @@
             call.headers["Resume-From"] = std::to_string(one->ask.resume_from);
         call.body = std::move(one->body);
         // The entry ends what is late; a begun answer may be late and whole.
-        call.stall = internal::longest_silence;
+        call.answer_time = internal::longest_silence;
+        call.stall_time = internal::longest_silence;
         one->call = host.http().start(
             std::move(call),
             [this, one](const http_result& done) { ended(one, done); },
--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -34,11 +34,21 @@
     std::function<void(int, std::string)> deliver;
     curl_slist* list{nullptr};
     CURL* handle{nullptr};
+    time_point moved{}; /*!< When the call began or the last part came. */
+
+    /*! @brief Returns how long it may go on without a further part; zero when
+     * there is no such limit. */
+    [[nodiscard]] milliseconds patience() const
+    {
+        return end.received == 0 ? call.answer_time : call.stall_time;
+    }
 };
 
 std::size_t on_body(char* bytes, std::size_t, std::size_t count, void* user)
 {
     auto& one = *static_cast<transfer*>(user);
+    one.moved = event_loop::now();
+    one.end.received += count;
     long status = 0;
     curl_easy_getinfo(one.handle, CURLINFO_RESPONSE_CODE, &status);
     if (one.deliver && status >= 200 && status < 300)
@@ -51,6 +61,7 @@
 std::size_t on_header(char* bytes, std::size_t, std::size_t count, void* user)
 {
     auto& one = *static_cast<transfer*>(user);
+    one.moved = event_loop::now();
     const std::string line(bytes, count);
     const auto colon = line.find(':');
     if (colon == std::string::npos)
@@ -79,12 +90,6 @@
     if (one.call.timeout.count() > 0)
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                          static_cast<long>(one.call.timeout.count()));
-    if (one.call.stall.count() > 0)
-    {
-        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
-        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME,
-                         static_cast<long>(one.call.stall.count()));
-    }
     // The server library never answers "100-continue".
     one.list = curl_slist_append(one.list, "Expect:");
     for (const auto& [name, value] : one.call.headers)
@@ -109,6 +114,9 @@
 
 void conclude(transfer& one, CURLcode code)
 {
+    curl_off_t connected = 0;
+    curl_easy_getinfo(one.handle, CURLINFO_CONNECT_TIME_T, &connected);
+    one.end.connect_time = std::chrono::microseconds(connected);
     long status = 0;
     curl_easy_getinfo(one.handle, CURLINFO_RESPONSE_CODE, &status);
     one.end.status = static_cast<int>(status);
@@ -167,8 +175,39 @@
             int running = 0;
             curl_multi_perform(multi, &running);
             collect();
-            curl_multi_poll(multi, nullptr, 0, internal::poll_ms, nullptr);
+            const auto wait = give_up_stalled();
+            curl_multi_poll(multi, nullptr, 0, static_cast<int>(wait.count()),
+                            nullptr);
+        }
+    }
+
+    /*! @brief Ends calls that made no progress for as long as they may.
+     * @return Time until the next one may be due. */
+    milliseconds give_up_stalled()
+    {
+        const auto now = event_loop::now();
+        auto wait = milliseconds(internal::poll_ms);
+        std::vector<call_id> stalled;
+        for (const auto& [id, one] : active)
+        {
+            const auto patience = one->patience();
+            if (patience.count() == 0)
+                continue;
+            const auto left =
+                std::chrono::ceil<milliseconds>(one->moved + patience - now);
+            if (left.count() <= 0)
+                stalled.push_back(id);
+            else
+                wait = std::min(wait, left);
+        }
+        for (const auto id : stalled)
+        {
+            auto& one = *active.at(id);
+            internal::conclude(one, CURLE_OPERATION_TIMEDOUT);
+            finish(one);
+            drop(id);
         }
+        return wait;
     }
 
     void take_orders()
@@ -183,6 +222,7 @@
         for (auto& one : fresh)
         {
             internal::prepare(*one);
+            one->moved = event_loop::now();
             curl_easy_setopt(one->handle, CURLOPT_PRIVATE, one.get());
             curl_multi_add_handle(multi, one->handle);
             const auto id = one->id;
--- a/src/coursejunction/net/http_client.hpp
+++ b/src/coursejunction/net/http_client.hpp
@@ -31,8 +31,11 @@
     std::string url;
     header_map headers;
     std::string body;
-    milliseconds timeout{0};       /*!< Of the whole call; zero for none. */
-    std::chrono::seconds stall{0}; /*!< Without a byte; zero for none. */
+    milliseconds timeout{0};     /*!< Of the whole call; zero for none. */
+    milliseconds answer_time{0}; /*!< To the first byte of the answer; zero for
+                                    none. */
+    milliseconds stall_time{0};  /*!< Between two parts of the answer, however
+                                    long the whole takes; zero for none. */
 };
 
 /*! @brief The end of a call. */
@@ -43,6 +46,9 @@
     header_map headers;
     std::string body;
     std::string fault;
+    std::size_t received{0}; /*!< Bytes of the body that came. */
+    /*! @brief Time that a new connection took; zero on a kept one. */
+    std::chrono::microseconds connect_time{0};
 
     /*! @brief Tells whether a whole answer with status 2xx came. */
     [[nodiscard]] bool ok() const
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -67,7 +67,7 @@
     stream_exchange(asio::io_context& owner, stream_call what,
                     stream_client::callbacks to, finished_callback over)
         : context(owner), socket(owner), clock(owner), limit(owner),
-          call(std::move(what)), target(std::move(to)),
+          stall(owner), call(std::move(what)), target(std::move(to)),
           finished(std::move(over))
     {
         prepare();
@@ -110,6 +110,7 @@
         over = true;
         clock.cancel();
         limit.cancel();
+        stall.cancel();
         boost::system::error_code ignored;
         if (sent && !whole && socket.is_open())
             socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -135,6 +136,21 @@
             });
     }
 
+    /*! @brief Ends the call once nothing came for as long as may be. */
+    void watch_progress()
+    {
+        stall.expires_at(moved + call.stall_time);
+        stall.async_wait(
+            [self = shared_from_this()](const boost::system::error_code& fault)
+            {
+                if (fault || self->over)
+                    return;
+                if (event_loop::now() - self->moved < self->call.stall_time)
+                    return self->watch_progress();
+                self->end(stream_end::broken, "call made no progress");
+            });
+    }
+
     void later(stream_end how, std::string why)
     {
         asio::post(socket.get_executor(),
@@ -161,6 +177,9 @@
     {
         output = request_text(call);
         sent = true;
+        moved = event_loop::now();
+        if (call.stall_time.count() > 0)
+            watch_progress();
         asio::async_write(
             socket, asio::buffer(output),
             [self = shared_from_this()](const boost::system::error_code& fault,
@@ -191,6 +210,7 @@
         input.clear();
         prepare();
         limit.cancel();
+        stall.cancel();
         sent = false;
         start();
     }
@@ -207,6 +227,7 @@
     {
         if (over || fault == asio::error::operation_aborted)
             return;
+        moved = event_loop::now();
         if (fault && reused)
             return start_anew();
         if (fault)
@@ -244,6 +265,7 @@
         const auto count = part.size() - parser->get().body().size;
         if (count > 0)
         {
+            moved = event_loop::now();
             const auto held = shared_from_this();
             target.data({part.data(), count});
             if (over)
@@ -290,6 +312,8 @@
     tcp::socket socket;
     asio::steady_timer clock;
     asio::steady_timer limit;
+    asio::steady_timer stall;
+    time_point moved{}; /*!< When the request went out or a part came. */
     stream_call call;
     stream_client::callbacks target;
     finished_callback finished;
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -28,7 +28,10 @@
     header_list headers;
     std::string body;
     milliseconds connect_time{250};
-    milliseconds timeout{0}; /*!< Of the whole call; zero for none. */
+    milliseconds timeout{0};    /*!< Of the whole call; zero for none. */
+    milliseconds stall_time{0}; /*!< Before the answer and between two parts of
+                                   it, however long the whole takes; zero for
+                                   none. */
     /*! @brief The call may go out on a kept connection, and once more on a new
      * one when the kept one turns out to be dead. */
     bool repeatable{false};
--- a/tests/net/stream_client.cpp
+++ b/tests/net/stream_client.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "net/dripping_server.hpp"
 #include "net/loopback.hpp"
 
 namespace cj = coursejunction;
@@ -16,7 +17,8 @@
 {
 
 cj::stream_client::answer call(const std::string& address,
-                               bool repeatable = false)
+                               bool repeatable = false,
+                               std::chrono::milliseconds stall_time = 0ms)
 {
     loopback::running_loop running;
     std::unique_ptr<cj::stream_client> client;
@@ -32,6 +34,7 @@
             one.timeout = 5000ms;
             one.connect_time = 3000ms;
             one.repeatable = repeatable;
+            one.stall_time = stall_time;
             client->gather(std::move(one),
                            [&](cj::stream_client::answer answer)
                            {
@@ -167,3 +170,28 @@
     CHECK(peer.reset_by_caller);
     running.on_loop([&] { client.reset(); });
 }
+
+SCENARIO("a call goes on for as long as its answer moves", "[net]")
+{
+    constexpr auto stall_time = 1500ms;
+    GIVEN("an answer that takes twice the limit, and moves all the while")
+    {
+        const loopback::dripping_server server(15, 200ms, 15);
+        const auto told = call(server.address(), false, stall_time);
+        CHECK(told.is(200));
+        CHECK(told.body.size() == 15);
+    }
+    GIVEN("an answer that stops on its way")
+    {
+        const loopback::dripping_server server(15, 20ms, 3);
+        const auto told = call(server.address(), false, stall_time);
+        CHECK(told.end == cj::stream_end::broken);
+        CHECK(told.why == "call made no progress");
+    }
+    GIVEN("a server that says nothing")
+    {
+        const loopback::dripping_server server(15, 20ms, 0);
+        const auto told = call(server.address(), false, 300ms);
+        CHECK(told.end == cj::stream_end::broken);
+    }
+}
