Mend: one process fetches for its hall, and the whole only when nothing is known

Cause (docs/incidents/2026-12-02-mirror-behind-full-link.md): over each link between regions 20 to 24 processes fetched the same 1.7 MB at once and 3 to 5 entries listed the store, each from the start after each failure, 0.15 s later, for ever; heartbeats were lost meanwhile, which made still more entries list.

Turns by rank alone: with 24 processes after a long cut 12 copies passed the link in virtual time, since all had waited long enough; so two at once at most, and a stagger after one has ended.

Change - fleet/fetch_turn (pure): rank in the hall, a hold while another one fetches, at most two at once, pauses that double, with jitter, after failures. Used for the store and for pulls from other halls; heartbeats tell who fetches. - fleet/store_reader: goes on after the mirror's revision, whoever brought it that far; lists only when nothing is known or the history is gone. Those nearest to the store (time of a connection) watch it, before the order of addresses. - fleet/mirror_puller: near peers at once, one pull at a time; other halls in turn; a limit on progress; each failure is logged with bytes, duration and count. - Large values travel packed (wire/packed, zlib), packed once by whoever read the store.

Of some ten runs of the unit tests beside load one failed once with one assertion, output not kept: open.

--- a/src/coursejunction/fleet/beat_plan.hpp
+++ b/src/coursejunction/fleet/beat_plan.hpp
@@ -21,6 +21,7 @@
     load,    /*!< The load of an upstream changed. */
     state,   /*!< An upstream opened, closed or was lost, or we leave. */
     mirror,  /*!< The mirror of the store advanced. */
+    fetch,   /*!< Begins to fetch for its hall. */
     chunks   /*!< Chunks of weights arrived. */
 };
 
@@ -98,6 +99,8 @@
         // Each entry tells its own hall; the entries that hear the store
         // itself tell all others.
         return sent.from_entry && (to.near || (sent.from_store && to.entry));
+    case beat_reason::fetch:
+        return to.near;
     case beat_reason::chunks:
         return !to.entry && to.near && to.neighbour;
     case beat_reason::regular:
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <concepts>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,10 +17,11 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
 #include "coursejunction/fleet/beat_plan.hpp"
+#include "coursejunction/fleet/mirror_puller.hpp"
 #include "coursejunction/fleet/node_address.hpp"
 #include "coursejunction/fleet/peer_directory.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
-#include "coursejunction/fleet/store_outage.hpp"
+#include "coursejunction/fleet/store_reader.hpp"
 #include "coursejunction/net/datagram_socket.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
@@ -33,24 +33,6 @@
 namespace coursejunction
 {
 
-/*! @brief Keys that a store showed, as of a revision. */
-struct store_page
-{
-    store_mirror::items items;
-    std::uint64_t revision{0};
-};
-
-/*! @brief Reads the platform's store; answers come on the loop's thread. An
- * error `not_found` of a watch says that its history is gone. */
-template <typename Store>
-concept Readable_store = requires(Store& store, std::uint64_t after,
-                                  milliseconds wait,
-                                  std::function<void(result<store_page>)> done)
-{
-    store.list(done);
-    store.watch(after, wait, done);
-};
-
 /*! @brief How a node finds its peers. */
 struct fleet_options
 {
@@ -98,31 +80,13 @@
      * any hall: its own hall may have no entry left. */
     static constexpr milliseconds behind_grace{300};
 
-    /*! @brief How long one watch waits. A watch that hangs on a dead
-     * connection is noticed this late, and a change has 2 s to be in force
-     * once the store has been calm for 3 s. */
-    static constexpr milliseconds watch_wait{1500};
+    /*! @brief An entry of another hall does so after this long: each tells
+     * each side that is behind, and a side's own hall is nearer. */
+    static constexpr milliseconds far_behind_grace{1000};
 
-    /*! @brief Pause between two watches, so that changes that come together
-     * cost one call; a leaving upstream has 2 s. */
-    static constexpr milliseconds watch_pause{100};
-
-    /*! @brief Pause after a failed call of the store. */
-    static constexpr milliseconds store_pause{150};
-
-    /*! @brief How long peers of the own hall have to tell what one of another
-     * hall already told. */
-    static constexpr milliseconds near_first{80};
-
-    /*! @brief Longest pull of the mirror from a peer: a configuration of 500 KB
-     * that five entries of a hall pull at once over a link of 25 Mbit/s between
-     * regions takes 0.8 s. */
-    static constexpr milliseconds pull_time{2000};
-
-    /*! @brief A pull that lasts this long may hang on a peer that is cut off:
-     * a second one may begin beside it. */
-    static constexpr milliseconds pull_patience{600};
-    static constexpr std::size_t most_pulls = 2;
+    /*! @brief A process that has just started and is no seed goes after others
+     * of its hall, which it has not heard of yet. */
+    static constexpr milliseconds newcomer_time{1000};
 
     /*! @brief Opens the ports.
      * @return The node, or `unavailable`. */
@@ -143,6 +107,8 @@
     {
         hooks = std::move(given);
         const auto now = event_loop::now();
+        started_at = now;
+        start_fetching();
         for (const auto& seed : options.seeds)
         {
             if (seed != options.address)
@@ -153,10 +119,9 @@
                                 [this]
                                 {
                                     beat_on();
-                                    watch_if_needed();
+                                    read_store();
                                 });
-        if (options.entry)
-            list();
+        read_store();
     }
 
     /*! @brief Tells at once that the state of this process changed. */
@@ -205,10 +170,34 @@
           incarnation(static_cast<std::uint64_t>(
               std::chrono::duration_cast<milliseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
-                  .count()))
+                  .count())),
+          reader(owner, service, counted, copy, seed()),
+          puller(owner, calls, counted, copy, directory, seed())
     {
     }
 
+    /*! @brief Returns a number that differs between processes. */
+    [[nodiscard]] std::uint64_t seed() const
+    {
+        return std::hash<std::string>()(options.address) + incarnation;
+    }
+
+    void start_fetching()
+    {
+        reader.start({[this] { return reads_store(); },
+                      [this](const store_page& page, bool whole)
+                      { read_page(page, whole); },
+                      [this] { tell(moment(beat_reason::fetch)); }});
+        puller.start(
+            options.hall, port_suffix,
+            {[this] { return standing(); },
+             [this](const message::mirror_page& page, const std::string& from) {
+                 took(copy.apply(page.items, page.revision, event_loop::now()),
+                      from);
+             },
+             [this] { tell(moment(beat_reason::fetch)); }});
+    }
+
     result<bool> open()
     {
         auto made = datagram_socket::create(
@@ -314,8 +303,10 @@
         made.hall = options.hall.value();
         made.entry = options.entry;
         made.leaving = leaving;
-        made.watching = store_up && store_busy;
+        made.watching = reader.watching();
+        made.fetching = reader.fetching() || puller.fetching();
         made.store_returned = store_returned(now);
+        made.store_distance = store_distance(now);
         for (const auto& [address, one] : directory.all())
         {
             const auto number = address_number(address);
@@ -352,81 +343,20 @@
                 directory.find(address) == nullptr)
                 directory.name_entry(address, now);
         }
+        const bool own = read.value().hall == options.hall.value();
         if (options.entry && !read.value().entry &&
             read.value().mirror_revision < copy.revision() &&
-            now - advanced_at >= behind_grace)
+            now - advanced_at >= (own ? behind_grace : far_behind_grace))
             tell_behind(from);
         if (read.value().mirror_revision > copy.revision())
-            pull_soon(from, read.value().hall == options.hall.value());
+            puller.heard(from, own);
         if (hooks.heard)
             hooks.heard(from, read.value());
     }
 
-    /*! @brief A peer of another hall knows more: the own hall's peers, nearer
-     * and cheaper to ask, have a moment to tell the same. */
-    void pull_soon(const std::string& from, bool near)
-    {
-        if (near)
-            return pull(from);
-        if (!may_pull() || pull_pending)
-            return;
-        pull_pending = true;
-        pull_timer =
-            loop.after(near_first,
-                       [this, from]
-                       {
-                           pull_pending = false;
-                           const auto* peer = directory.find(from);
-                           if (peer != nullptr &&
-                               peer->last.mirror_revision > copy.revision())
-                               pull(from);
-                       });
-    }
-
-    [[nodiscard]] bool may_pull() const
-    {
-        return pulls == 0 || (pulls < most_pulls &&
-                              event_loop::now() - pulled_at >= pull_patience);
-    }
-
-    /*! @brief Fetches from a peer what it knows and we do not. */
-    void pull(const std::string& from)
-    {
-        if (!may_pull())
-            return;
-        ++pulls;
-        pulled_at = event_loop::now();
-        stream_call call;
-        call.address = peer_port(from);
-        call.target = "/mirror?after=" + std::to_string(copy.revision());
-        call.timeout = pull_time;
-        calls.gather(std::move(call),
-                     [this, from](const stream_client::answer& answer)
-                     {
-                         --pulls;
-                         pulled(from, answer);
-                     });
-    }
-
-    void pulled(const std::string& from, const stream_client::answer& answer)
-    {
-        counters.count("fleet_mirror_pulls_total");
-        auto page = answer.is(200) ? decode<message::mirror_page>(answer.body)
-                                   : result<message::mirror_page>(failure(
-                                         error_kind::unavailable, answer.why));
-        if (!page)
-        {
-            log::state("mirror_pull_failed",
-                       {{"peer", from}, {"why", page.error().message}});
-            return;
-        }
-        const auto& got = page.value();
-        took(copy.apply(got.items, got.revision, event_loop::now()), from);
-    }
-
     void request_of_peer(stream_request request, stream_reply reply)
     {
-        constexpr std::string_view mirror_target = "/mirror?after=";
+        constexpr auto mirror_target = mirror_puller::target;
         if (!request.target.starts_with(mirror_target))
         {
             if (hooks.request)
@@ -440,102 +370,52 @@
         reply.send(200, {}, encode(copy.since(after, event_loop::now())));
     }
 
-    /*! @brief Tells whether this entry is among those that watch the store. */
-    [[nodiscard]] bool is_watcher() const
+    /*! @brief Tells whether this entry is among those that read the store. */
+    [[nodiscard]] bool reads_store() const
     {
+        const auto now = event_loop::now();
         return options.entry && !leaving &&
-               directory.watchers_before(options.address, event_loop::now()) <
-                   most_watchers;
-    }
-
-    void watch_if_needed()
-    {
-        if (!store_busy && is_watcher())
-            list();
+               directory.watchers_before(options.address, store_distance(now),
+                                         now) < most_watchers;
     }
 
-    void list()
+    /*! @brief Returns the distance to the store in microseconds, of this
+     * process or else of its hall; 0 when it is not known. */
+    [[nodiscard]] std::uint32_t store_distance(time_point now) const
     {
-        store_busy = true;
-        counters.count("store_calls_total", 1, {{"call", "list"}});
-        store.list(
-            [this](result<store_page> answer)
-            {
-                if (!answer)
-                    return store_lost(answer.error().message, false);
-                store_answered();
-                const auto& page = answer.value();
-                const auto changed =
-                    copy.replace(page.items, page.revision, event_loop::now());
-                took(changed, "store");
-                watch();
-            });
+        const auto own = std::chrono::microseconds(store.distance()).count();
+        return own > 0 ? static_cast<std::uint32_t>(own)
+                       : directory.store_distance(options.hall, now);
     }
 
-    void watch()
+    [[nodiscard]] hall_standing standing() const
     {
-        counters.count("store_calls_total", 1, {{"call", "watch"}});
-        store.watch(copy.revision(), watch_wait,
-                    [this](result<store_page> answer)
-                    {
-                        if (!answer)
-                            return store_lost(answer.error().message,
-                                              answer.error().kind ==
-                                                  error_kind::not_found);
-                        store_answered();
-                        const auto& page = answer.value();
-                        const auto changed = copy.apply(
-                            page.items, page.revision, event_loop::now());
-                        took(changed, "store");
-                        watch_on(!page.items.empty());
-                    });
+        const auto now = event_loop::now();
+        auto made = directory.standing(options.address, options.hall,
+                                       options.entry, now);
+        const bool seeded =
+            std::find(options.seeds.begin(), options.seeds.end(),
+                      options.address) != options.seeds.end();
+        if (!seeded && now - started_at < newcomer_time)
+            made.rank = std::max<std::size_t>(made.rank, 1);
+        return made;
     }
 
-    /*! @brief Watches on, or leaves it to others.
-     * @param changed Whether more changes may follow at once. */
-    void watch_on(bool changed)
-    {
-        if (!is_watcher())
-        {
-            store_busy = false;
-            return;
-        }
-        if (!changed)
-            return watch();
-        store_timer = loop.after(watch_pause, [this] { watch(); });
-    }
+    void read_store() { reader.consider(standing(), event_loop::now()); }
 
-    /*! @brief A call failed: the whole is listed again, at once when only the
-     * history is gone. */
-    void store_lost(const std::string& why, bool history_gone)
+    void read_page(const store_page& page, bool whole)
     {
-        if (!history_gone)
-            outage.failed(event_loop::now());
-        if (store_up || history_gone)
-            log::warning(
-                "store_lost",
-                {{"why", why}, {"revision", std::to_string(copy.revision())}});
-        store_up = false;
-        if (history_gone)
-            return list();
-        store_timer = loop.after(store_pause, [this] { list(); });
+        const auto now = event_loop::now();
+        took(whole ? copy.replace(page.items, page.revision, now)
+                   : copy.apply(page.items, page.revision, now),
+             "store");
     }
 
     /*! @brief Tells whether the store itself, not only the way to it from here,
      * was away until just now. */
     [[nodiscard]] bool store_returned(time_point now) const
     {
-        return outage.returned(now) && !directory.steady_watcher(now);
-    }
-
-    void store_answered()
-    {
-        outage.answered(event_loop::now());
-        if (store_up)
-            return;
-        store_up = true;
-        log::state("store_reached",
-                   {{"revision", std::to_string(copy.revision())}});
+        return reader.returned(now) && !directory.steady_watcher(now);
     }
 
     void took(const std::vector<std::string>& changed, const std::string& from)
@@ -582,14 +462,9 @@
     std::unique_ptr<datagram_socket> socket;
     std::unique_ptr<stream_server> server;
     timer beat_timer;
-    timer store_timer;
-    timer pull_timer;
-    store_outage outage;
-    bool store_up{false};
-    bool store_busy{false}; /*!< A call or a pause of the watch runs. */
-    std::size_t pulls{0};
-    time_point pulled_at{}; /*!< When the last pull began. */
-    bool pull_pending{false};
+    store_reader<Store> reader;
+    mirror_puller puller;
+    time_point started_at{};
     bool leaving{false};
 };
 
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/fleet/fetch_turn.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
 namespace coursejunction
@@ -125,21 +126,89 @@
         return count;
     }
 
-    /*! @brief Returns how many live entries that watch the store come before
-     * an address. */
+    /*! @brief Returns how many live entries that watch the store are nearer to
+     * it than this one or, as near, come before it.
+     * @param distance Microseconds to the store; 0 when not known. */
     [[nodiscard]] std::size_t watchers_before(const std::string& address,
+                                              std::uint32_t distance,
                                               time_point now) const
     {
         std::size_t count = 0;
         for (const auto& [other, one] : peers)
         {
-            if (other < address && one.entry && alive(one, now) &&
-                one.last.watching && !one.last.leaving)
-                ++count;
+            const auto& last = one.last;
+            if (!one.entry || !alive(one, now) || !last.watching ||
+                last.leaving)
+                continue;
+            const auto theirs = steps_of(last.store_distance);
+            const auto ours = steps_of(distance);
+            count += theirs < ours || (theirs == ours && other < address);
         }
         return count;
     }
 
+    /*! @brief Returns the distance to the store of the nearest live entry of a
+     * hall; 0 when none knows it. */
+    [[nodiscard]] std::uint32_t store_distance(const hall_id& hall,
+                                               time_point now) const
+    {
+        std::uint32_t nearest = 0;
+        for (const auto& [other, one] : peers)
+        {
+            const auto told = one.last.store_distance;
+            if (told == 0 || one.last.hall != hall.value() || !alive(one, now))
+                continue;
+            nearest = nearest == 0 ? told : std::min(nearest, told);
+        }
+        return nearest;
+    }
+
+    /*! @brief Returns where a process stands in its hall: entries come before
+     * sides, then the address counts. */
+    [[nodiscard]] hall_standing standing(const std::string& address,
+                                         const hall_id& hall, bool entry,
+                                         time_point now) const
+    {
+        hall_standing made;
+        for (const auto& [other, one] : peers)
+        {
+            const auto& last = one.last;
+            if (last.hall != hall.value() || !alive(one, now) || last.leaving)
+                continue;
+            const bool before =
+                one.entry == entry ? other < address : one.entry;
+            made.rank += before ? 1 : 0;
+            made.fetching += last.fetching ? 1 : 0;
+        }
+        return made;
+    }
+
+    /*! @brief Returns a live peer that knows more than a revision, an entry
+     * before a side; empty when there is none.
+     * @param own_hall Of this hall, or of any other one.
+     * @param turn Chooses among equals, so that not all ask the same one. */
+    [[nodiscard]] std::string ahead_of(std::uint64_t revision,
+                                       const hall_id& hall, bool own_hall,
+                                       std::size_t turn, time_point now) const
+    {
+        std::vector<std::string> found;
+        bool entries = false;
+        for (const auto& [other, one] : peers)
+        {
+            const auto& last = one.last;
+            const bool fits = (last.hall == hall.value()) == own_hall &&
+                              alive(one, now) && !last.leaving &&
+                              last.mirror_revision > revision;
+            if (!fits || (entries && !one.entry))
+                continue;
+            if (one.entry && !entries)
+                found.clear();
+            entries = one.entry;
+            found.push_back(other);
+        }
+        return found.empty() ? std::string() : found[turn % found.size()];
+    }
+
     /*! @brief Tells whether a live entry watches the store and saw no outage:
      * then whoever lost the store was cut off itself. */
     [[nodiscard]] bool steady_watcher(time_point now) const
@@ -155,6 +224,14 @@
     }
 
 private:
+    /*! @brief Distances within a millisecond count as alike: halls of a region
+     * are some 2 ms apart, regions 4 ms and more. */
+    static std::uint32_t steps_of(std::uint32_t distance)
+    {
+        constexpr std::uint32_t step = 1000;
+        return distance / step;
+    }
+
     std::map<std::string, peer_state> peers;
 };
 
--- a/src/coursejunction/fleet/store_mirror.hpp
+++ b/src/coursejunction/fleet/store_mirror.hpp
@@ -13,8 +13,10 @@
 #include <utility>
 #include <vector>
 
+#include "coursejunction/core/result.hpp"
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
+#include "coursejunction/wire/packed.hpp"
 
 namespace coursejunction
 {
@@ -23,11 +25,31 @@
 struct mirrored_value
 {
     std::string payload;
+    std::string packed; /*!< The payload for peers; empty for a small one. */
     std::uint64_t revision{0};
     time_point learnt{}; /*!< When the first process that told us knew it. */
     bool removed{false};
 };
 
+/*! @brief Unpacks the values of a page that a peer sent.
+ * @return The page with payloads, or `refused` when one is not what it tells.
+ */
+[[nodiscard]] inline result<message::mirror_page>
+unpacked(message::mirror_page page)
+{
+    for (auto& one : page.items)
+    {
+        if (one.packed.empty())
+            continue;
+        auto plain = unpack(one.packed, one.plain_bytes);
+        if (!plain)
+            return failure(plain.error().kind,
+                           one.key + ": " + plain.error().message);
+        one.payload = std::move(plain.value());
+    }
+    return page;
+}
+
 /*! @brief Keys with their revisions; only goes forward. Whoever tells an older
  * state of a key changes nothing, so pages may come from the store or from any
  * other process, in any order and more than once. Removed keys stay as marks,
@@ -74,14 +96,14 @@
         {
             if (value.removed || value.revision > as_of || listed.contains(key))
                 continue;
-            value = mirrored_value{{}, as_of, now, true};
+            value = mirrored_value{{}, {}, as_of, now, true};
             changed.push_back(key);
         }
         upto = std::max(upto, as_of);
         return changed;
     }
 
-    /*! @brief Returns what changed after a revision. */
+    /*! @brief Returns what changed after a revision; large values packed. */
     [[nodiscard]] message::mirror_page since(std::uint64_t after,
                                              time_point now) const
     {
@@ -93,9 +115,11 @@
                 continue;
             const auto age =
                 std::chrono::duration_cast<milliseconds>(now - value.learnt);
-            page.items.push_back({key, value.payload, value.revision,
-                                  static_cast<std::uint64_t>(age.count()),
-                                  value.removed});
+            const bool packs = !value.packed.empty();
+            page.items.push_back(
+                {key, packs ? std::string() : value.payload, value.revision,
+                 static_cast<std::uint64_t>(age.count()), value.removed,
+                 value.packed, packs ? value.payload.size() : 0});
         }
         return page;
     }
@@ -125,6 +149,12 @@
         if (one.revision <= value.revision)
             return false;
         value.payload = one.payload;
+        // Packed once by the process that heard it from the store: all others
+        // pass on what they were sent.
+        value.packed =
+            one.packed.empty() && value.payload.size() >= least_packed
+                ? pack(value.payload)
+                : one.packed;
         value.revision = one.revision;
         value.removed = one.removed;
         value.learnt = now - milliseconds(one.age_ms);
--- /dev/null
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -0,0 +1,241 @@
+/*! @file
+ * @brief Reads the platform's store for this process's mirror.
+ */
+#ifndef COURSEJUNCTION_FLEET_STORE_READER_HPP
+#define COURSEJUNCTION_FLEET_STORE_READER_HPP
+
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/core/result.hpp"
+#include "coursejunction/fleet/fetch_turn.hpp"
+#include "coursejunction/fleet/store_mirror.hpp"
+#include "coursejunction/fleet/store_outage.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Keys that a store showed, as of a revision. */
+struct store_page
+{
+    store_mirror::items items;
+    std::uint64_t revision{0};
+};
+
+/*! @brief Reads the platform's store; answers come on the loop's thread. An
+ * error `not_found` of a watch says that its history is gone. */
+template <typename Store>
+concept Readable_store = requires(Store& store, std::uint64_t after,
+                                  milliseconds wait,
+                                  std::function<void(result<store_page>)> done)
+{
+    store.list(done);
+    store.watch(after, wait, done);
+    /*! Time that a connection takes; zero when not known. */
+    {
+        store.distance()
+        } -> std::convertible_to<std::chrono::microseconds>;
+};
+
+/*! @brief What a `store_reader` needs of its process. */
+struct store_reader_hooks
+{
+    /*! @brief Whether this process is among those that read the store. */
+    std::function<bool()> wanted;
+    /*! @brief Changes came, or the whole store. */
+    std::function<void(const store_page&, bool whole)> took;
+    std::function<void()> begun; /*!< Reads for its hall from now on. */
+};
+
+/*! @brief Watches the store. It goes on after the revision of the mirror,
+ * whoever brought it that far: the whole store is listed only by a process that
+ * knows nothing, or whose revision the store has forgotten.
+ * @tparam Store A `Readable_store`. */
+template <typename Store>
+class store_reader
+{
+public:
+    /*! @brief How long one watch waits. A watch that hangs on a dead
+     * connection is noticed this late, and a change has 2 s to be in force
+     * once the store has been calm for 3 s. */
+    static constexpr milliseconds watch_wait{1500};
+
+    /*! @brief How long the first watch waits, so that one that gets through
+     * tells so at once. */
+    static constexpr milliseconds probe_wait{100};
+
+    /*! @brief Pause between two watches, so that changes that come together
+     * cost one call; a leaving upstream has 2 s. */
+    static constexpr milliseconds watch_pause{100};
+
+    /*! @param seed Spreads the pauses of processes that fail together. */
+    store_reader(event_loop& owner, Store& service, metrics& counted,
+                 const store_mirror& held, std::uint64_t seed)
+        : loop(owner), store(service), counters(counted), mirror(held),
+          turns(seed)
+    {
+    }
+
+    void start(store_reader_hooks given) { hooks = std::move(given); }
+
+    /*! @brief Begins to read when it is this process's turn. */
+    void consider(const hall_standing& standing, time_point now)
+    {
+        if (busy)
+            return;
+        turns.lacking(hooks.wanted(), now);
+        if (turns.due(standing, now))
+            begin(standing);
+    }
+
+    /*! @brief Tells whether the store answers and is watched. */
+    [[nodiscard]] bool watching() const noexcept { return up && busy; }
+
+    /*! @brief Tells whether a first call is under way. */
+    [[nodiscard]] bool fetching() const noexcept { return busy && !up; }
+
+    /*! @brief Tells whether an outage of the store ended just now. */
+    [[nodiscard]] bool returned(time_point now) const
+    {
+        return outage.returned(now);
+    }
+
+private:
+    void begin(const hall_standing& standing)
+    {
+        busy = true;
+        log::state("store_read_begun",
+                   {{"revision", std::to_string(mirror.revision())},
+                    {"rank", std::to_string(standing.rank)},
+                    {"failures", std::to_string(turns.failed_in_row())}});
+        if (!up)
+            hooks.begun();
+        if (mirror.revision() <= forgotten)
+            list();
+        else
+            watch(up ? watch_wait : probe_wait);
+    }
+
+    void list()
+    {
+        counted_call("list");
+        store.list(
+            [this](result<store_page> answer)
+            {
+                if (!answer)
+                    return failed("list", answer.error().message);
+                answered();
+                hooks.took(answer.value(), true);
+                watch(watch_wait);
+            });
+    }
+
+    void watch(milliseconds wait)
+    {
+        counted_call("watch");
+        store.watch(mirror.revision(), wait,
+                    [this](result<store_page> answer)
+                    {
+                        if (!answer)
+                            return watch_failed(answer.error());
+                        answered();
+                        hooks.took(answer.value(), false);
+                        watch_on(!answer.value().items.empty());
+                    });
+    }
+
+    /*! @brief Watches on, or leaves it to others.
+     * @param changed Whether more changes may follow at once. */
+    void watch_on(bool changed)
+    {
+        if (!hooks.wanted())
+        {
+            busy = false;
+            return;
+        }
+        if (!changed)
+            return watch(watch_wait);
+        pause = loop.after(watch_pause, [this] { watch(watch_wait); });
+    }
+
+    void watch_failed(const error& why)
+    {
+        if (why.kind != error_kind::not_found)
+            return failed("watch", why.message);
+        // One of the hall lists the store anew; those whose mirror it brings
+        // past this revision watch on from there.
+        forgotten = mirror.revision();
+        log::warning("store_history_gone",
+                     {{"revision", std::to_string(forgotten)}});
+        busy = false;
+        up = false;
+    }
+
+    void failed(const std::string& call, const std::string& why)
+    {
+        const auto now = event_loop::now();
+        busy = false;
+        up = false;
+        outage.failed(now);
+        turns.failed(now);
+        counters.count("store_failures_total", 1, {{"call", call}});
+        log::warning("store_lost",
+                     {{"call", call},
+                      {"why", why},
+                      {"failures", std::to_string(turns.failed_in_row())},
+                      {"after_ms", std::to_string(age_ms(called, now))},
+                      {"revision", std::to_string(mirror.revision())}});
+    }
+
+    void answered()
+    {
+        outage.answered(event_loop::now());
+        turns.succeeded();
+        if (up)
+            return;
+        up = true;
+        log::state("store_reached",
+                   {{"revision", std::to_string(mirror.revision())},
+                    {"distance_us", std::to_string(distance_us())}});
+    }
+
+    void counted_call(const std::string& call)
+    {
+        called = event_loop::now();
+        counters.count("store_calls_total", 1, {{"call", call}});
+    }
+
+    [[nodiscard]] std::int64_t distance_us() const
+    {
+        return std::chrono::microseconds(store.distance()).count();
+    }
+
+    static std::int64_t age_ms(time_point from, time_point now)
+    {
+        return std::chrono::duration_cast<milliseconds>(now - from).count();
+    }
+
+    event_loop& loop;
+    Store& store;
+    metrics& counters;
+    const store_mirror& mirror;
+    store_reader_hooks hooks;
+    fetch_turn turns;
+    store_outage outage;
+    timer pause;
+    time_point called{};        /*!< When the last call began. */
+    std::uint64_t forgotten{0}; /*!< No watch goes on from here or before. */
+    bool up{false};             /*!< The last call was answered. */
+    bool busy{false};           /*!< A call or a pause of the watch runs. */
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -59,7 +59,12 @@
     bool entry{false};
     bool leaving{false};
     bool watching{false};       /*!< Hears of changes from the store itself. */
+    bool fetching{false};       /*!< Reads the whole store, or what a peer of
+                                   another hall knows, for its hall. */
     bool store_returned{false}; /*!< An outage of the store ended just now. */
+    /*! @brief Microseconds that a connection to the store takes from here; 0
+     * when that is not known. */
+    std::uint32_t store_distance{0};
     std::vector<std::uint32_t> entries;   /*!< Known entries, IPv4 addresses. */
     upstream_status upstream;             /*!< Of a side. */
     std::vector<chunk_possession> chunks; /*!< Of a side, by version. */
@@ -68,7 +73,8 @@
     void serialize(Archive& archive)
     {
         archive(incarnation, sequence, mirror_revision, hall, entry, leaving,
-                watching, store_returned, entries, upstream, chunks);
+                watching, fetching, store_returned, store_distance, entries,
+                upstream, chunks);
     }
 };
 
@@ -80,11 +86,15 @@
     std::uint64_t revision{0};
     std::uint64_t age_ms{0}; /*!< Since some process first learnt it. */
     bool removed{false};
+    /*! @brief The payload as `pack` makes it, which then goes over the wire in
+     * its place; empty for a small one. */
+    std::string packed;
+    std::uint64_t plain_bytes{0}; /*!< Size of the payload that is packed. */
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(key, payload, revision, age_ms, removed);
+        archive(key, payload, revision, age_ms, removed, packed, plain_bytes);
     }
 };
 
--- a/tests/fleet/beat_plan.cpp
+++ b/tests/fleet/beat_plan.cpp
@@ -39,6 +39,14 @@
         REQUIRE(hears(closed, near_side));
         REQUIRE_FALSE(hears(closed, far_side));
     }
+    SECTION("that it fetches for its hall: those that wait for their turn")
+    {
+        const auto fetches = moment(beat_reason::fetch, false);
+        REQUIRE(hears(fetches, near_entry));
+        REQUIRE(hears(fetches, near_side));
+        REQUIRE_FALSE(hears(fetches, far_entry));
+        REQUIRE_FALSE(hears(fetches, far_side));
+    }
     SECTION("nothing of its mirror: its regular heartbeat carries that")
     {
         const auto advanced = moment(beat_reason::mirror, false);
--- a/tests/fleet/peer_directory.cpp
+++ b/tests/fleet/peer_directory.cpp
@@ -65,11 +65,11 @@
     hear("10.0.0.3", true, true);
     hear("10.0.0.4", true, false);
 
-    CHECK(peers.watchers_before("10.0.0.5", now) == 2);
-    CHECK(peers.watchers_before("10.0.0.2", now) == 1);
+    CHECK(peers.watchers_before("10.0.0.5", 0, now) == 2);
+    CHECK(peers.watchers_before("10.0.0.2", 0, now) == 1);
     THEN("those that fall silent are replaced")
     {
-        CHECK(peers.watchers_before("10.0.0.5", now + 5s) == 0);
+        CHECK(peers.watchers_before("10.0.0.5", 0, now + 5s) == 0);
     }
 }
 
@@ -100,3 +100,87 @@
         }
     }
 }
+
+SCENARIO("a process knows where it stands in its hall", "[fleet]")
+{
+    cj::peer_directory peers;
+    const cj::time_point now{100s};
+    const cj::hall_id hall("a");
+    cj::message::fleet_heartbeat beat;
+    beat.incarnation = 1;
+    const auto hear = [&](const char* address, const char* where, bool entry)
+    {
+        ++beat.sequence;
+        beat.hall = where;
+        beat.entry = entry;
+        peers.heard(address, beat, now);
+    };
+    hear("10.0.0.1", "a", true);
+    hear("10.0.0.5", "a", true);
+    hear("10.0.0.2", "a", false);
+    hear("10.0.0.0", "b", true);
+
+    CHECK(peers.standing("10.0.0.3", hall, true, now).rank == 1);
+    CHECK(peers.standing("10.0.0.3", hall, false, now).rank == 3);
+    CHECK(peers.standing("10.0.0.3", hall, true, now).fetching == 0);
+
+    WHEN("one of the hall fetches")
+    {
+        beat.fetching = true;
+        hear("10.0.0.5", "a", true);
+        THEN("the others know, those of other halls don't count")
+        {
+            CHECK(peers.standing("10.0.0.3", hall, true, now).fetching == 1);
+            CHECK(peers.standing("10.0.0.3", cj::hall_id("b"), true, now)
+                      .fetching == 0);
+        }
+    }
+    WHEN("nobody is heard any more")
+    {
+        CHECK(peers.standing("10.0.0.3", hall, false, now + 5s).rank == 0);
+    }
+    WHEN("some know more")
+    {
+        beat.mirror_revision = 9;
+        hear("10.0.0.2", "a", false);
+        hear("10.0.0.0", "b", true);
+        THEN("they are found by hall, and what is older is not")
+        {
+            CHECK(peers.ahead_of(8, hall, true, 0, now) == "10.0.0.2");
+            CHECK(peers.ahead_of(8, hall, false, 0, now) == "10.0.0.0");
+            CHECK(peers.ahead_of(9, hall, false, 0, now).empty());
+        }
+        AND_WHEN("an entry of the hall does, too")
+        {
+            hear("10.0.0.1", "a", true);
+            CHECK(peers.ahead_of(8, hall, true, 3, now) == "10.0.0.1");
+        }
+    }
+}
+
+SCENARIO("those nearest to the store watch it", "[fleet]")
+{
+    cj::peer_directory peers;
+    const cj::time_point now{100s};
+    cj::message::fleet_heartbeat beat;
+    beat.incarnation = 1;
+    beat.entry = true;
+    beat.watching = true;
+    const auto hear =
+        [&](const char* address, const char* hall, std::uint32_t distance)
+    {
+        ++beat.sequence;
+        beat.hall = hall;
+        beat.store_distance = distance;
+        peers.heard(address, beat, now);
+    };
+    hear("10.0.0.1", "far", 5600);
+    hear("10.0.0.9", "near", 300);
+
+    CHECK(peers.watchers_before("10.0.0.5", 5700, now) == 2);
+    CHECK(peers.watchers_before("10.0.0.5", 400, now) == 0);
+    CHECK(peers.watchers_before("10.0.0.10", 400, now) == 0);
+    CHECK(peers.watchers_before("10.0.0.99", 400, now) == 1);
+    CHECK(peers.store_distance(cj::hall_id("near"), now) == 300);
+    CHECK(peers.store_distance(cj::hall_id("other"), now) == 0);
+}
--- a/tests/fleet/store_mirror.cpp
+++ b/tests/fleet/store_mirror.cpp
@@ -66,6 +66,43 @@
     }
 }
 
+SCENARIO("a large value is packed once and passed on", "[fleet]")
+{
+    const cj::time_point now{100s};
+    const std::string large(100'000, 'r');
+    cj::store_mirror mirror;
+    mirror.apply({{"a", large, 5, 0, false}, {"b", "small", 6, 0, false}}, 6,
+                 now);
+    const auto page = mirror.since(0, now);
+    REQUIRE(page.items.size() == 2);
+    CHECK(page.items[0].payload.empty());
+    CHECK(page.items[0].packed.size() < 1000);
+    CHECK(page.items[1].payload == "small");
+    CHECK(page.items[1].packed.empty());
+
+    WHEN("a peer takes the page")
+    {
+        const auto read = cj::unpacked(page);
+        REQUIRE(read);
+        cj::store_mirror other;
+        other.apply(read.value().items, read.value().revision, now);
+        THEN("it has the value, and passes it on as it came")
+        {
+            CHECK(other.find("a")->payload == large);
+            CHECK(other.since(0, now).items[0].packed == page.items[0].packed);
+        }
+    }
+    WHEN("a page tells a size that is not the value's")
+    {
+        auto wrong = page;
+        wrong.items[0].plain_bytes += 1;
+        THEN("it is refused as a whole")
+        {
+            CHECK_FALSE(cj::unpacked(wrong));
+        }
+    }
+}
+
 SCENARIO("an older page does not bring back what a listing lacked", "[fleet]")
 {
     // An entry that starts lists the store and, at the same moment, pulls from
