An entry that knows its configuration to be old does not deny; figures of a mirror's age

Cause: in the incident entries refused with 404 and 401 for 20 s and more although their peers told them all the while that they knew more. A caller believes such an answer.

Ruled out: handing the request to an entry that is up to date (another hop through the link that is full); waiting (a caller is better off with a refusal that names a time).

Change: fleet/mirror_age (pure) remembers how long peers have known more; after 1 s a 404 or 401 becomes a 503 with a time to come back. Sides no longer work out a distance to the store for each heartbeat.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -17,6 +17,7 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
 #include "coursejunction/fleet/beat_plan.hpp"
+#include "coursejunction/fleet/mirror_age.hpp"
 #include "coursejunction/fleet/mirror_puller.hpp"
 #include "coursejunction/fleet/node_address.hpp"
 #include "coursejunction/fleet/peer_directory.hpp"
@@ -150,6 +151,13 @@
             directory.name_side(address, hall, event_loop::now());
     }
 
+    /*! @brief Returns for how long peers have known more than this process;
+     * zero when none is known to. */
+    [[nodiscard]] milliseconds behind_for(time_point now) const
+    {
+        return age.behind_for(copy.revision(), now);
+    }
+
     [[nodiscard]] const store_mirror& mirror() const { return copy; }
     [[nodiscard]] const peer_directory& peers() const { return directory; }
     [[nodiscard]] stream_client& client() { return calls; }
@@ -237,6 +245,22 @@
         auto regular = moment(beat_reason::regular);
         regular.spreading = hooks.spreading && hooks.spreading();
         tell(regular);
+        if (beat_number % measuring_beat == 0)
+            measure(event_loop::now());
+    }
+
+    /*! @brief Shows what this process decides by, and who reads the store. */
+    void measure(time_point now)
+    {
+        counters.set("fleet_mirror_revision",
+                     static_cast<double>(copy.revision()));
+        counters.set("fleet_mirror_behind_seconds",
+                     to_seconds(behind_for(now)));
+        counters.set("fleet_store_watchers",
+                     static_cast<double>(directory.watchers(now) +
+                                         (reader.watching() ? 1 : 0)));
+        counters.set("fleet_hall_fetchers",
+                     static_cast<double>(standing().fetching));
     }
 
     /*! @brief Returns the sides of the own hall, this one included, in the
@@ -306,7 +330,7 @@
         made.watching = reader.watching();
         made.fetching = reader.fetching() || puller.fetching();
         made.store_returned = store_returned(now);
-        made.store_distance = store_distance(now);
+        made.store_distance = own_distance();
         for (const auto& [address, one] : directory.all())
         {
             const auto number = address_number(address);
@@ -349,7 +373,10 @@
             now - advanced_at >= (own ? behind_grace : far_behind_grace))
             tell_behind(from);
         if (read.value().mirror_revision > copy.revision())
+        {
+            age.told(read.value().mirror_revision, copy.revision(), now);
             puller.heard(from, own);
+        }
         if (hooks.heard)
             hooks.heard(from, read.value());
     }
@@ -383,9 +410,14 @@
      * process or else of its hall; 0 when it is not known. */
     [[nodiscard]] std::uint32_t store_distance(time_point now) const
     {
-        const auto own = std::chrono::microseconds(store.distance()).count();
-        return own > 0 ? static_cast<std::uint32_t>(own)
-                       : directory.store_distance(options.hall, now);
+        const auto own = own_distance();
+        return own > 0 ? own : directory.store_distance(options.hall, now);
+    }
+
+    [[nodiscard]] std::uint32_t own_distance() const
+    {
+        const std::chrono::microseconds own = store.distance();
+        return static_cast<std::uint32_t>(own.count());
     }
 
     [[nodiscard]] hall_standing standing() const
@@ -436,6 +468,7 @@
                                   ? peer->last.store_returned
                                   : store_returned(event_loop::now());
         advanced_at = event_loop::now();
+        age.advanced(copy.revision(), advanced_at);
         if (hooks.changed)
             hooks.changed(changed, returned);
         auto sent = moment(beat_reason::mirror);
@@ -443,6 +476,9 @@
         tell(sent);
     }
 
+    /*! @brief Each this many heartbeats the gauges are set: once a second. */
+    static constexpr std::uint64_t measuring_beat = 5;
+
     /*! @brief Entries named in one heartbeat, so that it fits a datagram. */
     static constexpr std::size_t most_named = 64;
 
@@ -458,6 +494,7 @@
     std::uint64_t beat_number{0};
     time_point advanced_at{}; /*!< When the mirror last changed. */
     store_mirror copy;
+    mirror_age age;
     peer_directory directory;
     std::unique_ptr<datagram_socket> socket;
     std::unique_ptr<stream_server> server;
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -126,6 +126,15 @@
         return count;
     }
 
+    /*! @brief Returns how many live entries watch the store. */
+    [[nodiscard]] std::size_t watchers(time_point now) const
+    {
+        std::size_t count = 0;
+        for (const auto& [address, one] : peers)
+            count += one.entry && one.last.watching && alive(one, now) ? 1 : 0;
+        return count;
+    }
+
     /*! @brief Returns how many live entries that watch the store are nearer to
      * it than this one or, as near, come before it.
      * @param distance Microseconds to the store; 0 when not known. */
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -64,6 +64,10 @@
         entry_count = std::max<std::size_t>(count, 1);
     }
 
+    /*! @brief Tells whether others have known a newer state for long: what the
+     * configuration here does not allow may be allowed by then. */
+    void outdated(bool is) { rules_outdated = is; }
+
     /*! @brief Takes a request. */
     void request(stream_request from, stream_reply reply)
     {
@@ -77,7 +81,8 @@
         counters.count("requests_total");
         const auto refused = admit(*one);
         if (refused != 0)
-            return reject(*one, refused);
+            return reject(*one,
+                          rules_outdated && denies(refused) ? 503 : refused);
         open.emplace(number, one);
         one->reply.on_left([this, number] { left(number); });
         arm_limit(*one);
@@ -134,6 +139,12 @@
         return 0;
     }
 
+    /*! @brief Tells whether a status says that the configuration does not allow
+     * a request. A caller believes that and does not come back, so an entry
+     * that knows its configuration to be old says instead that it cannot tell.
+     */
+    static bool denies(int status) { return status == 404 || status == 401; }
+
     void reject(exchange& one, int status)
     {
         counters.count("requests_refused_total", 1,
@@ -622,6 +633,7 @@
     std::size_t entry_count{1};
     std::uint64_t last_number{0};
     std::uint64_t last_attempt{0};
+    bool rules_outdated{false};
     timer ticking;
 };
 
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -97,6 +97,10 @@
     /*! @brief How often lapses, readiness and a stop are looked at. */
     static constexpr milliseconds tick_interval{100};
 
+    /*! @brief After peers have known more for this long, the configuration here
+     * counts as old: changes take 0.1 to 0.6 s to come, and 2 s are allowed. */
+    static constexpr milliseconds outdated_time{1000};
+
     /*! @brief Idle connections are closed this long after a stop began: the
      * balancer asks each second and believes the second miss, so that no new
      * ones come, and every answer since has told its caller to leave. */
@@ -231,6 +235,7 @@
         book.expire(now);
         const auto entries = node.peers().entries(now) + 1;
         exchanges.entries(entries);
+        exchanges.outdated(node.behind_for(now) >= outdated_time);
         book.entries(entries);
         if (leaving)
             go_on_stopping(now);
--- a/tests/proxy/exchange_service.cpp
+++ b/tests/proxy/exchange_service.cpp
@@ -209,6 +209,16 @@
             CHECK(entry.ask("/keyed/x", "Key: z\r\n")
                       .starts_with("HTTP/1.1 401"));
         }
+        SECTION("an entry that knows its configuration to be old cannot tell")
+        {
+            entry.running.on_loop([&] { entry.service->outdated(true); });
+            const auto answer = entry.ask("/keyed/x", "Key: z\r\n");
+            CHECK(answer.starts_with("HTTP/1.1 503"));
+            CHECK(answer.find("Retry-After") != std::string::npos);
+            entry.running.on_loop([&] { entry.service->outdated(false); });
+            CHECK(entry.ask("/keyed/x", "Key: z\r\n")
+                      .starts_with("HTTP/1.1 401"));
+        }
         SECTION("no upstream: refused, with the time that one needs to come")
         {
             const auto answer = entry.ask();
