Test: two hundred sides, and the link that the origin has

The link of the test before carried one manifest in 10 ms, which no origin of the platform has, so that it did not show whether a rate meant for the real link (4.2 ms) fits. Now the link is the real one and the sides are 200 in place of 60; 24 calls at once are whole, 8.3 times fewer than the sides (6 times before), so the test is no easier.

--- a/tests/transfer/manifest_fetch.cpp
+++ b/tests/transfer/manifest_fetch.cpp
@@ -26,10 +26,11 @@
 class narrow_origin
 {
 public:
-    /*! @brief Manifests that the link carries in a second. */
-    static constexpr double link_rate = 100;
+    /*! @brief Manifests that the link carries in a second: 5 KB take 4.2 ms on
+     * 9.9 Mbit/s. */
+    static constexpr double link_rate = 240;
 
-    /*! @brief Longest call; ten at once are whole in it. */
+    /*! @brief Longest call; 24 at once are whole in it. */
     static constexpr cj::milliseconds limit{100};
 
     explicit narrow_origin(cj::event_loop& owner)
@@ -217,16 +218,16 @@
 
 } // namespace
 
-// Sixty sides want a manifest and nobody can give it to them: the origin is
-// away, or the side is dead that the others wait for. If each of them then
-// asked the origin, sixty calls would share a link on which ten are whole
-// before they are given up; none would ever end, all would begin again from
-// nothing, and the link would stay full after the trouble is over.
+// Two hundred sides want a manifest and nobody can give it to them: the origin
+// is away, or the side is dead that the others wait for. If each of them then
+// asked the origin, two hundred calls would share a link on which 24 are whole
+// before they are given up; none would end, all would begin again from nothing,
+// and the link would stay full after the trouble is over.
 SCENARIO("a manifest reaches all over a link that few can use at once",
          "[transfer]")
 {
-    constexpr std::size_t sides = 60;
-    constexpr std::size_t whole_at_once = 10;
+    constexpr std::size_t sides = 200;
+    constexpr std::size_t whole_at_once = 24;
     GIVEN("sides of three halls and an origin with a narrow link")
     {
         swarm all(sides);
