Test: writers of the one configuration keep each other from it

The product's own interface keeps the configuration as one value of up to a megabyte (1.33 MB as the service encodes it). A write reads the whole and writes the whole, each under `key_value_timeout` (1 s); a failed call is begun again after 150 ms exactly, one that came too late at once, without a pause and without a look at the deadline of 5 s. Over 24 Mbit/s a read takes 0.44 s: three at once take 1.33 s, so none ends, and all three come back together.

A writer that others outrun pauses never (3 expected), and with 200 such it goes on through all of them instead of telling its operator.

--- a/tests/control/configuration_writer.cpp
+++ b/tests/control/configuration_writer.cpp
@@ -51,6 +51,9 @@
     {
         const auto what = next();
         settle_late();
+        ++swaps;
+        if (rivals > 0)
+            interfere("rival" + std::to_string(rivals--));
         if (what == fault::refuse)
             return done(cj::swap_outcome::not_sent);
         if (what == fault::lose_request)
@@ -107,6 +110,8 @@
     std::optional<cj::stored_value> late;
     int waits{0};
     int patience{20};
+    int rivals{0}; /*!< Others who each write just before one of our swaps. */
+    int swaps{0};
 
 private:
     fault next()
@@ -198,6 +203,39 @@
     }
 }
 
+// Others change the configuration just before each of our writes, so that each
+// comes too late. A writer that read and wrote the whole again at once would
+// keep the link full that all of them need, for as long as the others go on,
+// and its operator would wait without an end.
+SCENARIO("a writer that comes too late rests before it tries again",
+         "[control]")
+{
+    fake_store store;
+    GIVEN("three others who are faster")
+    {
+        store.rivals = 3;
+        const auto got = write(store, "tutor");
+        THEN("the write is accepted, after a pause for each of them")
+        {
+            CHECK(got.end);
+            CHECK(stored(store, "tutor"));
+            CHECK(store.waits == 3);
+        }
+    }
+    GIVEN("others who are faster all the time")
+    {
+        store.rivals = 200;
+        const auto got = write(store, "tutor");
+        THEN("the operator is told in time that nothing was changed")
+        {
+            REQUIRE_FALSE(got.end);
+            CHECK(got.end.error().kind == cj::error_kind::unavailable);
+            CHECK_FALSE(stored(store, "tutor"));
+            CHECK(store.swaps <= store.patience + 1);
+        }
+    }
+}
+
 TEST_CASE("what a writer says is true under any faults", "[control]")
 {
     rc::prop("accepted means stored, refused means not stored",
--- /dev/null
+++ b/tests/control/key_value_client.cpp
@@ -0,0 +1,237 @@
+#include "coursejunction/control/key_value_client.hpp"
+
+#include <memory>
+#include <optional>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include "coursejunction/net/http_client.hpp"
+#include "coursejunction/net/stream_server.hpp"
+#include "net/loopback.hpp"
+#include "net/narrow_link.hpp"
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string base64(const std::string& plain)
+{
+    std::string text(4 * ((plain.size() + 2) / 3) + 1, '\0');
+    const auto count =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<const unsigned char*>(plain.data()),
+                        static_cast<int>(plain.size()));
+    text.resize(static_cast<std::size_t>(count));
+    return text;
+}
+
+/*! @brief The service with its one value behind a link that all share. */
+class distant_service
+{
+public:
+    /*! @brief Values that the link carries in a second. */
+    static constexpr double link_rate = 20;
+
+    /*! @brief Longest call; five at once are whole in it. */
+    static constexpr cj::milliseconds limit{250};
+
+    explicit distant_service(cj::event_loop& loop) : link(loop, link_rate)
+    {
+        auto made = cj::stream_server::create(
+            loop, "127.0.0.1", 0, {},
+            [this](cj::stream_request request, cj::stream_reply reply)
+            { take(std::move(request), std::move(reply)); });
+        server = std::move(made.value());
+    }
+
+    [[nodiscard]] std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(server->port());
+    }
+
+    [[nodiscard]] std::size_t deployments() const
+    {
+        return index == 0 ? 0
+                          : cj::configuration::parse(value)
+                                .value()
+                                .deployments()
+                                .size();
+    }
+
+private:
+    void take(cj::stream_request request, cj::stream_reply reply)
+    {
+        const auto to = std::make_shared<cj::stream_reply>(std::move(reply));
+        const auto id = link.carry([this, request = std::move(request), to]
+                                   { answer(request, *to); });
+        to->on_left([this, id] { link.give_up(id); });
+    }
+
+    void answer(const cj::stream_request& request, cj::stream_reply& to)
+    {
+        if (request.method == "PUT")
+            return to.send(200, {}, swap(request) ? "true" : "false");
+        if (index == 0)
+            return to.send(404, {}, "");
+        const nlohmann::json one{{"ModifyIndex", index},
+                                 {"Value", base64(value)}};
+        to.send(200, {}, nlohmann::json::array({one}).dump());
+    }
+
+    bool swap(const cj::stream_request& request)
+    {
+        const auto known = request.target.find("cas=");
+        if (std::stoull(request.target.substr(known + 4)) != index)
+            return false;
+        value = request.body;
+        ++index;
+        return true;
+    }
+
+    loopback::narrow_link link;
+    std::unique_ptr<cj::stream_server> server;
+    std::string value;
+    std::uint64_t index{0};
+};
+
+cj::configuration_change create(const std::string& name)
+{
+    cj::configuration_change change;
+    change.name = cj::deployment_name(name);
+    change.spec.name = change.name;
+    change.spec.model = "m";
+    change.spec.version = cj::digest::of("v");
+    change.spec.placements.push_back({cj::hall_id("north"), 1, {}});
+    return change;
+}
+
+/*! @brief Operators who each change something else at the same moment, at
+ * entries far from the service. */
+class operators
+{
+public:
+    operators()
+    {
+        loop.on_loop(
+            [&]
+            {
+                service.emplace(loop.loop);
+                client.emplace(loop.loop);
+                values.emplace(*client, service->url(), distant_service::limit);
+            });
+    }
+
+    ~operators()
+    {
+        loop.on_loop(
+            [&]
+            {
+                stores.clear();
+                client.reset();
+                service.reset();
+            });
+        loop.stop();
+    }
+
+    operators(const operators&) = delete;
+    operators& operator=(const operators&) = delete;
+
+    void write(std::size_t count, cj::milliseconds patience)
+    {
+        loop.on_loop(
+            [&]
+            {
+                for (std::size_t at = 0; at < count; ++at)
+                    start("d" + std::to_string(at), patience);
+            });
+        const auto until = cj::event_loop::now() + patience * 2;
+        while (ended() < count && cj::event_loop::now() < until)
+            std::this_thread::sleep_for(10ms);
+    }
+
+    std::size_t ended()
+    {
+        std::size_t number = 0;
+        loop.on_loop([&] { number = told; });
+        return number;
+    }
+
+    std::size_t accepted()
+    {
+        std::size_t number = 0;
+        loop.on_loop([&] { number = good; });
+        return number;
+    }
+
+    std::size_t stored()
+    {
+        std::size_t number = 0;
+        loop.on_loop([&] { number = service->deployments(); });
+        return number;
+    }
+
+private:
+    void start(const std::string& name, cj::milliseconds patience)
+    {
+        stores.push_back(std::make_unique<cj::configuration_store>(
+            loop.loop, *values, cj::event_loop::now() + patience));
+        cj::configuration_writer<cj::configuration_store>::start(
+            *stores.back(), create(name), cj::write_id("write-" + name),
+            cj::revision(0),
+            [this](const cj::write_result& end)
+            {
+                ++told;
+                good += end.end ? 1 : 0;
+            });
+    }
+
+    loopback::running_loop loop;
+    std::optional<distant_service> service;
+    std::optional<cj::http_client> client;
+    std::optional<cj::key_value_client> values;
+    std::vector<std::unique_ptr<cj::configuration_store>> stores;
+    std::size_t told{0};
+    std::size_t good{0};
+};
+
+} // namespace
+
+// The configuration is one value. Eight operators change it at the same moment
+// over a link on which five calls at once end in time. If all that failed came
+// back after the same pause, they would fill the link together again and
+// again: in five seconds, in which it carries a hundred values, no change at
+// all would be accepted.
+SCENARIO("operators who write at once do not keep each other from it",
+         "[control]")
+{
+    GIVEN("a service behind a narrow link")
+    {
+        operators many;
+        WHEN("two write at the same moment")
+        {
+            many.write(2, 5000ms);
+            THEN("both changes are accepted")
+            {
+                CHECK(many.accepted() == 2);
+            }
+        }
+        WHEN("more write than the link can take at once")
+        {
+            constexpr std::size_t count = 8;
+            constexpr std::size_t most = 6;
+            many.write(count, 5000ms);
+            THEN("most are accepted, and each hears what became of its own")
+            {
+                CHECK(many.ended() == count);
+                CHECK(many.accepted() >= most);
+                CHECK(many.stored() >= many.accepted());
+            }
+        }
+    }
+}
