Test: an open call of the origin is begun again beside itself

The option it sets (`planner_limits::origin_ends`) is there; nothing heeds it yet.

When nothing new was seen for 0.7, 1.4, 2.8, 5.6 s, the planner forgets what it asked of the origin, so that stand-ins may step in, and then asks the origin for the same chunk again, while the first call still carries it: a full link makes more readers, which keep it full. The limit of two calls a side is passed too.

A chunk that the origin gives slowly is not asked of a neighbour that has it, however long the call lasts.

--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -40,6 +40,9 @@
     /*! @brief A peer's chunk that takes this long shows that the own link is
      * narrow: fewer are asked at once; zero for never. */
     milliseconds slow_chunk{0};
+    /*! @brief A call of the origin ends by itself when nothing comes any more:
+     * as long as it is open, the chunk is not asked of the origin again. */
+    bool origin_ends{false};
     std::uint32_t seed{1};
 };
 
--- a/tests/transfer/transfer_planner.cpp
+++ b/tests/transfer/transfer_planner.cpp
@@ -188,6 +188,60 @@
     }
 }
 
+// The origin's link is full, and each chunk takes long. If a side began the
+// same call again beside the one that is open, whenever nothing new was seen
+// for a while, the link would carry everything twice and three times, and each
+// chunk would take longer still.
+SCENARIO("a call of the origin that is open is not begun again", "[transfer]")
+{
+    cj::planner_limits limits;
+    limits.stall_floor = 700ms;
+    limits.lonely = 1000ms;
+    limits.origin_ends = true;
+    const cj::instance_id p("p");
+    GIVEN("a side that is alone, and an origin that takes ten seconds")
+    {
+        planner plan(fixtures::manifest_of(fixtures::model_bytes(2)),
+                     cj::instance_id("me"), limits, cj::swarm_policy(), start);
+        plan.participants({hall_of_three().front()}, start);
+        std::map<cj::chunk_index, std::size_t> calls;
+        for (auto now = start; now < start + 10s; now += 20ms)
+        {
+            for (const auto& one : plan.next(now))
+                ++calls[one.chunk];
+        }
+        THEN("each chunk is asked for once")
+        {
+            CHECK(calls[0] == 1);
+            CHECK(calls[1] == 1);
+        }
+        WHEN("a call ends without its chunk")
+        {
+            plan.origin_failed(0, start + 10s);
+            const auto again = plan.next(start + 11s);
+            THEN("that one is asked for again")
+            {
+                REQUIRE(count(again, kind::origin) == 1);
+                CHECK(again.front().chunk == 0);
+            }
+        }
+    }
+    GIVEN("a chunk that the origin gives slowly and a neighbour has")
+    {
+        planner plan(fixtures::manifest_of(fixtures::model_bytes(1)),
+                     cj::instance_id("me"), limits, cj::swarm_policy(), start);
+        plan.participants({hall_of_three().front()}, start);
+        REQUIRE(count(plan.next(start), kind::origin) == 1);
+        plan.participants(hall_of_three(), start);
+        plan.holds(p, range(1), 0, start + 100ms);
+        THEN("the neighbour is asked after a second, and not before")
+        {
+            CHECK(plan.next(start + 900ms).empty());
+            CHECK(count(plan.next(start + 1100ms), kind::holder) == 1);
+        }
+    }
+}
+
 SCENARIO("an origin that was away is not drawn on more often afterwards",
          "[transfer]")
 {
