An open call of the origin is left to its end

Cause: escalation forgot every request but those to holders, also calls of the origin that were open, and asked for the same chunk again beside them.

Ruled out: to cancel the first call and begin anew (from nothing, on a full link); to count open calls in the transfer only (a chunk stays with the origin although a neighbour has it).

Change: where calls of the origin end by themselves (`origin_ends`: transfers on installations, silence of 3 s), escalation leaves them alone; stand-ins step in as before. The product's own interface (`transfer_service`) does not set it: its calls have 60 s, and escalation ends them sooner.

Every test of the planner passes unchanged.

--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -306,6 +306,7 @@
         limits.lonely = options.lonely;
         limits.first_copy = options.first_copy;
         limits.slow_chunk = options.slow_chunk;
+        limits.origin_ends = true;
         limits.pending = options.holder_calls;
         limits.origin_pending = 2;
         limits.waiting = waiting_calls;
--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -223,7 +223,10 @@
         escalate(now);
         ask_first_sources(requests, now);
         if constexpr (Policy::uses_possession)
+        {
+            free_slow_origin_calls(now);
             ask_holders(requests, now);
+        }
         return requests;
     }
 
@@ -483,8 +486,26 @@
         last_news = now;
         for (const auto at : open)
         {
-            if (chunks[at].asked &&
-                chunks[at].how != transfer_request::kind::holder)
+            const auto& one = chunks[at];
+            const bool goes_on =
+                one.how == transfer_request::kind::origin && limits.origin_ends;
+            if (one.asked && one.how != transfer_request::kind::holder &&
+                !goes_on)
+                settle(at);
+        }
+    }
+
+    /*! @brief A chunk that the origin gives slowly may be asked of a holder of
+     * the hall; the call of the origin goes on, and the first one counts. */
+    void free_slow_origin_calls(time_point now)
+    {
+        if (!limits.origin_ends)
+            return;
+        for (const auto at : open)
+        {
+            const auto& one = chunks[at];
+            if (one.asked && one.how == transfer_request::kind::origin &&
+                one.holders != 0 && now - one.asked_at > limits.lonely)
                 settle(at);
         }
     }
