Test: a value that keeps coming is given up and read again from nothing

A read of the key-value service has `key_value_timeout` (1 s) in all, whatever has come of it, and a write of a megabyte as long as one of 60 bytes. One read of the configuration (1.33 MB encoded) needs 10.7 Mbit/s for itself; when the 340 entries of a fleet start together they need 3.6 Gbit/s, and each that fails reads the whole again 0.5 s later (`first_read`, `watch_retry`).

--- a/tests/control/key_value_client.cpp
+++ b/tests/control/key_value_client.cpp
@@ -1,5 +1,6 @@
 #include "coursejunction/control/key_value_client.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -200,8 +201,167 @@
     std::size_t good{0};
 };
 
+/*! @brief The service alone at the end of a slow link: it gives a value part by
+ * part, and answers a write after a time for each of its bytes. */
+class slow_service
+{
+public:
+    static constexpr cj::milliseconds limit{250};
+    static constexpr cj::milliseconds each_part{100};
+    static constexpr std::size_t parts = 10;
+    static constexpr std::size_t write_rate = 400'000; /*!< Bytes a second. */
+
+    /*! @param given Parts after which it falls silent. */
+    explicit slow_service(std::size_t given) : most(given)
+    {
+        loop.on_loop(
+            [&]
+            {
+                auto made = cj::stream_server::create(
+                    loop.loop, "127.0.0.1", 0, {},
+                    [this](const cj::stream_request& request,
+                           cj::stream_reply reply)
+                    { take(request, std::move(reply)); });
+                server = std::move(made.value());
+                client.emplace(loop.loop);
+                values.emplace(*client,
+                               "http://127.0.0.1:" +
+                                   std::to_string(server->port()),
+                               limit);
+            });
+    }
+
+    ~slow_service()
+    {
+        loop.on_loop(
+            [&]
+            {
+                pause.stop();
+                client.reset();
+                server.reset();
+            });
+        loop.stop();
+    }
+
+    slow_service(const slow_service&) = delete;
+    slow_service& operator=(const slow_service&) = delete;
+
+    cj::result<cj::stored_value> read()
+    {
+        std::optional<cj::result<cj::stored_value>> got;
+        loop.on_loop(
+            [&]
+            { values->read("a/key", [&](auto end) { got.emplace(end); }); });
+        wait([&] { return got.has_value(); });
+        return *got;
+    }
+
+    cj::swap_outcome write(std::size_t bytes)
+    {
+        std::optional<cj::swap_outcome> got;
+        loop.on_loop(
+            [&]
+            {
+                values->swap("a/key", 0, std::string(bytes, 'x'),
+                             [&](auto end) { got = end; });
+            });
+        wait([&] { return got.has_value(); });
+        return *got;
+    }
+
+private:
+    void take(const cj::stream_request& request, cj::stream_reply reply)
+    {
+        open = std::move(reply);
+        if (request.method == "PUT")
+        {
+            if (most == 0)
+                return;
+            const auto takes = 1000 * request.body.size() / write_rate;
+            pause = loop.loop.after(cj::milliseconds(takes),
+                                    [this] { open.send(200, {}, "true"); });
+            return;
+        }
+        const nlohmann::json one{{"ModifyIndex", 7}, {"Value", base64("v")}};
+        text = nlohmann::json::array({one}).dump();
+        given = 0;
+        open.begin(200, {});
+        give();
+    }
+
+    void give()
+    {
+        if (given == most)
+            return;
+        const auto each = text.size() / parts + 1;
+        open.write(text.substr(std::min(given * each, text.size()), each));
+        if (++given == parts)
+            return open.finish();
+        pause = loop.loop.after(each_part, [this] { give(); });
+    }
+
+    template <typename Over>
+    void wait(Over over)
+    {
+        for (bool ended = false; !ended;)
+        {
+            std::this_thread::sleep_for(10ms);
+            loop.on_loop([&] { ended = over(); });
+        }
+    }
+
+    std::size_t most;
+    loopback::running_loop loop;
+    std::unique_ptr<cj::stream_server> server;
+    std::optional<cj::http_client> client;
+    std::optional<cj::key_value_client> values;
+    cj::stream_reply open;
+    std::string text;
+    std::size_t given{0};
+    cj::timer pause;
+};
+
 } // namespace
 
+// The value is large, or many read it at once over one link, so that it comes
+// slowly. If a read were given up after the time in which the service usually
+// answers, the whole would be read again from nothing, by everybody, without an
+// end: entries that start would never know what is in force.
+SCENARIO("a value that keeps coming is read to its end", "[control]")
+{
+    GIVEN("a service whose answers take longer than a call may be silent")
+    {
+        slow_service service(slow_service::parts);
+        THEN("a value that comes part by part is read")
+        {
+            const auto got = service.read();
+            REQUIRE(got);
+            CHECK(got.value().index == 7);
+            CHECK(got.value().text == "v");
+        }
+        THEN("a write has the time that its bytes take")
+        {
+            CHECK(service.write(400'000) == cj::swap_outcome::swapped);
+        }
+    }
+    GIVEN("a service that falls silent")
+    {
+        const auto began = cj::event_loop::now();
+        THEN("half a value is given up soon")
+        {
+            slow_service service(slow_service::parts / 2);
+            CHECK_FALSE(service.read());
+            CHECK(cj::event_loop::now() - began < 2s);
+        }
+        THEN("so is a small write")
+        {
+            slow_service service(0);
+            CHECK(service.write(60) == cj::swap_outcome::unknown);
+            CHECK(cj::event_loop::now() - began < 2s);
+        }
+    }
+}
+
 // The configuration is one value. Eight operators change it at the same moment
 // over a link on which five calls at once end in time. If all that failed came
 // back after the same pause, they would fill the link together again and
