A call of the key-value service is given up for silence, not for its length

Cause: one limit for every call, of 60 bytes or of 1.33 MB.

Ruled out: a longer `key_value_timeout` (a silent service would be noticed later by fences and claims too).

Change: a read or watch ends when the service is silent for the limit, before its answer or within it (`answer_time`, `stall_time`), and in all after the time that the largest configuration takes at 250 KB/s, a twelfth of 24 Mbit/s (5.3 s more). A write has the limit and the time of its own bytes at that rate; the client can't see how far an upload came.

--- a/src/coursejunction/control/key_value_client.cpp
+++ b/src/coursejunction/control/key_value_client.cpp
@@ -25,6 +25,28 @@
 /*! @brief Longest mean pause: a write has 5 s, which leaves several tries. */
 constexpr milliseconds longest_write_pause{1200};
 
+/*! @brief Bytes a second that a call may count on: twelve that share a link of
+ * 24 Mbit/s. */
+constexpr std::size_t least_rate = 250'000;
+
+/*! @brief Largest answer: a configuration, of which 3 bytes become 4. */
+constexpr std::size_t largest_answer = configuration::max_bytes / 3 * 4;
+
+constexpr milliseconds time_of(std::size_t bytes)
+{
+    return milliseconds(1000 * bytes / least_rate);
+}
+
+/*! @brief Limits a call by its silence, so that what keeps coming is not given
+ * up, and in all by the time that the largest answer takes.
+ * @param first How long the service may take to begin its answer. */
+void set_limits(http_call& call, milliseconds first, milliseconds silence)
+{
+    call.answer_time = first;
+    call.stall_time = silence;
+    call.timeout = first + time_of(largest_answer);
+}
+
 result<std::string> base64_decoded(const std::string& text)
 {
     std::string plain(text.size() / 4 * 3 + 1, '\0');
@@ -102,7 +124,7 @@
     ++made;
     http_call call;
     call.url = url + "/v1/kv/" + key;
-    call.timeout = timeout;
+    internal::set_limits(call, timeout, timeout);
     client.start(std::move(call), [done = std::move(done)](http_result end)
                  { done(internal::read_result(end)); });
 }
@@ -114,7 +136,7 @@
     http_call call;
     call.url = url + "/v1/kv/" + key + "?index=" + std::to_string(index) +
                "&wait=" + std::to_string(wait.count() / 1000) + "s";
-    call.timeout = wait + timeout;
+    internal::set_limits(call, wait + timeout, timeout);
     client.start(std::move(call), [done = std::move(done)](http_result end)
                  { done(internal::read_result(end)); });
 }
@@ -127,7 +149,7 @@
     call.method = "PUT";
     call.url = url + path;
     call.body = std::move(body);
-    call.timeout = timeout;
+    call.timeout = timeout + internal::time_of(call.body.size());
     client.start(std::move(call), [done = std::move(done)](http_result end)
                  { done(internal::swap_result(end)); });
 }
--- a/src/coursejunction/control/key_value_client.hpp
+++ b/src/coursejunction/control/key_value_client.hpp
@@ -34,6 +34,8 @@
     using swap_callback = std::function<void(swap_outcome)>;
     using session_callback = std::function<void(result<std::string>)>;
 
+    /*! @param limit How long the service may be silent; a large value may take
+     * longer as long as it keeps coming. */
     key_value_client(http_client& carrier, std::string base,
                      milliseconds limit);
 
