Test: a manifest that keeps coming from a side is given up

A side gives another one a manifest within 0.4 s in all (`manifest_time`), meant for 5 KB. From about 900 chunks on (60 KB) the four children of a side that also sends four chunks share its 7.6 Mbit/s for longer, are all given up and begin again from nothing 40 ms later.

--- a/tests/transfer/manifest_fetch.cpp
+++ b/tests/transfer/manifest_fetch.cpp
@@ -109,6 +109,7 @@
         loop.on_loop(
             [&]
             {
+                pauses.clear();
                 fetches.clear();
                 servers.clear();
                 origin.reset();
@@ -135,6 +136,13 @@
         loop.on_loop([&] { servers.erase(side); });
     }
 
+    /*! @brief A side gives what it is asked for in ten parts.
+     * @param each Time between two of them. */
+    void slow_down(const cj::instance_id& side, cj::milliseconds each)
+    {
+        loop.on_loop([&] { slow[side] = each; });
+    }
+
     void origin_away(bool away)
     {
         loop.on_loop([&] { origin->away = away; });
@@ -147,10 +155,31 @@
             [&]
             {
                 for (const auto& [id, server] : servers)
-                    fetch(id);
+                {
+                    if (!holders.contains(id))
+                        fetch(id);
+                }
             });
     }
 
+    /*! @brief A version is named to one side. */
+    void name_only(const cj::instance_id& side)
+    {
+        loop.on_loop([&] { fetch(side); });
+    }
+
+    bool has_manifest(const cj::instance_id& side, cj::milliseconds patience)
+    {
+        const auto until = cj::event_loop::now() + patience;
+        bool has = false;
+        while (!has && cj::event_loop::now() < until)
+        {
+            std::this_thread::sleep_for(10ms);
+            loop.on_loop([&] { has = holders.contains(side); });
+        }
+        return has;
+    }
+
     /*! @brief Waits until everybody that lives has the manifest.
      * @return Whether that was so in time. */
     bool whole_within(cj::milliseconds patience)
@@ -184,12 +213,27 @@
                 const auto found = holders.find(id);
                 if (found == holders.end())
                     return reply.send(404, {}, "");
-                reply.send(200, {}, found->second.lines());
+                if (!slow.contains(id))
+                    return reply.send(200, {}, found->second.lines());
+                reply.begin(200, {});
+                trickle(id, found->second.lines(), std::move(reply));
             });
         addresses[id] = "127.0.0.1:" + std::to_string(made.value()->port());
         servers[id] = std::move(made.value());
     }
 
+    void trickle(const cj::instance_id& id, const std::string& rest,
+                 cj::stream_reply reply)
+    {
+        constexpr std::size_t part = 10;
+        reply.write(rest.substr(0, part));
+        if (rest.size() <= part)
+            return reply.finish();
+        pauses.push_back(loop.loop.after(
+            slow.at(id), [this, id, left = rest.substr(part), reply]
+            { trickle(id, left, reply); }));
+    }
+
     void fetch(const cj::instance_id& id)
     {
         cj::transfer_surroundings around;
@@ -213,6 +257,8 @@
     std::map<cj::instance_id, std::unique_ptr<cj::stream_server>> servers;
     std::map<cj::instance_id, std::string> addresses;
     std::map<cj::instance_id, cj::manifest> holders;
+    std::map<cj::instance_id, cj::milliseconds> slow;
+    std::vector<cj::timer> pauses;
     std::vector<std::shared_ptr<cj::manifest_fetch<narrow_origin>>> fetches;
 };
 
@@ -263,6 +309,19 @@
             }
         }
     }
+    GIVEN("two sides of which the first has a full link, and no origin")
+    {
+        swarm two(2);
+        two.name_only(two.first());
+        REQUIRE(two.has_manifest(two.first(), 1000ms));
+        two.origin_away(true);
+        two.slow_down(two.first(), 100ms);
+        THEN("a manifest that keeps coming is waited for")
+        {
+            two.name();
+            CHECK(two.whole_within(3000ms));
+        }
+    }
     GIVEN("a side that is alone")
     {
         swarm one(1);
