A manifest from a side is given up for silence, not for its length

Cause: 0.4 s in all for a manifest of any size.

Ruled out: a longer limit in all alone (a dead or frozen side would be noticed later, and three calls go to the same one before the next).

Change: the call ends after 0.4 s of silence, and after 2.5 s in all (`peer_time`) against a side that trickles.

--- a/src/coursejunction/transfer/chunk_transfer_options.hpp
+++ b/src/coursejunction/transfer/chunk_transfer_options.hpp
@@ -25,7 +25,8 @@
     milliseconds connect_time{1500};
     /*! @brief How long a peer may hold a call for a chunk it does not have. */
     milliseconds peer_wait{1500};
-    /*! @brief Longest call of a peer for a manifest of 5 KB. */
+    /*! @brief Longest silence of a peer that is asked for a manifest; the first
+     * part waits behind four chunks at most, 140 ms. */
     milliseconds manifest_time{400};
     /*! @brief Pause before a side before this one is asked again: it has the
      * manifest one call of the origin, 20 to 50 ms, after its naming. */
--- a/src/coursejunction/transfer/manifest_fetch.hpp
+++ b/src/coursejunction/transfer/manifest_fetch.hpp
@@ -139,7 +139,8 @@
         call.address = view.peer_port(peer);
         call.target = "/chunks?model=" + what.model +
                       "&version=" + std::to_string(what.version);
-        call.timeout = options.manifest_time;
+        call.timeout = options.peer_time;
+        call.stall_time = options.manifest_time;
         call.repeatable = true;
         client.gather(
             std::move(call),
