Transfer service: the fetch of the wanted version is a module of its own

Cause: one private class of 919 lines held the fetch, the hand-over to the engine, announcements, pacing, calls to the origin and the answers to peers, all on shared members; none could be tested alone.

Moved to daemon/internal: version_fetch (the wanted version), held_versions, any_planner, transfer_peers (pure), origin_calls, paced_downlink, engine_hand_over (a template on the engine, so that a test can stand in) and have_announcer. Late answers are now told by a serial in each part that makes calls, in place of one of the whole fetch. What was written twice is joined: cancelling the origin's calls, the text of a call's fault, queueing held chunks at a beginning and at a new one, noting chunks for other halls. The release of versions at a stop is gone: nothing is released while nothing is wanted.

Ruled out: transfer/manifest_route.hpp in place of transfer_peers; it builds a tree, which is another choice of source. Tests for origin_calls, paced_downlink and version_fetch: they are not pure; what tests them is tests/session, as before (test_rollout; it has no weight store).

--- a/src/coursejunction/daemon/fwd.hpp
+++ b/src/coursejunction/daemon/fwd.hpp
@@ -17,6 +17,20 @@
 class transfer_service;
 class upstream_client;
 
+namespace internal
+{
+
+template <typename Engine>
+class engine_hand_over;
+class have_announcer;
+class held_versions;
+class origin_calls;
+class paced_downlink;
+class version_fetch;
+struct wanted_version;
+
+} // namespace internal
+
 } // namespace coursejunction
 
 #endif
--- /dev/null
+++ b/src/coursejunction/daemon/internal/any_planner.cpp
@@ -0,0 +1,33 @@
+#include "coursejunction/daemon/internal/any_planner.hpp"
+
+#include "coursejunction/core/digest.hpp"
+
+namespace coursejunction::internal
+{
+
+any_planner make_planner(const manifest& of, const node_settings& settings,
+                         weighting weigh, time_point now)
+{
+    planner_limits limits;
+    limits.seed =
+        static_cast<std::uint32_t>(stable_hash(settings.instance.value())) | 1U;
+    const auto& own = settings.instance;
+    switch (settings.policy)
+    {
+    case transfer_policy::stripes:
+        limits.waiting = of.size();
+        return transfer_planner<stripe_policy>(of, own, limits, {}, now);
+    case transfer_policy::chain:
+        limits.waiting = of.size();
+        return transfer_planner<chain_policy>(of, own, limits, {}, now);
+    case transfer_policy::origin_only:
+        return transfer_planner<origin_policy>(of, own, limits, {}, now);
+    case transfer_policy::swarm:
+        break;
+    }
+    const double extra = weigh == weighting::time ? settings.origin_extra : 0;
+    return transfer_planner<swarm_policy>(of, own, limits, swarm_policy(extra),
+                                          now);
+}
+
+} // namespace coursejunction::internal
--- /dev/null
+++ b/tests/daemon/internal/held_versions.cpp
@@ -0,0 +1,41 @@
+#include "coursejunction/daemon/internal/held_versions.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "transfer/fixtures.hpp"
+
+namespace cj = coursejunction;
+namespace ci = coursejunction::internal;
+
+SCENARIO("versions are held while they are wanted or served", "[daemon]")
+{
+    const auto make = [](const std::string& bytes)
+    { return std::make_shared<cj::staging>(fixtures::manifest_of(bytes)); };
+    const auto bytes = fixtures::model_bytes(2);
+    const auto first = make(bytes);
+    first->add(0, bytes.substr(0, fixtures::chunk_bytes));
+    const auto second = make(bytes + fixtures::model_bytes(1, 'z'));
+    const auto third = make(fixtures::model_bytes(1, 'y'));
+    ci::held_versions held;
+    for (const auto& one : {first, second, third})
+        held.hold(one->of().id(), one);
+
+    THEN("a later one takes over what is common")
+    {
+        CHECK(second->contains(0));
+        CHECK(held.find(second->of().id(), 0) == first->find(0));
+        CHECK(held.find(second->of().id(), 1) == nullptr);
+        CHECK(held.find(cj::digest::of("none"), 0) == nullptr);
+    }
+    WHEN("one is served and another wanted")
+    {
+        held.serving(first->of().id());
+        held.release_but(third->of().id());
+        THEN("only these stay")
+        {
+            CHECK(held.all().size() == 2);
+            CHECK(held.find(second->of().id()) == nullptr);
+            CHECK(held.find(first->of().id()) == first);
+        }
+    }
+}
