Request service: upstreams, answers, retries and times are modules

Moved to daemon/internal: live_request (with the order of an attempt), event_splitter, service_times, retry_rule, live_upstreams and caller_answers. What was written twice is joined: flushing held events before the outcome, the key of a queue.

Ruled out: taking the queues out too; placing, pumping and expiring use the requests in progress at every step. A test for caller_answers: it needs a node; what tests it is tests/session/test_requests.py, as before.

--- a/src/coursejunction/daemon/fwd.hpp
+++ b/src/coursejunction/daemon/fwd.hpp
@@ -22,10 +22,16 @@
 
 template <typename Engine>
 class engine_hand_over;
+class caller_answers;
+class event_splitter;
 class have_announcer;
 class held_versions;
+class live_upstreams;
 class origin_calls;
 class paced_downlink;
+class retry_rule;
+template <typename Key>
+class service_times;
 class version_fetch;
 struct wanted_version;
 
--- /dev/null
+++ b/src/coursejunction/daemon/internal/caller_answers.cpp
@@ -0,0 +1,140 @@
+#include "coursejunction/daemon/internal/caller_answers.hpp"
+
+#include <cstdint>
+
+#include <nlohmann/json.hpp>
+
+#include "coursejunction/daemon/node.hpp"
+
+namespace coursejunction::internal
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/*! @brief Events that come closer together are given to the caller at once;
+ * a reader notices no such delay. */
+constexpr milliseconds flush_interval{10};
+
+/*! @brief Gives the events of a request that were held back. */
+void flush_held(live_request& one)
+{
+    if (one.held.empty())
+        return;
+    one.reply->write(one.held);
+    one.held.clear();
+    one.given_at = node::now();
+}
+
+void write_outcome(live_request& one, const std::string& name)
+{
+    flush_held(one);
+    one.reply->write("event: outcome\ndata: " + name + "\n\n");
+}
+
+void add_retry_after(header_map& headers, milliseconds wait)
+{
+    constexpr std::int64_t second = 1000;
+    headers["Retry-After"] =
+        std::to_string((wait.count() + second - 1) / second);
+    headers["Retry-After-Ms"] = std::to_string(wait.count());
+}
+
+} // namespace
+
+caller_answers::caller_answers(node& owner)
+    : host(owner),
+      flush_timer(owner.loop().every(flush_interval, [this] { flush(); }))
+{
+}
+
+void caller_answers::begin(live_request& one)
+{
+    one.begun = true;
+    one.reply->begin(200, "text/event-stream",
+                     {{"Request-Id", one.id.value()}});
+    host.counters().observe("time_to_first_token_seconds",
+                            to_seconds(node::now() - one.arrived));
+}
+
+void caller_answers::give(const live_pointer& one, const std::string& events)
+{
+    const bool soon = node::now() - one->given_at < flush_interval;
+    if (!soon && one->held.empty())
+    {
+        one->given_at = node::now();
+        return one->reply->write(events);
+    }
+    if (one->held.empty())
+        to_flush.push_back(one);
+    one->held += events;
+}
+
+/*! @brief Gives all events that were held back. */
+void caller_answers::flush()
+{
+    for (const auto& one : to_flush)
+        flush_held(*one);
+    to_flush.clear();
+}
+
+void caller_answers::answered(live_request& one,
+                              const message::answer_end& head)
+{
+    host.counters().count("answers_total", 1, {{"outcome", "answered"}});
+    if (one.begun)
+    {
+        write_outcome(one, "answered");
+        return one.reply->finish();
+    }
+    header_map headers{{"Outcome", "answered"}, {"Request-Id", one.id.value()}};
+    if (!head.weights.empty())
+        headers["Weights"] = head.weights;
+    one.reply->send(head.status, head.content_type, headers, one.gathered);
+}
+
+void caller_answers::conclude(const live_pointer& one, attempt_end end)
+{
+    if (one->maybe_ran || one->begun)
+        end.result = outcome::unknown;
+    if (end.result != outcome::not_run || !one->not_repeatable)
+        return answer(*one, end);
+    host.key_values().read(
+        claim_key(one->id),
+        [this, one, end](const result<stored_value>& got) mutable
+        {
+            if (!got || got.value().index != 0)
+                end.result = outcome::unknown;
+            answer(*one, end);
+        });
+}
+
+/*! @brief Sends a final answer that is no answer of an upstream; a stream
+ * that has begun is cut so that nobody takes it for whole. */
+void caller_answers::answer(live_request& one, const attempt_end& end)
+{
+    const auto name = std::string(to_string(end.result));
+    host.counters().count("answers_total", 1, {{"outcome", name}});
+    if (one.begun)
+    {
+        write_outcome(one, name);
+        return one.reply->cut();
+    }
+    header_map headers{{"Outcome", name}, {"Request-Id", one.id.value()}};
+    if (end.retry_after.count() > 0)
+        add_retry_after(headers, end.retry_after);
+    const json body{{"outcome", name}, {"error", end.reason}};
+    one.reply->send(end.status == 0 ? 502 : end.status, "application/json",
+                    headers, body.dump());
+}
+
+void caller_answers::refuse_input(const std::shared_ptr<http_reply>& reply,
+                                  const std::string& fault)
+{
+    const json body{{"outcome", "not_run"}, {"error", fault}};
+    reply->send(400, "application/json", {{"Outcome", "not_run"}}, body.dump());
+}
+
+} // namespace coursejunction::internal
--- /dev/null
+++ b/src/coursejunction/daemon/internal/live_upstreams.cpp
@@ -0,0 +1,122 @@
+#include "coursejunction/daemon/internal/live_upstreams.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "coursejunction/daemon/internal/retry_rule.hpp"
+
+namespace coursejunction::internal
+{
+
+live_upstreams::live_upstreams(const node_settings& set)
+    : settings(set), policy(make_policy(set.routing))
+{
+}
+
+live_upstreams::any_policy live_upstreams::make_policy(routing_policy which)
+{
+    switch (which)
+    {
+    case routing_policy::scored:
+        break;
+    case routing_policy::least_loaded:
+        return least_loaded_policy();
+    case routing_policy::round_robin:
+        return round_robin_policy();
+    }
+    return scored_policy();
+}
+
+void live_upstreams::reported(const message::report& one, time_point now)
+{
+    auto& state = table[instance_id(one.instance)];
+    state.hall = hall_id(one.hall);
+    state.region = region_id(one.region);
+    state.model = one.model;
+    state.kind = one.kind;
+    state.weights = one.serving;
+    state.slots = one.slots;
+    state.reported = one.running;
+    state.own_at_report = state.own;
+    state.open = one.phase != "unreachable" &&
+                 (one.kind == "plain" || !one.serving.empty());
+    state.leaving = one.leaving;
+    state.heard = now;
+    state.cached = {one.cached_prefixes.begin(), one.cached_prefixes.end()};
+}
+
+void live_upstreams::peer_lost(const instance_id& peer)
+{
+    auto* state = table.find(peer);
+    if (state != nullptr)
+        state->open = false;
+}
+
+void live_upstreams::left(const instance_id& from)
+{
+    auto* state = table.find(from);
+    if (state != nullptr && state->own > 0)
+        --state->own;
+}
+
+void live_upstreams::failed(const instance_id& at, refusal why, time_point now)
+{
+    if (why == refusal::busy)
+        note_full(at);
+    else if (is_fault_of_upstream(why))
+        table.failed(at, now);
+}
+
+/*! @brief The side had no room although it seemed so here: other entries
+ * use it too. */
+void live_upstreams::note_full(const instance_id& upstream)
+{
+    auto* state = table.find(upstream);
+    if (state == nullptr)
+        return;
+    state->reported = std::max(state->reported, state->slots);
+    state->own_at_report = state->own;
+}
+
+std::optional<instance_id> live_upstreams::choose(const route_request& route,
+                                                  time_point now)
+{
+    return std::visit(
+        [&](auto& chosen) {
+            return table.choose(chosen, route, settings.hall, settings.region,
+                                now);
+        },
+        policy);
+}
+
+bool live_upstreams::knows(const std::string& model) const
+{
+    return std::any_of(table.all().begin(), table.all().end(),
+                       [&](const auto& state)
+                       { return state.second.model == model; });
+}
+
+const std::string* live_upstreams::weights(const instance_id& of)
+{
+    const auto* state = table.find(of);
+    return state == nullptr ? nullptr : &state->weights;
+}
+
+nlohmann::json live_upstreams::dump() const
+{
+    auto upstreams = nlohmann::json::array();
+    for (const auto& [id, one] : table.all())
+        upstreams.push_back({{"instance", id.value()},
+                             {"model", one.model},
+                             {"open", one.open},
+                             {"leaving", one.leaving},
+                             {"slots", one.slots},
+                             {"load", one.load()},
+                             {"own", one.own},
+                             {"failures", one.failures},
+                             {"service_s", one.service_s}});
+    return upstreams;
+}
+
+} // namespace coursejunction::internal
--- /dev/null
+++ b/src/coursejunction/daemon/internal/retry_rule.cpp
@@ -0,0 +1,33 @@
+#include "coursejunction/daemon/internal/retry_rule.hpp"
+
+namespace coursejunction::internal
+{
+
+bool retry_rule::allows(const live_request& one, const attempt_end& end,
+                        milliseconds left)
+{
+    // A begun stream goes on only with the same weights and sampling.
+    if (one.begun && (one.route.weights.empty() || one.not_repeatable))
+        return false;
+    if (one.attempt >= max_attempts || left.count() <= 0)
+        return false;
+    if (end.result == outcome::unknown && one.not_repeatable)
+        return false;
+    switch (end.refused)
+    {
+    case refusal::busy:
+    case refusal::closed:
+    case refusal::leaving:
+        return true;
+    case refusal::claim:
+    case refusal::cancelled:
+    case refusal::duplicate:
+        return false;
+    case refusal::none:
+    case refusal::unreachable:
+        return budget.spend();
+    }
+    return false;
+}
+
+} // namespace coursejunction::internal
--- /dev/null
+++ b/tests/daemon/internal/live_upstreams.cpp
@@ -0,0 +1,77 @@
+#include "coursejunction/daemon/internal/live_upstreams.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace cj = coursejunction;
+namespace ci = coursejunction::internal;
+using namespace std::chrono_literals;
+
+SCENARIO("an entry routes to upstreams that have room", "[daemon]")
+{
+    const cj::time_point now{100s};
+    const cj::node_settings settings;
+    ci::live_upstreams upstreams(settings);
+    const cj::instance_id side("s");
+    cj::route_request route;
+    route.model = "m";
+    route.kind = "plain";
+    cj::message::report report;
+    report.instance = "s";
+    report.model = "m";
+    report.kind = "plain";
+    report.phase = "serving";
+    report.serving = "w";
+    report.slots = 2;
+
+    GIVEN("nobody")
+    {
+        CHECK_FALSE(upstreams.served(route, now));
+        CHECK_FALSE(upstreams.knows("m"));
+        CHECK_FALSE(upstreams.choose(route, now));
+        CHECK(upstreams.weights(side) == nullptr);
+    }
+    GIVEN("a side that reports")
+    {
+        upstreams.reported(report, now);
+        CHECK(upstreams.served(route, now));
+        CHECK(upstreams.knows("m"));
+        CHECK(upstreams.choose(route, now) == side);
+        CHECK(*upstreams.weights(side) == "w");
+
+        WHEN("its slots are taken, and one is left again")
+        {
+            upstreams.entered(side);
+            upstreams.entered(side);
+            CHECK_FALSE(upstreams.choose(route, now));
+            upstreams.left(side);
+            CHECK(upstreams.choose(route, now) == side);
+            CHECK(upstreams.dump().at(0).at("own") == 1);
+        }
+        WHEN("it says that it is full")
+        {
+            upstreams.failed(side, cj::refusal::busy, now);
+            CHECK_FALSE(upstreams.choose(route, now));
+            CHECK(upstreams.dump().at(0).at("failures") == 0);
+        }
+        WHEN("it fails, then answers")
+        {
+            upstreams.failed(side, cj::refusal::unreachable, now);
+            CHECK_FALSE(upstreams.choose(route, now));
+            CHECK(upstreams.dump().at(0).at("failures") == 1);
+            upstreams.succeeded(side, 1s);
+            CHECK(upstreams.dump().at(0).at("failures") == 0);
+        }
+        WHEN("another has claimed the request")
+        {
+            upstreams.failed(side, cj::refusal::claim, now);
+            CHECK(upstreams.choose(route, now) == side);
+        }
+        WHEN("its connection is lost")
+        {
+            upstreams.peer_lost(side);
+            CHECK_FALSE(upstreams.served(route, now));
+            CHECK(upstreams.knows("m"));
+        }
+    }
+}
