Node: the list, links, gossip and the watch are modules

Moved to daemon/internal: instance_list (pure), peer_links (pure; the three maps), heartbeat_gossip, configuration_watch and node_dump (pure). One edge differs in form: a link that a hook has dropped meanwhile is passed over in drop_moved, where map::at would have thrown.

Ruled out: taking the pull of configurations out of the node; it needs the connections and the view, and little would remain between them.

--- a/src/coursejunction/daemon/fwd.hpp
+++ b/src/coursejunction/daemon/fwd.hpp
@@ -23,12 +23,15 @@
 template <typename Engine>
 class engine_hand_over;
 class caller_answers;
+class configuration_watch;
 class event_splitter;
 class have_announcer;
+class heartbeat_gossip;
 class held_versions;
 class live_upstreams;
 class origin_calls;
 class paced_downlink;
+class peer_links;
 class retry_rule;
 template <typename Key>
 class service_times;
--- /dev/null
+++ b/src/coursejunction/daemon/internal/heartbeat_gossip.cpp
@@ -0,0 +1,94 @@
+#include "coursejunction/daemon/internal/heartbeat_gossip.hpp"
+
+#include <string>
+#include <utility>
+
+namespace coursejunction::internal
+{
+
+namespace
+{
+
+/*! @brief Shortest time between two answers to a neighbour that has an older
+ * configuration. */
+constexpr milliseconds answer_gap{200};
+
+} // namespace
+
+heartbeat_gossip::heartbeat_gossip(const node_settings& set,
+                                   const key_ring& keys, member_table& all,
+                                   const configuration_view& known,
+                                   metrics& counts, std::uint64_t started,
+                                   newer_callback call)
+    : settings(set), ring(keys), members(all), view(known), counters(counts),
+      incarnation(started), newer(std::move(call))
+{
+}
+
+result<bool> heartbeat_gossip::open(event_loop& loop, std::uint16_t port)
+{
+    auto made = datagram_socket::create(
+        loop, settings.address, port,
+        [this](const std::string&, std::string_view bytes)
+        { datagram(bytes); });
+    if (!made)
+        return failure(made.error().kind, made.error().message);
+    socket = std::move(made.value());
+    return true;
+}
+
+void heartbeat_gossip::announce()
+{
+    for (const auto& id : members.neighbours(
+             settings.instance, settings.gossip_neighbours, event_loop::now()))
+        beat_to(id);
+}
+
+void heartbeat_gossip::beat_to(const instance_id& to)
+{
+    const auto* listed = members.find(to);
+    if (listed == nullptr)
+        return;
+    message::heartbeat beat;
+    beat.instance = settings.instance.value();
+    beat.incarnation = incarnation;
+    beat.sequence = ++beats;
+    beat.revision = view.ready() ? view.current().number().value() : 0;
+    beat.leaving = leaving;
+    socket->send(listed->peer_address,
+                 seal_datagram(ring, frame_type::heartbeat, encode(beat)));
+}
+
+void heartbeat_gossip::datagram(std::string_view bytes)
+{
+    const auto opened = open_datagram(ring, bytes);
+    if (!opened || opened.value().type != frame_type::heartbeat)
+    {
+        counters.count("datagrams_refused_total");
+        return;
+    }
+    const auto beat = decode<message::heartbeat>(opened.value().head);
+    if (beat)
+        heard(beat.value());
+}
+
+void heartbeat_gossip::heard(const message::heartbeat& beat)
+{
+    const instance_id from(beat.instance);
+    const auto now = event_loop::now();
+    if (!members.heard({from, beat.incarnation, beat.sequence, beat.leaving},
+                       now))
+    {
+        counters.count("heartbeats_replayed_total");
+        return;
+    }
+    const auto own = view.current().number().value();
+    if (beat.revision > own || !view.ready())
+        return newer(from, beat.revision);
+    if (beat.revision == own || now - answered[from] <= answer_gap)
+        return;
+    answered[from] = now;
+    beat_to(from);
+}
+
+} // namespace coursejunction::internal
--- /dev/null
+++ b/src/coursejunction/daemon/internal/heartbeat_gossip.hpp
@@ -0,0 +1,74 @@
+/*! @file
+ * @brief Heartbeats between neighbours.
+ */
+#ifndef COURSEJUNCTION_DAEMON_INTERNAL_HEARTBEAT_GOSSIP_HPP
+#define COURSEJUNCTION_DAEMON_INTERNAL_HEARTBEAT_GOSSIP_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+
+#include "coursejunction/control/configuration_view.hpp"
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/member/member_table.hpp"
+#include "coursejunction/net/datagram_socket.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/settings/node_settings.hpp"
+#include "coursejunction/wire/codec.hpp"
+
+namespace coursejunction::internal
+{
+
+/*! @brief Tells neighbours that this instance lives and which configuration
+ * it has, and hears the same of them. */
+class heartbeat_gossip
+{
+public:
+    /*! @brief Called when a neighbour has a newer configuration, or any while
+     * none is known here. */
+    using newer_callback =
+        std::function<void(const instance_id&, std::uint64_t revision)>;
+
+    /*! @param started When this process started. */
+    heartbeat_gossip(const node_settings& set, const key_ring& keys,
+                     member_table& all, const configuration_view& known,
+                     metrics& counts, std::uint64_t started,
+                     newer_callback call);
+
+    /*! @brief Opens the socket.
+     * @return True, or `unavailable`. */
+    [[nodiscard]] result<bool> open(event_loop& loop, std::uint16_t port);
+
+    /*! @brief Sends a heartbeat to each neighbour. */
+    void announce();
+
+    /*! @brief Says from now on that this instance is leaving. */
+    void leave() { leaving = true; }
+
+    /*! @brief Returns bytes received and sent. */
+    [[nodiscard]] std::uint64_t bytes() const { return socket->bytes(); }
+
+private:
+    void beat_to(const instance_id& to);
+    void datagram(std::string_view bytes);
+    void heard(const message::heartbeat& beat);
+
+    const node_settings& settings;
+    const key_ring& ring;
+    member_table& members;
+    const configuration_view& view;
+    metrics& counters;
+    std::uint64_t incarnation;
+    newer_callback newer;
+    std::unique_ptr<datagram_socket> socket;
+    std::map<instance_id, time_point> answered;
+    std::uint64_t beats{0};
+    bool leaving{false};
+};
+
+} // namespace coursejunction::internal
+
+#endif
--- /dev/null
+++ b/src/coursejunction/daemon/internal/node_dump.cpp
@@ -0,0 +1,31 @@
+#include "coursejunction/daemon/internal/node_dump.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace coursejunction::internal
+{
+
+nlohmann::json members_dump(const member_table& members, time_point now)
+{
+    auto shown = nlohmann::json::array();
+    for (const auto& [id, one] : members.all())
+        shown.push_back({{"id", id.value()},
+                         {"hall", one.hall.value()},
+                         {"role", one.kind == role::entry ? "entry" : "side"},
+                         {"peer", one.peer_address},
+                         {"usable", members.usable(id, now)}});
+    return shown;
+}
+
+nlohmann::json traffic_dump(const hub_counters& counts,
+                            std::uint64_t gossip_bytes,
+                            std::uint64_t key_value_calls)
+{
+    return {
+        {"bytes_in", counts.bytes_in},       {"bytes_out", counts.bytes_out},
+        {"frames_in", counts.frames_in},     {"frames_out", counts.frames_out},
+        {"frames_refused", counts.refused},  {"gossip_bytes", gossip_bytes},
+        {"key_value_calls", key_value_calls}};
+}
+
+} // namespace coursejunction::internal
--- /dev/null
+++ b/src/coursejunction/daemon/internal/node_dump.hpp
@@ -0,0 +1,29 @@
+/*! @file
+ * @brief Parts of the state that a node shows, as JSON; pure.
+ */
+#ifndef COURSEJUNCTION_DAEMON_INTERNAL_NODE_DUMP_HPP
+#define COURSEJUNCTION_DAEMON_INTERNAL_NODE_DUMP_HPP
+
+#include <cstdint>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/member/member_table.hpp"
+#include "coursejunction/net/peer_hub.hpp"
+
+namespace coursejunction::internal
+{
+
+/*! @brief Shows the listed members and whether work may be sent to them. */
+[[nodiscard]] nlohmann::json members_dump(const member_table& members,
+                                          time_point now);
+
+/*! @brief Shows what was sent and received. */
+[[nodiscard]] nlohmann::json traffic_dump(const hub_counters& counts,
+                                          std::uint64_t gossip_bytes,
+                                          std::uint64_t key_value_calls);
+
+} // namespace coursejunction::internal
+
+#endif
--- a/src/coursejunction/daemon/node.cpp
+++ b/src/coursejunction/daemon/node.cpp
@@ -3,13 +3,15 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
-#include <map>
-#include <set>
 
 #include <nlohmann/json.hpp>
 
 #include "coursejunction/core/log.hpp"
-#include "coursejunction/net/datagram_socket.hpp"
+#include "coursejunction/daemon/internal/configuration_watch.hpp"
+#include "coursejunction/daemon/internal/heartbeat_gossip.hpp"
+#include "coursejunction/daemon/internal/instance_list.hpp"
+#include "coursejunction/daemon/internal/node_dump.hpp"
+#include "coursejunction/daemon/internal/peer_links.hpp"
 
 namespace coursejunction
 {
@@ -19,13 +21,17 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds list_timeout{2000};
-constexpr std::chrono::milliseconds leave_grace{3000};
-constexpr std::chrono::milliseconds leave_poll{50};
-constexpr std::chrono::milliseconds watch_wait{10'000};
-constexpr std::chrono::milliseconds watch_retry{500};
-constexpr std::chrono::milliseconds answer_gap{200};
-constexpr std::chrono::milliseconds pull_patience{300};
+/*! @brief Longest time for a call for the list of instances. */
+constexpr milliseconds list_timeout{2000};
+
+/*! @brief Time for others to hear that this instance leaves. */
+constexpr milliseconds leave_grace{3000};
+
+/*! @brief Time between two looks whether everything is finished. */
+constexpr milliseconds leave_poll{50};
+
+/*! @brief Time in which a configuration that was asked for may come. */
+constexpr milliseconds pull_patience{300};
 
 std::uint64_t wall_milliseconds()
 {
@@ -35,55 +41,20 @@
             .count());
 }
 
-std::string text_of(const json& from, const char* name)
-{
-    const auto found = from.find(name);
-    if (found == from.end() || !found->is_string())
-        return {};
-    return found->get<std::string>();
-}
-
-std::optional<member> parse_member(const json& from)
-{
-    if (!from.is_object())
-        return std::nullopt;
-    member one;
-    one.id = instance_id(text_of(from, "id"));
-    one.hall = hall_id(text_of(from, "hall"));
-    one.region = region_id(text_of(from, "region"));
-    one.peer_address = text_of(from, "peer");
-    one.http_address = text_of(from, "http");
-    one.upstream_kind = text_of(from, "kind");
-    one.leaving = text_of(from, "state") == "leaving";
-    one.kind = text_of(from, "role") == "side" ? role::side : role::entry;
-    if (from.contains("labels") && from["labels"].is_array())
-    {
-        for (const auto& label : from["labels"])
-        {
-            if (label.is_string())
-                one.labels.push_back(label.get<std::string>());
-        }
-    }
-    if (one.id.empty() || one.peer_address.empty())
-        return std::nullopt;
-    return one;
-}
-
 } // namespace internal
 
 struct node::implementation
 {
-    struct dialled_link
-    {
-        connection_id id;
-        std::string address;
-    };
-
     implementation(event_loop& owner, node_settings set)
         : loop(owner), settings(std::move(set)), client(owner),
           key_values(client, settings.key_value_url,
                      settings.key_value_timeout),
-          started(internal::wall_milliseconds())
+          started(internal::wall_milliseconds()),
+          watch(loop, key_values, counters, view,
+                [this](configuration next) { offer(std::move(next)); }),
+          gossip(settings, ring, members, view, counters, started,
+                 [this](const instance_id& from, std::uint64_t revision)
+                 { pull(from, revision); })
     {
         ring.keys = settings.keys;
         ring.active = settings.active_key;
@@ -104,14 +75,10 @@
         if (!made_hub)
             return failure(made_hub.error().kind, made_hub.error().message);
         hub = std::move(made_hub.value());
-        auto made_socket = datagram_socket::create(
-            loop, settings.address, hub->port(),
-            [this](const std::string&, std::string_view bytes)
-            { datagram(bytes); });
-        if (!made_socket)
-            return failure(made_socket.error().kind,
-                           made_socket.error().message);
-        gossip = std::move(made_socket.value());
+        auto made_gossip = gossip.open(loop, hub->port());
+        if (!made_gossip)
+            return failure(made_gossip.error().kind,
+                           made_gossip.error().message);
         http_options options;
         if (settings.max_request_bytes > 0)
             options.max_request_bytes = settings.max_request_bytes;
@@ -141,7 +108,7 @@
         loop.on_signal(SIGTERM, [this] { leave(); });
         loop.on_signal(SIGINT, [this] { leave(); });
         if (settings.kind == role::entry)
-            first_read();
+            watch.read_first();
         std::cout << internal::json{{"ready", true},
                                     {"instance", settings.instance.value()},
                                     {"peer_port", hub->port()},
@@ -174,19 +141,12 @@
         counters.count("instance_list_calls_total");
         if (!end.ok() || end.status != 200)
             return;
-        const auto list = internal::json::parse(end.body, nullptr, false);
-        if (!list.is_array())
+        auto list = internal::parse_instance_list(end.body);
+        if (!list)
             return;
         const auto tag = end.headers.find("etag");
         list_tag = tag == end.headers.end() ? "" : tag->second;
-        std::vector<member> found;
-        for (const auto& one : list)
-        {
-            auto parsed = internal::parse_member(one);
-            if (parsed)
-                found.push_back(std::move(*parsed));
-        }
-        if (!members.assign(std::move(found)))
+        if (!members.assign(std::move(*list)))
             return;
         const auto* own = members.find(settings.instance);
         if (own != nullptr && own->leaving)
@@ -204,70 +164,40 @@
      * one id, and the list says which of them counts. */
     connection_id connection_to(const instance_id& to)
     {
-        const auto found = dialled.find(to);
-        if (found != dialled.end())
-            return found->second.id;
+        const auto known = links.dialled(to);
+        if (!known.empty())
+            return known;
         const auto* listed_member = members.find(to);
         if (to == settings.instance)
             return {};
         if (listed_member == nullptr)
-        {
-            const auto known = accepted.find(to);
-            return known == accepted.end() ? connection_id() : known->second;
-        }
+            return links.accepted(to);
         const auto id = hub->open(listed_member->peer_address);
-        dialled[to] = {id, listed_member->peer_address};
-        by_connection[id] = to;
+        links.dial(to, id, listed_member->peer_address);
         return id;
     }
 
     void opened(connection_id id, const peer_identity& who)
     {
-        const auto known = by_connection.find(id);
-        if (known == by_connection.end())
-        {
-            by_connection[id] = who.instance;
-            accepted[who.instance] = id;
-            return;
-        }
-        if (known->second == who.instance)
+        const auto expected = links.instance(id);
+        if (!expected)
+            return links.accept(who.instance, id);
+        if (*expected == who.instance)
             return members.answered(who.instance);
         // Another instance has taken over the address.
-        const auto expected = known->second;
-        drop(id);
+        links.drop(id);
         hub->close(id);
-        members.failed(expected, now());
-        hooks.peer_lost(expected);
-    }
-
-    void drop(connection_id id)
-    {
-        const auto known = by_connection.find(id);
-        if (known == by_connection.end())
-            return;
-        const auto out = dialled.find(known->second);
-        if (out != dialled.end() && out->second.id == id)
-            dialled.erase(out);
-        const auto in = accepted.find(known->second);
-        if (in != accepted.end() && in->second == id)
-            accepted.erase(in);
-        by_connection.erase(known);
+        members.failed(*expected, now());
+        hooks.peer_lost(*expected);
     }
 
     /*! @brief Leaves connections to addresses that are no longer listed. */
     void drop_moved()
     {
-        std::vector<instance_id> moved;
-        for (const auto& [instance, link] : dialled)
-        {
-            const auto* one = members.find(instance);
-            if (one != nullptr && one->peer_address != link.address)
-                moved.push_back(instance);
-        }
-        for (const auto& instance : moved)
+        for (const auto& instance : links.moved(members))
         {
-            const auto id = dialled.at(instance).id;
-            drop(id);
+            const auto id = links.dialled(instance);
+            links.drop(id);
             hub->close(id);
             hooks.peer_lost(instance);
         }
@@ -275,64 +205,34 @@
 
     void closed(connection_id id)
     {
-        const auto known = by_connection.find(id);
-        if (known == by_connection.end())
+        const auto instance = links.instance(id);
+        if (!instance)
             return;
-        const auto instance = known->second;
-        const auto out = dialled.find(instance);
-        const bool was_dialled = out != dialled.end() && out->second.id == id;
-        drop(id);
+        const bool was_dialled = links.dialled(*instance) == id;
+        links.drop(id);
         if (was_dialled)
-            members.failed(instance, now());
-        hooks.peer_lost(instance);
+            members.failed(*instance, now());
+        hooks.peer_lost(*instance);
     }
 
     void received(connection_id id, frame one)
     {
-        const auto known = by_connection.find(id);
-        if (known == by_connection.end())
+        const auto from = links.instance(id);
+        if (!from)
             return;
-        const auto from = known->second;
         switch (one.type)
         {
         case frame_type::configuration_pull:
-            return pulled(from, one);
+            return pulled(*from, one);
         case frame_type::configuration_snapshot:
             return snapshot(one);
         default:
-            return hooks.received(from, std::move(one));
+            return hooks.received(*from, std::move(one));
         }
     }
 
     // Configuration.
 
-    void first_read()
-    {
-        key_values.read(configuration_key,
-                        [this](result<stored_value> got)
-                        {
-                            if (got)
-                                offer_stored(got.value());
-                            else if (!view.ready())
-                                retry_timer =
-                                    loop.after(internal::watch_retry,
-                                               [this] { first_read(); });
-                        });
-    }
-
-    void offer_stored(const stored_value& stored)
-    {
-        auto parsed = stored.index == 0 ? result<configuration>(configuration())
-                                        : configuration::parse(stored.text);
-        if (!parsed)
-        {
-            log::warning("configuration_unreadable",
-                         {{"reason", parsed.error().message}});
-            return;
-        }
-        offer(std::move(parsed.value()));
-    }
-
     void offer(configuration next)
     {
         const bool was_ready = view.ready();
@@ -356,31 +256,8 @@
             return;
         const auto chosen = members.designated_entries(
             settings.hall, designated_per_hall, now());
-        designated = std::find(chosen.begin(), chosen.end(),
-                               settings.instance) != chosen.end();
-        if (designated && !watching)
-            watch();
-    }
-
-    void watch()
-    {
-        watching = designated;
-        if (!designated)
-            return;
-        key_values.watch(configuration_key, watch_index, internal::watch_wait,
-                         [this](result<stored_value> got)
-                         {
-                             counters.count("key_value_watches_total");
-                             if (!got)
-                             {
-                                 retry_watch = loop.after(internal::watch_retry,
-                                                          [this] { watch(); });
-                                 return;
-                             }
-                             watch_index = got.value().index;
-                             offer_stored(got.value());
-                             watch();
-                         });
+        watch.designate(std::find(chosen.begin(), chosen.end(),
+                                  settings.instance) != chosen.end());
     }
 
     void pulled(const instance_id& from, const frame& one)
@@ -403,68 +280,15 @@
             offer(std::move(parsed.value()));
     }
 
-    // Gossip.
-
     void announce()
     {
-        for (const auto& id : members.neighbours(
-                 settings.instance, settings.gossip_neighbours, now()))
-            beat_to(id);
+        gossip.announce();
         watch_if_designated();
     }
 
-    void beat_to(const instance_id& to)
-    {
-        const auto* listed_member = members.find(to);
-        if (listed_member == nullptr)
-            return;
-        message::heartbeat beat;
-        beat.instance = settings.instance.value();
-        beat.incarnation = started;
-        beat.sequence = ++beats;
-        beat.revision = view.ready() ? view.current().number().value() : 0;
-        beat.leaving = leaving;
-        gossip->send(listed_member->peer_address,
-                     seal_datagram(ring, frame_type::heartbeat, encode(beat)));
-    }
-
-    void datagram(std::string_view bytes)
-    {
-        const auto opened_frame = open_datagram(ring, bytes);
-        if (!opened_frame || opened_frame.value().type != frame_type::heartbeat)
-        {
-            counters.count("datagrams_refused_total");
-            return;
-        }
-        const auto beat = decode<message::heartbeat>(opened_frame.value().head);
-        if (!beat)
-            return;
-        heard(beat.value());
-    }
-
-    void heard(const message::heartbeat& beat)
-    {
-        const instance_id from(beat.instance);
-        if (!members.heard(
-                {from, beat.incarnation, beat.sequence, beat.leaving}, now()))
-        {
-            counters.count("heartbeats_replayed_total");
-            return;
-        }
-        const auto own = view.current().number().value();
-        if (beat.revision > own || !view.ready())
-            pull(from, own, beat.revision);
-        else if (beat.revision < own &&
-                 now() - answered[from] > internal::answer_gap)
-        {
-            answered[from] = now();
-            beat_to(from);
-        }
-    }
-
     /*! @brief Asks a neighbour for a newer configuration, unless one at least
      * as new has just been asked for. */
-    void pull(const instance_id& from, std::uint64_t own, std::uint64_t newest)
+    void pull(const instance_id& from, std::uint64_t newest)
     {
         if (newest <= pull_asked && now() - pull_at < internal::pull_patience)
             return;
@@ -474,7 +298,7 @@
         pull_asked = newest;
         pull_at = now();
         message::configuration_pull ask;
-        ask.known = own;
+        ask.known = view.current().number().value();
         hub->send(connection, ask);
     }
 
@@ -486,6 +310,7 @@
             return;
         leaving = true;
         leaving_since = now();
+        gossip.leave();
         log::state("leaving");
         announce();
         hooks.leaving();
@@ -524,7 +349,7 @@
         counters.set("peer_bytes_out", static_cast<double>(counts.bytes_out));
         counters.set("peer_connections", static_cast<double>(hub->size()));
         counters.set("frames_refused", static_cast<double>(counts.refused));
-        counters.set("gossip_bytes", static_cast<double>(gossip->bytes()));
+        counters.set("gossip_bytes", static_cast<double>(gossip.bytes()));
         counters.set("key_value_calls",
                      static_cast<double>(key_values.calls()));
         counters.set("configuration_older_refused",
@@ -534,15 +359,6 @@
 
     std::string dump()
     {
-        internal::json listed_members = internal::json::array();
-        for (const auto& [id, one] : members.all())
-            listed_members.push_back(
-                {{"id", id.value()},
-                 {"hall", one.hall.value()},
-                 {"role", one.kind == role::entry ? "entry" : "side"},
-                 {"peer", one.peer_address},
-                 {"usable", members.usable(id, now())}});
-        const auto& counts = hub->counters();
         return internal::json{
             {"instance", settings.instance.value()},
             {"role", settings.kind == role::entry ? "entry" : "side"},
@@ -550,20 +366,14 @@
             {"region", settings.region.value()},
             {"incarnation", started},
             {"leaving", leaving},
-            {"designated", designated},
+            {"designated", watch.designated()},
             {"revision", view.current().number().value()},
             {"ready", view.ready()},
             {"configuration", internal::json::parse(view.text())},
-            {"members", std::move(listed_members)},
+            {"members", internal::members_dump(members, now())},
             {"connections", hub->size()},
-            {"traffic",
-             {{"bytes_in", counts.bytes_in},
-              {"bytes_out", counts.bytes_out},
-              {"frames_in", counts.frames_in},
-              {"frames_out", counts.frames_out},
-              {"frames_refused", counts.refused},
-              {"gossip_bytes", gossip->bytes()},
-              {"key_value_calls", key_values.calls()}}},
+            {"traffic", internal::traffic_dump(hub->counters(), gossip.bytes(),
+                                               key_values.calls())},
             {"state", internal::json::parse(hooks.dump())}}
             .dump();
     }
@@ -580,27 +390,19 @@
     configuration_view view;
     node_hooks hooks;
     std::unique_ptr<peer_hub> hub;
-    std::unique_ptr<datagram_socket> gossip;
     std::unique_ptr<http_server> server;
-    std::map<instance_id, dialled_link> dialled;
-    std::map<instance_id, connection_id> accepted;
-    std::map<connection_id, instance_id> by_connection;
-    std::map<instance_id, time_point> answered;
+    internal::peer_links links;
     http_client::call_id list_call{0};
     std::string list_tag;
     std::uint64_t started;
-    std::uint64_t beats{0};
+    internal::configuration_watch watch;
+    internal::heartbeat_gossip gossip;
     std::uint64_t pull_asked{0};
     time_point pull_at{};
-    std::uint64_t watch_index{0};
-    bool designated{false};
-    bool watching{false};
     bool leaving{false};
     time_point leaving_since{};
     timer list_timer;
     timer beat_timer;
-    timer retry_timer;
-    timer retry_watch;
     timer leave_timer;
 };
 
--- /dev/null
+++ b/tests/daemon/internal/node_dump.cpp
@@ -0,0 +1,39 @@
+#include "coursejunction/daemon/internal/node_dump.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace cj = coursejunction;
+namespace ci = coursejunction::internal;
+using namespace std::chrono_literals;
+
+SCENARIO("a node shows its members and its traffic", "[daemon]")
+{
+    cj::member listed;
+    listed.id = cj::instance_id("s");
+    listed.hall = cj::hall_id("a");
+    listed.kind = cj::role::side;
+    listed.peer_address = "10.0.0.2:1";
+    cj::member_table members;
+    members.assign({listed});
+    const cj::time_point now{100s};
+
+    const auto shown = ci::members_dump(members, now);
+
+    REQUIRE(shown.size() == 1);
+    CHECK(shown[0].at("id") == "s");
+    CHECK(shown[0].at("hall") == "a");
+    CHECK(shown[0].at("role") == "side");
+    CHECK(shown[0].at("peer") == "10.0.0.2:1");
+    CHECK(shown[0].at("usable") == members.usable(listed.id, now));
+    CHECK(ci::members_dump({}, now).is_array());
+
+    cj::hub_counters counts;
+    counts.bytes_in = 5;
+    counts.refused = 2;
+    const auto traffic = ci::traffic_dump(counts, 7, 9);
+    CHECK(traffic.at("bytes_in") == 5);
+    CHECK(traffic.at("frames_refused") == 2);
+    CHECK(traffic.at("gossip_bytes") == 7);
+    CHECK(traffic.at("key_value_calls") == 9);
+}
