Side: fenced orders and reports are modules

Moved to daemon/internal: fenced_orders, token_record (pure) and side_reports. The cache that was last told is compared in the report itself; for a plain service both are always empty.

Ruled out: token_record in rollout/, where the fence is; others work there. Tests for fenced_orders and side_reports: they need a node; what tests them is tests/session/test_rollout.py, as before.

--- a/src/coursejunction/daemon/fwd.hpp
+++ b/src/coursejunction/daemon/fwd.hpp
@@ -25,6 +25,7 @@
 class caller_answers;
 class configuration_watch;
 class event_splitter;
+class fenced_orders;
 class have_announcer;
 class heartbeat_gossip;
 class held_versions;
@@ -35,6 +36,7 @@
 class retry_rule;
 template <typename Key>
 class service_times;
+class side_reports;
 class version_fetch;
 struct wanted_version;
 
--- /dev/null
+++ b/src/coursejunction/daemon/internal/fenced_orders.hpp
@@ -0,0 +1,70 @@
+/*! @file
+ * @brief Sees that only one process gives orders to an upstream.
+ */
+#ifndef COURSEJUNCTION_DAEMON_INTERNAL_FENCED_ORDERS_HPP
+#define COURSEJUNCTION_DAEMON_INTERNAL_FENCED_ORDERS_HPP
+
+#include <functional>
+#include <string>
+
+#include "coursejunction/control/configuration_writer.hpp"
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/rollout/fence.hpp"
+
+namespace coursejunction
+{
+
+class node;
+
+namespace internal
+{
+
+/*! @brief Takes and confirms the fencing token of an instance's upstream at
+ * the key-value service, before each order as far as that is needed. */
+class fenced_orders
+{
+public:
+    using order_callback = std::function<void()>;
+
+    /*! @param allowed Called when an order may be given now.
+     * @param refused Called when another process is in charge. */
+    fenced_orders(node& owner, order_callback allowed, order_callback refused);
+
+    /*! @brief Asks to give an order; one of the callbacks follows. */
+    void request();
+
+    /*! @brief Called regularly.
+     * @return Whether a pause of this process was noticed. */
+    bool tick(time_point now) { return guard.tick(now); }
+
+    /*! @brief An order was given. */
+    void ordered() { guard.ordered(); }
+
+    /*! @brief The upstream refused the token as old. */
+    void refused() { guard.refused(); }
+
+    /*! @brief Returns the token; empty before one was taken. */
+    [[nodiscard]] fencing_token token() const { return guard.token(); }
+
+private:
+    void request_later();
+    void take_token();
+    void take_after(const stored_value& stored);
+    void taken(fencing_token next, swap_outcome done);
+    void confirm_token();
+    [[nodiscard]] std::string owner_text() const;
+
+    node& host;
+    order_callback allow;
+    order_callback refuse;
+    fence guard;
+    std::string process_id;
+    timer again;
+};
+
+} // namespace internal
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/daemon/side.cpp
+++ b/src/coursejunction/daemon/side.cpp
@@ -6,11 +6,12 @@
 #include <nlohmann/json.hpp>
 
 #include "coursejunction/core/log.hpp"
+#include "coursejunction/daemon/internal/fenced_orders.hpp"
+#include "coursejunction/daemon/internal/side_reports.hpp"
 #include "coursejunction/daemon/node.hpp"
 #include "coursejunction/daemon/run_service.hpp"
 #include "coursejunction/daemon/upstream_client.hpp"
 #include "coursejunction/rollout/assignment.hpp"
-#include "coursejunction/rollout/fence.hpp"
 #include "coursejunction/rollout/replica.hpp"
 
 namespace coursejunction
@@ -21,8 +22,6 @@
 
 constexpr milliseconds side_tick{20};
 constexpr milliseconds engine_poll{500};
-constexpr milliseconds token_retry{300};
-constexpr int slow_reports = 4;
 constexpr std::string_view service_label = "service=";
 
 /*! @brief Name of the plain service that labels give an upstream. */
@@ -40,20 +39,15 @@
 
 struct side::implementation
 {
-    struct subscription
-    {
-        bool routing{false};
-        time_point told{};
-    };
-
     implementation(node& owner, chunk_filter filter)
         : host(owner), engine(owner.http(), owner.settings().upstream_url),
           transfer(
               owner, engine, [this](const digest& version) { staged(version); },
               std::move(filter)),
           runs(owner, engine, make_gate()),
-          guard(owner.settings().upstream_fenced),
-          plain(owner.settings().upstream_kind == "plain")
+          orders(
+              owner, [this] { send_order(); }, [this] { order_refused(); }),
+          reports(owner), plain(owner.settings().upstream_kind == "plain")
     {
     }
 
@@ -64,7 +58,7 @@
         { received(from, std::move(one)); };
         hooks.peer_lost = [this](const instance_id& peer)
         {
-            subscribers.erase(peer);
+            reports.peer_lost(peer);
             runs.peer_lost(peer);
             transfer.peer_lost(peer);
         };
@@ -78,8 +72,8 @@
         hooks.idle = [this] { return runs.size() == 0 && transfer.idle(); };
         host.start(std::move(hooks));
         tick_timer = host.loop().every(internal::side_tick, [this] { tick(); });
-        report_timer = host.loop().every(host.settings().report_interval,
-                                         [this] { report_load(); });
+        report_timer = host.loop().every(host.settings().report_interval, [this]
+                                         { reports.tell_load(state()); });
         if (!plain)
             poll_timer = host.loop().every(internal::engine_poll,
                                            [this] { poll_engine(); });
@@ -177,7 +171,7 @@
 
     void tick()
     {
-        if (guard.tick(now()))
+        if (orders.tick(now()))
         {
             host.counters().count("pauses_noticed_total");
             log::warning("pause_noticed");
@@ -200,7 +194,7 @@
         case replica_action::ask_permit:
             return ask_permit();
         case replica_action::order_load:
-            return order();
+            return orders.request();
         case replica_action::stage:
         case replica_action::none:
             return;
@@ -276,97 +270,10 @@
 
     // Orders.
 
-    void order()
-    {
-        switch (guard.state())
-        {
-        case fence_state::held:
-            return send_order();
-        case fence_state::none:
-            return take_token();
-        case fence_state::unconfirmed:
-            return confirm_token();
-        case fence_state::lost:
-            copy.loaded(false, "another side is in charge of the upstream",
-                        now());
-            return changed();
-        }
-    }
-
-    void order_later()
-    {
-        order_timer =
-            host.loop().after(internal::token_retry, [this] { order(); });
-    }
-
-    /*! @brief Takes the next token by compare-and-swap. The value names the
-     * process, so a lost answer is settled by reading again. */
-    void take_token()
-    {
-        const auto key = fence_key(host.settings().instance);
-        host.key_values().read(
-            key,
-            [this, key](const result<stored_value>& got)
-            {
-                if (!got)
-                    return order_later();
-                const auto newest = parse_token(got.value().text);
-                if (newest.owner == owner_text())
-                {
-                    guard.taken(newest.token);
-                    return order();
-                }
-                const fencing_token next(newest.token.value() + 1);
-                host.key_values().swap(
-                    key, got.value().index,
-                    std::to_string(next.value()) + " " + owner_text(),
-                    [this, next](swap_outcome done)
-                    {
-                        if (done != swap_outcome::swapped)
-                            return order_later();
-                        guard.taken(next);
-                        log::state("fencing_token_taken",
-                                   {{"token", std::to_string(next.value())}});
-                        order();
-                    });
-            });
-    }
-
-    void confirm_token()
-    {
-        host.key_values().read(
-            fence_key(host.settings().instance),
-            [this](const result<stored_value>& got)
-            {
-                if (!got)
-                {
-                    guard.unanswered();
-                    return guard.state() == fence_state::held ? order()
-                                                              : order_later();
-                }
-                guard.confirmed(parse_token(got.value().text).token);
-                order();
-            });
-    }
-
-    struct token_record
-    {
-        fencing_token token;
-        std::string owner;
-    };
-
-    static token_record parse_token(const std::string& text)
-    {
-        const auto space = text.find(' ');
-        if (space == std::string::npos)
-            return {};
-        return {fencing_token(std::strtoull(text.c_str(), nullptr, 10)),
-                text.substr(space + 1)};
-    }
-
-    std::string owner_text() const
+    void order_refused()
     {
-        return host.settings().instance.value() + "/" + process_id;
+        copy.loaded(false, "another side is in charge of the upstream", now());
+        changed();
     }
 
     void send_order()
@@ -378,8 +285,8 @@
         order.model = copy.target()->model;
         order.adapter = copy.target()->adapter;
         order.engine_role = target.engine_role;
-        order.token = guard.token();
-        guard.ordered();
+        order.token = orders.token();
+        orders.ordered();
         host.counters().count("load_orders_total");
         engine.load(order, [this](const load_answer& got) { loaded(got); });
     }
@@ -388,7 +295,7 @@
     {
         using kind = load_answer::kind;
         if (got.end == kind::stale)
-            guard.refused();
+            orders.refused();
         if (got.end == kind::incomplete)
             engine_lost_all();
         if (got.end != kind::loaded)
@@ -408,8 +315,7 @@
             const auto ask = decode<message::subscribe>(one.head);
             if (!ask)
                 return;
-            subscribers[from] = {ask.value().routing, now()};
-            host.send(from, state());
+            reports.subscribe(from, ask.value().routing, state());
         }
         else if (one.type == frame_type::permit_reply)
         {
@@ -478,46 +384,7 @@
         report();
     }
 
-    /*! @brief Tells everybody the whole state. */
-    void report()
-    {
-        const auto now_state = state();
-        told_cached = cached;
-        told_running = now_state.running;
-        told_reason = now_state.reason;
-        for (auto& [id, one] : subscribers)
-        {
-            one.told = now();
-            host.send(id, now_state);
-        }
-    }
-
-    /*! @brief Tells what has changed since: the load to those that route
-     * here, and to everybody slowly that this side is alive. */
-    void report_load()
-    {
-        const auto whole = state();
-        if (cached != told_cached || whole.reason != told_reason)
-            return report();
-        message::load_report load;
-        load.running = whole.running;
-        load.slots = whole.slots;
-        load.bytes_done = whole.bytes_done;
-        load.bytes_total = whole.bytes_total;
-        load.origin_bytes = whole.origin_bytes;
-        load.cross_hall_bytes = whole.cross_hall_bytes;
-        const bool moved = load.running != told_running;
-        const auto slowly =
-            host.settings().report_interval * internal::slow_reports;
-        told_running = load.running;
-        for (auto& [id, one] : subscribers)
-        {
-            if (now() - one.told < slowly && !(moved && one.routing))
-                continue;
-            one.told = now();
-            host.send(id, load);
-        }
-    }
+    void report() { reports.tell(state()); }
 
     std::string dump() const
     {
@@ -528,8 +395,8 @@
                     {"wanted", copy.target() ? copy.target()->version.hex()
                                              : std::string{}},
                     {"open", plain || copy.open()},
-                    {"fencing_token", guard.token().value()},
-                    {"subscribers", subscribers.size()},
+                    {"fencing_token", orders.token().value()},
+                    {"subscribers", reports.size()},
                     {"transfer", json::parse(transfer.dump())},
                     {"requests", json::parse(runs.dump())}}
             .dump();
@@ -540,22 +407,17 @@
     replica copy;
     transfer_service transfer;
     run_service runs;
-    fence guard;
+    internal::fenced_orders orders;
+    internal::side_reports reports;
     deployment target;
     bool plain;
     bool reading{false};
     std::size_t engine_slots{0};
-    std::string process_id{random_id()};
-    std::map<instance_id, subscription> subscribers;
     std::vector<std::uint64_t> cached;
-    std::vector<std::uint64_t> told_cached;
-    std::uint32_t told_running{0};
-    std::string told_reason;
     std::pair<replica_phase, digest> reported{};
     timer tick_timer;
     timer report_timer;
     timer poll_timer;
-    timer order_timer;
 };
 
 side::side(node& owner, chunk_filter filter)
