--- a/src/coursejunction/net/fwd.hpp
+++ b/src/coursejunction/net/fwd.hpp
@@ -22,6 +22,13 @@
 struct http_result;
 struct http_options;
 
+namespace internal
+{
+
+struct stream_server_state;
+
+} // namespace internal
+
 } // namespace coursejunction
 
 #endif
--- a/src/coursejunction/net/stream_server.hpp
+++ b/src/coursejunction/net/stream_server.hpp
@@ -103,7 +103,6 @@
     [[nodiscard]] std::size_t answering() const;
 
 private:
-    friend class stream_reply::target;
     struct implementation;
     explicit stream_server(std::shared_ptr<implementation> shared);
 
