Daemon: no two types of one name

The daemon's type is now entry_request, its file and test with it. A look for further types of one name in headers found none.

Ruled out: renaming the type of proxy/: others work there.

--- a/src/coursejunction/daemon/caller_request.cpp
+++ b/src/coursejunction/daemon/entry_request.cpp
@@ -1,4 +1,4 @@
-#include "coursejunction/daemon/caller_request.hpp"
+#include "coursejunction/daemon/entry_request.hpp"
 
 #include <algorithm>
 #include <cstdlib>
@@ -58,7 +58,7 @@
     return allowed;
 }
 
-result<bool> read_service(caller_request& into, const std::string& path)
+result<bool> read_service(entry_request& into, const std::string& path)
 {
     const auto rest = path.substr(services_path.size());
     const auto slash = rest.find('/');
@@ -72,7 +72,7 @@
     return true;
 }
 
-result<bool> read_completion(caller_request& into, const std::string& path)
+result<bool> read_completion(entry_request& into, const std::string& path)
 {
     const auto body = json::parse(into.body, nullptr, false);
     if (!body.is_object())
@@ -98,10 +98,10 @@
 
 } // namespace internal
 
-result<caller_request> parse_caller_request(http_request& from,
-                                            milliseconds otherwise)
+result<entry_request> parse_entry_request(http_request& from,
+                                          milliseconds otherwise)
 {
-    caller_request read;
+    entry_request read;
     const auto id = from.header("request-id");
     const auto organisation = from.header("organisation");
     if (id.size() > internal::max_header)
--- a/src/coursejunction/daemon/caller_request.hpp
+++ b/src/coursejunction/daemon/entry_request.hpp
@@ -1,8 +1,8 @@
 /*! @file
  * @brief A caller's request as its HTTP head and body say it.
  */
-#ifndef COURSEJUNCTION_DAEMON_CALLER_REQUEST_HPP
-#define COURSEJUNCTION_DAEMON_CALLER_REQUEST_HPP
+#ifndef COURSEJUNCTION_DAEMON_ENTRY_REQUEST_HPP
+#define COURSEJUNCTION_DAEMON_ENTRY_REQUEST_HPP
 
 #include <cstdint>
 #include <string>
@@ -15,8 +15,8 @@
 namespace coursejunction
 {
 
-/*! @brief What a caller asks for. */
-struct caller_request
+/*! @brief What a caller asks an entry for. */
+struct entry_request
 {
     request_id id;
     organisation_id organisation;
@@ -32,8 +32,8 @@
 /*! @brief Reads a request; its body is moved out.
  * @param otherwise Deadline when the caller names none.
  * @return The request, or `invalid` with the header or field that is wrong. */
-[[nodiscard]] result<caller_request>
-parse_caller_request(http_request& from, milliseconds otherwise);
+[[nodiscard]] result<entry_request> parse_entry_request(http_request& from,
+                                                        milliseconds otherwise);
 
 } // namespace coursejunction
 
--- a/src/coursejunction/daemon/fwd.hpp
+++ b/src/coursejunction/daemon/fwd.hpp
@@ -22,9 +22,9 @@
 
 template <typename Engine>
 class engine_hand_over;
+class answer_events;
 class caller_answers;
 class configuration_watch;
-class event_splitter;
 class fenced_orders;
 class have_announcer;
 class heartbeat_gossip;
--- a/src/coursejunction/daemon/internal/event_splitter.hpp
+++ b/src/coursejunction/daemon/internal/answer_events.hpp
@@ -1,8 +1,8 @@
 /*! @file
  * @brief Cuts a stream of an answer into whole events.
  */
-#ifndef COURSEJUNCTION_DAEMON_INTERNAL_EVENT_SPLITTER_HPP
-#define COURSEJUNCTION_DAEMON_INTERNAL_EVENT_SPLITTER_HPP
+#ifndef COURSEJUNCTION_DAEMON_INTERNAL_ANSWER_EVENTS_HPP
+#define COURSEJUNCTION_DAEMON_INTERNAL_ANSWER_EVENTS_HPP
 
 #include <cstdint>
 #include <string>
@@ -13,7 +13,7 @@
 
 /*! @brief Gives out whole events only, so that a stream can be resumed
  * elsewhere exactly behind the last one; pure. */
-class event_splitter
+class answer_events
 {
 public:
     /*! @brief Takes bytes of the stream.
--- a/src/coursejunction/daemon/internal/live_request.hpp
+++ b/src/coursejunction/daemon/internal/live_request.hpp
@@ -9,8 +9,8 @@
 #include <string>
 
 #include "coursejunction/core/types.hpp"
-#include "coursejunction/daemon/caller_request.hpp"
-#include "coursejunction/daemon/internal/event_splitter.hpp"
+#include "coursejunction/daemon/entry_request.hpp"
+#include "coursejunction/daemon/internal/answer_events.hpp"
 #include "coursejunction/net/http_server.hpp"
 #include "coursejunction/wire/codec.hpp"
 
@@ -18,7 +18,7 @@
 {
 
 /*! @brief One request of a caller. */
-struct live_request : caller_request
+struct live_request : entry_request
 {
     std::uint64_t stream{0};
     std::uint32_t attempt{0};
@@ -26,7 +26,7 @@
     bool running{false};
     bool maybe_ran{false}; /*!< An attempt may have run. */
     std::uint32_t parts{0};
-    event_splitter events; /*!< Those of them that the caller was given. */
+    answer_events events; /*!< Those of them that the caller was given. */
     std::string gathered;
     std::string held; /*!< Whole events for the next flush. */
     time_point given_at{};
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "coursejunction/daemon/caller_request.hpp"
+#include "coursejunction/daemon/entry_request.hpp"
 #include "coursejunction/daemon/internal/caller_answers.hpp"
 #include "coursejunction/daemon/internal/live_request.hpp"
 #include "coursejunction/daemon/internal/live_upstreams.hpp"
@@ -48,12 +48,12 @@
     void request(http_request from, const std::shared_ptr<http_reply>& reply)
     {
         auto parsed =
-            parse_caller_request(from, host.settings().default_deadline);
+            parse_entry_request(from, host.settings().default_deadline);
         if (!parsed)
             return internal::caller_answers::refuse_input(
                 reply, parsed.error().message);
         auto one = std::make_shared<live_request>();
-        static_cast<caller_request&>(*one) = std::move(parsed.value());
+        static_cast<entry_request&>(*one) = std::move(parsed.value());
         one->reply = reply;
         one->arrived = now();
         one->deadline = one->arrived + one->allowed;
--- a/tests/daemon/caller_request.cpp
+++ b/tests/daemon/entry_request.cpp
@@ -1,4 +1,4 @@
-#include "coursejunction/daemon/caller_request.hpp"
+#include "coursejunction/daemon/entry_request.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -9,16 +9,16 @@
 namespace
 {
 
-cj::result<cj::caller_request> parse(const std::string& path,
-                                     const std::string& body,
-                                     cj::header_map headers = {})
+cj::result<cj::entry_request> parse(const std::string& path,
+                                    const std::string& body,
+                                    cj::header_map headers = {})
 {
     cj::http_request from;
     from.method = "POST";
     from.path = path;
     from.body = body;
     from.headers = std::move(headers);
-    return cj::parse_caller_request(from, 7s);
+    return cj::parse_entry_request(from, 7s);
 }
 
 std::string fault(const std::string& path, const std::string& body,
--- a/tests/daemon/internal/event_splitter.cpp
+++ b/tests/daemon/internal/answer_events.cpp
@@ -1,4 +1,4 @@
-#include "coursejunction/daemon/internal/event_splitter.hpp"
+#include "coursejunction/daemon/internal/answer_events.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -6,7 +6,7 @@
 
 SCENARIO("only whole events are given out", "[daemon]")
 {
-    ci::event_splitter events;
+    ci::answer_events events;
     CHECK(events.whole());
 
     GIVEN("an event in two parts")
