Soak: paced links between halls, large configurations, what each process knows

Ruled out: pacing the calls between processes. They reach each other by their own loopback addresses and one port, so no proxy can stand between; a comment says what that hides (pulls of a whole hall over its link).

A new fault grows the configuration to 1 to 2.5 MB in three steps and changes it on; another ends all entries of a hall at once. After the last fault every process must be at the store's revision of that moment, every entry must know each record and serve the newest route, within 6 s and 4 s for a busy machine and twice what the link needs for one listing of each entry behind it; then links must come to rest (under 20% in one of three windows of 3 s). The first judgement holds without links too. Proxies, processes and configurations moved to files of their own.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -107,6 +107,10 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def listed_bytes(self):
+        """What a listing of every key takes, its frame not counted."""
+        return sum(len(one["payload"]) for one in self.items.values())
+
     def forget(self):
         self.history.clear()
         self.forgotten = self.revision
--- /dev/null
+++ b/tests/soak/process.py
@@ -0,0 +1,67 @@
+"""The processes of the system as a soak starts, stops and restarts them."""
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import subprocess
+
+GRACE_S = 8.0
+LATE_S = 4.0  # The machine that runs the soak may be busy.
+
+
+def free_port(host):
+    """A port that is free now, below those that the system gives out by itself:
+    it must still be free when a process that was killed starts again."""
+    while True:
+        port = random.SystemRandom().randrange(10000, 30000)
+        with socket.socket() as one:
+            try:
+                one.bind((host, port))
+            except OSError:
+                continue  # Taken by another run: the next draw.
+            return port
+
+
+class Daemon:
+    """One process of the system; started again after it ends."""
+
+    def __init__(self, soak, name, hall, settings):
+        self.soak, self.name, self.hall = soak, name, hall
+        self.path = soak.dir / f"{name}.ini"
+        self.path.write_text(settings)
+        self.child, self.ending, self.ended = None, False, False
+
+    def start(self):
+        environment = {**os.environ, "COURSEJUNCTION_SETTINGS": str(self.path)}
+        self.child = subprocess.Popen([self.soak.binary, "--platform"], env=environment,
+                                      stdout=self.soak.log, stderr=self.soak.log)
+
+    def send(self, number):
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    async def stop(self, number):
+        """Ends the process, at last by force, and starts it again."""
+        self.send(signal.SIGCONT)
+        self.send(number)
+        if self.ending:
+            return  # An earlier fault ends it and starts it again, once.
+        self.ending = True
+        for _ in range(int((GRACE_S + LATE_S) / 0.05)):
+            if self.child.poll() is not None:
+                break
+            await asyncio.sleep(0.05)
+        else:
+            self.soak.broken("stop", f"{self.name} still runs after its grace")
+        self.kill()
+        await asyncio.sleep(self.soak.noise.uniform(0, 0.5))
+        self.ending = False
+        if not self.ended:
+            self.start()
+
+    def kill(self):
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,6 +3,9 @@
 
     soak.py --seed N [--seconds S]     one run; every fault comes from the seed
     soak.py --seeds A B                runs the seeds from A to B
+    soak.py ... --link RATE            halls beside the store's share links of RATE
+                                       Mbit/s to it, and configurations grow large
+    soak.py ... --halls N --entries N --sides N    more processes
 
 Entries and sides run as processes of their own; faults come from outside them:
 a proxy that delays, resets, silences or cuts one way, signals, and stand-ins that
@@ -17,123 +20,34 @@
 import pathlib
 import random
 import signal
-import socket
-import subprocess
 import sys
 import tempfile
 
+from configuration import LARGE_ROUTES, least_and_most_large, newest_path, newest_route, plain_rules
+from knowledge import Knowledge, fetch, judge_rest
+from links import HallLink, Proxy
 from platform_standin import MODEL, Engine, Origin, Service, Store
+from process import LATE_S, Daemon, free_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-HALLS = ["north", "south"]
+HALLS = ["north", "south", "east", "west", "middle"]
 SETTLE_S = 36.0  # After the last fault: several versions' time of 8 s and a restart.
-GRACE_S = 8.0
-LATE_S = 4.0  # The machine that runs the soak may be busy.
-
-
-def free_port(host):
-    """A port that is free now, below those that the system gives out by itself:
-    it must still be free when a process that was killed starts again."""
-    while True:
-        port = random.SystemRandom().randrange(10000, 30000)
-        with socket.socket() as one:
-            try:
-                one.bind((host, port))
-            except OSError:
-                continue  # Taken by another run: the next draw.
-            return port
-
-
-class Proxy:
-    """Stands before one address and spoils what passes."""
-
-    def __init__(self, host, target):
-        self.host, self.target, self.fault, self.open = host, target, "none", set()
-
-    async def start(self):
-        self.listener = await asyncio.start_server(self.accept, self.host, 0)
-        self.port = self.listener.sockets[0].getsockname()[1]
-
-    def address(self):
-        return f"{self.host}:{self.port}"
-
-    def reset_all(self):
-        for writer in list(self.open):
-            writer.transport.abort()
-
-    async def accept(self, reader, writer):
-        host, port = self.target().split(":")
-        try:
-            behind, to = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        self.open |= {writer, to}
-        await asyncio.gather(self.copy(reader, to, "out"), self.copy(behind, writer, "back"))
-        self.open -= {writer, to}
-
-    async def copy(self, reader, writer, way):
-        try:
-            while data := await reader.read(65536):
-                while self.fault == "silent" or self.fault == f"cut_{way}":
-                    await asyncio.sleep(0.05)
-                if self.fault == "delay":
-                    await asyncio.sleep(0.08)
-                writer.write(data)
-                await writer.drain()
-        except ConnectionError:
-            pass  # One end is gone; the other is closed below.
-        finally:
-            writer.close()
-
-
-class Daemon:
-    """One process of the system; started again after it ends."""
-
-    def __init__(self, soak, name, settings):
-        self.soak, self.name = soak, name
-        self.path = soak.dir / f"{name}.ini"
-        self.path.write_text(settings)
-        self.child, self.ending, self.ended = None, False, False
-
-    def start(self):
-        environment = {**os.environ, "COURSEJUNCTION_SETTINGS": str(self.path)}
-        self.child = subprocess.Popen([self.soak.binary, "--platform"], env=environment,
-                                      stdout=self.soak.log, stderr=self.soak.log)
-
-    def send(self, number):
-        if self.child.poll() is None:
-            self.child.send_signal(number)
-
-    async def stop(self, number):
-        """Ends the process, at last by force, and starts it again."""
-        self.send(signal.SIGCONT)
-        self.send(number)
-        if self.ending:
-            return  # An earlier fault ends it and starts it again, once.
-        self.ending = True
-        for _ in range(int((GRACE_S + LATE_S) / 0.05)):
-            if self.child.poll() is not None:
-                break
-            await asyncio.sleep(0.05)
-        else:
-            self.soak.broken("stop", f"{self.name} still runs after its grace")
-        self.kill()
-        await asyncio.sleep(self.soak.dice.uniform(0, 0.5))
-        self.ending = False
-        if not self.ended:
-            self.start()
-
-    def kill(self):
-        if self.child.poll() is None:
-            self.child.kill()
-        self.child.wait()
+FAULTS = ["kill", "kill", "pause", "pause", "stop", "hang_up", "store", "way", "way", "engine",
+          "crash", "power", "origin", "version", "rules", "forget", "reset"]
+LINK_FAULTS = FAULTS + ["large", "rules", "rules", "forget", "store", "hall", "hall"]
 
 
 class Soak:
-    def __init__(self, seed, seconds, binary):
-        self.seed, self.seconds, self.binary = seed, seconds, binary
+    def __init__(self, seed, asked, binary):
+        self.seed, self.seconds, self.asked, self.binary = seed, asked.seconds, asked, binary
         self.dice = random.Random(seed)
+        self.rate = asked.link * 1e6 / 8
+        # What happens at a moment that the processes choose must not change the
+        # faults; kept seeds of runs without links were drawn from one dice.
+        self.noise = random.Random(seed + 1) if self.rate else self.dice
+        self.halls, self.links, self.large = HALLS[:asked.halls], {}, 0
+        if self.rate:
+            self.draw_links()
         self.temporary = tempfile.TemporaryDirectory(prefix="coursejunction-soak-")
         self.dir = pathlib.Path(self.temporary.name)
         self.log = open(self.dir / "log", "wb")
@@ -150,13 +64,20 @@
 
     # Setting up.
 
+    def draw_links(self):
+        """The store is in one of the halls or, as often, in none of them."""
+        home = self.dice.choice([*self.halls, *[None] * len(self.halls)])
+        self.links = {hall: HallLink(self.rate) for hall in self.halls if hall != home}
+        self.most_large = self.dice.randint(*least_and_most_large())
+
     async def set_up(self):
         self.store, self.origin = Store("127.0.0.1"), Origin("127.0.0.1")
         await self.store.start()
         await self.origin.start()
-        self.services = [Service("127.0.0.1", f"plain-{at}", self.dice) for at in range(2)]
-        self.engines = [Engine(f"127.0.2.{at + 1}", at, self.dice, 1 if at < 3 else 0)
-                        for at in range(4)]
+        self.services = [Service("127.0.0.1", f"plain-{at}", self.noise) for at in range(2)]
+        sides = self.asked.sides
+        self.engines = [Engine(f"127.0.2.{at + 1}", at, self.noise, 1 if at < sides * 3 / 4 else 0)
+                        for at in range(sides)]
         for one in self.services + self.engines:
             await one.start()
         self.fronts = {}
@@ -167,64 +88,53 @@
         await self.store.put("op/config", self.rules())
         await self.tell_upstreams()
         port = free_port("127.0.1.1")
-        names = [f"entry-{at}" for at in range(3)]
+        names = [f"entry-{at}" for at in range(self.asked.entries)]
         self.proxies, self.entries, self.sides = {}, [], []
         for at, name in enumerate(names):
             host = f"127.0.1.{at + 1}"
-            self.entries.append(await self.daemon(name, "entry", host, HALLS[at % 2], port, (
+            self.entries.append(await self.daemon(name, "entry", host, self.hall(at), port, (
                 f"[callers]\naddress={host}:{free_port(host)}\nready_address={host}:{free_port(host)}\n")))
         for at, engine in enumerate(self.engines):
             self.sides.append(await self.daemon(
-                f"side-{at}", "side", engine.host, HALLS[at % 2], port,
+                f"side-{at}", "side", engine.host, self.hall(at), port,
                 f"[upstream]\naddress={engine.address()}\n[link]\nrate=50Mbit/s\n"))
         for one in self.entries + self.sides:
             one.start()
 
+    def hall(self, at):
+        return self.halls[at % len(self.halls)]
+
     async def daemon(self, name, role, host, hall, port, more):
-        proxy = Proxy(host, self.store.address)
+        proxy = Proxy(host, self.store.address, self.links.get(hall))
         await proxy.start()
         self.proxies[name] = proxy
-        made = Daemon(self, name, (
+        status = free_port(host)
+        made = Daemon(self, name, hall, (
             f"[instance]\nid={name}\nrole={role}\naddress={host}\nhall={hall}\nregion={hall}\n"
             f"[peers]\nports={port},{port}\nseeds=127.0.1.1:{port},127.0.1.2:{port}\n"
             f"[store]\naddress={proxy.address()}\n{more}"
-            f"[bounds]\nversion_time=8000ms\nstop_grace=8s\n[status]\nport=0\n"))
+            f"[bounds]\nversion_time=8000ms\nstop_grace=8s\n[status]\nport={status}\n"))
+        made.status = f"{host}:{status}"
         made.callers = next((line[8:] for line in more.splitlines()
                              if line.startswith("address=")), None)
         return made
 
     def rules(self):
-        return {
-            "version": self.configuration,
-            "routes": [
-                {"name": "chat", "hostname": "a.example", "pathPrefix": "/chat/",
-                 "type": "streaming", "resumable": True, "service": "llm", "timeoutMs": 6000,
-                 "targetLatencyMs": 900, "targetItlMs": 900, "maxAttempts": 3, "priority": 1},
-                {"name": "note", "hostname": "a.example", "pathPrefix": "/note/",
-                 "type": "non_idempotent", "service": "plain", "timeoutMs": 2000,
-                 "targetLatencyMs": 400, "maxAttempts": 1, "priority": 2}],
-            "services": [
-                {"name": "llm", "maxConnections": 300, "origin": self.origin.address(),
-                 "zone": HALLS[0], "linkMbps": 50.0,
-                 "backend": {"slots": 16, "step_ms": 2.0, "read_per_s": 50000.0, "chunk": 2048,
-                             "stride": 5, "usual": {"prompt": 100, "answer": 60},
-                             "layers": 4, "blocks": 8, "blockBytes": 4096,
-                             "modelList": [{"name": MODEL, "warmupS": 0.1}]}},
-                {"name": "plain", "maxConnections": 100}],
-            "tenants": [{"name": "school", "apiKeys": ["key"], "priority": 0}],
-            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
-                       "headerTimeoutMs": 5000, "idleTimeoutMs": 20000}}
+        rules = plain_rules(self.configuration, self.origin.address(), HALLS[0])
+        if self.rate:
+            rules["routes"] += [newest_route(self.configuration), *LARGE_ROUTES[:self.large]]
+        return rules
 
     async def tell_upstreams(self):
         """Keeps the records as the upstreams would."""
         wanted = {}
         for at, one in enumerate(self.engines):
             wanted[f"servers/{one.id}"] = {
-                "service": "llm", "address": self.fronts[one].address(), "zone": HALLS[at % 2],
+                "service": "llm", "address": self.fronts[one].address(), "zone": self.hall(at),
                 "slots": 16, "state": "ready", "modelList": one.model_list()}
         for at, one in enumerate(self.services):
             wanted[f"servers/{one.id}"] = {"service": "plain", "address": one.address(),
-                                           "zone": HALLS[at % 2], "slots": 8, "state": "ready"}
+                                           "zone": self.hall(at), "slots": 8, "state": "ready"}
         for key in [key for key in self.store.items if key.startswith("servers/")]:
             if key not in wanted:
                 await self.store.remove(key)
@@ -285,6 +195,21 @@
         self.judge(asked, single, status, headers, text, whole)
         return whole and headers.get("connection", "").lower() != "close"
 
+    async def ask_newest(self, entry):
+        """Returns the status of a request on the newest route, if it is answered."""
+        self.number += 1
+        asked = f"{self.seed:x}-{self.number:x}"
+        lines = [f"POST {newest_path(self.configuration)}x HTTP/1.1", "Host: a.example",
+                 "Connection: close", "Authorization: Token key", f"X-Coursejunction-Attempt-Id: {asked}",
+                 "X-Coursejunction-Deadline-Ms: 2000", "Content-Length: 2"]
+        try:
+            status, _ = await asyncio.wait_for(
+                fetch(entry.callers, "\r\n".join(lines) + "\r\n\r\nhi"), 3)
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            return None
+        self.answers[asked] = (status, True)
+        return status
+
     def judge(self, asked, single, status, headers, text, whole):
         if status != 200:
             if status in (400, 401, 404):
@@ -324,11 +249,9 @@
 
     # Faults.
 
-    async def fault(self):
+    async def fault(self, kind=None):
         """One fault with its end; several overlap."""
-        kind = self.dice.choice([
-            "kill", "kill", "pause", "pause", "stop", "hang_up", "store", "way", "way", "engine",
-            "crash", "power", "origin", "version", "rules", "forget", "reset"])
+        kind = kind or self.dice.choice(LINK_FAULTS if self.rate else FAULTS)
         self.faults.append(kind)
         self.count(f"fault {kind}")
         length = self.dice.uniform(0.2, 2.5)
@@ -364,14 +287,33 @@
             await self.store.put(f"op/version/{MODEL}",
                                  {"modelId": MODEL, "version": self.version})
         elif kind == "rules":
-            self.configuration += self.dice.randint(1, 3)
-            await self.store.put("op/config", self.rules())
+            await self.change_rules(self.dice.randint(1, 3))
+        elif kind == "large":
+            await self.grow_rules(random.Random(self.dice.random()))
+        elif kind == "hall":
+            hall = self.dice.choice(self.halls)
+            await asyncio.gather(*(entry.stop(signal.SIGKILL) for entry in self.entries
+                                   if entry.hall == hall))
         elif kind == "forget":
             self.store.forget()
         elif kind == "reset":
             self.dice.choice(list(self.fronts.values()) + list(self.proxies.values())).reset_all()
         self.faults.remove(kind)
 
+    async def change_rules(self, step):
+        self.configuration += step
+        await self.store.put("op/config", self.rules())
+
+    async def grow_rules(self, dice):
+        """Many routes come in a few steps, and the usual changes go on after them."""
+        for _ in range(3):
+            self.large = min(self.most_large, self.large + self.most_large // 3 + 1)
+            await self.change_rules(1)
+            await asyncio.sleep(dice.uniform(0.1, 0.8))
+        for _ in range(dice.randint(1, 4)):
+            await self.change_rules(1)
+            await asyncio.sleep(dice.uniform(0.2, 1.2))
+
     @staticmethod
     async def spoil(what, how, length):
         what.fault = how
@@ -386,11 +328,14 @@
         await asyncio.sleep(1.5)
         self.tasks += [asyncio.create_task(self.caller(random.Random(self.dice.random())))
                        for _ in range(12)]
+        if self.rate:
+            self.tasks.append(asyncio.create_task(self.fault("large")))
         end = asyncio.get_running_loop().time() + self.seconds
         while asyncio.get_running_loop().time() < end:
             self.tasks.append(asyncio.create_task(self.fault()))
             await asyncio.sleep(self.dice.uniform(0.1, 0.9))
         await self.settle()
+        await judge_rest(self)
         self.stopping = True
         await asyncio.gather(*self.tasks)
         self.judge_upstreams()
@@ -414,6 +359,7 @@
             await asyncio.sleep(0.1)
         loop = asyncio.get_running_loop()
         end = loop.time() + SETTLE_S
+        await Knowledge(self, LATE_S).judge()
         while loop.time() < end and any(one.version != self.version for one in self.engines):
             await asyncio.sleep(0.2)
         late = [f"{one.id} serves {one.version}" for one in self.engines
@@ -469,9 +415,9 @@
         self.temporary.cleanup()
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, asked):
     build = os.environ.get("COURSEJUNCTION_BUILD", "build")
-    soak = Soak(seed, seconds, str(ROOT / build / "bin" / "coursejunctiond"))
+    soak = Soak(seed, asked, str(ROOT / build / "bin" / "coursejunctiond"))
     made = {"broken": ["the soak did not end"]}
     try:
         made = asyncio.run(soak.run())
@@ -485,11 +431,15 @@
     parser.add_argument("--seed", type=int)
     parser.add_argument("--seeds", type=int, nargs=2)
     parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--link", type=float, default=0, help="Mbit/s; 0: links are not paced")
+    parser.add_argument("--halls", type=int, choices=range(1, len(HALLS) + 1), default=2)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--sides", type=int, default=4)
     asked = parser.parse_args()
     first, last = asked.seeds or (asked.seed, asked.seed)
     bad = 0
     for seed in range(first, last + 1):
-        made = run_seed(seed, asked.seconds)
+        made = run_seed(seed, asked)
         print(json.dumps(made), flush=True)
         bad += 1 if made["broken"] else 0
     return 1 if bad else 0
