--- a/src/coursejunction/control/key_value_client.hpp
+++ b/src/coursejunction/control/key_value_client.hpp
@@ -34,6 +34,8 @@
     using swap_callback = std::function<void(swap_outcome)>;
     using session_callback = std::function<void(result<std::string>)>;
 
+    /*! @param limit How long the service may be silent; a large value may take
+     * longer as long as it keeps coming. */
     key_value_client(http_client& carrier, std::string base,
                      milliseconds limit);
 
@@ -81,6 +83,8 @@
     void read(key_value_client::read_callback done);
     void swap(std::uint64_t index, std::string text,
               key_value_client::swap_callback done);
+    /*! @brief Runs work after a pause that grows and is drawn: operators whose
+     * tries failed together do not come back together. */
     void later(std::function<void()> task);
     [[nodiscard]] bool expired() const;
 
