--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -316,6 +316,10 @@
                         event_loop::now(), view.window);
         for (const auto at : store->held())
             planner->held(at, event_loop::now());
+        // A new plan knows nobody, not even that it may ask the origin: after a
+        // staged chunk turned bad its side would wait for ever.
+        taking_part = view.participants();
+        planner->participants(taking_part, event_loop::now());
         ticking = loop.every(options.tick, [this] { plan(); });
         plan();
     }
