--- a/tests/fleet/fetch_turn.cpp
+++ b/tests/fleet/fetch_turn.cpp
@@ -37,6 +37,17 @@
         {
             CHECK_FALSE(turns.due({0, 2}, now + 10s));
         }
+        THEN("two that never end do not keep all others away for ever")
+        {
+            CHECK_FALSE(turns.due({0, 2}, now));
+            CHECK_FALSE(turns.due({0, 2}, now + 3s));
+            CHECK(turns.due({0, 2}, now + 10s));
+            AND_THEN("nor does a third one")
+            {
+                CHECK_FALSE(turns.due({0, 3}, now + 10s));
+                CHECK(turns.due({0, 3}, now + 20s));
+            }
+        }
         THEN("those that all waited for one begin one after the other")
         {
             CHECK_FALSE(turns.due({3, 2}, now + 10s));
--- a/tests/fleet/store_reader.cpp
+++ b/tests/fleet/store_reader.cpp
@@ -1,6 +1,7 @@
 #include "coursejunction/fleet/store_reader.hpp"
 
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -22,9 +23,10 @@
         answer = std::move(done);
     }
 
-    void watch(std::uint64_t after, cj::milliseconds, callback done)
+    void watch(std::uint64_t after, cj::milliseconds wait, callback done)
     {
         watched_after.push_back(after);
+        waited.push_back(wait);
         answer = std::move(done);
     }
 
@@ -32,18 +34,19 @@
 
     void fail(cj::error_kind kind)
     {
-        const auto done = std::move(answer);
+        const auto done = std::exchange(answer, nullptr);
         done(cj::failure(kind, "no"));
     }
 
     void tell(cj::store_page page)
     {
-        const auto done = std::move(answer);
+        const auto done = std::exchange(answer, nullptr);
         done(std::move(page));
     }
 
     int listings{0};
     std::vector<std::uint64_t> watched_after;
+    std::vector<cj::milliseconds> waited;
     callback answer;
 };
 
@@ -124,6 +127,33 @@
                 CHECK_FALSE(reader.watching());
                 CHECK(store.watched_after.size() == 1);
             }
+            AND_WHEN("it is its turn again, long after")
+            {
+                wanted = true;
+                later(0ms);
+                REQUIRE(store.watched_after.size() == 2);
+                THEN("it does not tell that it watches before it gets through")
+                {
+                    CHECK_FALSE(reader.watching());
+                    CHECK(store.waited.back() ==
+                          cj::store_reader<scripted_store>::probe_wait);
+                }
+            }
+        }
+        WHEN("the store forgets its history again and again")
+        {
+            THEN("the whole is not listed again and again without a pause")
+            {
+                for (int at = 0; at < 10 && store.answer; ++at)
+                {
+                    if (at % 2 == 0)
+                        store.fail(cj::error_kind::not_found);
+                    else
+                        store.tell({{}, std::uint64_t(5 + at)});
+                    later(0ms);
+                }
+                CHECK(store.listings <= 3);
+            }
         }
     }
     GIVEN("a process that a peer told the state of the store")
