Mend: a hung pull, a silent store or two slow ones no longer hold a hall up

Cause: pulls end for lack of progress only and one at a time, so that one that trickles kept the others away; heartbeats told probes of the store, which move few bytes, as fetching, so that pulls from other halls waited for them.

Ruled out: a limit for the whole (the incident's cause); ending the slow pull for another one (over slow links none would end).

Change: beside a pull that lasts 0.8 s another peer of the hall is asked, and, by a process alone in its hall, one of another hall after 1.2 s; what tells nothing new is then cancelled. Heartbeats tell probes apart (one byte); probes wait for probes and fetches, pulls for fetches only. Beside two that fetch for 5 s without a change one more begins. A reader that was not wanted for a while probes before it tells that it watches. A history that is gone again after each listing is listed after a pause.

--- a/src/coursejunction/fleet/fetch_turn.hpp
+++ b/src/coursejunction/fleet/fetch_turn.hpp
@@ -19,6 +19,7 @@
 {
     std::size_t rank{0};     /*!< How many go before it. */
     std::size_t fetching{0}; /*!< Others that fetch for the hall now. */
+    std::size_t probing{0};  /*!< Others that ask the store for news only. */
 };
 
 /*! @brief Takes turns at a link that all of a hall share. What a hall lacks is
@@ -42,6 +43,11 @@
      * the first took too long. */
     static constexpr std::size_t most_at_once = 2;
 
+    /*! @brief After as many fetch for this long one more begins: pulls end for
+     * lack of progress only, and over squeezed links they move and never end.
+     * Two of 2.3 MB take 4.9 s over 7.6 Mbit/s. */
+    static constexpr milliseconds longest_hold{5000};
+
     /*! @brief Between the beginnings of those that all waited for one that
      * ended; a datagram within a hall takes some 2 ms and tells the others. */
     static constexpr milliseconds stagger{25};
@@ -70,7 +76,9 @@
         if (standing.fetching != seen_fetching)
             seen_at = now;
         seen_fetching = standing.fetching;
-        if (!since || now < not_before || standing.fetching >= most_at_once)
+        if (!since || now < not_before)
+            return false;
+        if (standing.fetching >= most_at_once && now - seen_at < longest_hold)
             return false;
         const auto rank = static_cast<std::int64_t>(standing.rank);
         const auto others = standing.fetching > 0 ? hold : milliseconds(0);
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -329,6 +329,7 @@
         made.leaving = leaving;
         made.watching = reader.watching();
         made.fetching = reader.fetching() || puller.fetching();
+        made.probing = reader.probing();
         made.store_returned = store_returned(now);
         made.store_distance = own_distance();
         for (const auto& [address, one] : directory.all())
@@ -433,7 +434,14 @@
         return made;
     }
 
-    void read_store() { reader.consider(standing(), event_loop::now()); }
+    /*! @brief Probes of the store are taken in turns too; pulls from other
+     * halls do not wait for them, as the store may turn this hall away. */
+    void read_store()
+    {
+        auto turn = standing();
+        turn.fetching += turn.probing;
+        reader.consider(turn, event_loop::now());
+    }
 
     void read_page(const store_page& page, bool whole)
     {
--- a/src/coursejunction/fleet/mirror_puller.hpp
+++ b/src/coursejunction/fleet/mirror_puller.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
@@ -58,6 +59,15 @@
     static constexpr milliseconds least_connect{250};
     static constexpr milliseconds most_connect{1000};
 
+    /*! @brief A pull that lasts this long may come over a squeezed link, where
+     * it moves and does not end: another peer of the own hall is asked beside
+     * it. A packed page takes 0.2 s over 7.6 Mbit/s. */
+    static constexpr milliseconds patience{800};
+
+    /*! @brief Pulls of one kind at once; the first goes on, as all links may
+     * be slow. */
+    static constexpr std::size_t most_pulls = 2;
+
     /*! @param seed Spreads the pauses of processes that fail together. */
     mirror_puller(event_loop& owner, stream_client& client, metrics& counted,
                   const store_mirror& held, const peer_directory& known,
@@ -82,32 +92,70 @@
         if (own_hall)
             return pull_near(from, now);
         far.lines.lacking(true, now);
-        if (!look_pending && !far.busy)
+        if (!look_pending && (far.open.empty() || may_repeat_far(now)))
             look_after(near_first);
     }
 
-    /*! @brief Tells whether a page of another hall is under way. */
-    [[nodiscard]] bool fetching() const noexcept { return far.busy; }
+    /*! @brief Tells whether a page of another hall is under way that this
+     * process still lacks. */
+    [[nodiscard]] bool fetching() const
+    {
+        return std::any_of(far.open.begin(), far.open.end(),
+                           [this](const open_pull& one)
+                           { return one.awaited > mirror.revision(); });
+    }
 
 private:
-    /*! @brief Pulls from one kind of peers, one at a time. */
+    /*! @brief A page that is under way. */
+    struct open_pull
+    {
+        std::string from;
+        stream_client::call_id call{0};
+        std::uint64_t awaited{0}; /*!< What the peer knew when it was asked. */
+        time_point began{};
+    };
+
+    /*! @brief Pulls from one kind of peers, a second one only beside one that
+     * lasts. */
     struct lane
     {
         explicit lane(std::uint64_t seed) : lines(seed) {}
 
+        [[nodiscard]] bool asks(const std::string& peer) const
+        {
+            return std::any_of(open.begin(), open.end(),
+                               [&](const open_pull& one)
+                               { return one.from == peer; });
+        }
+
+        [[nodiscard]] bool lasts(milliseconds wait, time_point now) const
+        {
+            return !open.empty() && open.size() < most_pulls &&
+                   now - open.back().began >= wait;
+        }
+
         fetch_turn lines;
-        bool busy{false};
+        std::vector<open_pull> open;
     };
 
     void pull_near(const std::string& from, time_point now)
     {
-        if (near.busy)
+        if (near.lasts(patience, now) && !near.asks(from))
+            return pull(near, from, "near");
+        if (!near.open.empty())
             return;
         near.lines.lacking(true, now);
         if (near.lines.due({}, now))
             pull(near, from, "near");
     }
 
+    /*! @brief Tells whether a peer of another hall is asked beside one that
+     * lasts: others of the hall do so in their turn, if there are any. */
+    [[nodiscard]] bool may_repeat_far(time_point now) const
+    {
+        return far.lasts(fetch_turn::hold, now) && directory.alone(hall, now);
+    }
+
     void look_after(milliseconds wait)
     {
         look_pending = true;
@@ -122,12 +170,16 @@
     void consider_far()
     {
         const auto now = event_loop::now();
-        const auto from =
+        auto from =
             directory.ahead_of(mirror.revision(), hall, false, pulls, now);
         far.lines.lacking(!from.empty(), now);
-        if (from.empty() || far.busy)
+        const bool again = may_repeat_far(now);
+        if (again && far.asks(from))
+            from = directory.ahead_of(mirror.revision(), hall, false, pulls + 1,
+                                      now);
+        if (from.empty() || far.asks(from) || (!far.open.empty() && !again))
             return;
-        if (!far.lines.due(hooks.standing(), now))
+        if (!again && !far.lines.due(hooks.standing(), now))
             return look_after(look_again);
         pull(far, from, "far");
         hooks.begun();
@@ -135,7 +187,6 @@
 
     void pull(lane& by, const std::string& from, const char* where)
     {
-        by.busy = true;
         ++pulls;
         counters.count("fleet_mirror_pulls_total", 1, {{"from", where}});
         stream_call call;
@@ -143,13 +194,32 @@
         call.target = std::string(target) + std::to_string(mirror.revision());
         call.connect_time = connect_time(by);
         call.stall_time = stall_time;
-        calls.gather(std::move(call),
-                     [this, &by, from, where, began = event_loop::now()](
-                         const stream_client::answer& answer)
-                     {
-                         by.busy = false;
-                         pulled(by, from, where, began, answer);
-                     });
+        const auto* peer = directory.find(from);
+        open_pull made{from, 0, peer ? peer->last.mirror_revision : 0,
+                       event_loop::now()};
+        made.call =
+            calls.gather(std::move(call),
+                         [this, &by, from, where, began = made.began](
+                             const stream_client::answer& answer)
+                         {
+                             std::erase_if(by.open, [&](const open_pull& one)
+                                           { return one.from == from; });
+                             pulled(by, from, where, began, answer);
+                         });
+        by.open.push_back(std::move(made));
+    }
+
+    /*! @brief Ends pulls whose pages would tell nothing new. */
+    void cancel_needless(lane& by)
+    {
+        std::erase_if(by.open,
+                      [this](const open_pull& one)
+                      {
+                          if (one.awaited > mirror.revision())
+                              return false;
+                          calls.cancel(one.call);
+                          return true;
+                      });
     }
 
     static milliseconds connect_time(const lane& by)
@@ -171,6 +241,8 @@
                           answer.body.size());
         by.lines.succeeded();
         hooks.took(page.value(), from);
+        cancel_needless(near);
+        cancel_needless(far);
         if (&by == &far)
             consider_far();
     }
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -188,10 +188,23 @@
                 one.entry == entry ? other < address : one.entry;
             made.rank += before ? 1 : 0;
             made.fetching += last.fetching ? 1 : 0;
+            made.probing += last.probing ? 1 : 0;
         }
         return made;
     }
 
+    /*! @brief Tells whether no other process of a hall is known to live. */
+    [[nodiscard]] bool alone(const hall_id& hall, time_point now) const
+    {
+        return std::none_of(peers.begin(), peers.end(),
+                            [&](const auto& one)
+                            {
+                                const auto& last = one.second.last;
+                                return last.hall == hall.value() &&
+                                       !last.leaving && alive(one.second, now);
+                            });
+    }
+
     /*! @brief Returns a live peer that knows more than a revision, an entry
      * before a side; empty when there is none.
      * @param own_hall Of this hall, or of any other one.
--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -98,8 +98,14 @@
     /*! @brief Tells whether the store answers and is watched. */
     [[nodiscard]] bool watching() const noexcept { return up && busy; }
 
-    /*! @brief Tells whether a first call is under way. */
-    [[nodiscard]] bool fetching() const noexcept { return busy && !up; }
+    /*! @brief Tells whether the whole store is on its way. */
+    [[nodiscard]] bool fetching() const noexcept { return listing; }
+
+    /*! @brief Tells whether a first call for news only is under way. */
+    [[nodiscard]] bool probing() const noexcept
+    {
+        return busy && !up && !listing;
+    }
 
     /*! @brief Tells whether an outage of the store ended just now. */
     [[nodiscard]] bool returned(time_point now) const
@@ -111,16 +117,16 @@
     void begin(const hall_standing& standing)
     {
         busy = true;
+        listing = mirror.revision() <= forgotten;
         log::state("store_read_begun",
                    {{"revision", std::to_string(mirror.revision())},
                     {"rank", std::to_string(standing.rank)},
                     {"failures", std::to_string(turns.failed_in_row())}});
-        if (!up)
-            hooks.begun();
-        if (mirror.revision() <= forgotten)
+        hooks.begun();
+        if (listing)
             list();
         else
-            watch(up ? watch_wait : probe_wait);
+            watch(probe_wait);
     }
 
     void list()
@@ -129,6 +135,7 @@
         store.list(
             [this](result<store_page> answer)
             {
+                listing = false;
                 if (!answer)
                     return failed("list", answer.error().message);
                 answered();
@@ -146,6 +153,7 @@
                         if (!answer)
                             return watch_failed(answer.error());
                         answered();
+                        gone_in_row = 0;
                         hooks.took(answer.value(), false);
                         watch_on(!answer.value().items.empty());
                     });
@@ -157,7 +165,10 @@
     {
         if (!hooks.wanted())
         {
+            // Whether the store can be reached when it is wanted again is not
+            // known: others must not count on this process before.
             busy = false;
+            up = false;
             return;
         }
         if (!changed)
@@ -176,6 +187,9 @@
                      {{"revision", std::to_string(forgotten)}});
         busy = false;
         up = false;
+        // The history may be gone again by the end of each listing.
+        if (++gone_in_row > 1)
+            turns.failed(event_loop::now());
     }
 
     void failed(const std::string& call, const std::string& why)
@@ -234,6 +248,8 @@
     std::uint64_t forgotten{0}; /*!< No watch goes on from here or before. */
     bool up{false};             /*!< The last call was answered. */
     bool busy{false};           /*!< A call or a pause of the watch runs. */
+    bool listing{false};        /*!< The call lists the whole store. */
+    std::size_t gone_in_row{0}; /*!< Watches whose history was gone. */
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -61,6 +61,8 @@
     bool watching{false};       /*!< Hears of changes from the store itself. */
     bool fetching{false};       /*!< Reads the whole store, or what a peer of
                                    another hall knows, for its hall. */
+    bool probing{false};        /*!< Asks the store for news, which moves few
+                                   bytes, and had no answer yet. */
     bool store_returned{false}; /*!< An outage of the store ended just now. */
     /*! @brief Microseconds that a connection to the store takes from here; 0
      * when that is not known. */
@@ -73,8 +75,8 @@
     void serialize(Archive& archive)
     {
         archive(incarnation, sequence, mirror_revision, hall, entry, leaving,
-                watching, fetching, store_returned, store_distance, entries,
-                upstream, chunks);
+                watching, fetching, probing, store_returned, store_distance,
+                entries, upstream, chunks);
     }
 };
 
