Pulls begin with different peers

The counter that chooses among peers of other halls began at 0 everywhere, so that all asked the same one first (found by the review). It begins at the process's own seed. Unit tests of fleet and platform pass (244 assertions).

--- a/src/coursejunction/fleet/mirror_puller.hpp
+++ b/src/coursejunction/fleet/mirror_puller.hpp
@@ -73,7 +73,7 @@
                   const store_mirror& held, const peer_directory& known,
                   std::uint64_t seed)
         : loop(owner), calls(client), counters(counted), mirror(held),
-          directory(known), near(seed), far(~seed)
+          directory(known), near(seed), far(~seed), pulls(seed)
     {
     }
 
@@ -290,7 +290,7 @@
     lane far;
     timer look;
     bool look_pending{false};
-    std::size_t pulls{0};
+    std::size_t pulls; /*!< Begins anywhere, so that not all ask the same. */
 };
 
 } // namespace coursejunction
--- a/tests/platform/hall_behind_link.cpp
+++ b/tests/platform/hall_behind_link.cpp
@@ -311,8 +311,8 @@
             [&]
             {
                 port = free_port(running.loop);
-                known.apply({{"op/config", payload, newest, 0, false}}, newest,
-                            cj::event_loop::now());
+                known.apply({{"op/config", payload, newest, 0, false, {}, 0}},
+                            newest, cj::event_loop::now());
                 link = std::make_unique<shared_link>(running.loop);
                 far_server = std::move(
                     cj::stream_server::create(
