--- a/tests/fleet/fleet_node.cpp
+++ b/tests/fleet/fleet_node.cpp
@@ -5,7 +5,6 @@
 #include <memory>
 #include <string>
 #include <thread>
-#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -19,14 +18,6 @@
 namespace
 {
 
-/*! @brief Addresses of this run: any of 127.0.0.0/8 can be bound. */
-std::string address_of(int number)
-{
-    const auto run = ::getpid();
-    return "127." + std::to_string(1 + run / 250 % 250) + "." +
-           std::to_string(run % 250) + "." + std::to_string(number);
-}
-
 /*! @brief A store that turns this process away by silence. */
 class silent_store
 {
@@ -155,12 +146,12 @@
     std::unique_ptr<far_entry> far;
     std::vector<std::string> addresses;
     for (int at = 0; at < entries; ++at)
-        addresses.push_back(address_of(first + at));
+        addresses.push_back(loopback::own_address(first + at));
     running.on_loop(
         [&]
         {
-            far = std::make_unique<far_entry>(running.loop, address_of(1),
-                                              addresses);
+            far = std::make_unique<far_entry>(
+                running.loop, loopback::own_address(1), addresses);
             for (const auto& address : addresses)
             {
                 cj::fleet_options options;
--- a/tests/fleet/mirror_puller.cpp
+++ b/tests/fleet/mirror_puller.cpp
@@ -3,7 +3,6 @@
 #include <memory>
 #include <string>
 #include <thread>
-#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -18,14 +17,6 @@
 namespace
 {
 
-/*! @brief Addresses of this run: any of 127.0.0.0/8 can be bound. */
-std::string address_of(int number)
-{
-    const auto run = ::getpid();
-    return "127." + std::to_string(1 + run / 250 % 250) + "." +
-           std::to_string(run % 250) + "." + std::to_string(number);
-}
-
 /*! @brief A process that pulls from peers which a test plays. */
 class pulling_process
 {
@@ -104,7 +95,7 @@
     {
         return std::move(
             cj::stream_server::create(
-                running.loop, address_of(number), port, {},
+                running.loop, loopback::own_address(number), port, {},
                 [answer = std::move(answer)](const cj::stream_request&,
                                              cj::stream_reply reply)
                 { answer(std::move(reply)); })
@@ -122,7 +113,7 @@
             beat.mirror_revision = newest;
             beat.hall = hall;
             beat.entry = true;
-            const auto from = address_of(number);
+            const auto from = loopback::own_address(number);
             directory.heard(from, beat, cj::event_loop::now());
             if (mirror.revision() < newest)
                 puller.heard(from, hall == "here");
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -25,6 +25,15 @@
 namespace loopback
 {
 
+/*! @brief Returns an address of this process's own: any of 127.0.0.0/8 can be
+ * bound, and several checkouts may run their tests at once. */
+inline std::string own_address(int number)
+{
+    const auto run = ::getpid();
+    return "127." + std::to_string(1 + run / 250 % 250) + "." +
+           std::to_string(run % 250) + "." + std::to_string(number);
+}
+
 /*! @brief A plain connection to a port on loopback. */
 class raw_connection
 {
--- a/tests/platform/hall_behind_link.cpp
+++ b/tests/platform/hall_behind_link.cpp
@@ -14,7 +14,6 @@
 #include <memory>
 #include <string>
 #include <thread>
-#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -127,15 +126,6 @@
     cj::timer pump;
 };
 
-/*! @brief Addresses of this run: any of 127.0.0.0/8 can be bound, and runs of
- * several checkouts may go on at once. */
-std::string address_of(int number)
-{
-    const auto run = ::getpid();
-    return "127." + std::to_string(1 + run / 250 % 250) + "." +
-           std::to_string(run % 250) + "." + std::to_string(number);
-}
-
 std::string host_and_port(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
@@ -217,7 +207,7 @@
 std::uint16_t free_port(cj::event_loop& loop)
 {
     const auto probe =
-        cj::stream_server::create(loop, address_of(1), 0, {},
+        cj::stream_server::create(loop, loopback::own_address(1), 0, {},
                                   [](cj::stream_request, cj::stream_reply) {});
     return probe.value()->port();
 }
@@ -275,11 +265,11 @@
                 for (int at = 1; at <= entries; ++at)
                 {
                     cj::fleet_options options;
-                    options.address = address_of(at);
+                    options.address = loopback::own_address(at);
                     options.port = port;
                     options.hall = cj::hall_id("far");
                     options.entry = true;
-                    options.seeds = {address_of(1)};
+                    options.seeds = {loopback::own_address(1)};
                     hall.push_back(std::make_unique<member>(
                         running.loop, store->address(), options));
                 }
@@ -316,7 +306,7 @@
                 link = std::make_unique<shared_link>(running.loop);
                 far_server = std::move(
                     cj::stream_server::create(
-                        running.loop, address_of(1), port, {},
+                        running.loop, loopback::own_address(1), port, {},
                         [&](cj::stream_request, cj::stream_reply reply)
                         {
                             link->send(std::move(reply),
@@ -326,17 +316,17 @@
                         .value());
                 far_socket =
                     std::move(cj::datagram_socket::create(
-                                  running.loop, address_of(1), port,
+                                  running.loop, loopback::own_address(1), port,
                                   [](const std::string&, std::string_view) {})
                                   .value());
                 for (int at = 0; at < processes; ++at)
                 {
                     cj::fleet_options options;
-                    options.address = address_of(first + at);
+                    options.address = loopback::own_address(first + at);
                     options.port = port;
                     options.hall = cj::hall_id("far");
                     options.entry = at == 0;
-                    options.seeds = {address_of(first)};
+                    options.seeds = {loopback::own_address(first)};
                     // The store itself cannot be reached from this hall.
                     hall.push_back(std::make_unique<member>(
                         running.loop, "127.0.0.1:9", options));
@@ -355,8 +345,8 @@
                         beat.entry = true;
                         beat.watching = true;
                         for (int at = 0; at < processes; ++at)
-                            far_socket->send(address_of(first + at) + ":" +
-                                                 std::to_string(port),
+                            far_socket->send(loopback::own_address(first + at) +
+                                                 ":" + std::to_string(port),
                                              cj::encode(beat));
                     });
             });
