A watch whose answer keeps coming is given up for a listing

A history may hold every value that was written: 35 to 45 MB for some twenty configurations of 2 MB, which filled the link for 12 to 15 s, as the call moved all the while.

Change: a watch that lasts 1.2 s beyond its wait is given up; where peers have told more the next one goes on from there, otherwise the store is listed, which holds the last values only. A listing is given up only when peers have told more and it lasts 2.5 s.

--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -38,6 +38,7 @@
 {
     store.list(done);
     store.watch(after, wait, done);
+    store.cancel(); /*!< Ends the call under way; it is not answered. */
     /*! Time that a connection takes; zero when not known. */
     {
         store.distance()
@@ -75,6 +76,15 @@
      * cost one call; a leaving upstream has 2 s. */
     static constexpr milliseconds watch_pause{100};
 
+    /*! @brief Longest answer of a watch beyond its wait. It holds every value
+     * that was written since: after some twenty changes of 2 MB it filled a
+     * link of 24 Mbit/s for 15 s. A listing holds the last ones only. */
+    static constexpr milliseconds slow_watch{1200};
+
+    /*! @brief A listing that lasts this long is given up when peers have told
+     * more meanwhile; otherwise it goes on, however large it is. */
+    static constexpr milliseconds slow_listing{2500};
+
     /*! @param seed Spreads the pauses of processes that fail together. */
     store_reader(event_loop& owner, Store& service, metrics& counted,
                  const store_mirror& held, std::uint64_t seed)
@@ -89,7 +99,7 @@
     void consider(const hall_standing& standing, time_point now)
     {
         if (busy)
-            return;
+            return give_up_slow(now);
         turns.lacking(hooks.wanted(), now);
         if (turns.due(standing, now))
             begin(standing);
@@ -136,6 +146,7 @@
             [this](result<store_page> answer)
             {
                 listing = false;
+                under_way = false;
                 if (!answer)
                     return failed("list", answer.error().message);
                 answered();
@@ -146,10 +157,12 @@
 
     void watch(milliseconds wait)
     {
+        waits = wait;
         counted_call("watch");
         store.watch(mirror.revision(), wait,
                     [this](result<store_page> answer)
                     {
+                        under_way = false;
                         if (!answer)
                             return watch_failed(answer.error());
                         answered();
@@ -220,9 +233,32 @@
                     {"distance_us", std::to_string(distance_us())}});
     }
 
+    /*! @brief Ends a call that costs more than another one: the next turn goes
+     * on from where peers brought the mirror, or lists where they did not. */
+    void give_up_slow(time_point now)
+    {
+        const bool told_more = mirror.revision() > called_at;
+        const auto limit = listing ? slow_listing : waits + slow_watch;
+        if (!under_way || now - called < limit || (listing && !told_more))
+            return;
+        store.cancel();
+        under_way = false;
+        listing = false;
+        busy = false;
+        up = false;
+        if (!told_more)
+            forgotten = mirror.revision();
+        counters.count("store_calls_given_up_total");
+        log::state("store_call_given_up",
+                   {{"began_at", std::to_string(called_at)},
+                    {"revision", std::to_string(mirror.revision())}});
+    }
+
     void counted_call(const std::string& call)
     {
         called = event_loop::now();
+        called_at = mirror.revision();
+        under_way = true;
         counters.count("store_calls_total", 1, {{"call", call}});
     }
 
@@ -245,6 +281,9 @@
     store_outage outage;
     timer pause;
     time_point called{};        /*!< When the last call began. */
+    std::uint64_t called_at{0}; /*!< Revision at that moment. */
+    milliseconds waits{0};      /*!< What the last watch waits. */
+    bool under_way{false};      /*!< That call has not ended. */
     std::uint64_t forgotten{0}; /*!< No watch goes on from here or before. */
     bool up{false};             /*!< The last call was answered. */
     bool busy{false};           /*!< A call or a pause of the watch runs. */
--- a/tests/fleet/fleet_node.cpp
+++ b/tests/fleet/fleet_node.cpp
@@ -33,6 +33,8 @@
         give_up_after(wait + patience, done);
     }
 
+    void cancel() { call.stop(); }
+
     [[nodiscard]] static std::chrono::microseconds distance() { return {}; }
 
 private:
--- a/tests/fleet/store_reader.cpp
+++ b/tests/fleet/store_reader.cpp
@@ -30,6 +30,12 @@
         answer = std::move(done);
     }
 
+    void cancel()
+    {
+        ++cancelled;
+        answer = nullptr;
+    }
+
     [[nodiscard]] std::chrono::microseconds distance() const { return 300us; }
 
     void fail(cj::error_kind kind)
@@ -45,6 +51,7 @@
     }
 
     int listings{0};
+    int cancelled{0};
     std::vector<std::uint64_t> watched_after;
     std::vector<cj::milliseconds> waited;
     callback answer;
@@ -118,6 +125,36 @@
                 CHECK(store.watched_after.back() == 8);
             }
         }
+        WHEN("the answer of a watch keeps coming")
+        {
+            // It holds every value that was written: behind a link an answer of
+            // 45 MB filled it for 15 s, where a listing had 2.3 MB.
+            later(2600ms);
+            CHECK(store.cancelled == 0);
+            later(2800ms);
+            CHECK(store.cancelled == 1);
+            CHECK_FALSE(reader.watching());
+            THEN("the store is listed instead, to the end")
+            {
+                later(2800ms);
+                CHECK(store.listings == 2);
+                later(20s);
+                CHECK(store.cancelled == 1);
+                AND_THEN("or until peers have told more")
+                {
+                    mirror.apply({{"a", "2", 8, 0, false, {}, 0}}, 8, now);
+                    later(20s);
+                    CHECK(store.cancelled == 2);
+                }
+            }
+            THEN("a watch goes on where peers told more meanwhile")
+            {
+                mirror.apply({{"a", "2", 8, 0, false, {}, 0}}, 8, now);
+                later(2800ms);
+                CHECK(store.listings == 1);
+                CHECK(store.watched_after == std::vector<std::uint64_t>{5, 8});
+            }
+        }
         WHEN("others read in its place")
         {
             wanted = false;
--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -45,6 +45,11 @@
         # at once take the link 1.5 s for 1.6 MB of configuration, and neither ever ended.
         self.play(22, 6, "--link", "24")
 
+    def test_a_watch_that_brings_every_old_value_is_given_up_for_a_listing(self):
+        # Seed 1003 failed: entries behind a link went on from revision 10 and were
+        # sent some twenty configurations of 2 MB, each written over by the next one.
+        self.play(1003, 6, "--link", "24")
+
     def test_a_staged_chunk_that_cannot_be_read_is_fetched_again(self):
         # Seed 801 with 100 sides failed once: reads of staged chunks timed out beside
         # load, and the new plan for them was never told who takes part.
