--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <concepts>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,10 +17,12 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
 #include "coursejunction/fleet/beat_plan.hpp"
+#include "coursejunction/fleet/mirror_age.hpp"
+#include "coursejunction/fleet/mirror_puller.hpp"
 #include "coursejunction/fleet/node_address.hpp"
 #include "coursejunction/fleet/peer_directory.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
-#include "coursejunction/fleet/store_outage.hpp"
+#include "coursejunction/fleet/store_reader.hpp"
 #include "coursejunction/net/datagram_socket.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
@@ -33,24 +34,6 @@
 namespace coursejunction
 {
 
-/*! @brief Keys that a store showed, as of a revision. */
-struct store_page
-{
-    store_mirror::items items;
-    std::uint64_t revision{0};
-};
-
-/*! @brief Reads the platform's store; answers come on the loop's thread. An
- * error `not_found` of a watch says that its history is gone. */
-template <typename Store>
-concept Readable_store = requires(Store& store, std::uint64_t after,
-                                  milliseconds wait,
-                                  std::function<void(result<store_page>)> done)
-{
-    store.list(done);
-    store.watch(after, wait, done);
-};
-
 /*! @brief How a node finds its peers. */
 struct fleet_options
 {
@@ -98,31 +81,13 @@
      * any hall: its own hall may have no entry left. */
     static constexpr milliseconds behind_grace{300};
 
-    /*! @brief How long one watch waits. A watch that hangs on a dead
-     * connection is noticed this late, and a change has 2 s to be in force
-     * once the store has been calm for 3 s. */
-    static constexpr milliseconds watch_wait{1500};
+    /*! @brief An entry of another hall does so after this long: each tells
+     * each side that is behind, and a side's own hall is nearer. */
+    static constexpr milliseconds far_behind_grace{1000};
 
-    /*! @brief Pause between two watches, so that changes that come together
-     * cost one call; a leaving upstream has 2 s. */
-    static constexpr milliseconds watch_pause{100};
-
-    /*! @brief Pause after a failed call of the store. */
-    static constexpr milliseconds store_pause{150};
-
-    /*! @brief How long peers of the own hall have to tell what one of another
-     * hall already told. */
-    static constexpr milliseconds near_first{80};
-
-    /*! @brief Longest pull of the mirror from a peer: a configuration of 500 KB
-     * that five entries of a hall pull at once over a link of 25 Mbit/s between
-     * regions takes 0.8 s. */
-    static constexpr milliseconds pull_time{2000};
-
-    /*! @brief A pull that lasts this long may hang on a peer that is cut off:
-     * a second one may begin beside it. */
-    static constexpr milliseconds pull_patience{600};
-    static constexpr std::size_t most_pulls = 2;
+    /*! @brief A process that has just started and is no seed goes after others
+     * of its hall, which it has not heard of yet. */
+    static constexpr milliseconds newcomer_time{1000};
 
     /*! @brief Opens the ports.
      * @return The node, or `unavailable`. */
@@ -143,6 +108,8 @@
     {
         hooks = std::move(given);
         const auto now = event_loop::now();
+        started_at = now;
+        start_fetching();
         for (const auto& seed : options.seeds)
         {
             if (seed != options.address)
@@ -153,10 +120,9 @@
                                 [this]
                                 {
                                     beat_on();
-                                    watch_if_needed();
+                                    read_store();
                                 });
-        if (options.entry)
-            list();
+        read_store();
     }
 
     /*! @brief Tells at once that the state of this process changed. */
@@ -185,6 +151,13 @@
             directory.name_side(address, hall, event_loop::now());
     }
 
+    /*! @brief Returns for how long peers have known more than this process;
+     * zero when none is known to. */
+    [[nodiscard]] milliseconds behind_for(time_point now) const
+    {
+        return age.behind_for(copy.revision(), now);
+    }
+
     [[nodiscard]] const store_mirror& mirror() const { return copy; }
     [[nodiscard]] const peer_directory& peers() const { return directory; }
     [[nodiscard]] stream_client& client() { return calls; }
@@ -205,10 +178,34 @@
           incarnation(static_cast<std::uint64_t>(
               std::chrono::duration_cast<milliseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
-                  .count()))
+                  .count())),
+          reader(owner, service, counted, copy, seed()),
+          puller(owner, calls, counted, copy, directory, seed())
     {
     }
 
+    /*! @brief Returns a number that differs between processes. */
+    [[nodiscard]] std::uint64_t seed() const
+    {
+        return std::hash<std::string>()(options.address) + incarnation;
+    }
+
+    void start_fetching()
+    {
+        reader.start({[this] { return reads_store(); },
+                      [this](const store_page& page, bool whole)
+                      { read_page(page, whole); },
+                      [this] { tell(moment(beat_reason::fetch)); }});
+        puller.start(
+            options.hall, port_suffix,
+            {[this] { return standing(); },
+             [this](const message::mirror_page& page, const std::string& from) {
+                 took(copy.apply(page.items, page.revision, event_loop::now()),
+                      from);
+             },
+             [this] { tell(moment(beat_reason::fetch)); }});
+    }
+
     result<bool> open()
     {
         auto made = datagram_socket::create(
@@ -248,6 +245,22 @@
         auto regular = moment(beat_reason::regular);
         regular.spreading = hooks.spreading && hooks.spreading();
         tell(regular);
+        if (beat_number % measuring_beat == 0)
+            measure(event_loop::now());
+    }
+
+    /*! @brief Shows what this process decides by, and who reads the store. */
+    void measure(time_point now)
+    {
+        counters.set("fleet_mirror_revision",
+                     static_cast<double>(copy.revision()));
+        counters.set("fleet_mirror_behind_seconds",
+                     to_seconds(behind_for(now)));
+        counters.set("fleet_store_watchers",
+                     static_cast<double>(directory.watchers(now) +
+                                         (reader.watching() ? 1 : 0)));
+        counters.set("fleet_hall_fetchers",
+                     static_cast<double>(standing().fetching));
     }
 
     /*! @brief Returns the sides of the own hall, this one included, in the
@@ -314,8 +327,10 @@
         made.hall = options.hall.value();
         made.entry = options.entry;
         made.leaving = leaving;
-        made.watching = store_up && store_busy;
+        made.watching = reader.watching();
+        made.fetching = reader.fetching() || puller.fetching();
         made.store_returned = store_returned(now);
+        made.store_distance = own_distance();
         for (const auto& [address, one] : directory.all())
         {
             const auto number = address_number(address);
@@ -352,81 +367,23 @@
                 directory.find(address) == nullptr)
                 directory.name_entry(address, now);
         }
+        const bool own = read.value().hall == options.hall.value();
         if (options.entry && !read.value().entry &&
             read.value().mirror_revision < copy.revision() &&
-            now - advanced_at >= behind_grace)
+            now - advanced_at >= (own ? behind_grace : far_behind_grace))
             tell_behind(from);
         if (read.value().mirror_revision > copy.revision())
-            pull_soon(from, read.value().hall == options.hall.value());
-        if (hooks.heard)
-            hooks.heard(from, read.value());
-    }
-
-    /*! @brief A peer of another hall knows more: the own hall's peers, nearer
-     * and cheaper to ask, have a moment to tell the same. */
-    void pull_soon(const std::string& from, bool near)
-    {
-        if (near)
-            return pull(from);
-        if (!may_pull() || pull_pending)
-            return;
-        pull_pending = true;
-        pull_timer =
-            loop.after(near_first,
-                       [this, from]
-                       {
-                           pull_pending = false;
-                           const auto* peer = directory.find(from);
-                           if (peer != nullptr &&
-                               peer->last.mirror_revision > copy.revision())
-                               pull(from);
-                       });
-    }
-
-    [[nodiscard]] bool may_pull() const
-    {
-        return pulls == 0 || (pulls < most_pulls &&
-                              event_loop::now() - pulled_at >= pull_patience);
-    }
-
-    /*! @brief Fetches from a peer what it knows and we do not. */
-    void pull(const std::string& from)
-    {
-        if (!may_pull())
-            return;
-        ++pulls;
-        pulled_at = event_loop::now();
-        stream_call call;
-        call.address = peer_port(from);
-        call.target = "/mirror?after=" + std::to_string(copy.revision());
-        call.timeout = pull_time;
-        calls.gather(std::move(call),
-                     [this, from](const stream_client::answer& answer)
-                     {
-                         --pulls;
-                         pulled(from, answer);
-                     });
-    }
-
-    void pulled(const std::string& from, const stream_client::answer& answer)
-    {
-        counters.count("fleet_mirror_pulls_total");
-        auto page = answer.is(200) ? decode<message::mirror_page>(answer.body)
-                                   : result<message::mirror_page>(failure(
-                                         error_kind::unavailable, answer.why));
-        if (!page)
         {
-            log::state("mirror_pull_failed",
-                       {{"peer", from}, {"why", page.error().message}});
-            return;
+            age.told(read.value().mirror_revision, copy.revision(), now);
+            puller.heard(from, own);
         }
-        const auto& got = page.value();
-        took(copy.apply(got.items, got.revision, event_loop::now()), from);
+        if (hooks.heard)
+            hooks.heard(from, read.value());
     }
 
     void request_of_peer(stream_request request, stream_reply reply)
     {
-        constexpr std::string_view mirror_target = "/mirror?after=";
+        constexpr auto mirror_target = mirror_puller::target;
         if (!request.target.starts_with(mirror_target))
         {
             if (hooks.request)
@@ -440,102 +397,57 @@
         reply.send(200, {}, encode(copy.since(after, event_loop::now())));
     }
 
-    /*! @brief Tells whether this entry is among those that watch the store. */
-    [[nodiscard]] bool is_watcher() const
+    /*! @brief Tells whether this entry is among those that read the store. */
+    [[nodiscard]] bool reads_store() const
     {
+        const auto now = event_loop::now();
         return options.entry && !leaving &&
-               directory.watchers_before(options.address, event_loop::now()) <
-                   most_watchers;
+               directory.watchers_before(options.address, store_distance(now),
+                                         now) < most_watchers;
     }
 
-    void watch_if_needed()
+    /*! @brief Returns the distance to the store in microseconds, of this
+     * process or else of its hall; 0 when it is not known. */
+    [[nodiscard]] std::uint32_t store_distance(time_point now) const
     {
-        if (!store_busy && is_watcher())
-            list();
+        const auto own = own_distance();
+        return own > 0 ? own : directory.store_distance(options.hall, now);
     }
 
-    void list()
+    [[nodiscard]] std::uint32_t own_distance() const
     {
-        store_busy = true;
-        counters.count("store_calls_total", 1, {{"call", "list"}});
-        store.list(
-            [this](result<store_page> answer)
-            {
-                if (!answer)
-                    return store_lost(answer.error().message, false);
-                store_answered();
-                const auto& page = answer.value();
-                const auto changed =
-                    copy.replace(page.items, page.revision, event_loop::now());
-                took(changed, "store");
-                watch();
-            });
+        const std::chrono::microseconds own = store.distance();
+        return static_cast<std::uint32_t>(own.count());
     }
 
-    void watch()
+    [[nodiscard]] hall_standing standing() const
     {
-        counters.count("store_calls_total", 1, {{"call", "watch"}});
-        store.watch(copy.revision(), watch_wait,
-                    [this](result<store_page> answer)
-                    {
-                        if (!answer)
-                            return store_lost(answer.error().message,
-                                              answer.error().kind ==
-                                                  error_kind::not_found);
-                        store_answered();
-                        const auto& page = answer.value();
-                        const auto changed = copy.apply(
-                            page.items, page.revision, event_loop::now());
-                        took(changed, "store");
-                        watch_on(!page.items.empty());
-                    });
+        const auto now = event_loop::now();
+        auto made = directory.standing(options.address, options.hall,
+                                       options.entry, now);
+        const bool seeded =
+            std::find(options.seeds.begin(), options.seeds.end(),
+                      options.address) != options.seeds.end();
+        if (!seeded && now - started_at < newcomer_time)
+            made.rank = std::max<std::size_t>(made.rank, 1);
+        return made;
     }
 
-    /*! @brief Watches on, or leaves it to others.
-     * @param changed Whether more changes may follow at once. */
-    void watch_on(bool changed)
-    {
-        if (!is_watcher())
-        {
-            store_busy = false;
-            return;
-        }
-        if (!changed)
-            return watch();
-        store_timer = loop.after(watch_pause, [this] { watch(); });
-    }
+    void read_store() { reader.consider(standing(), event_loop::now()); }
 
-    /*! @brief A call failed: the whole is listed again, at once when only the
-     * history is gone. */
-    void store_lost(const std::string& why, bool history_gone)
+    void read_page(const store_page& page, bool whole)
     {
-        if (!history_gone)
-            outage.failed(event_loop::now());
-        if (store_up || history_gone)
-            log::warning(
-                "store_lost",
-                {{"why", why}, {"revision", std::to_string(copy.revision())}});
-        store_up = false;
-        if (history_gone)
-            return list();
-        store_timer = loop.after(store_pause, [this] { list(); });
+        const auto now = event_loop::now();
+        took(whole ? copy.replace(page.items, page.revision, now)
+                   : copy.apply(page.items, page.revision, now),
+             "store");
     }
 
     /*! @brief Tells whether the store itself, not only the way to it from here,
      * was away until just now. */
     [[nodiscard]] bool store_returned(time_point now) const
     {
-        return outage.returned(now) && !directory.steady_watcher(now);
-    }
-
-    void store_answered()
-    {
-        outage.answered(event_loop::now());
-        if (store_up)
-            return;
-        store_up = true;
-        log::state("store_reached",
-                   {{"revision", std::to_string(copy.revision())}});
+        return reader.returned(now) && !directory.steady_watcher(now);
     }
 
     void took(const std::vector<std::string>& changed, const std::string& from)
@@ -556,6 +468,7 @@
                                   ? peer->last.store_returned
                                   : store_returned(event_loop::now());
         advanced_at = event_loop::now();
+        age.advanced(copy.revision(), advanced_at);
         if (hooks.changed)
             hooks.changed(changed, returned);
         auto sent = moment(beat_reason::mirror);
@@ -563,6 +476,9 @@
         tell(sent);
     }
 
+    /*! @brief Each this many heartbeats the gauges are set: once a second. */
+    static constexpr std::uint64_t measuring_beat = 5;
+
     /*! @brief Entries named in one heartbeat, so that it fits a datagram. */
     static constexpr std::size_t most_named = 64;
 
@@ -578,18 +494,14 @@
     std::uint64_t beat_number{0};
     time_point advanced_at{}; /*!< When the mirror last changed. */
     store_mirror copy;
+    mirror_age age;
     peer_directory directory;
     std::unique_ptr<datagram_socket> socket;
     std::unique_ptr<stream_server> server;
     timer beat_timer;
-    timer store_timer;
-    timer pull_timer;
-    store_outage outage;
-    bool store_up{false};
-    bool store_busy{false}; /*!< A call or a pause of the watch runs. */
-    std::size_t pulls{0};
-    time_point pulled_at{}; /*!< When the last pull began. */
-    bool pull_pending{false};
+    store_reader<Store> reader;
+    mirror_puller puller;
+    time_point started_at{};
     bool leaving{false};
 };
 
