--- a/src/coursejunction/fleet/mirror_puller.hpp
+++ b/src/coursejunction/fleet/mirror_puller.hpp
@@ -91,7 +91,7 @@
         const auto now = event_loop::now();
         if (own_hall)
             return pull_near(from, now);
-        far.lines.lacking(true, now);
+        far.turns.lacking(true, now);
         if (!look_pending && (far.open.empty() || may_repeat_far(now)))
             look_after(near_first);
     }
@@ -119,7 +119,7 @@
      * lasts. */
     struct lane
     {
-        explicit lane(std::uint64_t seed) : lines(seed) {}
+        explicit lane(std::uint64_t seed) : turns(seed) {}
 
         [[nodiscard]] bool asks(const std::string& peer) const
         {
@@ -134,7 +134,7 @@
                    now - open.back().began >= wait;
         }
 
-        fetch_turn lines;
+        fetch_turn turns;
         std::vector<open_pull> open;
     };
 
@@ -144,8 +144,8 @@
             return pull(near, from, "near");
         if (!near.open.empty())
             return;
-        near.lines.lacking(true, now);
-        if (near.lines.due({}, now))
+        near.turns.lacking(true, now);
+        if (near.turns.due({}, now))
             pull(near, from, "near");
     }
 
@@ -172,14 +172,14 @@
         const auto now = event_loop::now();
         auto from =
             directory.ahead_of(mirror.revision(), hall, false, pulls, now);
-        far.lines.lacking(!from.empty(), now);
+        far.turns.lacking(!from.empty(), now);
         const bool again = may_repeat_far(now);
         if (again && far.asks(from))
             from = directory.ahead_of(mirror.revision(), hall, false, pulls + 1,
                                       now);
         if (from.empty() || far.asks(from) || (!far.open.empty() && !again))
             return;
-        if (!again && !far.lines.due(hooks.standing(), now))
+        if (!again && !far.turns.due(hooks.standing(), now))
             return look_after(look_again);
         pull(far, from, "far");
         hooks.begun();
@@ -225,7 +225,7 @@
     static milliseconds connect_time(const lane& by)
     {
         const auto failures =
-            static_cast<std::int64_t>(by.lines.failed_in_row());
+            static_cast<std::int64_t>(by.turns.failed_in_row());
         return std::min(least_connect * (failures + 1), most_connect);
     }
 
@@ -239,7 +239,7 @@
         if (!page)
             return failed(by, from, where, began, page.error().message,
                           answer.body.size());
-        by.lines.succeeded();
+        by.turns.succeeded();
         hooks.took(page.value(), from);
         cancel_needless(near);
         cancel_needless(far);
@@ -251,7 +251,7 @@
                 time_point began, const std::string& why, std::size_t bytes)
     {
         const auto now = event_loop::now();
-        by.lines.failed(now);
+        by.turns.failed(now);
         counters.count("fleet_mirror_pull_failures_total", 1,
                        {{"from", where}});
         const auto took =
@@ -261,7 +261,7 @@
                     {"why", why},
                     {"bytes", std::to_string(bytes)},
                     {"after_ms", std::to_string(took)},
-                    {"failures", std::to_string(by.lines.failed_in_row())},
+                    {"failures", std::to_string(by.turns.failed_in_row())},
                     {"revision", std::to_string(mirror.revision())}});
         if (&by == &far && !look_pending)
             look_after(look_again);
--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -57,7 +57,8 @@
 
 /*! @brief Watches the store. It goes on after the revision of the mirror,
  * whoever brought it that far: the whole store is listed only by a process that
- * knows nothing, or whose revision the store has forgotten.
+ * knows nothing, whose revision the store has forgotten, or whose watch brings
+ * more than a listing would.
  * @tparam Store A `Readable_store`. */
 template <typename Store>
 class store_reader
