--- a/src/coursejunction/wire/packed.hpp
+++ b/src/coursejunction/wire/packed.hpp
@@ -22,8 +22,9 @@
  * amount of memory. */
 inline constexpr std::size_t most_unpacked = std::size_t{8} << 20U;
 
-/*! @brief Returns bytes in fewer bytes. Routes that are nearly alike, 1.7 MB
- * of them, shrink to under a tenth in some 15 ms of a core. */
+/*! @brief Returns bytes in fewer bytes. Made-up routes that are nearly
+ * alike, 1.7 MB of them, shrink to an eighteenth in 5 ms of a core, and take
+ * 2.5 ms to unpack (three runs). */
 [[nodiscard]] std::string pack(std::string_view plain);
 
 /*! @brief Returns what `pack` was given.
