--- a/src/coursejunction/fleet/fwd.hpp
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -17,6 +17,13 @@
 struct upstream_record;
 class store_mirror;
 class peer_directory;
+struct hall_standing;
+class fetch_turn;
+class mirror_age;
+class mirror_puller;
+struct store_page;
+template <typename Store>
+class store_reader;
 template <typename Store>
 class fleet_node;
 
