--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -4,7 +4,6 @@
 #ifndef COURSEJUNCTION_FLEET_STORE_READER_HPP
 #define COURSEJUNCTION_FLEET_STORE_READER_HPP
 
-#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <functional>
