Upstreams that start again under their id; records of other writers

Cause: nothing read `born`. A restart was guessed from orders that fall or weights that go, so that one from no order to no order was missed; records were read leniently (a missing slot count was 1, an unknown state was ready, -1 slots were 2^64), and a record that could not be read left the last good one in use.

Change: an upstream is known by its id and its incarnation. A later one drops status, weights, failures, idle connections, orders and turns of the earlier one; attempts that certainly went to the earlier one fail at once as "may have run"; those that may have met the new one are left to their connection. Records and reports are read field by field, nothing converted; what is not whole names no upstream. Late news of an earlier life change nothing, by any way.

--- a/src/coursejunction/daemon/state_dump.cpp
+++ b/src/coursejunction/daemon/state_dump.cpp
@@ -42,6 +42,7 @@
 {
     json made{
         {"id", one.record.id.value()},
+        {"life", one.life.value()},
         {"service", one.record.service.value()},
         {"address", one.record.address},
         {"hall", one.record.hall.value()},
@@ -81,7 +82,8 @@
 
 json engine_of(const engine_report& one)
 {
-    return {{"model", one.model},     {"version", one.version},
+    return {{"life", one.life.value()},
+            {"model", one.model},     {"version", one.version},
             {"orders", one.sequence}, {"ordered", one.ordered},
             {"running", one.running}, {"waiting", one.waiting},
             {"pace", one.pace}};
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -367,6 +367,7 @@
         }
         if (hooks.describe)
             hooks.describe(made, chunks_told(sent));
+        made.upstream.side = incarnation;
         return made;
     }
 
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,6 +57,7 @@
 {
     instance_id id;
     bool removed{false};
+    bool malformed{false}; /*!< A record is there that cannot be read. */
 };
 
 /*! @brief Configuration, upstreams and named versions, kept up to date.
@@ -82,7 +84,8 @@
                     read_configuration(key, *value);
                 break;
             case item_kind::upstream:
-                changes.push_back(read_upstream(key, value));
+                if (auto change = read_upstream(key, value))
+                    changes.push_back(std::move(*change));
                 break;
             case item_kind::version:
                 if (value != nullptr)
@@ -118,6 +121,9 @@
         return targets;
     }
 
+    /*! @brief Returns how many records of upstreams could not be read. */
+    [[nodiscard]] std::size_t unreadable_records() const { return refused; }
+
     /*! @brief Returns the newest version of a model; 1 when none was named. */
     [[nodiscard]] std::uint64_t newest(const std::string& model) const
     {
@@ -152,21 +158,46 @@
                     {"revision", std::to_string(value.revision)}});
     }
 
-    upstream_change read_upstream(const std::string& key,
-                                  const mirrored_value* value)
+    /*! @brief Reads an upstream's record. One that cannot be read names no
+     * upstream to use, and what it replaced is not kept in its place.
+     * @return What changed; nothing for news of an earlier life. */
+    std::optional<upstream_change> read_upstream(const std::string& key,
+                                                 const mirrored_value* value)
     {
         const auto id = catalogue::upstream_id(key);
         if (value == nullptr)
         {
             records.erase(id);
-            return {id, true};
+            return upstream_change{id, true};
         }
         auto read = catalogue::upstream(key, value->payload);
-        if (read)
-            records[id] = std::move(read.value());
-        else
-            unreadable(key, *value, read.error().message);
-        return {id, !records.contains(id)};
+        if (!read)
+            return refuse_upstream(key, *value, read.error().message);
+        auto& latest = lives[id];
+        if (read.value().life.empty() && !latest.empty())
+            return refuse_upstream(key, *value, "its life is not told");
+        // A write of an earlier life may be done seconds after it ended.
+        if (read.value().life < latest)
+        {
+            log::state("upstream_record_outdated",
+                       {{"key", key},
+                        {"revision", std::to_string(value->revision)}});
+            return std::nullopt;
+        }
+        latest = read.value().life;
+        records[id] = std::move(read.value());
+        return upstream_change{id};
+    }
+
+    upstream_change refuse_upstream(const std::string& key,
+                                    const mirrored_value& value,
+                                    const std::string& why)
+    {
+        unreadable(key, value, why);
+        ++refused;
+        const auto id = catalogue::upstream_id(key);
+        records.erase(id);
+        return {id, true, true};
     }
 
     void read_version(const std::string& key, const mirrored_value& value)
@@ -193,6 +224,10 @@
 
     std::shared_ptr<const installation> current;
     std::map<instance_id, upstream_record> records;
+    /*! @brief The latest life of each id; ids are kept as the mirror keeps the
+     * marks of removed keys. */
+    std::map<instance_id, incarnation> lives;
+    std::size_t refused{0};
     std::map<std::pair<std::string, std::uint64_t>, time_point> targets;
 };
 
--- a/src/coursejunction/fleet/hall_digest.hpp
+++ b/src/coursejunction/fleet/hall_digest.hpp
@@ -22,9 +22,9 @@
 namespace coursejunction
 {
 
-/*! @brief Statuses in one datagram; 16 of them take 1.3 KB, which a packet of
+/*! @brief Statuses in one datagram; 14 of them take 1.4 KB, which a packet of
  * 1.5 KB carries. */
-inline constexpr std::size_t digest_part = 16;
+inline constexpr std::size_t digest_part = 14;
 
 /*! @brief Where an entry stands among the live entries of its hall. */
 struct digest_place
--- a/src/coursejunction/fleet/installation.hpp
+++ b/src/coursejunction/fleet/installation.hpp
@@ -134,6 +134,7 @@
 struct upstream_record
 {
     instance_id id;
+    incarnation life;
     service_name service;
     std::string address; /*!< `IP:port`. */
     hall_id hall;
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -415,6 +415,11 @@
     one->abandon();
 }
 
+void stream_client::forget(const std::string& address)
+{
+    self->idle.erase(address);
+}
+
 stream_client::call_id stream_client::gather(stream_call call,
                                              std::function<void(answer)> done)
 {
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -78,6 +78,10 @@
      * more. */
     void cancel(call_id which);
 
+    /*! @brief Closes the idle connections that are kept to an address: whoever
+     * they led to is gone. */
+    void forget(const std::string& address);
+
     /*! @brief Whole answer of a short call. */
     struct answer
     {
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "coursejunction/fleet/installation.hpp"
 #include "coursejunction/net/event_loop.hpp"
@@ -112,6 +113,30 @@
         place(*one);
     }
 
+    /*! @brief An upstream has started again: connections to its earlier life
+     * are dead, and what went there may have run and is not answered any more.
+     */
+    void ended(const ended_life& life)
+    {
+        client.forget(life.address);
+        const auto& attempts = life.attempts;
+        std::vector<std::uint64_t> numbers;
+        for (const auto& [number, one] : open)
+        {
+            if (std::find(attempts.begin(), attempts.end(), one->attempt) !=
+                attempts.end())
+                numbers.push_back(number);
+        }
+        for (const auto number : numbers)
+            with(number,
+                 [this](exchange& one)
+                 {
+                     client.cancel(one.call);
+                     failed(one, attempt_reach::may_have_run,
+                            "upstream has started again");
+                 });
+    }
+
     /*! @brief Looks at waiting requests again: an upstream may be free. */
     void tick()
     {
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -185,9 +185,9 @@
         for (const auto& one : fleet.update(node.mirror(), keys))
         {
             if (one.removed)
-                book.remove(one.id, lapse, now);
+                book.remove(one.id, lapse && !one.malformed, now);
             else
-                book.record(fleet.upstreams().at(one.id));
+                take_record(fleet.upstreams().at(one.id));
             log::state("upstream_changed",
                        {{"upstream", one.id.value()},
                         {"removed", one.removed ? "true" : "false"},
@@ -207,6 +207,19 @@
         name_sides();
     }
 
+    void take_record(const upstream_record& one)
+    {
+        if (const auto ended = book.record(one))
+            exchanges.ended(*ended);
+    }
+
+    void take_status(const std::string& host,
+                     const message::upstream_status& told, time_point at)
+    {
+        for (const auto& one : book.status(host, told, at))
+            exchanges.ended(one);
+    }
+
     void configure()
     {
         exchanges.configure(fleet.shared_rules());
@@ -231,11 +244,11 @@
     {
         const auto now = event_loop::now();
         for (const auto& told : one.hall_sides)
-            book.status(address_text(told.address), told.status,
+            take_status(address_text(told.address), told.status,
                         now - milliseconds(told.age_ms));
         if (one.entry)
             return;
-        book.status(from, one.upstream, now);
+        take_status(from, one.upstream, now);
         if (exchanges.queued() > 0)
             exchanges.tick();
     }
@@ -283,6 +296,8 @@
     {
         const auto now = event_loop::now();
         book.expire(now);
+        counters.set("upstream_records_unreadable",
+                     static_cast<double>(fleet.unreadable_records()));
         const auto entries = node.peers().entries(now) + 1;
         exchanges.entries(entries);
         exchanges.outdated(node.behind_for(now) >= outdated_time);
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -21,6 +21,7 @@
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/rollout/agent_state.hpp"
+#include "coursejunction/rollout/report_order.hpp"
 #include "coursejunction/rollout/turn_policy.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
 #include "coursejunction/rollout/version_order.hpp"
@@ -339,16 +340,17 @@
 
     void reported(engine_report told)
     {
-        const bool restarted =
-            last && (told.sequence < last->sequence ||
-                     (told.version == 0 && last->version != 0 && !closing));
+        const auto order =
+            last ? order_of(*last, told, closing) : report_order::follows;
+        if (order == report_order::outdated)
+            return counters.count("upstream_reports_outdated_total");
         if (!reachable || !last || told.version != last->version)
             log::state("upstream_read",
                        {{"model", told.model},
                         {"version", std::to_string(told.version)},
                         {"sequence", std::to_string(told.sequence)}});
-        if (restarted)
-            upstream_restarted();
+        if (order == report_order::restarted)
+            upstream_restarted(told);
         const bool differs =
             !reachable || !last || told.running != last->running ||
             told.waiting != last->waiting || told.version != last->version ||
@@ -361,10 +363,18 @@
             node.announce_load();
     }
 
-    void upstream_restarted()
+    /*! @brief Nothing that was known of the earlier life holds: no order that
+     * was given, no turn, no weights. */
+    void upstream_restarted(const engine_report& told)
     {
-        log::warning("upstream_restarted", {});
+        log::warning("upstream_restarted",
+                     {{"life", std::to_string(told.life.value())},
+                      {"before", std::to_string(last->life.value())}});
+        counters.count("upstream_restarts_total");
+        ++restarts;
         closing = false;
+        ordered_version = 0;
+        order_timer.stop();
         // What it has staged must be read anew.
         transfers.clear();
         staged_version = 0;
@@ -484,8 +494,10 @@
         engine.load(
             wanted, last->sequence,
             may_cut() ? load_method::cut : load_method::finish,
-            [this, wanted](order_outcome outcome)
+            [this, wanted, life = restarts](order_outcome outcome)
             {
+                if (life != restarts)
+                    return;
                 log::state(
                     "order_given",
                     {{"model", wanted.model},
@@ -511,6 +523,7 @@
         told.reachable = reachable;
         if (last)
         {
+            told.life = last->life.value();
             told.model = last->model;
             told.version = last->version;
             told.running = last->running;
@@ -603,6 +616,7 @@
     std::map<std::uint64_t, std::shared_ptr<transfer_type>> transfers;
     std::optional<engine_report> last;
     std::uint64_t status_sequence{0};
+    std::uint64_t restarts{0}; /*!< Of the upstream, that were noticed. */
     time_point ordered_at{};
     std::uint64_t ordered_version{0};
     std::uint64_t staged_version{0}; /*!< Holds the staging area; 0: none. */
--- a/src/coursejunction/rollout/upstream_engine.hpp
+++ b/src/coursejunction/rollout/upstream_engine.hpp
@@ -21,6 +21,7 @@
 /*! @brief What an upstream tells of itself. */
 struct engine_report
 {
+    incarnation life;
     std::string model;
     std::uint64_t version{0};  /*!< Whole weights; 0 while any layer lacks. */
     std::uint64_t sequence{0}; /*!< Orders taken since its start. */
--- a/src/coursejunction/route/admission.hpp
+++ b/src/coursejunction/route/admission.hpp
@@ -47,6 +47,7 @@
      * entry 0.48 in place of 0.17 (replay of 1.3 times the capacity, mean of
      * two seeds; 0.25 and 1 give 0.70). */
     double own_share_part{0.5};
+    double others_part{0.5};
     milliseconds least_retry_after{200};
     /*! @brief A caller heeds a time to come back up to this part of what is
      * left of its deadline. Told 200 ms, 0.35 of those of a burst of 3 s are
@@ -65,6 +66,7 @@
     double inside{std::numeric_limits<double>::infinity()};
     /*! @brief Only places of the entry's own part of an engine. */
     bool own_share_only{false};
+    double others_part{0};
 };
 
 /*! @brief New requests a second at one or several entries. */
@@ -148,6 +150,7 @@
     {
         admission_limits made;
         const auto strict = strictness(now);
+        made.others_part = weights.others_part;
         made.own_share_only = strict >= weights.own_share_part;
         if (late(engine, target, waited))
         {
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -255,7 +255,10 @@
             return predicted <= limits.first_event_ms &&
                    usual <= limits.usual_first_event_ms &&
                    load.running + load.waiting <= limits.inside &&
-                   (!limits.own_share_only || within_share(one, service));
+                   (!limits.own_share_only || within_share(one, service) ||
+                    load.running + load.waiting + 1 <=
+                        static_cast<double>(service.engine->slots) *
+                            limits.others_part);
         }
         return static_cast<double>(one.attempts.size()) <
                static_cast<double>(one.record.slots) + weights.plain_queue;
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -44,6 +45,7 @@
 struct known_upstream
 {
     upstream_record record;
+    incarnation life; /*!< The latest that its record or its side told. */
     std::optional<message::upstream_status> status;
     time_point status_at{};
     std::map<std::uint64_t, open_attempt> attempts;
@@ -56,6 +58,13 @@
     double share{0}; /*!< Part of it that is this entry's; `engine_shares`. */
 };
 
+/*! @brief A life of an upstream that ended, since another one has begun. */
+struct ended_life
+{
+    std::string address;
+    std::vector<std::uint64_t> attempts; /*!< It will not answer any more. */
+};
+
 /*! @brief A place for a request. */
 struct upstream_choice
 {
@@ -85,12 +94,18 @@
      * lapsed only: the platform's pages give it two seconds to come back. */
     static constexpr milliseconds lapse_grace{2000};
 
-    /*! @brief Takes or replaces a record. */
-    void record(upstream_record one)
+    /*! @brief Takes or replaces a record; one of an earlier life than is known
+     * changes nothing.
+     * @return The life that ended, if one did. */
+    std::optional<ended_life> record(upstream_record one)
     {
         auto& known = book[one.id];
+        if (!one.life.empty() && one.life < known.life)
+            return std::nullopt;
+        auto ended = begin_life(known, one.life);
         known.lapses_at.reset();
         known.record = std::move(one);
+        return ended;
     }
 
     /*! @brief The record is gone.
@@ -117,17 +132,31 @@
                       });
     }
 
-    /*! @brief Takes the status that a side at an address tells. */
-    void status(const std::string& host, const message::upstream_status& told,
-                time_point now)
+    /*! @brief Takes the status that a side at an address tells, from itself or
+     * passed on. One that is older than the last, or of an earlier life of the
+     * upstream, changes nothing.
+     * @param now When the side told it.
+     * @return The lives that ended. */
+    std::vector<ended_life> status(const std::string& host,
+                                   const message::upstream_status& told,
+                                   time_point now)
     {
+        std::vector<ended_life> all;
+        const incarnation life(told.life);
         for (auto& [id, one] : book)
         {
             if (one.record.address.substr(0, one.record.address.rfind(':')) !=
                 host)
                 continue;
-            if (one.status && one.status->sequence == told.sequence)
+            if ((one.status && !follows(told, *one.status)) ||
+                (!life.empty() && life < one.life))
                 continue;
+            if (auto ended = begin_life(one, life))
+            {
+                // The record is of the life that ended, until the next one.
+                one.record.weights.clear();
+                all.push_back(std::move(*ended));
+            }
             // Its instance lives again: what was held against its silence is
             // past.
             if (one.status && side_silent(one, now))
@@ -136,6 +165,7 @@
             one.status_at = now;
             one.ended_since_status = 0;
         }
+        return all;
     }
 
     /*! @brief Notes an attempt that is about to be sent. */
@@ -170,12 +200,12 @@
             return;
         auto& one = found->second;
         const auto open = one.attempts.find(attempt);
-        if (open != one.attempts.end())
-        {
-            if (open->second.sent < one.status_at)
-                ++one.ended_since_status;
-            one.attempts.erase(open);
-        }
+        // Of an earlier life: it says nothing of this one.
+        if (open == one.attempts.end())
+            return;
+        if (open->second.sent < one.status_at)
+            ++one.ended_since_status;
+        one.attempts.erase(open);
         constexpr double smoothing = 0.15;
         const bool good = result == attempt_result::good;
         one.fault_share += ((good ? 0.0 : 1.0) - one.fault_share) * smoothing;
@@ -354,6 +384,45 @@
     static constexpr milliseconds avoid_least{300};
     static constexpr unsigned most_doublings = 3;
 
+    /*! @brief Tells whether a status was told after another one. */
+    static bool follows(const message::upstream_status& told,
+                        const message::upstream_status& before)
+    {
+        return std::tie(told.side, told.sequence) >
+               std::tie(before.side, before.sequence);
+    }
+
+    /*! @brief Forgets what is known of an earlier life, where a later one is
+     * told. What was sent before the last sign of the earlier one went to it,
+     * and no answer comes any more; what was sent since may have reached either.
+     * @return The life that ended, if one did. */
+    static std::optional<ended_life> begin_life(known_upstream& one,
+                                                const incarnation& told)
+    {
+        if (told.empty() || told == one.life)
+            return std::nullopt;
+        const bool first = one.life.empty();
+        one.life = told;
+        if (first)
+            return std::nullopt;
+        ended_life made{one.record.address, {}};
+        for (const auto& [number, attempt] : one.attempts)
+        {
+            if (one.status && attempt.sent + status_travel < one.status_at)
+                made.attempts.push_back(number);
+        }
+        for (const auto number : made.attempts)
+            one.attempts.erase(number);
+        one.status.reset();
+        one.status_at = {};
+        one.ended_since_status = 0;
+        one.failures = 0;
+        one.fault_share = 0;
+        one.lateness = 1;
+        one.avoid_until = {};
+        return made;
+    }
+
     /*! @brief Avoids an upstream for a while after a failed attempt. When its
      * side is silent too, the whole instance stands still or is cut off:
      * what is sent there waits, and may begin when it wakes, on weights that
--- /dev/null
+++ b/tests/fleet/hall_digest.cpp
@@ -0,0 +1,105 @@
+#include "coursejunction/fleet/hall_digest.hpp"
+
+#include <map>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "coursejunction/wire/codec.hpp"
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const cj::hall_id here("here");
+
+void hear(cj::peer_directory& peers, const std::string& address,
+          const std::string& hall, bool entry, cj::time_point now)
+{
+    cj::message::fleet_heartbeat beat;
+    beat.incarnation = 1;
+    beat.sequence = 1;
+    beat.hall = hall;
+    beat.entry = entry;
+    beat.upstream.model = "model-of-ten";
+    beat.upstream.running = 3;
+    peers.heard(address, beat, now);
+}
+
+} // namespace
+
+SCENARIO("a hall's entries pass on what its sides tell", "[fleet]")
+{
+    const cj::time_point now{100s};
+    cj::peer_directory peers;
+    constexpr int sides = 40;
+    for (int at = 0; at < sides; ++at)
+        hear(peers, "10.1.0." + std::to_string(100 + at), "here", false, now);
+    hear(peers, "10.2.0.1", "there", false, now);
+    hear(peers, "10.1.0.9", "here", false, now - 3s);
+
+    THEN("every live side of the hall is in one part, and nothing else")
+    {
+        std::set<std::uint32_t> told;
+        for (const auto& part : cj::digest_parts(peers, here, now + 70ms))
+        {
+            cj::message::fleet_heartbeat beat;
+            beat.hall_sides = part;
+            // A packet of 1,500 bytes without the heads of IP and UDP.
+            CHECK(cj::encode(beat).size() <= 1472);
+            for (const auto& one : part)
+            {
+                CHECK(told.insert(one.address).second);
+                CHECK(one.age_ms == 70);
+                CHECK(one.status.running == 3);
+            }
+        }
+        CHECK(told.size() == sides);
+    }
+    GIVEN("four entries in the hall")
+    {
+        for (int at = 2; at <= 4; ++at)
+            hear(peers, "10.1.0." + std::to_string(at), "here", true, now);
+        const std::vector<std::string> own{"10.1.0.1", "10.1.0.2", "10.1.0.3",
+                                           "10.1.0.4"};
+        const auto told_by = [&](const std::string& receiver)
+        {
+            std::map<std::string, int> made;
+            for (const auto& address : own)
+            {
+                // Each knows the others, not itself.
+                cj::peer_directory others;
+                for (const auto& other : own)
+                    if (other != address)
+                        hear(others, other, "here", true, now);
+                const auto place =
+                    cj::digest_place_of(others, address, here, now);
+                for (std::uint64_t number = 0; number < 4; ++number)
+                    if (cj::passes_digest(place, receiver, number))
+                        ++made[address];
+            }
+            return made;
+        };
+        THEN("each entry elsewhere hears two of them, by turns")
+        {
+            for (int at = 1; at < 50; ++at)
+            {
+                const auto by = told_by("10.3.0." + std::to_string(at));
+                REQUIRE(by.size() == 2);
+                for (const auto& [address, times] : by)
+                    CHECK(times == 2);
+            }
+        }
+    }
+    GIVEN("one entry alone")
+    {
+        const auto place = cj::digest_place_of(peers, "10.1.0.1", here, now);
+        THEN("it tells everybody each time")
+        {
+            CHECK(cj::passes_digest(place, "10.3.0.1", 1));
+            CHECK(cj::passes_digest(place, "10.3.0.1", 2));
+        }
+    }
+}
--- a/tests/platform/catalogue.cpp
+++ b/tests/platform/catalogue.cpp
@@ -1,6 +1,7 @@
 #include "platform/catalogue.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/catch.h>
 
 namespace cj = coursejunction;
@@ -97,6 +98,7 @@
     CHECK(one.value().leaving);
     CHECK(one.value().weights.at("m") == 3);
     CHECK(one.value().cold_ms == 5);
+    CHECK(one.value().life.empty());
 
     const auto named = catalogue::version(R"({"modelId":"m","version":2})");
     REQUIRE(named);
@@ -104,6 +106,96 @@
     CHECK(named.value().version == 2);
 }
 
+SCENARIO("records of other writers name no upstream", "[platform]")
+{
+    const auto read = [](const nlohmann::json& from)
+    { return catalogue::upstream("servers/i-1", from.dump()); };
+    const auto whole = nlohmann::json::parse(
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"z","version":"v1",
+        "slots":16,"state":"ready","coldRemainingMs":0.5,"phase":"colocated",
+        "modelList":[{"name":"m","version":3,"loras":[]}],"sequence":4,
+        "born":1764720000123})");
+    REQUIRE(read(whole));
+    CHECK(read(whole).value().life.value() == 1764720000123);
+
+    THEN("a field that is missing")
+    {
+        for (const auto* name : {"service", "address", "zone", "version",
+                                 "slots", "state", "coldRemainingMs",
+                                 "sequence"})
+        {
+            auto other = whole;
+            other.erase(name);
+            INFO(name);
+            CHECK_FALSE(read(other));
+        }
+    }
+    THEN("a field of another type")
+    {
+        for (const auto& [name, value] : whole.items())
+        {
+            if (name == "phase")
+                continue;
+            for (const auto& wrong :
+                 {nlohmann::json(nullptr), nlohmann::json(true),
+                  nlohmann::json(-1), nlohmann::json::object({{"a", 1}}),
+                  nlohmann::json::array({5})})
+            {
+                auto other = whole;
+                other[name] = wrong;
+                INFO(name << " as " << wrong);
+                CHECK_FALSE(read(other));
+            }
+        }
+    }
+    THEN("a life that is a fraction, or text")
+    {
+        for (const auto& wrong :
+             {nlohmann::json(1764720000123.5), nlohmann::json("1764720000123")})
+        {
+            auto other = whole;
+            other["born"] = wrong;
+            CHECK_FALSE(read(other));
+        }
+    }
+    THEN("figures, words and addresses that cannot be")
+    {
+        const std::vector<std::pair<const char*, nlohmann::json>> wrong{
+            {"state", "asleep"},          {"slots", 0},
+            {"slots", 5000000000000ULL},  {"address", "10.0.0.9"},
+            {"address", "nowhere:80"},    {"address", "10.0.0.9:0"},
+            {"address", "10.0.0.9:99999"}, {"service", ""},
+            {"modelList", {{{"name", 5}, {"version", 1}}}}};
+        for (const auto& [name, value] : wrong)
+        {
+            auto other = whole;
+            other[name] = value;
+            INFO(name << " as " << value);
+            CHECK_FALSE(read(other));
+        }
+    }
+    THEN("no id, and megabytes")
+    {
+        CHECK_FALSE(catalogue::upstream("servers/", whole.dump()));
+        auto other = whole;
+        other["more"] = std::string(1 << 20, 'x');
+        CHECK_FALSE(read(other));
+    }
+    rc::prop("bytes of a whole record that are changed never crash a reader",
+             [&]
+             {
+                 auto text = whole.dump();
+                 const auto times = *rc::gen::inRange(1, 6);
+                 for (int time = 0; time < times; ++time)
+                     text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+                         *rc::gen::arbitrary<char>();
+                 const auto made = catalogue::upstream("servers/i-1", text);
+                 if (made)
+                     RC_ASSERT(made.value().slots > 0 &&
+                               !made.value().service.empty());
+             });
+}
+
 SCENARIO("items that cannot be read are errors, not crashes", "[platform]")
 {
     CHECK_FALSE(catalogue::configuration("nonsense"));
