--- a/src/coursejunction/fleet/beat_plan.hpp
+++ b/src/coursejunction/fleet/beat_plan.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace coursejunction
@@ -22,9 +23,36 @@
     state,   /*!< An upstream opened, closed or was lost, or we leave. */
     mirror,  /*!< The mirror of the store advanced. */
     fetch,   /*!< Begins to fetch for its hall. */
-    chunks   /*!< Chunks of weights arrived. */
+    chunks,  /*!< Chunks of weights arrived. */
+    digest,  /*!< An entry passes on what the sides of its hall tell. */
+    behind   /*!< A side's mirror is behind. */
 };
 
+/*! @brief Returns a reason's name for metrics. */
+[[nodiscard]] constexpr std::string_view reason_name(beat_reason why)
+{
+    switch (why)
+    {
+    case beat_reason::regular:
+        return "regular";
+    case beat_reason::load:
+        return "load";
+    case beat_reason::state:
+        return "state";
+    case beat_reason::mirror:
+        return "mirror";
+    case beat_reason::fetch:
+        return "fetch";
+    case beat_reason::chunks:
+        return "chunks";
+    case beat_reason::digest:
+        return "digest";
+    case beat_reason::behind:
+        return "behind";
+    }
+    return "unknown";
+}
+
 /*! @brief A heartbeat that is about to be sent. */
 struct beat_moment
 {
@@ -108,6 +136,9 @@
         return to.near;
     case beat_reason::chunks:
         return !to.entry && to.near && to.neighbour;
+    case beat_reason::digest:
+    case beat_reason::behind:
+        return false;
     case beat_reason::regular:
         break;
     }
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <charconv>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -260,6 +261,8 @@
         counters.set("fleet_store_watchers",
                      static_cast<double>(directory.watchers(now) +
                                          (reader.watching() ? 1 : 0)));
+        for (const auto& [what, bytes] : sent_bytes)
+            log::state("traffic", {{"why", std::string(reason_name(what.first))},{"near", what.second ? "1":"0"},{"bytes", std::to_string(bytes)}});
         counters.set("fleet_hall_fetchers",
                      static_cast<double>(standing().fetching));
     }
@@ -314,7 +317,7 @@
             if (to.digest)
                 passed.push_back(address);
             if (hears(sent, to) || unheard)
-                socket->send(address + port_suffix, datagram);
+                send(address, datagram, sent.reason, to.near);
         }
         if (!passed.empty())
             pass_digest(passed, now);
@@ -329,7 +332,7 @@
             made.digest = std::move(part);
             const auto datagram = encode(made);
             for (const auto& address : to)
-                socket->send(address + port_suffix, datagram);
+                send(address, datagram, beat_reason::digest, false);
         }
     }
 
@@ -337,8 +340,26 @@
     void tell_behind(const std::string& address)
     {
         const auto now = event_loop::now();
-        socket->send(address + port_suffix,
-                     encode(beat(now, moment(beat_reason::mirror))));
+        const auto* peer = directory.find(address);
+        send(address, encode(beat(now, moment(beat_reason::mirror))),
+             beat_reason::behind, peer != nullptr && own_hall(*peer));
+    }
+
+    /*! @brief Sends a datagram and counts its bytes by why and how far they
+     * go: bytes between regions are few and dear. */
+    void send(const std::string& address, const std::string& datagram,
+              beat_reason why, bool near)
+    {
+        counters.count("fleet_datagrams_total", 1,
+                       {{"why", std::string(reason_name(why))},
+                        {"to", near ? "hall" : "elsewhere"}});
+        counters.count("fleet_datagram_bytes_total",
+                       static_cast<double>(datagram.size()),
+                       {{"why", std::string(reason_name(why))},
+                        {"to", near ? "hall" : "elsewhere"}});
+        auto& sum = sent_bytes[{why, near}];
+        sum += datagram.size();
+        socket->send(address + port_suffix, datagram);
     }
 
     message::fleet_heartbeat beat(time_point now, const beat_moment& sent)
@@ -537,6 +558,7 @@
     mirror_puller puller;
     time_point started_at{};
     bool leaving{false};
+    std::map<std::pair<beat_reason,bool>, std::size_t> sent_bytes;
 };
 
 } // namespace coursejunction
