--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -56,6 +56,7 @@
 struct upstream_change
 {
     instance_id id;
+    incarnation life; /*!< Of its record; empty when that is gone. */
     bool removed{false};
     bool malformed{false}; /*!< A record is there that cannot be read. */
 };
@@ -168,7 +169,7 @@
         if (value == nullptr)
         {
             records.erase(id);
-            return upstream_change{id, true};
+            return upstream_change{id, {}, true};
         }
         auto read = catalogue::upstream(key, value->payload);
         if (!read)
@@ -186,7 +187,7 @@
         }
         latest = read.value().life;
         records[id] = std::move(read.value());
-        return upstream_change{id};
+        return upstream_change{id, latest};
     }
 
     upstream_change refuse_upstream(const std::string& key,
@@ -197,7 +198,7 @@
         ++refused;
         const auto id = catalogue::upstream_id(key);
         records.erase(id);
-        return {id, true, true};
+        return {id, {}, true, true};
     }
 
     void read_version(const std::string& key, const mirrored_value& value)
--- a/src/coursejunction/fleet/fwd.hpp
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -21,6 +21,7 @@
 class fetch_turn;
 class mirror_age;
 class mirror_puller;
+struct digest_place;
 struct store_page;
 template <typename Store>
 class store_reader;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -190,6 +190,7 @@
                 take_record(fleet.upstreams().at(one.id));
             log::state("upstream_changed",
                        {{"upstream", one.id.value()},
+                        {"life", std::to_string(one.life.value())},
                         {"removed", one.removed ? "true" : "false"},
                         {"lapse", lapse ? "true" : "false"}});
         }
--- a/src/coursejunction/rollout/fwd.hpp
+++ b/src/coursejunction/rollout/fwd.hpp
@@ -11,6 +11,7 @@
 
 enum class replica_phase : std::uint8_t;
 enum class replica_action : std::uint8_t;
+enum class report_order : std::uint8_t;
 struct replica_target;
 struct upstream_slot;
 class replica;
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -354,6 +354,7 @@
             log::state("upstream_read",
                        {{"model", told.model},
                         {"version", std::to_string(told.version)},
+                        {"life", std::to_string(told.life.value())},
                         {"sequence", std::to_string(told.sequence)}});
         if (order == report_order::restarted)
             upstream_restarted(told);
--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -22,6 +22,9 @@
 class first_try;
 class waiting_line;
 class dispatcher;
+struct entry_demand;
+struct line_stretch;
+struct ended_life;
 
 } // namespace coursejunction
 
--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -50,6 +50,9 @@
         # sent some twenty configurations of 2 MB, each written over by the next one.
         self.play(1003, 6, "--link", "24")
 
+    def test_upstreams_that_start_again_under_their_id_are_used_anew(self):
+        self.play(20261203, 6, "--reborn")
+
     def test_a_staged_chunk_that_cannot_be_read_is_fetched_again(self):
         # Seed 801 with 100 sides failed once: reads of staged chunks timed out beside
         # load, and the new plan for them was never told who takes part.
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -6,6 +6,7 @@
 import base64
 import hashlib
 import json
+import time
 import urllib.parse
 
 MODEL = "tutor"
@@ -91,8 +92,11 @@
         self.changed = asyncio.Condition()
 
     async def put(self, key, value):
+        await self.put_bytes(key, json.dumps(value).encode())
+
+    async def put_bytes(self, key, value):
         self.revision += 1
-        payload = base64.b64encode(json.dumps(value).encode()).decode()
+        payload = base64.b64encode(value).decode()
         self.items[key] = {"keyFile": key, "payload": payload, "revision": self.revision,
                            "created": self.revision, "leaseId": 0}
         await self.tell(dict(self.items[key]))
@@ -183,6 +187,7 @@
     def __init__(self, host, ident, faults):
         super().__init__(host, 0)
         self.id = ident
+        self.born = int(time.time() * 1000)
         self.faults = faults
         self.runs = {}
 
@@ -210,6 +215,7 @@
         self.number = number
         self.faults = faults
         self.restarts = 0
+        self.born = int(time.time() * 1000)
         self.version = version
         self.staged = {at: chunk_of(version, at) for at in range(CHUNKS)} if version else {}
         self.sequence = 0
@@ -224,8 +230,13 @@
         return f"engine-{self.number}-{self.restarts}"
 
     def crash(self):
-        """A new life without weights; what lies staged outlasts it."""
+        """Another upstream takes its place; what lies staged outlasts it."""
         self.restarts += 1
+        self.start_again()
+
+    def start_again(self):
+        """A new life under the same id, without weights or orders."""
+        self.born = max(self.born + 1, int(time.time() * 1000))
         self.version, self.sequence, self.ordered = 0, 0, False
         self.reset_all()
 
@@ -246,7 +257,7 @@
         if parts.path == "/report":
             layers = [{"source": 0, "targetVersion": LAYERS, "version": self.version}]
             return json_answer(200, {
-                "phase": "colocated", "modelList": self.model_list(), "sequence": self.sequence,
+                "born": self.born, "phase": "colocated", "modelList": self.model_list(), "sequence": self.sequence,
                 "layers": layers if self.version else [], "utilization": self.ordered,
                 "queued": 0, "active": self.running, "kvInUse": 0, "kvSize": 1000, "pace": 1.0})
         if parts.path.startswith("/stage-put/"):
@@ -268,7 +279,7 @@
             return answer(409)
         self.sequence += 1
         self.ordered = True
-        asyncio.get_running_loop().create_task(self.load(wanted, self.restarts))
+        asyncio.get_running_loop().create_task(self.load(wanted, self.born))
         return answer(202)
 
     async def load(self, wanted, life):
@@ -277,7 +288,7 @@
             self.wrong_weights.append((self.id, wanted["version"]))
         self.version = 0
         await asyncio.sleep(0.1)
-        if life == self.restarts:
+        if life == self.born:
             self.version, self.ordered = wanted["version"], False
 
     async def stream(self, headers, writer):
@@ -287,7 +298,7 @@
         if headers.get("x-coursejunction-expect-instance") != self.id or not version:
             return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
         self.begun.append((asyncio.get_running_loop().time(), asked, version))
-        life = self.restarts
+        life = self.born
         self.running += 1
         try:
             writer.write("\r\n".join([
@@ -296,7 +307,7 @@
                 "Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]).encode())
             for at in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
                 await asyncio.sleep(0.03)
-                cut = self.version != version or life != self.restarts
+                cut = self.version != version or life != self.born
                 if cut or self.faults.random() < 0.002:
                     writer.transport.abort()
                     return None
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,6 +6,8 @@
     soak.py ... --link RATE            halls beside the store's share links of RATE
                                        Mbit/s to it, and configurations grow large
     soak.py ... --misreads N           an engine fails to show what lies staged
+    soak.py ... --reborn               engines start again under their ids, also behind cuts, and
+                                       other writers spoil records
     soak.py ... --halls N --entries N --sides N    more processes
 
 Entries and sides run as processes of their own; faults come from outside them:
@@ -35,6 +37,7 @@
 SETTLE_S = 36.0  # After the last fault: several versions' time of 8 s and a restart.
 FAULTS = ["kill", "kill", "pause", "pause", "stop", "hang_up", "store", "way", "way", "engine",
           "crash", "power", "origin", "version", "rules", "forget", "reset"]
+REBORN_FAULTS = FAULTS + ["reborn", "reborn", "reborn", "reborn_cut", "reborn_cut", "foreign"]
 LINK_FAULTS = FAULTS + ["large", "rules", "rules", "forget", "store", "hall", "hall"]
 
 
@@ -133,10 +136,11 @@
         for at, one in enumerate(self.engines):
             wanted[f"servers/{one.id}"] = {
                 "service": "llm", "address": self.fronts[one].address(), "zone": self.hall(at),
-                "slots": 16, "state": "ready", "modelList": one.model_list()}
+                "slots": 16, "state": "ready", "modelList": one.model_list(), **self.told_alike(one)}
         for at, one in enumerate(self.services):
             wanted[f"servers/{one.id}"] = {"service": "plain", "address": one.address(),
-                                           "zone": self.hall(at), "slots": 8, "state": "ready"}
+                                           "zone": self.hall(at), "slots": 8, "state": "ready",
+                                           **self.told_alike(one)}
         for key in [key for key in self.store.items if key.startswith("servers/")]:
             if key not in wanted:
                 await self.store.remove(key)
@@ -145,6 +149,10 @@
                 await self.store.put(key, value)
         self.told = wanted
 
+    @staticmethod
+    def told_alike(one):
+        return {"version": "v1", "coldRemainingMs": 0, "sequence": 1, "born": one.born}
+
     async def keep_records(self):
         while not self.stopping:
             await self.tell_upstreams()
@@ -253,7 +261,8 @@
 
     async def fault(self, kind=None):
         """One fault with its end; several overlap."""
-        kind = kind or self.dice.choice(LINK_FAULTS if self.rate else FAULTS)
+        drawn = REBORN_FAULTS if self.asked.reborn else FAULTS
+        kind = kind or self.dice.choice(LINK_FAULTS if self.rate else drawn)
         self.faults.append(kind)
         self.count(f"fault {kind}")
         length = self.dice.uniform(0.2, 2.5)
@@ -278,6 +287,14 @@
             await self.spoil(self.fronts[self.dice.choice(self.engines)], way, length)
         elif kind == "crash":
             self.dice.choice(self.engines).crash()
+        elif kind == "reborn":
+            self.dice.choice(self.engines).start_again()
+        elif kind == "reborn_cut":
+            engine = self.dice.choice(self.engines)
+            engine.start_again()
+            await self.spoil(self.fronts[engine], "silent", length)
+        elif kind == "foreign":
+            await self.spoil_record(random.Random(self.dice.random()))
         elif kind == "power":
             place = self.dice.randrange(len(self.engines))
             self.engines[place].lose_power()
@@ -302,6 +319,16 @@
             self.dice.choice(list(self.fronts.values()) + list(self.proxies.values())).reset_all()
         self.faults.remove(kind)
 
+    async def spoil_record(self, dice):
+        """Another writer replaces a record, and puts one of its own; the upstream's
+        next heartbeat puts its record back."""
+        key = f"servers/{dice.choice(self.engines).id}"
+        wrong = dice.choice([b"\xff\x00", b"[]", b"{}", b'{"born": "x"}', b"x" * 200000])
+        await self.store.put_bytes(key, wrong)
+        await self.store.put_bytes(f"servers/foreign-{dice.randrange(9)}", wrong)
+        await asyncio.sleep(dice.uniform(0.2, 1.2))
+        self.told.pop(key, None)
+
     async def change_rules(self, step):
         self.configuration += step
         await self.store.put("op/config", self.rules())
@@ -437,6 +464,7 @@
     parser.add_argument("--halls", type=int, choices=range(1, len(HALLS) + 1), default=2)
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--sides", type=int, default=4)
+    parser.add_argument("--reborn", action="store_true")
     parser.add_argument("--misreads", type=int, default=0,
                         help="reads that the last engine, which begins without weights, fails")
     asked = parser.parse_args()
