--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -296,6 +296,7 @@
             [](const known_upstream* left, const known_upstream* right)
             { return left->record.hall < right->record.hall; });
         std::vector<double> places;
+        places.reserve(engines.size());
         for (const auto* one : engines)
             places.push_back(static_cast<double>(one->record.slots));
         const auto parts = engine_parts(own, places);
