Logs tell the content of a request that comes back under another id

Cause: request_sent and attempt_failed name a request by its id, which is new with each copy, so that a content that ends its upstreams cannot be followed. Change: a digest of caller, target and whole body (request_content) in both lines, and the events that had come. No decision uses it yet.

--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/proxy/event_splitter.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
 #include "coursejunction/route/placement.hpp"
+#include "coursejunction/run/request_content.hpp"
 
 namespace coursejunction
 {
@@ -45,6 +46,7 @@
     const route_rule* route{nullptr};
     service_name service;
     std::optional<organisation_id> owner;
+    request_content content;
     arrival_standing standing;
     timer limit;
 
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -73,6 +73,7 @@
     log::decision(
         "request_sent",
         {{"request", one.asked.id.value()},
+         {"content", one.content.hex()},
          {"upstream", one.at.upstream.value()},
          {"hall", one.at.hall.value()},
          {"attempt", std::to_string(one.tried.size())},
@@ -109,8 +110,10 @@
 {
     log::problem("attempt_failed",
                  {{"request", one.asked.id.value()},
+                  {"content", one.content.hex()},
                   {"upstream", one.at.upstream.value()},
                   {"why", why},
+                  {"events", std::to_string(one.events.size())},
                   {"may_have_run", may_have_run ? "true" : "false"},
                   {"sent_again", sent_again ? "true" : "false"},
                   {"after_ms", ms_between(one.sent, now)}});
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -172,6 +172,7 @@
         }
         if (one.asked.id.empty())
             return 400;
+        one.content = content_of(one);
         const auto hash = std::hash<std::string>{}(one.asked.id.value());
         const auto* service = service_for(*one.route, hash);
         if (service == nullptr)
@@ -187,6 +188,16 @@
         return 0;
     }
 
+    /*! @brief Returns what is asked and by whom: by the organisation, or by the
+     * key where the configuration names no owner. */
+    [[nodiscard]] static request_content content_of(const exchange& one)
+    {
+        const std::string caller =
+            one.owner ? one.owner->value() : one.asked.key.value_or("");
+        return request_content::of(caller, one.original.target,
+                                   one.original.body);
+    }
+
     /*! @brief Tells whether a status says that the configuration does not allow
      * a request. A caller believes that and does not come back, so an entry
      * that knows its configuration to be old says instead that it cannot tell.
--- a/src/coursejunction/run/fwd.hpp
+++ b/src/coursejunction/run/fwd.hpp
@@ -10,6 +10,7 @@
 {
 
 enum class admission : std::uint8_t;
+class request_content;
 class run_registry;
 class retry_budget;
 class retry_window;
--- /dev/null
+++ b/src/coursejunction/run/request_content.cpp
@@ -0,0 +1,45 @@
+#include "coursejunction/run/request_content.hpp"
+
+#include <algorithm>
+
+#include "coursejunction/core/digest.hpp"
+
+namespace coursejunction
+{
+
+request_content request_content::of(std::string_view caller,
+                                    std::string_view target,
+                                    std::string_view body)
+{
+    // Lengths keep two splits of the same bytes apart.
+    std::string text;
+    text.reserve(caller.size() + target.size() + body.size() + 32);
+    text += std::to_string(caller.size()) + ":";
+    text += caller;
+    text += std::to_string(target.size()) + ":";
+    text += target;
+    text += body;
+    const auto whole = digest::of(text);
+    value_type first{};
+    std::copy_n(whole.bytes().begin(), size, first.begin());
+    return request_content(first);
+}
+
+result<request_content> request_content::parse(std::string_view text)
+{
+    const auto bytes = from_hex(text);
+    if (!bytes || bytes.value().size() != size)
+        return failure(error_kind::invalid,
+                       "a content has 32 hexadecimal digits");
+    value_type raw{};
+    std::copy(bytes.value().begin(), bytes.value().end(), raw.begin());
+    return request_content(raw);
+}
+
+std::string request_content::hex() const
+{
+    return to_hex(
+        std::string_view(reinterpret_cast<const char*>(raw.data()), size));
+}
+
+} // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/run/request_content.hpp
@@ -0,0 +1,64 @@
+/*! @file
+ * @brief Knows a request again that comes back under another id; pure.
+ */
+#ifndef COURSEJUNCTION_RUN_REQUEST_CONTENT_HPP
+#define COURSEJUNCTION_RUN_REQUEST_CONTENT_HPP
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "coursejunction/core/result.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Digest of who asks for what: the first 16 bytes of a SHA-256 over
+ * the caller, the target and the whole body. The caller is part of it, so that
+ * nobody can bring another caller's request into disrepute; 128 bits leave no
+ * chance to find a second content of the same digest. */
+class request_content
+{
+public:
+    static constexpr std::size_t size = 16;
+    using value_type = std::array<std::uint8_t, size>;
+
+    request_content() = default;
+
+    explicit request_content(const value_type& bytes) : raw(bytes) {}
+
+    /*! @brief Computes the digest.
+     * @param caller Organisation that asks; empty where none is known.
+     * @param target Path and query. */
+    [[nodiscard]] static request_content
+    of(std::string_view caller, std::string_view target, std::string_view body);
+
+    /*! @brief Reads 32 hexadecimal digits.
+     * @return The content, or `invalid`. */
+    [[nodiscard]] static result<request_content> parse(std::string_view text);
+
+    /*! @brief Returns 32 lower-case hexadecimal digits. */
+    [[nodiscard]] std::string hex() const;
+
+    [[nodiscard]] const value_type& bytes() const noexcept { return raw; }
+
+    friend auto operator<=>(const request_content&,
+                            const request_content&) = default;
+
+    /*! @brief Serializes the raw bytes. */
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(raw);
+    }
+
+private:
+    value_type raw{};
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/tests/run/request_content.cpp
@@ -0,0 +1,37 @@
+#include "coursejunction/run/request_content.hpp"
+
+#include <catch2/catch.hpp>
+
+using coursejunction::request_content;
+
+TEST_CASE("a request that comes back is known by its content", "[run]")
+{
+    const auto first = request_content::of("school", "/essays?a=1", "body");
+
+    SECTION("the same caller, target and body")
+    {
+        CHECK(request_content::of("school", "/essays?a=1", "body") == first);
+    }
+    SECTION("another caller, target or body is another request")
+    {
+        CHECK(request_content::of("club", "/essays?a=1", "body") != first);
+        CHECK(request_content::of("school", "/essays?a=2", "body") != first);
+        CHECK(request_content::of("school", "/essays?a=1", "bodY") != first);
+        // Bodies that differ at their end only.
+        const std::string long_body(1U << 20U, 'x');
+        CHECK(request_content::of("school", "/essays", long_body + "1") !=
+              request_content::of("school", "/essays", long_body + "2"));
+    }
+    SECTION("bytes that move from one part to the next")
+    {
+        CHECK(request_content::of("school/", "essays?a=1", "body") != first);
+        CHECK(request_content::of("school", "/essays?a=", "1body") != first);
+    }
+    SECTION("its digits name it")
+    {
+        CHECK(first.hex().size() == 32);
+        CHECK(request_content::parse(first.hex()).value() == first);
+        CHECK_FALSE(request_content::parse("12"));
+        CHECK_FALSE(request_content::parse(std::string(32, 'g')));
+    }
+}
