--- /dev/null
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -0,0 +1,196 @@
+/*! @file
+ * @brief An entry's service between a caller's connection and scripted
+ * upstreams.
+ */
+#ifndef COURSEJUNCTION_TESTS_PROXY_ENTRY_ON_LOOPBACK_HPP
+#define COURSEJUNCTION_TESTS_PROXY_ENTRY_ON_LOOPBACK_HPP
+
+#include <cstdint>
+#include <cstdio>
+#include <memory>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "coursejunction/proxy/exchange_service.hpp"
+#include "net/loopback.hpp"
+
+namespace proxy_test
+{
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+using scripted_upstream = loopback::scripted_peer;
+
+/*! @brief Headers of a made-up edge: the service knows none by name. */
+struct plain_codec
+{
+    static cj::caller_request decode(const cj::stream_request& from)
+    {
+        cj::caller_request made;
+        made.id = cj::request_id(std::string(from.headers.find("Id")));
+        made.host = std::string(from.headers.find("Host"));
+        made.path = from.target;
+        made.model = std::string(from.headers.find("Model"));
+        if (from.headers.contains("Key"))
+            made.key = std::string(from.headers.find("Key"));
+        return made;
+    }
+
+    static cj::header_list attempt_headers(const cj::stream_request& original,
+                                           const cj::attempt_facts& attempt)
+    {
+        auto made = original.headers;
+        made.assign("To", attempt.upstream.value());
+        if (attempt.last_event)
+            made.assign("Last", std::to_string(*attempt.last_event));
+        return made;
+    }
+
+    static cj::answer_facts facts(const cj::stream_head& head)
+    {
+        cj::answer_facts made;
+        made.id = cj::request_id(std::string(head.headers.find("Id")));
+        made.not_run = head.headers.contains("Not-Run");
+        return made;
+    }
+
+    static cj::header_list answer_headers(const cj::stream_head& head)
+    {
+        auto made = head.headers;
+        made.erase_connection_fields();
+        return made;
+    }
+
+    static cj::header_list refusal_headers(cj::milliseconds wait)
+    {
+        cj::header_list made;
+        made.push_back("Retry-After", std::to_string(wait.count()));
+        return made;
+    }
+};
+
+/*! @brief An entry between a caller's connection and scripted upstreams. */
+struct entry_on_loopback
+{
+    entry_on_loopback()
+    {
+        running.on_loop(
+            [&]
+            {
+                client = std::make_unique<cj::stream_client>(running.loop);
+                cj::exchange_options options;
+                options.retry_reserve = 10;
+                options.old_weights_grace = 100ms;
+                service = std::make_unique<cj::exchange_service<plain_codec>>(
+                    running.loop, *client, book, counters,
+                    cj::placer({}, cj::hall_id("h"), "self"), options);
+                auto made = cj::stream_server::create(
+                    running.loop, "127.0.0.1", 0, {},
+                    [this](cj::stream_request request, cj::stream_reply reply) {
+                        service->request(std::move(request), std::move(reply));
+                    });
+                REQUIRE(made);
+                server = std::move(made.value());
+                port = server->port();
+            });
+    }
+
+    ~entry_on_loopback()
+    {
+        running.on_loop(
+            [&]
+            {
+                server.reset();
+                service.reset();
+                client.reset();
+            });
+        running.stop();
+    }
+
+    /*! @brief Puts one route to one service into force. */
+    void route(cj::request_kind kind, bool resumable = false,
+               cj::milliseconds timeout = 5000ms)
+    {
+        auto rules = std::make_shared<cj::installation>();
+        rules->version = 1;
+        cj::route_rule one;
+        one.name = "r";
+        one.host = "h";
+        one.prefix = "/";
+        one.kind = kind;
+        one.resumable = resumable;
+        one.open = true;
+        one.timeout = timeout;
+        one.target = 1000ms;
+        one.most_upstreams = 2;
+        one.services = {{cj::service_name("s"), 1}};
+        rules->routes.push_back(one);
+        one.prefix = "/keyed/";
+        one.open = false;
+        rules->routes.push_back(one);
+        rules->keyed = true;
+        rules->keys["k"] = {cj::organisation_id("o"), 0};
+        cj::service_profile profile;
+        profile.name = cj::service_name("s");
+        rules->services[profile.name] = profile;
+        running.on_loop([&] { service->configure(rules); });
+    }
+
+    void upstream(const std::string& id, const std::string& address)
+    {
+        cj::upstream_record one;
+        one.id = cj::instance_id(id);
+        one.service = cj::service_name("s");
+        one.address = address;
+        // Ids in order of preference: the first in this entry's hall.
+        one.hall = cj::hall_id(id == "a" ? "h" : "other");
+        one.slots = 4;
+        running.on_loop([&] { book.record(one); });
+    }
+
+    std::string ask(const std::string& path = "/x",
+                    const std::string& more = {},
+                    const std::string& body = "hi")
+    {
+        loopback::raw_connection caller(port);
+        caller.send("POST " + path +
+                    " HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
+                    "Connection: close\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n" + more + "\r\n" +
+                    body);
+        return caller.drain();
+    }
+
+    cj::upstream_book book;
+    cj::metrics counters;
+    loopback::running_loop running;
+    std::unique_ptr<cj::stream_client> client;
+    std::unique_ptr<cj::exchange_service<plain_codec>> service;
+    std::unique_ptr<cj::stream_server> server;
+    std::uint16_t port{0};
+};
+
+inline std::string whole(const std::string& body, const std::string& id = "7",
+                         const std::string& status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\nId: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+/*! @brief Events in chunks, as streams come.
+ * @param ended Whether the last chunk follows. */
+inline std::string stream(const std::string& events, bool ended,
+                          const std::string& signature = "one")
+{
+    char size[32];
+    std::snprintf(size, sizeof size, "%zx", events.size());
+    return "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: " + signature +
+           "\r\nTransfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + events +
+           "\r\n" + (ended ? "0\r\n\r\n" : "");
+}
+
+} // namespace proxy_test
+
+#endif
--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -53,6 +53,9 @@
     def test_upstreams_that_start_again_under_their_id_are_used_anew(self):
         self.play(20261203, 6, "--reborn")
 
+    def test_a_request_that_ends_its_engines_is_stopped_at_all_entries(self):
+        self.play(29, 8, "--crashing", "--sides", "8")
+
     def test_a_staged_chunk_that_cannot_be_read_is_fetched_again(self):
         # Seed 801 with 100 sides failed once: reads of staged chunks timed out beside
         # load, and the new plan for them was never told who takes part.
--- /dev/null
+++ b/tests/soak/crashing.py
@@ -0,0 +1,42 @@
+"""A caller whose request ends every engine that begins to run it, and what is
+judged of it: the entries together let it reach few more once it has ended three."""
+
+import asyncio
+import random
+
+from platform_standin import CRASHING, MODEL
+
+CONTACT_S = 3.0  # What all entries know of each other by then.
+MOST_LATE = 3  # Arrivals beyond that.
+PAUSE_S = 0.3  # Between two copies; each goes to any entry.
+
+
+async def send_copies(soak):
+    """Sends the same content under new ids until the run ends."""
+    dice, number = random.Random(soak.seed), 0
+    while not soak.stopping:
+        number += 1
+        host, port = dice.choice(soak.entries).callers.split(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write("\r\n".join([
+                "POST /chat/x HTTP/1.1", "Host: a.example", "Authorization: Token key",
+                f"X-Coursejunction-Attempt-Id: {soak.seed:x}-crash-{number:x}",
+                "X-Coursejunction-Deadline-Ms: 6000", f"X-Coursejunction-Model: {MODEL}",
+                "X-Coursejunction-Token-Usage: 100,60", f"Content-Length: {len(CRASHING)}",
+                "", ""]).encode() + CRASHING)
+            await asyncio.wait_for(reader.readline(), 7)
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            pass  # The entry is away or holds it; what reaches engines is judged.
+        await asyncio.sleep(PAUSE_S)
+
+
+def judge_crashes(soak):
+    ends = sorted(at for one in soak.engines for at in one.crashed)
+    soak.counts["crashes"] = len(ends)
+    if len(ends) < 3:
+        return
+    late = [at for at in ends if at > ends[2] + CONTACT_S]
+    if len(late) > MOST_LATE:
+        soak.broken("crashes", f"{len(late)} engines more ended after the third, {len(ends)} in all")
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -13,6 +13,9 @@
 CHUNKS = 8
 CHUNK_BYTES = 4096
 LAYERS = 4
+CRASHING = b"this ends the engine"  # A body that ends each engine that begins to run it.
+CRASH_AFTER_S = 0.05
+AWAY_S = 1.0
 
 
 async def read_message(reader):
@@ -224,6 +227,8 @@
         self.misreads = 0  # Reads of whole staged weights that will fail.
         self.wrong_weights = []
         self.begun = []
+        self.crashed = []  # When a request ended it.
+        self.away = False
 
     @property
     def id(self):
@@ -240,6 +245,15 @@
         self.version, self.sequence, self.ordered = 0, 0, False
         self.reset_all()
 
+    async def end_under_request(self):
+        """The request that began ends it, and it is back after a while."""
+        await asyncio.sleep(CRASH_AFTER_S)
+        self.crashed.append(asyncio.get_running_loop().time())
+        self.crash()
+        self.away = True
+        await asyncio.sleep(AWAY_S)
+        self.away = False
+
     def lose_power(self):
         """The instance lost power: what lay staged is gone as well."""
         self.crash()
@@ -251,6 +265,9 @@
         return [{"name": MODEL, "version": self.version, "loras": []}]
 
     async def handle(self, method, target, headers, body, writer):
+        if self.away:
+            writer.transport.abort()
+            return None
         parts = urllib.parse.urlsplit(target)
         query = urllib.parse.parse_qs(parts.query)
         at = int(query["sampleCount"][0]) if "sampleCount" in query else None
@@ -272,7 +289,7 @@
             return answer(200, self.staged[at]) if at in self.staged else answer(404)
         if parts.path == "/order":
             return self.order(json.loads(body))
-        return await self.stream(headers, writer)
+        return await self.stream(headers, body, writer)
 
     def order(self, wanted):
         if wanted.get("expectedRevision", self.sequence) != self.sequence or self.ordered:
@@ -291,13 +308,16 @@
         if life == self.born:
             self.version, self.ordered = wanted["version"], False
 
-    async def stream(self, headers, writer):
+    async def stream(self, headers, body, writer):
         asked = headers["x-coursejunction-attempt-id"]
         signed = [f"X-Coursejunction-Attempt-Id: {asked}"]
         version = self.version
         if headers.get("x-coursejunction-expect-instance") != self.id or not version:
             return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
         self.begun.append((asyncio.get_running_loop().time(), asked, version))
+        if body == CRASHING:
+            await self.end_under_request()
+            return None
         life = self.born
         self.running += 1
         try:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,6 +8,7 @@
     soak.py ... --misreads N           an engine fails to show what lies staged
     soak.py ... --reborn               engines start again under their ids, also behind cuts, and
                                        other writers spoil records
+    soak.py ... --crashing         a request that ends its engines comes again and again
     soak.py ... --halls N --entries N --sides N    more processes
 
 Entries and sides run as processes of their own; faults come from outside them:
@@ -27,6 +28,7 @@
 import tempfile
 
 from configuration import LARGE_ROUTES, least_and_most_large, newest_path, newest_route, plain_rules
+from crashing import judge_crashes, send_copies
 from knowledge import Knowledge, fetch, judge_rest
 from links import HallLink, Proxy
 from platform_standin import MODEL, Engine, Origin, Service, Store
@@ -359,6 +361,8 @@
                        for _ in range(12)]
         if self.rate:
             self.tasks.append(asyncio.create_task(self.fault("large")))
+        if self.asked.crashing:
+            self.tasks.append(asyncio.create_task(send_copies(self)))
         end = asyncio.get_running_loop().time() + self.seconds
         while asyncio.get_running_loop().time() < end:
             self.tasks.append(asyncio.create_task(self.fault()))
@@ -423,6 +427,7 @@
         for asked, (status, single) in self.answers.items():
             if not single and status in (408, 421, 429, 503) and asked in begun:
                 self.broken("refused", f"{asked} began and got {status}")
+        judge_crashes(self)
         for one in self.engines:
             if one.wrong_weights:
                 self.broken("whole", f"partial or mixed weights: {one.wrong_weights}")
@@ -465,6 +470,7 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--sides", type=int, default=4)
     parser.add_argument("--reborn", action="store_true")
+    parser.add_argument("--crashing", action="store_true")
     parser.add_argument("--misreads", type=int, default=0,
                         help="reads that the last engine, which begins without weights, fails")
     asked = parser.parse_args()
