Requests that crash upstreams are counted by all entries and quarantined

Cause: nothing knows a request again that comes back under another id, so that each copy of one that crashes its upstreams was given two more. Also found: a call on a kept connection that ended was sent again unseen and, when the new connection was refused, told as never sent. Change: crash_ledger, a set of upstreams' ends for each content, merged between entries by their heartbeats; crash_witness accuses only when the upstream itself is seen to be gone (its address refuses, a later life, its record); after three ends a content is answered 503 with the time left and its copies that wait are taken back. Contents that are answered often are bystanders. Ages come from CLOCK_BOOTTIME, timers look each second. Tests: stream_client told both ends of a connection and times that ran out as broken; they are apart now, and the tests say which.

--- a/src/coursejunction/core/fwd.hpp
+++ b/src/coursejunction/core/fwd.hpp
@@ -15,6 +15,7 @@
 struct error;
 enum class error_kind : std::uint8_t;
 class digest;
+class request_content;
 class token_bucket;
 class link_pacer;
 class backoff;
--- a/src/coursejunction/run/request_content.cpp
+++ b/src/coursejunction/core/request_content.cpp
@@ -1,4 +1,4 @@
-#include "coursejunction/run/request_content.hpp"
+#include "coursejunction/core/request_content.hpp"
 
 #include <algorithm>
 
--- a/src/coursejunction/run/request_content.hpp
+++ b/src/coursejunction/core/request_content.hpp
@@ -1,8 +1,8 @@
 /*! @file
  * @brief Knows a request again that comes back under another id; pure.
  */
-#ifndef COURSEJUNCTION_RUN_REQUEST_CONTENT_HPP
-#define COURSEJUNCTION_RUN_REQUEST_CONTENT_HPP
+#ifndef COURSEJUNCTION_CORE_REQUEST_CONTENT_HPP
+#define COURSEJUNCTION_CORE_REQUEST_CONTENT_HPP
 
 #include <array>
 #include <compare>
--- a/src/coursejunction/fleet/beat_plan.hpp
+++ b/src/coursejunction/fleet/beat_plan.hpp
@@ -25,7 +25,8 @@
     fetch,   /*!< Begins to fetch for its hall. */
     chunks,  /*!< Chunks of weights arrived. */
     digest,  /*!< An entry passes on what the sides of its hall tell. */
-    behind   /*!< A side's mirror is behind. */
+    behind,  /*!< A side's mirror is behind. */
+    crash    /*!< Upstreams ended under a request of this entry. */
 };
 
 /*! @brief Returns a reason's name for metrics. */
@@ -49,6 +50,8 @@
         return "digest";
     case beat_reason::behind:
         return "behind";
+    case beat_reason::crash:
+        return "crash";
     }
     return "unknown";
 }
@@ -118,6 +121,13 @@
                                           : chunk_detail::coming;
 }
 
+/*! @brief Tells whether a heartbeat carries records of requests that crash
+ * upstreams: those that all entries hear sooner or later. */
+[[nodiscard]] constexpr bool tells_crashes(beat_reason why)
+{
+    return why == beat_reason::crash || why == beat_reason::regular;
+}
+
 /*! @brief Tells whether a peer hears a heartbeat. */
 [[nodiscard]] inline bool hears(const beat_moment& sent,
                                 const beat_receiver& to)
@@ -134,6 +144,8 @@
         return sent.from_entry && (to.near || (sent.from_store && to.entry));
     case beat_reason::fetch:
         return to.near;
+    case beat_reason::crash:
+        return to.entry;
     case beat_reason::chunks:
         return !to.entry && to.near && to.neighbour;
     case beat_reason::digest:
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -16,6 +16,7 @@
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
+#include "coursejunction/core/suspension.hpp"
 #include "coursejunction/fleet/beat_plan.hpp"
 #include "coursejunction/fleet/hall_digest.hpp"
 #include "coursejunction/fleet/mirror_age.hpp"
@@ -60,6 +61,9 @@
     /*! @brief Adds what the role knows. */
     std::function<void(message::fleet_heartbeat&, chunk_detail)> describe;
     std::function<void(stream_request, stream_reply)> request;
+    /*! @brief Returns records of requests that crash upstreams, for other
+     * entries; only an entry has any. */
+    std::function<std::vector<message::crash_record>()> crashes;
     /*! @brief Tells whether weights are on their way to some side. */
     std::function<bool()> spreading;
 };
@@ -138,6 +142,9 @@
      * while chunks spread. */
     void announce_chunks() { tell(moment(beat_reason::chunks)); }
 
+    /*! @brief Tells all entries that upstreams ended under a request. */
+    void announce_crashes() { tell(moment(beat_reason::crash)); }
+
     /*! @brief Marks the node as leaving in its heartbeats. */
     void leave()
     {
@@ -240,8 +247,21 @@
         return made;
     }
 
+    /*! @brief What was heard before a suspension is as old as it lasted; here
+     * it is only told, since every age is taken from a clock that went on. */
+    void note_suspension()
+    {
+        const auto lasted = suspension.note(
+            event_loop::now().time_since_epoch(), event_loop::awake());
+        if (lasted == milliseconds(0))
+            return;
+        counters.count("suspended_seconds_total", to_seconds(lasted));
+        log::warning("suspended", {{"ms", std::to_string(lasted.count())}});
+    }
+
     void beat_on()
     {
+        note_suspension();
         ++beat_number;
         auto regular = moment(beat_reason::regular);
         regular.spreading = hooks.spreading && hooks.spreading();
@@ -383,6 +403,8 @@
         }
         if (hooks.describe)
             hooks.describe(made, chunks_told(sent));
+        if (hooks.crashes && tells_crashes(sent.reason))
+            made.crashes = hooks.crashes();
         made.upstream.side = incarnation;
         return made;
     }
@@ -545,6 +567,7 @@
     time_point advanced_at{}; /*!< When the mirror last changed. */
     store_mirror copy;
     mirror_age age;
+    suspension_meter suspension;
     peer_directory directory;
     std::unique_ptr<datagram_socket> socket;
     std::unique_ptr<stream_server> server;
--- a/src/coursejunction/net/event_loop.cpp
+++ b/src/coursejunction/net/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "coursejunction/net/event_loop.hpp"
 
+#include <ctime>
 #include <list>
 
 #include <boost/asio/io_context.hpp>
@@ -7,6 +8,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "coursejunction/core/suspension.hpp"
+
 namespace coursejunction
 {
 
@@ -43,10 +46,8 @@
 
     void start(std::chrono::microseconds delay)
     {
-        clock.expires_after(delay);
-        clock.async_wait(
-            [self = shared_from_this()](const boost::system::error_code& fault)
-            { self->expired(fault); });
+        due = event_loop::now() + delay;
+        wait();
     }
 
     void stop()
@@ -56,10 +57,20 @@
     }
 
 private:
+    void wait()
+    {
+        clock.expires_after(next_look(due, event_loop::now()));
+        clock.async_wait(
+            [self = shared_from_this()](const boost::system::error_code& fault)
+            { self->expired(fault); });
+    }
+
     void expired(const boost::system::error_code& fault)
     {
         if (fault || stopped)
             return;
+        if (event_loop::now() < due)
+            return wait();
         if (interval.count() > 0)
             start(interval);
         const auto task = call;
@@ -69,6 +80,7 @@
     asio::steady_timer clock;
     std::chrono::microseconds interval;
     event_loop::work call;
+    time_point due{};
     bool stopped{false};
 };
 
@@ -143,8 +155,20 @@
 
 time_point event_loop::now()
 {
-    return std::chrono::time_point_cast<std::chrono::microseconds>(
-        std::chrono::steady_clock::now());
+    // The steady clock of the library stands while an instance is suspended:
+    // every lease, report and deadline would be for as long too young.
+    timespec read{};
+    ::clock_gettime(CLOCK_BOOTTIME, &read);
+    constexpr std::int64_t nanoseconds_each = 1000;
+    return time_point(
+        std::chrono::seconds(read.tv_sec) +
+        std::chrono::microseconds(read.tv_nsec / nanoseconds_each));
+}
+
+std::chrono::microseconds event_loop::awake()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::steady_clock::now().time_since_epoch());
 }
 
 void* event_loop::native() noexcept
--- a/src/coursejunction/net/event_loop.hpp
+++ b/src/coursejunction/net/event_loop.hpp
@@ -61,9 +61,13 @@
     /*! @brief Calls work when a signal arrives. */
     void on_signal(int number, work task);
 
-    /*! @brief Returns the monotonic time. */
+    /*! @brief Returns the monotonic time, which goes on while the instance is
+     * suspended. */
     [[nodiscard]] static time_point now();
 
+    /*! @brief Returns the time that the instance was not suspended. */
+    [[nodiscard]] static std::chrono::microseconds awake();
+
     /*! @brief Returns the library's context, for this module only. */
     [[nodiscard]] void* native() noexcept;
 
--- a/src/coursejunction/net/http_server.cpp
+++ b/src/coursejunction/net/http_server.cpp
@@ -16,6 +16,8 @@
 #include <pistache/http.h>
 #include <pistache/peer.h>
 
+#include "coursejunction/net/event_loop.hpp"
+
 namespace coursejunction
 {
 
@@ -197,7 +199,6 @@
 class open_connections
 {
 public:
-    using clock = std::chrono::steady_clock;
     using peer_pointer = std::shared_ptr<pistache::Tcp::Peer>;
 
     explicit open_connections(std::chrono::milliseconds limit)
@@ -208,7 +209,7 @@
     void connected(const peer_pointer& peer)
     {
         const std::lock_guard guard(mutex);
-        by_peer[peer->getID()] = {peer, clock::now(), {}};
+        by_peer[peer->getID()] = {peer, event_loop::now(), {}};
     }
 
     void add(const peer_pointer& peer, const std::shared_ptr<reply>& one)
@@ -242,7 +243,7 @@
     void sweep()
     {
         const std::lock_guard guard(mutex);
-        const auto now = clock::now();
+        const auto now = event_loop::now();
         for (auto& [id, state] : by_peer)
         {
             const bool busy =
@@ -260,7 +261,7 @@
     struct connection
     {
         std::weak_ptr<pistache::Tcp::Peer> peer;
-        clock::time_point active{};
+        time_point active{};
         std::vector<std::shared_ptr<reply>> replies;
     };
 
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -42,6 +42,25 @@
 /*! @brief Unacknowledged bytes after which the kernel gives a peer up. */
 constexpr int call_user_timeout_ms = 4000;
 
+/*! @brief A kept connection that was dead already shows within a round trip, of
+ * some 20 ms between far regions. One that ends later ended under the call,
+ * which may have run: sending it again unseen would be a retry that nobody
+ * counts. */
+constexpr milliseconds stale_notice{100};
+
+/*! @brief Time for a probe's connection; as that of a call. */
+constexpr milliseconds probe_time{250};
+
+/*! @brief Tells whether the other end ended a connection. */
+bool ended_by_peer(const boost::system::error_code& fault)
+{
+    return fault == asio::error::eof ||
+           fault == asio::error::connection_reset ||
+           fault == asio::error::broken_pipe ||
+           fault == http::error::end_of_stream ||
+           fault == http::error::partial_message;
+}
+
 std::string request_text(const stream_call& call)
 {
     http::request<http::empty_body> head;
@@ -212,6 +231,7 @@
         limit.cancel();
         stall.cancel();
         sent = false;
+        sent_before = true;
         start();
     }
 
@@ -227,8 +247,9 @@
     {
         if (over || fault == asio::error::operation_aborted)
             return;
+        const bool stale = event_loop::now() - moved < stale_notice;
         moved = event_loop::now();
-        if (fault && reused)
+        if (fault && reused && stale)
             return start_anew();
         if (fault)
             return failed(fault);
@@ -283,7 +304,9 @@
                 make_error_code(http::error::bad_method).category() &&
             fault != http::error::end_of_stream &&
             fault != http::error::partial_message;
-        end(protocol ? stream_end::malformed : stream_end::broken,
+        if (protocol)
+            return end(stream_end::malformed, fault.message());
+        end(ended_by_peer(fault) ? stream_end::closed : stream_end::broken,
             fault.message());
     }
 
@@ -305,7 +328,11 @@
         abandon();
         const auto call_back = std::move(target.ended);
         finished(std::move(keep));
-        call_back(how, why);
+        // The kept connection may have carried it before the new one failed.
+        call_back(how == stream_end::not_sent && sent_before
+                      ? stream_end::closed
+                      : how,
+                  why);
     }
 
     asio::io_context& context;
@@ -326,6 +353,7 @@
     bool over{false};
     bool whole{false}; /*!< The whole answer came. */
     bool reused{false};
+    bool sent_before{false}; /*!< On a kept connection that was dead. */
     bool written{false};
 };
 
@@ -420,6 +448,45 @@
     self->idle.erase(address);
 }
 
+void stream_client::probe(const std::string& address,
+                          std::function<void(bool refused)> done)
+{
+    struct attempt
+    {
+        explicit attempt(asio::io_context& owner) : socket(owner), clock(owner)
+        {
+        }
+
+        tcp::socket socket;
+        asio::steady_timer clock;
+    };
+    const auto colon = address.rfind(':');
+    boost::system::error_code fault;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), fault);
+    if (fault || colon == std::string::npos)
+        return;
+    const auto port = static_cast<std::uint16_t>(
+        std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+    const auto one = std::make_shared<attempt>(self->context);
+    one->clock.expires_after(internal::probe_time);
+    one->clock.async_wait(
+        [one](const boost::system::error_code& cancelled)
+        {
+            boost::system::error_code ignored;
+            if (!cancelled)
+                one->socket.close(ignored);
+        });
+    one->socket.async_connect(
+        tcp::endpoint(ip, port),
+        [one, alive = std::weak_ptr(self),
+         done = std::move(done)](const boost::system::error_code& failed)
+        {
+            one->clock.cancel();
+            if (!alive.expired())
+                done(failed == asio::error::connection_refused);
+        });
+}
+
 stream_client::call_id stream_client::gather(stream_call call,
                                              std::function<void(answer)> done)
 {
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -42,7 +42,8 @@
 {
     whole,    /*!< The answer is whole. */
     not_sent, /*!< No byte of the request was written. */
-    broken,   /*!< The connection ended or the time ran out. */
+    closed,   /*!< The peer ended the connection before the answer. */
+    broken,   /*!< The time ran out, or the connection was lost otherwise. */
     malformed /*!< The answer was not HTTP. */
 };
 
@@ -82,6 +83,12 @@
      * they led to is gone. */
     void forget(const std::string& address);
 
+    /*! @brief Opens a connection and closes it again.
+     * @param done Told whether it was refused: nobody listens there. Silence is
+     * no refusal. */
+    void probe(const std::string& address,
+               std::function<void(bool refused)> done);
+
     /*! @brief Whole answer of a short call. */
     struct answer
     {
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "coursejunction/core/request_content.hpp"
 #include "coursejunction/fleet/installation.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/stream_client.hpp"
@@ -18,7 +19,6 @@
 #include "coursejunction/proxy/event_splitter.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
 #include "coursejunction/route/placement.hpp"
-#include "coursejunction/run/request_content.hpp"
 
 namespace coursejunction
 {
@@ -60,6 +60,7 @@
     std::string body;
     timer silence;
     bool progressed{false};
+    bool in_flight{false}; /*!< An attempt is with an upstream. */
 
     // An upstream's own failure, passed on when no other attempt is left.
     std::optional<stream_head> own_failure;
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -67,6 +67,17 @@
          {"retry_after_ms", std::to_string(come_back.count())}});
 }
 
+/*! @brief Not sent on, since upstreams ended under it before. */
+inline void turned_away(const exchange& one, milliseconds left)
+{
+    log::problem("request_turned_away",
+                 {{"request", one.asked.id.value()},
+                  {"content", one.content.hex()},
+                  {"route", one.route->name},
+                  {"reason", "quarantined: upstreams ended under it"},
+                  {"quarantine_left_ms", std::to_string(left.count())}});
+}
+
 /*! @brief An attempt goes out, with what the choice was made from. */
 inline void sent(const exchange& one, milliseconds left)
 {
--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -14,6 +14,10 @@
 struct exchange_options
 {
     dispatch_options dispatch;
+    /*! @brief Under a request that is doubted an upstream ended: it runs once
+     * at a time here, and another copy waits so long for that run. Two of three
+     * streams of the installations have their first event by then. */
+    milliseconds doubt_wait{250};
     /*! @brief How often waiting requests are looked at. */
     milliseconds tick{15};
     /*! @brief A first event later than this many times its prediction, plus
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -21,6 +21,7 @@
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/proxy/crash_guard.hpp"
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
@@ -44,7 +45,9 @@
                      upstream_book& known, metrics& counted, placer choice,
                      exchange_options set)
         : loop(owner), client(carrier), book(known), counters(counted),
-          decisions(known, std::move(choice), set.dispatch), options(set)
+          decisions(known, std::move(choice), set.dispatch), options(set),
+          crashes(carrier, counted,
+                  [this](const request_content& what) { quarantined(what); })
     {
         ticking = loop.every(options.tick, [this] { tick(); });
     }
@@ -59,6 +62,9 @@
     /*! @brief Returns the bounds on versions, to be kept up by the owner. */
     [[nodiscard]] version_floor& floors() { return floor; }
 
+    /*! @brief Returns what is known of requests that crash upstreams. */
+    [[nodiscard]] crash_guard& crashing() { return crashes; }
+
     /*! @brief Tells how many entries share the upstreams. */
     void entries(std::size_t count)
     {
@@ -129,12 +135,15 @@
         }
         for (const auto number : numbers)
             with(number,
-                 [this](exchange& one)
+                 [&](exchange& one)
                  {
                      client.cancel(one.call);
+                     crashes.lost(life.upstream, life.life, life.address,
+                                  one.content, event_loop::now());
                      failed(one, attempt_reach::may_have_run,
                             "upstream has started again");
                  });
+        crashes.ended(life.upstream, "it has started again");
     }
 
     /*! @brief Looks at waiting requests again: an upstream may be free. */
@@ -227,6 +236,14 @@
     void place(exchange& one)
     {
         const auto now = event_loop::now();
+        // After a suspension its time may have run out before its timer has.
+        if (now >= one.ends)
+            return limit_reached(one.number);
+        const auto standing = crashes.standing(one.content, now);
+        if (standing == crash_standing::quarantined)
+            return turn_away(one, now);
+        if (standing == crash_standing::doubted && runs_elsewhere(one))
+            return wait_for_run(one, now);
         const auto what =
             decisions.decide(profile_of(one), placement_of(one, now), now);
         if (const auto* to = std::get_if<send_to>(&what))
@@ -238,6 +255,63 @@
         refuse(one, std::get<refuse_request>(what));
     }
 
+    /*! @brief Three upstreams ended under a request, whoever sent it on. Sent
+     * on without an end, one request ended 47 upstreams in 16 s. */
+    void turn_away(exchange& one, time_point now)
+    {
+        counters.count("requests_turned_away_total");
+        if (one.runs > 0)
+            return give_up(one, quarantine_reason);
+        const auto left = crashes.left(one.content, now);
+        exchange_log::turned_away(one, left);
+        counters.count("requests_refused_total", 1, {{"status", "503"}});
+        one.reply.send(503, Codec::refusal_headers(left), "");
+        forget(one);
+    }
+
+    /*! @brief Tells whether another copy of a request is with an upstream. */
+    [[nodiscard]] bool runs_elsewhere(const exchange& one) const
+    {
+        return std::any_of(open.begin(), open.end(),
+                           [&](const auto& other)
+                           {
+                               return other.first != one.number &&
+                                      other.second->in_flight &&
+                                      other.second->content == one.content;
+                           });
+    }
+
+    /*! @brief Copies of a request that is doubted run one after the other:
+     * each may end an upstream, and the first one tells. */
+    void wait_for_run(exchange& one, time_point now)
+    {
+        const no_placement nowhere;
+        if (now - one.arrived < options.doubt_wait || one.runs > 0)
+            return queue(one, nowhere);
+        refuse(one, {nowhere, least_wait()});
+    }
+
+    /*! @brief A request was quarantined: its copies that wait at upstreams are
+     * taken back before they begin. One that gives events goes on: its answer
+     * would show that the request does no harm. */
+    void quarantined(const request_content& what)
+    {
+        std::vector<std::uint64_t> numbers;
+        for (const auto& [number, one] : open)
+        {
+            if (one->in_flight && !one->progressed && one->content == what)
+                numbers.push_back(number);
+        }
+        for (const auto number : numbers)
+            with(number,
+                 [this](exchange& one)
+                 {
+                     abandon_attempt(one);
+                     ++one.runs;
+                     give_up(one, quarantine_reason);
+                 });
+    }
+
     /*! @brief Returns a request's service; one that the configuration doesn't
      * describe has no engine. */
     [[nodiscard]] static const service_profile& profile_of(const exchange& one)
@@ -303,6 +377,7 @@
         one.head = {};
         one.body.clear();
         one.progressed = false;
+        one.in_flight = true;
         one.tried.push_back(at.upstream);
         one.events.drop_rest();
         const auto left =
@@ -447,6 +522,8 @@
 
     void got_end(exchange& one, stream_end how, const std::string& why)
     {
+        if (how == stream_end::closed)
+            closed(one);
         if (how != stream_end::whole)
             return failed(one,
                           how == stream_end::not_sent
@@ -466,6 +543,17 @@
         answered(one);
     }
 
+    /*! @brief The upstream ended the connection. One that is leaving may. */
+    void closed(const exchange& one)
+    {
+        const auto* known = book.find(one.at.upstream);
+        if (known != nullptr && known->record.leaving)
+            return;
+        crashes.lost(one.at.upstream,
+                     known != nullptr ? known->life : incarnation{},
+                     one.at.address, one.content, event_loop::now());
+    }
+
     void finish_stream(exchange& one)
     {
         const auto rest = one.events.rest();
@@ -522,6 +610,7 @@
         const bool may_have_run = reach == attempt_reach::may_have_run ||
                                   reach == attempt_reach::answered;
         one.silence.stop();
+        one.in_flight = false;
         one.answered_failure = reach == attempt_reach::answered;
         book.end(one.at.upstream, one.attempt,
                  one.answered_failure ? attempt_result::answered_failure
@@ -610,6 +699,7 @@
     {
         if (one.attempt == 0)
             return;
+        one.in_flight = false;
         client.cancel(one.call);
         book.withdraw(one.at.upstream, one.attempt);
     }
@@ -618,6 +708,8 @@
 
     void settle(exchange& one, bool good, const std::string& how)
     {
+        if (good)
+            crashes.answered(one.content);
         book.end(one.at.upstream, one.attempt,
                  good ? attempt_result::good : attempt_result::answered_failure,
                  event_loop::now());
@@ -675,6 +767,9 @@
         return found;
     }
 
+    static constexpr const char* quarantine_reason =
+        "the request is quarantined: upstreams ended under it";
+
     /*! @brief Attempts at most, those that certainly did not run included. */
     static constexpr std::size_t most_tries = 3;
 
@@ -684,6 +779,7 @@
     metrics& counters;
     dispatcher decisions;
     exchange_options options;
+    crash_guard crashes;
     version_floor floor;
     std::shared_ptr<const installation> current;
     std::map<std::uint64_t, std::shared_ptr<exchange>> open;
--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -7,6 +7,7 @@
 namespace coursejunction
 {
 
+class crash_guard;
 class event_splitter;
 struct caller_request;
 struct attempt_facts;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -72,6 +72,8 @@
         { heard(from, one); };
         hooks.describe = [this](message::fleet_heartbeat& into, chunk_detail)
         { describe(into); };
+        hooks.crashes = [this] { return exchanges.crashing().told(); };
+        exchanges.crashing().on_news([this] { node.announce_crashes(); });
         node.start(std::move(hooks));
         ticking = loop.every(tick_interval, [this] { tick(); });
     }
@@ -92,6 +94,7 @@
 
     [[nodiscard]] const fleet_view<Platform>& view() const { return fleet; }
     [[nodiscard]] const upstream_book& upstreams() const { return book; }
+    [[nodiscard]] crash_guard& crashing() { return exchanges.crashing(); }
     [[nodiscard]] std::size_t open_requests() const { return exchanges.size(); }
     [[nodiscard]] std::size_t queued() const { return exchanges.queued(); }
 
@@ -185,7 +188,7 @@
         for (const auto& one : fleet.update(node.mirror(), keys))
         {
             if (one.removed)
-                book.remove(one.id, lapse && !one.malformed, now);
+                drop_record(one, lapse, now);
             else
                 take_record(fleet.upstreams().at(one.id));
             log::state("upstream_changed",
@@ -208,6 +211,15 @@
         name_sides();
     }
 
+    void drop_record(const upstream_change& one, bool lapse, time_point now)
+    {
+        const auto* known = book.find(one.id);
+        const bool expected = known == nullptr || known->record.leaving;
+        if (!expected && !lapse && !one.malformed)
+            exchanges.crashing().ended(one.id, "its record is gone");
+        book.remove(one.id, lapse && !one.malformed, now);
+    }
+
     void take_record(const upstream_record& one)
     {
         if (const auto ended = book.record(one))
@@ -248,7 +260,7 @@
             take_status(address_text(told.address), status_in(one.digest, told),
                         now - milliseconds(told.age_ms));
         if (one.entry)
-            return;
+            return exchanges.crashing().take(one.crashes, from);
         take_status(from, one.upstream, now);
         if (exchanges.queued() > 0)
             exchanges.tick();
@@ -297,6 +309,7 @@
     {
         const auto now = event_loop::now();
         book.expire(now);
+        exchanges.crashing().tick(now);
         counters.set("upstream_records_unreadable",
                      static_cast<double>(fleet.unreadable_records()));
         const auto entries = node.peers().entries(now) + 1;
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -63,6 +63,8 @@
 {
     std::string address;
     std::vector<std::uint64_t> attempts; /*!< It will not answer any more. */
+    instance_id upstream;
+    incarnation life; /*!< The one that ended. */
 };
 
 /*! @brief A place for a request. */
@@ -405,11 +407,10 @@
     {
         if (told.empty() || told == one.life)
             return std::nullopt;
-        const bool first = one.life.empty();
-        one.life = told;
-        if (first)
+        const auto before = std::exchange(one.life, told);
+        if (before.empty())
             return std::nullopt;
-        ended_life made{one.record.address, {}};
+        ended_life made{one.record.address, {}, one.record.id, before};
         for (const auto& [number, attempt] : one.attempts)
         {
             if (one.status && attempt.sent + status_travel < one.status_at)
--- a/src/coursejunction/run/fwd.hpp
+++ b/src/coursejunction/run/fwd.hpp
@@ -10,7 +10,11 @@
 {
 
 enum class admission : std::uint8_t;
-class request_content;
+enum class crash_standing : std::uint8_t;
+struct crash_accusation;
+class crash_ledger;
+class crash_witness;
+class recent_answers;
 class run_registry;
 class retry_budget;
 class retry_window;
--- a/src/coursejunction/wire/codec.cpp
+++ b/src/coursejunction/wire/codec.cpp
@@ -97,12 +97,16 @@
     archive.bytes(value.data(), value.size());
 }
 
-void CEREAL_SAVE_FUNCTION_NAME(writer& archive, const digest::value_type& value)
+template <std::size_t Size>
+void CEREAL_SAVE_FUNCTION_NAME(writer& archive,
+                               const std::array<std::uint8_t, Size>& value)
 {
     archive.bytes(value.data(), value.size());
 }
 
-void CEREAL_LOAD_FUNCTION_NAME(reader& archive, digest::value_type& value)
+template <std::size_t Size>
+void CEREAL_LOAD_FUNCTION_NAME(reader& archive,
+                               std::array<std::uint8_t, Size>& value)
 {
     archive.bytes(value.data(), value.size());
 }
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "coursejunction/core/request_content.hpp"
+
 namespace coursejunction::message
 {
 
@@ -102,6 +104,21 @@
     }
 };
 
+/*! @brief A request under which upstreams ended, as one entry knows it. */
+struct crash_record
+{
+    request_content content;
+    std::vector<std::uint64_t> crashes; /*!< Ids of the ends. */
+    std::vector<std::uint64_t> cleared; /*!< Those that no longer count. */
+    std::uint32_t age_ms{0};            /*!< Since the last end. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(content, crashes, cleared, age_ms);
+    }
+};
+
 /*! @brief Datagram between any two processes of an installation. */
 struct fleet_heartbeat
 {
@@ -125,6 +142,7 @@
     std::vector<chunk_possession> chunks; /*!< Of a side, by version. */
     entry_load load;                      /*!< Of an entry. */
     hall_digest digest; /*!< Of an entry, for entries of other halls. */
+    std::vector<crash_record> crashes; /*!< Of an entry. */
 
     template <typename Archive>
     void serialize(Archive& archive)
@@ -133,7 +151,7 @@
                 watching, fetching, probing, store_returned, store_distance,
                 entries);
         if (entry)
-            archive(load, digest);
+            archive(load, digest, crashes);
         else
             archive(upstream, chunks);
     }
