Answers speak for a request that is often beside what crashes

Half of all upstreams killed at once would do the same to whatever is asked often. Change: each four whole answers of the last ten seconds speak for one end; a content that was answered is tried again after 5 s instead of 600 s.

--- a/src/coursejunction/proxy/crash_guard.hpp
+++ b/src/coursejunction/proxy/crash_guard.hpp
@@ -19,7 +19,6 @@
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/run/crash_ledger.hpp"
 #include "coursejunction/run/crash_witness.hpp"
-#include "coursejunction/run/recent_answers.hpp"
 
 namespace coursejunction
 {
@@ -92,9 +91,6 @@
                       {"requests", std::to_string(accused.size())}});
         for (const auto& one : accused)
         {
-            if (ledger.is_bystander(one.content,
-                                    answers.count(one.content, now)))
-                continue;
             if (ledger.accuse(one.content, one.end, now))
                 note_quarantine(one.content, "upstreams ended under it here");
         }
@@ -105,9 +101,7 @@
     /*! @brief An upstream answered a request in whole. */
     void answered(const request_content& what)
     {
-        const auto now = event_loop::now();
-        answers.note(what, now);
-        if (ledger.answered(what, answers.count(what, now), now))
+        if (ledger.answered(what, event_loop::now()))
             log::state("request_cleared", {{"content", what.hex()}});
     }
 
@@ -118,11 +112,7 @@
         const auto now = event_loop::now();
         for (const auto& one : told)
         {
-            const bool quarantines = ledger.merge(one, now);
-            const auto lately = answers.count(one.content, now);
-            if (lately > 0 && ledger.answered(one.content, lately, now))
-                continue;
-            if (quarantines)
+            if (ledger.merge(one, now))
                 note_quarantine(one.content, "told by " + from);
         }
     }
@@ -173,7 +163,6 @@
     news_callback news;
     crash_ledger ledger;
     crash_witness witness;
-    recent_answers answers;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/run/crash_ledger.hpp
+++ b/src/coursejunction/run/crash_ledger.hpp
@@ -22,6 +22,7 @@
 #include "coursejunction/core/digest.hpp"
 #include "coursejunction/core/request_content.hpp"
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/run/recent_answers.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
 namespace coursejunction
@@ -62,7 +63,8 @@
      * copies are always beside what does. One end in five seconds is what it
      * may cost. */
     milliseconds probation{5'000};
-    /*! @brief Answers for each end that make a request a bystander. */
+    /*! @brief Answers that speak for one end each: a request that ends less
+     * than one in five of its upstreams is taken for a bystander. */
     std::size_t answers_per_end{4};
     /*! @brief Records are forgotten so long after the last end; a quarantine
      * that is over has ten minutes more for its next run. */
@@ -97,11 +99,17 @@
 public:
     explicit crash_ledger(crash_limits set = {}) : limits(set) {}
 
-    /*! @brief Notes that an upstream ended under a request.
+    /*! @brief Notes that an upstream ended under a request, unless its answers
+     * of the last while speak for it.
      * @return Whether that quarantines it. */
     bool accuse(const request_content& what, const crash_id& end,
                 time_point now)
     {
+        if (answers.count(what, now) >= limits.answers_per_end)
+        {
+            answers.spend(what, limits.answers_per_end);
+            return false;
+        }
         auto& one = found_or_made(what, now, now);
         const bool before = quarantined(one, now);
         if (one.crashes.count(end) > 0)
@@ -114,26 +122,12 @@
 
     /*! @brief An upstream answered a request in whole. With so many answers
      * that it is a bystander, what ended under it counts no longer.
-     * @param lately Answers of the last while, this one included.
      * @return Whether it was doubted until now. */
-    bool answered(const request_content& what, std::size_t lately,
-                  time_point now)
-    {
-        const auto found = records.find(what);
-        if (found == records.end() || found->second.count() == 0)
-            return false;
-        found->second.answered = true;
-        return bystander(found->second.count(), lately) && lift(what, now);
-    }
-
-    /*! @brief Tells whether a request that was answered so often lately is a
-     * bystander of one more end. */
-    [[nodiscard]] bool is_bystander(const request_content& what,
-                                    std::size_t lately) const
+    bool answered(const request_content& what, time_point now)
     {
+        answers.note(what, now);
         const auto found = records.find(what);
-        const auto before = found == records.end() ? 0 : found->second.count();
-        return bystander(before + 1, lately);
+        return found != records.end() && speaks_for(what, found->second, now);
     }
 
     /*! @brief An operator ends the quarantine of a request.
@@ -194,6 +188,8 @@
         }
         if (news)
             changed(one, now);
+        if (speaks_for(told.content, one, now))
+            return false;
         return !before && quarantined(one, now);
     }
 
@@ -261,9 +257,20 @@
         return one.answered ? limits.probation : limits.quarantine;
     }
 
-    [[nodiscard]] bool bystander(std::size_t ends, std::size_t lately) const
+    /*! @brief Clears a record for which there are answers enough. */
+    bool speaks_for(const request_content& what, crash_entry& one,
+                    time_point now)
     {
-        return lately >= ends * limits.answers_per_end;
+        const auto ends = one.count();
+        const auto lately = answers.count(what, now);
+        if (ends == 0 || lately == 0)
+            return false;
+        one.answered = true;
+        const auto needed = ends * limits.answers_per_end;
+        if (lately < needed)
+            return false;
+        answers.spend(what, needed);
+        return lift(what, now);
     }
 
     /*! @brief Adds an end. What is cleared makes room for it; when nothing is,
@@ -373,6 +380,7 @@
 
     crash_limits limits;
     std::map<request_content, crash_entry> records;
+    recent_answers answers;
     request_content turn; /*!< The last record that was told in turn. */
     std::uint64_t last_change{0};
     std::uint64_t told_change{0};
--- a/src/coursejunction/run/recent_answers.hpp
+++ b/src/coursejunction/run/recent_answers.hpp
@@ -49,12 +49,33 @@
         return found == counts.end() ? 0 : found->second;
     }
 
+    /*! @brief Takes some answers away, the oldest first: they have spoken for
+     * the request once. */
+    void spend(const request_content& what, std::size_t count)
+    {
+        std::size_t left = count;
+        std::erase_if(answers,
+                      [&](const auto& one)
+                      {
+                          if (left == 0 || one.second != what)
+                              return false;
+                          --left;
+                          uncount(what);
+                          return true;
+                      });
+    }
+
 private:
-    void drop_oldest()
+    void uncount(const request_content& what)
     {
-        const auto found = counts.find(answers.front().second);
+        const auto found = counts.find(what);
         if (--found->second == 0)
             counts.erase(found);
+    }
+
+    void drop_oldest()
+    {
+        uncount(answers.front().second);
         answers.pop_front();
     }
 
--- /dev/null
+++ b/tests/run/crash_ledger.cpp
@@ -0,0 +1,331 @@
+#include "coursejunction/run/crash_ledger.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+request_content content(int number)
+{
+    return request_content::of("school", "/essays", std::to_string(number));
+}
+
+crash_id end_of(int number)
+{
+    return crash_of(instance_id("engine-" + std::to_string(number)),
+                    incarnation(7));
+}
+
+/*! @brief Tells one ledger everything that another one has to tell. */
+void tell(crash_ledger& from, crash_ledger& to, time_point now)
+{
+    for (const auto& one : from.news(100, now))
+        to.merge(one, now);
+}
+
+} // namespace
+
+TEST_CASE("a ledger of upstreams that ended under requests", "[run]")
+{
+    crash_ledger ledger;
+    time_point now{100s};
+    const auto bad = content(1);
+
+    SECTION("nothing is known of a request")
+    {
+        CHECK(ledger.standing(bad, now) == crash_standing::clear);
+    }
+    SECTION("one end doubts it, three quarantine it")
+    {
+        CHECK_FALSE(ledger.accuse(bad, end_of(1), now));
+        CHECK(ledger.standing(bad, now) == crash_standing::doubted);
+        CHECK_FALSE(ledger.accuse(bad, end_of(2), now));
+        CHECK(ledger.accuse(bad, end_of(3), now));
+        CHECK(ledger.standing(bad, now) == crash_standing::quarantined);
+        CHECK(ledger.left(bad, now + 1s) == 599s);
+
+        SECTION("and no other one")
+        {
+            CHECK(ledger.standing(content(2), now) == crash_standing::clear);
+        }
+        SECTION("until it is over: one more run, whose end renews it")
+        {
+            now += 600s;
+            CHECK(ledger.standing(bad, now) == crash_standing::doubted);
+            CHECK(ledger.accuse(bad, end_of(4), now));
+            CHECK(ledger.standing(bad, now + 599s) ==
+                  crash_standing::quarantined);
+        }
+        SECTION("also when it has ended many")
+        {
+            for (int at = 4; at < 40; ++at)
+            {
+                now += 600s;
+                ledger.accuse(bad, end_of(at), now);
+                CHECK(ledger.standing(bad, now) == crash_standing::quarantined);
+            }
+        }
+        SECTION("until an operator lifts it, at all entries")
+        {
+            crash_ledger other;
+            tell(ledger, other, now);
+            CHECK(other.standing(bad, now) == crash_standing::quarantined);
+            CHECK(ledger.lift(bad, now));
+            CHECK_FALSE(ledger.lift(bad, now));
+            tell(ledger, other, now);
+            CHECK(other.standing(bad, now) == crash_standing::clear);
+            // The other one still tells the ends; they stay lifted.
+            tell(other, ledger, now);
+            CHECK(ledger.standing(bad, now) == crash_standing::clear);
+        }
+        SECTION("until its record is forgotten, which others do not bring back")
+        {
+            crash_ledger other;
+            tell(ledger, other, now);
+            now += 1'199s;
+            tell(ledger, other, now);
+            tell(other, ledger, now);
+            now += 1s;
+            ledger.expire(now);
+            tell(other, ledger, now);
+            CHECK(ledger.all().empty());
+        }
+        SECTION("a suspension of the entry makes it neither older nor younger "
+                "than it is")
+        {
+            // Time goes on while suspended; the clock of ages does too.
+            now += 300s;
+            CHECK(ledger.left(bad, now) == 300s);
+        }
+    }
+    SECTION("copies on one upstream are one end, whoever tells it")
+    {
+        crash_ledger other;
+        ledger.accuse(bad, end_of(1), now);
+        other.accuse(bad, end_of(1), now + 5ms);
+        tell(other, ledger, now + 10ms);
+        ledger.accuse(bad, end_of(1), now + 12ms);
+        CHECK(ledger.all().at(bad).count() == 1);
+    }
+    SECTION("a later life of an upstream is another one")
+    {
+        const instance_id same("engine");
+        ledger.accuse(bad, crash_of(same, incarnation(1)), now);
+        ledger.accuse(bad, crash_of(same, incarnation(2)), now);
+        CHECK(ledger.all().at(bad).count() == 2);
+    }
+    SECTION("three entries that each see one end quarantine it together")
+    {
+        crash_ledger second;
+        crash_ledger third;
+        ledger.accuse(bad, end_of(1), now);
+        second.accuse(bad, end_of(2), now);
+        third.accuse(bad, end_of(3), now);
+        tell(ledger, second, now);
+        tell(second, third, now);
+        tell(third, ledger, now);
+        tell(third, second, now);
+        CHECK(ledger.standing(bad, now) == crash_standing::quarantined);
+        CHECK(second.standing(bad, now) == crash_standing::quarantined);
+        CHECK(third.standing(bad, now) == crash_standing::quarantined);
+    }
+    SECTION("an entry that has just started learns it from any other")
+    {
+        for (int at = 1; at <= 3; ++at)
+            ledger.accuse(bad, end_of(at), now);
+        ledger.news(12, now);
+        now += 60s;
+        crash_ledger fresh;
+        tell(ledger, fresh, now);
+        CHECK(fresh.standing(bad, now) == crash_standing::quarantined);
+        CHECK(fresh.left(bad, now) == 540s);
+    }
+}
+
+TEST_CASE("answers speak for a request", "[run]")
+{
+    crash_ledger ledger;
+    time_point now{100s};
+    const auto asked = content(1);
+    const auto answer = [&](int count)
+    {
+        for (int at = 0; at < count; ++at)
+            ledger.answered(asked, now);
+    };
+
+    SECTION("four for an end: it was a bystander")
+    {
+        ledger.accuse(asked, end_of(1), now);
+        answer(3);
+        CHECK(ledger.standing(asked, now) == crash_standing::doubted);
+        answer(1);
+        CHECK(ledger.standing(asked, now) == crash_standing::clear);
+    }
+    SECTION("those from before speak too, each once")
+    {
+        answer(9);
+        ledger.accuse(asked, end_of(1), now);
+        ledger.accuse(asked, end_of(2), now);
+        CHECK(ledger.standing(asked, now) == crash_standing::clear);
+        ledger.accuse(asked, end_of(3), now);
+        CHECK(ledger.standing(asked, now) == crash_standing::doubted);
+    }
+    SECTION("what is asked often is quarantined by no kill of half of all")
+    {
+        answer(100);
+        for (int at = 0; at < 10; ++at)
+            ledger.accuse(asked, end_of(at), now);
+        CHECK(ledger.standing(asked, now) == crash_standing::clear);
+    }
+    SECTION(
+        "one that ends every third upstream is quarantined, and tried again "
+        "after five seconds")
+    {
+        for (int at = 1; at <= 6; ++at)
+        {
+            answer(2);
+            ledger.accuse(asked, end_of(at), now);
+        }
+        CHECK(ledger.standing(asked, now) == crash_standing::quarantined);
+        answer(1);
+        CHECK(ledger.standing(asked, now + 4s) == crash_standing::quarantined);
+        CHECK(ledger.standing(asked, now + 5s) == crash_standing::doubted);
+    }
+    SECTION("one that ends one in ten stays, at the price of those")
+    {
+        for (int at = 1; at <= 20; ++at)
+        {
+            answer(9);
+            ledger.accuse(asked, end_of(at), now);
+        }
+        CHECK(ledger.standing(asked, now) == crash_standing::clear);
+    }
+    SECTION("old ones do not: with new weights it may end all of them")
+    {
+        answer(100);
+        now += 10s;
+        for (int at = 1; at <= 3; ++at)
+            ledger.accuse(asked, end_of(at), now);
+        CHECK(ledger.standing(asked, now) == crash_standing::quarantined);
+    }
+    SECTION("an entry that has them clears what another one tells")
+    {
+        crash_ledger other;
+        for (int at = 1; at <= 3; ++at)
+            other.accuse(asked, end_of(at), now);
+        answer(12);
+        tell(other, ledger, now);
+        CHECK(ledger.standing(asked, now) == crash_standing::clear);
+        tell(ledger, other, now);
+        CHECK(other.standing(asked, now) == crash_standing::clear);
+    }
+    SECTION("those of a request that is not doubted take no record")
+    {
+        answer(100);
+        CHECK(ledger.all().empty());
+    }
+}
+
+TEST_CASE("half of all upstreams are killed at once", "[run]")
+{
+    // 300 upstreams with 16 requests each; every request is sent to a second
+    // upstream, of which half are killed as well.
+    crash_limits limits;
+    limits.most_records = 100'000;
+    crash_ledger ledger(limits);
+    const time_point now{100s};
+    int number = 0;
+    for (int upstream = 0; upstream < 300; ++upstream)
+    {
+        for (int place = 0; place < 16; ++place, ++number)
+        {
+            ledger.accuse(content(number), end_of(upstream), now);
+            if (number % 2 == 0)
+                ledger.accuse(content(number), end_of((upstream + 1) % 300),
+                              now + 200ms);
+        }
+    }
+    CHECK(ledger.quarantined(now + 200ms) == 0);
+}
+
+TEST_CASE("a ledger is bounded", "[run]")
+{
+    crash_limits limits;
+    limits.most_records = 64;
+    crash_ledger ledger(limits);
+    time_point now{100s};
+    const auto bad = content(-1);
+    for (int at = 1; at <= 3; ++at)
+        ledger.accuse(bad, end_of(at), now);
+
+    SECTION("a flood of doubted requests pushes out no quarantined one")
+    {
+        for (int at = 0; at < 10'000; ++at)
+            ledger.accuse(content(at), end_of(at), now + milliseconds(at));
+        CHECK(ledger.all().size() == 64);
+        CHECK(ledger.standing(bad, now + 10s) == crash_standing::quarantined);
+    }
+    SECTION("one call tells few records, and all come in turn")
+    {
+        for (int at = 0; at < 50; ++at)
+        {
+            for (int end = 0; end < 3; ++end)
+                ledger.accuse(content(at), end_of(end), now);
+        }
+        crash_ledger fresh;
+        for (int beat = 0; beat < 10; ++beat)
+        {
+            const auto told = ledger.news(12, now);
+            CHECK(told.size() <= 12);
+            for (const auto& one : told)
+                fresh.merge(one, now);
+        }
+        CHECK(fresh.quarantined(now) == 51);
+    }
+}
+
+TEST_CASE("ledgers agree in whatever order they hear of each other", "[run]")
+{
+    rc::prop("after all have told all, they hold the same",
+             []
+             {
+                 const time_point now{100s};
+                 std::vector<crash_ledger> ledgers(3);
+                 const auto steps = *rc::gen::container<std::vector<int>>(
+                     rc::gen::inRange(0, 90));
+                 for (const int step : steps)
+                 {
+                     auto& one = ledgers[static_cast<std::size_t>(step % 3)];
+                     const auto what = content(step / 3 % 2);
+                     if (step % 10 == 9)
+                         one.lift(what, now);
+                     else if (step % 10 == 8)
+                         tell(one, ledgers[static_cast<std::size_t>(step / 30)],
+                              now);
+                     else
+                         one.accuse(what, end_of(step / 6 % 5), now);
+                 }
+                 for (int round = 0; round < 3; ++round)
+                 {
+                     for (auto& from : ledgers)
+                     {
+                         for (auto& to : ledgers)
+                             tell(from, to, now);
+                     }
+                 }
+                 for (int at = 0; at < 2; ++at)
+                 {
+                     const auto first = ledgers[0].standing(content(at), now);
+                     RC_ASSERT(ledgers[1].standing(content(at), now) == first);
+                     RC_ASSERT(ledgers[2].standing(content(at), now) == first);
+                 }
+             });
+}
