Own interface: requests that crash upstreams are quarantined; shown and lifted

An engine that ended under a run got it twice, and its second answer (503, nothing is loaded) was passed on as 'not run' although it had run: six copies ended six of six engines, every caller heard not_run. Change: runs go out on new connections; a side that loses a run asks whether its upstream is gone and accuses; ledgers are merged between gossip neighbours (frame crash_news); entries answer 422, not_run. /v1/quarantine lists and lifts, also on an entry's status port on the platform; coursejunctionctl quarantine, lift.

--- a/src/coursejunction/cli/commands.cpp
+++ b/src/coursejunction/cli/commands.cpp
@@ -146,6 +146,34 @@
         return say(client.call("GET", "/v1/writes/" + options.name));
     }
 
+    cli_exit quarantine()
+    {
+        const auto answer = client.call("GET", "/v1/quarantine");
+        if (!answer.ok())
+            return fault(answer);
+        const auto list = json::parse(answer.body);
+        if (options.json)
+        {
+            out << list.dump(2) << "\n";
+            return cli_exit::done;
+        }
+        out << std::left << std::setw(34) << "CONTENT" << std::setw(13)
+            << "STANDING" << std::setw(6) << "ENDS"
+            << "LEFT\n";
+        constexpr std::int64_t second = 1000;
+        for (const auto& one : list)
+            out << std::setw(34) << one.at("content").get<std::string>()
+                << std::setw(13) << one.at("standing").get<std::string>()
+                << std::setw(6) << one.at("ends").get<std::size_t>()
+                << one.at("left_ms").get<std::int64_t>() / second << " s\n";
+        return cli_exit::done;
+    }
+
+    cli_exit lift()
+    {
+        return say(client.call("DELETE", "/v1/quarantine/" + options.name));
+    }
+
     cli_exit leave() { return say(client.call("POST", "/v1/leave")); }
 
     cli_exit version()
@@ -389,6 +417,13 @@
         {"leave",
          {[](session& one) { return one.leave(); },
           "leave                     planned stop of the entry", false}},
+        {"quarantine",
+         {[](session& one) { return one.quarantine(); },
+          "quarantine                requests that crash upstreams", false}},
+        {"lift",
+         {[](session& one) { return one.lift(); },
+          "lift CONTENT              let a quarantined request run again",
+          true}},
         {"dump",
          {[](session& one) { return one.dump(); },
           "dump                      whole state of the process", false}},
--- /dev/null
+++ b/src/coursejunction/daemon/internal/crash_gossip.hpp
@@ -0,0 +1,114 @@
+/*! @file
+ * @brief One process's ledger of requests that crash upstreams, kept alike with
+ * its neighbours'.
+ */
+#ifndef COURSEJUNCTION_DAEMON_INTERNAL_CRASH_GOSSIP_HPP
+#define COURSEJUNCTION_DAEMON_INTERNAL_CRASH_GOSSIP_HPP
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/run/crash_ledger.hpp"
+#include "coursejunction/run/crash_witness.hpp"
+
+namespace coursejunction::internal
+{
+
+/*! @brief What sides see is told from neighbour to neighbour; pure but for its
+ * log lines and counters. */
+class crash_gossip
+{
+public:
+    /*! @brief Sends records to the neighbours. */
+    using tell_callback =
+        std::function<void(const std::vector<message::crash_record>&)>;
+
+    /*! @brief Records in one datagram: 12 of some 90 bytes. */
+    static constexpr std::size_t most_told = 12;
+
+    crash_gossip(metrics& counted, tell_callback call)
+        : counters(counted), tell(std::move(call))
+    {
+    }
+
+    [[nodiscard]] const crash_ledger& records() const { return ledger; }
+
+    [[nodiscard]] bool quarantined(const request_content& what,
+                                   time_point now) const
+    {
+        return ledger.standing(what, now) == crash_standing::quarantined;
+    }
+
+    /*! @brief An upstream ended under some requests. */
+    void accuse(const std::vector<crash_accusation>& accused, time_point now)
+    {
+        for (const auto& one : accused)
+        {
+            if (ledger.accuse(one.content, one.end, now))
+                note(one.content);
+        }
+        announce(now);
+    }
+
+    /*! @brief An upstream answered a request in whole. */
+    void answered(const request_content& what, time_point now)
+    {
+        if (ledger.answered(what, now))
+            announce(now);
+    }
+
+    /*! @brief Takes a neighbour's records, and passes on what is new. */
+    void take(const std::vector<message::crash_record>& told, time_point now)
+    {
+        for (const auto& one : told)
+        {
+            if (ledger.merge(one, now))
+                note(one.content);
+        }
+        if (ledger.changed_since_told())
+            announce(now);
+    }
+
+    /*! @brief Ends a quarantine everywhere.
+     * @return Whether there was one. */
+    bool lift(const request_content& what, time_point now)
+    {
+        if (!ledger.lift(what, now))
+            return false;
+        log::state("quarantine_lifted", {{"content", what.hex()}});
+        announce(now);
+        return true;
+    }
+
+    /*! @brief Tells neighbours what changed and, in turn, what is quarantined;
+     * called with each heartbeat. */
+    void announce(time_point now)
+    {
+        ledger.expire(now);
+        counters.set("requests_quarantined",
+                     static_cast<double>(ledger.quarantined(now)));
+        const auto told = ledger.news(most_told, now);
+        if (!told.empty())
+            tell(told);
+    }
+
+private:
+    void note(const request_content& what)
+    {
+        counters.count("quarantines_total");
+        log::warning("request_quarantined", {{"content", what.hex()}});
+    }
+
+    metrics& counters;
+    tell_callback tell;
+    crash_ledger ledger;
+};
+
+} // namespace coursejunction::internal
+
+#endif
--- a/src/coursejunction/daemon/internal/heartbeat_gossip.cpp
+++ b/src/coursejunction/daemon/internal/heartbeat_gossip.cpp
@@ -62,6 +62,8 @@
 void heartbeat_gossip::datagram(std::string_view bytes)
 {
     const auto opened = open_datagram(ring, bytes);
+    if (opened && opened.value().type == frame_type::crash_news)
+        return heard_crashes(opened.value().head);
     if (!opened || opened.value().type != frame_type::heartbeat)
     {
         counters.count("datagrams_refused_total");
@@ -72,6 +74,28 @@
         heard(beat.value());
 }
 
+void heartbeat_gossip::tell(const message::crash_news& news)
+{
+    const auto sealed =
+        seal_datagram(ring, frame_type::crash_news, encode(news));
+    for (const auto& id : members.neighbours(
+             settings.instance, settings.gossip_neighbours, event_loop::now()))
+    {
+        const auto* listed = members.find(id);
+        if (listed != nullptr)
+            socket->send(listed->peer_address, sealed);
+    }
+}
+
+void heartbeat_gossip::heard_crashes(std::string_view head)
+{
+    const auto news = decode<message::crash_news>(head);
+    if (!news)
+        return counters.count("datagrams_refused_total");
+    if (crashes)
+        crashes(news.value().records);
+}
+
 void heartbeat_gossip::heard(const message::heartbeat& beat)
 {
     const instance_id from(beat.instance);
--- a/src/coursejunction/daemon/internal/heartbeat_gossip.hpp
+++ b/src/coursejunction/daemon/internal/heartbeat_gossip.hpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "coursejunction/control/configuration_view.hpp"
 #include "coursejunction/core/types.hpp"
@@ -32,6 +34,11 @@
     using newer_callback =
         std::function<void(const instance_id&, std::uint64_t revision)>;
 
+    /*! @brief Called when a neighbour tells of requests that crash upstreams.
+     */
+    using crashes_callback =
+        std::function<void(const std::vector<message::crash_record>&)>;
+
     /*! @param started When this process started. */
     heartbeat_gossip(const node_settings& set, const key_ring& keys,
                      member_table& all, const configuration_view& known,
@@ -45,6 +52,12 @@
     /*! @brief Sends a heartbeat to each neighbour. */
     void announce();
 
+    /*! @brief Sets who hears of requests that crash upstreams. */
+    void on_crashes(crashes_callback call) { crashes = std::move(call); }
+
+    /*! @brief Tells each neighbour of requests that crash upstreams. */
+    void tell(const message::crash_news& news);
+
     /*! @brief Says from now on that this instance is leaving. */
     void leave() { leaving = true; }
 
@@ -55,6 +68,7 @@
     void beat_to(const instance_id& to);
     void datagram(std::string_view bytes);
     void heard(const message::heartbeat& beat);
+    void heard_crashes(std::string_view head);
 
     const node_settings& settings;
     const key_ring& ring;
@@ -63,6 +77,7 @@
     metrics& counters;
     std::uint64_t incarnation;
     newer_callback newer;
+    crashes_callback crashes;
     std::unique_ptr<datagram_socket> socket;
     std::map<instance_id, time_point> answered;
     std::uint64_t beats{0};
--- a/src/coursejunction/daemon/internal/live_request.hpp
+++ b/src/coursejunction/daemon/internal/live_request.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "coursejunction/core/request_content.hpp"
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/daemon/entry_request.hpp"
 #include "coursejunction/daemon/internal/answer_events.hpp"
@@ -31,6 +32,7 @@
     std::string held; /*!< Whole events for the next flush. */
     time_point given_at{};
     instance_id upstream;
+    request_content content;
     time_point arrived{};
     time_point started{};
     time_point deadline{};
--- a/src/coursejunction/daemon/node.cpp
+++ b/src/coursejunction/daemon/node.cpp
@@ -54,8 +54,12 @@
                 [this](configuration next) { offer(std::move(next)); }),
           gossip(settings, ring, members, view, counters, started,
                  [this](const instance_id& from, std::uint64_t revision)
-                 { pull(from, revision); })
+                 { pull(from, revision); }),
+          crashes(counters, [this](const auto& records)
+                  { gossip.tell(message::crash_news{records}); })
     {
+        gossip.on_crashes([this](const auto& records)
+                          { crashes.take(records, event_loop::now()); });
         ring.keys = settings.keys;
         ring.active = settings.active_key;
     }
@@ -283,6 +287,7 @@
     void announce()
     {
         gossip.announce();
+        crashes.announce(event_loop::now());
         watch_if_designated();
     }
 
@@ -397,6 +402,7 @@
     std::uint64_t started;
     internal::configuration_watch watch;
     internal::heartbeat_gossip gossip;
+    internal::crash_gossip crashes;
     std::uint64_t pull_asked{0};
     time_point pull_at{};
     bool leaving{false};
@@ -477,6 +483,11 @@
     return self->key_values;
 }
 
+internal::crash_gossip& node::crashes()
+{
+    return self->crashes;
+}
+
 member_table& node::members()
 {
     return self->members;
--- a/src/coursejunction/daemon/node.hpp
+++ b/src/coursejunction/daemon/node.hpp
@@ -12,6 +12,7 @@
 
 #include "coursejunction/control/configuration_view.hpp"
 #include "coursejunction/control/key_value_client.hpp"
+#include "coursejunction/daemon/internal/crash_gossip.hpp"
 #include "coursejunction/member/member_table.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/http_client.hpp"
@@ -85,6 +86,7 @@
     [[nodiscard]] http_client& http();
     [[nodiscard]] key_value_client& key_values();
     [[nodiscard]] member_table& members();
+    [[nodiscard]] internal::crash_gossip& crashes();
     [[nodiscard]] const configuration_view& view() const;
     [[nodiscard]] const node_settings& settings() const;
     [[nodiscard]] metrics& counters();
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "coursejunction/core/log.hpp"
 #include "coursejunction/daemon/entry_request.hpp"
 #include "coursejunction/daemon/internal/caller_answers.hpp"
 #include "coursejunction/daemon/internal/live_request.hpp"
@@ -24,6 +25,9 @@
 /*! @brief Bytes of an answer that is gathered before it is given. */
 constexpr std::size_t max_whole_answer = std::size_t{32} << 20U;
 
+/*! @brief Status of a request that is quarantined: asking again is no use. */
+constexpr int quarantined_status = 422;
+
 /*! @brief When to come back if nobody serves the model. */
 constexpr milliseconds no_upstream_retry{1000};
 
@@ -55,6 +59,8 @@
         auto one = std::make_shared<live_request>();
         static_cast<entry_request&>(*one) = std::move(parsed.value());
         one->reply = reply;
+        one->content = request_content::of(one->organisation.value(), one->path,
+                                           one->body);
         one->arrived = now();
         one->deadline = one->arrived + one->allowed;
         if (host.is_leaving() && host.leaving_for() > leave_accept)
@@ -93,6 +99,8 @@
     /*! @brief Dispatches a request, queues it, or refuses it at once. */
     void place(const pointer& one)
     {
+        if (host.crashes().quarantined(one->content, now()))
+            return turn_away(one);
         // A queue is made only for what is served: names come from outside.
         if (!upstreams.served(one->route, now()))
             return give_up(one, unserved_status(*one),
@@ -119,6 +127,17 @@
         host.counters().count("requests_queued_total");
     }
 
+    /*! @brief Three upstreams ended under a request: its final answer. */
+    void turn_away(const pointer& one)
+    {
+        host.counters().count("requests_turned_away_total");
+        log::problem("request_turned_away", {{"request", one->id.value()},
+                                             {"content", one->content.hex()}});
+        give_up(one, internal::quarantined_status,
+                "the request is quarantined: upstreams ended under it",
+                milliseconds(0));
+    }
+
     int unserved_status(const live_request& one) const
     {
         const auto& specs = host.view().current().deployments();
@@ -152,6 +171,12 @@
                 return true;
             }
             const auto one = found->second;
+            if (host.crashes().quarantined(one->content, now()))
+            {
+                queue.pop(organisation);
+                turn_away(one);
+                return true;
+            }
             const auto to = upstreams.choose(one->route, now());
             if (!to)
                 continue;
@@ -274,6 +299,7 @@
         upstreams.succeeded(
             one->upstream,
             std::chrono::duration_cast<std::chrono::microseconds>(took));
+        host.crashes().answered(one->content, now());
         times.learn(key_of(one->route), to_seconds(took));
         queue_of(one->route).served(now());
         leave_upstream(one);
@@ -303,6 +329,8 @@
      * gone by the time there is room. */
     void retry(const pointer& one)
     {
+        if (host.crashes().quarantined(one->content, now()))
+            return turn_away(one);
         if (const auto to = upstreams.choose(one->route, now()))
             return dispatch(one, *to);
         if (one->begun)
--- a/src/coursejunction/daemon/resource_api.cpp
+++ b/src/coursejunction/daemon/resource_api.cpp
@@ -10,6 +10,7 @@
 
 #include "coursejunction/core/digest.hpp"
 #include "coursejunction/daemon/node.hpp"
+#include "coursejunction/daemon/quarantine_api.hpp"
 #include "coursejunction/daemon/report_service.hpp"
 
 namespace coursejunction
@@ -208,6 +209,12 @@
             return status(parts, reply);
         if (parts[0] == "writes" && parts.size() == 2)
             return find_write(write_id(parts[1]), reply);
+        if (parts[0] == "quarantine")
+            return serve_quarantine(
+                from, *reply, host.crashes().records(),
+                [this](const request_content& what)
+                { return host.crashes().lift(what, node::now()); },
+                node::now());
         if (parts[0] == "leave" && from.method == "POST")
         {
             host.leave();
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -8,6 +8,7 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/daemon/node.hpp"
 #include "coursejunction/daemon/upstream_client.hpp"
+#include "coursejunction/run/crash_witness.hpp"
 #include "coursejunction/run/run_registry.hpp"
 
 namespace coursejunction
@@ -25,6 +26,8 @@
 constexpr milliseconds claim_retry{150};
 constexpr milliseconds outage_retry{1000};
 constexpr milliseconds busy_retry{100};
+/*! @brief Time in which an upstream that lives answers for its state. */
+constexpr milliseconds end_timeout{1000};
 constexpr std::string_view weights_mark = "\"weights\":\"";
 constexpr std::string_view done_mark = "data: [DONE]";
 constexpr std::size_t hash_digits = 64;
@@ -55,6 +58,7 @@
         message::dispatch ask;
         instance_id from;
         std::string body;
+        request_content content;
         std::string expected;
         std::string content_type;
         std::string tail;
@@ -87,6 +91,7 @@
     {
         auto one = std::make_shared<run>();
         one->from = from;
+        one->content = request_content::of(ask.organisation, ask.path, body);
         one->body = std::move(body);
         one->began = now();
         const auto why = refused(ask);
@@ -237,6 +242,7 @@
             call.headers["Resume-From"] = std::to_string(one->ask.resume_from);
         call.body = std::move(one->body);
         // The entry ends what is late; a begun answer may be late and whole.
+        call.new_connection = true;
         call.answer_time = internal::longest_silence;
         call.stall_time = internal::longest_silence;
         one->call = host.http().start(
@@ -295,6 +301,7 @@
         if (done.reach == http_reach::interrupted)
         {
             gate.doubt();
+            look_for_end(*one);
             return finish(one, outcome::unknown, 502,
                           "the upstream broke off: " + done.fault);
         }
@@ -319,6 +326,48 @@
                "");
     }
 
+    /*! @brief A run broke off. Whether its upstream ended is asked there: it
+     * did when nobody listens any more, or when it serves nothing where it
+     * served weights. */
+    void look_for_end(const run& one)
+    {
+        const instance_id life(host.settings().instance.value() + "/" +
+                               std::to_string(host.incarnation()));
+        const auto end = crash_of(life, incarnation(ends + 1));
+        if (!witness.lost(host.settings().instance, end, one.content, now()))
+            return;
+        http_call call;
+        call.url = upstream.url() + "/v1/state";
+        call.timeout = internal::end_timeout;
+        host.http().start(
+            std::move(call),
+            [this, engine = !one.expected.empty()](const http_result& done)
+            {
+                if (has_ended(done, engine))
+                    upstream_ended();
+            });
+    }
+
+    [[nodiscard]] static bool has_ended(const http_result& done, bool engine)
+    {
+        if (done.reach == http_reach::not_sent)
+            return true;
+        const auto body = nlohmann::json::parse(done.body, nullptr, false);
+        return engine && done.ok() && body.is_object() &&
+               body.value("serving", "").empty() &&
+               !body.value("loading", false);
+    }
+
+    void upstream_ended()
+    {
+        ++ends;
+        const auto accused = witness.ended(host.settings().instance, now());
+        host.counters().count("upstreams_ended_under_requests_total");
+        log::warning("upstream_ended",
+                     {{"requests", std::to_string(accused.size())}});
+        host.crashes().accuse(accused, now());
+    }
+
     /*! @brief The upstream was never connected to: it did not run. */
     void unreached(const run_pointer& one)
     {
@@ -416,6 +465,8 @@
     upstream_client& upstream;
     run_gate gate;
     run_registry registry;
+    crash_witness witness;
+    std::uint64_t ends{0}; /*!< Of the upstream, as far as they were seen. */
     std::map<run_key, run_pointer> runs;
     std::string session;
     time_point session_since{};
--- a/src/coursejunction/daemon/status_page.cpp
+++ b/src/coursejunction/daemon/status_page.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "coursejunction/daemon/quarantine_api.hpp"
+
 namespace coursejunction
 {
 
@@ -18,10 +20,13 @@
             http_request request, std::shared_ptr<http_reply> reply)
         {
             loop.post(
-                [&counters, state, path = std::move(request.path),
+                [&counters, state, request = std::move(request),
                  reply = std::move(reply)]
                 {
-                    if (path == "/metrics")
+                    const auto& path = request.path;
+                    if (path.starts_with(quarantine_path) && state->quarantine)
+                        state->quarantine(request, *reply);
+                    else if (path == "/metrics")
                         reply->send(200, "text/plain", {}, counters.text());
                     else if (path == "/dump" && state->dump)
                         reply->send(200, "application/json", {}, state->dump());
@@ -36,6 +41,12 @@
     return made;
 }
 
+void status_page::quarantine(
+    std::function<void(const http_request&, http_reply&)> call)
+{
+    state->quarantine = std::move(call);
+}
+
 void status_page::describe(std::function<std::string()> dump)
 {
     state->dump = std::move(dump);
--- a/src/coursejunction/daemon/status_page.hpp
+++ b/src/coursejunction/daemon/status_page.hpp
@@ -17,7 +17,8 @@
 namespace coursejunction
 {
 
-/*! @brief `GET /metrics` and `GET /dump` on a port of its own. */
+/*! @brief `GET /metrics`, `GET /dump` and, of an entry, the list of quarantined
+ * requests on a port of its own. */
 class status_page
 {
 public:
@@ -31,10 +32,15 @@
     /*! @brief Sets what `/dump` answers; called on the loop's thread. */
     void describe(std::function<std::string()> dump);
 
+    /*! @brief Sets what answers below `/v1/quarantine`; called on the loop's
+     * thread. Whoever reaches the port may lift a quarantine. */
+    void quarantine(std::function<void(const http_request&, http_reply&)> call);
+
 private:
     struct described
     {
         std::function<std::string()> dump;
+        std::function<void(const http_request&, http_reply&)> quarantine;
     };
 
     std::shared_ptr<described> state{std::make_shared<described>()};
--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -86,6 +86,11 @@
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    if (one.call.new_connection)
+    {
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+    }
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_limit_ms);
     if (one.call.timeout.count() > 0)
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
--- a/src/coursejunction/net/http_client.hpp
+++ b/src/coursejunction/net/http_client.hpp
@@ -36,6 +36,11 @@
                                     none. */
     milliseconds stall_time{0};  /*!< Between two parts of the answer, however
                                     long the whole takes; zero for none. */
+    /*! @brief Goes out on a new connection. The library sends a call once more,
+     * unseen, when a kept connection ends before the answer: what ended its
+     * upstream reached it twice, and what the second one told ("not run") was
+     * passed on. */
+    bool new_connection{false};
 };
 
 /*! @brief The end of a call. */
--- a/src/coursejunction/run/crash_ledger.hpp
+++ b/src/coursejunction/run/crash_ledger.hpp
@@ -23,7 +23,7 @@
 #include "coursejunction/core/request_content.hpp"
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/run/recent_answers.hpp"
-#include "coursejunction/wire/fleet_message.hpp"
+#include "coursejunction/wire/crash_record.hpp"
 
 namespace coursejunction
 {
@@ -201,19 +201,27 @@
                                                           time_point now)
     {
         std::vector<message::crash_record> made;
-        auto told = told_change;
-        for (const auto& [change, what] : changes_after(told_change))
+        const auto changes = changes_after(told_change);
+        for (const auto& [change, what] : changes)
         {
             if (made.size() >= most)
                 break;
             made.push_back(record_of(what, records.at(what), now));
-            told = change;
+            told_change = change;
         }
-        told_change = told;
+        // What was dropped meanwhile is told by nobody.
+        if (made.size() == changes.size())
+            told_change = last_change;
         in_turn(made, most, now);
         return made;
     }
 
+    /*! @brief Tells whether a record changed since `news` was asked for. */
+    [[nodiscard]] bool changed_since_told() const
+    {
+        return last_change != told_change;
+    }
+
     /*! @brief Forgets records whose last end is long past. */
     void expire(time_point now)
     {
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "coursejunction/core/request_content.hpp"
+#include "coursejunction/wire/crash_record.hpp"
 
 namespace coursejunction::message
 {
@@ -104,21 +104,6 @@
     }
 };
 
-/*! @brief A request under which upstreams ended, as one entry knows it. */
-struct crash_record
-{
-    request_content content;
-    std::vector<std::uint64_t> crashes; /*!< Ids of the ends. */
-    std::vector<std::uint64_t> cleared; /*!< Those that no longer count. */
-    std::uint32_t age_ms{0};            /*!< Since the last end. */
-
-    template <typename Archive>
-    void serialize(Archive& archive)
-    {
-        archive(content, crashes, cleared, age_ms);
-    }
-};
-
 /*! @brief Datagram between any two processes of an installation. */
 struct fleet_heartbeat
 {
--- a/src/coursejunction/wire/frame.hpp
+++ b/src/coursejunction/wire/frame.hpp
@@ -45,11 +45,12 @@
     status_query = 17,
     status_reply = 18,
     heartbeat = 19,
-    load_report = 20
+    load_report = 20,
+    crash_news = 21
 };
 
 /*! @brief Highest number of a frame type. */
-inline constexpr frame_type last_frame_type = frame_type::load_report;
+inline constexpr frame_type last_frame_type = frame_type::crash_news;
 
 /*! @brief Version in each frame; an unknown one is refused. */
 inline constexpr std::uint8_t protocol_version = 1;
--- a/src/coursejunction/wire/message.hpp
+++ b/src/coursejunction/wire/message.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coursejunction/core/digest.hpp"
+#include "coursejunction/wire/crash_record.hpp"
 #include "coursejunction/wire/frame.hpp"
 
 namespace coursejunction
@@ -427,6 +428,19 @@
     }
 };
 
+/*! @brief Datagram between gossip neighbours: requests that crash upstreams. */
+struct crash_news
+{
+    static constexpr auto type = frame_type::crash_news;
+    std::vector<crash_record> records;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(records);
+    }
+};
+
 } // namespace message
 
 } // namespace coursejunction
--- a/standin/model_engine.cpp
+++ b/standin/model_engine.cpp
@@ -82,6 +82,8 @@
     }
 
 private:
+    /*! @brief A prompt that ends the engine once it begins to run. */
+    static constexpr std::string_view crashing_prompt = "end the engine";
     static constexpr std::size_t block = 64;
     static constexpr std::size_t max_cached = 64;
 
@@ -116,7 +118,8 @@
         return {{"answers", answers}, {"orders", orders},
                 {"refused", refused}, {"loads", loads},
                 {"partial", partial}, {"mixed", mixed},
-                {"cut_by_load", cut}, {"cancelled", cancelled}};
+                {"cut_by_load", cut}, {"cancelled", cancelled},
+                {"crashed", crashed}};
     }
 
     json state() const
@@ -296,6 +299,11 @@
     {
         if (one->gone || down)
             return drop(one);
+        if (one->prompt == crashing_prompt)
+        {
+            ++crashed;
+            return restart();
+        }
         if (serving != one->weights && !serving.empty())
             one->mixed = true;
         if (cut_after > 0 && one->done >= cut_after)
@@ -390,6 +398,7 @@
     std::uint64_t mixed{0};
     std::uint64_t cut{0};
     std::uint64_t cancelled{0};
+    std::uint64_t crashed{0};
 };
 
 class engine_host
--- a/tests/session/support.py
+++ b/tests/session/support.py
@@ -10,9 +10,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "bench"))
 
-from lab import Engines, Lab, ask, call, wait_for  # noqa: E402
+from lab import TOKEN, Engines, Lab, ask, call, wait_for  # noqa: E402
 
-__all__ = ["Caller", "Engines", "Lab", "LabCase", "ROOT", "ask", "call", "wait_for"]
+__all__ = ["Caller", "Engines", "Lab", "LabCase", "ROOT", "TOKEN", "ask", "call", "wait_for"]
 
 
 class LabCase(unittest.TestCase):
--- /dev/null
+++ b/tests/session/test_crashing_requests.py
@@ -0,0 +1,86 @@
+"""A request that ends each engine that begins to run it, at the own interface."""
+
+import json
+import unittest
+
+from support import TOKEN, Caller, LabCase, call, wait_for
+
+CRASHING = "end the engine"
+SIDES = [f"side-{at}" for at in range(1, 7)]
+
+
+class CrashingRequests(LabCase):
+    def setUp(self):
+        super().setUp()
+        self.serving_model(SIDES, entries=("entry-1", "entry-2"))
+
+    def crashes(self):
+        return sum(self.lab.record(name)["crashed"] for name in SIDES)
+
+    def copy(self, entry, number, stream=True, headers=None):
+        return Caller(self.lab.entries[entry], prompt=CRASHING, stream=stream,
+                      headers={"Request-Id": f"copy-{number}", **(headers or {})}).end()
+
+    def quarantined(self, entry):
+        status, _, text = call("GET", self.lab.entries[entry].url + "/v1/quarantine", None,
+                               {"Authorization": f"Bearer {TOKEN}"})
+        self.assertEqual(status, 200, text)
+        return [one for one in json.loads(text) if one["standing"] == "quarantined"]
+
+    def quarantine(self):
+        """Sends copies to both entries by turns until both refuse them."""
+        for number in range(12):
+            self.copy(f"entry-{number % 2 + 1}", number)
+        for entry in ("entry-1", "entry-2"):
+            wait_for(f"{entry} knows", lambda entry=entry: len(self.quarantined(entry)) == 1)
+
+    def test_few_engines_end_whichever_entry_is_asked(self):
+        self.quarantine()
+        # Three quarantine it; each of two entries may have sent one meanwhile.
+        self.assertLessEqual(self.crashes(), 5)
+        before = self.crashes()
+        last = self.copy("entry-1", "last")
+        self.assertEqual(last.status, 422)
+        self.assertEqual(last.json["outcome"], "not_run")
+        self.assertEqual(self.crashes(), before)
+        self.heard("entry-1", 1)
+        self.assertTrue(Caller(self.lab.entries["entry-1"], tokens=3).end().whole(3))
+
+    def test_an_entry_that_starts_later_knows_it(self):
+        self.quarantine()
+        before = self.crashes()
+        self.lab.start_entry("entry-3", "north")
+        wait_for("entry-3 knows", lambda: len(self.quarantined("entry-3")) == 1)
+        self.heard("entry-3", 1)
+        self.assertEqual(self.copy("entry-3", "new").status, 422)
+        self.assertEqual(self.crashes(), before)
+
+    def test_an_operator_lifts_it_everywhere(self):
+        self.quarantine()
+        content = self.quarantined("entry-1")[0]["content"]
+        entry = self.lab.entries["entry-1"]
+        self.assertIn(content, self.lab.ctl("quarantine", entry=entry).stdout)
+        self.lab.ctl("lift", content, entry=entry)
+        wait_for("lifted", lambda: not self.quarantined("entry-2"))
+        self.assertNotEqual(self.copy("entry-2", "after").status, 422)
+
+    def test_another_callers_same_request_is_its_own(self):
+        self.quarantine()
+        self.heard("entry-1", 1)
+        other = self.copy("entry-1", "other", headers={"Organisation": "club"})
+        self.assertNotEqual(other.status, 422)
+
+    def test_half_of_all_engines_restarted_at_once_quarantine_nothing(self):
+        callers = [Caller(self.lab.entries[f"entry-{at % 2 + 1}"], tokens=60, prompt=f"essay {at}")
+                   for at in range(24)]
+        for caller in callers:
+            caller.begun()
+        for name in SIDES[:3]:
+            call("POST", f"{self.lab.engines.url}/{name}/faults", json.dumps({"restart": True}))
+        for caller in callers:
+            caller.end()
+        self.assertEqual(self.quarantined("entry-1") + self.quarantined("entry-2"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
