--- a/tests/fleet/beat_plan.cpp
+++ b/tests/fleet/beat_plan.cpp
@@ -105,6 +105,18 @@
     }
 }
 
+TEST_CASE("all entries hear at once that a request crashes upstreams")
+{
+    const auto news = moment(beat_reason::crash, true);
+    CHECK(hears(news, near_entry));
+    CHECK(hears(news, far_entry));
+    CHECK_FALSE(hears(news, near_side));
+    CHECK_FALSE(hears(news, far_side));
+    CHECK(tells_crashes(beat_reason::crash));
+    CHECK(tells_crashes(beat_reason::regular));
+    CHECK_FALSE(tells_crashes(beat_reason::load));
+}
+
 TEST_CASE("a change of the store goes from entry to entry to hall")
 {
     auto advanced = moment(beat_reason::mirror, true);
--- a/tests/net/stream_client.cpp
+++ b/tests/net/stream_client.cpp
@@ -195,3 +195,43 @@
         CHECK(told.end == cj::stream_end::broken);
     }
 }
+
+SCENARIO("a probe tells whether anybody listens", "[net]")
+{
+    const auto refused = [](const std::string& address)
+    {
+        loopback::running_loop running;
+        std::unique_ptr<cj::stream_client> client;
+        std::atomic<int> told{-1};
+        running.on_loop(
+            [&]
+            {
+                client = std::make_unique<cj::stream_client>(running.loop);
+                client->probe(address,
+                              [&](bool is)
+                              {
+                                  told = is ? 1 : 0;
+                                  told.notify_all();
+                              });
+            });
+        told.wait(-1);
+        running.on_loop([&] { client.reset(); });
+        return told == 1;
+    };
+
+    SECTION("somebody does")
+    {
+        scripted_peer peer({"x"});
+        CHECK_FALSE(refused(peer.address));
+        CHECK(peer.arrivals().empty());
+    }
+    SECTION("nobody does any more")
+    {
+        std::string address;
+        {
+            scripted_peer peer({"x"});
+            address = peer.address;
+        }
+        CHECK(refused(address));
+    }
+}
