--- a/src/coursejunction/core/request_content.cpp
+++ b/src/coursejunction/core/request_content.cpp
@@ -11,14 +11,11 @@
                                     std::string_view target,
                                     std::string_view body)
 {
-    // Lengths keep two splits of the same bytes apart.
-    std::string text;
-    text.reserve(caller.size() + target.size() + body.size() + 32);
-    text += std::to_string(caller.size()) + ":";
-    text += caller;
-    text += std::to_string(target.size()) + ":";
-    text += target;
-    text += body;
+    // Lengths keep two splits of the same bytes apart. The body, which may have
+    // megabytes, is not copied.
+    const auto text = std::to_string(caller.size()) + ":" +
+                      std::string(caller) + std::string(target) + "\n" +
+                      digest::of(body).hex();
     const auto whole = digest::of(text);
     value_type first{};
     std::copy_n(whole.bytes().begin(), size, first.begin());
--- a/src/coursejunction/core/request_content.hpp
+++ b/src/coursejunction/core/request_content.hpp
@@ -17,9 +17,9 @@
 {
 
 /*! @brief Digest of who asks for what: the first 16 bytes of a SHA-256 over
- * the caller, the target and the whole body. The caller is part of it, so that
- * nobody can bring another caller's request into disrepute; 128 bits leave no
- * chance to find a second content of the same digest. */
+ * the caller, the target and the digest of the whole body. The caller is part
+ * of it, so that nobody can bring another caller's request into disrepute; 128
+ * bits leave no chance to find a second content of the same digest. */
 class request_content
 {
 public:
--- a/src/coursejunction/daemon/internal/crash_gossip.hpp
+++ b/src/coursejunction/daemon/internal/crash_gossip.hpp
@@ -5,7 +5,6 @@
 #ifndef COURSEJUNCTION_DAEMON_INTERNAL_CRASH_GOSSIP_HPP
 #define COURSEJUNCTION_DAEMON_INTERNAL_CRASH_GOSSIP_HPP
 
-#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
@@ -28,9 +27,6 @@
     using tell_callback =
         std::function<void(const std::vector<message::crash_record>&)>;
 
-    /*! @brief Records in one datagram: 12 of some 90 bytes. */
-    static constexpr std::size_t most_told = 12;
-
     crash_gossip(metrics& counted, tell_callback call)
         : counters(counted), tell(std::move(call))
     {
@@ -92,7 +88,7 @@
         ledger.expire(now);
         counters.set("requests_quarantined",
                      static_cast<double>(ledger.quarantined(now)));
-        const auto told = ledger.news(most_told, now);
+        const auto told = ledger.news(crash_ledger::most_told, now);
         if (!told.empty())
             tell(told);
     }
--- a/src/coursejunction/daemon/quarantine_api.cpp
+++ b/src/coursejunction/daemon/quarantine_api.cpp
@@ -1,5 +1,6 @@
 #include "coursejunction/daemon/quarantine_api.hpp"
 
+#include <string>
 #include <string_view>
 
 #include <nlohmann/json.hpp>
@@ -15,8 +16,6 @@
     reply.send(status, "application/json", {}, body.dump());
 }
 
-} // namespace
-
 std::string quarantine_json(const crash_ledger& ledger, time_point now)
 {
     auto list = nlohmann::json::array();
@@ -35,6 +34,8 @@
     return list.dump();
 }
 
+} // namespace
+
 void serve_quarantine(const http_request& from, http_reply& reply,
                       const crash_ledger& ledger, const lift_callback& lift,
                       time_point now)
--- a/src/coursejunction/daemon/quarantine_api.hpp
+++ b/src/coursejunction/daemon/quarantine_api.hpp
@@ -5,8 +5,6 @@
 #define COURSEJUNCTION_DAEMON_QUARANTINE_API_HPP
 
 #include <functional>
-#include <memory>
-#include <string>
 
 #include "coursejunction/core/request_content.hpp"
 #include "coursejunction/net/http_server.hpp"
@@ -21,13 +19,10 @@
 /*! @brief Ends a quarantine; returns whether there was one. */
 using lift_callback = std::function<bool(const request_content&)>;
 
-/*! @brief Returns the requests that are quarantined or doubted, as JSON: an
- * array of `content`, `standing`, `ends` and `left_ms`. */
-[[nodiscard]] std::string quarantine_json(const crash_ledger& ledger,
-                                          time_point now);
-
-/*! @brief Answers `GET` with the list, and `DELETE` of an item by lifting it:
- * 200, 404 where there is none, 400 for what is no content. */
+/*! @brief Answers `GET` with the requests that are quarantined or doubted (an
+ * array of `content`, `standing`, `ends` and `left_ms`), and `DELETE` of an
+ * item by lifting it: 200, 404 where there is none, 400 for what is no content.
+ */
 void serve_quarantine(const http_request& from, http_reply& reply,
                       const crash_ledger& ledger, const lift_callback& lift,
                       time_point now);
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -51,6 +51,20 @@
 /*! @brief Time for a probe's connection; as that of a call. */
 constexpr milliseconds probe_time{250};
 
+/*! @brief Reads `IP:port`.
+ * @return The endpoint, or nothing for a text that is none. */
+std::optional<tcp::endpoint> endpoint_of(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    boost::system::error_code fault;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), fault);
+    if (fault || colon == std::string::npos)
+        return std::nullopt;
+    const auto port = static_cast<std::uint16_t>(
+        std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+    return tcp::endpoint(ip, port);
+}
+
 /*! @brief Tells whether the other end ended a connection. */
 bool ended_by_peer(const boost::system::error_code& fault)
 {
@@ -104,21 +118,15 @@
 
     void start()
     {
-        const auto colon = call.address.rfind(':');
-        boost::system::error_code fault;
-        const auto ip =
-            asio::ip::make_address(call.address.substr(0, colon), fault);
-        if (fault || colon == std::string::npos)
+        const auto to = endpoint_of(call.address);
+        if (!to)
             return later(stream_end::not_sent, "wrong address");
-        const auto port = static_cast<std::uint16_t>(
-            std::strtoul(call.address.c_str() + colon + 1, nullptr, 10));
         arm(clock, call.connect_time, "connection timed out");
         if (call.timeout.count() > 0)
             arm(limit, call.timeout, "call timed out");
-        socket.async_connect(
-            tcp::endpoint(ip, port),
-            [self = shared_from_this()](const boost::system::error_code& failed)
-            { self->connected(failed); });
+        socket.async_connect(*to, [self = shared_from_this()](
+                                      const boost::system::error_code& failed)
+                             { self->connected(failed); });
     }
 
     /*! @brief Ends the call and closes its connection. Where no whole answer
@@ -460,13 +468,9 @@
         tcp::socket socket;
         asio::steady_timer clock;
     };
-    const auto colon = address.rfind(':');
-    boost::system::error_code fault;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), fault);
-    if (fault || colon == std::string::npos)
-        return;
-    const auto port = static_cast<std::uint16_t>(
-        std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+    const auto to = internal::endpoint_of(address);
+    if (!to)
+        return done(false);
     const auto one = std::make_shared<attempt>(self->context);
     one->clock.expires_after(internal::probe_time);
     one->clock.async_wait(
@@ -477,7 +481,7 @@
                 one->socket.close(ignored);
         });
     one->socket.async_connect(
-        tcp::endpoint(ip, port),
+        *to,
         [one, alive = std::weak_ptr(self),
          done = std::move(done)](const boost::system::error_code& failed)
         {
--- a/src/coursejunction/proxy/crash_guard.hpp
+++ b/src/coursejunction/proxy/crash_guard.hpp
@@ -4,7 +4,6 @@
 #ifndef COURSEJUNCTION_PROXY_CRASH_GUARD_HPP
 #define COURSEJUNCTION_PROXY_CRASH_GUARD_HPP
 
-#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,9 +34,6 @@
     /*! @brief Told when other entries should hear of a record at once. */
     using news_callback = std::function<void()>;
 
-    /*! @brief Records in one heartbeat: 12 of some 90 bytes. */
-    static constexpr std::size_t most_told = 12;
-
     crash_guard(stream_client& carrier, metrics& counted,
                 quarantine_callback call)
         : client(carrier), counters(counted), quarantined(std::move(call))
@@ -120,7 +116,7 @@
     /*! @brief Returns records for other entries. */
     [[nodiscard]] std::vector<message::crash_record> told()
     {
-        return ledger.news(most_told, event_loop::now());
+        return ledger.news(crash_ledger::most_told, event_loop::now());
     }
 
     /*! @brief Ends a quarantine, here and, by the next heartbeats, everywhere.
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -126,14 +126,12 @@
     {
         client.forget(life.address);
         const auto& attempts = life.attempts;
-        std::vector<std::uint64_t> numbers;
-        for (const auto& [number, one] : open)
+        const auto lost = [&](const exchange& one)
         {
-            if (std::find(attempts.begin(), attempts.end(), one->attempt) !=
-                attempts.end())
-                numbers.push_back(number);
-        }
-        for (const auto number : numbers)
+            return std::find(attempts.begin(), attempts.end(), one.attempt) !=
+                   attempts.end();
+        };
+        for (const auto number : numbers_of(lost))
             with(number,
                  [&](exchange& one)
                  {
@@ -264,9 +262,7 @@
             return give_up(one, quarantine_reason);
         const auto left = crashes.left(one.content, now);
         exchange_log::turned_away(one, left);
-        counters.count("requests_refused_total", 1, {{"status", "503"}});
-        one.reply.send(503, Codec::refusal_headers(left), "");
-        forget(one);
+        send_refusal(one, left);
     }
 
     /*! @brief Tells whether another copy of a request is with an upstream. */
@@ -296,13 +292,9 @@
      * would show that the request does no harm. */
     void quarantined(const request_content& what)
     {
-        std::vector<std::uint64_t> numbers;
-        for (const auto& [number, one] : open)
-        {
-            if (one->in_flight && !one->progressed && one->content == what)
-                numbers.push_back(number);
-        }
-        for (const auto number : numbers)
+        const auto waits = [&](const exchange& one)
+        { return one.in_flight && !one.progressed && one.content == what; };
+        for (const auto number : numbers_of(waits))
             with(number,
                  [this](exchange& one)
                  {
@@ -358,9 +350,15 @@
 
     void refuse(exchange& one, const refuse_request& how)
     {
-        counters.count("requests_refused_total", 1, {{"status", "503"}});
         exchange_log::refused(one, how.why, how.come_back);
-        one.reply.send(503, Codec::refusal_headers(how.come_back), "");
+        send_refusal(one, how.come_back);
+    }
+
+    /*! @brief The final answer of a request that has not run. */
+    void send_refusal(exchange& one, milliseconds come_back)
+    {
+        counters.count("requests_refused_total", 1, {{"status", "503"}});
+        one.reply.send(503, Codec::refusal_headers(come_back), "");
         forget(one);
     }
 
@@ -743,6 +741,20 @@
         open.erase(one.number);
     }
 
+    /*! @brief Returns the numbers of open requests: what is done with one may
+     * end others. */
+    template <typename Predicate>
+    [[nodiscard]] std::vector<std::uint64_t> numbers_of(Predicate fits) const
+    {
+        std::vector<std::uint64_t> numbers;
+        for (const auto& [number, one] : open)
+        {
+            if (fits(*one))
+                numbers.push_back(number);
+        }
+        return numbers;
+    }
+
     template <typename Call>
     void with(std::uint64_t number, Call call)
     {
--- a/src/coursejunction/run/crash_ledger.hpp
+++ b/src/coursejunction/run/crash_ledger.hpp
@@ -97,6 +97,9 @@
 class crash_ledger
 {
 public:
+    /*! @brief Records in one datagram: 12 of some 90 bytes. */
+    static constexpr std::size_t most_told = 12;
+
     explicit crash_ledger(crash_limits set = {}) : limits(set) {}
 
     /*! @brief Notes that an upstream ended under a request, unless its answers
@@ -201,7 +204,7 @@
                                                           time_point now)
     {
         std::vector<message::crash_record> made;
-        const auto changes = changes_after(told_change);
+        const auto changes = untold();
         for (const auto& [change, what] : changes)
         {
             if (made.size() >= most)
@@ -332,15 +335,14 @@
         records.erase(first);
     }
 
-    [[nodiscard]] std::map<std::uint64_t, request_content>
-    changes_after(std::uint64_t change) const
+    [[nodiscard]] std::map<std::uint64_t, request_content> untold() const
     {
         std::map<std::uint64_t, request_content> found;
-        if (change == last_change)
+        if (!changed_since_told())
             return found;
         for (const auto& [what, one] : records)
         {
-            if (one.change > change)
+            if (one.change > told_change)
                 found.emplace(one.change, what);
         }
         return found;
--- a/tests/net/crashing_peer.hpp
+++ b/tests/net/crashing_peer.hpp
@@ -4,15 +4,15 @@
 #ifndef COURSEJUNCTION_TESTS_NET_CRASHING_PEER_HPP
 #define COURSEJUNCTION_TESTS_NET_CRASHING_PEER_HPP
 
-#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
-#include <stdexcept>
 #include <string>
 #include <thread>
 
+#include "net/loopback.hpp"
+
 namespace loopback
 {
 
@@ -21,19 +21,7 @@
 class crashing_peer
 {
 public:
-    crashing_peer() : file(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in at{};
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (::bind(file, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
-            ::listen(file, 8) != 0)
-            throw std::runtime_error("cannot listen on loopback");
-        socklen_t size = sizeof at;
-        ::getsockname(file, reinterpret_cast<sockaddr*>(&at), &size);
-        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
-        thread = std::thread([this] { run(); });
-    }
+    crashing_peer() : crashing_peer(listening_port()) {}
 
     ~crashing_peer()
     {
@@ -50,6 +38,12 @@
     std::string address;
 
 private:
+    explicit crashing_peer(const listening_port& port)
+        : address(port.address), file(port.file)
+    {
+        thread = std::thread([this] { run(); });
+    }
+
     void run()
     {
         const int caller = ::accept(file, nullptr, nullptr);
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -97,17 +97,10 @@
     std::string taken;
 };
 
-/*! @brief Accepts connections and answers each with the next given bytes, the
- * last ones for all further. */
-class scripted_peer
+/*! @brief A port of 127.0.0.1 that listens. */
+struct listening_port
 {
-public:
-    /*! @brief Given in place of bytes: holds the connection until the other
-     * end closes it. */
-    static constexpr const char* hang = "hang";
-
-    explicit scripted_peer(std::vector<std::string> given)
-        : answers(std::move(given)), file(::socket(AF_INET, SOCK_STREAM, 0))
+    listening_port() : file(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in at{};
         at.sin_family = AF_INET;
@@ -118,7 +111,24 @@
         socklen_t size = sizeof at;
         ::getsockname(file, reinterpret_cast<sockaddr*>(&at), &size);
         address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
-        thread = std::thread([this] { run(); });
+    }
+
+    int file; /*!< Closed by whoever accepts on it. */
+    std::string address;
+};
+
+/*! @brief Accepts connections and answers each with the next given bytes, the
+ * last ones for all further. */
+class scripted_peer
+{
+public:
+    /*! @brief Given in place of bytes: holds the connection until the other
+     * end closes it. */
+    static constexpr const char* hang = "hang";
+
+    explicit scripted_peer(std::vector<std::string> given)
+        : scripted_peer(std::move(given), listening_port())
+    {
     }
 
     ~scripted_peer()
@@ -143,6 +153,12 @@
     std::atomic<bool> reset_by_caller{false}; /*!< Set before the other. */
 
 private:
+    scripted_peer(std::vector<std::string> given, const listening_port& port)
+        : address(port.address), answers(std::move(given)), file(port.file)
+    {
+        thread = std::thread([this] { run(); });
+    }
+
     void run()
     {
         for (std::size_t turn = 0; !answers.empty();)
