A request that crashes upstreams is told from what was near; one trial follows three ends

Cause: each end counted alike, and three of them locked a content away for ten minutes. A request that is moved from one killed engine to the next, and the content that all callers ask for, had their three as soon as the one that did it. Attempts that were taken back for silence accused nobody, so that four engines more ended. At the own interface an engine that already loads again did not count as ended. Change: an end weighs by what the run was doing (answer begun 1, nothing yet 2, of six); a quarantine lasts 5 s, then one entry, by rendezvous, runs one copy as a trial: three answers clear the content at all entries, an end there keeps it away for ten minutes. Each answer admits one copy more of what is doubted. Requests that may have ended an upstream go to different ones. Silent and withdrawn attempts wait for proof (address refuses, another one has the address, a later life); a record that is gone proves nothing against what only was silent. Own interface: copies of what is doubted wait for each other there too. Found by it: the codec refused a list of small structs at the end of a message (32 bytes each were taken as the least): no entry heard of ends any more, and a side that tells chunks of a model with a name of up to three letters would not be heard. Properties of both heartbeats now read them back.

--- a/src/coursejunction/daemon/internal/crash_gossip.hpp
+++ b/src/coursejunction/daemon/internal/crash_gossip.hpp
@@ -5,6 +5,7 @@
 #ifndef COURSEJUNCTION_DAEMON_INTERNAL_CRASH_GOSSIP_HPP
 #define COURSEJUNCTION_DAEMON_INTERNAL_CRASH_GOSSIP_HPP
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
@@ -34,10 +35,18 @@
 
     [[nodiscard]] const crash_ledger& records() const { return ledger; }
 
-    [[nodiscard]] bool quarantined(const request_content& what,
-                                   time_point now) const
+    [[nodiscard]] crash_standing standing(const request_content& what,
+                                          time_point now) const
     {
-        return ledger.standing(what, now) == crash_standing::quarantined;
+        return ledger.standing(what, now);
+    }
+
+    /*! @brief Returns how many copies of a request may run at once.
+     * @param tries_it Whether trials of it are this process's. */
+    [[nodiscard]] std::size_t most_running(const request_content& what,
+                                           bool tries_it, time_point now) const
+    {
+        return ledger.most_running(what, tries_it, now);
     }
 
     /*! @brief An upstream ended under some requests. */
@@ -45,7 +54,7 @@
     {
         for (const auto& one : accused)
         {
-            if (ledger.accuse(one.content, one.end, now))
+            if (ledger.accuse(one.content, one.end, one.evidence, now))
                 note(one.content);
         }
         announce(now);
@@ -87,7 +96,7 @@
     {
         ledger.expire(now);
         counters.set("requests_quarantined",
-                     static_cast<double>(ledger.quarantined(now)));
+                     static_cast<double>(ledger.suspected()));
         const auto told = ledger.news(crash_ledger::most_told, now);
         if (!told.empty())
             tell(told);
--- a/src/coursejunction/daemon/quarantine_api.cpp
+++ b/src/coursejunction/daemon/quarantine_api.cpp
@@ -16,6 +16,22 @@
     reply.send(status, "application/json", {}, body.dump());
 }
 
+std::string_view standing_name(crash_standing what)
+{
+    switch (what)
+    {
+    case crash_standing::clear:
+        return "clear";
+    case crash_standing::doubted:
+        return "doubted";
+    case crash_standing::on_trial:
+        return "on trial";
+    case crash_standing::quarantined:
+        break;
+    }
+    return "quarantined";
+}
+
 std::string quarantine_json(const crash_ledger& ledger, time_point now)
 {
     auto list = nlohmann::json::array();
@@ -24,12 +40,10 @@
         const auto standing = ledger.standing(what, now);
         if (standing == crash_standing::clear)
             continue;
-        const bool held = standing == crash_standing::quarantined;
-        list.push_back(
-            {{"content", what.hex()},
-             {"standing", held ? "quarantined" : "doubted"},
-             {"ends", one.count()},
-             {"left_ms", held ? ledger.left(what, now).count() : 0}});
+        list.push_back({{"content", what.hex()},
+                        {"standing", std::string(standing_name(standing))},
+                        {"ends", one.count()},
+                        {"left_ms", ledger.left(what, now).count()}});
     }
     return list.dump();
 }
--- a/src/coursejunction/daemon/quarantine_api.hpp
+++ b/src/coursejunction/daemon/quarantine_api.hpp
@@ -19,9 +19,10 @@
 /*! @brief Ends a quarantine; returns whether there was one. */
 using lift_callback = std::function<bool(const request_content&)>;
 
-/*! @brief Answers `GET` with the requests that are quarantined or doubted (an
- * array of `content`, `standing`, `ends` and `left_ms`), and `DELETE` of an
- * item by lifting it: 200, 404 where there is none, 400 for what is no content.
+/*! @brief Answers `GET` with the requests that are quarantined, on trial or
+ * doubted (an array of `content`, `standing`, `ends` and `left_ms`), and
+ * `DELETE` of an item by lifting it: 200, 404 where there is none, 400 for what
+ * is no content.
  */
 void serve_quarantine(const http_request& from, http_reply& reply,
                       const crash_ledger& ledger, const lift_callback& lift,
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <map>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
 #include "coursejunction/core/log.hpp"
+#include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/daemon/entry_request.hpp"
 #include "coursejunction/daemon/internal/caller_answers.hpp"
 #include "coursejunction/daemon/internal/live_request.hpp"
@@ -25,9 +28,18 @@
 /*! @brief Bytes of an answer that is gathered before it is given. */
 constexpr std::size_t max_whole_answer = std::size_t{32} << 20U;
 
-/*! @brief Status of a request that is quarantined: asking again is no use. */
+/*! @brief Status of a request that is quarantined: asking again is no use
+ * before the time that goes with it. */
 constexpr int quarantined_status = 422;
 
+/*! @brief Another copy of a request that is doubted waits so long for the one
+ * that runs; as at the entries of the platform. */
+constexpr milliseconds doubt_wait{250};
+
+/*! @brief A caller whose request is on trial comes back after so long; as at
+ * the entries of the platform. */
+constexpr milliseconds trial_time{1000};
+
 /*! @brief When to come back if nobody serves the model. */
 constexpr milliseconds no_upstream_retry{1000};
 
@@ -99,8 +111,8 @@
     /*! @brief Dispatches a request, queues it, or refuses it at once. */
     void place(const pointer& one)
     {
-        if (host.crashes().quarantined(one->content, now()))
-            return turn_away(one);
+        if (kept_from_upstreams(one))
+            return;
         // A queue is made only for what is served: names come from outside.
         if (!upstreams.served(one->route, now()))
             return give_up(one, unserved_status(*one),
@@ -127,7 +139,72 @@
         host.counters().count("requests_queued_total");
     }
 
-    /*! @brief Three upstreams ended under a request: its final answer. */
+    /*! @brief Upstreams that end under a request get few copies of it.
+     * @return Whether it was answered or waits for a copy that runs. */
+    bool kept_from_upstreams(const pointer& one)
+    {
+        const auto standing = host.crashes().standing(one->content, now());
+        if (standing == crash_standing::clear)
+            return false;
+        const bool trial = standing == crash_standing::on_trial;
+        const auto most = host.crashes().most_running(
+            one->content, trial && owns_trials(one->content), now());
+        // A trial is one attempt: that it failed may be all it was to show.
+        if (most == 0 || (trial && one->maybe_ran))
+            turn_away(one);
+        else if (copies_running(*one) < most)
+            return false;
+        else if (now() - one->arrived < internal::doubt_wait || one->maybe_ran)
+            held.push_back(one->stream);
+        else
+            give_up(one, 503, "another copy of the request runs",
+                    internal::doubt_wait);
+        return true;
+    }
+
+    /*! @brief All entries agree on the one that runs the trials of a request,
+     * by a rendezvous among those that are usable. */
+    [[nodiscard]] bool owns_trials(const request_content& what) const
+    {
+        const auto& members = host.members();
+        std::vector<instance_id> entries;
+        for (const auto& [id, one] : members.all())
+        {
+            if (one.kind == role::entry && members.usable(id, now()))
+                entries.push_back(id);
+        }
+        const auto first = rendezvous_rank(what.hex(), entries, 1);
+        return !first.empty() && first.front() == host.settings().instance;
+    }
+
+    [[nodiscard]] std::size_t copies_running(const live_request& one) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            live.begin(), live.end(),
+            [&](const auto& other)
+            {
+                return other.first != one.stream && other.second->running &&
+                       other.second->content == one.content;
+            }));
+    }
+
+    /*! @brief Looks again at requests that wait for a copy of theirs. */
+    void release_held()
+    {
+        for (const auto stream : std::exchange(held, {}))
+        {
+            const auto found = live.find(stream);
+            if (found == live.end())
+                continue;
+            const auto one = found->second;
+            if (one->deadline <= now())
+                give_up(one, 504, "the deadline has passed", milliseconds(0));
+            else
+                retry(one);
+        }
+    }
+
+    /*! @brief Enough upstreams ended under a request: its final answer. */
     void turn_away(const pointer& one)
     {
         host.counters().count("requests_turned_away_total");
@@ -135,7 +212,8 @@
                                              {"content", one->content.hex()}});
         give_up(one, internal::quarantined_status,
                 "the request is quarantined: upstreams ended under it",
-                milliseconds(0));
+                std::max(host.crashes().records().left(one->content, now()),
+                         internal::trial_time));
     }
 
     int unserved_status(const live_request& one) const
@@ -171,10 +249,9 @@
                 return true;
             }
             const auto one = found->second;
-            if (host.crashes().quarantined(one->content, now()))
+            if (kept_from_upstreams(one))
             {
                 queue.pop(organisation);
-                turn_away(one);
                 return true;
             }
             const auto to = upstreams.choose(one->route, now());
@@ -329,8 +406,8 @@
      * gone by the time there is room. */
     void retry(const pointer& one)
     {
-        if (host.crashes().quarantined(one->content, now()))
-            return turn_away(one);
+        if (kept_from_upstreams(one))
+            return;
         if (const auto to = upstreams.choose(one->route, now()))
             return dispatch(one, *to);
         if (one->begun)
@@ -405,6 +482,7 @@
         }
         if (now() - deadlines_checked > deadline_interval)
             check_deadlines();
+        release_held();
         pump();
     }
 
@@ -450,6 +528,7 @@
     internal::service_times<queue_key> times;
     std::map<queue_key, fair_queue> queues;
     std::unordered_map<std::uint64_t, pointer> live;
+    std::vector<std::uint64_t> held; /*!< They wait for a copy of theirs. */
     std::uint64_t streams{0};
     time_point deadlines_checked{};
 };
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -65,6 +65,7 @@
         std::string kept;
         http_client::call_id call{0};
         std::uint32_t parts{0};
+        bool trial{false};
         bool claiming{false};
         bool orphan{false};
         bool mixed{false};
@@ -92,6 +93,8 @@
         auto one = std::make_shared<run>();
         one->from = from;
         one->content = request_content::of(ask.organisation, ask.path, body);
+        one->trial = host.crashes().standing(one->content, now()) ==
+                     crash_standing::on_trial;
         one->body = std::move(body);
         one->began = now();
         const auto why = refused(ask);
@@ -300,8 +303,9 @@
             return unreached(one);
         if (done.reach == http_reach::interrupted)
         {
+            const bool served = !one->expected.empty() && gate.open();
             gate.doubt();
-            look_for_end(*one);
+            look_for_end(*one, served);
             return finish(one, outcome::unknown, 502,
                           "the upstream broke off: " + done.fault);
         }
@@ -328,40 +332,51 @@
 
     /*! @brief A run broke off. Whether its upstream ended is asked there: it
      * did when nobody listens any more, or when it serves nothing where it
-     * served weights. */
-    void look_for_end(const run& one)
+     * served weights.
+     * @param served Whether it served until then. The order to load again goes
+     * out at once; without it, an upstream that already loads was ordered to
+     * while the run was under way, and may have cut it. */
+    void look_for_end(const run& one, bool served)
     {
         const instance_id life(host.settings().instance.value() + "/" +
                                std::to_string(host.incarnation()));
         const auto end = crash_of(life, incarnation(ends + 1));
-        if (!witness.lost(host.settings().instance, end, one.content, now()))
+        const auto evidence = one.trial       ? end_evidence::trial
+                              : one.parts > 0 ? end_evidence::answering
+                                              : end_evidence::beginning;
+        if (!witness.lost({host.settings().instance,
+                           upstream.url(),
+                           {one.content, end, evidence}},
+                          now()))
             return;
         http_call call;
         call.url = upstream.url() + "/v1/state";
         call.timeout = internal::end_timeout;
-        host.http().start(
-            std::move(call),
-            [this, engine = !one.expected.empty()](const http_result& done)
-            {
-                if (has_ended(done, engine))
-                    upstream_ended();
-            });
+        host.http().start(std::move(call),
+                          [this, engine = !one.expected.empty(),
+                           served](const http_result& done)
+                          {
+                              if (has_ended(done, engine, served))
+                                  upstream_ended();
+                          });
     }
 
-    [[nodiscard]] static bool has_ended(const http_result& done, bool engine)
+    [[nodiscard]] static bool has_ended(const http_result& done, bool engine,
+                                        bool served)
     {
         if (done.reach == http_reach::not_sent)
             return true;
         const auto body = nlohmann::json::parse(done.body, nullptr, false);
         return engine && done.ok() && body.is_object() &&
                body.value("serving", "").empty() &&
-               !body.value("loading", false);
+               (served || !body.value("loading", false));
     }
 
     void upstream_ended()
     {
         ++ends;
-        const auto accused = witness.ended(host.settings().instance, now());
+        const auto accused =
+            witness.ended(host.settings().instance, end_proof::seen, now());
         host.counters().count("upstreams_ended_under_requests_total");
         log::warning("upstream_ended",
                      {{"requests", std::to_string(accused.size())}});
--- /dev/null
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -0,0 +1,167 @@
+#include "coursejunction/proxy/crash_guard.hpp"
+
+#include <utility>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/net/event_loop.hpp"
+
+namespace coursejunction
+{
+
+crash_guard::crash_guard(stream_client& carrier, metrics& counted,
+                         quarantine_callback call)
+    : client(carrier), counters(counted), quarantined(std::move(call))
+{
+}
+
+void crash_guard::on_news(news_callback call)
+{
+    news = std::move(call);
+}
+
+void crash_guard::owns_trials(trial_owner call)
+{
+    owns = std::move(call);
+}
+
+crash_standing crash_guard::standing(const request_content& what,
+                                     time_point now) const
+{
+    return ledger.standing(what, now);
+}
+
+std::size_t crash_guard::most_running(const request_content& what,
+                                      time_point now) const
+{
+    const bool tries_it =
+        ledger.standing(what, now) == crash_standing::on_trial &&
+        (!owns || owns(what));
+    return ledger.most_running(what, tries_it, now);
+}
+
+bool crash_guard::suspect(const request_content& what, time_point now) const
+{
+    return ledger.standing(what, now) != crash_standing::clear ||
+           witness.waits(what, now);
+}
+
+milliseconds crash_guard::left(const request_content& what,
+                               time_point now) const
+{
+    return ledger.left(what, now);
+}
+
+void crash_guard::lost(lost_attempt one, time_point now)
+{
+    const auto upstream = one.upstream;
+    const auto address = one.address;
+    if (witness.lost(std::move(one), now))
+        look_at(upstream, address);
+}
+
+void crash_guard::ended(const instance_id& upstream, const std::string& why)
+{
+    accuse(witness.ended(upstream, end_proof::seen, event_loop::now()),
+           upstream, why);
+}
+
+void crash_guard::record_gone(const instance_id& upstream)
+{
+    accuse(witness.ended(upstream, end_proof::record_gone, event_loop::now()),
+           upstream, "its record is gone");
+    if (const auto address = witness.address_of(upstream))
+        look_at(upstream, *address);
+}
+
+void crash_guard::address_taken(const instance_id& by,
+                                const std::string& address)
+{
+    while (const auto other = witness.before(by, address))
+        ended(*other, "its address belongs to another one");
+}
+
+void crash_guard::look_at(const instance_id& upstream,
+                          const std::string& address)
+{
+    client.probe(address,
+                 [this, upstream](bool refused)
+                 {
+                     if (refused)
+                         ended(upstream, "its address refuses connections");
+                 });
+}
+
+void crash_guard::accuse(const std::vector<crash_accusation>& accused,
+                         const instance_id& upstream, const std::string& why)
+{
+    if (accused.empty())
+        return;
+    const auto now = event_loop::now();
+    counters.count("upstreams_ended_under_requests_total");
+    log::warning("upstream_ended",
+                 {{"upstream", upstream.value()},
+                  {"why", why},
+                  {"requests", std::to_string(accused.size())}});
+    for (const auto& one : accused)
+    {
+        if (ledger.accuse(one.content, one.end, one.evidence, now))
+            note_quarantine(one.content, "upstreams ended under it here");
+    }
+    if (news)
+        news();
+}
+
+void crash_guard::answered(const request_content& what)
+{
+    if (!ledger.answered(what, event_loop::now()))
+        return;
+    log::state("request_cleared", {{"content", what.hex()}});
+    if (news)
+        news();
+}
+
+void crash_guard::take(const std::vector<message::crash_record>& told,
+                       const std::string& from)
+{
+    const auto now = event_loop::now();
+    for (const auto& one : told)
+    {
+        if (ledger.merge(one, now))
+            note_quarantine(one.content, "told by " + from);
+    }
+}
+
+std::vector<message::crash_record> crash_guard::told()
+{
+    return ledger.news(crash_ledger::most_told, event_loop::now());
+}
+
+bool crash_guard::lift(const request_content& what)
+{
+    if (!ledger.lift(what, event_loop::now()))
+        return false;
+    log::state("quarantine_lifted", {{"content", what.hex()}});
+    if (news)
+        news();
+    return true;
+}
+
+void crash_guard::tick(time_point now)
+{
+    ledger.expire(now);
+    counters.set("requests_quarantined",
+                 static_cast<double>(ledger.suspected()));
+    counters.set("request_crash_records",
+                 static_cast<double>(ledger.all().size()));
+}
+
+void crash_guard::note_quarantine(const request_content& what,
+                                  const std::string& why)
+{
+    counters.count("quarantines_total");
+    log::warning("request_quarantined",
+                 {{"content", what.hex()}, {"why", why}});
+    quarantined(what);
+}
+
+} // namespace coursejunction
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -61,6 +61,7 @@
     timer silence;
     bool progressed{false};
     bool in_flight{false}; /*!< An attempt is with an upstream. */
+    bool trial{false};     /*!< It shows whether its content ends upstreams. */
 
     // An upstream's own failure, passed on when no other attempt is left.
     std::optional<stream_head> own_failure;
--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -18,6 +18,9 @@
      * at a time here, and another copy waits so long for that run. Where
      * upstreams ended, first events were predicted after 165 to 273 ms. */
     milliseconds doubt_wait{250};
+    /*! @brief A caller whose request is on trial comes back after so long: the
+     * trial's answer takes 0.4 to 0.9 s. */
+    milliseconds trial_time{1000};
     /*! @brief How often waiting requests are looked at. */
     milliseconds tick{15};
     /*! @brief A first event later than this many times its prediction, plus
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -136,8 +136,9 @@
                  [&](exchange& one)
                  {
                      client.cancel(one.call);
-                     crashes.lost(life.upstream, life.life, life.address,
-                                  one.content, event_loop::now());
+                     crashes.lost(
+                         lost_attempt_of(one, life.life, attempt_loss::closed),
+                         event_loop::now());
                      failed(one, attempt_reach::may_have_run,
                             "upstream has started again");
                  });
@@ -237,11 +238,8 @@
         // After a suspension its time may have run out before its timer has.
         if (now >= one.ends)
             return limit_reached(one.number);
-        const auto standing = crashes.standing(one.content, now);
-        if (standing == crash_standing::quarantined)
-            return turn_away(one, now);
-        if (standing == crash_standing::doubted && runs_elsewhere(one))
-            return wait_for_run(one, now);
+        if (!may_run_beside_copies(one, now))
+            return;
         const auto what =
             decisions.decide(profile_of(one), placement_of(one, now), now);
         if (const auto* to = std::get_if<send_to>(&what))
@@ -253,28 +251,69 @@
         refuse(one, std::get<refuse_request>(what));
     }
 
-    /*! @brief Three upstreams ended under a request, whoever sent it on. Sent
-     * on without an end, one request ended 47 upstreams in 16 s. */
+    /*! @brief Upstreams that end under a request get few copies of it. Sent on
+     * without an end, one request ended 47 upstreams in 16 s.
+     * @return Whether it may be placed now; otherwise it waits or is answered.
+     */
+    bool may_run_beside_copies(exchange& one, time_point now)
+    {
+        const auto standing = crashes.standing(one.content, now);
+        one.trial = standing == crash_standing::on_trial;
+        if (standing == crash_standing::clear)
+            return true;
+        const auto most = crashes.most_running(one.content, now);
+        // A trial is one attempt: that it failed may be all it was to show.
+        if (most == 0 || (one.trial && one.runs > 0))
+        {
+            turn_away(one, now);
+            return false;
+        }
+        if (copies_running(one) < most)
+            return true;
+        wait_for_run(one, now);
+        return false;
+    }
+
+    /*! @brief Enough upstreams ended under a request, whoever sent it on. */
     void turn_away(exchange& one, time_point now)
     {
         counters.count("requests_turned_away_total");
         if (one.runs > 0)
             return give_up(one, quarantine_reason);
-        const auto left = crashes.left(one.content, now);
+        const auto left =
+            std::max(crashes.left(one.content, now), options.trial_time);
         exchange_log::turned_away(one, left);
         send_refusal(one, left);
     }
 
-    /*! @brief Tells whether another copy of a request is with an upstream. */
-    [[nodiscard]] bool runs_elsewhere(const exchange& one) const
+    /*! @brief Returns how many other copies of a request are with upstreams. */
+    [[nodiscard]] std::size_t copies_running(const exchange& one) const
     {
-        return std::any_of(open.begin(), open.end(),
-                           [&](const auto& other)
-                           {
-                               return other.first != one.number &&
-                                      other.second->in_flight &&
-                                      other.second->content == one.content;
-                           });
+        return static_cast<std::size_t>(std::count_if(
+            open.begin(), open.end(),
+            [&](const auto& other)
+            {
+                return other.first != one.number && other.second->in_flight &&
+                       other.second->content == one.content;
+            }));
+    }
+
+    /*! @brief Returns the upstreams of requests that may be what ended one. The
+     * next end then tells which of them it was: together they would all lose
+     * a second upstream, as eight requests of a crash did within 0.15 s. */
+    [[nodiscard]] std::vector<instance_id> with_suspects(const exchange& one,
+                                                         time_point now) const
+    {
+        std::vector<instance_id> found;
+        if (!crashes.suspect(one.content, now))
+            return found;
+        for (const auto& [number, other] : open)
+        {
+            if (number != one.number && other->in_flight &&
+                crashes.suspect(other->content, now))
+                found.push_back(other->at.upstream);
+        }
+        return found;
     }
 
     /*! @brief Copies of a request that is doubted run one after the other:
@@ -326,6 +365,7 @@
         wanted.ends = one.ends;
         wanted.must = one.streaming;
         wanted.excluded = one.tried;
+        wanted.apart = with_suspects(one, now);
         wanted.again = one.answered_failure;
         if (!one.asked.model.empty())
             wanted.least_version = floor.least(one.asked.model, now);
@@ -440,6 +480,7 @@
                      [&](exchange& found)
                      {
                          client.cancel(found.call);
+                         note_lost(found, attempt_loss::silent);
                          failed(found, attempt_reach::may_have_run,
                                 "upstream is silent");
                      });
@@ -521,7 +562,7 @@
     void got_end(exchange& one, stream_end how, const std::string& why)
     {
         if (how == stream_end::closed)
-            closed(one);
+            note_lost(one, attempt_loss::closed);
         if (how != stream_end::whole)
             return failed(one,
                           how == stream_end::not_sent
@@ -541,15 +582,27 @@
         answered(one);
     }
 
-    /*! @brief The upstream ended the connection. One that is leaving may. */
-    void closed(const exchange& one)
+    /*! @brief An attempt was lost. An upstream that is leaving may end. */
+    void note_lost(const exchange& one, attempt_loss how)
     {
         const auto* known = book.find(one.at.upstream);
         if (known != nullptr && known->record.leaving)
             return;
-        crashes.lost(one.at.upstream,
-                     known != nullptr ? known->life : incarnation{},
-                     one.at.address, one.content, event_loop::now());
+        const auto life = known != nullptr ? known->life : incarnation{};
+        crashes.lost(lost_attempt_of(one, life, how), event_loop::now());
+    }
+
+    /*! @param life Of the upstream, as it is known. */
+    [[nodiscard]] static lost_attempt lost_attempt_of(const exchange& one,
+                                                      const incarnation& life,
+                                                      attempt_loss how)
+    {
+        const auto evidence = one.trial        ? end_evidence::trial
+                              : one.progressed ? end_evidence::answering
+                                               : end_evidence::beginning;
+        const auto end = crash_of(one.at.upstream, life);
+        return {
+            one.at.upstream, one.at.address, {one.content, end, evidence}, how};
     }
 
     void finish_stream(exchange& one)
@@ -697,7 +750,8 @@
     {
         if (one.attempt == 0)
             return;
-        one.in_flight = false;
+        if (std::exchange(one.in_flight, false))
+            note_lost(one, attempt_loss::withdrawn);
         client.cancel(one.call);
         book.withdraw(one.at.upstream, one.attempt);
     }
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "coursejunction/core/log.hpp"
+#include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/fleet/fleet_node.hpp"
 #include "coursejunction/fleet/fleet_view.hpp"
 #include "coursejunction/net/event_loop.hpp"
@@ -74,6 +75,8 @@
         { describe(into); };
         hooks.crashes = [this] { return exchanges.crashing().told(); };
         exchanges.crashing().on_news([this] { node.announce_crashes(); });
+        exchanges.crashing().owns_trials([this](const request_content& what)
+                                         { return owns_trials(what); });
         node.start(std::move(hooks));
         ticking = loop.every(tick_interval, [this] { tick(); });
     }
@@ -216,12 +219,13 @@
         const auto* known = book.find(one.id);
         const bool expected = known == nullptr || known->record.leaving;
         if (!expected && !lapse && !one.malformed)
-            exchanges.crashing().ended(one.id, "its record is gone");
+            exchanges.crashing().record_gone(one.id);
         book.remove(one.id, lapse && !one.malformed, now);
     }
 
     void take_record(const upstream_record& one)
     {
+        exchanges.crashing().address_taken(one.id, one.address);
         if (const auto ended = book.record(one))
             exchanges.life_ended(*ended);
     }
@@ -266,6 +270,23 @@
             exchanges.tick();
     }
 
+    /*! @brief All entries agree on the one that runs the trials of a request,
+     * by a rendezvous among those that live. */
+    [[nodiscard]] bool owns_trials(const request_content& what) const
+    {
+        const auto now = event_loop::now();
+        const auto key = what.hex();
+        const auto own = rendezvous_weight(key, node.settings().address);
+        for (const auto& [address, one] : node.peers().all())
+        {
+            if (one.entry && !one.last.leaving &&
+                peer_directory::alive(one, now) &&
+                rendezvous_weight(key, address) > own)
+                return false;
+        }
+        return !leaving;
+    }
+
     /*! @brief Adds what this entry's callers ask to a heartbeat. */
     void describe(message::fleet_heartbeat& into) const
     {
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -65,6 +65,7 @@
     admission_limits limits;
     bool must{false}; /*!< A stream that goes on: late is better than never. */
     std::vector<instance_id> excluded;
+    std::vector<instance_id> apart; /*!< Used only where no other one fits. */
     /*! @brief The last attempt was answered with the upstream's own failure:
      * where nothing else is usable, an excluded one may take it again. */
     bool again{false};
@@ -85,6 +86,16 @@
            const placement_request& request, time_point now,
            no_placement& why) const
     {
+        if (!request.apart.empty())
+        {
+            auto others = request;
+            others.apart.clear();
+            others.again = false;
+            others.excluded.insert(others.excluded.end(), request.apart.begin(),
+                                   request.apart.end());
+            if (auto found = choose(book, service, others, now, why))
+                return found;
+        }
         std::optional<upstream_choice> best;
         double least_cost = 0;
         why = {};
--- /dev/null
+++ b/src/coursejunction/run/crash_ledger.cpp
@@ -0,0 +1,337 @@
+#include "coursejunction/run/crash_ledger.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace coursejunction
+{
+
+namespace
+{
+
+/*! @brief Ends kept of a record: as many as quarantine it, and those that came
+ * while all entries heard of them. */
+constexpr std::size_t most_ends = 8;
+
+/*! @brief Ages grow by the way that a record takes; one that is later by less
+ * is the same. */
+constexpr milliseconds age_error{1000};
+
+/*! @brief What changed is told again for so long: datagrams get lost, and
+ * entries of other halls hear each second heartbeat only. */
+constexpr milliseconds repeated{3000};
+
+/*! @brief Reads evidence as it is told; what a later version may add says no
+ * less than all that is known here. */
+end_evidence evidence_of(std::uint8_t told)
+{
+    constexpr auto most = static_cast<std::uint8_t>(end_evidence::trial);
+    return static_cast<end_evidence>(std::min(told, most));
+}
+
+/*! @brief Makes room for an end. What is cleared goes first; then, for a
+ * trial's end, one that says least.
+ * @return Whether there is room. */
+bool make_room(crash_entry& one, end_evidence evidence)
+{
+    if (one.crashes.size() < most_ends)
+        return true;
+    for (const auto& past : one.cleared)
+        one.crashes.erase(past);
+    one.cleared.clear();
+    if (one.crashes.size() < most_ends)
+        return true;
+    if (evidence != end_evidence::trial)
+        return false;
+    const auto least = std::min_element(one.crashes.begin(), one.crashes.end(),
+                                        [](const auto& left, const auto& right)
+                                        { return left.second < right.second; });
+    one.crashes.erase(least);
+    return true;
+}
+
+/*! @brief Adds an end, or what is newly known of it.
+ * @return Whether that changed the record. */
+bool insert(crash_entry& one, const crash_id& end, end_evidence evidence)
+{
+    const auto found = one.crashes.find(end);
+    if (found != one.crashes.end())
+    {
+        if (found->second >= evidence)
+            return false;
+        found->second = evidence;
+        return true;
+    }
+    if (!make_room(one, evidence))
+        return false;
+    one.crashes.emplace(end, evidence);
+    one.passed = 0;
+    return true;
+}
+
+message::crash_record record_of(const request_content& what,
+                                const crash_entry& one, time_point now)
+{
+    message::crash_record made;
+    made.content = what;
+    for (const auto& [end, evidence] : one.crashes)
+        made.crashes.push_back(
+            {end.value(), static_cast<std::uint8_t>(evidence)});
+    for (const auto& end : one.cleared)
+        made.cleared.push_back(end.value());
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - one.last).count();
+    made.age_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
+    return made;
+}
+
+} // namespace
+
+bool crash_ledger::accuse(const request_content& what, const crash_id& end,
+                          end_evidence evidence, time_point now)
+{
+    if (answers.count(what, now) >= limits.answers_per_end)
+    {
+        answers.spend(what, limits.answers_per_end);
+        return false;
+    }
+    auto& one = found_or_made(what, now);
+    const bool before = quarantined(one, now);
+    // After an answer it is no longer the only copy that runs.
+    if (evidence == end_evidence::trial && one.passed > 0)
+        evidence = end_evidence::beginning;
+    if (!insert(one, end, evidence))
+        return false;
+    one.last = now;
+    changed(one, now);
+    return !before && quarantined(one, now);
+}
+
+bool crash_ledger::answered(const request_content& what, time_point now)
+{
+    answers.note(what, now);
+    const auto found = records.find(what);
+    if (found == records.end())
+        return false;
+    auto& one = found->second;
+    ++one.passed;
+    if (standing(what, now) == crash_standing::on_trial &&
+        one.passed >= limits.trial_answers)
+        return lift(what, now);
+    return speaks_for(what, one, now);
+}
+
+bool crash_ledger::lift(const request_content& what, time_point now)
+{
+    const auto found = records.find(what);
+    if (found == records.end() || found->second.count() == 0)
+        return false;
+    for (const auto& [end, evidence] : found->second.crashes)
+        found->second.cleared.insert(end);
+    changed(found->second, now);
+    return true;
+}
+
+crash_standing crash_ledger::standing(const request_content& what,
+                                      time_point now) const
+{
+    const auto found = records.find(what);
+    if (found == records.end() || found->second.count() == 0)
+        return crash_standing::clear;
+    if (!suspected(found->second))
+        return crash_standing::doubted;
+    return quarantined(found->second, now) ? crash_standing::quarantined
+                                           : crash_standing::on_trial;
+}
+
+std::size_t crash_ledger::most_running(const request_content& what,
+                                       bool tries_it, time_point now) const
+{
+    switch (standing(what, now))
+    {
+    case crash_standing::clear:
+        return std::numeric_limits<std::size_t>::max();
+    case crash_standing::quarantined:
+        return 0;
+    case crash_standing::on_trial:
+        return tries_it ? 1 + records.at(what).passed : 0;
+    case crash_standing::doubted:
+        break;
+    }
+    return 1 + records.at(what).passed;
+}
+
+milliseconds crash_ledger::left(const request_content& what,
+                                time_point now) const
+{
+    const auto found = records.find(what);
+    if (found == records.end() || !quarantined(found->second, now))
+        return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(found->second.last +
+                                                    lasts(found->second) - now);
+}
+
+bool crash_ledger::merge(const message::crash_record& told, time_point now)
+{
+    const auto at = now - milliseconds(told.age_ms);
+    if (told.crashes.empty() || now - at >= limits.memory)
+        return false;
+    auto& one = found_or_made(told.content, at);
+    const bool before = quarantined(one, now);
+    bool news = false;
+    for (const auto& end : told.crashes)
+        news = insert(one, crash_id(end.id), evidence_of(end.evidence)) || news;
+    for (const auto end : told.cleared)
+    {
+        if (one.crashes.contains(crash_id(end)))
+            news = one.cleared.insert(crash_id(end)).second || news;
+    }
+    if (at > one.last + age_error)
+    {
+        one.last = at;
+        news = true;
+    }
+    if (news)
+        changed(one, now);
+    if (speaks_for(told.content, one, now))
+        return false;
+    return !before && quarantined(one, now);
+}
+
+std::vector<message::crash_record> crash_ledger::news(std::size_t most,
+                                                      time_point now)
+{
+    std::vector<message::crash_record> made;
+    const auto changes = untold();
+    for (const auto& [change, what] : changes)
+    {
+        if (made.size() >= most)
+            break;
+        made.push_back(record_of(what, records.at(what), now));
+        told_change = change;
+    }
+    // What was dropped meanwhile is told by nobody.
+    if (made.size() == changes.size())
+        told_change = last_change;
+    in_turn(made, most, now);
+    return made;
+}
+
+message::crash_record crash_ledger::record(const request_content& what,
+                                           time_point now) const
+{
+    const auto found = records.find(what);
+    return found == records.end() ? message::crash_record{what, {}, {}, 0}
+                                  : record_of(what, found->second, now);
+}
+
+void crash_ledger::expire(time_point now)
+{
+    std::erase_if(records, [&](const auto& one)
+                  { return now - one.second.last >= limits.memory; });
+}
+
+std::size_t crash_ledger::suspected() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(records.begin(), records.end(),
+                      [&](const auto& one) { return suspected(one.second); }));
+}
+
+bool crash_ledger::suspected(const crash_entry& one) const
+{
+    return one.suspicion() >= limits.suspicion;
+}
+
+bool crash_ledger::quarantined(const crash_entry& one, time_point now) const
+{
+    return suspected(one) && now - one.last < lasts(one);
+}
+
+milliseconds crash_ledger::lasts(const crash_entry& one) const
+{
+    return one.failed_trial() ? limits.quarantine : limits.rest;
+}
+
+/*! @brief Clears a record for which there are answers enough. */
+bool crash_ledger::speaks_for(const request_content& what, crash_entry& one,
+                              time_point now)
+{
+    const auto ends = one.count();
+    const auto needed = ends * limits.answers_per_end;
+    if (ends == 0 || answers.count(what, now) < needed)
+        return false;
+    answers.spend(what, needed);
+    return lift(what, now);
+}
+
+void crash_ledger::changed(crash_entry& one, time_point now)
+{
+    one.change = ++last_change;
+    one.changed = now;
+}
+
+crash_entry& crash_ledger::found_or_made(const request_content& what,
+                                         time_point last)
+{
+    const auto found = records.find(what);
+    if (found != records.end())
+        return found->second;
+    if (records.size() >= limits.most_records)
+        drop_one();
+    auto& made = records[what];
+    made.last = last;
+    return made;
+}
+
+/*! @brief Makes room: the oldest goes, and one that is suspected only when all
+ * are. Contents cost an upstream each to get here. */
+void crash_ledger::drop_one()
+{
+    const auto first = std::min_element(
+        records.begin(), records.end(),
+        [&](const auto& left, const auto& right)
+        {
+            return std::pair(suspected(left.second), left.second.last) <
+                   std::pair(suspected(right.second), right.second.last);
+        });
+    records.erase(first);
+}
+
+std::map<std::uint64_t, request_content> crash_ledger::untold() const
+{
+    std::map<std::uint64_t, request_content> found;
+    if (!changed_since_told())
+        return found;
+    for (const auto& [what, one] : records)
+    {
+        if (one.change > told_change)
+            found.emplace(one.change, what);
+    }
+    return found;
+}
+
+void crash_ledger::in_turn(std::vector<message::crash_record>& made,
+                           std::size_t most, time_point now)
+{
+    const auto begun = made.size();
+    auto at = records.upper_bound(turn);
+    for (std::size_t seen = 0; seen < records.size() && made.size() < most;
+         ++seen, ++at)
+    {
+        if (at == records.end())
+            at = records.begin();
+        if (!suspected(at->second) && now - at->second.changed >= repeated)
+            continue;
+        const bool told = std::any_of(
+            made.begin(), made.begin() + static_cast<std::ptrdiff_t>(begun),
+            [&](const auto& one) { return one.content == at->first; });
+        if (told)
+            continue;
+        made.push_back(record_of(at->first, at->second, now));
+        turn = at->first;
+    }
+}
+
+} // namespace coursejunction
--- a/src/coursejunction/wire/codec.cpp
+++ b/src/coursejunction/wire/codec.cpp
@@ -112,7 +112,8 @@
 }
 
 /*! @brief Returns the bytes that an element of a run takes at least: a text
- * its length, a struct of messages 32. */
+ * its length, a struct of messages 32 unless it names fewer. Where this says
+ * too much, a true list at the end of a message is refused. */
 template <typename Element>
 constexpr std::size_t least_bytes()
 {
@@ -121,6 +122,8 @@
         return sizeof(Element);
     else if constexpr (std::is_same_v<Element, std::string>)
         return sizeof(std::uint32_t);
+    else if constexpr (requires { Element::least_bytes; })
+        return Element::least_bytes;
     else
         return structure;
 }
--- a/src/coursejunction/wire/crash_record.hpp
+++ b/src/coursejunction/wire/crash_record.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_WIRE_CRASH_RECORD_HPP
 #define COURSEJUNCTION_WIRE_CRASH_RECORD_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -12,12 +13,27 @@
 namespace coursejunction::message
 {
 
+/*! @brief The end of an upstream's life under a request. */
+struct crash_end
+{
+    static constexpr std::size_t least_bytes = 9;
+    std::uint64_t id{0};
+    std::uint8_t evidence{0}; /*!< An `end_evidence`. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, evidence);
+    }
+};
+
 /*! @brief A request under which upstreams ended, as one process knows it. */
 struct crash_record
 {
+    static constexpr std::size_t least_bytes = 28;
     request_content content;
-    std::vector<std::uint64_t> crashes; /*!< Ids of the ends. */
-    std::vector<std::uint64_t> cleared; /*!< Those that no longer count. */
+    std::vector<crash_end> crashes;
+    std::vector<std::uint64_t> cleared; /*!< Ends that no longer count. */
     std::uint32_t age_ms{0};            /*!< Since the last end. */
 
     template <typename Archive>
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -5,6 +5,7 @@
 #ifndef COURSEJUNCTION_WIRE_FLEET_MESSAGE_HPP
 #define COURSEJUNCTION_WIRE_FLEET_MESSAGE_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -41,6 +42,7 @@
 /*! @brief Chunks that a side can give to others. */
 struct chunk_possession
 {
+    static constexpr std::size_t least_bytes = 20;
     std::string model;
     std::uint64_t version{0};
     std::uint32_t queue{0};          /*!< Uploads that wait. */
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include "coursejunction/wire/fleet_message.hpp"
+
 namespace cj = coursejunction;
 namespace message = coursejunction::message;
 
@@ -49,6 +51,35 @@
                  RC_ASSERT(read);
                  RC_ASSERT(read.value().replicas.size() == names.size());
              });
+    rc::prop("requests that crash upstreams, in an entry's heartbeat",
+             [](const std::vector<std::uint8_t>& ends)
+             {
+                 message::fleet_heartbeat from;
+                 from.entry = true;
+                 for (const auto one : ends)
+                 {
+                     from.crashes.emplace_back();
+                     from.crashes.back().crashes.resize(one % 9, {7, one});
+                 }
+                 const auto read =
+                     cj::decode<message::fleet_heartbeat>(cj::encode(from));
+                 RC_ASSERT(read);
+                 const auto& told = read.value().crashes;
+                 RC_ASSERT(told.size() == ends.size());
+                 for (std::size_t at = 0; at < ends.size(); ++at)
+                     RC_ASSERT(told[at].crashes.size() == ends[at] % 9U);
+             });
+    rc::prop("chunks at a side, in its heartbeat",
+             [](const std::vector<std::string>& models)
+             {
+                 message::fleet_heartbeat from;
+                 for (const auto& name : models)
+                     from.chunks.push_back({name, 1, 0, {}});
+                 const auto read =
+                     cj::decode<message::fleet_heartbeat>(cj::encode(from));
+                 RC_ASSERT(read);
+                 RC_ASSERT(read.value().chunks.size() == models.size());
+             });
 }
 
 TEST_CASE("hostile heads are refused without taking memory", "[wire]")
