--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -71,6 +71,16 @@
         # third. Not traced; entries that had just started are suspected.
         self.play(42, 5, "--crashing", "--sides", "8")
 
+    def test_a_quarantine_outlasts_the_loss_of_all_entries(self):
+        # All that was known of the request went with the processes: 4, 5 and 4 engines
+        # ended anew in three runs. One trial is wanted.
+        self.play(64, 3, "--crashing", "--blackout", "--sides", "8")
+
+    def test_an_entry_that_has_just_started_knows_the_quarantine(self):
+        # Seed 45 failed: a copy came to an entry 47 ms after its start, which heard of
+        # the quarantine 123 ms later; three engines ended there.
+        self.play(45, 5, "--crashing", "--sides", "8")
+
     def test_a_staged_chunk_that_cannot_be_read_is_fetched_again(self):
         # Seed 801 with 100 sides failed once: reads of staged chunks timed out beside
         # load, and the new plan for them was never told who takes part.
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import random
+import signal
 
 from platform_standin import CRASHING, MODEL
 
 CONTACT_S = 3.0  # What all entries know of each other by then.
 MOST_LATE = 3  # Arrivals beyond that.
 RUN_S = 1.0  # From the sending of a request to the end of its engine, at most.
+MOST_TRIALS = 2  # One, and one more where two entries take a trial for theirs.
+NOTED_S = 2.0  # From the third end until all that must outlast processes is written.
 CALM_S = 4.0
 LEAST_SERVED = 0.5  # Of the others' requests, in the calm after the faults.
 PAUSE_S = 0.3  # Between two copies; each goes to any entry.
@@ -36,6 +39,23 @@
         await asyncio.sleep(PAUSE_S)
 
 
+async def lose_all_entries(soak):
+    """All entries end at once, some time after the third engine, and start again
+    knowing nothing; the copies go on."""
+    soak.faults.append("blackout")
+    while len(ends_of(soak)) < 3:
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(NOTED_S)
+    soak.blackout = asyncio.get_running_loop().time()
+    await asyncio.gather(*(one.stop(signal.SIGKILL) for one in soak.entries))
+    await asyncio.sleep(CONTACT_S)
+    soak.faults.remove("blackout")
+
+
+def ends_of(soak):
+    return sorted(at for one in soak.engines for at in one.crashed)
+
+
 async def judge_bystanders(soak):
     """The others' requests in the calm, while copies still come."""
     def answers():
@@ -51,7 +71,7 @@
 def judge_crashes(soak):
     """Counts what was sent by entries that had run for a while: after a standstill
     of the machine none had, and none can have heard of the others."""
-    ends = sorted(at for one in soak.engines for at in one.crashed)
+    ends = ends_of(soak)
     soak.counts["crashes"] = len(ends)
     if len(ends) < 3:
         return
@@ -59,3 +79,6 @@
             and not soak.standstills.lasted(at - RUN_S - CONTACT_S, at)]
     if len(late) > MOST_LATE:
         soak.broken("crashes", f"{len(late)} engines more ended after the third, {len(ends)} in all")
+    after = [at for at in ends if soak.blackout and at > soak.blackout]
+    if len(after) > MOST_TRIALS:
+        soak.broken("crashes", f"{len(after)} engines ended after all entries had started again")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
     soak.py ... --reborn               engines start again under their ids, also behind cuts, and
                                        other writers spoil records
     soak.py ... --crashing         a request that ends its engines comes again and again
+    soak.py ... --crashing --blackout    all entries lose power at once while its copies come
     soak.py ... --standstill S     the whole machine stands still for S s, again and again,
                                        while the end is judged
     soak.py ... --halls N --entries N --sides N    more processes
@@ -30,7 +31,7 @@
 import tempfile
 
 from configuration import LARGE_ROUTES, least_and_most_large, newest_path, newest_route, plain_rules
-from crashing import judge_bystanders, judge_crashes, send_copies
+from crashing import judge_bystanders, judge_crashes, lose_all_entries, send_copies
 from knowledge import Knowledge, fetch, judge_rest
 from links import HallLink, Proxy
 from platform_standin import MODEL, Engine, Origin, Service, Store
@@ -66,7 +67,7 @@
         self.breaks, self.counts, self.faults, self.tasks = [], {}, [], []
         self.answers, self.standstills = {}, Standstills()
         self.version, self.configuration, self.number = 1, 1, 0
-        self.stopping = False
+        self.stopping, self.blackout = False, None
 
     def broken(self, promise, what):
         self.breaks.append(f"{promise}: {what}")
@@ -372,6 +373,8 @@
             self.tasks.append(asyncio.create_task(self.fault("large")))
         if self.asked.crashing:
             self.tasks.append(asyncio.create_task(send_copies(self)))
+        if self.asked.blackout:
+            self.tasks.append(asyncio.create_task(lose_all_entries(self)))
         end = asyncio.get_running_loop().time() + self.seconds
         while asyncio.get_running_loop().time() < end:
             self.tasks.append(asyncio.create_task(self.fault()))
@@ -499,6 +502,7 @@
     parser.add_argument("--sides", type=int, default=4)
     parser.add_argument("--reborn", action="store_true")
     parser.add_argument("--crashing", action="store_true")
+    parser.add_argument("--blackout", action="store_true")
     parser.add_argument("--standstill", type=float, default=0, help="seconds")
     parser.add_argument("--misreads", type=int, default=0,
                         help="reads that the last engine, which begins without weights, fails")
