Quarantines are kept in the platform's store

Cause: what is known of a request that crashes its upstreams lay in the memory of entries only. Ruled out: waiting at the start for a peer's heartbeat (nobody tells after a loss of all; and an entry that is alone would wait in vain); ledgers at the sides (they lose power with the rest). The key comes to every process with the mirror, so with the configuration without which an entry takes no request. Ages go by the time of day, the only clock that outlasts a start.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -167,6 +167,7 @@
     }
 
     [[nodiscard]] const store_mirror& mirror() const { return copy; }
+    [[nodiscard]] Store& service() { return store; }
     [[nodiscard]] const peer_directory& peers() const { return directory; }
     [[nodiscard]] stream_client& client() { return calls; }
     [[nodiscard]] const fleet_options& settings() const { return options; }
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -27,6 +27,7 @@
     configuration,
     upstream,
     version,
+    quarantine, /*!< A request that crashes upstreams. */
     other
 };
 
@@ -92,6 +93,7 @@
                 if (value != nullptr)
                     read_version(key, *value);
                 break;
+            case item_kind::quarantine:
             case item_kind::other:
                 break;
             }
--- a/src/coursejunction/fleet/fwd.hpp
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -27,6 +27,8 @@
 class store_reader;
 template <typename Store>
 class fleet_node;
+template <typename Store>
+class quarantine_keeper;
 
 } // namespace coursejunction
 
--- a/src/coursejunction/proxy/crash_guard.cpp
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -19,6 +19,11 @@
     news = std::move(call);
 }
 
+void crash_guard::on_keep(keep_callback call)
+{
+    kept = std::move(call);
+}
+
 void crash_guard::owns_trials(trial_owner call)
 {
     owns = std::move(call);
@@ -104,8 +109,10 @@
                   {"requests", std::to_string(accused.size())}});
     for (const auto& one : accused)
     {
-        if (ledger.accuse(one.content, one.end, one.evidence, now))
-            note_quarantine(one.content, "upstreams ended under it here");
+        if (!ledger.accuse(one.content, one.end, one.evidence, now))
+            continue;
+        note_quarantine(one.content, "upstreams ended under it here");
+        keep(one.content);
     }
     if (news)
         news();
@@ -113,11 +120,8 @@
 
 void crash_guard::answered(const request_content& what)
 {
-    if (!ledger.answered(what, event_loop::now()))
-        return;
-    log::state("request_cleared", {{"content", what.hex()}});
-    if (news)
-        news();
+    if (ledger.answered(what, event_loop::now()))
+        cleared(what, "request_cleared");
 }
 
 void crash_guard::take(const std::vector<message::crash_record>& told,
@@ -140,10 +144,25 @@
 {
     if (!ledger.lift(what, event_loop::now()))
         return false;
-    log::state("quarantine_lifted", {{"content", what.hex()}});
+    cleared(what, "quarantine_lifted");
+    return true;
+}
+
+void crash_guard::cleared(const request_content& what, const std::string& event)
+{
+    log::state(event, {{"content", what.hex()}});
+    if (kept)
+        kept(what, nullptr);
     if (news)
         news();
-    return true;
+}
+
+void crash_guard::keep(const request_content& what)
+{
+    if (!kept)
+        return;
+    const auto record = ledger.record(what, event_loop::now());
+    kept(what, &record);
 }
 
 void crash_guard::tick(time_point now)
--- a/src/coursejunction/proxy/crash_guard.hpp
+++ b/src/coursejunction/proxy/crash_guard.hpp
@@ -35,12 +35,20 @@
      * agree on one. */
     using trial_owner = std::function<bool(const request_content&)>;
 
+    /*! @brief Told what should outlast this process: a record that was found
+     * here, or nothing where a quarantine is over before its time. */
+    using keep_callback = std::function<void(
+        const request_content&, const message::crash_record* record)>;
+
     crash_guard(stream_client& carrier, metrics& counted,
                 quarantine_callback call);
 
     /*! @brief Sets who tells other entries. */
     void on_news(news_callback call);
 
+    /*! @brief Sets who keeps quarantines beyond this process. */
+    void on_keep(keep_callback call);
+
     /*! @brief Sets who knows whose trials are whose; until then, all are this
      * entry's. */
     void owns_trials(trial_owner call);
@@ -100,11 +108,14 @@
     void accuse(const std::vector<crash_accusation>& accused,
                 const instance_id& upstream, const std::string& why);
     void note_quarantine(const request_content& what, const std::string& why);
+    void keep(const request_content& what);
+    void cleared(const request_content& what, const std::string& event);
 
     stream_client& client;
     metrics& counters;
     quarantine_callback quarantined;
     news_callback news;
+    keep_callback kept;
     trial_owner owns;
     crash_ledger ledger;
     crash_witness witness;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -5,6 +5,8 @@
 #ifndef COURSEJUNCTION_PROXY_GATEWAY_HPP
 #define COURSEJUNCTION_PROXY_GATEWAY_HPP
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,6 +17,8 @@
 #include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/fleet/fleet_node.hpp"
 #include "coursejunction/fleet/fleet_view.hpp"
+#include "coursejunction/fleet/quarantine_item.hpp"
+#include "coursejunction/fleet/quarantine_keeper.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
@@ -75,6 +79,9 @@
         { describe(into); };
         hooks.crashes = [this] { return exchanges.crashing().told(); };
         exchanges.crashing().on_news([this] { node.announce_crashes(); });
+        exchanges.crashing().on_keep([this](const request_content& what,
+                                            const message::crash_record* record)
+                                     { keep_quarantine(what, record); });
         exchanges.crashing().owns_trials([this](const request_content& what)
                                          { return owns_trials(what); });
         node.start(std::move(hooks));
@@ -132,7 +139,10 @@
           exchanges(owner, peers.client(), book, counted,
                     placer(options.weights, peers.settings().hall,
                            peers.settings().address),
-                    options.exchange)
+                    options.exchange),
+          keeper(
+              owner, peers.service(), peers.mirror(), counted,
+              static_cast<std::uint32_t>(stable_hash(peers.settings().address)))
     {
     }
 
@@ -188,6 +198,7 @@
     {
         const auto now = event_loop::now();
         const auto* before = fleet.rules();
+        take_quarantines(keys);
         for (const auto& one : fleet.update(node.mirror(), keys))
         {
             if (one.removed)
@@ -214,6 +225,44 @@
         name_sides();
     }
 
+    /*! @brief Takes in quarantines that the store keeps. They come with the
+     * configuration: an entry that has just started knows them before it takes
+     * a request. */
+    void take_quarantines(const std::vector<std::string>& keys)
+    {
+        for (const auto& key : keys)
+        {
+            const auto* value = node.mirror().find(key);
+            if (value == nullptr ||
+                Platform::catalogue::kind(key) != item_kind::quarantine)
+                continue;
+            const auto read = read_quarantine(key, value->payload, wall_ms());
+            if (read)
+                exchanges.crashing().take({read.value()}, "the store");
+            else
+                log::warning("quarantine_unreadable",
+                             {{"key", key}, {"why", read.error().message}});
+        }
+    }
+
+    /*! @param record Nothing where the quarantine is over. */
+    void keep_quarantine(const request_content& what,
+                         const message::crash_record* record)
+    {
+        if (record != nullptr)
+            keeper.keep(what, quarantine_payload(*record, wall_ms()));
+        else
+            keeper.drop(what);
+    }
+
+    /*! @brief Returns the Unix time in milliseconds. */
+    [[nodiscard]] static std::int64_t wall_ms()
+    {
+        return std::chrono::duration_cast<milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
     void drop_record(const upstream_change& one, bool lapse, time_point now)
     {
         const auto* known = book.find(one.id);
@@ -367,6 +416,7 @@
     upstream_book book;
     fleet_view<Platform> fleet;
     exchange_service<codec> exchanges;
+    quarantine_keeper<typename Platform::store> keeper;
     std::unique_ptr<stream_server> callers;
     std::unique_ptr<stream_server> readiness;
     std::function<void()> stopped;
--- a/src/coursejunction/wire/codec.cpp
+++ b/src/coursejunction/wire/codec.cpp
@@ -212,5 +212,6 @@
 COURSEJUNCTION_CODEC(crash_news)
 COURSEJUNCTION_CODEC(fleet_heartbeat)
 COURSEJUNCTION_CODEC(mirror_page)
+COURSEJUNCTION_CODEC(kept_quarantine)
 
 } // namespace coursejunction
--- a/src/coursejunction/wire/crash_record.hpp
+++ b/src/coursejunction/wire/crash_record.hpp
@@ -43,6 +43,19 @@
     }
 };
 
+/*! @brief A quarantine as the platform's store keeps it. */
+struct kept_quarantine
+{
+    crash_record record;
+    std::int64_t last_end{0}; /*!< Unix time in milliseconds. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(record, last_end);
+    }
+};
+
 } // namespace coursejunction::message
 
 #endif
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -92,16 +92,17 @@
         self.history = []
         self.forgotten = 0
         self.fault = "none"
+        self.leases = 0
         self.changed = asyncio.Condition()
 
     async def put(self, key, value):
         await self.put_bytes(key, json.dumps(value).encode())
 
-    async def put_bytes(self, key, value):
+    async def put_bytes(self, key, value, lease=0):
         self.revision += 1
         payload = base64.b64encode(value).decode()
         self.items[key] = {"keyFile": key, "payload": payload, "revision": self.revision,
-                           "created": self.revision, "leaseId": 0}
+                           "created": self.revision, "leaseId": lease}
         await self.tell(dict(self.items[key]))
 
     async def remove(self, key):
@@ -138,6 +139,8 @@
             page = [self.items[k] for k in keys[:5]]
             return json_answer(200, {"entries": page, "hasMore": len(keys) > 5,
                                      "timestamp": self.revision})
+        if method == "POST":
+            return await self.write(parts.path, json.loads(body))
         if parts.path != "/kv-watch":
             return answer(404)
         after = int(query["after"])
@@ -155,6 +158,28 @@
                 except asyncio.TimeoutError:
                     pass
 
+    async def write(self, path, asked):
+        """What the processes may write; runs are shorter than any lease."""
+        if path == "/kv-lease":
+            self.leases += 1
+            return json_answer(200, {"leaseId": self.leases, "ttlMs": asked["ttlMs"]})
+        if path != "/kv-txn":
+            return answer(404)
+        keys = [one["keyFile"] for one in asked["write"]] + asked["remove"]
+        if any(key.startswith(("op/", "servers/")) for key in keys):
+            return answer(403)
+        for one in asked["expectedRevision"]:
+            held = self.items.get(one["keyFile"], {"revision": 0})
+            if held["revision"] != one["revision"]:
+                return json_answer(412, {"entries": [held]})
+        for one in asked["write"]:
+            if not 0 < one["leaseId"] <= self.leases:
+                return answer(404)
+            await self.put_bytes(one["keyFile"], base64.b64decode(one["payload"]), one["leaseId"])
+        for key in asked["remove"]:
+            await self.remove(key)
+        return json_answer(200, {"revision": self.revision})
+
 
 def chunk_of(version, index):
     return hashlib.sha256(f"{version}/{index}".encode()).digest() * (CHUNK_BYTES // 32)
