A process that stood still reads what came before it judges by the time

Cause: timers that are due fire in the order in which they are found, beside what lies in the sockets. Also found while looking at all uses of clocks: the limit on a stalled call was set as a moment of the clock that goes on while suspended, on a timer by the one that stands: after a suspension of S seconds every stall was noticed S seconds late. Ruled out for the other limits: they are spans, and end at most their own length late. Change: a timer found 250 ms late or more waits 100 ms once, so that sockets are read first; the stall limit is a span that is looked at each second.

--- a/src/coursejunction/core/suspension.hpp
+++ b/src/coursejunction/core/suspension.hpp
@@ -26,6 +26,22 @@
         due - now, std::chrono::microseconds(0), longest_wait);
 }
 
+/*! @brief A timer that is found late by so much shows that the process stood
+ * still: a busy one is late by some 20 ms. */
+inline constexpr milliseconds late_notice{250};
+
+/*! @brief After a standstill, what came meanwhile is read for so long before
+ * anything is decided by the time. Otherwise upstreams count as silent, and
+ * requests as late, whose answers wait in the sockets: a frozen entry sent
+ * every stream on to a second upstream. */
+inline constexpr milliseconds catch_up{100};
+
+/*! @brief Tells whether a timer that is due shows a standstill. */
+[[nodiscard]] inline bool stood_still(time_point due, time_point now)
+{
+    return now - due >= late_notice;
+}
+
 /*! @brief Tells how long an instance was suspended, by its two clocks. */
 class suspension_meter
 {
--- a/src/coursejunction/net/event_loop.cpp
+++ b/src/coursejunction/net/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <ctime>
 #include <list>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -59,7 +60,13 @@
 private:
     void wait()
     {
-        clock.expires_after(next_look(due, event_loop::now()));
+        caught_up = false;
+        wait_for(next_look(due, event_loop::now()));
+    }
+
+    void wait_for(std::chrono::microseconds pause)
+    {
+        clock.expires_after(pause);
         clock.async_wait(
             [self = shared_from_this()](const boost::system::error_code& fault)
             { self->expired(fault); });
@@ -69,8 +76,11 @@
     {
         if (fault || stopped)
             return;
-        if (event_loop::now() < due)
+        const auto now = event_loop::now();
+        if (now < due)
             return wait();
+        if (!std::exchange(caught_up, true) && stood_still(due, now))
+            return wait_for(catch_up);
         if (interval.count() > 0)
             start(interval);
         const auto task = call;
@@ -81,6 +91,7 @@
     std::chrono::microseconds interval;
     event_loop::work call;
     time_point due{};
+    bool caught_up{false};
     bool stopped{false};
 };
 
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -20,6 +20,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "coursejunction/core/suspension.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/head_text.hpp"
 
@@ -166,7 +167,9 @@
     /*! @brief Ends the call once nothing came for as long as may be. */
     void watch_progress()
     {
-        stall.expires_at(moved + call.stall_time);
+        // The timer's clock stands while suspended, `moved` goes on.
+        stall.expires_after(
+            next_look(moved + call.stall_time, event_loop::now()));
         stall.async_wait(
             [self = shared_from_this()](const boost::system::error_code& fault)
             {
--- a/tests/core/suspension.cpp
+++ b/tests/core/suspension.cpp
@@ -65,6 +65,23 @@
     {
         CHECK(next_look(clocks.now + 30ms, clocks.now) == 30ms);
     }
+    SECTION("a limit that is set after it lasts no longer than one before")
+    {
+        // The two clocks are apart by then; the limit is a span, not a moment.
+        clocks.suspend(3'600'000ms);
+        const auto begun = clocks.now;
+        CHECK(next_look(begun + 700ms, clocks.now) == 700ms);
+        clocks.run(700ms);
+        CHECK(next_look(begun + 700ms, clocks.now) == 0ms);
+    }
+    SECTION("a timer that is late by as much shows it")
+    {
+        const auto due = clocks.now + 30ms;
+        clocks.run(50ms);
+        CHECK_FALSE(stood_still(due, clocks.now));
+        clocks.suspend(1000ms);
+        CHECK(stood_still(due, clocks.now));
+    }
     SECTION("peers that were alive before it are not believed to live")
     {
         peer_directory peers;
--- /dev/null
+++ b/tests/net/pacing_peer.hpp
@@ -0,0 +1,88 @@
+/*! @file
+ * @brief An upstream that streams events at a steady pace.
+ */
+#ifndef COURSEJUNCTION_TESTS_NET_PACING_PEER_HPP
+#define COURSEJUNCTION_TESTS_NET_PACING_PEER_HPP
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <thread>
+
+#include "net/loopback.hpp"
+
+namespace loopback
+{
+
+/*! @brief Answers one request by numbered events. */
+class pacing_peer
+{
+public:
+    pacing_peer(int events, std::chrono::milliseconds between)
+        : pacing_peer(events, between, listening_port())
+    {
+    }
+
+    ~pacing_peer()
+    {
+        ::shutdown(file, SHUT_RDWR);
+        thread.join();
+        ::close(file);
+    }
+
+    pacing_peer(const pacing_peer&) = delete;
+    pacing_peer& operator=(const pacing_peer&) = delete;
+
+    std::string address;
+
+private:
+    pacing_peer(int events, std::chrono::milliseconds between,
+                const listening_port& port)
+        : address(port.address), count(events), pause(between), file(port.file)
+    {
+        thread = std::thread([this] { run(); });
+    }
+
+    void run() const
+    {
+        const int caller = ::accept(file, nullptr, nullptr);
+        if (caller < 0)
+            return;
+        char part[8192];
+        static_cast<void>(::recv(caller, part, sizeof part, 0));
+        give(caller, "HTTP/1.1 200 OK\r\nId: 7\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n");
+        for (int at = 1; at <= count; ++at)
+        {
+            std::this_thread::sleep_for(pause);
+            give_chunk(caller, "id: " + std::to_string(at) + "\ndata: x\n\n");
+        }
+        give(caller, "0\r\n\r\n");
+        ::close(caller);
+    }
+
+    static void give_chunk(int caller, const std::string& event)
+    {
+        char size[32];
+        std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+        give(caller, size + event + "\r\n");
+    }
+
+    static void give(int caller, const std::string& bytes)
+    {
+        static_cast<void>(
+            ::send(caller, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    }
+
+    int count;
+    std::chrono::milliseconds pause;
+    int file;
+    std::thread thread;
+};
+
+} // namespace loopback
+
+#endif
--- a/tests/proxy/exchange_service.cpp
+++ b/tests/proxy/exchange_service.cpp
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include "net/loopback.hpp"
+#include "net/pacing_peer.hpp"
 #include "proxy/entry_on_loopback.hpp"
 
 namespace cj = coursejunction;
@@ -267,6 +268,26 @@
     }
 }
 
+SCENARIO("an entry that stood still does not take that for its upstream's "
+         "silence",
+         "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.route(cj::request_kind::stream, true);
+    loopback::pacing_peer steady(20, 100ms);
+    scripted_upstream other({stream("id: 1\ndata: y\n\n", true)});
+    entry.upstream("a", steady.address);
+    entry.upstream("b", other.address);
+    std::string answer;
+    std::thread caller([&] { answer = entry.ask(); });
+    std::this_thread::sleep_for(300ms);
+    // Longer than a stream may be silent; events arrive meanwhile.
+    entry.running.on_loop([] { std::this_thread::sleep_for(1200ms); });
+    caller.join();
+    CHECK(answer.find("id: 20\n") != std::string::npos);
+    CHECK(other.arrivals().empty());
+}
+
 SCENARIO("an attempt that waits on weights that grow too old is taken back",
          "[proxy]")
 {
