--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -25,12 +25,13 @@
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
+#include "coursejunction/proxy/open_exchanges.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
+#include "coursejunction/proxy/retry_budgets.hpp"
 #include "coursejunction/route/dispatcher.hpp"
 #include "coursejunction/route/upstream_book.hpp"
 #include "coursejunction/route/version_floor.hpp"
 #include "coursejunction/route/waiting_line.hpp"
-#include "coursejunction/run/retry_window.hpp"
 
 namespace coursejunction
 {
@@ -47,7 +48,8 @@
         : loop(owner), client(carrier), book(known), counters(counted),
           decisions(known, std::move(choice), set.dispatch), options(set),
           crashes(carrier, counted,
-                  [this](const request_content& what) { quarantined(what); })
+                  [this](const request_content& what) { quarantined(what); }),
+          budgets(set)
     {
         ticking = loop.every(options.tick, [this] { tick(); });
     }
@@ -66,10 +68,7 @@
     [[nodiscard]] crash_guard& crashing() { return crashes; }
 
     /*! @brief Tells how many entries share the upstreams. */
-    void entries(std::size_t count)
-    {
-        entry_count = std::max<std::size_t>(count, 1);
-    }
+    void entries(std::size_t count) { budgets.entries(count); }
 
     /*! @brief Returns what callers ask of the engines here. */
     [[nodiscard]] request_rates rates(time_point now) const
@@ -113,7 +112,7 @@
         if (refused != 0)
             return reject(*one,
                           rules_outdated && denies(refused) ? 503 : refused);
-        open.emplace(number, one);
+        open.add(one);
         one->reply.on_left([this, number] { left(number); });
         arm_limit(*one);
         place(*one);
@@ -131,17 +130,17 @@
             return std::find(attempts.begin(), attempts.end(), one.attempt) !=
                    attempts.end();
         };
-        for (const auto number : numbers_of(lost))
-            with(number,
-                 [&](exchange& one)
-                 {
-                     client.cancel(one.call);
-                     crashes.lost(
-                         lost_attempt_of(one, life.life, attempt_loss::closed),
-                         event_loop::now());
-                     failed(one, attempt_reach::may_have_run,
-                            "upstream has started again");
-                 });
+        for (const auto number : open.numbers_of(lost))
+            open.with(number,
+                      [&](exchange& one)
+                      {
+                          client.cancel(one.call);
+                          crashes.lost(lost_attempt_of(one, life.life,
+                                                       attempt_loss::closed),
+                                       event_loop::now());
+                          failed(one, attempt_reach::may_have_run,
+                                 "upstream has started again");
+                      });
         crashes.ended(life.upstream, "it has started again");
     }
 
@@ -149,7 +148,7 @@
     void tick()
     {
         for (const auto number : waiting.numbers())
-            with(number, [this](exchange& one) { place(one); });
+            open.with(number, [this](exchange& one) { place(one); });
     }
 
     /*! @brief Returns how many requests are open. */
@@ -190,7 +189,7 @@
         if (one.asked.deadline)
             one.ends = std::min<time_point>(one.ends,
                                             one.arrived + *one.asked.deadline);
-        budget(one.service).request(one.arrived);
+        budgets.of(one.service).request(one.arrived);
         one.standing = decisions.arrived(*one.route, profile_of(one),
                                          one.asked.deadline, one.arrived);
         return 0;
@@ -271,7 +270,7 @@
             turn_away(one, now);
             return false;
         }
-        if (copies_running(one) < most)
+        if (open.copies_running(one) < most)
             return true;
         wait_for_run(one, now);
         return false;
@@ -289,34 +288,17 @@
         send_refusal(one, left);
     }
 
-    /*! @brief Returns how many other copies of a request are with upstreams. */
-    [[nodiscard]] std::size_t copies_running(const exchange& one) const
-    {
-        return static_cast<std::size_t>(std::count_if(
-            open.begin(), open.end(),
-            [&](const auto& other)
-            {
-                return other.first != one.number && other.second->in_flight &&
-                       other.second->content == one.content;
-            }));
-    }
-
     /*! @brief Returns the upstreams of requests that may be what ended one. The
      * next end then tells which of them it was: together they would all lose
      * a second upstream, as eight requests of a crash did within 0.15 s. */
     [[nodiscard]] std::vector<instance_id> with_suspects(const exchange& one,
                                                          time_point now) const
     {
-        std::vector<instance_id> found;
         if (!crashes.suspect(one.content, now))
-            return found;
-        for (const auto& [number, other] : open)
-        {
-            if (number != one.number && other->in_flight &&
-                crashes.suspect(other->content, now))
-                found.push_back(other->at.upstream);
-        }
-        return found;
+            return {};
+        return open.upstreams_beside(
+            one, [&](const exchange& other)
+            { return crashes.suspect(other.content, now); });
     }
 
     /*! @brief Copies of a request that is doubted run one after the other:
@@ -336,14 +318,14 @@
     {
         const auto waits = [&](const exchange& one)
         { return one.in_flight && !one.progressed && one.content == what; };
-        for (const auto number : numbers_of(waits))
-            with(number,
-                 [this](exchange& one)
-                 {
-                     abandon_attempt(one);
-                     ++one.runs;
-                     give_up(one, quarantine_reason);
-                 });
+        for (const auto number : open.numbers_of(waits))
+            open.with(number,
+                      [this](exchange& one)
+                      {
+                          abandon_attempt(one);
+                          ++one.runs;
+                          give_up(one, quarantine_reason);
+                      });
     }
 
     /*! @brief Returns a request's service; one that the configuration doesn't
@@ -460,11 +442,11 @@
     {
         stream_client::callbacks to;
         to.head = [this, number](const stream_head& head)
-        { with(number, [&](exchange& one) { got_head(one, head); }); };
+        { open.with(number, [&](exchange& one) { got_head(one, head); }); };
         to.data = [this, number](std::string_view bytes)
-        { with(number, [&](exchange& one) { got_data(one, bytes); }); };
+        { open.with(number, [&](exchange& one) { got_data(one, bytes); }); };
         to.ended = [this, number](stream_end how, const std::string& why)
-        { with(number, [&](exchange& one) { got_end(one, how, why); }); };
+        { open.with(number, [&](exchange& one) { got_end(one, how, why); }); };
         return to;
     }
 
@@ -479,14 +461,14 @@
                 : first_event_limit(one),
             [this, number = one.number]
             {
-                with(number,
-                     [&](exchange& found)
-                     {
-                         client.cancel(found.call);
-                         note_lost(found, attempt_loss::silent);
-                         failed(found, attempt_reach::may_have_run,
-                                "upstream is silent");
-                     });
+                open.with(number,
+                          [&](exchange& found)
+                          {
+                              client.cancel(found.call);
+                              note_lost(found, attempt_loss::silent);
+                              failed(found, attempt_reach::may_have_run,
+                                     "upstream is silent");
+                          });
             });
     }
 
@@ -679,7 +661,7 @@
             ++one.runs;
         // What never arrived costs the service nothing.
         const bool paid = again && (reach == attempt_reach::not_sent ||
-                                    budget(one.service).spend(now));
+                                    budgets.of(one.service).spend(now));
         exchange_log::attempt_failed(one, why, may_have_run, paid, now);
         if (paid)
             return place(one);
@@ -722,31 +704,32 @@
 
     void limit_reached(std::uint64_t number)
     {
-        with(number,
-             [&](exchange& one)
-             {
-                 abandon_attempt(one);
-                 if (one.streaming)
-                     return cut(one, "time limit");
-                 const bool not_run = one.tried.empty();
-                 one.reply.send(not_run ? 503 : 504,
-                                not_run ? Codec::refusal_headers(least_wait())
-                                        : header_list{},
-                                "");
-                 finish_log(one, "late", "time limit");
-                 forget(one);
-             });
+        open.with(number,
+                  [&](exchange& one)
+                  {
+                      abandon_attempt(one);
+                      if (one.streaming)
+                          return cut(one, "time limit");
+                      const bool not_run = one.tried.empty();
+                      one.reply.send(not_run ? 503 : 504,
+                                     not_run
+                                         ? Codec::refusal_headers(least_wait())
+                                         : header_list{},
+                                     "");
+                      finish_log(one, "late", "time limit");
+                      forget(one);
+                  });
     }
 
     void left(std::uint64_t number)
     {
-        with(number,
-             [&](exchange& one)
-             {
-                 abandon_attempt(one);
-                 finish_log(one, "cancelled", "caller left");
-                 forget(one);
-             });
+        open.with(number,
+                  [&](exchange& one)
+                  {
+                      abandon_attempt(one);
+                      finish_log(one, "cancelled", "caller left");
+                      forget(one);
+                  });
     }
 
     void abandon_attempt(exchange& one)
@@ -798,44 +781,6 @@
         open.erase(one.number);
     }
 
-    /*! @brief Returns the numbers of open requests: what is done with one may
-     * end others. */
-    template <typename Predicate>
-    [[nodiscard]] std::vector<std::uint64_t> numbers_of(Predicate fits) const
-    {
-        std::vector<std::uint64_t> numbers;
-        for (const auto& [number, one] : open)
-        {
-            if (fits(*one))
-                numbers.push_back(number);
-        }
-        return numbers;
-    }
-
-    template <typename Call>
-    void with(std::uint64_t number, Call call)
-    {
-        const auto found = open.find(number);
-        if (found == open.end())
-            return;
-        const auto held = found->second;
-        call(*held);
-    }
-
-    retry_window& budget(const service_name& service)
-    {
-        const auto reserve = std::max(
-            options.retry_reserve / static_cast<double>(entry_count), 1.0);
-        auto& found =
-            budgets
-                .try_emplace(service,
-                             retry_limits{options.retry_window,
-                                          options.retry_portion, reserve})
-                .first->second;
-        found.reserve(reserve);
-        return found;
-    }
-
     static constexpr const char* quarantine_reason =
         "the request is quarantined: upstreams ended under it";
 
@@ -851,10 +796,9 @@
     crash_guard crashes;
     version_floor floor;
     std::shared_ptr<const installation> current;
-    std::map<std::uint64_t, std::shared_ptr<exchange>> open;
+    open_exchanges open;
     waiting_line waiting;
-    std::map<service_name, retry_window> budgets;
-    std::size_t entry_count{1};
+    retry_budgets budgets;
     std::uint64_t last_number{0};
     std::uint64_t last_attempt{0};
     bool rules_outdated{false};
--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -9,6 +9,8 @@
 
 class crash_guard;
 class event_splitter;
+class open_exchanges;
+class retry_budgets;
 struct caller_request;
 struct attempt_facts;
 struct answer_facts;
--- /dev/null
+++ b/src/coursejunction/proxy/retry_budgets.hpp
@@ -0,0 +1,52 @@
+/*! @file
+ * @brief Bounds the retries of each service.
+ */
+#ifndef COURSEJUNCTION_PROXY_RETRY_BUDGETS_HPP
+#define COURSEJUNCTION_PROXY_RETRY_BUDGETS_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/proxy/exchange_options.hpp"
+#include "coursejunction/run/retry_window.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief One window a service; the reserve is shared by all entries. */
+class retry_budgets
+{
+public:
+    explicit retry_budgets(const exchange_options& set)
+        : limits{set.retry_window, set.retry_portion, set.retry_reserve}
+    {
+    }
+
+    /*! @brief Tells how many entries share the reserve. */
+    void entries(std::size_t count)
+    {
+        entry_count = std::max<std::size_t>(count, 1);
+    }
+
+    /*! @brief Returns the window of a service. */
+    [[nodiscard]] retry_window& of(const service_name& service)
+    {
+        auto own = limits;
+        own.reserve =
+            std::max(limits.reserve / static_cast<double>(entry_count), 1.0);
+        auto& found = windows.try_emplace(service, own).first->second;
+        found.reserve(own.reserve);
+        return found;
+    }
+
+private:
+    retry_limits limits;
+    std::map<service_name, retry_window> windows;
+    std::size_t entry_count{1};
+};
+
+} // namespace coursejunction
+
+#endif
