A quarantine that no entry finds alone is kept by the one that runs its trials

An entry that started 3 s later knew nothing and three engines ended: 4 late, 3 allowed. Change: what the ends of several entries quarantine together is kept by the entry that runs the content's trials; what came from the store is not written again.

--- a/src/coursejunction/proxy/crash_guard.cpp
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -39,8 +39,7 @@
                                       time_point now) const
 {
     const bool tries_it =
-        ledger.standing(what, now) == crash_standing::on_trial &&
-        (!owns || owns(what));
+        ledger.standing(what, now) == crash_standing::on_trial && tries(what);
     return ledger.most_running(what, tries_it, now);
 }
 
@@ -136,11 +135,25 @@
     const auto now = event_loop::now();
     for (const auto& one : told)
     {
-        if (ledger.merge(one, now))
-            note_quarantine(one.content, "told by " + from);
+        if (!ledger.merge(one, now))
+            continue;
+        note_quarantine(one.content, "told by " + from);
+        if (tries(one.content))
+            keep(one.content);
     }
 }
 
+void crash_guard::restore(const message::crash_record& kept_before)
+{
+    if (ledger.merge(kept_before, event_loop::now()))
+        note_quarantine(kept_before.content, "kept in the store");
+}
+
+bool crash_guard::tries(const request_content& what) const
+{
+    return !owns || owns(what);
+}
+
 std::vector<message::crash_record> crash_guard::told()
 {
     return ledger.news(crash_ledger::most_told, event_loop::now());
--- a/src/coursejunction/proxy/crash_guard.hpp
+++ b/src/coursejunction/proxy/crash_guard.hpp
@@ -92,10 +92,15 @@
     /*! @brief An upstream answered a request in whole. */
     void answered(const request_content& what);
 
-    /*! @brief Takes records of another entry. */
+    /*! @brief Takes records of another entry. Where only all ends together
+     * quarantine a request nobody finds that by its own, so that the entry that
+     * runs the trials keeps it. */
     void take(const std::vector<message::crash_record>& told,
               const std::string& from);
 
+    /*! @brief Takes a quarantine that outlasted the process that found it. */
+    void restore(const message::crash_record& kept_before);
+
     /*! @brief Returns records for other entries. */
     [[nodiscard]] std::vector<message::crash_record> told();
 
@@ -113,6 +118,7 @@
     void accuse(const std::vector<crash_accusation>& accused,
                 const instance_id& upstream, const std::string& why);
     void note_quarantine(const request_content& what, const std::string& why);
+    [[nodiscard]] bool tries(const request_content& what) const;
     void keep(const request_content& what);
     void cleared(const request_content& what, const std::string& event);
 
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -238,7 +238,7 @@
                 continue;
             const auto read = read_quarantine(key, value->payload, wall_ms());
             if (read)
-                exchanges.crashing().take({read.value()}, "the store");
+                exchanges.crashing().restore(read.value());
             else
                 log::warning("quarantine_unreadable",
                              {{"key", key}, {"why", read.error().message}});
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -18,24 +18,43 @@
 PAUSE_S = 0.3  # Between two copies; each goes to any entry.
 
 
+STREAM_LINES = [f"X-Coursejunction-Model: {MODEL}", "X-Coursejunction-Token-Usage: 100,60"]
+
+
+async def send_copy(soak, entry, number, path, more):
+    host, port = entry.callers.split(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write("\r\n".join([
+            f"POST {path} HTTP/1.1", "Host: a.example", "Authorization: Token key",
+            f"X-Coursejunction-Attempt-Id: {soak.seed:x}-crash-{number:x}",
+            "X-Coursejunction-Deadline-Ms: 6000", *more, f"Content-Length: {len(CRASHING)}",
+            "", ""]).encode() + CRASHING)
+        await asyncio.wait_for(reader.readline(), 7)
+        writer.close()
+    except (OSError, asyncio.TimeoutError):
+        pass  # The entry is away or holds it; what reaches engines is judged.
+
+
 async def send_copies(soak):
     """Sends the same content under new ids until the run ends."""
     dice, number = random.Random(soak.seed), 0
     while not soak.stopping:
         number += 1
-        host, port = dice.choice(soak.entries).callers.split(":")
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write("\r\n".join([
-                "POST /chat/x HTTP/1.1", "Host: a.example", "Authorization: Token key",
-                f"X-Coursejunction-Attempt-Id: {soak.seed:x}-crash-{number:x}",
-                "X-Coursejunction-Deadline-Ms: 6000", f"X-Coursejunction-Model: {MODEL}",
-                "X-Coursejunction-Token-Usage: 100,60", f"Content-Length: {len(CRASHING)}",
-                "", ""]).encode() + CRASHING)
-            await asyncio.wait_for(reader.readline(), 7)
-            writer.close()
-        except (OSError, asyncio.TimeoutError):
-            pass  # The entry is away or holds it; what reaches engines is judged.
+        await send_copy(soak, dice.choice(soak.entries), number, "/chat/x", STREAM_LINES)
+        await asyncio.sleep(PAUSE_S)
+
+
+async def send_copies_widely(soak):
+    """Sends copies to all entries at once, for engines and for plain services."""
+    number = 0
+    while not soak.stopping:
+        copies = []
+        for entry in soak.entries:
+            number += 2
+            copies += [send_copy(soak, entry, number, "/chat/x", STREAM_LINES),
+                       send_copy(soak, entry, number + 1, "/note/x", [])]
+        await asyncio.gather(*copies)
         await asyncio.sleep(PAUSE_S)
 
 
@@ -56,6 +75,10 @@
     return sorted(at for one in soak.engines for at in one.crashed)
 
 
+def service_ends_of(soak):
+    return sorted(at for one in soak.services for at in one.crashed)
+
+
 async def judge_bystanders(soak):
     """The others' requests in the calm, while copies still come."""
     def answers():
@@ -69,16 +92,21 @@
 
 
 def judge_crashes(soak):
+    judge_ends(soak, "crashes", ends_of(soak))
+    if soak.asked.wide:
+        judge_ends(soak, "service crashes", service_ends_of(soak))
+
+
+def judge_ends(soak, name, ends):
     """Counts what was sent by entries that had run for a while: after a standstill
     of the machine none had, and none can have heard of the others."""
-    ends = ends_of(soak)
-    soak.counts["crashes"] = len(ends)
+    soak.counts[name] = len(ends)
     if len(ends) < 3:
         return
     late = [at for at in ends if at > ends[2] + CONTACT_S
             and not soak.standstills.lasted(at - RUN_S - CONTACT_S, at)]
     if len(late) > MOST_LATE:
-        soak.broken("crashes", f"{len(late)} engines more ended after the third, {len(ends)} in all")
+        soak.broken(name, f"{len(late)} engines more ended after the third, {len(ends)} in all")
     after = [at for at in ends if soak.blackout and at > soak.blackout]
     if len(after) > MOST_TRIALS:
-        soak.broken("crashes", f"{len(after)} engines ended after all entries had started again")
+        soak.broken(name, f"{len(after)} engines ended after all entries had started again")
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -215,9 +215,11 @@
     def __init__(self, host, ident, faults):
         super().__init__(host, 0)
         self.id = ident
+        self.number, self.restarts = ident, 0
         self.born = int(time.time() * 1000)
         self.faults = faults
         self.runs = {}
+        self.crashed = []  # When a request ended it.
 
     async def handle(self, method, target, headers, body, writer):
         asked = headers["x-coursejunction-attempt-id"]
@@ -225,12 +227,32 @@
         if headers.get("x-coursejunction-expect-instance") != self.id:
             return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
         self.runs[asked] = self.runs.get(asked, 0) + 1
+        if body == CRASHING:
+            return await self.end_under_request()
         if self.faults.random() < 0.03:
             writer.transport.abort()  # It ran, and its answer is lost.
             return None
         await asyncio.sleep(0.01)
         return answer(200, asked.encode(), signed + ["X-Coursejunction-Server-Signature: s"])
 
+    async def end_under_request(self):
+        """Its address refuses until another one takes its place there."""
+        await asyncio.sleep(CRASH_AFTER_S)
+        self.crashed.append(asyncio.get_running_loop().time())
+        await self.stop()
+        asyncio.get_running_loop().create_task(self.come_back())
+
+    async def come_back(self):
+        await asyncio.sleep(AWAY_S)
+        self.restarts += 1
+        self.id = f"{self.number}-{self.restarts}"
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        try:
+            await self.start()
+        except OSError:
+            self.port = 0  # Somebody else has the port by now.
+            await self.start()
+
 
 class Engine(Server):
     """A model engine with a staging area; streams events whose text names the
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
                                        other writers spoil records
     soak.py ... --crashing         a request that ends its engines comes again and again
     soak.py ... --suspending       instances are suspended: their steady clocks stand for a while
+    soak.py ... --crashing --wide        its copies come to all entries at once, also for plain services
     soak.py ... --crashing --blackout    all entries lose power at once while its copies come
     soak.py ... --standstill S     the whole machine stands still for S s, again and again,
                                        while the end is judged
@@ -32,7 +33,7 @@
 import tempfile
 
 from configuration import LARGE_ROUTES, least_and_most_large, newest_path, newest_route, plain_rules
-from crashing import judge_bystanders, judge_crashes, lose_all_entries, send_copies
+from crashing import judge_bystanders, judge_crashes, lose_all_entries, send_copies, send_copies_widely
 from knowledge import Knowledge, fetch, judge_rest
 from links import HallLink, Proxy
 from platform_standin import MODEL, Engine, Origin, Service, Store
@@ -89,7 +90,8 @@
         self.store, self.origin = Store("127.0.0.1"), Origin("127.0.0.1")
         await self.store.start()
         await self.origin.start()
-        self.services = [Service("127.0.0.1", f"plain-{at}", self.noise) for at in range(2)]
+        self.services = [Service("127.0.0.1", f"plain-{at}", self.noise)
+                         for at in range(6 if self.asked.wide else 2)]
         sides = self.asked.sides
         self.engines = [Engine(f"127.0.2.{at + 1}", at, self.noise, 1 if at < sides * 3 / 4 else 0)
                         for at in range(sides)]
@@ -377,7 +379,8 @@
         if self.rate:
             self.tasks.append(asyncio.create_task(self.fault("large")))
         if self.asked.crashing:
-            self.tasks.append(asyncio.create_task(send_copies(self)))
+            send = send_copies_widely if self.asked.wide else send_copies
+            self.tasks.append(asyncio.create_task(send(self)))
         if self.asked.blackout:
             self.tasks.append(asyncio.create_task(lose_all_entries(self)))
         end = asyncio.get_running_loop().time() + self.seconds
@@ -510,6 +513,7 @@
     parser.add_argument("--reborn", action="store_true")
     parser.add_argument("--crashing", action="store_true")
     parser.add_argument("--suspending", action="store_true")
+    parser.add_argument("--wide", action="store_true")
     parser.add_argument("--blackout", action="store_true")
     parser.add_argument("--standstill", type=float, default=0, help="seconds")
     parser.add_argument("--misreads", type=int, default=0,
