--- a/src/coursejunction/run/crash_ledger.hpp
+++ b/src/coursejunction/run/crash_ledger.hpp
@@ -43,8 +43,8 @@
      * shows what the ends could not: a request that all ask for is beside
      * whatever ends three upstreams, and was refused 629 to 898 times in a soak
      * of 35 s while it was kept away for ten minutes. The news of ends needs
-     * 0.4 s to reach all entries. */
-    milliseconds rest{5'000};
+     * 0.4 s to reach all entries, and upstreams are back after some seconds. */
+    milliseconds rest{2'000};
     /*! @brief A quarantine after a trial that ended an upstream: a request that
      * never gets better costs one in ten minutes. */
     milliseconds quarantine{600'000};
--- a/tests/daemon/quarantine_api.cpp
+++ b/tests/daemon/quarantine_api.cpp
@@ -59,12 +59,12 @@
         CHECK(told.status == 200);
         CHECK(told.text.find(bad.hex()) != std::string::npos);
         CHECK(told.text.find("\"ends\":3") != std::string::npos);
-        CHECK(told.text.find("\"left_ms\":5000") != std::string::npos);
+        CHECK(told.text.find("\"left_ms\":2000") != std::string::npos);
         CHECK(told.text.find("\"quarantined\"") != std::string::npos);
     }
     SECTION("the list tells what is on trial")
     {
-        const auto later = now + 5s;
+        const auto later = now + 2s;
         kept_reply reply;
         http_request from;
         from.method = "GET";
--- a/tests/run/crash_ledger.cpp
+++ b/tests/run/crash_ledger.cpp
@@ -56,7 +56,7 @@
         CHECK(ledger.accuse(bad, end_of(3), beginning, now));
         CHECK(ledger.standing(bad, now) == crash_standing::quarantined);
         CHECK(ledger.most_running(bad, true, now) == 0);
-        CHECK(ledger.left(bad, now + 1s) == 4s);
+        CHECK(ledger.left(bad, now + 1s) == 1s);
 
         SECTION("and no other one")
         {
@@ -64,7 +64,7 @@
         }
         SECTION("until a trial, of one copy at one entry")
         {
-            now += 5s;
+            now += 2s;
             CHECK(ledger.standing(bad, now) == crash_standing::on_trial);
             CHECK(ledger.left(bad, now) == 0s);
             CHECK(ledger.most_running(bad, true, now) == 1);
@@ -72,7 +72,7 @@
         }
         SECTION("a trial that ends an upstream keeps it away for ten minutes")
         {
-            now += 5s;
+            now += 2s;
             CHECK(ledger.accuse(bad, end_of(4), trial, now));
             CHECK(ledger.left(bad, now + 1s) == 599s);
             now += 600s;
@@ -83,7 +83,7 @@
         }
         SECTION("also when it has ended many")
         {
-            now += 5s;
+            now += 2s;
             for (int at = 4; at < 40; ++at)
             {
                 ledger.accuse(bad, end_of(at), trial, now);
@@ -94,9 +94,9 @@
         }
         SECTION("ends that are told while it rests let it rest longer")
         {
-            now += 3s;
+            now += 1s;
             ledger.accuse(bad, end_of(4), beginning, now);
-            CHECK(ledger.left(bad, now) == 5s);
+            CHECK(ledger.left(bad, now) == 2s);
         }
         SECTION("until an operator lifts it, at all entries")
         {
@@ -259,7 +259,7 @@
             ledger.accuse(asked, end_of(at), beginning, now);
         crash_ledger other;
         tell(ledger, other, now);
-        now += 5s;
+        now += 2s;
         answer(2);
         CHECK(ledger.standing(asked, now) == crash_standing::on_trial);
         CHECK(ledger.most_running(asked, true, now) == 3);
@@ -272,10 +272,10 @@
     {
         for (int at = 1; at <= 3; ++at)
             ledger.accuse(asked, end_of(at), beginning, now);
-        now += 5s;
+        now += 2s;
         answer(1);
         ledger.accuse(asked, end_of(4), trial, now);
-        CHECK(ledger.left(asked, now) == 5s);
+        CHECK(ledger.left(asked, now) == 2s);
     }
     SECTION("one that ends every third upstream is quarantined; of trials it "
             "passes one in three and costs an upstream in ten minutes at last")
@@ -287,11 +287,11 @@
         }
         CHECK(ledger.standing(asked, now) == crash_standing::quarantined);
         answer(1);
-        CHECK(ledger.standing(asked, now + 4s) == crash_standing::quarantined);
-        CHECK(ledger.standing(asked, now + 5s) == crash_standing::on_trial);
+        CHECK(ledger.standing(asked, now + 1s) == crash_standing::quarantined);
+        CHECK(ledger.standing(asked, now + 2s) == crash_standing::on_trial);
         now += 11s;
         ledger.accuse(asked, end_of(7), beginning, now);
-        now += 5s;
+        now += 2s;
         ledger.accuse(asked, end_of(8), trial, now);
         CHECK(ledger.standing(asked, now + 599s) ==
               crash_standing::quarantined);
@@ -369,7 +369,7 @@
             ledger.accuse(content(at), end_of(at), beginning,
                           now + milliseconds(at));
         CHECK(ledger.all().size() == 64);
-        CHECK(ledger.standing(bad, now + 4s) == crash_standing::quarantined);
+        CHECK(ledger.standing(bad, now + 1s) == crash_standing::quarantined);
         CHECK(ledger.standing(bad, now + 10s) == crash_standing::on_trial);
     }
     SECTION("one call tells few records, and all come in turn")
