--- a/src/coursejunction/control/key_value_client.cpp
+++ b/src/coursejunction/control/key_value_client.cpp
@@ -3,9 +3,9 @@
 #include <random>
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 #include "coursejunction/core/backoff.hpp"
+#include "coursejunction/core/base64.hpp"
 #include "coursejunction/core/digest.hpp"
 #include "coursejunction/net/event_loop.hpp"
 
@@ -47,22 +47,6 @@
     call.timeout = first + time_of(largest_answer);
 }
 
-result<std::string> base64_decoded(const std::string& text)
-{
-    std::string plain(text.size() / 4 * 3 + 1, '\0');
-    const int count =
-        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(plain.data()),
-                        reinterpret_cast<const unsigned char*>(text.data()),
-                        static_cast<int>(text.size()));
-    if (count < 0)
-        return failure(error_kind::refused, "not base64");
-    auto length = static_cast<std::size_t>(count);
-    for (auto at = text.size(); at > 0 && text[at - 1] == '='; --at)
-        --length;
-    plain.resize(length);
-    return plain;
-}
-
 result<stored_value> parse_value(const std::string& body)
 {
     const auto list = nlohmann::json::parse(body, nullptr, false);
@@ -72,7 +56,7 @@
     if (!one.contains("ModifyIndex") || !one["ModifyIndex"].is_number() ||
         !one.contains("Value") || !one["Value"].is_string())
         return failure(error_kind::refused, "not a stored value");
-    auto text = base64_decoded(one["Value"].get<std::string>());
+    auto text = from_base64(one["Value"].get<std::string>());
     if (!text)
         return failure(text.error().kind, text.error().message);
     return stored_value{one["ModifyIndex"].get<std::uint64_t>(),
--- a/standin/key_value.cpp
+++ b/standin/key_value.cpp
@@ -6,8 +6,7 @@
 #include <map>
 #include <optional>
 
-#include <openssl/evp.h>
-
+#include "coursejunction/core/base64.hpp"
 #include "coursejunction/core/digest.hpp"
 #include "coursejunction/core/pacing.hpp"
 #include "standin.hpp"
@@ -17,17 +16,6 @@
 
 using coursejunction::time_point;
 
-std::string base64(const std::string& plain)
-{
-    std::string text(4 * ((plain.size() + 2) / 3) + 1, '\0');
-    const auto count =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                        reinterpret_cast<const unsigned char*>(plain.data()),
-                        static_cast<int>(plain.size()));
-    text.resize(static_cast<std::size_t>(count));
-    return text;
-}
-
 class key_value
 {
 public:
@@ -177,9 +165,10 @@
             return reply->send(404, "", headers, "");
         const auto& one = stale ? previous.at(key) : found->second;
         stale_reads -= stale ? 1 : 0;
-        const json body = json::array({{{"Key", key},
-                                        {"ModifyIndex", one.index},
-                                        {"Value", base64(one.value)}}});
+        const json body =
+            json::array({{{"Key", key},
+                          {"ModifyIndex", one.index},
+                          {"Value", coursejunction::to_base64(one.value)}}});
         reply->send(200, "application/json", headers, body.dump());
     }
 
--- a/tests/control/key_value_client.cpp
+++ b/tests/control/key_value_client.cpp
@@ -8,8 +8,8 @@
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
+#include "coursejunction/core/base64.hpp"
 #include "coursejunction/net/http_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
 #include "net/loopback.hpp"
@@ -21,17 +21,6 @@
 namespace
 {
 
-std::string base64(const std::string& plain)
-{
-    std::string text(4 * ((plain.size() + 2) / 3) + 1, '\0');
-    const auto count =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                        reinterpret_cast<const unsigned char*>(plain.data()),
-                        static_cast<int>(plain.size()));
-    text.resize(static_cast<std::size_t>(count));
-    return text;
-}
-
 /*! @brief The service with its one value behind a link that all share. */
 class distant_service
 {
@@ -81,7 +70,7 @@
         if (index == 0)
             return to.send(404, {}, "");
         const nlohmann::json one{{"ModifyIndex", index},
-                                 {"Value", base64(value)}};
+                                 {"Value", cj::to_base64(value)}};
         to.send(200, {}, nlohmann::json::array({one}).dump());
     }
 
@@ -282,7 +271,8 @@
                                     [this] { open.send(200, {}, "true"); });
             return;
         }
-        const nlohmann::json one{{"ModifyIndex", 7}, {"Value", base64("v")}};
+        const nlohmann::json one{{"ModifyIndex", 7},
+                                 {"Value", cj::to_base64("v")}};
         text = nlohmann::json::array({one}).dump();
         given = 0;
         open.begin(200, {});
--- a/tests/platform/hall_behind_link.cpp
+++ b/tests/platform/hall_behind_link.cpp
@@ -19,8 +19,8 @@
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
+#include "coursejunction/core/base64.hpp"
 #include "coursejunction/fleet/fleet_node.hpp"
 #include "coursejunction/net/http_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
@@ -56,17 +56,6 @@
     return text;
 }
 
-std::string base64(const std::string& bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const auto count =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                        reinterpret_cast<const unsigned char*>(bytes.data()),
-                        static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(count));
-    return text;
-}
-
 /*! @brief One link that the answers of a server share evenly. */
 class shared_link
 {
@@ -146,7 +135,7 @@
     {
         nlohmann::json item;
         item["keyFile"] = "op/config";
-        item["payload"] = base64(payload);
+        item["payload"] = cj::to_base64(payload);
         item["revision"] = newest;
         nlohmann::json page;
         page["entries"] = {item};
