--- a/tests/session/test_crashing_requests.py
+++ b/tests/session/test_crashing_requests.py
@@ -55,6 +55,20 @@
         self.heard("entry-1", 1)
         self.assertTrue(Caller(self.lab.entries["entry-1"], tokens=3).end().whole(3))
 
+    def test_one_that_may_run_once_ends_few_engines_too(self):
+        once = {"Not-Repeatable": "true"}
+        outcomes = [self.copy(f"entry-{number % 2 + 1}", number, stream=False,
+                              headers=once).json["outcome"] for number in range(8)]
+        self.assertLessEqual(set(outcomes), {"unknown", "not_run"})
+        for entry in ("entry-1", "entry-2"):
+            wait_for(f"{entry} knows", lambda entry=entry: len(self.quarantined(entry)) == 1)
+        # Three, one that each entry may have sent meanwhile, and a trial.
+        self.assertLessEqual(self.crashes(), 6)
+        # Each end is that of one copy, which is not told as not run.
+        self.assertEqual(self.crashes(), outcomes.count("unknown"))
+        self.heard("entry-1", 1)
+        self.assertTrue(Caller(self.lab.entries["entry-1"], tokens=3).end().whole(3))
+
     def test_an_entry_that_starts_later_knows_it(self):
         self.quarantine()
         before = self.crashes()
