Callers that come back are told from new ones on any spread of deadlines

Cause: route/first_try took the longest deadline of a route for that of every new caller. Where callers begin with 5,100 to 6,000 ms, 668 of 863 first sends of an untroubled 6 s counted as back after up to 881 ms; under overload they were refused as late and real returners served in their place.

A request is a return if it is alike, ends at the same moment within 20 ms and comes when its caller may. Where nobody was told, a deadline below the floor of its route's new callers tells it.

--- a/src/coursejunction/fleet/beat_plan.hpp
+++ b/src/coursejunction/fleet/beat_plan.hpp
@@ -26,7 +26,8 @@
     chunks,  /*!< Chunks of weights arrived. */
     digest,  /*!< An entry passes on what the sides of its hall tell. */
     behind,  /*!< A side's mirror is behind. */
-    crash    /*!< Upstreams ended under a request of this entry. */
+    crash,   /*!< Upstreams ended under a request of this entry. */
+    refusals /*!< This entry sent callers away. */
 };
 
 /*! @brief Returns a reason's name for metrics. */
@@ -52,6 +53,8 @@
         return "behind";
     case beat_reason::crash:
         return "crash";
+    case beat_reason::refusals:
+        return "refusals";
     }
     return "unknown";
 }
@@ -135,6 +138,7 @@
     switch (sent.reason)
     {
     case beat_reason::load:
+    case beat_reason::refusals:
         return to.entry && to.near;
     case beat_reason::state:
         return to.entry || to.near;
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -64,6 +64,9 @@
     /*! @brief Returns records of requests that crash upstreams, for other
      * entries; only an entry has any. */
     std::function<std::vector<message::crash_record>()> crashes;
+    /*! @brief Returns callers that this entry sent away, for the other entries
+     * of its hall, each once. */
+    std::function<std::vector<message::refused_caller>()> refusals;
     /*! @brief Tells whether weights are on their way to some side. */
     std::function<bool()> spreading;
 };
@@ -145,6 +148,10 @@
     /*! @brief Tells all entries that upstreams ended under a request. */
     void announce_crashes() { tell(moment(beat_reason::crash)); }
 
+    /*! @brief Tells the entries of the own hall which callers were sent away:
+     * that is where they come back. */
+    void announce_refusals() { tell(moment(beat_reason::refusals)); }
+
     /*! @brief Marks the node as leaving in its heartbeats. */
     void leave()
     {
@@ -406,6 +413,8 @@
             hooks.describe(made, chunks_told(sent));
         if (hooks.crashes && tells_crashes(sent.reason))
             made.crashes = hooks.crashes();
+        if (hooks.refusals && sent.reason == beat_reason::refusals)
+            made.refusals = hooks.refusals();
         made.upstream.side = incarnation;
         return made;
     }
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -47,6 +47,7 @@
     service_name service;
     std::optional<organisation_id> owner;
     request_content content;
+    request_fingerprint fingerprint;
     arrival_standing standing;
     timer limit;
 
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -60,7 +60,8 @@
          {"reason", why.usable == 0     ? "no usable upstream"
                     : one.standing.late ? "came back late, no place is free"
                                         : "target would be missed"},
-         {"waited_before_ms", std::to_string(one.standing.waited.count())},
+         {"waited_before_ms", std::to_string(one.standing.past.waited.count())},
+         {"known_by", std::string(evidence_name(one.standing.past.known_by))},
          {"usable", std::to_string(why.usable)},
          {"least_ms", whole(why.least_ms)},
          {"target_ms", std::to_string(one.route->target.count())},
@@ -95,7 +96,8 @@
          {"expected", whole(one.at.load.expected)},
          {"version", std::to_string(one.at.version)},
          {"left_ms", std::to_string(left.count())},
-         {"waited_before_ms", std::to_string(one.standing.waited.count())}});
+         {"waited_before_ms", std::to_string(one.standing.past.waited.count())},
+         {"known_by", std::string(evidence_name(one.standing.past.known_by))}});
 }
 
 /*! @brief The first event of an attempt came; of a stream that goes on, the
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,6 +17,7 @@
 #include <variant>
 #include <vector>
 
+#include "coursejunction/core/digest.hpp"
 #include "coursejunction/fleet/installation.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
@@ -77,7 +79,33 @@
     }
 
     /*! @brief Tells what callers ask of the engines at all other entries. */
-    void elsewhere(const request_rates& told) { decisions.elsewhere(told); }
+    void elsewhere(const request_rates& told, time_point now)
+    {
+        decisions.elsewhere(told, now);
+    }
+
+    /*! @brief Returns callers sent away that other entries were not told of,
+     * and takes them for told. */
+    [[nodiscard]] std::vector<refused_try> news_of_refusals(std::size_t most)
+    {
+        return decisions.news_of_refusals(most);
+    }
+
+    /*! @brief Sets what is called while other entries were not told of some. It
+     * is called soon: some callers come back without a pause. */
+    void on_refusals(std::function<void()> call)
+    {
+        tell_refusals = std::move(call);
+    }
+
+    /*! @brief Takes in that another entry sent a caller away. */
+    void sent_away_elsewhere(const refused_try& one, time_point now)
+    {
+        decisions.sent_away_elsewhere(one, now);
+    }
+
+    /*! @brief Forgets callers that have left; called now and then. */
+    void expire(time_point now) { decisions.expire(now); }
 
     /*! @brief Tells whether an engine takes new requests: those that do are
      * divided between the entries. */
@@ -149,6 +177,8 @@
     {
         for (const auto number : waiting.numbers())
             open.with(number, [this](exchange& one) { place(one); });
+        if (tell_refusals && decisions.has_news_of_refusals())
+            tell_refusals();
     }
 
     /*! @brief Returns how many requests are open. */
@@ -180,6 +210,7 @@
         if (one.asked.id.empty())
             return 400;
         one.content = content_of(one);
+        one.fingerprint = fingerprint_of(one);
         const auto hash = std::hash<std::string>{}(one.asked.id.value());
         const auto* service = service_for(*one.route, hash);
         if (service == nullptr)
@@ -190,8 +221,13 @@
             one.ends = std::min<time_point>(one.ends,
                                             one.arrived + *one.asked.deadline);
         budgets.of(one.service).request(one.arrived);
-        one.standing = decisions.arrived(*one.route, profile_of(one),
-                                         one.asked.deadline, one.arrived);
+        one.standing =
+            decisions.arrived(*one.route, profile_of(one), one.fingerprint,
+                              one.asked.deadline, one.arrived);
+        if (one.standing.returned())
+            counters.count("requests_returned_total", 1,
+                           {{"known_by", std::string(evidence_name(
+                                             one.standing.past.known_by))}});
         return 0;
     }
 
@@ -205,6 +241,18 @@
                                    one.original.body);
     }
 
+    /*! @brief Returns by what a caller is known when it comes back: its later
+     * try repeats all but the id and what is left of the deadline. */
+    [[nodiscard]] static request_fingerprint fingerprint_of(const exchange& one)
+    {
+        const auto& asked = one.asked;
+        return request_fingerprint(
+            stable_hash(one.content.hex() + asked.prompt_parts + "/" +
+                        std::to_string(asked.prompt_tokens) + "/" +
+                        std::to_string(asked.most_tokens) + "/" +
+                        std::to_string(asked.likely_tokens)));
+    }
+
     /*! @brief Tells whether a status says that the configuration does not allow
      * a request. A caller believes that and does not come back, so an entry
      * that knows its configuration to be old says instead that it cannot tell.
@@ -369,7 +417,7 @@
     [[nodiscard]] static waiting_request place_in_line(const exchange& one)
     {
         return {one.standing.late,
-                one.arrived - one.standing.waited + one.route->target,
+                one.arrived - one.standing.past.waited + one.route->target,
                 one.number};
     }
 
@@ -384,9 +432,25 @@
     {
         counters.count("requests_refused_total", 1, {{"status", "503"}});
         one.reply.send(503, Codec::refusal_headers(come_back), "");
+        remember_caller(one, come_back);
         forget(one);
     }
 
+    /*! @brief The caller may try again: whichever entry of the hall it comes
+     * to should know since when it waits. */
+    void remember_caller(const exchange& one, milliseconds come_back)
+    {
+        const auto now = event_loop::now();
+        refused_try made;
+        made.what = one.fingerprint;
+        made.first = one.arrived - one.standing.past.waited;
+        if (one.asked.deadline)
+            made.ends = one.arrived + *one.asked.deadline;
+        made.refused = now;
+        made.due = now + come_back;
+        decisions.sent_away(made, now);
+    }
+
     // --- One attempt -----------------------------------------------------
 
     void send(exchange& one, const send_to& to)
@@ -691,6 +755,8 @@
         one.reply.send(
             not_run ? 503 : 502,
             not_run ? Codec::refusal_headers(least_wait()) : header_list{}, "");
+        if (not_run || one.route->repeatable())
+            remember_caller(one, not_run ? least_wait() : milliseconds(0));
         finish_log(one, not_run ? "not run" : "unknown", why);
         forget(one);
     }
@@ -799,6 +865,7 @@
     open_exchanges open;
     waiting_line waiting;
     retry_budgets budgets;
+    std::function<void()> tell_refusals;
     std::uint64_t last_number{0};
     std::uint64_t last_attempt{0};
     bool rules_outdated{false};
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -23,6 +23,7 @@
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/proxy/exchange_service.hpp"
+#include "coursejunction/proxy/refusal_news.hpp"
 
 namespace coursejunction
 {
@@ -78,6 +79,8 @@
         hooks.describe = [this](message::fleet_heartbeat& into, chunk_detail)
         { describe(into); };
         hooks.crashes = [this] { return exchanges.crashing().told(); };
+        hooks.refusals = [this] { return refusals_told(); };
+        exchanges.on_refusals([this] { node.announce_refusals(); });
         exchanges.crashing().on_news([this] { node.announce_crashes(); });
         exchanges.crashing().on_keep([this](const request_content& what,
                                             const message::crash_record* record)
@@ -130,6 +133,10 @@
      * engine of the installations ends 4.8 a second. */
     static constexpr double least_demand{0.5};
 
+    /*! @brief Refusals in one heartbeat, so that it fits a packet; more wait
+     * for the next tick. */
+    static constexpr std::size_t most_refusals_told = 48;
+
     /*! @brief What is left of the grace when the rest is cut. */
     static constexpr milliseconds last_moment{250};
 
@@ -313,12 +320,25 @@
             take_status(address_text(told.address), status_in(one.digest, told),
                         now - milliseconds(told.age_ms));
         if (one.entry)
+        {
+            for (const auto& told : one.refusals)
+                exchanges.sent_away_elsewhere(refusal_of(told, now), now);
             return exchanges.crashing().take(one.crashes, from);
+        }
         take_status(from, one.upstream, now);
         if (exchanges.queued() > 0)
             exchanges.tick();
     }
 
+    [[nodiscard]] std::vector<message::refused_caller> refusals_told()
+    {
+        const auto now = event_loop::now();
+        std::vector<message::refused_caller> told;
+        for (const auto& one : exchanges.news_of_refusals(most_refusals_told))
+            told.push_back(told_of(one, now));
+        return told;
+    }
+
     /*! @brief All entries agree on the one that runs the trials of a request,
      * by a rendezvous among those that live. */
     [[nodiscard]] bool owns_trials(const request_content& what) const
@@ -363,7 +383,7 @@
             others.asked += told.asked;
             others.refused += told.refused;
         }
-        exchanges.elsewhere(others);
+        exchanges.elsewhere(others, now);
         book.divide(stretch_of(self.address, demands),
                     [&](const known_upstream& one)
                     { return exchanges.takes_new(one, now); });
@@ -380,6 +400,7 @@
         const auto now = event_loop::now();
         book.expire(now);
         exchanges.crashing().tick(now);
+        exchanges.expire(now);
         counters.set("upstream_records_unreadable",
                      static_cast<double>(fleet.unreadable_records()));
         const auto entries = node.peers().entries(now) + 1;
--- /dev/null
+++ b/src/coursejunction/proxy/refusal_news.hpp
@@ -0,0 +1,56 @@
+/*! @file
+ * @brief Turns refusals into what entries of a hall tell each other; pure.
+ * Steady clocks differ between processes, so times go as spans.
+ */
+#ifndef COURSEJUNCTION_PROXY_REFUSAL_NEWS_HPP
+#define COURSEJUNCTION_PROXY_REFUSAL_NEWS_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+
+#include "coursejunction/route/refusal_memory.hpp"
+#include "coursejunction/wire/fleet_message.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Returns a span in whole ms, from none to what the wire carries. */
+[[nodiscard]] inline std::uint32_t span_ms(std::chrono::microseconds span)
+{
+    const auto ms = std::chrono::duration_cast<milliseconds>(span).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        ms, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+/*! @brief Returns what to tell of a refusal. */
+[[nodiscard]] inline message::refused_caller told_of(const refused_try& one,
+                                                     time_point now)
+{
+    message::refused_caller made;
+    made.fingerprint = one.what.value();
+    made.waited_ms = span_ms(now - one.first);
+    if (one.ends)
+        made.left_ms = std::max(span_ms(*one.ends - now), 1U);
+    made.due_ms = span_ms(one.due - now);
+    return made;
+}
+
+/*! @brief Reads what another entry told of a refusal. */
+[[nodiscard]] inline refused_try refusal_of(const message::refused_caller& told,
+                                            time_point now)
+{
+    refused_try made;
+    made.what = request_fingerprint(told.fingerprint);
+    made.first = now - milliseconds(told.waited_ms);
+    if (told.left_ms > 0)
+        made.ends = now + milliseconds(told.left_ms);
+    made.refused = now;
+    made.due = now + milliseconds(told.due_ms);
+    return made;
+}
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/proxy/request_codec.hpp
+++ b/src/coursejunction/proxy/request_codec.hpp
@@ -29,8 +29,9 @@
     std::optional<std::string> key;
     std::string model; /*!< Empty for plain requests. */
     double prompt_tokens{0};
-    double most_tokens{0};   /*!< Largest answer. */
-    double likely_tokens{0}; /*!< The caller's estimate; 0 when not told. */
+    double most_tokens{0};    /*!< Largest answer. */
+    double likely_tokens{0};  /*!< The caller's estimate; 0 when not told. */
+    std::string prompt_parts; /*!< Names of the prompt's parts, as told. */
     std::optional<std::uint64_t> last_event;
 };
 
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -17,6 +17,7 @@
 #include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "coursejunction/route/admission.hpp"
 #include "coursejunction/route/first_try.hpp"
@@ -87,24 +88,53 @@
                    { return names.count(name) > 0; });
     }
 
-    /*! @brief Notes a request's arrival. */
+    /*! @brief Notes a request's arrival.
+     * @param what Zero when it has nothing by which it is known again.
+     * @param deadline What its caller will wait from now on. */
     arrival_standing arrived(const route_rule& route,
                              const service_profile& service,
+                             request_fingerprint what,
                              std::optional<milliseconds> deadline,
                              time_point now)
     {
         arrival_standing made;
-        made.waited = tries.waited(route.name, deadline, now);
+        made.past = tries.arrived(route.name, what, deadline, now);
         auto& gate = gate_of(service);
-        if (made.waited == milliseconds(0))
+        if (!made.returned())
             gate.asked(route.target, now);
         if (service.engine)
             engines.insert(service.name);
         made.late = service.engine &&
-                    gate.late(*service.engine, route.target, made.waited);
+                    gate.late(*service.engine, route.target, made.past.waited);
         return made;
     }
 
+    /*! @brief Notes that a caller was sent away and may come back, here or at
+     * another entry. */
+    void sent_away(const refused_try& one, time_point now)
+    {
+        tries.refused(one, now);
+    }
+
+    /*! @brief Takes in that another entry sent a caller away. */
+    void sent_away_elsewhere(const refused_try& one, time_point now)
+    {
+        tries.told(one, now);
+    }
+
+    /*! @brief Returns callers sent away that other entries were not told of,
+     * and takes them for told. */
+    [[nodiscard]] std::vector<refused_try> news_of_refusals(std::size_t most)
+    {
+        return tries.take_news(most);
+    }
+
+    /*! @brief Tells whether other entries were not told of some. */
+    [[nodiscard]] bool has_news_of_refusals() const { return tries.has_news(); }
+
+    /*! @brief Forgets what is over; called now and then. */
+    void expire(time_point now) { tries.expire(now); }
+
     /*! @brief Returns what this entry's callers ask of all engines. */
     [[nodiscard]] request_rates rates(time_point now) const
     {
@@ -120,8 +150,11 @@
     }
 
     /*! @brief Takes what the other entries' callers ask of all engines. */
-    void elsewhere(const request_rates& told)
+    void elsewhere(const request_rates& told, time_point now)
     {
+        constexpr double least_rate = 0.1;
+        if (told.refused > least_rate)
+            tries.refusals_elsewhere(now);
         for (const auto& name : engines)
             gates.at(name).elsewhere(told);
     }
@@ -133,14 +166,14 @@
         auto& gate = gate_of(service);
         if (service.engine)
             wanted.limits = gate.limits(*service.engine, wanted.target,
-                                        wanted.standing.waited, now);
+                                        wanted.standing.past.waited, now);
         no_placement why;
         auto found = places.choose(book, service, wanted, now, why);
         if (found)
             return send_to{std::move(*found), rank_of(service, wanted, now)};
         if (now - wanted.since < longest_wait(wanted))
             return wait_for_place{why};
-        if (wanted.standing.waited == milliseconds(0))
+        if (!wanted.standing.returned())
             gate.refused(now);
         return refuse_request{why, come_back_after(gate, why, wanted, now)};
     }
@@ -173,7 +206,7 @@
         if (wanted.standing.late)
             return late_urgency;
         const auto gone = std::chrono::duration_cast<milliseconds>(
-            now - wanted.since + wanted.standing.waited);
+            now - wanted.since + wanted.standing.past.waited);
         return urgency_of(wanted.target - gone);
     }
 
--- a/src/coursejunction/route/first_try.hpp
+++ b/src/coursejunction/route/first_try.hpp
@@ -8,68 +8,124 @@
 #ifndef COURSEJUNCTION_ROUTE_FIRST_TRY_HPP
 #define COURSEJUNCTION_ROUTE_FIRST_TRY_HPP
 
-#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/route/deadline_floor.hpp"
+#include "coursejunction/route/refusal_memory.hpp"
 
 namespace coursejunction
 {
 
-/*! @brief Knows the longest deadline seen lately on each route: callers of a
- * route begin with the same one, and a later try carries what is left of it. */
+/*! @brief What tells that a caller comes back. */
+enum class return_evidence : std::uint8_t
+{
+    none,    /*!< Nothing: it counts as new. */
+    refusal, /*!< The refusal that it comes back from. */
+    deadline /*!< Its deadline, which is shorter than any new caller's. */
+};
+
+/*! @brief Returns the name of an evidence for logs and metrics. */
+[[nodiscard]] constexpr std::string_view evidence_name(return_evidence what)
+{
+    switch (what)
+    {
+    case return_evidence::none:
+        return "none";
+    case return_evidence::refusal:
+        return "refusal";
+    case return_evidence::deadline:
+        return "deadline";
+    }
+    return "unknown";
+}
+
+/*! @brief What is known of a caller's earlier tries. */
+struct caller_past
+{
+    return_evidence known_by{return_evidence::none};
+    milliseconds waited{0}; /*!< Since its first try, at least. */
+};
+
+/*! @brief Knows callers again: by the refusal that they come back from, and
+ * where none is known by the deadlines of their route. */
 class first_try
 {
 public:
-    /*! @brief Differences below this are no earlier try: callers round, and
-     * opening a connection takes a few ms. */
-    static constexpr milliseconds rounding{50};
-
-    /*! @brief A deadline is remembered for this long to twice as long, several
-     * times the longest deadline of the installations (6 s): callers may begin
-     * with shorter ones from some day on. */
-    static constexpr milliseconds memory{30'000};
-
-    /*! @brief Notes a request's deadline.
-     * @return The time since its caller's first try; zero when it is new or
-     * carries no deadline. */
-    milliseconds waited(const std::string& route,
+    /*! @brief Notes a request's arrival.
+     * @param deadline What its caller will wait from now on. */
+    caller_past arrived(const std::string& route, request_fingerprint what,
                         const std::optional<milliseconds>& deadline,
                         time_point now)
     {
+        std::optional<time_point> ends;
+        if (deadline)
+            ends = now + *deadline;
+        if (const auto first = refusals.recognise(what, ends, now))
+            return {return_evidence::refusal,
+                    std::chrono::duration_cast<milliseconds>(now - *first)};
         if (!deadline)
-            return milliseconds(0);
-        auto& seen = longest[route];
-        if (now - seen.began >= memory)
-            seen = {now,
-                    now - seen.began < 2 * memory ? seen.recent
-                                                  : milliseconds(0),
-                    milliseconds(0)};
-        seen.recent = std::max(seen.recent, *deadline);
-        const auto gone = std::max(seen.recent, seen.before) - *deadline;
-        return gone > rounding ? gone : milliseconds(0);
+            return {};
+        const bool calm = now - last_refusal >= calm_time;
+        const auto waited = floors[route].note(*deadline, calm, now);
+        if (waited == milliseconds(0))
+            return {};
+        return {return_evidence::deadline, waited};
     }
 
+    /*! @brief Remembers a refusal of this entry. */
+    void refused(const refused_try& one, time_point now)
+    {
+        last_refusal = now;
+        refusals.refused(one);
+    }
+
+    /*! @brief Takes in a refusal of another entry. */
+    void told(const refused_try& one, time_point now)
+    {
+        last_refusal = now;
+        refusals.told(one);
+    }
+
+    /*! @brief Notes that entries refuse callers, whoever they are. */
+    void refusals_elsewhere(time_point now) { last_refusal = now; }
+
+    /*! @brief Returns refusals that the other entries have not been told, and
+     * takes them for told. */
+    [[nodiscard]] std::vector<refused_try> take_news(std::size_t count)
+    {
+        return refusals.take_news(count);
+    }
+
+    /*! @brief Tells whether some have not been told. */
+    [[nodiscard]] bool has_news() const { return refusals.has_news(); }
+
+    /*! @brief Forgets callers that have left. */
+    void expire(time_point now) { refusals.expire(now); }
+
     /*! @brief Forgets routes for which a predicate of their name is false. */
     template <typename Predicate>
     void keep(Predicate wanted)
     {
-        std::erase_if(longest,
+        std::erase_if(floors,
                       [&](const auto& one) { return !wanted(one.first); });
     }
 
 private:
-    /*! @brief Longest deadlines of two spans of time. */
-    struct spans
-    {
-        time_point began{};
-        milliseconds before{0};
-        milliseconds recent{0};
-    };
+    /*! @brief So long after the last refusal its callers have come back or
+     * left: they heed up to a third of what is left of their deadline. */
+    static constexpr milliseconds calm_time{5000};
 
-    std::map<std::string, spans> longest;
+    std::map<std::string, deadline_floor> floors;
+    refusal_memory refusals;
+    time_point last_refusal{};
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -15,6 +15,7 @@
 
 #include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/route/admission.hpp"
+#include "coursejunction/route/first_try.hpp"
 #include "coursejunction/route/upstream_book.hpp"
 
 namespace coursejunction
@@ -47,8 +48,14 @@
 /*! @brief How a request stands to its target when it arrives. */
 struct arrival_standing
 {
-    milliseconds waited{0}; /*!< Since its caller's first try. */
-    bool late{false};       /*!< It can't be in time any more. */
+    caller_past past;
+    bool late{false}; /*!< It can't be in time any more. */
+
+    /*! @brief Tells whether its caller tried before. */
+    [[nodiscard]] bool returned() const
+    {
+        return past.known_by != return_evidence::none;
+    }
 };
 
 /*! @brief What is to be placed. */
--- /dev/null
+++ b/src/coursejunction/route/refusal_memory.hpp
@@ -0,0 +1,97 @@
+/*! @file
+ * @brief Recognises callers that come back after a refusal; pure.
+ *
+ * Load pattern: more is asked for than the upstreams can end, and a part of
+ * what arrives are callers that were refused a moment ago, under a new id and
+ * mostly at another entry of their hall. Nothing in a request says so.
+ */
+#ifndef COURSEJUNCTION_ROUTE_REFUSAL_MEMORY_HPP
+#define COURSEJUNCTION_ROUTE_REFUSAL_MEMORY_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "coursejunction/core/types.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Hash of all that a later try of a caller repeats: who asks, for what
+ * and how much of it. Zero when it is not known. */
+using request_fingerprint = strong<struct fingerprint_tag, std::uint64_t>;
+
+/*! @brief A request that was refused. */
+struct refused_try
+{
+    request_fingerprint what;
+    time_point first{};             /*!< First try of its caller. */
+    std::optional<time_point> ends; /*!< Its caller's deadline. */
+    time_point refused{};           /*!< When it was sent away. */
+    time_point due{};               /*!< When its caller was told to return. */
+};
+
+/*! @brief Requests that this entry, or one of its hall, refused lately. */
+class refusal_memory
+{
+public:
+    /*! @brief Refusals remembered at most, some 1.5 MB. */
+    static constexpr std::size_t most = 16'384;
+
+    /*! @brief Refusals kept for the other entries at most. */
+    static constexpr std::size_t most_news = 256;
+
+    /*! @brief Two tries of one caller have the same deadline but for their ways
+     * here, timers and rounding. */
+    static constexpr milliseconds same_deadline{20};
+
+    /*! @brief A caller that is not back so long after it was told to return has
+     * left: a new connection is given a second. A request like its own is then
+     * somebody else's. */
+    static constexpr milliseconds patience{1200};
+
+    /*! @brief Callers that do not heed what they were told come back within
+     * this time; between it and what they were told, nobody does. */
+    static constexpr milliseconds at_once{150};
+
+    /*! @brief Timers and clocks may make a caller come this much too soon. */
+    static constexpr milliseconds too_soon{20};
+
+    /*! @brief Remembers a refusal of this entry, which others are to be told.
+     */
+    void refused(const refused_try& one);
+
+    /*! @brief Remembers a refusal that another entry tells of. */
+    void told(const refused_try& one);
+
+    /*! @brief Finds the refusal that a request comes back from, and forgets it:
+     * a refused caller returns once. Callers that ask for the same are told
+     * apart by the moment at which they come and by their deadlines.
+     * @return The first try of its caller. */
+    [[nodiscard]] std::optional<time_point>
+    recognise(request_fingerprint what, std::optional<time_point> ends,
+              time_point now);
+
+    /*! @brief Returns the oldest refusals that the other entries have not been
+     * told, and takes them for told.
+     * @param count At most so many. */
+    [[nodiscard]] std::vector<refused_try> take_news(std::size_t count);
+
+    /*! @brief Tells whether the other entries have not been told of some. */
+    [[nodiscard]] bool has_news() const { return !news.empty(); }
+
+    /*! @brief Forgets callers that have left. */
+    void expire(time_point now);
+
+    [[nodiscard]] std::size_t size() const { return known.size(); }
+
+private:
+    std::multimap<request_fingerprint, refused_try> known;
+    std::vector<refused_try> news;
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -106,6 +106,23 @@
     }
 };
 
+/*! @brief A caller that an entry sent away; times are ms from the sending. */
+struct refused_caller
+{
+    /*! @brief Bytes on the wire; a run longer than the message is refused. */
+    static constexpr std::size_t least_bytes = 20;
+    std::uint64_t fingerprint{0};
+    std::uint32_t waited_ms{0}; /*!< Since its first try. */
+    std::uint32_t left_ms{0};   /*!< To its deadline; 0 when it told none. */
+    std::uint32_t due_ms{0};    /*!< Until it may come back. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(fingerprint, waited_ms, left_ms, due_ms);
+    }
+};
+
 /*! @brief Datagram between any two processes of an installation. */
 struct fleet_heartbeat
 {
@@ -129,7 +146,8 @@
     std::vector<chunk_possession> chunks; /*!< Of a side, by version. */
     entry_load load;                      /*!< Of an entry. */
     hall_digest digest; /*!< Of an entry, for entries of other halls. */
-    std::vector<crash_record> crashes; /*!< Of an entry. */
+    std::vector<crash_record> crashes;    /*!< Of an entry. */
+    std::vector<refused_caller> refusals; /*!< Of an entry, new ones. */
 
     template <typename Archive>
     void serialize(Archive& archive)
@@ -138,7 +156,7 @@
                 watching, fetching, probing, store_returned, store_distance,
                 entries);
         if (entry)
-            archive(load, digest, crashes);
+            archive(load, digest, crashes, refusals);
         else
             archive(upstream, chunks);
     }
--- a/tests/route/load_engine.hpp
+++ b/tests/route/load_engine.hpp
@@ -68,6 +68,8 @@
     // The try in progress.
     double arrived_ms{0};
     cj::arrival_standing standing;
+    cj::request_fingerprint fingerprint;
+    double deadline_ms{6000}; /*!< From its caller's first try. */
     std::size_t engine{0};
     int rank{5};
     double unread{0};
