A version that comes too late to be served is passed over

After its return it gave the last 13 chunks of version 2 first, 0.6 s of its link, although version 3 took all requests 0.3 s after the first side had version 2: nobody served it, and staging it delayed version 3 further.

Weighed: always finishing the older version (as it was); leaving it when it stands still (loses it when the origin returns soon); leaving it when the chunks that nobody has, at the origin's rate, and 0.9 s until half of the upstreams serve it end after the newer version takes all requests. The last is kept: a pure decision, rollout/version_order.

--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -42,6 +42,9 @@
     /*! @brief How long after a version was named some side may still fetch it:
      * the time that a version has. */
     milliseconds spread_time{8000};
+    /*! @brief Time after which entries send nothing to weights older than a
+     * version that was named: `version_times::send_until`. */
+    milliseconds send_until{6000};
     /*! @brief Between the news that the upstream closes and the order, so that
      * requests on their way still arrive before it. */
     milliseconds close_pause{30};
@@ -193,11 +196,31 @@
                           const auto found = transfers.find(newest);
                           return overtaken(fleet.named_at(name, version),
                                            fleet.named_at(name, newest)) ||
+                                 too_late(*one.second, newest) ||
                                  (found != transfers.end() &&
                                   found->second->complete());
                       });
     }
 
+    /*! @brief Tells whether a version would be loaded for nothing, since a
+     * newer one takes its requests by then. */
+    [[nodiscard]] bool too_late(const transfer_type& one,
+                                std::uint64_t newest) const
+    {
+        const auto needs = one.need();
+        if (!needs)
+            return false;
+        const auto used_until =
+            fleet.named_at(one.version().model, newest) + options.send_until;
+        if (!comes_too_late(*needs, event_loop::now(), used_until))
+            return false;
+        log::state("version_passed_over",
+                   {{"version", std::to_string(one.version().version)},
+                    {"for", std::to_string(newest)},
+                    {"chunks_unseen", std::to_string(needs->chunks_unseen)}});
+        return true;
+    }
+
     /*! @brief Lets versions come one after another, the oldest first: what has
      * begun to spread is whole soonest, and each version binds on its own. One
      * that stands still lets the next one begin beside it. */
--- a/src/coursejunction/rollout/version_order.hpp
+++ b/src/coursejunction/rollout/version_order.hpp
@@ -4,6 +4,8 @@
 #ifndef COURSEJUNCTION_ROLLOUT_VERSION_ORDER_HPP
 #define COURSEJUNCTION_ROLLOUT_VERSION_ORDER_HPP
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -29,6 +31,29 @@
     return newer_named - named < overtaken_time;
 }
 
+/*! @brief What a version still needs before upstreams can serve it. */
+struct version_need
+{
+    std::size_t chunks_unseen{0}; /*!< No side is known to have them. */
+    std::chrono::microseconds chunk_time{0}; /*!< One on the origin's link. */
+};
+
+/*! @brief From the last chunk's arrival until half of the upstreams serve a
+ * version: it spreads, is read back, ordered and loaded. */
+inline constexpr milliseconds serving_time{900};
+
+/*! @brief Tells whether a version comes too late to be served at all: a newer
+ * one takes all requests before upstreams have loaded it. What its chunks take
+ * from the origin's link is then taken from the newer one.
+ * @param used_until When requests go to the newer version only. */
+[[nodiscard]] inline bool comes_too_late(const version_need& needs,
+                                         time_point now, time_point used_until)
+{
+    const auto count =
+        static_cast<std::chrono::microseconds::rep>(needs.chunks_unseen);
+    return now + needs.chunk_time * count + serving_time >= used_until;
+}
+
 /*! @brief A version that is on its way to an instance. */
 struct coming_version
 {
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -26,6 +26,7 @@
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/rollout/agent_state.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
+#include "coursejunction/rollout/version_order.hpp"
 #include "coursejunction/transfer/chunk_transfer_options.hpp"
 #include "coursejunction/transfer/manifest_fetch.hpp"
 #include "coursejunction/transfer/paced_uploads.hpp"
@@ -114,6 +115,19 @@
     /*! @brief Tells whether every chunk is held here. */
     [[nodiscard]] bool complete() const { return store && store->complete(); }
 
+    /*! @brief Returns what is missing until upstreams can serve this version;
+     * nothing while too little is known to say. */
+    [[nodiscard]] std::optional<version_need> need() const
+    {
+        const auto rate = view.origin_rate();
+        if (!planner || rate <= 0)
+            return std::nullopt;
+        const auto& list = store->of();
+        const auto bytes = static_cast<double>(list.total_bytes()) /
+                           static_cast<double>(list.size());
+        return version_need{planner->unseen(), from_seconds(bytes / rate)};
+    }
+
     /*! @brief Tells whether every chunk is held and staged at the upstream. */
     [[nodiscard]] bool staged() const
     {
--- a/src/coursejunction/transfer/transfer_planner.hpp
+++ b/src/coursejunction/transfer/transfer_planner.hpp
@@ -233,6 +233,14 @@
     /*! @brief Tells whether every chunk is held. */
     [[nodiscard]] bool complete() const noexcept { return missing == 0; }
 
+    /*! @brief Returns how many chunks nobody is known to hold. */
+    [[nodiscard]] std::size_t unseen() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(open.begin(), open.end(),
+                          [&](chunk_index at) { return !chunks[at].seen; }));
+    }
+
     /*! @brief Returns how often first sources stalled. */
     [[nodiscard]] std::size_t level() const noexcept { return stall_level; }
 
--- a/tests/rollout/version_order.cpp
+++ b/tests/rollout/version_order.cpp
@@ -53,3 +53,38 @@
         CHECK_FALSE(coursejunction::overtaken(named, named + 2s));
     }
 }
+
+// An origin was away while two versions were named 2 s apart. Afterwards it
+// gave the rest of the older one first, which no upstream could serve any more,
+// and the newer one was whole 0.6 s later than it could have been.
+SCENARIO("a version that comes too late to be served is passed over",
+         "[rollout]")
+{
+    using namespace std::chrono_literals;
+    const coursejunction::time_point newer_named{120s};
+    const auto used_until = newer_named + 8300ms;
+    coursejunction::version_need needs{13, 44ms};
+
+    GIVEN(
+        "the origin is back 1.4 s before the newer version takes all requests")
+    {
+        const auto now = used_until - 1400ms;
+        THEN("its last 13 chunks come too late")
+        {
+            CHECK(coursejunction::comes_too_late(needs, now, used_until));
+        }
+        THEN("its last 3 chunks do not")
+        {
+            needs.chunks_unseen = 3;
+            CHECK_FALSE(coursejunction::comes_too_late(needs, now, used_until));
+        }
+    }
+    GIVEN("the origin is back 3 s before")
+    {
+        THEN("the older version is of use for a while")
+        {
+            CHECK_FALSE(coursejunction::comes_too_late(needs, used_until - 3s,
+                                                       used_until));
+        }
+    }
+}
