House: facts of a request apart from its service; comments without measurements

A datagram's bytes are counted once per reason and reach, not with a labelled look-up for each receiver.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -328,6 +328,8 @@
         sent.passed_on = !options.entry && digest.entries > 1;
         const auto datagram = encode(beat(now, sent));
         std::vector<std::string> passed;
+        std::size_t near = 0;
+        std::size_t far = 0;
         for (const auto& [address, one] : directory.all())
         {
             beat_receiver to{one.entry, own_hall(one), false, false};
@@ -344,9 +346,13 @@
                                  !sent.passed_on;
             if (to.digest)
                 passed.push_back(address);
-            if (hears(sent, to) || unheard)
-                send(address, datagram, sent.reason, to.near);
+            if (!hears(sent, to) && !unheard)
+                continue;
+            send(address, datagram);
+            ++(to.near ? near : far);
         }
+        count_bytes(sent.reason, true, near * datagram.size());
+        count_bytes(sent.reason, false, far * datagram.size());
         if (!passed.empty())
             pass_digest(passed, now);
     }
@@ -360,7 +366,9 @@
             made.digest = std::move(part);
             const auto datagram = encode(made);
             for (const auto& address : to)
-                send(address, datagram, beat_reason::digest, false);
+                send(address, datagram);
+            count_bytes(beat_reason::digest, false,
+                        to.size() * datagram.size());
         }
     }
 
@@ -369,22 +377,28 @@
     {
         const auto now = event_loop::now();
         const auto* peer = directory.find(address);
-        send(address, encode(beat(now, moment(beat_reason::mirror))),
-             beat_reason::behind, peer != nullptr && own_hall(*peer));
+        const auto datagram = encode(beat(now, moment(beat_reason::mirror)));
+        send(address, datagram);
+        count_bytes(beat_reason::behind, peer != nullptr && own_hall(*peer),
+                    datagram.size());
     }
 
-    /*! @brief Sends a datagram and counts its bytes by why and how far they
-     * go: bytes between regions are few and dear. */
-    void send(const std::string& address, const std::string& datagram,
-              beat_reason why, bool near)
+    void send(const std::string& address, const std::string& datagram)
     {
-        counters.count("fleet_datagram_bytes_total",
-                       static_cast<double>(datagram.size()),
-                       {{"why", std::string(reason_name(why))},
-                        {"to", near ? "hall" : "elsewhere"}});
         socket->send(address + port_suffix, datagram);
     }
 
+    /*! @brief Counts bytes by why and how far they go: bytes between regions
+     * are few and dear. */
+    void count_bytes(beat_reason why, bool near, std::size_t bytes)
+    {
+        if (bytes > 0)
+            counters.count("fleet_datagram_bytes_total",
+                           static_cast<double>(bytes),
+                           {{"why", std::string(reason_name(why))},
+                            {"to", near ? "hall" : "elsewhere"}});
+    }
+
     message::fleet_heartbeat beat(time_point now, const beat_moment& sent)
     {
         const bool names = sent.reason == beat_reason::regular &&
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -56,6 +56,7 @@
     log::problem(
         "request_refused",
         {{"request", one.asked.id.value()},
+         {"content", one.content.hex()},
          {"route", one.route->name},
          {"reason", why.usable == 0     ? "no usable upstream"
                     : one.standing.late ? "came back late, no place is free"
--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -21,8 +21,7 @@
     /*! @brief A request whose upstream closed the connection goes to another
      * one after so long, or once it is known that the first one has ended: its
      * address answers within 3 to 6 ms, and other entries' news take as long.
-     * Of fifty copies at once 42 upstreams end, without the pause 81 (replay of
-     * 53 entries and 120 upstreams). */
+     * Without the pause each of many copies would end a second upstream. */
     milliseconds verdict_time{25};
     /*! @brief A caller whose request is on trial comes back after so long: the
      * trial's answer takes 0.4 to 0.9 s. */
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -17,7 +17,6 @@
 #include <variant>
 #include <vector>
 
-#include "coursejunction/core/digest.hpp"
 #include "coursejunction/fleet/installation.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
@@ -25,6 +24,7 @@
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/proxy/crash_guard.hpp"
 #include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
 #include "coursejunction/proxy/open_exchanges.hpp"
@@ -139,7 +139,9 @@
         const auto refused = admit(*one);
         if (refused != 0)
             return reject(*one,
-                          rules_outdated && denies(refused) ? 503 : refused);
+                          rules_outdated && exchange_facts::denies(refused)
+                              ? 503
+                              : refused);
         open.add(one);
         one->reply.on_left([this, number] { left(number); });
         arm_limit(*one);
@@ -163,9 +165,10 @@
                       [&](exchange& one)
                       {
                           client.cancel(one.call);
-                          crashes.lost(lost_attempt_of(one, life.life,
-                                                       attempt_loss::closed),
-                                       event_loop::now());
+                          crashes.lost(
+                              exchange_facts::lost_attempt_of(
+                                  one, life.life, attempt_loss::closed),
+                              event_loop::now());
                           failed(one, attempt_reach::may_have_run,
                                  "upstream has started again");
                       });
@@ -209,8 +212,8 @@
         }
         if (one.asked.id.empty())
             return 400;
-        one.content = content_of(one);
-        one.fingerprint = fingerprint_of(one);
+        one.content = exchange_facts::content_of(one);
+        one.fingerprint = exchange_facts::fingerprint_of(one);
         const auto hash = std::hash<std::string>{}(one.asked.id.value());
         const auto* service = service_for(*one.route, hash);
         if (service == nullptr)
@@ -222,8 +225,8 @@
                                             one.arrived + *one.asked.deadline);
         budgets.of(one.service).request(one.arrived);
         one.standing =
-            decisions.arrived(*one.route, profile_of(one), one.fingerprint,
-                              one.asked.deadline, one.arrived);
+            decisions.arrived(*one.route, exchange_facts::profile_of(one),
+                              one.fingerprint, one.asked.deadline, one.arrived);
         if (one.standing.returned())
             counters.count("requests_returned_total", 1,
                            {{"known_by", std::string(evidence_name(
@@ -231,34 +234,6 @@
         return 0;
     }
 
-    /*! @brief Returns what is asked and by whom: by the organisation, or by the
-     * key where the configuration names no owner. */
-    [[nodiscard]] static request_content content_of(const exchange& one)
-    {
-        const std::string caller =
-            one.owner ? one.owner->value() : one.asked.key.value_or("");
-        return request_content::of(caller, one.original.target,
-                                   one.original.body);
-    }
-
-    /*! @brief Returns by what a caller is known when it comes back: its later
-     * try repeats all but the id and what is left of the deadline. */
-    [[nodiscard]] static request_fingerprint fingerprint_of(const exchange& one)
-    {
-        const auto& asked = one.asked;
-        return request_fingerprint(
-            stable_hash(one.content.hex() + asked.prompt_parts + "/" +
-                        std::to_string(asked.prompt_tokens) + "/" +
-                        std::to_string(asked.most_tokens) + "/" +
-                        std::to_string(asked.likely_tokens)));
-    }
-
-    /*! @brief Tells whether a status says that the configuration does not allow
-     * a request. A caller believes that and does not come back, so an entry
-     * that knows its configuration to be old says instead that it cannot tell.
-     */
-    static bool denies(int status) { return status == 404 || status == 401; }
-
     void reject(exchange& one, int status)
     {
         counters.count("requests_refused_total", 1,
@@ -290,8 +265,8 @@
             return queue(one, {});
         if (!may_run_beside_copies(one, now))
             return;
-        const auto what =
-            decisions.decide(profile_of(one), placement_of(one, now), now);
+        const auto what = decisions.decide(exchange_facts::profile_of(one),
+                                           placement_of(one, now), now);
         if (const auto* to = std::get_if<send_to>(&what))
             return send(one, *to);
         if (const auto* waits = std::get_if<wait_for_place>(&what))
@@ -376,15 +351,6 @@
                       });
     }
 
-    /*! @brief Returns a request's service; one that the configuration doesn't
-     * describe has no engine. */
-    [[nodiscard]] static const service_profile& profile_of(const exchange& one)
-    {
-        static const service_profile plain{};
-        const auto* found = one.rules->service(one.service);
-        return found != nullptr ? *found : plain;
-    }
-
     [[nodiscard]] placement_request placement_of(const exchange& one,
                                                  time_point now) const
     {
@@ -410,17 +376,10 @@
         if (one.in_queue)
             return;
         one.in_queue = true;
-        waiting.push(place_in_line(one));
+        waiting.push(exchange_facts::place_in_line(one));
         exchange_log::queued(one, why);
     }
 
-    [[nodiscard]] static waiting_request place_in_line(const exchange& one)
-    {
-        return {one.standing.late,
-                one.arrived - one.standing.past.waited + one.route->target,
-                one.number};
-    }
-
     void refuse(exchange& one, const refuse_request& how)
     {
         exchange_log::refused(one, how.why, how.come_back);
@@ -565,15 +524,9 @@
                "answer carries another request's id");
     }
 
-    [[nodiscard]] bool passes_events(const exchange& one) const
-    {
-        return one.route->kind == request_kind::stream &&
-               one.head.status == 200;
-    }
-
     void got_data(exchange& one, std::string_view bytes)
     {
-        if (!passes_events(one))
+        if (!exchange_facts::passes_events(one))
         {
             one.body.append(bytes);
             return;
@@ -626,7 +579,7 @@
         if (facts.id != one.asked.id)
             return failed(one, attempt_reach::may_have_run,
                           "answer carries another request's id");
-        if (passes_events(one))
+        if (exchange_facts::passes_events(one))
             return finish_stream(one);
         answered(one);
     }
@@ -638,20 +591,8 @@
         if (known != nullptr && known->record.leaving)
             return;
         const auto life = known != nullptr ? known->life : incarnation{};
-        crashes.lost(lost_attempt_of(one, life, how), event_loop::now());
-    }
-
-    /*! @param life Of the upstream, as it is known. */
-    [[nodiscard]] static lost_attempt lost_attempt_of(const exchange& one,
-                                                      const incarnation& life,
-                                                      attempt_loss how)
-    {
-        const auto evidence = one.trial        ? end_evidence::trial
-                              : one.progressed ? end_evidence::weak
-                                               : end_evidence::beginning;
-        const auto end = crash_of(one.at.upstream, life);
-        return {
-            one.at.upstream, one.at.address, {one.content, end, evidence}, how};
+        crashes.lost(exchange_facts::lost_attempt_of(one, life, how),
+                     event_loop::now());
     }
 
     void finish_stream(exchange& one)
@@ -668,7 +609,8 @@
     {
         const int status = one.head.status;
         constexpr int server_error = 500;
-        if (status >= server_error && !one.streaming && may_repeat(one))
+        if (status >= server_error && !one.streaming &&
+            exchange_facts::may_repeat(one))
         {
             one.own_failure = one.head;
             one.own_failure_body = std::move(one.body);
@@ -695,14 +637,6 @@
 
     // --- Failure ---------------------------------------------------------
 
-    /*! @brief Tells whether the request may be sent once more although an
-     * attempt may have run. */
-    [[nodiscard]] bool may_repeat(const exchange& one) const
-    {
-        return one.route->repeatable() &&
-               one.runs + 1 < one.route->most_upstreams;
-    }
-
     /*! @brief An attempt failed: it is sent again where that is allowed. */
     void failed(exchange& one, attempt_reach reach, const std::string& why)
     {
@@ -718,8 +652,8 @@
                  now);
         counters.count("attempts_failed_total", 1,
                        {{"may_have_run", may_have_run ? "true" : "false"}});
-        const bool again =
-            may_have_run ? may_repeat(one) : one.tried.size() < most_tries;
+        const bool again = may_have_run ? exchange_facts::may_repeat(one)
+                                        : one.tried.size() < most_tries;
         one.failed_at = now;
         if (may_have_run)
             ++one.runs;
@@ -836,7 +770,7 @@
         if (!one.in_queue)
             return;
         one.in_queue = false;
-        waiting.erase(place_in_line(one));
+        waiting.erase(exchange_facts::place_in_line(one));
     }
 
     void forget(exchange& one)
--- a/src/coursejunction/rollout/version_order.hpp
+++ b/src/coursejunction/rollout/version_order.hpp
@@ -21,8 +21,8 @@
 /*! @brief Tells whether a version is passed over for a newer one. Both have the
  * same time until they bind, so that fetching the older one first takes the
  * links from the only one that will be needed: a store that was away tells of
- * several versions at once, of which all but the last cost 3 s and a copy from
- * the origin each (played day of 14 entries and 45 engines). Sides know alike
+ * several versions at once, of which all but the last would cost a copy from
+ * the origin each. Sides know alike
  * when versions were named, so that all of them pass over the same ones.
  * @param named When the version was named.
  * @param newer_named When the newest one was. */
--- a/src/coursejunction/rollout/version_times.hpp
+++ b/src/coursejunction/rollout/version_times.hpp
@@ -26,10 +26,8 @@
      * weights.
      *
      * What is sent over a narrow link takes up to 2 s to arrive and may then
-     * wait: hunted days with 1.2 s for that broke the bound. Upstreams close
-     * 0.7 s earlier, so that their queues are empty by then; with closing at 6
-     * of 8 s, requests sent after 5.8 s began after 8.04 to 8.1 s on three
-     * days. Shorter times are divided in the same proportion. */
+     * wait. Upstreams close 0.7 s earlier, so that their queues are empty by
+     * then. Shorter times are divided in the same proportion. */
     [[nodiscard]] static version_times of(milliseconds allowed)
     {
         constexpr milliseconds send_reserve{2000};
--- a/src/coursejunction/route/admission.hpp
+++ b/src/coursejunction/route/admission.hpp
@@ -28,38 +28,32 @@
      * prediction is a mean, half of those come sooner. */
     double target_part{1.15};
     /*! @brief Under overload, part of the tightest target that the first event
-     * of a usual request may take, whatever is asked. Without it the kind with
-     * a target of 300 ms has 0.51 of its callers in time beside 0.77 of one
-     * with 400 ms, with it 0.77 beside 0.74 (replay of 1.3 times the capacity,
-     * mean of three seeds). */
+     * of a usual request may take, whatever is asked: kinds with a longer
+     * target would fill the engines before one with a shorter. */
     double common_part{1.0};
     /*! @brief Under overload, part of an engine's places that requests which
-     * can't be in time any more may fill; without it, all places. When they
-     * are taken for new ones, 0.19 of all callers are in time in place of 0.72
-     * (same replay). */
+     * can't be in time any more may fill; without it, all places. The rest is
+     * for callers that can be. */
     double late_part{0.5};
     /*! @brief Share of refusals at which the limits of an overload hold in
      * full. It is that of all entries, which one refusal by chance does not
-     * move: with 0.1 the worst entry of 53 has 0.18 in place of 0.43 of its
-     * callers in time (replay of 1.3 times the capacity, three seeds). */
+     * move; with a larger one the worst entry's callers are refused before the
+     * others hold back. */
     double full_pressure{0.05};
     /*! @brief Part of `full_pressure` from which on an entry fills only its own
-     * share of each engine (`engine_shares`): 53 entries before 120 engines
-     * have 0.73 of their callers in time in place of 0.59, the worst served
-     * entry 0.48 in place of 0.17 (replay of 1.3 times the capacity, three
-     * seeds). */
+     * share of each engine (`engine_shares`): many entries would otherwise fill
+     * one engine unseen by each other. */
     double own_share_part{0.5};
     /*! @brief Part of its places up to which an engine takes requests of
      * entries that have no share of it left: what is that empty is nobody's
-     * need. Without it a rollout refuses callers beside free places: 0.036 of
-     * them in place of 0.001 with half of the places (one day of 14 entries and
-     * 45 engines). With 0.75 whoever refuses nobody takes the places of the
-     * others again: the worst entry of 53 has 0.20 of its callers in time. */
+     * need. Without it a rollout refuses callers beside free places; with much
+     * more, whoever refuses nobody takes the places of the others. */
     double others_part{0.4};
+    /*! @brief Told where upstreams are short for a moment only. */
     milliseconds least_retry_after{200};
     /*! @brief A caller heeds a time to come back up to this part of what is
-     * left of its deadline. Told 200 ms, 0.35 of those of a burst of 3 s are
-     * refused twice; told this much, 0.27 (replay, mean of three seeds). */
+     * left of its deadline. Under overload, the later it comes, the likelier it
+     * is served. */
     double heeded_part{1.0 / 3};
 };
 
@@ -136,8 +130,7 @@
     /*! @brief Time over which refusals are smoothed. They are those of all
      * entries, hundreds a second under load, so that a short time has enough
      * of them; and a caller that comes back after a burst is not refused for
-     * it: of those that a burst refused, 0.28 to 0.36 are answered when they
-     * come back, 0.17 to 0.24 with 500 ms (replay, three seeds). */
+     * what the burst was. */
     static constexpr milliseconds pressure_span{250};
 
     /*! @brief Time over which the demand is smoothed by which engines are
@@ -148,8 +141,7 @@
     /*! @brief Returns the share of new requests that all entries refused
      * lately; a lone refusal counts as none. Where each goes by its own
      * refusals, whoever refuses nobody fills the engines, and whoever refuses
-     * many refuses ever more: 0.9 and 0.25 of the callers are in time at
-     * entries side by side (replay). */
+     * many refuses ever more. */
     [[nodiscard]] double pressure(time_point now) const
     {
         const auto one = 1 / to_seconds(pressure_span);
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -33,8 +33,7 @@
 {
     /*! @brief Part of the target for which a request may wait for a place: of
      * 400 ms one interval of load reports, by which a place that comes free is
-     * known. Longer waits serve nobody more: 0.72 of all callers are in time at
-     * 0.125, 0.73 at 0.2, 0.68 at 0.4 (replay of 1.3 times the capacity). */
+     * known. Longer waits serve nobody more. */
     double wait_part{0.125};
     /*! @brief A stream that goes on waits for as long as its caller bears the
      * pause; the longest pause that counts as in time is 400 ms. */
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -192,9 +192,8 @@
     }
 
     /*! @brief An attempt ended. An upstream that answered lives: it is used
-     * less, not avoided. Avoiding it refused 20 of 410 requests in ten seconds
-     * where a service had one upstream left that failed one in eight (logs of
-     * a played day). */
+     * less, not avoided: a service may have only one left that fails now and
+     * then. */
     void end(const instance_id& id, std::uint64_t attempt,
              attempt_result result, time_point now)
     {
--- a/tests/fleet/beat_plan.cpp
+++ b/tests/fleet/beat_plan.cpp
@@ -47,6 +47,13 @@
         REQUIRE_FALSE(hears(fetches, far_entry));
         REQUIRE_FALSE(hears(fetches, far_side));
     }
+    SECTION("an entry tells whom it sent away: where they come back")
+    {
+        const auto refused = moment(beat_reason::refusals, true);
+        REQUIRE(hears(refused, near_entry));
+        REQUIRE_FALSE(hears(refused, far_entry));
+        REQUIRE_FALSE(hears(refused, near_side));
+    }
     SECTION("nothing of its mirror: its regular heartbeat carries that")
     {
         const auto advanced = moment(beat_reason::mirror, false);
--- a/tests/platform/catalogue.cpp
+++ b/tests/platform/catalogue.cpp
@@ -178,6 +178,12 @@
             CHECK_FALSE(read(other));
         }
     }
+    THEN("a time that no whole number holds")
+    {
+        auto from = whole;
+        from["coldRemainingMs"] = 1e300;
+        CHECK_FALSE(read(from));
+    }
     THEN("no id, and megabytes")
     {
         CHECK_FALSE(catalogue::upstream("servers/", whole.dump()));
--- a/tests/platform/request_codec.cpp
+++ b/tests/platform/request_codec.cpp
@@ -40,9 +40,29 @@
     CHECK(read.key == "jnbanfqasnmgkcuyj8pj");
     CHECK(read.prompt_tokens == 1460);
     CHECK(read.most_tokens == 80);
+    CHECK(read.prompt_parts == "5c1e07a2:800,91bd3f06:410");
     CHECK(read.last_event == 12);
 }
 
+SCENARIO("a deadline that cannot be is none, or bounded", "[platform]")
+{
+    const auto deadline = [](const std::string& text)
+    {
+        auto from = request();
+        from.headers.assign("X-Coursejunction-Deadline-Ms", text);
+        return request_codec::decode(from).deadline;
+    };
+    CHECK(deadline("0") == 0ms);
+    CHECK(deadline("-5") == 0ms);
+    CHECK(deadline("950.7") == 950ms);
+    CHECK_FALSE(deadline("soon"));
+    CHECK_FALSE(deadline(""));
+    CHECK_FALSE(deadline("nan"));
+    CHECK(deadline("inf") == std::chrono::hours(24));
+    CHECK(deadline("31536000000") == std::chrono::hours(24));
+    CHECK(deadline("1e300") == std::chrono::hours(24));
+}
+
 SCENARIO("an attempt carries what its upstream may know", "[platform]")
 {
     cj::attempt_facts attempt;
--- /dev/null
+++ b/tests/proxy/refusal_news.cpp
@@ -0,0 +1,57 @@
+#include "coursejunction/proxy/refusal_news.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "coursejunction/wire/codec.hpp"
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+SCENARIO("entries tell each other of refusals in spans of time", "[proxy]")
+{
+    const cj::time_point here{100s};
+    const cj::time_point there{5000s};
+    cj::refused_try one;
+    one.what = cj::request_fingerprint(7);
+    one.first = here - 300ms;
+    one.ends = here + 5600ms;
+    one.refused = here;
+    one.due = here + 200ms;
+    const auto told = cj::told_of(one, here);
+
+    THEN("another process reads them by its own clock")
+    {
+        const auto read = cj::refusal_of(told, there);
+        CHECK(read.what == one.what);
+        CHECK(read.first == there - 300ms);
+        CHECK(read.ends == there + 5600ms);
+        CHECK(read.refused == there);
+        CHECK(read.due == there + 200ms);
+    }
+    THEN("a caller without a deadline has none there either")
+    {
+        one.ends.reset();
+        CHECK_FALSE(cj::refusal_of(cj::told_of(one, here), there).ends);
+    }
+    THEN("times that lie behind are no spans")
+    {
+        one.due = here - 1s;
+        CHECK(cj::told_of(one, here).due_ms == 0);
+    }
+    THEN("a heartbeat of an entry carries them")
+    {
+        cj::message::fleet_heartbeat beat;
+        beat.entry = true;
+        beat.refusals.assign(3, told);
+        const auto bytes = cj::encode(beat);
+        const auto read = cj::decode<cj::message::fleet_heartbeat>(bytes);
+        REQUIRE(read);
+        REQUIRE(read.value().refusals.size() == 3);
+        CHECK(read.value().refusals.front().left_ms == 5600);
+        AND_THEN("one that is cut off is refused")
+        {
+            const auto part = bytes.substr(0, bytes.size() - 10);
+            CHECK_FALSE(cj::decode<cj::message::fleet_heartbeat>(part));
+        }
+    }
+}
