A version that an entry found at its start binds once most upstreams serve it

Entries know when a version was named from each other; when all end together the ones that start count its time anew, and used an upstream that was left on version 2 for 6 s.

The store keeps no times, so that the moment can't be read back.

Change: a version that was only found at the start binds at once when at least half of the upstreams that have weights serve it: it was named long ago. Where a rollout is under way, less than half of them do, and nothing changes.

Unit test written with it.

--- a/bench/request_table.py
+++ b/bench/request_table.py
@@ -28,6 +28,15 @@
                 continue
 
 
+def chosen_span(description):
+    """Reads the log's path and the span of time from the command line."""
+    arguments = argparse.ArgumentParser(description=description.splitlines()[0])
+    arguments.add_argument("log")
+    arguments.add_argument("--from", dest="begin", type=float, default=0)
+    arguments.add_argument("--to", dest="end", type=float, default=float("inf"))
+    return arguments.parse_args()
+
+
 def quantiles(values):
     values = sorted(values)
     return [values[min(len(values) - 1, int(len(values) * part))] for part in (0.1, 0.5, 0.9)]
@@ -41,11 +50,7 @@
 
 
 def main():
-    arguments = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    arguments.add_argument("log")
-    arguments.add_argument("--from", dest="begin", type=float, default=0)
-    arguments.add_argument("--to", dest="end", type=float, default=float("inf"))
-    chosen = arguments.parse_args()
+    chosen = chosen_span(__doc__)
 
     kinds, ends, firsts = {}, {}, collections.defaultdict(list)
     reasons = collections.Counter()
--- a/bench/return_table.py
+++ b/bench/return_table.py
@@ -10,10 +10,9 @@
 how many returns were known and how many new callers were taken for returns, and
 how predicted first events compare with seen ones.
 """
-import argparse
 import collections
 
-from request_table import lines, quantiles
+from request_table import chosen_span, lines, quantiles
 
 AT_ONCE = 0.15
 TOO_SOON = 0.05
@@ -31,11 +30,7 @@
 
 
 def main():
-    arguments = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    arguments.add_argument("log")
-    arguments.add_argument("--from", dest="begin", type=float, default=0)
-    arguments.add_argument("--to", dest="end", type=float, default=float("inf"))
-    chosen = arguments.parse_args()
+    chosen = chosen_span(__doc__)
 
     refusals = collections.defaultdict(list)
     seen = set()
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -227,11 +227,42 @@
             else
                 floors.name(key.first, key.second, named, options.version_time);
         }
+        judge_found_versions();
         if (fleet.rules() != before)
             configure();
         name_sides();
     }
 
+    /*! @brief A version that was found at the start binds once most upstreams
+     * serve it. */
+    void judge_found_versions()
+    {
+        for (const auto& [key, named] : fleet.versions())
+        {
+            const auto& [model, version] = key;
+            if (exchanges.floors().found_only(model, version) &&
+                served_by_most(model, version))
+                exchanges.floors().served_by_most(model, version);
+        }
+    }
+
+    [[nodiscard]] bool served_by_most(const std::string& model,
+                                      std::uint64_t version) const
+    {
+        std::size_t all = 0;
+        std::size_t newest = 0;
+        for (const auto& [id, one] : fleet.upstreams())
+        {
+            const auto weights = one.weights.find(model);
+            if (weights == one.weights.end() || weights->second == 0)
+                continue;
+            ++all;
+            if (weights->second >= version)
+                ++newest;
+        }
+        return newest > 0 && 2 * newest >= all;
+    }
+
     /*! @brief Takes in quarantines that the store keeps. They come with the
      * configuration: an entry that has just started knows them before it takes
      * a request. */
--- a/src/coursejunction/route/version_floor.hpp
+++ b/src/coursejunction/route/version_floor.hpp
@@ -46,6 +46,30 @@
         if (targets.count(model) == 0 && version > 2)
             targets[model].push_back({version - 1, time_point::min()});
         name(model, version, known, allowed);
+        unsure[model] = version;
+    }
+
+    /*! @brief Tells whether the time of a version is only that of its finding
+     * at the start of this process. */
+    [[nodiscard]] bool found_only(const std::string& model,
+                                  std::uint64_t version) const
+    {
+        const auto found = unsure.find(model);
+        return found != unsure.end() && found->second == version;
+    }
+
+    /*! @brief Most upstreams serve a version that was only found: it was named
+     * long ago, and binds now. Where all processes end together nobody else
+     * knows when it was named, and an upstream that was left on older weights
+     * would be used again for as long as after a naming. */
+    void served_by_most(const std::string& model, std::uint64_t version)
+    {
+        if (!found_only(model, version))
+            return;
+        unsure.erase(model);
+        for (auto& one : targets[model])
+            if (one.version == version)
+                one.binds_at = time_point{};
     }
 
     /*! @brief Returns the least version that may begin a request. */
@@ -101,6 +125,8 @@
     };
 
     std::map<std::string, std::vector<target>> targets;
+    /*! @brief Versions of which it is not known when they were named. */
+    std::map<std::string, std::uint64_t> unsure;
 };
 
 } // namespace coursejunction
--- a/tests/route/version_floor.cpp
+++ b/tests/route/version_floor.cpp
@@ -54,3 +54,39 @@
         }
     }
 }
+
+// All processes ended together while version 3 was served by nearly all. Those
+// that started counted its time from then on, and sent requests for 6 s to an
+// upstream that had been left on version 2: they began 26 s after the naming.
+SCENARIO("a version that was found at the start and is served by most binds",
+         "[route]")
+{
+    cj::version_floor floor;
+    const cj::time_point started{100s};
+    floor.found("m", 3, started, 6000ms);
+
+    THEN("until more is known, the version before it may be used")
+    {
+        CHECK(floor.found_only("m", 3));
+        CHECK(floor.least("m", started) == 2);
+    }
+    WHEN("most upstreams serve it")
+    {
+        floor.served_by_most("m", 3);
+        THEN("nothing older is used any more")
+        {
+            CHECK(floor.least("m", started) == 3);
+            CHECK_FALSE(floor.found_only("m", 3));
+        }
+    }
+    WHEN("a newer one is named while this process lives")
+    {
+        floor.name("m", 4, started + 1s, 6000ms);
+        floor.served_by_most("m", 4);
+        THEN("its time is known, and it binds when that is over")
+        {
+            CHECK(floor.least("m", started + 6500ms) == 3);
+            CHECK(floor.least("m", started + 7s) == 4);
+        }
+    }
+}
