Soak: the port that all its processes share is free at each of their hosts

Ruled out: the product (the process ended at its start, before any request).

Change: a port is looked at on every host that listens there, TCP and UDP, and is drawn once. No check changes.

--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -14,16 +14,27 @@
 LATE_S = 4.0  # The machine that runs the soak may be busy.
 
 
-def free_port(host):
-    """A port that is free now, below those that the system gives out by itself:
-    it must still be free when a process that was killed starts again."""
-    while True:
-        port = random.SystemRandom().randrange(10000, 30000)
-        with socket.socket() as one:
+DRAWN_PORTS = set()
+
+
+def is_free(host, port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as one:
             try:
                 one.bind((host, port))
             except OSError:
-                continue  # Taken by another run: the next draw.
+                return False
+    return True
+
+
+def free_port(*hosts):
+    """A port that is free now at all these hosts and was not drawn before, below those
+    that the system gives out by itself: it must still be free when a process that was
+    killed starts again."""
+    while True:
+        port = random.SystemRandom().randrange(10000, 30000)
+        if port not in DRAWN_PORTS and all(is_free(host, port) for host in hosts):
+            DRAWN_PORTS.add(port)
             return port
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -105,11 +105,13 @@
             self.fronts[one] = proxy
         await self.store.put("op/config", self.rules())
         await self.tell_upstreams()
-        port = free_port("127.0.1.1")
+        # Every process listens there, each at its own host.
+        hosts = [f"127.0.1.{at + 1}" for at in range(self.asked.entries)]
+        port = free_port(*hosts, *(one.host for one in self.engines))
         names = [f"entry-{at}" for at in range(self.asked.entries)]
         self.proxies, self.entries, self.sides = {}, [], []
         for at, name in enumerate(names):
-            host = f"127.0.1.{at + 1}"
+            host = hosts[at]
             self.entries.append(await self.daemon(name, "entry", host, self.hall(at), port, (
                 f"[callers]\naddress={host}:{free_port(host)}\nready_address={host}:{free_port(host)}\n")))
         for at, engine in enumerate(self.engines):
