Observability: what an upstream says of itself in an answer is decoded and told

Change: upstream_notice (leaving, rest, limit) is a field of answer_facts, decoded once by the adapter; the counter upstream_notices_total{kind} and the line upstream_notice show it. No decision uses it yet. Ruled out: a line a request; an upstream that says nothing costs none. Evidence: tests/platform/request_codec.cpp, new scenario.

--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -118,6 +118,23 @@
                    {"gap_ms", ms_between(one.failed_at, now)}});
 }
 
+/*! @brief An upstream said something of itself in an answer. */
+inline void noticed(const exchange& one, const upstream_notice& notice)
+{
+    log::state("upstream_notice",
+               {{"request", one.asked.id.value()},
+                {"upstream", one.at.upstream.value()},
+                {"status", std::to_string(one.head.status)},
+                {"leaving", notice.leaving ? "true" : "false"},
+                {"rest_ms",
+                 notice.rest ? std::to_string(notice.rest->count()) : "none"},
+                {"requests_per_second",
+                 notice.requests_per_second
+                     ? std::to_string(*notice.requests_per_second)
+                     : "none"},
+                {"unreadable", notice.unreadable ? "true" : "false"}});
+}
+
 /*! @brief An attempt failed. */
 inline void attempt_failed(const exchange& one, const std::string& why,
                            bool may_have_run, bool sent_again, time_point now)
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -517,13 +517,31 @@
         one.head = head;
         const auto facts = Codec::facts(head);
         if (facts.id == one.asked.id || facts.not_run)
-            return;
+            return take_notice(one, facts.notice);
         // The answer to another request: nothing on this connection is ours.
         client.cancel(one.call);
         failed(one, attempt_reach::may_have_run,
                "answer carries another request's id");
     }
 
+    /*! @brief Takes in what an upstream says of itself. The head tells it: a
+     * stream may end seconds later. */
+    void take_notice(const exchange& one, const upstream_notice& notice)
+    {
+        if (notice.empty())
+            return;
+        const auto count = [&](bool is, const char* kind)
+        {
+            if (is)
+                counters.count("upstream_notices_total", 1, {{"kind", kind}});
+        };
+        count(notice.leaving, "leaving");
+        count(notice.rest.has_value(), "rest");
+        count(notice.requests_per_second.has_value(), "limit");
+        count(notice.unreadable, "unreadable");
+        exchange_log::noticed(one, notice);
+    }
+
     void got_data(exchange& one, std::string_view bytes)
     {
         if (!exchange_facts::passes_events(one))
--- a/src/coursejunction/proxy/request_codec.hpp
+++ b/src/coursejunction/proxy/request_codec.hpp
@@ -14,6 +14,7 @@
 #include "coursejunction/net/header_list.hpp"
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/route/upstream_notice.hpp"
 #include "coursejunction/route/urgency.hpp"
 
 namespace coursejunction
@@ -53,6 +54,7 @@
     bool not_run{false}; /*!< The upstream says that it did not run it. */
     bool signed_{false};
     bool events{false};
+    upstream_notice notice;
 };
 
 /*! @brief Decodes callers' requests and encodes attempts; pure. */
--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -29,6 +29,7 @@
 struct entry_demand;
 struct line_stretch;
 struct ended_life;
+struct upstream_notice;
 
 } // namespace coursejunction
 
--- a/tests/platform/request_codec.cpp
+++ b/tests/platform/request_codec.cpp
@@ -108,3 +108,50 @@
     CHECK(request_codec::facts(other).not_run);
     CHECK(request_codec::refusal_headers(350ms).find("Retry-After") == "0.35");
 }
+
+SCENARIO("an answer carries what its upstream says of itself", "[platform]")
+{
+    cj::stream_head head;
+    head.status = 200;
+
+    SECTION("nothing")
+    {
+        CHECK(request_codec::facts(head).notice.empty());
+    }
+    SECTION("that it leaves")
+    {
+        head.headers.push_back("Server-Leaving", "1");
+        CHECK(request_codec::facts(head).notice.leaving);
+    }
+    SECTION("how many requests a second it takes")
+    {
+        head.headers.push_back("server-limit", "1.25");
+        CHECK(request_codec::facts(head).notice.requests_per_second == 1.25);
+    }
+    SECTION("for how long it rests, where it turned the request away")
+    {
+        head.headers.push_back("Retry-After", "0.75");
+        CHECK_FALSE(request_codec::facts(head).notice.rest.has_value());
+        for (const int status : {429, 503})
+        {
+            head.status = status;
+            CHECK(request_codec::facts(head).notice.rest == 750ms);
+        }
+    }
+    SECTION("something that can't be read")
+    {
+        head.status = 503;
+        const std::string wrong = GENERATE("", "soon", "-1", "nan", "inf");
+        head.headers.push_back(GENERATE("Server-Limit", "Retry-After"), wrong);
+        const auto notice = request_codec::facts(head).notice;
+        CHECK(notice.unreadable);
+        CHECK_FALSE(notice.requests_per_second.has_value());
+        CHECK_FALSE(notice.rest.has_value());
+    }
+    SECTION("a rest beyond all measure")
+    {
+        head.status = 503;
+        head.headers.push_back("Retry-After", "1e300");
+        CHECK(request_codec::facts(head).notice.rest == 24h);
+    }
+}
