Test that fails: requests beyond the limit that an upstream names

What callers and upstreams saw: an upstream that names a limit of 1 a second gets all 8 requests in a row, while another one is free.

--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -8,7 +8,9 @@
 #include <cstdint>
 #include <cstdio>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include <catch2/catch.hpp>
 
@@ -52,9 +54,22 @@
         cj::answer_facts made;
         made.id = cj::request_id(std::string(head.headers.find("Id")));
         made.not_run = head.headers.contains("Not-Run");
+        made.notice.leaving = head.headers.contains("Leaving");
+        if (const auto rest = number(head, "Rest"))
+            made.notice.rest = cj::milliseconds(*rest);
+        if (const auto limit = number(head, "Limit"))
+            made.notice.requests_per_second = *limit;
         return made;
     }
 
+    static std::optional<int> number(const cj::stream_head& head,
+                                     std::string_view name)
+    {
+        if (!head.headers.contains(name))
+            return std::nullopt;
+        return std::stoi(std::string(head.headers.find(name)));
+    }
+
     static cj::header_list answer_headers(const cj::stream_head& head)
     {
         auto made = head.headers;
@@ -186,12 +201,13 @@
     std::uint16_t port{0};
 };
 
+/*! @param more Further headers, each with its end of line. */
 inline std::string whole(const std::string& body, const std::string& id = "7",
-                         const std::string& status = "200 OK")
+                         const std::string& status = "200 OK",
+                         const std::string& more = {})
 {
-    return "HTTP/1.1 " + status + "\r\nId: " + id +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+    return "HTTP/1.1 " + status + "\r\nId: " + id + "\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /*! @brief Events in chunks, as streams come.
