A limit that an upstream names is shared by the entries and kept

What was seen: an upstream that took 1.2 requests a second from all entries got 26 in 4 s, another of 1 a second 15; 12 and 11 were allowed. Cause: no decision read what an answer says of its upstream. Class: advice of an upstream without a type and a place in the choice (back-pressure that is ignored). Evidence: the rate does not change when the limit is named, at no entry; the code names the header nowhere. Ruled out: read too late (the rate rises); each entry for itself (the rate would be even, and the test with a single entry fails as well). Change: upstream_terms holds on which terms an upstream takes requests and is asked by the one place that chooses (placer), so that first attempts, next ones, resumed streams, second choices, waiting requests and trials all keep to it. request_limit divides a limit: holders by rendezvous, as many as the limit has whole requests a second, of the upstream's hall; they send at their pace, all others leave the upstream alone, and stand in one after the other when no holder had an answer for long, since otherwise nobody would notice the end. Answers' news go to the other entries in the regular heartbeat, 16 upstreams at most, for 1 s after they are heard.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -67,6 +67,8 @@
     /*! @brief Returns callers that this entry sent away, for the other entries
      * of its hall, each once. */
     std::function<std::vector<message::refused_caller>()> refusals;
+    /*! @brief Returns what upstreams lately told this entry of their terms. */
+    std::function<std::vector<message::upstream_terms>()> terms;
     /*! @brief Tells whether weights are on their way to some side. */
     std::function<bool()> spreading;
 };
@@ -429,6 +431,8 @@
             made.crashes = hooks.crashes();
         if (hooks.refusals && sent.reason == beat_reason::refusals)
             made.refusals = hooks.refusals();
+        if (hooks.terms && sent.reason == beat_reason::regular)
+            made.terms = hooks.terms();
         made.upstream.side = incarnation;
         return made;
     }
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -135,6 +135,17 @@
                 {"unreadable", notice.unreadable ? "true" : "false"}});
 }
 
+/*! @brief The terms on which an upstream takes requests changed. */
+inline void terms_changed(const known_upstream& one)
+{
+    const auto& limit = one.terms.limit();
+    log::state("upstream_terms",
+               {{"upstream", one.record.id.value()},
+                {"told_by", one.terms.told_by()},
+                {"requests_per_second",
+                 limit ? std::to_string(limit->per_second()) : "unlimited"}});
+}
+
 /*! @brief An attempt failed. */
 inline void attempt_failed(const exchange& one, const std::string& why,
                            bool may_have_run, bool sent_again, time_point now)
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -30,6 +30,7 @@
 #include "coursejunction/proxy/open_exchanges.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
 #include "coursejunction/proxy/retry_budgets.hpp"
+#include "coursejunction/proxy/terms_news.hpp"
 #include "coursejunction/route/dispatcher.hpp"
 #include "coursejunction/route/upstream_book.hpp"
 #include "coursejunction/route/version_floor.hpp"
@@ -121,6 +122,17 @@
         return told.version >= floor.least(told.model, now);
     }
 
+    /*! @brief Takes in what an upstream told another entry.
+     * @param from Address of that entry. */
+    void told_elsewhere(const message::upstream_terms& told,
+                        const std::string& from, time_point now)
+    {
+        const instance_id id(told.upstream);
+        if (book.told(id, incarnation(told.life), terms_of(told, now), from,
+                      now))
+            log_terms(id);
+    }
+
     /*! @brief Tells whether others have known a newer state for long: what the
      * configuration here does not allow may be allowed by then. */
     void outdated(bool is) { rules_outdated = is; }
@@ -528,6 +540,9 @@
      * stream may end seconds later. */
     void take_notice(const exchange& one, const upstream_notice& notice)
     {
+        const heard_notice heard{notice, one.sent, succeeded(one.head)};
+        if (book.heard(one.at.upstream, heard, event_loop::now()))
+            log_terms(one.at.upstream);
         if (notice.empty())
             return;
         const auto count = [&](bool is, const char* kind)
@@ -542,6 +557,19 @@
         exchange_log::noticed(one, notice);
     }
 
+    [[nodiscard]] static bool succeeded(const stream_head& head)
+    {
+        constexpr int first_success = 200;
+        constexpr int first_redirect = 300;
+        return head.status >= first_success && head.status < first_redirect;
+    }
+
+    void log_terms(const instance_id& id) const
+    {
+        if (const auto* known = book.find(id))
+            exchange_log::terms_changed(*known);
+    }
+
     void got_data(exchange& one, std::string_view bytes)
     {
         if (!exchange_facts::passes_events(one))
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -80,6 +80,7 @@
         { describe(into); };
         hooks.crashes = [this] { return exchanges.crashing().told(); };
         hooks.refusals = [this] { return refusals_told(); };
+        hooks.terms = [this] { return terms_news(book, event_loop::now()); };
         exchanges.on_refusals([this] { node.announce_refusals(); });
         exchanges.crashing().on_news([this] { node.announce_crashes(); });
         exchanges.crashing().on_keep([this](const request_content& what,
@@ -354,6 +355,8 @@
         {
             for (const auto& told : one.refusals)
                 exchanges.sent_away_elsewhere(refusal_of(told, now), now);
+            for (const auto& told : one.terms)
+                exchanges.told_elsewhere(told, from, now);
             return exchanges.crashing().take(one.crashes, from);
         }
         take_status(from, one.upstream, now);
@@ -415,6 +418,8 @@
             others.refused += told.refused;
         }
         exchanges.elsewhere(others, now);
+        // An entry that stops has no share: the others count without it.
+        book.share_limits(leaving ? std::string{} : self.address, demands, now);
         book.divide(stretch_of(self.address, demands),
                     [&](const known_upstream& one)
                     { return exchanges.takes_new(one, now); });
--- /dev/null
+++ b/src/coursejunction/proxy/terms_news.hpp
@@ -0,0 +1,65 @@
+/*! @file
+ * @brief Turns terms of upstreams into what entries tell each other; pure.
+ * Steady clocks differ between processes, so times go as spans.
+ */
+#ifndef COURSEJUNCTION_PROXY_TERMS_NEWS_HPP
+#define COURSEJUNCTION_PROXY_TERMS_NEWS_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+#include "coursejunction/proxy/refusal_news.hpp"
+#include "coursejunction/route/upstream_book.hpp"
+#include "coursejunction/wire/fleet_message.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Upstreams whose terms one heartbeat tells, so that it fits a packet:
+ * the newest ones. */
+inline constexpr std::size_t most_terms_told = 16;
+
+/*! @brief Returns what to tell the other entries of terms that answers told
+ * this one lately. */
+[[nodiscard]] inline std::vector<message::upstream_terms>
+terms_news(const upstream_book& book, time_point now)
+{
+    std::vector<message::upstream_terms> told;
+    for (const auto& [id, one] : book.all())
+    {
+        const auto news = one.terms.news(now);
+        if (!news)
+            continue;
+        message::upstream_terms made;
+        made.upstream = id.value();
+        made.life = one.life.value();
+        made.age_ms = span_ms(now - news->at);
+        if (news->per_second)
+            made.per_second = static_cast<float>(*news->per_second);
+        told.push_back(std::move(made));
+    }
+    const auto kept = std::min(told.size(), most_terms_told);
+    std::partial_sort(told.begin(),
+                      told.begin() + static_cast<std::ptrdiff_t>(kept),
+                      told.end(),
+                      [](const auto& left, const auto& right)
+                      { return left.age_ms < right.age_ms; });
+    told.resize(kept);
+    return told;
+}
+
+/*! @brief Reads what another entry told. */
+[[nodiscard]] inline told_terms terms_of(const message::upstream_terms& told,
+                                         time_point now)
+{
+    told_terms made;
+    if (told.per_second >= 0)
+        made.per_second = static_cast<double>(told.per_second);
+    made.at = now - milliseconds(told.age_ms);
+    return made;
+}
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -30,6 +30,9 @@
 struct line_stretch;
 struct ended_life;
 struct upstream_notice;
+class upstream_terms;
+class request_limit;
+struct limit_share;
 
 } // namespace coursejunction
 
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -154,7 +154,7 @@
                                      time_point now)
     {
         if (one.record.service != request.service || one.record.leaving ||
-            now < one.avoid_until)
+            now < one.avoid_until || now < one.terms.opens())
             return false;
         if (std::find(request.excluded.begin(), request.excluded.end(),
                       one.record.id) != request.excluded.end())
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -20,6 +20,7 @@
 #include "coursejunction/route/engine_estimate.hpp"
 #include "coursejunction/route/engine_shares.hpp"
 #include "coursejunction/route/send_rate.hpp"
+#include "coursejunction/route/upstream_terms.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
 namespace coursejunction
@@ -56,6 +57,7 @@
     time_point avoid_until{};
     std::optional<time_point> lapses_at; /*!< Its record went in an outage. */
     double share{0}; /*!< Part of it that is this entry's; `engine_shares`. */
+    upstream_terms terms;
 };
 
 /*! @brief A life of an upstream that ended, since another one has begun. */
@@ -175,7 +177,9 @@
     void begin(const instance_id& id, std::uint64_t attempt, double prompt,
                time_point now)
     {
-        book[id].attempts[attempt] = open_attempt{now, prompt, false};
+        auto& one = book[id];
+        one.attempts[attempt] = open_attempt{now, prompt, false};
+        one.terms.sent(now);
         if (prompt > 0)
             engine_sends.sent(now);
     }
@@ -217,6 +221,45 @@
             one.failures = 0;
     }
 
+    /*! @brief Takes what an upstream says of itself in an answer.
+     * @return Whether the terms on which it takes requests changed. */
+    bool heard(const instance_id& id, const heard_notice& notice,
+               time_point now)
+    {
+        const auto found = book.find(id);
+        return found != book.end() && found->second.terms.heard(notice, now);
+    }
+
+    /*! @brief Takes what another entry was told in an answer of a life of an
+     * upstream.
+     * @param from Address of that entry.
+     * @return Whether the terms on which it takes requests changed. */
+    bool told(const instance_id& id, const incarnation& life,
+              const told_terms& told, const std::string& from, time_point now)
+    {
+        const auto found = book.find(id);
+        if (found == book.end() || life != found->second.life)
+            return false;
+        return found->second.terms.told(told, from, now);
+    }
+
+    /*! @brief Divides the limits that upstreams name between the entries.
+     * @param own Address of this entry.
+     * @param entries Those that take callers. */
+    void share_limits(const std::string& own,
+                      const std::vector<entry_demand>& entries, time_point now)
+    {
+        for (auto& [id, one] : book)
+        {
+            if (!one.terms.limit())
+                continue;
+            one.terms.share(share_of_limit(id, one.record.hall,
+                                           one.terms.limit()->per_second(), own,
+                                           entries),
+                            now);
+        }
+    }
+
     /*! @brief An attempt was taken back: it says nothing of the upstream. */
     void withdraw(const instance_id& id, std::uint64_t attempt)
     {
@@ -288,8 +331,8 @@
         std::vector<known_upstream*> engines;
         for (auto& [id, one] : book)
         {
-            one.share = 0;
-            if (usable(one))
+            one.share = limited_share(one);
+            if (usable(one) && !one.terms.limit())
                 engines.push_back(&one);
         }
         std::stable_sort(
@@ -388,6 +431,16 @@
     static constexpr milliseconds avoid_least{300};
     static constexpr unsigned most_doublings = 3;
 
+    /*! @brief Returns the part of an upstream's limit that is this entry's; 0
+     * where it names none. */
+    static double limited_share(const known_upstream& one)
+    {
+        const auto& limit = one.terms.limit();
+        return limit && limit->per_second() > 0
+                   ? limit->own_share().per_second / limit->per_second()
+                   : 0;
+    }
+
     /*! @brief Tells whether a status was told after another one. */
     static bool follows(const message::upstream_status& told,
                         const message::upstream_status& before)
@@ -424,6 +477,7 @@
         one.fault_share = 0;
         one.lateness = 1;
         one.avoid_until = {};
+        one.terms = {};
         return made;
     }
 
--- /dev/null
+++ b/src/coursejunction/route/upstream_terms.hpp
@@ -0,0 +1,162 @@
+/*! @file
+ * @brief The terms on which an upstream takes requests of this entry, from what
+ * it says of itself in its answers; pure.
+ *
+ * A further word of upstreams is one more field of `upstream_notice` and one
+ * more bound here: everything that is sent to an upstream is chosen by
+ * `placer`, which asks `leaving` and `opens`.
+ */
+#ifndef COURSEJUNCTION_ROUTE_UPSTREAM_TERMS_HPP
+#define COURSEJUNCTION_ROUTE_UPSTREAM_TERMS_HPP
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/route/request_limit.hpp"
+#include "coursejunction/route/upstream_notice.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief An answer of an upstream, as far as it speaks of its terms. */
+struct heard_notice
+{
+    upstream_notice notice;
+    time_point sent{}; /*!< When the request was sent. */
+    bool succeeded{
+        false}; /*!< Only such an answer shows that a limit is over. */
+};
+
+/*! @brief What one entry's answers told, for the others. */
+struct told_terms
+{
+    std::optional<double> per_second; /*!< Nothing: no limit is named. */
+    time_point at{};                  /*!< When the answer came. */
+};
+
+/*! @brief Terms of one life of an upstream. */
+class upstream_terms
+{
+public:
+    /*! @brief How long an entry repeats what an answer told it: several
+     * heartbeats, some of which may be lost. */
+    static constexpr milliseconds telling_time{1000};
+
+    /*! @brief Takes an answer of the upstream.
+     * @return Whether the terms changed. */
+    bool heard(const heard_notice& one, time_point now)
+    {
+        const auto& per_second = one.notice.requests_per_second;
+        if (per_second)
+            return named(*per_second, now);
+        // An answer to a request from before the limit was known may have been
+        // on its way when the upstream named it.
+        if (!bound || !one.succeeded || one.notice.unreadable ||
+            one.sent <= known_since)
+            return false;
+        bound.reset();
+        observed_at = told_at = now;
+        source = own_source;
+        return true;
+    }
+
+    /*! @brief Takes what another entry's answers told; what is older than the
+     * newest word that is known changes nothing.
+     * @return Whether the terms changed. */
+    bool told(const told_terms& one, const std::string& from, time_point now)
+    {
+        if (one.at <= observed_at)
+            return false;
+        observed_at = one.at;
+        if (!one.per_second)
+        {
+            const bool was = bound.has_value();
+            bound.reset();
+            source = from;
+            return was;
+        }
+        return take_limit(*one.per_second, one.at, from, now);
+    }
+
+    /*! @brief Notes a request that is sent there. */
+    void sent(time_point now)
+    {
+        if (bound)
+            bound->sent(now);
+    }
+
+    /*! @brief Takes this entry's share of the limit, where there is one. */
+    void share(const limit_share& own, time_point now)
+    {
+        if (bound)
+            bound->share(own, now);
+    }
+
+    /*! @brief Returns from when on a request may be sent there; a moment in the
+     * past when it may be now. */
+    [[nodiscard]] time_point opens() const
+    {
+        return bound ? bound->opens() : time_point{};
+    }
+
+    /*! @brief Returns what to tell other entries, while it is news. */
+    [[nodiscard]] std::optional<told_terms> news(time_point now) const
+    {
+        if (told_at == time_point{} || now - told_at > telling_time)
+            return std::nullopt;
+        return told_terms{bound ? std::optional(bound->per_second())
+                                : std::nullopt,
+                          observed_at};
+    }
+
+    [[nodiscard]] const std::optional<request_limit>& limit() const
+    {
+        return bound;
+    }
+
+    /*! @brief Returns since when the present terms hold here. */
+    [[nodiscard]] time_point since() const { return known_since; }
+
+    /*! @brief Returns who told them: an entry's address, or `answer`. */
+    [[nodiscard]] const std::string& told_by() const { return source; }
+
+private:
+    static constexpr const char* own_source = "answer";
+
+    bool named(double per_second, time_point now)
+    {
+        const bool changed = take_limit(per_second, now, own_source, now);
+        observed_at = now;
+        // Only a holder's answers are news while the limit stays as it is.
+        if (changed || bound->own_share().holds())
+            told_at = now;
+        return changed;
+    }
+
+    bool take_limit(double per_second, time_point at, const std::string& from,
+                    time_point now)
+    {
+        const bool changed = !bound || bound->per_second() != per_second;
+        if (!bound)
+        {
+            bound.emplace(per_second, at);
+            known_since = now;
+        }
+        bound->name(per_second, at);
+        if (changed)
+            source = from;
+        return changed;
+    }
+
+    std::optional<request_limit> bound;
+    time_point observed_at{}; /*!< When the newest answer came, to whomever. */
+    time_point told_at{};     /*!< When an own answer was news. */
+    time_point known_since{};
+    std::string source;
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -123,6 +123,26 @@
     }
 };
 
+/*! @brief What an entry was told by an upstream's answers, on which terms it
+ * takes requests. */
+struct upstream_terms
+{
+    /*! @brief Bytes on the wire; a run longer than the message is refused. */
+    static constexpr std::size_t least_bytes = 20;
+    std::string upstream;
+    std::uint64_t life{0};   /*!< Incarnation of the upstream; 0: not told. */
+    std::uint32_t age_ms{0}; /*!< Of the answer. */
+    /*! @brief Requests a second of all entries together; below 0 when the
+     * upstream names no limit. */
+    float per_second{-1};
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(upstream, life, age_ms, per_second);
+    }
+};
+
 /*! @brief Datagram between any two processes of an installation. */
 struct fleet_heartbeat
 {
@@ -148,6 +168,7 @@
     hall_digest digest; /*!< Of an entry, for entries of other halls. */
     std::vector<crash_record> crashes;    /*!< Of an entry. */
     std::vector<refused_caller> refusals; /*!< Of an entry, new ones. */
+    std::vector<upstream_terms> terms;    /*!< Of an entry, new ones. */
 
     template <typename Archive>
     void serialize(Archive& archive)
@@ -156,7 +177,7 @@
                 watching, fetching, probing, store_returned, store_distance,
                 entries);
         if (entry)
-            archive(load, digest, crashes, refusals);
+            archive(load, digest, crashes, refusals, terms);
         else
             archive(upstream, chunks);
     }
--- /dev/null
+++ b/tests/route/upstream_terms.cpp
@@ -0,0 +1,163 @@
+#include "coursejunction/route/upstream_terms.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "coursejunction/proxy/terms_news.hpp"
+#include "coursejunction/wire/codec.hpp"
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+cj::time_point moment(double seconds)
+{
+    return cj::time_point{1h} + cj::from_seconds(seconds);
+}
+
+cj::heard_notice limited(double per_second, cj::time_point sent)
+{
+    cj::heard_notice made;
+    made.notice.requests_per_second = per_second;
+    made.sent = sent;
+    made.succeeded = true;
+    return made;
+}
+
+cj::heard_notice silent(cj::time_point sent, bool succeeded = true)
+{
+    return {{}, sent, succeeded};
+}
+
+} // namespace
+
+SCENARIO("a limit holds for as long as answers name it", "[route]")
+{
+    cj::upstream_terms terms;
+    CHECK(terms.opens() <= moment(0));
+
+    GIVEN("an answer that names one")
+    {
+        CHECK(terms.heard(limited(1, moment(0)), moment(1)));
+        REQUIRE(terms.limit());
+        CHECK(terms.told_by() == "answer");
+        CHECK(terms.opens() > moment(1e6));
+
+        SECTION("an answer that was on its way does not end it")
+        {
+            CHECK_FALSE(terms.heard(silent(moment(0.9)), moment(1.1)));
+            CHECK(terms.limit());
+        }
+        SECTION("nor does a failure, or something that can't be read")
+        {
+            CHECK_FALSE(terms.heard(silent(moment(2), false), moment(2.1)));
+            auto garbled = silent(moment(2));
+            garbled.notice.unreadable = true;
+            CHECK_FALSE(terms.heard(garbled, moment(2.1)));
+            CHECK(terms.limit());
+        }
+        SECTION("a later answer without it does, and that is news")
+        {
+            CHECK(terms.heard(silent(moment(2)), moment(2.1)));
+            CHECK_FALSE(terms.limit());
+            REQUIRE(terms.news(moment(2.5)));
+            CHECK_FALSE(terms.news(moment(2.5))->per_second);
+            CHECK_FALSE(terms.news(moment(3.2)));
+        }
+        SECTION("it is told for a while, and again by whoever holds a share")
+        {
+            CHECK(terms.news(moment(1.9))->per_second == 1.0);
+            CHECK_FALSE(terms.news(moment(2.1)));
+            CHECK_FALSE(terms.heard(limited(1, moment(3)), moment(3.1)));
+            CHECK_FALSE(terms.news(moment(3.2)));
+            terms.share({1, 0}, moment(3.2));
+            CHECK_FALSE(terms.heard(limited(1, moment(4)), moment(4.1)));
+            CHECK(terms.news(moment(4.2)));
+        }
+        SECTION("another one that it names replaces it")
+        {
+            CHECK(terms.heard(limited(3, moment(2)), moment(2.1)));
+            CHECK(terms.limit()->per_second() == 3);
+        }
+    }
+    GIVEN("another entry that was told one")
+    {
+        CHECK(terms.told({2.0, moment(5)}, "10.0.0.9", moment(5.2)));
+        CHECK(terms.told_by() == "10.0.0.9");
+        CHECK(terms.limit()->per_second() == 2);
+        CHECK_FALSE(terms.news(moment(5.3)));
+
+        SECTION("older news that come later change nothing")
+        {
+            CHECK_FALSE(
+                terms.told({std::nullopt, moment(4.9)}, "x", moment(5.3)));
+            CHECK(terms.limit());
+        }
+        SECTION("newer news end it")
+        {
+            CHECK(terms.told({std::nullopt, moment(6)}, "x", moment(6.1)));
+            CHECK_FALSE(terms.limit());
+        }
+    }
+}
+
+SCENARIO("terms of upstreams are told in a heartbeat", "[route][wire]")
+{
+    cj::upstream_book book;
+    constexpr int upstreams = 30;
+    for (int at = 0; at < upstreams; ++at)
+    {
+        cj::upstream_record one;
+        one.id = cj::instance_id("u" + std::to_string(at));
+        one.life = cj::incarnation(7);
+        book.record(one);
+        const auto then = moment(0.01 * at);
+        book.heard(one.id, limited(1.5, then), then);
+    }
+    const auto now = moment(0.5);
+    const auto told = cj::terms_news(book, now);
+
+    SECTION("the newest ones, as many as fit a packet")
+    {
+        REQUIRE(told.size() == cj::most_terms_told);
+        CHECK(told.front().upstream == "u29");
+        CHECK(told.front().life == 7);
+    }
+    SECTION("with the age of the answer, since clocks differ")
+    {
+        CHECK(cj::terms_of(told.front(), now).at == moment(0.29));
+        CHECK(cj::terms_of(told.front(), now).per_second == 1.5);
+        auto free = told.front();
+        free.per_second = -1;
+        CHECK_FALSE(cj::terms_of(free, now).per_second);
+    }
+    SECTION("what is told of an earlier life changes nothing")
+    {
+        const cj::instance_id one("u1");
+        const cj::told_terms news{std::nullopt, moment(0.4)};
+        CHECK_FALSE(book.told(one, cj::incarnation(6), news, "x", now));
+        CHECK(book.told(one, cj::incarnation(7), news, "x", now));
+    }
+    SECTION("a life that begins has no terms")
+    {
+        cj::upstream_record next;
+        next.id = cj::instance_id("u1");
+        next.life = cj::incarnation(8);
+        book.record(next);
+        CHECK_FALSE(book.find(next.id)->terms.limit());
+    }
+    SECTION("they pass the wire, also at the end of a message")
+    {
+        cj::message::fleet_heartbeat beat;
+        beat.entry = true;
+        beat.terms = told;
+        beat.terms.push_back({"", 1, 2, 3});
+        const auto read =
+            cj::decode<cj::message::fleet_heartbeat>(cj::encode(beat));
+        REQUIRE(read);
+        REQUIRE(read.value().terms.size() == told.size() + 1);
+        CHECK(read.value().terms.front().upstream == "u29");
+        CHECK(read.value().terms.back().per_second == 3);
+    }
+}
