An upstream that says in an answer that it leaves gets no new work

What was seen: an engine said that it leaves while the platform's store was away; an entry that had passed such an answer on sent it requests 2.06 and 2.35 s later, and all entries went on until the store was back (12 s). Cause: only the store's record could say so. Class: as for limits, a word of an upstream that no decision reads. Ruled out: that the side's heartbeat overwrites it (nothing was stored), that only second attempts pass. Change: a field of upstream_terms; known_upstream::leaving is true when the record or an answer says so, and stands in place of the record's flag in the choice, the division of engines, the verdict on lost attempts and the grace of lapsed records. Entries tell each other. Why it works: a life that leaves does not come back, so nothing ends it but the end of that life.

--- a/src/coursejunction/daemon/state_dump.cpp
+++ b/src/coursejunction/daemon/state_dump.cpp
@@ -47,7 +47,7 @@
         {"address", one.record.address},
         {"hall", one.record.hall.value()},
         {"slots", one.record.slots},
-        {"leaving", one.record.leaving},
+        {"leaving", one.leaving()},
         {"lapsed", one.lapses_at.has_value()},
         {"own_attempts", one.attempts.size()},
         {"failures_in_a_row", one.failures},
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -142,6 +142,7 @@
     log::state("upstream_terms",
                {{"upstream", one.record.id.value()},
                 {"told_by", one.terms.told_by()},
+                {"leaving", one.leaving() ? "true" : "false"},
                 {"requests_per_second",
                  limit ? std::to_string(limit->per_second()) : "unlimited"}});
 }
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -115,7 +115,7 @@
     {
         const auto* service =
             current ? current->service(one.record.service) : nullptr;
-        if (service == nullptr || !service->engine || one.record.leaving ||
+        if (service == nullptr || !service->engine || one.leaving() ||
             !one.status || !one.status->open || !one.status->reachable)
             return false;
         const auto& told = *one.status;
@@ -634,7 +634,7 @@
     void note_lost(const exchange& one, attempt_loss how)
     {
         const auto* known = book.find(one.at.upstream);
-        if (known != nullptr && known->record.leaving)
+        if (known != nullptr && known->leaving())
             return;
         const auto life = known != nullptr ? known->life : incarnation{};
         crashes.lost(exchange_facts::lost_attempt_of(one, life, how),
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -305,7 +305,7 @@
     void drop_record(const upstream_change& one, bool lapse, time_point now)
     {
         const auto* known = book.find(one.id);
-        const bool expected = known == nullptr || known->record.leaving;
+        const bool expected = known == nullptr || known->leaving();
         if (!expected && !lapse && !one.malformed)
             exchanges.crashing().record_gone(one.id);
         book.remove(one.id, lapse && !one.malformed, now);
--- a/src/coursejunction/proxy/terms_news.hpp
+++ b/src/coursejunction/proxy/terms_news.hpp
@@ -35,6 +35,7 @@
         made.upstream = id.value();
         made.life = one.life.value();
         made.age_ms = span_ms(now - news->at);
+        made.leaving = news->leaving;
         if (news->per_second)
             made.per_second = static_cast<float>(*news->per_second);
         told.push_back(std::move(made));
@@ -54,6 +55,7 @@
                                          time_point now)
 {
     told_terms made;
+    made.leaving = told.leaving;
     if (told.per_second >= 0)
         made.per_second = static_cast<double>(told.per_second);
     made.at = now - milliseconds(told.age_ms);
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -153,7 +153,7 @@
                                      const placement_request& request,
                                      time_point now)
     {
-        if (one.record.service != request.service || one.record.leaving ||
+        if (one.record.service != request.service || one.leaving() ||
             now < one.avoid_until || now < one.terms.opens())
             return false;
         if (std::find(request.excluded.begin(), request.excluded.end(),
--- a/src/coursejunction/route/request_limit.hpp
+++ b/src/coursejunction/route/request_limit.hpp
@@ -83,9 +83,10 @@
 class request_limit
 {
 public:
-    /*! @param at When an answer named it. */
-    request_limit(double per_second, time_point at)
-        : rate(per_second), named_at(at)
+    /*! @param at When an answer named it.
+     * @param now When this entry knows of it. */
+    request_limit(double per_second, time_point at, time_point now)
+        : rate(per_second), named_at(at), known_at(now)
     {
     }
 
@@ -128,7 +129,7 @@
     /*! @brief Returns requests a second of all entries together. */
     [[nodiscard]] double per_second() const { return rate; }
     [[nodiscard]] const limit_share& own_share() const { return own; }
-    [[nodiscard]] time_point last_named() const { return named_at; }
+    [[nodiscard]] time_point known_since() const { return known_at; }
 
 private:
     /*! @brief Bounds the pauses of limits near zero: they would never be
@@ -159,7 +160,8 @@
 
     double rate;
     limit_share own;
-    time_point named_at;
+    time_point named_at; /*!< Lastly. */
+    time_point known_at;
     time_point sent_at{};
     time_point due{};
 };
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -58,6 +58,13 @@
     std::optional<time_point> lapses_at; /*!< Its record went in an outage. */
     double share{0}; /*!< Part of it that is this entry's; `engine_shares`. */
     upstream_terms terms;
+
+    /*! @brief Tells whether it gets no new work any more, by its record or by
+     * its answers: either may be the first to say so. */
+    [[nodiscard]] bool leaving() const
+    {
+        return record.leaving || terms.leaving();
+    }
 };
 
 /*! @brief A life of an upstream that ended, since another one has begun. */
@@ -120,7 +127,7 @@
         const auto found = book.find(id);
         if (found == book.end())
             return;
-        if (lapse && !found->second.record.leaving)
+        if (lapse && !found->second.leaving())
             found->second.lapses_at = now + lapse_grace;
         else
             book.erase(found);
--- a/src/coursejunction/route/upstream_terms.hpp
+++ b/src/coursejunction/route/upstream_terms.hpp
@@ -32,6 +32,7 @@
 /*! @brief What one entry's answers told, for the others. */
 struct told_terms
 {
+    bool leaving{false};
     std::optional<double> per_second; /*!< Nothing: no limit is named. */
     time_point at{};                  /*!< When the answer came. */
 };
@@ -48,36 +49,18 @@
      * @return Whether the terms changed. */
     bool heard(const heard_notice& one, time_point now)
     {
-        const auto& per_second = one.notice.requests_per_second;
-        if (per_second)
-            return named(*per_second, now);
-        // An answer to a request from before the limit was known may have been
-        // on its way when the upstream named it.
-        if (!bound || !one.succeeded || one.notice.unreadable ||
-            one.sent <= known_since)
-            return false;
-        bound.reset();
-        observed_at = told_at = now;
-        source = own_source;
-        return true;
+        const bool leaves = one.notice.leaving && leave(own_source, now);
+        if (leaves)
+            told_at = now;
+        return heard_limit(one, now) || leaves;
     }
-
     /*! @brief Takes what another entry's answers told; what is older than the
      * newest word that is known changes nothing.
      * @return Whether the terms changed. */
     bool told(const told_terms& one, const std::string& from, time_point now)
     {
-        if (one.at <= observed_at)
-            return false;
-        observed_at = one.at;
-        if (!one.per_second)
-        {
-            const bool was = bound.has_value();
-            bound.reset();
-            source = from;
-            return was;
-        }
-        return take_limit(*one.per_second, one.at, from, now);
+        const bool leaves = one.leaving && leave(from, now);
+        return told_limit(one, from, now) || leaves;
     }
 
     /*! @brief Notes a request that is sent there. */
@@ -94,6 +77,9 @@
             bound->share(own, now);
     }
 
+    /*! @brief Tells whether it said that it leaves: it wants no new work. */
+    [[nodiscard]] bool leaving() const { return leaves; }
+
     /*! @brief Returns from when on a request may be sent there; a moment in the
      * past when it may be now. */
     [[nodiscard]] time_point opens() const
@@ -106,9 +92,12 @@
     {
         if (told_at == time_point{} || now - told_at > telling_time)
             return std::nullopt;
-        return told_terms{bound ? std::optional(bound->per_second())
-                                : std::nullopt,
-                          observed_at};
+        told_terms made;
+        made.leaving = leaves;
+        if (bound)
+            made.per_second = bound->per_second();
+        made.at = observed_at;
+        return made;
     }
 
     [[nodiscard]] const std::optional<request_limit>& limit() const
@@ -125,6 +114,49 @@
 private:
     static constexpr const char* own_source = "answer";
 
+    /*! @brief A life of an upstream that leaves does not come back: nothing
+     * takes that word back, and no answer without it. */
+    bool leave(const std::string& from, time_point now)
+    {
+        if (leaves)
+            return false;
+        leaves = true;
+        known_since = now;
+        source = from;
+        return true;
+    }
+
+    bool heard_limit(const heard_notice& one, time_point now)
+    {
+        if (const auto& per_second = one.notice.requests_per_second)
+            return named(*per_second, now);
+        // An answer to a request from before the limit was known may have been
+        // on its way when the upstream named it.
+        if (!bound || !one.succeeded || one.notice.unreadable ||
+            one.sent <= bound->known_since())
+            return false;
+        bound.reset();
+        observed_at = told_at = known_since = now;
+        source = own_source;
+        return true;
+    }
+
+    bool told_limit(const told_terms& one, const std::string& from,
+                    time_point now)
+    {
+        if (one.at <= observed_at)
+            return false;
+        observed_at = one.at;
+        if (one.per_second)
+            return take_limit(*one.per_second, one.at, from, now);
+        if (!bound)
+            return false;
+        bound.reset();
+        known_since = now;
+        source = from;
+        return true;
+    }
+
     bool named(double per_second, time_point now)
     {
         const bool changed = take_limit(per_second, now, own_source, now);
@@ -140,16 +172,16 @@
     {
         const bool changed = !bound || bound->per_second() != per_second;
         if (!bound)
-        {
-            bound.emplace(per_second, at);
-            known_since = now;
-        }
+            bound.emplace(per_second, at, now);
         bound->name(per_second, at);
-        if (changed)
-            source = from;
-        return changed;
+        if (!changed)
+            return false;
+        known_since = now;
+        source = from;
+        return true;
     }
 
+    bool leaves{false};
     std::optional<request_limit> bound;
     time_point observed_at{}; /*!< When the newest answer came, to whomever. */
     time_point told_at{};     /*!< When an own answer was news. */
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -128,10 +128,11 @@
 struct upstream_terms
 {
     /*! @brief Bytes on the wire; a run longer than the message is refused. */
-    static constexpr std::size_t least_bytes = 20;
+    static constexpr std::size_t least_bytes = 21;
     std::string upstream;
     std::uint64_t life{0};   /*!< Incarnation of the upstream; 0: not told. */
     std::uint32_t age_ms{0}; /*!< Of the answer. */
+    bool leaving{false};     /*!< It wants no new work. */
     /*! @brief Requests a second of all entries together; below 0 when the
      * upstream names no limit. */
     float per_second{-1};
@@ -139,7 +140,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(upstream, life, age_ms, per_second);
+        archive(upstream, life, age_ms, leaving, per_second);
     }
 };
 
--- a/tests/route/request_limit.cpp
+++ b/tests/route/request_limit.cpp
@@ -67,7 +67,7 @@
 
 SCENARIO("an entry sends at the pace of its share", "[route]")
 {
-    cj::request_limit limit(2, moment(0));
+    cj::request_limit limit(2, moment(0), moment(0));
 
     GIVEN("no share yet: nothing")
     {
@@ -112,7 +112,7 @@
     }
     GIVEN("a limit of none at all: its end is looked for all the same")
     {
-        cj::request_limit none(0, moment(0));
+        cj::request_limit none(0, moment(0), moment(0));
         none.share({0, 1}, moment(0));
         CHECK(none.opens() == moment(30));
     }
--- a/tests/route/upstream_terms.cpp
+++ b/tests/route/upstream_terms.cpp
@@ -83,25 +83,52 @@
     }
     GIVEN("another entry that was told one")
     {
-        CHECK(terms.told({2.0, moment(5)}, "10.0.0.9", moment(5.2)));
+        CHECK(terms.told({false, 2.0, moment(5)}, "10.0.0.9", moment(5.2)));
         CHECK(terms.told_by() == "10.0.0.9");
         CHECK(terms.limit()->per_second() == 2);
         CHECK_FALSE(terms.news(moment(5.3)));
 
         SECTION("older news that come later change nothing")
         {
-            CHECK_FALSE(
-                terms.told({std::nullopt, moment(4.9)}, "x", moment(5.3)));
+            CHECK_FALSE(terms.told({false, std::nullopt, moment(4.9)}, "x",
+                                   moment(5.3)));
             CHECK(terms.limit());
         }
         SECTION("newer news end it")
         {
-            CHECK(terms.told({std::nullopt, moment(6)}, "x", moment(6.1)));
+            CHECK(
+                terms.told({false, std::nullopt, moment(6)}, "x", moment(6.1)));
             CHECK_FALSE(terms.limit());
         }
     }
 }
 
+SCENARIO("an upstream that leaves does not come back", "[route]")
+{
+    cj::upstream_terms terms;
+    auto leaves = silent(moment(0));
+    leaves.notice.leaving = true;
+
+    GIVEN("its answer")
+    {
+        CHECK(terms.heard(leaves, moment(1)));
+        CHECK(terms.leaving());
+        CHECK_FALSE(terms.heard(leaves, moment(1.1)));
+        CHECK_FALSE(terms.heard(silent(moment(2)), moment(2.1)));
+        CHECK(terms.leaving());
+        CHECK(terms.news(moment(1.5))->leaving);
+    }
+    GIVEN("another entry that was told")
+    {
+        CHECK(terms.told({true, std::nullopt, moment(1)}, "x", moment(1.1)));
+        CHECK_FALSE(
+            terms.told({false, std::nullopt, moment(2)}, "y", moment(2.1)));
+        CHECK(terms.leaving());
+        CHECK(terms.told_by() == "x");
+        CHECK_FALSE(terms.news(moment(1.2)));
+    }
+}
+
 SCENARIO("terms of upstreams are told in a heartbeat", "[route][wire]")
 {
     cj::upstream_book book;
@@ -135,7 +162,7 @@
     SECTION("what is told of an earlier life changes nothing")
     {
         const cj::instance_id one("u1");
-        const cj::told_terms news{std::nullopt, moment(0.4)};
+        const cj::told_terms news{false, std::nullopt, moment(0.4)};
         CHECK_FALSE(book.told(one, cj::incarnation(6), news, "x", now));
         CHECK(book.told(one, cj::incarnation(7), news, "x", now));
     }
@@ -152,7 +179,7 @@
         cj::message::fleet_heartbeat beat;
         beat.entry = true;
         beat.terms = told;
-        beat.terms.push_back({"", 1, 2, 3});
+        beat.terms.push_back({"", 1, 2, true, 3});
         const auto read =
             cj::decode<cj::message::fleet_heartbeat>(cj::encode(beat));
         REQUIRE(read);
