An upstream gets nothing within the rest that it asks an entry for

What was seen: an engine answered 503 with a Retry-After of 3 s; the entry tried it again 1.6 to 2 s later, three and four times within the rest. Its callers were turned away once or twice before another engine took them. Cause: of a 503 only "did not run" was read; the entry's own pause of 300 ms, doubled by failures in a row and ended by any success, stood in place of what was asked. Ruled out: heartbeats that overwrite it; second attempts alone. Change: upstream_terms holds the end of the rest, which only grows; it binds the entry that was asked, as the answer does. Where all upstreams that could take a request rest or are at their limits, it is refused at once with the moment at which the first takes requests again; before, it waited for an eighth of its target in vain and was told 2,000 ms.

--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_PROXY_EXCHANGE_LOG_HPP
 #define COURSEJUNCTION_PROXY_EXCHANGE_LOG_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -58,7 +59,8 @@
         {{"request", one.asked.id.value()},
          {"content", one.content.hex()},
          {"route", one.route->name},
-         {"reason", why.usable == 0     ? "no usable upstream"
+         {"reason", why.opens           ? "all upstreams rest or are limited"
+                    : why.usable == 0   ? "no usable upstream"
                     : one.standing.late ? "came back late, no place is free"
                                         : "target would be missed"},
          {"waited_before_ms", std::to_string(one.standing.past.waited.count())},
@@ -136,15 +138,17 @@
 }
 
 /*! @brief The terms on which an upstream takes requests changed. */
-inline void terms_changed(const known_upstream& one)
+inline void terms_changed(const known_upstream& one, time_point now)
 {
     const auto& limit = one.terms.limit();
-    log::state("upstream_terms",
-               {{"upstream", one.record.id.value()},
-                {"told_by", one.terms.told_by()},
-                {"leaving", one.leaving() ? "true" : "false"},
-                {"requests_per_second",
-                 limit ? std::to_string(limit->per_second()) : "unlimited"}});
+    log::state(
+        "upstream_terms",
+        {{"upstream", one.record.id.value()},
+         {"told_by", one.terms.told_by()},
+         {"leaving", one.leaving() ? "true" : "false"},
+         {"rest_ms", ms_between(now, std::max(now, one.terms.rest_ends()))},
+         {"requests_per_second",
+          limit ? std::to_string(limit->per_second()) : "unlimited"}});
 }
 
 /*! @brief An attempt failed. */
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -567,7 +567,7 @@
     void log_terms(const instance_id& id) const
     {
         if (const auto* known = book.find(id))
-            exchange_log::terms_changed(*known);
+            exchange_log::terms_changed(*known, event_loop::now());
     }
 
     void got_data(exchange& one, std::string_view bytes)
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -170,7 +170,9 @@
         auto found = places.choose(book, service, wanted, now, why);
         if (found)
             return send_to{std::move(*found), rank_of(service, wanted, now)};
-        if (now - wanted.since < longest_wait(wanted))
+        const auto waits_until = wanted.since + longest_wait(wanted);
+        const bool in_vain = why.opens && *why.opens > waits_until;
+        if (now < waits_until && !in_vain)
             return wait_for_place{why};
         if (!wanted.standing.returned())
             gate.refused(now);
@@ -215,12 +217,23 @@
                                                time_point now) const
     {
         if (why.usable == 0)
-            return options.no_upstream_retry_after;
+            return none_usable_until(why, now);
         const auto left =
             std::chrono::duration_cast<milliseconds>(wanted.ends - now);
         return gate.come_back_after(left, now);
     }
 
+    /*! @brief Returns the wait of a caller that no upstream could serve. Where
+     * only other entries may send, the next one may do so. */
+    [[nodiscard]] milliseconds none_usable_until(const no_placement& why,
+                                                 time_point now) const
+    {
+        if (!why.opens || *why.opens == time_point::max())
+            return options.no_upstream_retry_after;
+        return std::max(std::chrono::ceil<milliseconds>(*why.opens - now),
+                        options.admission.least_retry_after);
+    }
+
     const upstream_book& book;
     placer places;
     dispatch_options options;
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -113,6 +113,8 @@
             same.excluded.clear();
             all = candidates(book, service, same, now);
         }
+        if (all.empty())
+            why.opens = all_closed_until(book, request, now);
         const auto rates = others_rates(book, service, all, now);
         for (std::size_t at = 0; at < all.size(); ++at)
         {
@@ -149,6 +151,34 @@
     }
 
 private:
+    /*! @brief Returns when the first upstream takes a request again, where the
+     * terms of all keep this entry from sending; otherwise one of them may
+     * become usable at any time. */
+    [[nodiscard]] static std::optional<time_point>
+    all_closed_until(const upstream_book& book,
+                     const placement_request& request, time_point now)
+    {
+        std::optional<time_point> soonest;
+        for (const auto& [id, one] : book.all())
+        {
+            if (one.record.service != request.service || one.leaving() ||
+                excluded(one, request))
+                continue;
+            const auto opens = one.terms.opens();
+            if (opens <= now)
+                return std::nullopt;
+            soonest = std::min(soonest.value_or(opens), opens);
+        }
+        return soonest;
+    }
+
+    [[nodiscard]] static bool excluded(const known_upstream& one,
+                                       const placement_request& request)
+    {
+        return std::find(request.excluded.begin(), request.excluded.end(),
+                         one.record.id) != request.excluded.end();
+    }
+
     [[nodiscard]] static bool usable(const known_upstream& one,
                                      const placement_request& request,
                                      time_point now)
@@ -156,8 +186,7 @@
         if (one.record.service != request.service || one.leaving() ||
             now < one.avoid_until || now < one.terms.opens())
             return false;
-        if (std::find(request.excluded.begin(), request.excluded.end(),
-                      one.record.id) != request.excluded.end())
+        if (excluded(one, request))
             return false;
         if (request.model.empty())
             return true;
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -93,6 +93,9 @@
 {
     std::size_t usable{0}; /*!< Upstreams that could take it at all. */
     double least_ms{0};    /*!< The soonest first event, when usable. */
+    /*! @brief The soonest moment at which one takes a request of this entry,
+     * where all that could take it rest or are at their limits. */
+    std::optional<time_point> opens;
 };
 
 /*! @brief Upstreams by id. */
--- a/src/coursejunction/route/upstream_terms.hpp
+++ b/src/coursejunction/route/upstream_terms.hpp
@@ -52,7 +52,8 @@
         const bool leaves = one.notice.leaving && leave(own_source, now);
         if (leaves)
             told_at = now;
-        return heard_limit(one, now) || leaves;
+        const bool rests = one.notice.rest && rest(*one.notice.rest, now);
+        return heard_limit(one, now) || leaves || rests;
     }
     /*! @brief Takes what another entry's answers told; what is older than the
      * newest word that is known changes nothing.
@@ -84,9 +85,12 @@
      * past when it may be now. */
     [[nodiscard]] time_point opens() const
     {
-        return bound ? bound->opens() : time_point{};
+        return std::max(rests_until, bound ? bound->opens() : time_point{});
     }
 
+    /*! @brief Returns until when it wants nothing from this entry. */
+    [[nodiscard]] time_point rest_ends() const { return rests_until; }
+
     /*! @brief Returns what to tell other entries, while it is news. */
     [[nodiscard]] std::optional<told_terms> news(time_point now) const
     {
@@ -126,6 +130,21 @@
         return true;
     }
 
+    /*! @brief A rest is asked of this entry alone, and a shorter one does not
+     * shorten it.
+     * @return Whether it rested not yet. */
+    bool rest(milliseconds length, time_point now)
+    {
+        const bool begins = now >= rests_until;
+        rests_until = std::max<time_point>(rests_until, now + length);
+        if (begins)
+        {
+            known_since = now;
+            source = own_source;
+        }
+        return begins;
+    }
+
     bool heard_limit(const heard_notice& one, time_point now)
     {
         if (const auto& per_second = one.notice.requests_per_second)
@@ -182,6 +201,7 @@
     }
 
     bool leaves{false};
+    time_point rests_until{};
     std::optional<request_limit> bound;
     time_point observed_at{}; /*!< When the newest answer came, to whomever. */
     time_point told_at{};     /*!< When an own answer was news. */
--- a/tests/route/upstream_terms.cpp
+++ b/tests/route/upstream_terms.cpp
@@ -129,6 +129,37 @@
     }
 }
 
+SCENARIO("an upstream rests for as long as it asked", "[route]")
+{
+    cj::upstream_terms terms;
+    auto rests = silent(moment(0), false);
+    rests.notice.rest = 3000ms;
+    CHECK(terms.heard(rests, moment(1)));
+    CHECK(terms.opens() == moment(4));
+
+    SECTION("no answer ends that, and nobody else is told")
+    {
+        CHECK_FALSE(terms.heard(silent(moment(2)), moment(2.1)));
+        CHECK(terms.opens() == moment(4));
+        CHECK_FALSE(terms.news(moment(2)));
+    }
+    SECTION("a shorter one does not shorten it, a longer one lengthens it")
+    {
+        rests.notice.rest = 500ms;
+        CHECK_FALSE(terms.heard(rests, moment(2)));
+        CHECK(terms.opens() == moment(4));
+        rests.notice.rest = 5000ms;
+        CHECK_FALSE(terms.heard(rests, moment(2)));
+        CHECK(terms.opens() == moment(7));
+    }
+    SECTION("beside a limit the later moment holds")
+    {
+        terms.heard(limited(1, moment(1)), moment(2));
+        terms.share({1, 0}, moment(2));
+        CHECK(terms.opens() == moment(4));
+    }
+}
+
 SCENARIO("terms of upstreams are told in a heartbeat", "[route][wire]")
 {
     cj::upstream_book book;
