Soak and state: upstreams say notices; one line an upstream for operators

Cause: neither the soak's upstreams nor any stand-in ever said that they leave, rest or are limited, so that nothing guarded it. The state dump has a line for each upstream under terms: what, from here how much, by whose word, since when.

--- a/src/coursejunction/daemon/state_dump.cpp
+++ b/src/coursejunction/daemon/state_dump.cpp
@@ -69,6 +69,44 @@
     return made;
 }
 
+/*! @brief Returns the whole ms of a span. */
+std::string ms_of(std::chrono::microseconds span)
+{
+    return std::to_string(std::chrono::ceil<milliseconds>(span).count());
+}
+
+/*! @brief Returns one line for an upstream that leaves, rests or is limited by
+ * its own word; nothing for any other. */
+std::string terms_line(const known_upstream& one, time_point now)
+{
+    const auto& terms = one.terms;
+    std::string what;
+    if (terms.leaving())
+        what += " leaves,";
+    if (terms.rest_ends() > now)
+        what += " rests for " + ms_of(terms.rest_ends() - now) + " ms,";
+    if (const auto& limit = terms.limit())
+        what += " takes " + std::to_string(limit->per_second()) +
+                " requests a second (" +
+                std::to_string(limit->own_share().per_second) + " from here),";
+    if (what.empty())
+        return what;
+    return one.record.id.value() + what + " told by " + terms.told_by() + " " +
+           ms_of(now - terms.since()) + " ms ago";
+}
+
+json terms_of(const upstream_book& book, time_point now)
+{
+    auto list = json::array();
+    for (const auto& [id, one] : book.all())
+    {
+        auto line = terms_line(one, now);
+        if (!line.empty())
+            list.push_back(std::move(line));
+    }
+    return list;
+}
+
 json versions_of(const agent_state& agent)
 {
     auto list = json::array();
@@ -102,6 +140,7 @@
                               {"open_requests", load.open},
                               {"queued_requests", load.queued},
                               {"peers", internal::peers_of(peers, now)},
+                              {"terms", internal::terms_of(book, now)},
                               {"upstreams", std::move(upstreams)}};
     return made.dump(internal::indent) + "\n";
 }
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -27,10 +27,10 @@
 #include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
+#include "coursejunction/proxy/notice_intake.hpp"
 #include "coursejunction/proxy/open_exchanges.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
 #include "coursejunction/proxy/retry_budgets.hpp"
-#include "coursejunction/proxy/terms_news.hpp"
 #include "coursejunction/route/dispatcher.hpp"
 #include "coursejunction/route/upstream_book.hpp"
 #include "coursejunction/route/version_floor.hpp"
@@ -52,7 +52,7 @@
           decisions(known, std::move(choice), set.dispatch), options(set),
           crashes(carrier, counted,
                   [this](const request_content& what) { quarantined(what); }),
-          budgets(set)
+          intake(known, counted), budgets(set)
     {
         ticking = loop.every(options.tick, [this] { tick(); });
     }
@@ -122,16 +122,8 @@
         return told.version >= floor.least(told.model, now);
     }
 
-    /*! @brief Takes in what an upstream told another entry.
-     * @param from Address of that entry. */
-    void told_elsewhere(const message::upstream_terms& told,
-                        const std::string& from, time_point now)
-    {
-        const instance_id id(told.upstream);
-        if (book.told(id, incarnation(told.life), terms_of(told, now), from,
-                      now))
-            log_terms(id);
-    }
+    /*! @brief Returns what takes in what upstreams say of themselves. */
+    [[nodiscard]] notice_intake& notices() { return intake; }
 
     /*! @brief Tells whether others have known a newer state for long: what the
      * configuration here does not allow may be allowed by then. */
@@ -529,47 +521,13 @@
         one.head = head;
         const auto facts = Codec::facts(head);
         if (facts.id == one.asked.id || facts.not_run)
-            return take_notice(one, facts.notice);
+            return intake.heard(one, facts.notice, event_loop::now());
         // The answer to another request: nothing on this connection is ours.
         client.cancel(one.call);
         failed(one, attempt_reach::may_have_run,
                "answer carries another request's id");
     }
 
-    /*! @brief Takes in what an upstream says of itself. The head tells it: a
-     * stream may end seconds later. */
-    void take_notice(const exchange& one, const upstream_notice& notice)
-    {
-        const heard_notice heard{notice, one.sent, succeeded(one.head)};
-        if (book.heard(one.at.upstream, heard, event_loop::now()))
-            log_terms(one.at.upstream);
-        if (notice.empty())
-            return;
-        const auto count = [&](bool is, const char* kind)
-        {
-            if (is)
-                counters.count("upstream_notices_total", 1, {{"kind", kind}});
-        };
-        count(notice.leaving, "leaving");
-        count(notice.rest.has_value(), "rest");
-        count(notice.requests_per_second.has_value(), "limit");
-        count(notice.unreadable, "unreadable");
-        exchange_log::noticed(one, notice);
-    }
-
-    [[nodiscard]] static bool succeeded(const stream_head& head)
-    {
-        constexpr int first_success = 200;
-        constexpr int first_redirect = 300;
-        return head.status >= first_success && head.status < first_redirect;
-    }
-
-    void log_terms(const instance_id& id) const
-    {
-        if (const auto* known = book.find(id))
-            exchange_log::terms_changed(*known, event_loop::now());
-    }
-
     void got_data(exchange& one, std::string_view bytes)
     {
         if (!exchange_facts::passes_events(one))
@@ -844,6 +802,7 @@
     std::shared_ptr<const installation> current;
     open_exchanges open;
     waiting_line waiting;
+    notice_intake intake;
     retry_budgets budgets;
     std::function<void()> tell_refusals;
     std::uint64_t last_number{0};
--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -9,6 +9,7 @@
 
 class crash_guard;
 class event_splitter;
+class notice_intake;
 class open_exchanges;
 class retry_budgets;
 struct caller_request;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -356,7 +356,7 @@
             for (const auto& told : one.refusals)
                 exchanges.sent_away_elsewhere(refusal_of(told, now), now);
             for (const auto& told : one.terms)
-                exchanges.told_elsewhere(told, from, now);
+                exchanges.notices().told(told, from, now);
             return exchanges.crashing().take(one.crashes, from);
         }
         take_status(from, one.upstream, now);
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -17,6 +17,7 @@
 #include "coursejunction/route/admission.hpp"
 #include "coursejunction/route/first_try.hpp"
 #include "coursejunction/route/upstream_book.hpp"
+#include "coursejunction/route/upstream_choice.hpp"
 
 namespace coursejunction
 {
--- a/tests/daemon/state_dump.cpp
+++ b/tests/daemon/state_dump.cpp
@@ -44,6 +44,24 @@
             REQUIRE(dump().at("upstreams").size() == 1);
             CHECK_FALSE(dump().at("upstreams")[0].contains("status"));
         }
+        WHEN("its answer named a limit, and that it leaves")
+        {
+            cj::heard_notice notice;
+            notice.notice.leaving = true;
+            notice.notice.requests_per_second = 2;
+            book.heard(record.id, notice, now - 3s);
+            THEN("one line tells it, since when and by whose word")
+            {
+                REQUIRE(dump().at("terms").size() == 1);
+                const std::string line = dump().at("terms")[0];
+                CHECK(line.starts_with("i-1 leaves, takes 2.0"));
+                CHECK(line.ends_with("told by answer 3000 ms ago"));
+            }
+        }
+        WHEN("nothing binds it")
+        {
+            CHECK(dump().at("terms").empty());
+        }
         WHEN("its side told a load and an attempt failed")
         {
             cj::message::upstream_status status;
--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -81,6 +81,9 @@
         # the quarantine 123 ms later; three engines ended there.
         self.play(45, 5, "--crashing", "--sides", "8")
 
+    def test_entries_together_keep_to_what_upstreams_say_of_themselves(self):
+        self.play(35, 12, "--notices")
+
     def test_a_staged_chunk_that_cannot_be_read_is_fetched_again(self):
         # Seed 801 with 100 sides failed once: reads of staged chunks timed out beside
         # load, and the new plan for them was never told who takes part.
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -209,6 +209,15 @@
         return answer(200, bytes_)
 
 
+def noticing(upstream, asked):
+    """Returns the headers that all answers to a request carry, and whether it is run."""
+    signed = [f"X-Coursejunction-Attempt-Id: {asked}"]
+    if upstream.notice is None:
+        return signed, True
+    more, runs = upstream.notice.take(asked)
+    return signed + more, runs
+
+
 class Service(Server):
     """A plain service; counts the runs of each request."""
 
@@ -220,10 +229,13 @@
         self.faults = faults
         self.runs = {}
         self.crashed = []  # When a request ended it.
+        self.notice = None  # What it says of itself in its answers.
 
     async def handle(self, method, target, headers, body, writer):
         asked = headers["x-coursejunction-attempt-id"]
-        signed = [f"X-Coursejunction-Attempt-Id: {asked}"]
+        signed, runs = noticing(self, asked)
+        if not runs:
+            return answer(503, b"", signed)
         if headers.get("x-coursejunction-expect-instance") != self.id:
             return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
         self.runs[asked] = self.runs.get(asked, 0) + 1
@@ -276,6 +288,7 @@
         self.begun = []
         self.crashed = []  # When a request ended it.
         self.away = False
+        self.notice = None  # What it says of itself in its answers.
 
     @property
     def id(self):
@@ -357,7 +370,9 @@
 
     async def stream(self, headers, body, writer):
         asked = headers["x-coursejunction-attempt-id"]
-        signed = [f"X-Coursejunction-Attempt-Id: {asked}"]
+        signed, runs = noticing(self, asked)
+        if not runs:
+            return answer(503, b"", signed)
         version = self.version
         if headers.get("x-coursejunction-expect-instance") != self.id or not version:
             return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
     soak.py ... --reborn               engines start again under their ids, also behind cuts, and
                                        other writers spoil records
     soak.py ... --crashing         a request that ends its engines comes again and again
+    soak.py ... --notices          upstreams say that they leave, rest, or take few requests
     soak.py ... --suspending       instances are suspended: their steady clocks stand for a while
     soak.py ... --crashing --wide        its copies come to all entries at once, also for plain services
     soak.py ... --crashing --blackout    all entries lose power at once while its copies come
@@ -36,6 +37,7 @@
 from crashing import judge_bystanders, judge_crashes, lose_all_entries, send_copies, send_copies_widely
 from knowledge import Knowledge, fetch, judge_rest
 from links import HallLink, Proxy
+from notices import give_notices, judge_notices
 from platform_standin import MODEL, Engine, Origin, Service, Store
 from process import LATE_S, Daemon, free_port
 from standstills import Standstills, stand_still
@@ -44,6 +46,7 @@
 HALLS = ["north", "south", "east", "west", "middle"]
 SETTLE_S = 36.0  # After the last fault: several versions' time of 8 s and a restart.
 TEAR_DOWN_S = 10.0
+DISTURBED_S = 5.0
 STANDSTILLS = 5
 BETWEEN_STANDSTILLS_S = 0.002  # Less than a process needs to tell its state.
 FAULTS = ["kill", "kill", "pause", "pause", "stop", "hang_up", "store", "way", "way", "engine",
@@ -69,6 +72,7 @@
         self.log = open(self.dir / "log", "wb")
         self.breaks, self.counts, self.faults, self.tasks = [], {}, [], []
         self.answers, self.standstills = {}, Standstills()
+        self.notices, self.sent_to, self.disturbed = [], {}, {}
         self.version, self.configuration, self.number = 1, 1, 0
         self.stopping, self.blackout = False, None
 
@@ -180,7 +184,8 @@
         reader = writer = None
         while not self.stopping:
             if writer is None or writer.is_closing():
-                host, port = dice.choice(self.entries).callers.split(":")
+                entry = dice.choice(self.entries)
+                host, port = entry.callers.split(":")
                 try:
                     reader, writer = await asyncio.open_connection(host, int(port))
                 except OSError:
@@ -188,6 +193,7 @@
                     continue
             self.number += 1
             asked = f"{self.seed:x}-{self.number:x}"
+            self.sent_to[asked] = entry.name
             single = dice.random() < 0.4
             keeps = await self.ask(reader, writer, asked, single)
             if not keeps:
@@ -285,6 +291,8 @@
         self.count(f"fault {kind}")
         length = self.dice.uniform(0.2, 2.5)
         one = self.dice.choice(self.entries + self.sides)
+        if kind in ("kill", "stop", "pause", "suspend"):
+            self.disturbed.setdefault(one.name, []).append(asyncio.get_running_loop().time())
         if kind == "kill":
             await one.stop(signal.SIGKILL)
         elif kind == "stop":
@@ -339,6 +347,10 @@
             self.dice.choice(list(self.fronts.values()) + list(self.proxies.values())).reset_all()
         self.faults.remove(kind)
 
+    def disturbed_since(self, name, moment):
+        """Whether a process was stopped, killed or suspended since, or shortly before."""
+        return any(at > moment - DISTURBED_S for at in self.disturbed.get(name, []))
+
     async def spoil_record(self, dice):
         """Another writer replaces a record, and puts one of its own; the upstream's
         next heartbeat puts its record back."""
@@ -383,6 +395,8 @@
         if self.asked.crashing:
             send = send_copies_widely if self.asked.wide else send_copies
             self.tasks.append(asyncio.create_task(send(self)))
+        if self.asked.notices:
+            self.tasks.append(asyncio.create_task(give_notices(self)))
         if self.asked.blackout:
             self.tasks.append(asyncio.create_task(lose_all_entries(self)))
         end = asyncio.get_running_loop().time() + self.seconds
@@ -471,6 +485,7 @@
             if not single and status in (408, 421, 429, 503) and asked in begun:
                 self.broken("refused", f"{asked} began and got {status}")
         judge_crashes(self)
+        judge_notices(self)
         for one in self.engines:
             if one.wrong_weights:
                 self.broken("whole", f"partial or mixed weights: {one.wrong_weights}")
@@ -514,6 +529,7 @@
     parser.add_argument("--sides", type=int, default=4)
     parser.add_argument("--reborn", action="store_true")
     parser.add_argument("--crashing", action="store_true")
+    parser.add_argument("--notices", action="store_true")
     parser.add_argument("--suspending", action="store_true")
     parser.add_argument("--wide", action="store_true")
     parser.add_argument("--blackout", action="store_true")
