--- a/tests/route/placement.cpp
+++ b/tests/route/placement.cpp
@@ -169,6 +169,92 @@
     }
 }
 
+SCENARIO("every way to an upstream keeps to the terms that it named", "[route]")
+{
+    cj::upstream_book book;
+    const cj::time_point now{100s};
+    const cj::placer places({}, cj::hall_id("north"), "10.0.0.9");
+    const auto service = llm();
+    const cj::instance_id near("near");
+    cj::no_placement why;
+    book.record(record("near", "north", "10.0.0.1:80"));
+    book.status("10.0.0.1", status(1), now);
+
+    cj::heard_notice told;
+    const int kind = GENERATE(0, 1, 2);
+    if (kind == 0)
+        told.notice.leaving = true;
+    else if (kind == 1)
+        told.notice.rest = 3s;
+    else
+        told.notice.requests_per_second = 1;
+    book.heard(near, told, now);
+    // What its side goes on to tell changes nothing.
+    book.status("10.0.0.1", status(2), now + 10ms);
+    const auto later = now + 100ms;
+
+    auto asked = wanted();
+    SECTION("a first attempt") {}
+    SECTION("a stream that goes on")
+    {
+        asked.must = true;
+    }
+    SECTION("a second one after its own failure")
+    {
+        asked.again = true;
+        asked.excluded = {near};
+    }
+    SECTION("where requests are kept apart")
+    {
+        asked.apart = {near};
+    }
+    CHECK_FALSE(places.choose(book, service, asked, later, why));
+}
+
+SCENARIO("it is known when upstreams that rest take requests again", "[route]")
+{
+    cj::upstream_book book;
+    const cj::time_point now{100s};
+    const cj::placer places({}, cj::hall_id("north"), "10.0.0.9");
+    const auto service = llm();
+    cj::no_placement why;
+    cj::heard_notice rests;
+    for (const std::string id : {"1", "2"})
+    {
+        book.record(record(id, "north", "10.0.0." + id + ":80"));
+        book.status("10.0.0." + id, status(1), now);
+        rests.notice.rest = 1000ms * std::stoi(id);
+        book.heard(cj::instance_id(id), rests, now);
+    }
+    CHECK_FALSE(places.choose(book, service, wanted(), now, why));
+    CHECK(why.opens == now + 1s);
+
+    SECTION("the one that it was tried at does not count")
+    {
+        auto asked = wanted();
+        asked.excluded = {cj::instance_id("1")};
+        CHECK_FALSE(places.choose(book, service, asked, now, why));
+        CHECK(why.opens == now + 2s);
+    }
+    SECTION("one that loads weights may open at any time")
+    {
+        book.record(record("3", "north", "10.0.0.3:80"));
+        auto loads = status(1);
+        loads.open = false;
+        book.status("10.0.0.3", loads, now);
+        CHECK_FALSE(places.choose(book, service, wanted(), now, why));
+        CHECK_FALSE(why.opens);
+    }
+    SECTION("one that leaves won't")
+    {
+        auto leaves = record("3", "north", "10.0.0.3:80");
+        leaves.leaving = true;
+        book.record(leaves);
+        CHECK_FALSE(places.choose(book, service, wanted(), now, why));
+        CHECK(why.opens == now + 1s);
+    }
+}
+
 SCENARIO("records that went while the store was away may come back", "[route]")
 {
     cj::upstream_book book;
