Terms of an upstream outlast the lapse of its record

Cause: what an upstream said of itself went with its record. Records lapse in an outage of the store and come back under the same id; the entry then sent to an upstream that rests, is at its limit or leaves as to an unknown one. Change: departed_terms keeps what binds for a minute, by id and life; a later life starts free. Entries no longer expect each other to send to an upstream of whose limit this one holds a share: the room would stay unused. Evidence: tests/route/upstream_terms.cpp, new scenario (without restore its first two sections fail).

--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -31,6 +31,9 @@
 struct ended_life;
 struct upstream_notice;
 class upstream_terms;
+class departed_terms;
+struct known_upstream;
+struct upstream_choice;
 class request_limit;
 struct limit_share;
 
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -248,6 +248,9 @@
         double sum = 0;
         for (std::size_t at = 0; at < all.size(); ++at)
         {
+            // Others keep away from what this entry holds a share of.
+            if (all[at].upstream->terms.limit())
+                continue;
             rates[at] =
                 std::exp((soonest - all[at].predicted_ms) / weights.alike_ms);
             sum += rates[at];
@@ -255,7 +258,7 @@
         const auto total = book.others_rate(now);
         const auto equal = total / static_cast<double>(all.size());
         for (auto& one : rates)
-            one = std::max(0.0, one / sum * total - equal);
+            one = sum > 0 ? std::max(0.0, one / sum * total - equal) : 0.0;
         return rates;
     }
 
--- a/src/coursejunction/route/upstream_book.hpp
+++ b/src/coursejunction/route/upstream_book.hpp
@@ -17,6 +17,7 @@
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/route/departed_terms.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
 #include "coursejunction/route/engine_shares.hpp"
 #include "coursejunction/route/known_upstream.hpp"
@@ -42,7 +43,10 @@
      * @return The life that ended, if one did. */
     std::optional<ended_life> record(upstream_record one)
     {
-        auto& known = book[one.id];
+        const auto [place, added] = book.try_emplace(one.id);
+        auto& known = place->second;
+        if (added)
+            departed.restore(one.id, one.life, known);
         if (!one.life.empty() && one.life < known.life)
             return std::nullopt;
         auto ended = begin_life(known, one.life);
@@ -59,19 +63,26 @@
         if (found == book.end())
             return;
         if (lapse && !found->second.leaving())
+        {
             found->second.lapses_at = now + lapse_grace;
-        else
-            book.erase(found);
+            return;
+        }
+        departed.keep(found->second, now);
+        book.erase(found);
     }
 
     /*! @brief Forgets records whose grace is over. */
     void expire(time_point now)
     {
+        departed.expire(now);
         std::erase_if(book,
                       [&](const auto& one)
                       {
                           const auto& at = one.second.lapses_at;
-                          return at && now >= *at;
+                          if (!at || now < *at)
+                              return false;
+                          departed.keep(one.second, now);
+                          return true;
                       });
     }
 
@@ -439,6 +450,7 @@
     static constexpr milliseconds avoid_silent{8000};
 
     std::map<instance_id, known_upstream> book;
+    departed_terms departed;
     double sharers{1};
     double all_lateness{1};
     send_rate engine_sends; /*!< Of this entry, to all engines. */
--- a/src/coursejunction/route/upstream_terms.hpp
+++ b/src/coursejunction/route/upstream_terms.hpp
@@ -55,6 +55,7 @@
         const bool rests = one.notice.rest && rest(*one.notice.rest, now);
         return heard_limit(one, now) || leaves || rests;
     }
+
     /*! @brief Takes what another entry's answers told; what is older than the
      * newest word that is known changes nothing.
      * @return Whether the terms changed. */
@@ -81,6 +82,12 @@
     /*! @brief Tells whether it said that it leaves: it wants no new work. */
     [[nodiscard]] bool leaving() const { return leaves; }
 
+    /*! @brief Tells whether any of them keeps requests away. */
+    [[nodiscard]] bool bind(time_point now) const
+    {
+        return leaves || bound || now < rests_until;
+    }
+
     /*! @brief Returns from when on a request may be sent there; a moment in the
      * past when it may be now. */
     [[nodiscard]] time_point opens() const
--- a/tests/route/upstream_terms.cpp
+++ b/tests/route/upstream_terms.cpp
@@ -160,6 +160,52 @@
     }
 }
 
+SCENARIO("a record that comes back brings no freedom from a limit or a rest",
+         "[route]")
+{
+    cj::upstream_book book;
+    cj::upstream_record record;
+    record.id = cj::instance_id("u");
+    record.life = cj::incarnation(7);
+    book.record(record);
+    auto told = limited(1, moment(0));
+    told.notice.rest = 5000ms;
+    told.notice.leaving = GENERATE(false, true);
+    book.heard(record.id, told, moment(0.1));
+    const auto opens = [&] { return book.find(record.id)->terms.opens(); };
+
+    SECTION("it went in an outage of the store, for longer than is waited")
+    {
+        book.remove(record.id, true, moment(1));
+        book.expire(moment(4));
+        REQUIRE(book.find(record.id) == nullptr);
+        book.record(record);
+        CHECK(opens() > moment(5));
+        CHECK(book.find(record.id)->leaving() == told.notice.leaving);
+    }
+    SECTION("it went otherwise")
+    {
+        book.remove(record.id, false, moment(1));
+        book.record(record);
+        CHECK(book.find(record.id)->terms.limit());
+    }
+    SECTION("a later life has none")
+    {
+        book.remove(record.id, false, moment(1));
+        record.life = cj::incarnation(8);
+        book.record(record);
+        CHECK(opens() <= moment(0));
+        CHECK_FALSE(book.find(record.id)->leaving());
+    }
+    SECTION("after a minute they are forgotten")
+    {
+        book.remove(record.id, false, moment(1));
+        book.expire(moment(62));
+        book.record(record);
+        CHECK(opens() <= moment(0));
+    }
+}
+
 SCENARIO("terms of upstreams are told in a heartbeat", "[route][wire]")
 {
     cj::upstream_book book;
