Soak: a life that ends takes its notice with it

Trace: engine-1-0 said so at 36:01.283 and crashed under the notice; engine-1-2 in its place, under another id, got the request at 36:03.565 and answered the same, since the soak kept the notice with the engine, not with its life. The entry knew nothing of that one, so that the request is allowed. Change: a new life of a stand-in says nothing; the check is as strict as before for each life.

--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -84,6 +84,11 @@
     def test_entries_together_keep_to_what_upstreams_say_of_themselves(self):
         self.play(35, 12, "--notices")
 
+    def test_an_upstream_that_takes_the_place_of_one_that_left_says_nothing_yet(self):
+        # Seed 6018 failed: an engine that had said that it leaves crashed, and the next one
+        # in its place, under another id, went on saying so; the soak took both for one.
+        self.play(6018, 12, "--notices")
+
     def test_a_staged_chunk_that_cannot_be_read_is_fetched_again(self):
         # Seed 801 with 100 sides failed once: reads of staged chunks timed out beside
         # load, and the new plan for them was never told who takes part.
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -86,7 +86,10 @@
 
 
 async def end_notice(one, kind, length):
+    notice = one.notice
     await asyncio.sleep(length)
+    if one.notice is not notice:
+        return  # Its life ended before.
     one.notice = None
     if kind == "leaving":
         one.crash()
