A limit of 0 is kept as well

Cause: the entry that would hold a share got none of a limit of 0, and the place 0 among those that stand in, which waits for nothing: it sent without bound.

--- a/src/coursejunction/route/request_limit.hpp
+++ b/src/coursejunction/route/request_limit.hpp
@@ -71,6 +71,9 @@
         else
             before += weight(one) > own_weight ? 1 : 0;
     }
+    // Nobody holds a limit of 0; its end is looked for all the same.
+    if (per_second <= 0)
+        return {0, before + 1};
     const auto most = in_hall > 0 ? in_hall : entries.size();
     const auto holders = static_cast<std::size_t>(
         std::clamp(std::floor(per_second), 1.0, static_cast<double>(most)));
--- a/tests/route/request_limit.cpp
+++ b/tests/route/request_limit.cpp
@@ -31,7 +31,7 @@
 
 SCENARIO("entries divide the limit of an upstream", "[route]")
 {
-    const double per_second = GENERATE(0.3, 1.0, 2.5, 7.0, 1000.0);
+    const double per_second = GENERATE(0.0, 0.3, 1.0, 2.5, 7.0, 1000.0);
     const std::size_t count = GENERATE(1U, 2U, 5U, 53U);
     double sum = 0;
     std::vector<std::size_t> stand_ins;
@@ -156,6 +156,11 @@
         scene.cut = scene.entries > 5 ? 3 : 0;
         CHECK(holds().used > 0.4);
     }
+    WHEN("the upstream takes none at all")
+    {
+        scene.per_second = 0;
+        holds();
+    }
     WHEN("every third heartbeat is lost")
     {
         scene.loss = 0.33;
