Observability: a version's name that goes back is told

Ruled out: a figure beside it; the line names model, both versions and the revision, and is rare. Change: a warning, "version_name_went_back". No decision changes.

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -209,11 +209,18 @@
         if (!read)
             return unreadable(key, value, read.error().message);
         const auto& named = read.value();
+        const auto known = newest(named.model);
         targets.try_emplace({named.model, named.version}, value.learnt);
         log::state("version_named",
                    {{"model", named.model},
                     {"version", std::to_string(named.version)},
                     {"revision", std::to_string(value.revision)}});
+        if (named.version < known)
+            log::warning("version_name_went_back",
+                         {{"model", named.model},
+                          {"version", std::to_string(named.version)},
+                          {"known", std::to_string(known)},
+                          {"revision", std::to_string(value.revision)}});
     }
 
     static void unreadable(const std::string& key, const mirrored_value& value,
