Named and binding versions are kept in the store, where they outlast all processes

Callers saw work on version 2 eleven seconds after all processes had started anew, 26 s after version 3 had been acknowledged.

Cause: the newest version of a model was whatever name the store showed last. Processes that live keep the highest name that they have seen; the store's name itself can go back, since a write that got no answer may be done seconds later, over a newer one. After the loss of all processes nobody knew more than the store: sides fetched and loaded the older version, entries allowed it, both without end. Class: a value that may only rise, kept as "the last write wins", its maximum in memory only.

Change: entries write a record for each model (newest named, newest that binds) by compare-and-swap, one after the other and only what is still missing; who starts reads it with the rest. A version that bound stays bound through a restart. Both only rise, whatever the name says.

A question to the origin for its newest version was weighed and not built: it would also know a name that nobody read before it was overwritten.

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_FLEET_FLEET_VIEW_HPP
 #define COURSEJUNCTION_FLEET_FLEET_VIEW_HPP
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <map>
@@ -17,6 +18,7 @@
 #include "coursejunction/core/result.hpp"
 #include "coursejunction/fleet/installation.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
+#include "coursejunction/fleet/version_record.hpp"
 
 namespace coursejunction
 {
@@ -27,7 +29,8 @@
     configuration,
     upstream,
     version,
-    quarantine, /*!< A request that crashes upstreams. */
+    version_record, /*!< What is known of a model's versions. */
+    quarantine,     /*!< A request that crashes upstreams. */
     other
 };
 
@@ -93,6 +96,10 @@
                 if (value != nullptr)
                     read_version(key, *value);
                 break;
+            case item_kind::version_record:
+                if (value != nullptr)
+                    read_record(key, *value);
+                break;
             case item_kind::quarantine:
             case item_kind::other:
                 break;
@@ -139,6 +146,13 @@
         return version;
     }
 
+    /*! @brief Returns the versions that are known to bind, by model: older
+     * ones begin no request any more. */
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& binding() const
+    {
+        return bound;
+    }
+
     /*! @brief Returns when a version was named, as far as is known. */
     [[nodiscard]] time_point named_at(const std::string& model,
                                       std::uint64_t version) const
@@ -223,6 +237,18 @@
                           {"revision", std::to_string(value.revision)}});
     }
 
+    void read_record(const std::string& key, const mirrored_value& value)
+    {
+        const auto read = read_version_record(key, value.payload);
+        if (!read)
+            return unreadable(key, value, read.error().message);
+        const auto& record = read.value();
+        if (record.newest > 0)
+            targets.try_emplace({record.model, record.newest}, value.learnt);
+        auto& least = bound[record.model];
+        least = std::max(least, record.binding);
+    }
+
     static void unreadable(const std::string& key, const mirrored_value& value,
                            const std::string& why)
     {
@@ -239,6 +265,7 @@
     std::map<instance_id, incarnation> lives;
     std::size_t refused{0};
     std::map<std::pair<std::string, std::uint64_t>, time_point> targets;
+    std::map<std::string, std::uint64_t> bound;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/fleet/fwd.hpp
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -29,6 +29,9 @@
 class fleet_node;
 template <typename Store>
 class quarantine_keeper;
+struct version_record;
+template <typename Store>
+class version_keeper;
 
 } // namespace coursejunction
 
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -126,6 +126,20 @@
         return count;
     }
 
+    /*! @brief Returns how many live entries that do not leave come before an
+     * address. */
+    [[nodiscard]] std::size_t entries_before(const std::string& address,
+                                             time_point now) const
+    {
+        std::size_t count = 0;
+        for (const auto& [other, one] : peers)
+            count += one.entry && other < address && alive(one, now) &&
+                             !one.last.leaving
+                         ? 1
+                         : 0;
+        return count;
+    }
+
     /*! @brief Returns how many live entries watch the store. */
     [[nodiscard]] std::size_t watchers(time_point now) const
     {
--- /dev/null
+++ b/src/coursejunction/fleet/version_keeper.hpp
@@ -0,0 +1,153 @@
+/*! @file
+ * @brief Keeps in the platform's store which versions were named and which of
+ * them bind, where it outlasts all processes.
+ */
+#ifndef COURSEJUNCTION_FLEET_VERSION_KEEPER_HPP
+#define COURSEJUNCTION_FLEET_VERSION_KEEPER_HPP
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "coursejunction/core/backoff.hpp"
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/core/result.hpp"
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/fleet/store_mirror.hpp"
+#include "coursejunction/fleet/version_record.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Writes single keys that stay, while they are at a revision; 0 for a
+ * key that is absent. Answers come on the loop's thread: whether it was written
+ * (false: the key is at another revision), or `unavailable`. */
+template <typename Store>
+concept Keeping_store = requires(Store& store, const std::string& key,
+                                 const std::string& payload,
+                                 std::uint64_t revision,
+                                 std::function<void(result<bool>)> done)
+{
+    store.keep(key, payload, revision, done);
+};
+
+/*! @brief Writes what the store's records lack. All entries know the same, so
+ * that they write one after the other, and only what is still missing.
+ *
+ * The name of a version in the store may go back: a write without an answer can
+ * be done seconds later, over a newer one.
+ * @tparam Store A `Keeping_store`. */
+template <typename Store>
+class version_keeper
+{
+public:
+    /*! @brief An entry waits this long for each entry before it; news of a
+     * write take 0.1 to 0.6 s. */
+    static constexpr milliseconds turn{500};
+
+    /*! @brief Pauses after writes, until the mirror shows what became of
+     * them. */
+    static constexpr milliseconds first_pause{500};
+    static constexpr milliseconds longest_pause{4000};
+
+    /*! @param seed Another one for each entry. */
+    version_keeper(event_loop& owner, Store& service, const store_mirror& held,
+                   metrics& counted, std::uint32_t seed)
+        : loop(owner), store(service), mirror(held), counters(counted),
+          pauses(first_pause, longest_pause, seed)
+    {
+    }
+
+    /*! @brief Notes what is known of a model's versions. */
+    void know(const version_record& record)
+    {
+        auto& one = known[record.model];
+        one.model = record.model;
+        one.merge(record);
+    }
+
+    /*! @brief Writes what is missing when it is this entry's turn.
+     * @param rank How many entries come before this one. */
+    void consider(std::size_t rank, time_point now)
+    {
+        for (const auto& [model, record] : known)
+        {
+            if (kept(record))
+            {
+                missing_since.erase(model);
+                continue;
+            }
+            const auto since = missing_since.try_emplace(model, now);
+            const auto waits = turn * static_cast<std::int64_t>(rank);
+            if (!busy && now - since.first->second >= waits)
+                write(record);
+        }
+    }
+
+private:
+    /*! @brief Tells whether the store keeps a record as far as is known. */
+    [[nodiscard]] bool kept(const version_record& record) const
+    {
+        const auto key = version_record_key(record.model);
+        const auto* value = mirror.find(key);
+        if (value == nullptr)
+            return false;
+        const auto read = read_version_record(key, value->payload);
+        return read && read.value().covers(record);
+    }
+
+    void write(version_record record)
+    {
+        const auto key = version_record_key(record.model);
+        const auto* value = mirror.find(key);
+        if (value != nullptr)
+        {
+            if (const auto read = read_version_record(key, value->payload))
+                record.merge(read.value());
+        }
+        busy = true;
+        store.keep(key, version_record_payload(record),
+                   value == nullptr ? 0 : value->revision,
+                   [this, record](const result<bool>& answer)
+                   { ended(record, answer); });
+    }
+
+    void ended(const version_record& record, const result<bool>& answer)
+    {
+        const bool good = answer && answer.value();
+        const std::string outcome = good     ? "written"
+                                    : answer ? "outrun"
+                                             : "failed";
+        counters.count("version_record_writes_total", 1, {{"result", outcome}});
+        log::state("version_record_write",
+                   {{"model", record.model},
+                    {"newest", std::to_string(record.newest)},
+                    {"binding", std::to_string(record.binding)},
+                    {"result", outcome},
+                    {"why", answer ? std::string() : answer.error().message}});
+        again = loop.after(pauses.next(), [this] { busy = false; });
+        if (good)
+            pauses.reset();
+    }
+
+    event_loop& loop;
+    Store& store;
+    const store_mirror& mirror;
+    metrics& counters;
+    std::map<std::string, version_record> known;
+    std::map<std::string, time_point> missing_since;
+    backoff pauses;
+    bool busy{false}; /*!< A write or the pause after it runs. */
+    timer again;
+};
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/fleet/version_record.hpp
@@ -0,0 +1,55 @@
+/*! @file
+ * @brief Items of the platform's store by which named versions stay known when
+ * every process starts again; pure.
+ */
+#ifndef COURSEJUNCTION_FLEET_VERSION_RECORD_HPP
+#define COURSEJUNCTION_FLEET_VERSION_RECORD_HPP
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "coursejunction/core/result.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Keys of these items begin so; the model follows. */
+inline constexpr std::string_view version_record_prefix = "version/";
+
+/*! @brief What is known of a model's versions. Both only rise. */
+struct version_record
+{
+    std::string model;
+    std::uint64_t newest{0};  /*!< That was ever named. */
+    std::uint64_t binding{0}; /*!< Older ones begin no request any more. */
+
+    /*! @brief Tells whether this says all that another record does. */
+    [[nodiscard]] bool covers(const version_record& other) const noexcept
+    {
+        return newest >= other.newest && binding >= other.binding;
+    }
+
+    /*! @brief Takes over what another record knows beyond this one. */
+    void merge(const version_record& other)
+    {
+        newest = std::max(newest, other.newest);
+        binding = std::max(binding, other.binding);
+    }
+};
+
+/*! @brief Returns the key of a model's item. */
+[[nodiscard]] std::string version_record_key(const std::string& model);
+
+/*! @brief Makes an item's payload. */
+[[nodiscard]] std::string version_record_payload(const version_record& record);
+
+/*! @brief Reads an item.
+ * @return The record, or `invalid`. */
+[[nodiscard]] result<version_record>
+read_version_record(std::string_view key, std::string_view payload);
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -19,6 +19,7 @@
 #include "coursejunction/fleet/fleet_view.hpp"
 #include "coursejunction/fleet/quarantine_item.hpp"
 #include "coursejunction/fleet/quarantine_keeper.hpp"
+#include "coursejunction/fleet/version_keeper.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
@@ -148,12 +149,19 @@
                     placer(options.weights, peers.settings().hall,
                            peers.settings().address),
                     options.exchange),
-          keeper(
-              owner, peers.service(), peers.mirror(), counted,
-              static_cast<std::uint32_t>(stable_hash(peers.settings().address)))
+          keeper(owner, peers.service(), peers.mirror(), counted,
+                 seed_of(peers)),
+          versions(owner, peers.service(), peers.mirror(), counted,
+                   seed_of(peers))
     {
     }
 
+    /*! @brief Returns a number that differs between entries. */
+    [[nodiscard]] static std::uint32_t seed_of(const node_type& node)
+    {
+        return static_cast<std::uint32_t>(stable_hash(node.settings().address));
+    }
+
     result<bool> open()
     {
         auto made = listen(options.caller_address,
@@ -228,6 +236,8 @@
             else
                 floors.name(key.first, key.second, named, options.version_time);
         }
+        for (const auto& [model, version] : fleet.binding())
+            floors.binds(model, version);
         judge_found_versions();
         if (fleet.rules() != before)
             configure();
@@ -445,7 +455,22 @@
         book.entries(entries);
         share_engines(now);
         if (leaving)
-            go_on_stopping(now);
+            return go_on_stopping(now);
+        keep_versions(now);
+    }
+
+    /*! @brief Has the store keep which versions were named and which bind: an
+     * entry that starts alone knows neither otherwise. */
+    void keep_versions(time_point now)
+    {
+        for (const auto& [named, known] : fleet.versions())
+        {
+            const auto& [model, version] = named;
+            const auto binding = exchanges.floors().least(model, now);
+            versions.know({model, std::max(version, binding), binding});
+        }
+        versions.consider(
+            node.peers().entries_before(node.settings().address, now), now);
     }
 
     void go_on_stopping(time_point now)
@@ -474,6 +499,7 @@
     fleet_view<Platform> fleet;
     exchange_service<codec> exchanges;
     quarantine_keeper<typename Platform::store> keeper;
+    version_keeper<typename Platform::store> versions;
     std::unique_ptr<stream_server> callers;
     std::unique_ptr<stream_server> readiness;
     std::function<void()> stopped;
--- a/src/coursejunction/route/version_floor.hpp
+++ b/src/coursejunction/route/version_floor.hpp
@@ -49,6 +49,19 @@
         unsure[model] = version;
     }
 
+    /*! @brief Notes a version that is known to bind, whenever it was named. */
+    void binds(const std::string& model, std::uint64_t version)
+    {
+        auto& list = targets[model];
+        const auto found = std::find_if(list.begin(), list.end(),
+                                        [&](const auto& one)
+                                        { return one.version == version; });
+        if (found == list.end())
+            list.push_back({version, time_point::min()});
+        else
+            found->binds_at = time_point::min();
+    }
+
     /*! @brief Tells whether the time of a version is only that of its finding
      * at the start of this process. */
     [[nodiscard]] bool found_only(const std::string& model,
--- a/src/coursejunction/wire/codec.cpp
+++ b/src/coursejunction/wire/codec.cpp
@@ -9,6 +9,7 @@
 #include <cereal/details/traits.hpp>
 
 #include "coursejunction/wire/fleet_message.hpp"
+#include "coursejunction/wire/kept_versions.hpp"
 
 namespace coursejunction
 {
@@ -213,5 +214,6 @@
 COURSEJUNCTION_CODEC(fleet_heartbeat)
 COURSEJUNCTION_CODEC(mirror_page)
 COURSEJUNCTION_CODEC(kept_quarantine)
+COURSEJUNCTION_CODEC(kept_versions)
 
 } // namespace coursejunction
--- a/tests/platform/store_client.cpp
+++ b/tests/platform/store_client.cpp
@@ -121,6 +121,19 @@
         client_of_store one({lease, answered("404 Gone", "")});
         CHECK_FALSE(one.put());
     }
+    SECTION("one that stays needs no lease")
+    {
+        client_of_store one({answered("200 OK", R"({"revision":412})")});
+        const auto done = one.write([](platform::store_client& to, auto call)
+                                    { to.keep("version/m", "b", 41, call); });
+        REQUIRE(done);
+        CHECK(done.value());
+        const auto arrived = one.peer.arrivals();
+        REQUIRE(arrived.size() == 1);
+        CHECK(arrived[0].find("POST /kv-txn") == 0);
+        CHECK(arrived[0].find(R"("revision":41)") != std::string::npos);
+        CHECK(arrived[0].find(R"("leaseId":0)") != std::string::npos);
+    }
     SECTION("a key is removed while it is as it was seen")
     {
         client_of_store one({answered("200 OK", R"({"revision":413})")});
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -24,6 +24,8 @@
     {
         if (key == "configuration")
             return cj::item_kind::configuration;
+        if (key.starts_with(cj::version_record_prefix))
+            return cj::item_kind::version_record;
         return key.starts_with("named/") ? cj::item_kind::version
                                          : cj::item_kind::other;
     }
--- a/tests/proxy/memory_store.hpp
+++ b/tests/proxy/memory_store.hpp
@@ -73,6 +73,12 @@
         done(true);
     }
 
+    void keep(const std::string& key, const std::string& payload,
+              std::uint64_t revision, const write_callback& done)
+    {
+        put(key, payload, revision, {}, done);
+    }
+
     void remove(const std::string& key, std::uint64_t,
                 const write_callback& done)
     {
--- a/tests/route/version_floor.cpp
+++ b/tests/route/version_floor.cpp
@@ -79,6 +79,15 @@
             CHECK_FALSE(floor.found_only("m", 3));
         }
     }
+    WHEN("it is known to bind")
+    {
+        floor.binds("m", 3);
+        THEN("nothing older is used any more")
+        {
+            CHECK(floor.least("m", started) == 3);
+            CHECK(*floor.ends("m", 2) <= started);
+        }
+    }
     WHEN("a newer one is named while this process lives")
     {
         floor.name("m", 4, started + 1s, 6000ms);
