Test that fails: news of a store that came back from an older copy are missed

An entry knows configuration 2 at revision 14 and upstream b at 15. The store comes back from a copy at revision 3; configuration 3 and the leaving of b are written at revision 4 and never seen: CHECK(entry.obeys(3)) and CHECK(entry.knows_leaving("up/b")) fail. The two other sections hold: what is above the known revision of its own key is taken, and nothing goes back.

--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -17,7 +17,8 @@
 namespace
 {
 
-/*! @brief Names of versions as `VERSION`, a configuration without routes. */
+/*! @brief Configurations and names of versions as `VERSION`, upstreams as
+ * `COUNT STATE`. */
 struct plain_catalogue
 {
     static cj::item_kind kind(const std::string& key)
@@ -26,19 +27,26 @@
             return cj::item_kind::configuration;
         if (key.starts_with(cj::version_record_prefix))
             return cj::item_kind::version_record;
+        if (key.starts_with("up/"))
+            return cj::item_kind::upstream;
         return key.starts_with("named/") ? cj::item_kind::version
                                          : cj::item_kind::other;
     }
-    static cj::result<cj::installation> configuration(const std::string&)
+    static cj::result<cj::installation>
+    configuration(const std::string& payload)
     {
         cj::installation made;
-        made.version = 1;
+        made.version = std::stoull(payload);
         return made;
     }
-    static cj::result<cj::upstream_record> upstream(const std::string&,
-                                                    const std::string&)
+    static cj::result<cj::upstream_record> upstream(const std::string& key,
+                                                    const std::string& payload)
     {
-        return cj::failure(cj::error_kind::invalid, "none");
+        cj::upstream_record made;
+        made.id = cj::instance_id(key);
+        made.address = "127.0.0.1:9";
+        made.leaving = payload.ends_with(" leaves");
+        return made;
     }
     static cj::instance_id upstream_id(const std::string& key)
     {
@@ -118,18 +126,67 @@
 
     /*! @brief Waits until a version is the newest one that is known. */
     [[nodiscard]] bool learns(std::uint64_t version)
+    {
+        return holds_soon([&] { return made->view().newest("m") == version; });
+    }
+
+    /*! @brief Returns the number of the configuration in force; 0 for none. */
+    [[nodiscard]] std::uint64_t configuration()
+    {
+        std::uint64_t number = 0;
+        running.on_loop([&] { number = in_force(); });
+        return number;
+    }
+
+    /*! @brief Waits until a configuration is in force. */
+    [[nodiscard]] bool obeys(std::uint64_t number)
+    {
+        return holds_soon([&] { return in_force() == number; });
+    }
+
+    [[nodiscard]] bool knows(const std::string& upstream)
+    {
+        return holds_soon([&] { return record_of(upstream) != nullptr; });
+    }
+
+    [[nodiscard]] bool knows_leaving(const std::string& upstream)
+    {
+        return holds_soon(
+            [&]
+            {
+                const auto* one = record_of(upstream);
+                return one != nullptr && one->record.leaving;
+            });
+    }
+
+private:
+    static constexpr std::uint16_t port{21'731};
+
+    template <typename Condition>
+    bool holds_soon(Condition condition)
     {
         for (int tries = 0; tries < 100; ++tries)
         {
-            if (newest() == version)
+            bool holds = false;
+            running.on_loop([&] { holds = condition(); });
+            if (holds)
                 return true;
             std::this_thread::sleep_for(20ms);
         }
         return false;
     }
 
-private:
-    static constexpr std::uint16_t port{21'731};
+    [[nodiscard]] std::uint64_t in_force() const
+    {
+        const auto* rules = made->view().rules();
+        return rules == nullptr ? 0 : rules->version;
+    }
+
+    [[nodiscard]] const cj::known_upstream*
+    record_of(const std::string& upstream) const
+    {
+        return made->upstreams().find(cj::instance_id(upstream));
+    }
 
     std::string address;
     cj::metrics counters;
@@ -145,7 +202,7 @@
          "[proxy]")
 {
     proxy_test::stored_keys keys;
-    keys.write("configuration", "");
+    keys.write("configuration", "1");
     keys.write("named/m", "2");
     {
         entry_process before(keys, 1);
@@ -162,3 +219,50 @@
     entry_process after(keys, 1);
     CHECK(after.learns(3));
 }
+
+SCENARIO("news of a store that came back from an older copy are not missed",
+         "[proxy]")
+{
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+    keys.write("up/a", "1 ready");
+    keys.write("up/b", "1 ready");
+    const auto copy = keys;
+    entry_process entry(keys, 1);
+    REQUIRE(entry.obeys(1));
+    entry.change(
+        [&]
+        {
+            for (int change = 0; change < 10; ++change)
+                keys.write("other", "");
+            keys.write("configuration", "2");
+            keys.write("up/b", "2 ready");
+            keys.write("up/a", "2 leaves");
+        });
+    REQUIRE(entry.obeys(2));
+    REQUIRE(entry.knows_leaving("up/a"));
+    entry.change([&] { keys.come_back(copy); });
+
+    SECTION("a configuration comes into force")
+    {
+        entry.change([&] { keys.write("configuration", "3"); });
+        CHECK(entry.obeys(3));
+    }
+    SECTION("an upstream leaves")
+    {
+        entry.change([&] { keys.write("up/b", "3 leaves"); });
+        CHECK(entry.knows_leaving("up/b"));
+    }
+    SECTION("a new upstream is used")
+    {
+        entry.change([&] { keys.write("up/c", "1 ready"); });
+        CHECK(entry.knows("up/c"));
+    }
+    SECTION("what the copy lacks stands until it is written anew")
+    {
+        entry.change([&] { keys.write("other", ""); });
+        std::this_thread::sleep_for(1s);
+        CHECK(entry.configuration() == 2);
+        CHECK(entry.knows_leaving("up/a"));
+    }
+}
--- a/tests/proxy/memory_store.hpp
+++ b/tests/proxy/memory_store.hpp
@@ -29,6 +29,10 @@
         items[key] = {key, payload, ++revision, 0, false, {}, 0};
     }
 
+    /*! @brief Comes back from an older copy: what was written since is gone,
+     * and its revisions are given out again. */
+    void come_back(const stored_keys& copy) { *this = copy; }
+
     std::map<std::string, cj::message::mirror_item> items;
     std::uint64_t revision{0};
 };
@@ -99,6 +103,9 @@
         answer(
             [this, after, until, done]
             {
+                if (after > keys.revision)
+                    return done(cj::failure(cj::error_kind::not_found,
+                                            "no such revision"));
                 if (keys.revision <= after && cj::event_loop::now() < until)
                     return poll(after, until, done);
                 done(changed_after(after));
