Only what is known of a naming's time is kept in the store, not what an entry infers from its start

An entry that starts takes two guesses: the version before the one that it finds binds, and a found one binds once most upstreams serve it. Both went into the record and so bound all entries at once, up to 6 s early: callers would have been refused older weights beside each single restart in a rollout.

Change: `version_floor::least_known` leaves the guesses out, and the record takes that. Where the store's name went back, a starting entry finds the newest version only; the older names are no findings. A write that went well resets its pauses at once; what is read from a record is logged.

Test: route/version_floor, "what this process only infers is not told to others" (the function is new).

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -247,6 +247,10 @@
             targets.try_emplace({record.model, record.newest}, value.learnt);
         auto& least = bound[record.model];
         least = std::max(least, record.binding);
+        log::state("version_record_read",
+                   {{"model", record.model},
+                    {"newest", std::to_string(record.newest)},
+                    {"binding", std::to_string(record.binding)}});
     }
 
     static void unreadable(const std::string& key, const mirrored_value& value,
--- a/src/coursejunction/fleet/version_keeper.hpp
+++ b/src/coursejunction/fleet/version_keeper.hpp
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <utility>
 
@@ -48,8 +47,7 @@
 class version_keeper
 {
 public:
-    /*! @brief An entry waits this long for each entry before it; news of a
-     * write take 0.1 to 0.6 s. */
+    /*! @brief An entry waits this long for each entry before it. */
     static constexpr milliseconds turn{500};
 
     /*! @brief Pauses after writes, until the mirror shows what became of
@@ -132,9 +130,9 @@
                     {"binding", std::to_string(record.binding)},
                     {"result", outcome},
                     {"why", answer ? std::string() : answer.error().message}});
-        again = loop.after(pauses.next(), [this] { busy = false; });
         if (good)
             pauses.reset();
+        again = loop.after(pauses.next(), [this] { busy = false; });
     }
 
     event_loop& loop;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -230,12 +230,12 @@
         auto& floors = exchanges.floors();
         for (const auto& [key, named] : fleet.versions())
         {
-            if (before == nullptr)
-                floors.found(key.first, key.second, named,
-                             options.version_time);
-            else
-                floors.name(key.first, key.second, named, options.version_time);
+            const auto& [model, version] = key;
+            if (before == nullptr && version == fleet.newest(model))
+                floors.found(model, version, named, options.version_time);
         }
+        for (const auto& [key, named] : fleet.versions())
+            floors.name(key.first, key.second, named, options.version_time);
         for (const auto& [model, version] : fleet.binding())
             floors.binds(model, version);
         judge_found_versions();
@@ -466,7 +466,7 @@
         for (const auto& [named, known] : fleet.versions())
         {
             const auto& [model, version] = named;
-            const auto binding = exchanges.floors().least(model, now);
+            const auto binding = exchanges.floors().least_known(model, now);
             versions.know({model, std::max(version, binding), binding});
         }
         versions.consider(
--- a/src/coursejunction/route/version_floor.hpp
+++ b/src/coursejunction/route/version_floor.hpp
@@ -32,7 +32,7 @@
                                         [&](const auto& one)
                                         { return one.version == version; });
         if (found == list.end())
-            list.push_back({version, known + allowed});
+            list.push_back({version, known + allowed, known + allowed});
     }
 
     /*! @brief Notes the newest version as a process finds it at its start. One
@@ -44,7 +44,8 @@
                time_point known, milliseconds allowed)
     {
         if (targets.count(model) == 0 && version > 2)
-            targets[model].push_back({version - 1, time_point::min()});
+            targets[model].push_back(
+                {version - 1, time_point{}, time_point::max()});
         name(model, version, known, allowed);
         unsure[model] = version;
     }
@@ -57,9 +58,9 @@
                                         [&](const auto& one)
                                         { return one.version == version; });
         if (found == list.end())
-            list.push_back({version, time_point::min()});
+            list.push_back({version, {}, {}});
         else
-            found->binds_at = time_point::min();
+            found->binds_at = found->known_to_bind_at = time_point{};
     }
 
     /*! @brief Tells whether the time of a version is only that of its finding
@@ -101,6 +102,24 @@
         return version;
     }
 
+    /*! @brief Returns the least version that may begin a request by what is
+     * known of the times of naming: what this process only infers from its
+     * own start is left out, so that others may go by it. */
+    [[nodiscard]] std::uint64_t least_known(const std::string& model,
+                                            time_point now) const
+    {
+        std::uint64_t version = 1;
+        const auto found = targets.find(model);
+        if (found == targets.end())
+            return version;
+        for (const auto& one : found->second)
+        {
+            if (now >= one.known_to_bind_at)
+                version = std::max(version, one.version);
+        }
+        return version;
+    }
+
     /*! @brief Returns when a version becomes too old to begin a request;
      * nothing while no newer one is named. */
     [[nodiscard]] std::optional<time_point> ends(const std::string& model,
@@ -135,6 +154,7 @@
     {
         std::uint64_t version{1};
         time_point binds_at{};
+        time_point known_to_bind_at{}; /*!< Without what is only inferred. */
     };
 
     std::map<std::string, std::vector<target>> targets;
--- a/tests/route/version_floor.cpp
+++ b/tests/route/version_floor.cpp
@@ -75,16 +75,23 @@
         floor.served_by_most("m", 3);
         THEN("nothing older is used any more")
         {
+            CHECK(floor.least_known("m", started) == 1);
             CHECK(floor.least("m", started) == 3);
             CHECK_FALSE(floor.found_only("m", 3));
         }
     }
+    THEN("what this process only infers is not told to others")
+    {
+        CHECK(floor.least_known("m", started) == 1);
+        CHECK(floor.least_known("m", started + 6s) == 3);
+    }
     WHEN("it is known to bind")
     {
         floor.binds("m", 3);
         THEN("nothing older is used any more")
         {
             CHECK(floor.least("m", started) == 3);
+            CHECK(floor.least_known("m", started) == 3);
             CHECK(*floor.ends("m", 2) <= started);
         }
     }
