A position in the store is an era and a revision; what is known stands across eras until it is written anew

Callers were served by configuration 21 after 29 had been acknowledged for over 2 s (a key that was taken away still worked), requests reached an upstream 2.1 to 2.7 s after its leaving was acknowledged, and a named version was loaded 31 s late.

Cause: the store came back from a copy some seconds old and gave revisions out again. The mirror took revisions to rise only, for every key and for itself: what was written at one that was not above the known one was dropped, in listings, watches and pages of peers alike, until the count had passed the highest revision of before; meanwhile each watch got 410 and each listing changed nothing. Class: a counter of another process taken for monotonic although nobody promises it.

Ruled out: the way to the store (all that watched show the same loop), a refusal as older (no such line).

Change: `store_position` (era, then revision), read once from the answers of the store, in heartbeats, pages, mirrors, ages and readers. A watch that is answered by another era says nothing of what was lost: the store is listed anew. Within an era revisions decide, as before. Across eras a value is compared by its writer's own order (the number of a configuration or version, the count of an upstream's records in its life): a restored older value changes nothing, what was removed stays removed, and both end with the first newer word. The operator's values that the copy lacks stand; records of upstreams that it lacks count as lapsed, which leaves them two seconds. Values that stand are told to processes that started in the middle. Not taken: believing the copy whole takes configurations back; believing nothing of it is the fault.

--- a/src/coursejunction/daemon/state_dump.cpp
+++ b/src/coursejunction/daemon/state_dump.cpp
@@ -32,7 +32,8 @@
                         {"alive", peer_directory::alive(one, now)},
                         {"heard_ms_ago", age_of(one.heard, now)},
                         {"hall", one.last.hall},
-                        {"revision", one.last.mirror_revision},
+                        {"revision", one.last.mirrored.revision},
+                        {"era", one.last.mirrored.era},
                         {"leaving", one.last.leaving},
                         {"watching", one.last.watching}});
     return list;
@@ -136,7 +137,8 @@
     for (const auto& [id, one] : book.all())
         upstreams.push_back(internal::upstream_of(one, now));
     const internal::json made{{"role", "entry"},
-                              {"mirror_revision", mirror.revision()},
+                              {"mirror_revision", mirror.position().revision},
+                              {"mirror_era", mirror.position().era},
                               {"open_requests", load.open},
                               {"queued_requests", load.queued},
                               {"peers", internal::peers_of(peers, now)},
@@ -149,7 +151,8 @@
                       const agent_state& agent, time_point now)
 {
     internal::json made{{"role", "side"},
-                        {"mirror_revision", mirror.revision()},
+                        {"mirror_revision", mirror.position().revision},
+                        {"mirror_era", mirror.position().era},
                         {"reachable", agent.reachable},
                         {"closing", agent.closing},
                         {"ordered_version", agent.ordered_version},
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -7,7 +7,6 @@
 #define COURSEJUNCTION_FLEET_FLEET_NODE_HPP
 
 #include <algorithm>
-#include <charconv>
 #include <functional>
 #include <memory>
 #include <string>
@@ -44,6 +43,7 @@
     hall_id hall;
     bool entry{false};
     std::vector<std::string> seeds; /*!< IP addresses of entries. */
+    item_rules items;               /*!< Of the store's keys. */
 };
 
 /*! @brief What a role adds to a node. */
@@ -172,7 +172,7 @@
      * zero when none is known to. */
     [[nodiscard]] milliseconds behind_for(time_point now) const
     {
-        return age.behind_for(copy.revision(), now);
+        return age.behind_for(copy.position(), now);
     }
 
     [[nodiscard]] const store_mirror& mirror() const { return copy; }
@@ -197,7 +197,7 @@
               std::chrono::duration_cast<milliseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
                   .count())),
-          reader(owner, service, counted, copy, seed()),
+          copy(options.items), reader(owner, service, counted, copy, seed()),
           puller(owner, calls, counted, copy, directory, seed())
     {
     }
@@ -217,10 +217,8 @@
         puller.start(
             options.hall, port_suffix,
             {[this] { return standing(); },
-             [this](const message::mirror_page& page, const std::string& from) {
-                 took(copy.apply(page.items, page.revision, event_loop::now()),
-                      from);
-             },
+             [this](const message::mirror_page& page, const std::string& from)
+             { take_page(page, from); },
              [this] { tell(moment(beat_reason::fetch)); }});
     }
 
@@ -284,7 +282,11 @@
     void measure(time_point now)
     {
         counters.set("fleet_mirror_revision",
-                     static_cast<double>(copy.revision()));
+                     static_cast<double>(copy.position().revision));
+        counters.set("fleet_mirror_era",
+                     static_cast<double>(copy.position().era));
+        counters.set("fleet_mirror_carried",
+                     static_cast<double>(copy.carried()));
         counters.set("fleet_mirror_behind_seconds",
                      to_seconds(behind_for(now)));
         counters.set("fleet_store_watchers",
@@ -408,7 +410,8 @@
         message::fleet_heartbeat made;
         made.incarnation = incarnation;
         made.sequence = ++sequence;
-        made.mirror_revision = copy.revision();
+        made.mirrored = copy.position();
+        made.carried = copy.carried();
         made.hall = options.hall.value();
         made.entry = options.entry;
         made.leaving = leaving;
@@ -462,12 +465,14 @@
         }
         const bool own = read.value().hall == options.hall.value();
         if (options.entry && !read.value().entry &&
-            read.value().mirror_revision < copy.revision() &&
+            read.value().mirrored < copy.position() &&
             now - advanced_at >= (own ? behind_grace : far_behind_grace))
             tell_behind(from);
-        if (read.value().mirror_revision > copy.revision())
+        if (own && carries_more(read.value()))
+            puller.heard(from, own);
+        if (read.value().mirrored > copy.position())
         {
-            age.told(read.value().mirror_revision, copy.revision(), now);
+            age.told(read.value().mirrored, copy.position(), now);
             puller.heard(from, own);
         }
         if (hooks.heard)
@@ -485,9 +490,9 @@
         }
         const auto text =
             std::string_view(request.target).substr(mirror_target.size());
-        std::uint64_t after = 0;
-        std::from_chars(text.data(), text.data() + text.size(), after);
-        reply.send(200, {}, encode(copy.since(after, event_loop::now())));
+        reply.send(
+            200, {},
+            encode(copy.since(store_position::parse(text), event_loop::now())));
     }
 
     /*! @brief Tells whether this entry is among those that read the store. */
@@ -538,9 +543,29 @@
     void read_page(const store_page& page, bool whole)
     {
         const auto now = event_loop::now();
-        took(whole ? copy.replace(page.items, page.revision, now)
-                   : copy.apply(page.items, page.revision, now),
-             "store");
+        const auto era = copy.position().era;
+        took(whole ? copy.replace(page.items, page.position, now)
+                   : copy.apply(page.items, page.position, now),
+             "store", era);
+    }
+
+    void take_page(const message::mirror_page& page, const std::string& from)
+    {
+        const auto now = event_loop::now();
+        const auto era = copy.position().era;
+        if (page.position.era == era)
+            carried_seen = std::max(carried_seen, page.carried);
+        took(page.whole ? copy.replace(page.items, page.position, now)
+                        : copy.apply(page.items, page.position, now),
+             from, era);
+    }
+
+    /*! @brief Tells whether a peer knows values of earlier eras of the store
+     * which this process may lack: it started in the middle. */
+    [[nodiscard]] bool carries_more(const message::fleet_heartbeat& told) const
+    {
+        return told.mirrored.era == copy.position().era &&
+               told.carried > std::max(copy.carried(), carried_seen);
     }
 
     /*! @brief Tells whether the store itself, not only the way to it from here,
@@ -550,8 +575,20 @@
         return reader.returned(now) && !directory.steady_watcher(now);
     }
 
-    void took(const std::vector<std::string>& changed, const std::string& from)
+    /*! @param era Of the mirror before. Records that a new era lacks may only
+     * have lapsed. */
+    void took(const std::vector<std::string>& changed, const std::string& from,
+              std::uint64_t era)
     {
+        const bool crossed = era != 0 && copy.position().era != era;
+        if (crossed)
+        {
+            carried_seen = 0;
+            log::state("mirror_era_changed",
+                       {{"from", from},
+                        {"position", copy.position().text()},
+                        {"carried", std::to_string(copy.carried())}});
+        }
         if (changed.empty())
             return;
         for (const auto& key : changed)
@@ -560,7 +597,7 @@
             log::state("mirror_changed",
                        {{"key", key},
                         {"from", from},
-                        {"revision", std::to_string(found->second.revision)},
+                        {"revision", found->second.position().text()},
                         {"removed", found->second.removed ? "true" : "false"}});
         }
         const auto* peer = directory.find(from);
@@ -568,9 +605,9 @@
                                   ? peer->last.store_returned
                                   : store_returned(event_loop::now());
         advanced_at = event_loop::now();
-        age.advanced(copy.revision(), advanced_at);
+        age.advanced(copy.position(), advanced_at);
         if (hooks.changed)
-            hooks.changed(changed, returned);
+            hooks.changed(changed, returned || crossed);
         auto sent = moment(beat_reason::mirror);
         sent.from_store = peer == nullptr;
         tell(sent);
@@ -594,6 +631,7 @@
     std::uint64_t beat_number{0};
     time_point advanced_at{}; /*!< When the mirror last changed. */
     store_mirror copy;
+    std::uint32_t carried_seen{0}; /*!< By a peer of this era, and taken. */
     mirror_age age;
     suspension_meter suspension;
     peer_directory directory;
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -172,7 +172,7 @@
         current = std::make_shared<const installation>(std::move(read.value()));
         log::state("configuration_in_force",
                    {{"version", std::to_string(current->version)},
-                    {"revision", std::to_string(value.revision)}});
+                    {"revision", value.position().text()}});
     }
 
     /*! @brief Reads an upstream's record. One that cannot be read names no
@@ -196,9 +196,8 @@
         // A write of an earlier life may be done seconds after it ended.
         if (read.value().life < latest)
         {
-            log::state(
-                "upstream_record_outdated",
-                {{"key", key}, {"revision", std::to_string(value->revision)}});
+            log::state("upstream_record_outdated",
+                       {{"key", key}, {"revision", value->position().text()}});
             return std::nullopt;
         }
         latest = read.value().life;
@@ -225,16 +224,15 @@
         const auto& named = read.value();
         const auto known = newest(named.model);
         targets.try_emplace({named.model, named.version}, value.learnt);
-        log::state("version_named",
-                   {{"model", named.model},
-                    {"version", std::to_string(named.version)},
-                    {"revision", std::to_string(value.revision)}});
+        log::state("version_named", {{"model", named.model},
+                                     {"version", std::to_string(named.version)},
+                                     {"revision", value.position().text()}});
         if (named.version < known)
             log::warning("version_name_went_back",
                          {{"model", named.model},
                           {"version", std::to_string(named.version)},
                           {"known", std::to_string(known)},
-                          {"revision", std::to_string(value.revision)}});
+                          {"revision", value.position().text()}});
     }
 
     void read_record(const std::string& key, const mirrored_value& value)
@@ -256,10 +254,9 @@
     static void unreadable(const std::string& key, const mirrored_value& value,
                            const std::string& why)
     {
-        log::warning("item_unreadable",
-                     {{"key", key},
-                      {"revision", std::to_string(value.revision)},
-                      {"why", why}});
+        log::warning("item_unreadable", {{"key", key},
+                                         {"revision", value.position().text()},
+                                         {"why", why}});
     }
 
     std::shared_ptr<const installation> current;
--- a/src/coursejunction/fleet/mirror_age.hpp
+++ b/src/coursejunction/fleet/mirror_age.hpp
@@ -5,8 +5,8 @@
 #define COURSEJUNCTION_FLEET_MIRROR_AGE_HPP
 
 #include <algorithm>
-#include <cstdint>
 
+#include "coursejunction/core/store_position.hpp"
 #include "coursejunction/core/types.hpp"
 
 namespace coursejunction
@@ -16,40 +16,40 @@
 class mirror_age
 {
 public:
-    /*! @brief A peer tells a revision that the own mirror lacks.
+    /*! @brief A peer tells a position that the own mirror lacks.
      * @param own Revision of the own mirror. */
-    void told(std::uint64_t revision, std::uint64_t own, time_point now)
+    void told(store_position position, store_position own, time_point now)
     {
         if (own >= awaited)
         {
-            awaited = revision;
+            awaited = position;
             since = now;
         }
-        newest = std::max(newest, revision);
+        newest = std::max(newest, position);
     }
 
-    /*! @brief The own mirror reached a revision. */
-    void advanced(std::uint64_t revision, time_point now)
+    /*! @brief The own mirror reached a position. */
+    void advanced(store_position position, time_point now)
     {
-        if (awaited == 0 || revision < awaited)
+        if (awaited == store_position{} || position < awaited)
             return;
-        awaited = newest > revision ? newest : 0;
+        awaited = newest > position ? newest : store_position{};
         since = now;
     }
 
-    /*! @brief Returns for how long a revision was awaited.
-     * @param revision Of the own mirror. */
-    [[nodiscard]] milliseconds behind_for(std::uint64_t revision,
+    /*! @brief Returns for how long a position was awaited.
+     * @param position Of the own mirror. */
+    [[nodiscard]] milliseconds behind_for(store_position position,
                                           time_point now) const
     {
-        if (awaited == 0 || revision >= awaited)
+        if (awaited == store_position{} || position >= awaited)
             return milliseconds(0);
         return std::chrono::duration_cast<milliseconds>(now - since);
     }
 
 private:
-    std::uint64_t awaited{0}; /*!< The first one that was told and lacked. */
-    std::uint64_t newest{0};
+    store_position awaited; /*!< The first one that was told and lacked. */
+    store_position newest;
     time_point since{};
 };
 
--- a/src/coursejunction/fleet/mirror_puller.hpp
+++ b/src/coursejunction/fleet/mirror_puller.hpp
@@ -102,7 +102,7 @@
     {
         return std::any_of(far.open.begin(), far.open.end(),
                            [this](const open_pull& one)
-                           { return one.awaited > mirror.revision(); });
+                           { return one.awaited > mirror.position(); });
     }
 
 private:
@@ -111,7 +111,7 @@
     {
         std::string from;
         stream_client::call_id call{0};
-        std::uint64_t awaited{0}; /*!< What the peer knew when it was asked. */
+        store_position awaited; /*!< What the peer knew when it was asked. */
         time_point began{};
     };
 
@@ -171,11 +171,11 @@
     {
         const auto now = event_loop::now();
         auto from =
-            directory.ahead_of(mirror.revision(), hall, false, pulls, now);
+            directory.ahead_of(mirror.position(), hall, false, pulls, now);
         far.turns.lacking(!from.empty(), now);
         const bool again = may_repeat_far(now);
         if (again && far.asks(from))
-            from = directory.ahead_of(mirror.revision(), hall, false, pulls + 1,
+            from = directory.ahead_of(mirror.position(), hall, false, pulls + 1,
                                       now);
         if (from.empty() || far.asks(from) || (!far.open.empty() && !again))
             return;
@@ -191,11 +191,11 @@
         counters.count("fleet_mirror_pulls_total", 1, {{"from", where}});
         stream_call call;
         call.address = from + suffix;
-        call.target = std::string(target) + std::to_string(mirror.revision());
+        call.target = std::string(target) + mirror.position().text();
         call.connect_time = connect_time(by);
         call.stall_time = stall_time;
         const auto* peer = directory.find(from);
-        open_pull made{from, 0, peer ? peer->last.mirror_revision : 0,
+        open_pull made{from, 0, peer ? peer->last.mirrored : store_position{},
                        event_loop::now()};
         made.call =
             calls.gather(std::move(call),
@@ -215,7 +215,7 @@
         std::erase_if(by.open,
                       [this](const open_pull& one)
                       {
-                          if (one.awaited > mirror.revision())
+                          if (one.awaited > mirror.position())
                               return false;
                           calls.cancel(one.call);
                           return true;
@@ -262,7 +262,7 @@
                     {"bytes", std::to_string(bytes)},
                     {"after_ms", std::to_string(took)},
                     {"failures", std::to_string(by.turns.failed_in_row())},
-                    {"revision", std::to_string(mirror.revision())}});
+                    {"revision", mirror.position().text()}});
         if (&by == &far && !look_pending)
             look_after(look_again);
     }
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -219,11 +219,11 @@
                             });
     }
 
-    /*! @brief Returns a live peer that knows more than a revision, an entry
+    /*! @brief Returns a live peer that knows more than a position, an entry
      * before a side; empty when there is none.
      * @param own_hall Of this hall, or of any other one.
      * @param turn Chooses among equals, so that not all ask the same one. */
-    [[nodiscard]] std::string ahead_of(std::uint64_t revision,
+    [[nodiscard]] std::string ahead_of(store_position position,
                                        const hall_id& hall, bool own_hall,
                                        std::size_t turn, time_point now) const
     {
@@ -234,7 +234,7 @@
             const auto& last = one.last;
             const bool fits = (last.hall == hall.value()) == own_hall &&
                               alive(one, now) && !last.leaving &&
-                              last.mirror_revision > revision;
+                              last.mirrored > position;
             if (!fits || (entries && !one.entry))
                 continue;
             if (one.entry && !entries)
--- a/src/coursejunction/fleet/store_mirror.hpp
+++ b/src/coursejunction/fleet/store_mirror.hpp
@@ -14,7 +14,9 @@
 #include <vector>
 
 #include "coursejunction/core/result.hpp"
+#include "coursejunction/core/store_position.hpp"
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/fleet/item_rules.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 #include "coursejunction/wire/packed.hpp"
 
@@ -29,6 +31,11 @@
     std::uint64_t revision{0};
     time_point learnt{}; /*!< When the first process that told us knew it. */
     bool removed{false};
+    std::uint64_t era{0}; /*!< Of the store, that counts the revision. */
+    item_order order{};   /*!< Of the last value, where it is removed. */
+    bool lost{false};     /*!< Removed since a store came back without it. */
+
+    [[nodiscard]] store_position position() const { return {era, revision}; }
 };
 
 /*! @brief Unpacks the values of a page that a peer sent.
@@ -53,24 +60,34 @@
 /*! @brief Keys with their revisions; only goes forward. Whoever tells an older
  * state of a key changes nothing, so pages may come from the store or from any
  * other process, in any order and more than once. Removed keys stay as marks,
- * so that a mirror that missed the removal learns of it. */
+ * so that a mirror that missed the removal learns of it.
+ *
+ * A store that comes back from an older copy lacks what it had acknowledged
+ * since. Across its eras values are compared by their writers' own order: what
+ * is known stands, and what was removed stays removed, until it is written
+ * anew. */
 class store_mirror
 {
 public:
     using items = std::vector<message::mirror_item>;
 
-    /*! @brief Takes changes that complete the mirror up to a revision.
+    store_mirror() = default;
+    explicit store_mirror(item_rules how) : rules(std::move(how)) {}
+
+    /*! @brief Takes changes that complete the mirror up to a position of the
+     * same era.
      * @return The keys that changed. */
     std::vector<std::string> apply(const items& changes,
-                                   std::uint64_t complete_to, time_point now)
+                                   store_position complete_to, time_point now)
     {
         std::vector<std::string> changed;
         for (const auto& one : changes)
         {
-            // The mirror is whole up to its revision: a key that it does not
+            // The mirror is whole up to its position: a key that it does not
             // know was gone by then, whoever still tells of it.
-            const bool outdated =
-                one.revision <= upto && !values.contains(one.key);
+            const bool outdated = one.position() <= upto &&
+                                  !values.contains(one.key) &&
+                                  !(one.era < upto.era && stands(one.key));
             if (!outdated && put(one, now))
                 changed.push_back(one.key);
         }
@@ -78,10 +95,10 @@
         return changed;
     }
 
-    /*! @brief Takes a listing of every key as of a revision: what is not in
+    /*! @brief Takes a listing of every key as of a position: what is not in
      * it and not newer is gone.
      * @return The keys that changed. */
-    std::vector<std::string> replace(const items& all, std::uint64_t as_of,
+    std::vector<std::string> replace(const items& all, store_position as_of,
                                      time_point now)
     {
         std::vector<std::string> changed;
@@ -94,32 +111,34 @@
         }
         for (auto& [key, value] : values)
         {
-            if (value.removed || value.revision > as_of || listed.contains(key))
+            if (value.removed || value.position() > as_of ||
+                listed.contains(key))
                 continue;
-            value = mirrored_value{{}, {}, as_of, now, true};
+            const bool lost = value.era < as_of.era;
+            if (lost && stands(key))
+                continue;
+            value = mirrored_value{{},   {},        as_of.revision,       now,
+                                   true, as_of.era, order_of(key, value), lost};
             changed.push_back(key);
         }
         upto = std::max(upto, as_of);
         return changed;
     }
 
-    /*! @brief Returns what changed after a revision; large values packed. */
-    [[nodiscard]] message::mirror_page since(std::uint64_t after,
+    /*! @brief Returns what changed after a position, and what stands from
+     * earlier eras; large values packed. */
+    [[nodiscard]] message::mirror_page since(store_position after,
                                              time_point now) const
     {
         message::mirror_page page;
-        page.revision = upto;
+        page.position = upto;
+        page.whole = after.era < upto.era;
+        page.carried = carried();
         for (const auto& [key, value] : values)
         {
-            if (value.revision <= after)
-                continue;
-            const auto age =
-                std::chrono::duration_cast<milliseconds>(now - value.learnt);
-            const bool packs = !value.packed.empty();
-            page.items.push_back(
-                {key, packs ? std::string() : value.payload, value.revision,
-                 static_cast<std::uint64_t>(age.count()), value.removed,
-                 value.packed, packs ? value.payload.size() : 0});
+            const bool old = value.era < upto.era && !value.removed;
+            if (value.position() > after || page.whole || old)
+                page.items.push_back(told(key, value, now));
         }
         return page;
     }
@@ -138,15 +157,77 @@
         return values;
     }
 
-    /*! @brief Returns the revision up to which the mirror is whole; 0 when
-     * nothing was ever read. */
-    [[nodiscard]] std::uint64_t revision() const noexcept { return upto; }
+    /*! @brief Returns the position up to which the mirror is whole; the start
+     * when nothing was ever read. */
+    [[nodiscard]] store_position position() const noexcept { return upto; }
+
+    /*! @brief Returns how many values stand from earlier eras of the store. */
+    [[nodiscard]] std::uint32_t carried() const
+    {
+        return static_cast<std::uint32_t>(std::count_if(
+            values.begin(), values.end(),
+            [&](const auto& one)
+            { return !one.second.removed && one.second.era < upto.era; }));
+    }
 
 private:
+    [[nodiscard]] bool stands(const std::string& key) const
+    {
+        return rules.stands && rules.stands(key);
+    }
+
+    [[nodiscard]] item_order order_of(const std::string& key,
+                                      const mirrored_value& value) const
+    {
+        if (value.removed || !rules.order)
+            return value.order;
+        return rules.order(key, value.payload);
+    }
+
+    [[nodiscard]] item_order order_of(const message::mirror_item& one) const
+    {
+        if (one.removed || !rules.order)
+            return one.order;
+        return rules.order(one.key, one.payload);
+    }
+
+    /*! @brief Tells whether a value of another era takes the place of the one
+     * that is known. */
+    [[nodiscard]] bool replaces(const message::mirror_item& one,
+                                const mirrored_value& known) const
+    {
+        const bool later = one.era > known.era;
+        const auto next = order_of(one);
+        const auto before = order_of(one.key, known);
+        const bool unordered = next == item_order{} && before == item_order{};
+        if (unordered || (one.removed && known.removed))
+            return later;
+        if (known.removed)
+            return later && (next > before || known.lost);
+        if (one.removed)
+            return later || (before <= next && !one.lost);
+        return next == before ? later : next > before;
+    }
+
     bool put(const message::mirror_item& one, time_point now)
     {
-        auto& value = values[one.key];
-        if (one.revision <= value.revision)
+        const auto [place, added] = values.try_emplace(one.key);
+        auto& value = place->second;
+        const bool follows =
+            added || (one.era == value.era ? one.revision > value.revision
+                                           : replaces(one, value));
+        if (!follows)
+            return false;
+        // A value that a new era of the store confirms is no change.
+        const bool same = !added && one.removed == value.removed &&
+                          one.era != value.era && one.payload == value.payload;
+        const auto before = added ? item_order{} : order_of(one.key, value);
+        value.order = one.removed ? std::max(one.order, before) : item_order{};
+        value.revision = one.revision;
+        value.era = one.era;
+        value.removed = one.removed;
+        value.lost = one.lost;
+        if (same)
             return false;
         value.payload = one.payload;
         // Packed once by the process that heard it from the store: all others
@@ -155,14 +236,31 @@
             one.packed.empty() && value.payload.size() >= least_packed
                 ? pack(value.payload)
                 : one.packed;
-        value.revision = one.revision;
-        value.removed = one.removed;
         value.learnt = now - milliseconds(one.age_ms);
         return true;
     }
 
+    static message::mirror_item
+    told(const std::string& key, const mirrored_value& value, time_point now)
+    {
+        const auto age =
+            std::chrono::duration_cast<milliseconds>(now - value.learnt);
+        const bool packs = !value.packed.empty();
+        return {key,
+                packs ? std::string() : value.payload,
+                value.revision,
+                static_cast<std::uint64_t>(age.count()),
+                value.removed,
+                value.packed,
+                packs ? value.payload.size() : 0,
+                value.era,
+                value.order,
+                value.lost};
+    }
+
+    item_rules rules;
     std::map<std::string, mirrored_value> values;
-    std::uint64_t upto{0};
+    store_position upto;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -21,11 +21,11 @@
 namespace coursejunction
 {
 
-/*! @brief Keys that a store showed, as of a revision. */
+/*! @brief Keys that a store showed, as of a position; all of its era. */
 struct store_page
 {
     store_mirror::items items;
-    std::uint64_t revision{0};
+    store_position position;
 };
 
 /*! @brief Reads the platform's store; answers come on the loop's thread. An
@@ -54,7 +54,7 @@
     std::function<void()> begun; /*!< Reads for its hall from now on. */
 };
 
-/*! @brief Watches the store. It goes on after the revision of the mirror,
+/*! @brief Watches the store. It goes on after the position of the mirror,
  * whoever brought it that far: the whole store is listed only by a process that
  * knows nothing, whose revision the store has forgotten, or whose watch brings
  * more than a listing would.
@@ -127,9 +127,9 @@
     void begin(const hall_standing& standing)
     {
         busy = true;
-        listing = mirror.revision() <= forgotten;
+        listing = mirror.position() <= forgotten;
         log::state("store_read_begun",
-                   {{"revision", std::to_string(mirror.revision())},
+                   {{"revision", mirror.position().text()},
                     {"rank", std::to_string(standing.rank)},
                     {"failures", std::to_string(turns.failed_in_row())}});
         hooks.begun();
@@ -149,6 +149,8 @@
                 under_way = false;
                 if (!answer)
                     return failed("list", answer.error().message);
+                if (answer.value().position.era < mirror.position().era)
+                    return failed("list", "an earlier era of the store");
                 answered();
                 hooks.took(answer.value(), true);
                 watch(watch_wait);
@@ -159,12 +161,14 @@
     {
         waits = wait;
         counted_call("watch");
-        store.watch(mirror.revision(), wait,
+        store.watch(mirror.position().revision, wait,
                     [this](result<store_page> answer)
                     {
                         under_way = false;
                         if (!answer)
                             return watch_failed(answer.error());
+                        if (answer.value().position.era != called_at.era)
+                            return era_changed(answer.value().position);
                         answered();
                         gone_in_row = 0;
                         hooks.took(answer.value(), false);
@@ -189,15 +193,28 @@
         pause = loop.after(watch_pause, [this] { watch(watch_wait); });
     }
 
+    /*! @brief The store came back from an older copy: what changed since a
+     * revision of the earlier era says nothing of what it lost. */
+    void era_changed(store_position now_at)
+    {
+        if (now_at.era < called_at.era)
+            return failed("watch", "an earlier era of the store");
+        forgotten = called_at;
+        log::warning("store_era_changed",
+                     {{"before", called_at.text()}, {"now", now_at.text()}});
+        counters.count("store_eras_total");
+        busy = false;
+        up = false;
+    }
+
     void watch_failed(const error& why)
     {
         if (why.kind != error_kind::not_found)
             return failed("watch", why.message);
         // One of the hall lists the store anew; those whose mirror it brings
         // past this revision watch on from there.
-        forgotten = mirror.revision();
-        log::warning("store_history_gone",
-                     {{"revision", std::to_string(forgotten)}});
+        forgotten = mirror.position();
+        log::warning("store_history_gone", {{"revision", forgotten.text()}});
         busy = false;
         up = false;
         // The history may be gone again by the end of each listing.
@@ -218,7 +235,7 @@
                       {"why", why},
                       {"failures", std::to_string(turns.failed_in_row())},
                       {"after_ms", std::to_string(age_ms(called, now))},
-                      {"revision", std::to_string(mirror.revision())}});
+                      {"revision", mirror.position().text()}});
     }
 
     void answered()
@@ -229,7 +246,7 @@
             return;
         up = true;
         log::state("store_reached",
-                   {{"revision", std::to_string(mirror.revision())},
+                   {{"revision", mirror.position().text()},
                     {"distance_us", std::to_string(distance_us())}});
     }
 
@@ -237,7 +254,7 @@
      * on from where peers brought the mirror, or lists where they did not. */
     void give_up_slow(time_point now)
     {
-        const bool told_more = mirror.revision() > called_at;
+        const bool told_more = mirror.position() > called_at;
         const auto limit = listing ? slow_listing : waits + slow_watch;
         if (!under_way || now - called < limit || (listing && !told_more))
             return;
@@ -247,17 +264,17 @@
         busy = false;
         up = false;
         if (!told_more)
-            forgotten = mirror.revision();
+            forgotten = mirror.position();
         counters.count("store_calls_given_up_total");
         log::state("store_call_given_up",
-                   {{"began_at", std::to_string(called_at)},
-                    {"revision", std::to_string(mirror.revision())}});
+                   {{"began_at", called_at.text()},
+                    {"revision", mirror.position().text()}});
     }
 
     void counted_call(const std::string& call)
     {
         called = event_loop::now();
-        called_at = mirror.revision();
+        called_at = mirror.position();
         under_way = true;
         counters.count("store_calls_total", 1, {{"call", call}});
     }
@@ -281,10 +298,10 @@
     store_outage outage;
     timer pause;
     time_point called{};        /*!< When the last call began. */
-    std::uint64_t called_at{0}; /*!< Revision at that moment. */
+    store_position called_at;   /*!< Position at that moment. */
     milliseconds waits{0};      /*!< What the last watch waits. */
     bool under_way{false};      /*!< That call has not ended. */
-    std::uint64_t forgotten{0}; /*!< No watch goes on from here or before. */
+    store_position forgotten;   /*!< No watch goes on from here or before. */
     bool up{false};             /*!< The last call was answered. */
     bool busy{false};           /*!< A call or a pause of the watch runs. */
     bool listing{false};        /*!< The call lists the whole store. */
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "coursejunction/core/item_order.hpp"
+#include "coursejunction/core/store_position.hpp"
 #include "coursejunction/wire/crash_record.hpp"
 
 namespace coursejunction::message
@@ -149,7 +151,9 @@
 {
     std::uint64_t incarnation{0};
     std::uint64_t sequence{0};
-    std::uint64_t mirror_revision{0}; /*!< The mirror is whole up to this. */
+    store_position mirrored; /*!< The mirror is whole up to this. */
+    /*! @brief Values of earlier eras of the store that stand. */
+    std::uint32_t carried{0};
     std::string hall;
     bool entry{false};
     bool leaving{false};
@@ -174,7 +178,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(incarnation, sequence, mirror_revision, hall, entry, leaving,
+        archive(incarnation, sequence, mirrored, carried, hall, entry, leaving,
                 watching, fetching, probing, store_returned, store_distance,
                 entries);
         if (entry)
@@ -196,24 +200,35 @@
      * its place; empty for a small one. */
     std::string packed;
     std::uint64_t plain_bytes{0}; /*!< Size of the payload that is packed. */
+    std::uint64_t era{0};         /*!< Of the store, that counts revisions. */
+    /*! @brief Of a removed key: the order of the last value. */
+    item_order order{};
+    /*! @brief The key is gone because the store came back without it. */
+    bool lost{false};
+
+    [[nodiscard]] store_position position() const { return {era, revision}; }
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(key, payload, revision, age_ms, removed, packed, plain_bytes);
+        archive(key, payload, revision, age_ms, removed, packed, plain_bytes,
+                era, order, lost);
     }
 };
 
 /*! @brief All items of a mirror that changed after a revision. */
 struct mirror_page
 {
-    std::uint64_t revision{0}; /*!< The sender's mirror is whole up to this. */
+    store_position position; /*!< The sender's mirror is whole up to this. */
+    /*! @brief Every key is told: a key that is not told is gone. */
+    bool whole{false};
+    std::uint32_t carried{0}; /*!< Values of earlier eras among them. */
     std::vector<mirror_item> items;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(revision, items);
+        archive(position, whole, carried, items);
     }
 };
 
--- a/tests/fleet/fleet_node.cpp
+++ b/tests/fleet/fleet_node.cpp
@@ -95,7 +95,7 @@
     /*! @brief The store tells it of a change. */
     std::uint64_t change()
     {
-        const auto revision = known.revision() + 1;
+        const auto revision = known.position().revision + 1;
         known.apply(
             {{"a", std::to_string(revision), revision, 0, false, {}, 0}},
             revision, cj::event_loop::now());
@@ -106,8 +106,8 @@
 private:
     void answer(const cj::stream_request& request, cj::stream_reply reply)
     {
-        const auto after =
-            std::stoull(request.target.substr(request.target.find('=') + 1));
+        const auto after = cj::store_position::parse(
+            request.target.substr(request.target.find('=') + 1));
         reply.send(200, {},
                    cj::encode(known.since(after, cj::event_loop::now())));
     }
@@ -117,7 +117,7 @@
         cj::message::fleet_heartbeat made;
         made.incarnation = 1;
         made.sequence = ++sequence;
-        made.mirror_revision = known.revision();
+        made.mirrored = known.position();
         made.hall = "here";
         made.entry = true;
         made.watching = true;
@@ -192,7 +192,7 @@
                     all = std::all_of(
                         hall.begin(), hall.end(),
                         [&](const auto& one)
-                        { return one->self->mirror().revision() >= revision; });
+                        { return one->self->mirror().position() >= revision; });
                 });
             took = std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::steady_clock::now() - begin);
--- a/tests/fleet/mirror_puller.cpp
+++ b/tests/fleet/mirror_puller.cpp
@@ -53,7 +53,7 @@
         while (!whole && std::chrono::steady_clock::now() < end)
         {
             std::this_thread::sleep_for(20ms);
-            running.on_loop([&] { whole = mirror.revision() == newest; });
+            running.on_loop([&] { whole = mirror.position() == newest; });
         }
         return whole;
     }
@@ -84,7 +84,7 @@
             cj::hall_id("here"), ":" + std::to_string(port),
             {[] { return cj::hall_standing{}; },
              [this](const cj::message::mirror_page& page, const std::string&) {
-                 mirror.apply(page.items, page.revision, cj::event_loop::now());
+                 mirror.apply(page.items, page.position, cj::event_loop::now());
              },
              [] {}});
     }
@@ -110,12 +110,12 @@
             cj::message::fleet_heartbeat beat;
             beat.incarnation = 1;
             beat.sequence = sequence;
-            beat.mirror_revision = newest;
+            beat.mirrored = newest;
             beat.hall = hall;
             beat.entry = true;
             const auto from = loopback::own_address(number);
             directory.heard(from, beat, cj::event_loop::now());
-            if (mirror.revision() < newest)
+            if (mirror.position() < newest)
                 puller.heard(from, hall == "here");
         }
     }
--- a/tests/fleet/peer_directory.cpp
+++ b/tests/fleet/peer_directory.cpp
@@ -141,7 +141,7 @@
     }
     WHEN("some know more")
     {
-        beat.mirror_revision = 9;
+        beat.mirrored = 9;
         hear("10.0.0.2", "a", false);
         hear("10.0.0.0", "b", true);
         THEN("they are found by hall, and what is older is not")
--- a/tests/fleet/store_mirror.cpp
+++ b/tests/fleet/store_mirror.cpp
@@ -20,7 +20,7 @@
         {
             CHECK(changed.empty());
             CHECK(mirror.find("a")->payload == "1");
-            CHECK(mirror.revision() == 6);
+            CHECK(mirror.position() == 6);
         }
     }
     WHEN("a listing lacks a key")
@@ -60,7 +60,7 @@
         {
             CHECK(page.items[0].age_ms == 3000);
             cj::store_mirror other;
-            other.apply(page.items, page.revision, cj::time_point{500s});
+            other.apply(page.items, page.position, cj::time_point{500s});
             CHECK(other.find("a")->learnt == cj::time_point{497s});
         }
     }
@@ -85,7 +85,7 @@
         const auto read = cj::unpacked(page);
         REQUIRE(read);
         cj::store_mirror other;
-        other.apply(read.value().items, read.value().revision, now);
+        other.apply(read.value().items, read.value().position, now);
         THEN("it has the value, and passes it on as it came")
         {
             CHECK(other.find("a")->payload == large);
@@ -161,45 +161,151 @@
 TEST_CASE("a mirror shows what the store held, whatever pages it took",
           "[fleet]")
 {
-    rc::prop(
-        "same as the store",
-        []
+    rc::prop("same as the store",
+             []
+             {
+                 const auto history = random_history();
+                 const auto last = static_cast<std::uint64_t>(history.size());
+                 const cj::time_point now{100s};
+                 cj::store_mirror mirror;
+                 // Pages of the past and of now, late, twice and overlapping;
+                 // each asked for when the mirror was no further than it
+                 // begins.
+                 const auto count = *rc::gen::inRange(0, 8);
+                 for (int step = 0; step < count; ++step)
+                 {
+                     const auto after = *rc::gen::inRange<std::uint64_t>(
+                         0, mirror.position().revision + 1);
+                     const auto upto =
+                         *rc::gen::inRange<std::uint64_t>(after, last + 1);
+                     if (after == 0 && *rc::gen::arbitrary<bool>())
+                     {
+                         auto all = page(history, 0, upto);
+                         std::erase_if(all, [](const item& one)
+                                       { return one.removed; });
+                         mirror.replace(all, upto, now);
+                     }
+                     else
+                         mirror.apply(page(history, after, upto), upto, now);
+                 }
+                 mirror.apply(page(history, mirror.position().revision, last),
+                              last, now);
+                 const auto truth = page(history, 0, last);
+                 for (const char* key : {"a", "b", "c", "d", "e"})
+                 {
+                     const auto held =
+                         std::find_if(truth.begin(), truth.end(),
+                                      [&](const item& one) {
+                                          return one.key == key && !one.removed;
+                                      });
+                     const auto* shown = mirror.find(key);
+                     RC_ASSERT((held != truth.end()) == (shown != nullptr));
+                     if (shown != nullptr)
+                         RC_ASSERT(shown->payload == held->payload);
+                 }
+             });
+}
+
+SCENARIO("a store comes back from an older copy", "[fleet]")
+{
+    using item = cj::message::mirror_item;
+    const cj::time_point now{100s};
+    const cj::item_rules rules{
+        [](const std::string&, const std::string& payload) {
+            return cj::item_order{0, std::stoull(payload)};
+        },
+        [](const std::string& key) { return key == "operator"; }};
+    const auto at = [](std::uint64_t era, const char* key, const char* payload,
+                       std::uint64_t revision, bool removed = false)
+    {
+        item made{key, payload, revision, 0, removed, {}, 0};
+        made.era = era;
+        return made;
+    };
+    cj::store_mirror mirror(rules);
+    mirror.apply({at(1, "operator", "2", 8), at(1, "a", "5", 9),
+                  at(1, "b", "3", 6), at(1, "c", "7", 7)},
+                 {1, 9}, now);
+    mirror.apply({at(1, "c", "", 10, true)}, {1, 10}, now);
+
+    WHEN("its copy holds older values, and lacks some")
+    {
+        mirror.replace(
+            {at(2, "operator", "1", 2), at(2, "a", "4", 3), at(2, "c", "7", 4)},
+            {2, 5}, now);
+        THEN("what is known stands, what was removed stays so")
         {
-            const auto history = random_history();
-            const auto last = static_cast<std::uint64_t>(history.size());
-            const cj::time_point now{100s};
-            cj::store_mirror mirror;
-            // Pages of the past and of now, late, twice and overlapping; each
-            // asked for when the mirror was no further than it begins.
-            const auto count = *rc::gen::inRange(0, 8);
-            for (int step = 0; step < count; ++step)
-            {
-                const auto after =
-                    *rc::gen::inRange<std::uint64_t>(0, mirror.revision() + 1);
-                const auto upto =
-                    *rc::gen::inRange<std::uint64_t>(after, last + 1);
-                if (after == 0 && *rc::gen::arbitrary<bool>())
-                {
-                    auto all = page(history, 0, upto);
-                    std::erase_if(all,
-                                  [](const item& one) { return one.removed; });
-                    mirror.replace(all, upto, now);
-                }
-                else
-                    mirror.apply(page(history, after, upto), upto, now);
-            }
-            mirror.apply(page(history, mirror.revision(), last), last, now);
-            const auto truth = page(history, 0, last);
-            for (const char* key : {"a", "b", "c", "d", "e"})
-            {
-                const auto held =
-                    std::find_if(truth.begin(), truth.end(),
-                                 [&](const item& one)
-                                 { return one.key == key && !one.removed; });
-                const auto* shown = mirror.find(key);
-                RC_ASSERT((held != truth.end()) == (shown != nullptr));
-                if (shown != nullptr)
-                    RC_ASSERT(shown->payload == held->payload);
-            }
-        });
+            CHECK(mirror.find("operator")->payload == "2");
+            CHECK(mirror.find("a")->payload == "5");
+            CHECK(mirror.find("c") == nullptr);
+            CHECK(mirror.position() == cj::store_position{2, 5});
+            CHECK(mirror.carried() == 2);
+        }
+        THEN("a record that it lacks comes back as it was, by any writer")
+        {
+            CHECK(mirror.find("b") == nullptr);
+            mirror.apply({at(2, "b", "3", 6)}, {2, 6}, now);
+            CHECK(mirror.find("b") != nullptr);
+        }
+        THEN("what is written anew at a lower revision is taken")
+        {
+            const auto changed = mirror.apply(
+                {at(2, "operator", "3", 6), at(2, "c", "8", 7)}, {2, 7}, now);
+            CHECK(changed.size() == 2);
+            CHECK(mirror.find("operator")->payload == "3");
+            CHECK(mirror.find("c") != nullptr);
+        }
+        THEN("the same value written anew is no change")
+        {
+            CHECK(
+                mirror.apply({at(2, "operator", "2", 6)}, {2, 6}, now).empty());
+            CHECK(mirror.carried() == 1);
+        }
+        THEN("a process that started in the middle learns what stands")
+        {
+            cj::store_mirror other(rules);
+            other.replace({at(2, "operator", "1", 2), at(2, "a", "4", 3)},
+                          {2, 5}, now);
+            const auto page = mirror.since(other.position(), now);
+            other.apply(page.items, page.position, now);
+            CHECK(other.find("operator")->payload == "2");
+        }
+        THEN("a process that missed the new era takes all of it")
+        {
+            cj::store_mirror other(rules);
+            other.apply({at(1, "b", "3", 6), at(1, "d", "1", 7)}, {1, 7}, now);
+            const auto page = mirror.since(other.position(), now);
+            CHECK(page.whole);
+            other.replace(page.items, page.position, now);
+            CHECK(other.find("b") == nullptr);
+            CHECK(other.find("d") == nullptr);
+            CHECK(other.find("operator")->payload == "2");
+        }
+        THEN("news of the earlier era bring nothing back")
+        {
+            mirror.apply({at(1, "b", "3", 6), at(1, "a", "4", 4)}, {1, 10},
+                         now);
+            CHECK(mirror.find("b") == nullptr);
+            CHECK(mirror.find("a")->payload == "5");
+            CHECK(mirror.position() == cj::store_position{2, 5});
+        }
+    }
+    WHEN("two eras follow each other unseen")
+    {
+        mirror.replace({at(3, "operator", "1", 2), at(3, "a", "6", 3)}, {3, 3},
+                       now);
+        CHECK(mirror.find("operator")->payload == "2");
+        CHECK(mirror.find("a")->payload == "6");
+    }
+}
+
+SCENARIO("a position in the store is an era and a revision", "[core]")
+{
+    using cj::store_position;
+    CHECK(store_position(1, 900) < store_position(2, 3));
+    CHECK(store_position(2, 3) < store_position(2, 4));
+    CHECK(store_position::parse(store_position(2, 41).text()) ==
+          store_position(2, 41));
+    for (const char* text : {"", "7", "a.b", "3.", "3.x"})
+        CHECK(store_position::parse(text) == store_position());
 }
--- a/tests/fleet/store_reader.cpp
+++ b/tests/fleet/store_reader.cpp
@@ -74,9 +74,9 @@
                   [&](const cj::store_page& page, bool whole)
                   {
                       if (whole)
-                          mirror.replace(page.items, page.revision, now);
+                          mirror.replace(page.items, page.position, now);
                       else
-                          mirror.apply(page.items, page.revision, now);
+                          mirror.apply(page.items, page.position, now);
                   },
                   [&] { ++begun; }});
     const auto later = [&](std::chrono::milliseconds wait)
--- a/tests/platform/hall_behind_link.cpp
+++ b/tests/platform/hall_behind_link.cpp
@@ -329,7 +329,7 @@
                         cj::message::fleet_heartbeat beat;
                         beat.incarnation = 1;
                         beat.sequence = ++sequence;
-                        beat.mirror_revision = newest;
+                        beat.mirrored = newest;
                         beat.hall = "near";
                         beat.entry = true;
                         beat.watching = true;
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -56,6 +56,18 @@
     {
         return cj::version_target{"m", std::stoull(payload)};
     }
+    static cj::item_order order(const std::string& key,
+                                const std::string& payload)
+    {
+        return key == "other" || kind(key) == cj::item_kind::version_record
+                   ? cj::item_order{}
+                   : cj::item_order{0, std::stoull(payload)};
+    }
+    static bool is_operators(const std::string& key)
+    {
+        return kind(key) == cj::item_kind::configuration ||
+               kind(key) == cj::item_kind::version;
+    }
 };
 
 struct plain_platform
@@ -85,6 +97,8 @@
                 peers.hall = cj::hall_id("h");
                 peers.entry = true;
                 peers.seeds = {address};
+                peers.items = {plain_catalogue::order,
+                               plain_catalogue::is_operators};
                 node = std::move(entry::node_type::create(running.loop, *store,
                                                           counters, peers)
                                      .value());
--- a/tests/proxy/memory_store.hpp
+++ b/tests/proxy/memory_store.hpp
@@ -31,10 +31,16 @@
 
     /*! @brief Comes back from an older copy: what was written since is gone,
      * and its revisions are given out again. */
-    void come_back(const stored_keys& copy) { *this = copy; }
+    void come_back(const stored_keys& copy)
+    {
+        const auto next = era + 1;
+        *this = copy;
+        era = next;
+    }
 
     std::map<std::string, cj::message::mirror_item> items;
     std::uint64_t revision{0};
+    std::uint64_t era{1};
 };
 
 /*! @brief One process's access to the keys. */
@@ -115,11 +121,13 @@
     [[nodiscard]] cj::store_page changed_after(std::uint64_t after) const
     {
         cj::store_page page;
-        page.revision = keys.revision;
+        page.position = {keys.era, keys.revision};
         for (const auto& [key, item] : keys.items)
         {
-            if (item.revision > after)
-                page.items.push_back(item);
+            if (item.revision <= after)
+                continue;
+            page.items.push_back(item);
+            page.items.back().era = keys.era;
         }
         return page;
     }
