Stand-in of the key-value service: it can come back from an older copy

POST /copy takes a copy of values, sessions and the index; POST /restore brings it back: what was written since is gone, the index goes back and is given out again, sessions opened since are gone, open watches are cut.

Two places were kinder than Consul's published interface and hid faults behind such a copy: an acquire by a session that does not exist was carried out (now 500 "invalid session"), and any change of a key ended its watches (now only one above the index that the watch waits for).

--- a/standin/key_value.cpp
+++ b/standin/key_value.cpp
@@ -5,6 +5,7 @@
  */
 #include <map>
 #include <optional>
+#include <set>
 
 #include "coursejunction/core/base64.hpp"
 #include "coursejunction/core/digest.hpp"
@@ -31,6 +32,10 @@
             return set_faults(request, reply);
         if (request.path == "/counts")
             return send_json(reply, 200, counts());
+        if (request.path == "/copy")
+            return take_copy(reply);
+        if (request.path == "/restore")
+            return restore(reply);
         if (down)
             return reply->cut();
         if (delay.count() > 0)
@@ -54,8 +59,41 @@
         reply_pointer reply;
     };
 
+    /*! @brief All that a restore brings back. */
+    struct contents
+    {
+        std::map<std::string, entry> entries;
+        std::set<std::string> sessions;
+        std::uint64_t last{0};
+    };
+
     static constexpr std::size_t max_value = std::size_t{1} << 20U;
 
+    void take_copy(const reply_pointer& reply)
+    {
+        copy = {entries, sessions, last};
+        send_json(reply, 200, {{"index", last}});
+    }
+
+    /*! @brief Comes back from the copy: later writes and sessions are gone,
+     * and their indices are given out again. */
+    void restore(const reply_pointer& reply)
+    {
+        cut_watches();
+        entries = copy.entries;
+        sessions = copy.sessions;
+        last = copy.last;
+        previous.clear();
+        send_json(reply, 200, {{"index", last}});
+    }
+
+    void cut_watches()
+    {
+        for (auto& one : watches)
+            one.reply->cut();
+        watches.clear();
+    }
+
     void set_faults(const http_request& request, const reply_pointer& reply)
     {
         const auto body = json::parse(request.body);
@@ -67,11 +105,7 @@
         stale_reads = body.value("stale_reads", stale_reads);
         down_after_write = body.value("down_after_write", false);
         if (down && !was_down)
-        {
-            for (auto& one : watches)
-                one.reply->cut();
-            watches.clear();
-        }
+            cut_watches();
         send_json(reply, 200, {{"done", true}});
     }
 
@@ -114,12 +148,14 @@
         const auto id = coursejunction::random_id();
         const auto body = json::parse(request.body, nullptr, false);
         const auto ttl = std::stol(body.value("TTL", "15s"));
+        sessions.insert(id);
         later.after(std::chrono::seconds(ttl), [this, id] { expire(id); });
         send_json(reply, 200, {{"ID", id}});
     }
 
     void expire(const std::string& session)
     {
+        sessions.erase(session);
         std::erase_if(entries, [&](const auto& one)
                       { return one.second.session == session; });
     }
@@ -180,6 +216,9 @@
         ++writes;
         if (request.body.size() > max_value)
             return reply->send(413, "", {}, "");
+        const auto session = request.parameter("acquire");
+        if (session && !sessions.contains(*session))
+            return reply->send(500, "text/plain", {}, "invalid session");
         const bool done = apply(key, request);
         if (down_after_write)
         {
@@ -212,13 +251,15 @@
         return true;
     }
 
+    /*! @brief Answers the watches of a key that wait for a lower index. */
     void wake(const std::string& key)
     {
         std::vector<watch> due;
+        const auto now = entries.at(key).index;
         std::erase_if(watches,
                       [&](const watch& one)
                       {
-                          if (one.key != key)
+                          if (one.key != key || one.index >= now)
                               return false;
                           due.push_back(one);
                           return true;
@@ -233,6 +274,8 @@
     coursejunction::token_bucket write_limit;
     std::map<std::string, entry> entries;
     std::map<std::string, entry> previous;
+    std::set<std::string> sessions;
+    contents copy;
     std::vector<watch> watches;
     std::uint64_t last{0};
     std::uint64_t reads{0};
--- a/tests/session/support.py
+++ b/tests/session/support.py
@@ -47,6 +47,16 @@
             return sum(one["open"] and one["model"] == model for one in state["upstreams"]) >= count
         wait_for(f"{entry} sees {count} upstreams", look)
 
+    def key_value_copy(self):
+        """The key-value service takes the copy that `key_value_restored` brings back."""
+        ask(self.lab.kv.url + "/copy", {})
+
+    def key_value_restored(self):
+        """The service goes away and comes back from its copy."""
+        ask(self.lab.kv.url + "/faults", {"down": True})
+        ask(self.lab.kv.url + "/restore", {})
+        ask(self.lab.kv.url + "/faults", {"down": False})
+
     def upstream_of(self, entry, stream_id=None):
         """Sides that now run a request."""
         return [name for name, one in self.lab.sides.items()
