A watcher reads the configuration again after a watch that failed

Seen: the key-value service went away and came back from a copy some seconds old. A change that was made then, by an instance that ended right after it, was in force nowhere for up to 10 s (asked: 6 s).

Cause: configuration_watch kept the index of its last answer over a failed call. The service had gone back below that index and gave the numbers out again, so the blocking query waited for an index that the change did not have, until its own end (10 s).

Evidence: test_a_change_at_an_index_that_was_given_out_before_is_seen failed on the code before ("not in 6 s: in force") and passes with this change.

Ruled out: gossip does not help, since nobody has the change; the entry that made it would have told it.

Why it works: after a failed call the watch asks with index 0, which is answered at once with what the service holds now. It also holds for a service that refuses an index that it does not have. The price is one read by each watcher after an outage.

--- a/src/coursejunction/daemon/internal/configuration_watch.cpp
+++ b/src/coursejunction/daemon/internal/configuration_watch.cpp
@@ -62,6 +62,9 @@
     counters.count("key_value_watches_total");
     if (!got)
     {
+        // The service may come back from an older copy, which gives out the
+        // same indices again.
+        index = 0;
         retry_watch = loop.after(watch_retry, [this] { watch(); });
         return;
     }
--- a/tests/session/test_configuration.py
+++ b/tests/session/test_configuration.py
@@ -1,5 +1,6 @@
 """Accepted means in force everywhere, and it never goes back."""
 
+import base64
 import json
 import pathlib
 import unittest
@@ -15,7 +16,9 @@
             "placements": [{"hall": "north", "count": 1}], **more}
 
 
-class Configuration(LabCase):
+class EntriesCase(LabCase):
+    """Two entries in each hall."""
+
     def setUp(self):
         super().setUp()
         for hall in self.lab.halls:
@@ -36,6 +39,8 @@
             if one.running():
                 wait_for(f"revision {revision}", lambda one=one: self.lab.dump(one)["revision"] >= revision)
 
+
+class Configuration(EntriesCase):
     def test_a_change_reaches_everybody_with_few_watchers(self):
         status, body = self.write("a")
         self.assertEqual(status, 200)
@@ -121,6 +126,43 @@
         self.assertEqual(subprocess.run([binary("coursejunctiond"), "--check", str(good)]).returncode, 0)
 
 
+class OlderCopy(EntriesCase):
+    """The key-value service comes back without what it has acknowledged."""
+
+    key = "/v1/kv/coursejunction/configuration"
+
+    def stored(self):
+        return json.loads(base64.b64decode(ask(self.lab.kv.url + self.key)[0]["Value"]))
+
+    def names(self, configuration):
+        return sorted(one["name"] for one in configuration["deployments"])
+
+    def all_hold(self, *names):
+        for one in self.lab.entries.values():
+            wait_for(f"{names} in force", lambda one=one: self.names(self.lab.dump(one)["configuration"]) == list(names))
+
+    def lose(self, *names):
+        """The service acknowledges changes, which are in force, and loses them."""
+        self.write("kept")
+        self.key_value_copy()
+        for name in names:
+            self.assertEqual(self.write(name)[0], 200)
+        self.everywhere(1 + len(names))
+        wait_for("watchers", lambda: ask(self.lab.kv.url + "/counts")["watching"] == 2 * len(self.lab.halls))
+        self.key_value_restored()
+
+    def test_a_change_at_an_index_that_was_given_out_before_is_seen(self):
+        self.lose("lost-1", "lost-2")
+        # Another instance, which then ends, writes the next change.
+        text = self.lab.dump(self.lab.entries["entry-north-0"])["configuration"]
+        text["deployments"] = [one for one in text["deployments"] if one["name"] != "kept"]
+        text["revision"] += 1
+        text["writes"].append(["other", text["revision"]])
+        call("PUT", self.lab.kv.url + self.key, json.dumps(text))
+        for one in self.lab.entries.values():
+            wait_for("in force", lambda one=one: self.names(self.lab.dump(one)["configuration"]) == ["lost-1", "lost-2"], 6)
+
+
 class RegionCut(LabCase):
     """A region cut off serves itself."""
 
