A fencing token is above those that the upstream has seen

Seen: the key-value service came back from an older copy, without the newest token of an upstream. The side process that was started next took a lower token, its first order was refused as stale, it took another side to be in charge and gave no order any more: the replica never loaded again. With an equal token the upstream would have obeyed both processes.

Cause: fenced_orders took the token after the one that the service held.

Ruled out: a process that still runs needs nothing: its token is in its memory, and confirm_token ends its orders only for a higher one. Tokens by wall clock were left out: clocks are apart.

Why it works: the upstream tells the highest token in its state, which a side reads before its first order. The next token is above both that and the one at the service, and a process that was paused with an earlier one finds a higher one, as before. An upstream that does not tell a token gets what it got before.

--- a/src/coursejunction/daemon/internal/fenced_orders.cpp
+++ b/src/coursejunction/daemon/internal/fenced_orders.cpp
@@ -60,12 +60,12 @@
 void fenced_orders::take_after(const stored_value& stored)
 {
     const auto newest = parse_token(stored.text);
-    if (newest.owner == owner_text())
+    if (newest.owner == owner_text() && newest.token >= highest)
     {
         guard.taken(newest.token);
         return request();
     }
-    const fencing_token next(newest.token.value() + 1);
+    const fencing_token next(std::max(newest.token, highest).value() + 1);
     host.key_values().swap(fence_key(host.settings().instance), stored.index,
                            to_text({next, owner_text()}),
                            [this, next](swap_outcome done)
--- a/src/coursejunction/daemon/internal/fenced_orders.hpp
+++ b/src/coursejunction/daemon/internal/fenced_orders.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_DAEMON_INTERNAL_FENCED_ORDERS_HPP
 #define COURSEJUNCTION_DAEMON_INTERNAL_FENCED_ORDERS_HPP
 
+#include <algorithm>
 #include <functional>
 #include <string>
 
@@ -41,6 +42,10 @@
     /*! @brief An order was given. */
     void ordered() { guard.ordered(); }
 
+    /*! @brief The upstream has seen this token. The next one that is taken is
+     * above it, also when the service has lost the newest. */
+    void seen(fencing_token newest) { highest = std::max(highest, newest); }
+
     /*! @brief The upstream refused the token as old. */
     void refused() { guard.refused(); }
 
@@ -59,6 +64,7 @@
     order_callback allow;
     order_callback refuse;
     fence guard;
+    fencing_token highest;
     std::string process_id;
     timer again;
 };
--- a/src/coursejunction/daemon/side.cpp
+++ b/src/coursejunction/daemon/side.cpp
@@ -223,6 +223,7 @@
     {
         cached = state.cached;
         engine_slots = state.slots;
+        orders.seen(state.newest);
         if (state.loading)
             return;
         const auto before = copy.serving();
--- a/src/coursejunction/daemon/upstream_client.cpp
+++ b/src/coursejunction/daemon/upstream_client.cpp
@@ -24,6 +24,7 @@
     const auto serving = digest::parse(body.value("serving", ""));
     if (serving)
         state.serving = serving.value();
+    state.newest = fencing_token(body.value("token", std::uint64_t{0}));
     state.loading = body.value("loading", false);
     state.running = body.value("running", std::size_t{0});
     state.slots = body.value("slots", std::size_t{0});
--- a/src/coursejunction/daemon/upstream_client.hpp
+++ b/src/coursejunction/daemon/upstream_client.hpp
@@ -21,7 +21,8 @@
 /*! @brief What an engine says of itself. */
 struct engine_state
 {
-    digest serving; /*!< Empty when nothing whole is served. */
+    digest serving;       /*!< Empty when nothing whole is served. */
+    fencing_token newest; /*!< Highest of all orders; empty when not told. */
     bool loading{false};
     std::size_t running{0};
     std::size_t slots{0};
--- a/tests/session/test_rollout.py
+++ b/tests/session/test_rollout.py
@@ -139,6 +139,32 @@
             lab.start_side(name, "north")
         lab.converged("tutor")
 
+    def test_a_side_started_after_the_service_lost_the_newest_token(self):
+        lab = self.lab
+        lab.start_origin()
+        lab.start_engines()
+        lab.start_entry("entry-1", "north")
+        version = lab.create_model("one", 1 << 18, chunk=1 << 15)
+        lab.apply("tutor", version, {"north": 1})
+        self.key_value_copy()
+        upstream = lab.engines.url + "/side-1"
+
+        def load_at_new_side():
+            """A new process loads, since the engine has lost what it had."""
+            lab.sides["side-1"].kill()
+            side = lab.restart_side("side-1")
+            ask(upstream + "/faults", {"restart": True})
+            wait_for("loaded", lambda: ask(upstream + "/v1/state")["serving"] == version, 30)
+            return side
+        lab.start_side("side-1", "north")
+        lab.converged("tutor")
+        load_at_new_side()
+        newest = ask(upstream + "/v1/state")["token"]
+        self.key_value_restored()
+        side = load_at_new_side()
+        self.assertGreater(lab.dump(side)["state"]["fencing_token"], newest)
+        self.assertEqual(lab.record("side-1")["refused"], 0)
+
     def test_a_paused_side_that_wakes_gives_no_order_to_an_upstream_that_does_not_check(self):
         lab = self.lab
         lab.start_origin()
