A side whose session the service has lost opens another

Seen: after the key-value service came back from a copy that lacked the session of a side, requests that may run only once were answered 503 "not_run, the key-value service does not answer" at that side, although the service did answer, until the session was an hour old.

Cause: run_service keeps one session for an hour and never learned that it was gone. The service refuses to acquire a key by it (500 "invalid session"), which was taken for an answer that says nothing, and was tried again with the same session.

Ruled out: leaving the session after any failed claim. A claim whose answer was lost must be tried with the same session, else its own key looks like another side's.

Why it works: the refusal has an outcome of its own, no_session: nothing was written. Only then the next try opens a session.

--- a/src/coursejunction/control/configuration_writer.hpp
+++ b/src/coursejunction/control/configuration_writer.hpp
@@ -33,6 +33,7 @@
     swapped,
     lost_race,
     not_sent,
+    no_session, /*!< The session is gone; nothing was written. */
     unknown
 };
 
@@ -137,6 +138,7 @@
             // whole, over links that they share.
             return again(error_kind::unavailable, outrun);
         case swap_outcome::not_sent:
+        case swap_outcome::no_session:
             return again(error_kind::unavailable, silent);
         case swap_outcome::unknown:
             // The write may have taken effect, or may still: read back. The
--- a/src/coursejunction/control/key_value_client.cpp
+++ b/src/coursejunction/control/key_value_client.cpp
@@ -17,6 +17,10 @@
 
 constexpr int http_not_found = 404;
 constexpr int http_too_many = 429;
+constexpr int http_internal_error = 500;
+
+/*! @brief What Consul answers to an acquire by a session that it lacks. */
+constexpr std::string_view invalid_session = "invalid session";
 
 /*! @brief Mean pause after a first failed try of a write; a read of a megabyte
  * takes 0.44 s over 24 Mbit/s. */
@@ -78,6 +82,10 @@
     if (end.ok())
         return end.body.rfind("true", 0) == 0 ? swap_outcome::swapped
                                               : swap_outcome::lost_race;
+    if (end.reach == http_reach::answered &&
+        end.status == http_internal_error &&
+        end.body.find(invalid_session) != std::string::npos)
+        return swap_outcome::no_session;
     const bool refused =
         end.reach == http_reach::answered && end.status == http_too_many;
     if (refused || end.reach == http_reach::not_sent)
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -173,8 +173,8 @@
         ++one->claims;
         host.key_values().acquire(claim_key(request_id(one->ask.request)),
                                   session, host.settings().instance.value(),
-                                  [this, one](swap_outcome done)
-                                  { claimed(one, done); });
+                                  [this, one, used = session](swap_outcome done)
+                                  { claimed(one, used, done); });
     }
 
     void open_session(const run_pointer& one)
@@ -192,7 +192,8 @@
             });
     }
 
-    void claimed(const run_pointer& one, swap_outcome done)
+    void claimed(const run_pointer& one, const std::string& used,
+                 swap_outcome done)
     {
         const request_id id(one->ask.request);
         switch (done)
@@ -206,20 +207,26 @@
             one->claiming = false;
             registry.lost(id);
             return duplicate(one);
+        case swap_outcome::no_session:
+            if (session == used)
+                session.clear();
+            return claim_later(one);
         case swap_outcome::not_sent:
         case swap_outcome::unknown:
             // The same session may acquire again: if the write took effect,
             // the next try says so.
-            if (one->claims < internal::claim_attempts)
-            {
-                one->retry = host.loop().after(internal::claim_retry,
-                                               [this, one] { claim(one); });
-                return;
-            }
-            return unclaimed(one);
+            return claim_later(one);
         }
     }
 
+    void claim_later(const run_pointer& one)
+    {
+        if (one->claims >= internal::claim_attempts)
+            return unclaimed(one);
+        one->retry = host.loop().after(internal::claim_retry,
+                                       [this, one] { claim(one); });
+    }
+
     void unclaimed(const run_pointer& one)
     {
         one->claiming = false;
--- a/tests/session/test_requests.py
+++ b/tests/session/test_requests.py
@@ -171,6 +171,15 @@
             self.assertEqual(self.charge(entry, "c2").end().answer_headers["outcome"], "unknown")
         self.assertEqual(self.runs("c2"), 1)
 
+    def test_a_service_that_lost_the_sessions_of_sides_takes_new_claims(self):
+        self.key_value_copy()
+        self.assertEqual(self.charge("entry-1", "s1").end().status, 200)
+        self.key_value_restored()
+        for at in range(4):
+            caller = self.charge("entry-1", f"s2-{at}").end()
+            self.assertEqual(caller.status, 200, caller.text)
+            self.assertEqual(self.runs(f"s2-{at}"), 1)
+
     def test_an_entry_killed_after_dispatch(self):
         ask(self.ledger.url + "/faults", {"delay_ms": 1000})
         self.charge("entry-1", "c3")
