Changes are accepted after the key-value service came back older

Seen: the key-value service came back from a copy that lacked the last acknowledged change. From then on each change of every operator ended with 503 "the key-value service does not answer; nothing was changed", with no end.

Cause: configuration_writer was given the revision in force as a floor and took every older read for a stale one, which it read again until its time was over.

Evidence: test_the_next_change_is_accepted failed on the code before ((503, None) != (200, 3)) and passes with this change.

Ruled out: leaving the floor out. A change would then be built on the older value and take back what others were told is accepted.

Why it works: the writer is given the configuration in force and writes its change on top of that, joined with what the service holds. The compare-and-swap tells the two cases apart: it fails at the index of a stale read, and succeeds when the service really has nothing newer. Whether one configuration descends from another is known from the ids of its writes, not from its number, since numbers are given out again; after a fork each deployment is taken from the side that changed it, from the service's if both did.

--- a/src/coursejunction/control/configuration_writer.hpp
+++ b/src/coursejunction/control/configuration_writer.hpp
@@ -70,14 +70,23 @@
     using done_callback = std::function<void(write_result)>;
 
     /*! @brief Starts a write.
-     * @param floor Revision already in force: an older read is stale. */
+     * @param known Configuration already in force. What the store lacks of it
+     * is written with the change: the compare-and-swap fails if the read was
+     * stale, and succeeds if the store came back from an older copy. */
     static void start(Store& store, configuration_change change, write_id id,
-                      revision floor, done_callback done)
+                      configuration known, done_callback done)
     {
-        auto made = std::shared_ptr<configuration_writer>(
-            new configuration_writer(store, std::move(change), std::move(id),
-                                     floor, std::move(done)));
-        made->read();
+        begin(store, std::move(change), std::move(id), std::move(known),
+              std::move(done));
+    }
+
+    /*! @brief Starts to write what the store lacks of a configuration that was
+     * acknowledged; it ends at once when it lacks nothing. */
+    static void restore(Store& store, configuration known, write_id id,
+                        done_callback done)
+    {
+        begin(store, std::nullopt, std::move(id), std::move(known),
+              std::move(done));
     }
 
 private:
@@ -86,10 +95,21 @@
     static constexpr const char* outrun =
         "others change the configuration all the time; nothing was changed";
 
-    configuration_writer(Store& target, configuration_change what, write_id own,
-                         revision least, done_callback call)
+    using optional_change = std::optional<configuration_change>;
+
+    static void begin(Store& store, optional_change change, write_id id,
+                      configuration known, done_callback done)
+    {
+        auto made = std::shared_ptr<configuration_writer>(
+            new configuration_writer(store, std::move(change), std::move(id),
+                                     std::move(known), std::move(done)));
+        made->read();
+    }
+
+    configuration_writer(Store& target, optional_change what, write_id own,
+                         configuration least, done_callback call)
         : store(target), change(std::move(what)), id(std::move(own)),
-          floor(least), done(std::move(call))
+          known(std::move(least)), done(std::move(call))
     {
     }
 
@@ -109,16 +129,29 @@
         if (!now)
             return finish(failure(error_kind::refused,
                                   "stored configuration cannot be read"));
-        if (now.value().number() < floor)
-            return again(error_kind::unavailable, silent);
-        if (now.value().written(id))
+        if (written(now.value()))
             return finish(std::move(now.value()));
-        auto next = now.value().apply(change, id);
+        auto next = next_of(now.value());
         if (!next)
             return finish(failure(next.error().kind, next.error().message));
         swap(got.value().index, std::move(next.value()));
     }
 
+    [[nodiscard]] bool written(const configuration& stored) const
+    {
+        return change ? stored.written(id).has_value()
+                      : stored.descends_from(known);
+    }
+
+    [[nodiscard]] result<configuration>
+    next_of(const configuration& stored) const
+    {
+        auto whole = known.join(stored, write_id("join-" + id.value()));
+        if (!change)
+            return whole;
+        return whole.apply(*change, id);
+    }
+
     void swap(std::uint64_t index, configuration next)
     {
         const auto text = next.text();
@@ -167,9 +200,9 @@
     }
 
     Store& store;
-    configuration_change change;
+    optional_change change;
     write_id id;
-    revision floor;
+    configuration known;
     done_callback done;
     bool maybe_written{false};
 };
--- a/src/coursejunction/daemon/resource_api.cpp
+++ b/src/coursejunction/daemon/resource_api.cpp
@@ -358,7 +358,7 @@
         const auto name = change.name;
         configuration_writer<configuration_store>::start(
             *store, std::move(change), write_id(random_id()),
-            host.view().current().number(),
+            host.view().current(),
             [this, store, name, reply](const write_result& got)
             { written(name, got, reply); });
     }
--- a/src/coursejunction/resource/configuration.cpp
+++ b/src/coursejunction/resource/configuration.cpp
@@ -1,6 +1,7 @@
 #include "coursejunction/resource/configuration.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "coursejunction/resource/internal/deployment_json.hpp"
 
@@ -88,15 +89,92 @@
             spec.previous = found->second.previous;
         next.specs[change.name] = std::move(spec);
     }
-    next.writes.push_back({id, next.current});
-    if (next.writes.size() > kept_writes)
-        next.writes.pop_front();
+    next.add_write(id);
     if (next.text().size() > max_bytes)
         return failure(error_kind::invalid,
                        "configuration: would exceed one megabyte");
     return next;
 }
 
+bool configuration::descends_from(const configuration& other) const
+{
+    if (other.writes.empty() || other.current > current)
+        return other.current <= current;
+    const auto& last = other.writes.back();
+    return keeps(last) || (!writes.empty() && last.made < writes.front().made);
+}
+
+configuration configuration::join(const configuration& stored,
+                                  const write_id& id) const
+{
+    if (descends_from(stored))
+        return *this;
+    if (stored.descends_from(*this))
+        return stored;
+    auto joined = *this;
+    joined.current = revision(std::max(current, stored.current).value() + 1);
+    joined.take_changes(stored);
+    joined.add_writes(stored);
+    joined.add_write(id);
+    return joined;
+}
+
+bool configuration::keeps(const write& one) const
+{
+    return std::find(writes.begin(), writes.end(), one) != writes.end();
+}
+
+/*! @brief Tells whether the write that made a deployment of another one is
+ * part of this one. The other's own writes come before those that it joined
+ * under the same revision. */
+bool configuration::knows(const configuration& other,
+                          const deployment& spec) const
+{
+    const auto made = std::find_if(other.writes.begin(), other.writes.end(),
+                                   [&](const write& one)
+                                   { return one.made == spec.changed; });
+    return made == other.writes.end() || keeps(*made);
+}
+
+/*! @brief Takes what another one has changed and this one does not know. It
+ * has removed what it knows and has not. */
+void configuration::take_changes(const configuration& from)
+{
+    const auto own = *this;
+    std::erase_if(specs,
+                  [&](const auto& one) {
+                      return from.find(one.first) == nullptr &&
+                             from.knows(own, one.second);
+                  });
+    for (const auto& [name, spec] : from.specs)
+    {
+        if (own.knows(from, spec))
+            continue;
+        auto& taken = specs[name];
+        taken = spec;
+        // A number that either side gave out would not tell readers of the
+        // other side that it was changed.
+        taken.changed = current;
+    }
+}
+
+void configuration::add_writes(const configuration& from)
+{
+    std::copy_if(from.writes.begin(), from.writes.end(),
+                 std::back_inserter(writes),
+                 [&](const write& one) { return !keeps(one); });
+    std::stable_sort(writes.begin(), writes.end(),
+                     [](const write& left, const write& right)
+                     { return left.made < right.made; });
+}
+
+void configuration::add_write(const write_id& id)
+{
+    writes.push_back({id, current});
+    while (writes.size() > kept_writes)
+        writes.pop_front();
+}
+
 std::optional<revision> configuration::written(const write_id& id) const
 {
     const auto found =
--- a/src/coursejunction/resource/configuration.hpp
+++ b/src/coursejunction/resource/configuration.hpp
@@ -64,6 +64,20 @@
     [[nodiscard]] result<configuration>
     apply(const configuration_change& change, const write_id& id) const;
 
+    /*! @brief Tells whether this one was made from another, or is the same.
+     * One whose last write is no longer kept counts as an ancestor. */
+    [[nodiscard]] bool descends_from(const configuration& other) const;
+
+    /*! @brief Joins this one with what the key-value service holds after it
+     * came back without writes that it had acknowledged.
+     *
+     * A deployment that only one side has changed is taken from that side; one
+     * that both have is taken from the service, whose change is the later one.
+     * @return The newer one, if one descends from the other; else a new one
+     * that descends from both. */
+    [[nodiscard]] configuration join(const configuration& stored,
+                                     const write_id& id) const;
+
     /*! @brief Returns the revision that a write made, if it is still kept. */
     [[nodiscard]] std::optional<revision> written(const write_id& id) const;
 
@@ -84,8 +98,17 @@
     {
         write_id id;
         revision made;
+
+        bool operator==(const write&) const = default;
     };
 
+    [[nodiscard]] bool keeps(const write& one) const;
+    [[nodiscard]] bool knows(const configuration& other,
+                             const deployment& spec) const;
+    void take_changes(const configuration& from);
+    void add_writes(const configuration& from);
+    void add_write(const write_id& id);
+
     revision current;
     container_type specs;
     std::deque<write> writes;
--- a/tests/resource/configuration.cpp
+++ b/tests/resource/configuration.cpp
@@ -99,3 +99,73 @@
     rc::prop("noise is refused", [](const std::string& noise)
              { RC_ASSERT(!cj::configuration::parse(noise)); });
 }
+
+SCENARIO("two branches of a configuration are joined", "[resource]")
+{
+    const auto write = [](const cj::configuration& from, action kind,
+                          const std::string& name, std::uint64_t read,
+                          const std::string& id, char version = 'a')
+    {
+        return from.apply(change(kind, name, read, version), cj::write_id(id))
+            .value();
+    };
+    const auto has = [](const cj::configuration& in, const std::string& name)
+    { return in.find(cj::deployment_name(name)) != nullptr; };
+    const auto id = cj::write_id("join");
+
+    auto shared = write({}, action::create, "tutor", 0, "w1");
+    shared = write(shared, action::create, "notes", 0, "w2");
+    const auto known = write(shared, action::create, "ledger", 0, "w3");
+
+    GIVEN("a service that holds the common ancestor")
+    {
+        CHECK(known.descends_from(shared));
+        CHECK_FALSE(shared.descends_from(known));
+        CHECK(known.join(shared, id).text() == known.text());
+        CHECK(shared.join(known, id).text() == known.text());
+    }
+    GIVEN("a service that holds another change under the same revision")
+    {
+        const auto stored = write(shared, action::create, "other", 0, "x3");
+        CHECK(stored.number() == known.number());
+        CHECK_FALSE(stored.descends_from(known));
+        CHECK_FALSE(known.descends_from(stored));
+        const auto joined = known.join(stored, id);
+        THEN("both changes are in the next revision")
+        {
+            CHECK(joined.number() == cj::revision(4));
+            CHECK(joined.descends_from(known));
+            CHECK(joined.descends_from(stored));
+            CHECK(has(joined, "ledger"));
+            CHECK(has(joined, "other"));
+        }
+    }
+    GIVEN("a deployment that one side removed")
+    {
+        THEN("it stays removed, whichever side that was")
+        {
+            const auto gone = write(shared, action::remove, "notes", 2, "x3");
+            CHECK_FALSE(has(known.join(gone, id), "notes"));
+            CHECK_FALSE(has(gone.join(known, id), "notes"));
+            CHECK(has(known.join(gone, id), "ledger"));
+        }
+    }
+    GIVEN("a deployment that both sides replaced")
+    {
+        const auto own = write(shared, action::replace, "tutor", 1, "w3", 'b');
+        const auto stored =
+            write(shared, action::replace, "tutor", 1, "x3", 'c');
+        const auto joined = own.join(stored, id);
+        THEN("the change that the service holds counts")
+        {
+            CHECK(joined.find(cj::deployment_name("tutor"))->version ==
+                  cj::digest::of("c"));
+        }
+        THEN("an operator who read either one gets a conflict")
+        {
+            CHECK(joined.apply(change(action::replace, "tutor", 3), {})
+                      .error()
+                      .kind == cj::error_kind::conflict);
+        }
+    }
+}
--- a/tests/session/test_configuration.py
+++ b/tests/session/test_configuration.py
@@ -151,6 +151,12 @@
         wait_for("watchers", lambda: ask(self.lab.kv.url + "/counts")["watching"] == 2 * len(self.lab.halls))
         self.key_value_restored()
 
+    def test_the_next_change_is_accepted(self):
+        self.lose("lost")
+        status, body = self.write("next")
+        self.assertEqual((status, body.get("revision")), (200, 3), body)
+        self.all_hold("kept", "lost", "next")
+
     def test_a_change_at_an_index_that_was_given_out_before_is_seen(self):
         self.lose("lost-1", "lost-2")
         # Another instance, which then ends, writes the next change.
