Watchers write again what the key-value service lost of the configuration

Seen: the key-value service came back from a copy without changes that it had acknowledged. They stayed in force in the memory of running instances only: the service held the older value for good, and whoever started while no other was heard, or after all had ended, served by it.

Cause: configuration_view refuses an older configuration, and nobody drew a conclusion from the refusal.

Evidence: test_what_the_service_lost_is_written_again failed on the code before ("not in 20 s: written again") and passes with this change.

Ruled out: leaving it to the next operator's change, which may not come before the instances that know have ended; writing at once by all that know.

Why it works: configuration_restorer compares what a watch found with what is in force, whichever of the two changed last. What the service lacks after a watch has had its time is written by the first watcher by rank, as it was, by compare-and-swap; the turn of the next one comes a second later, and ends when its watch shows that nothing is missing. A stale read costs a read: the swap begins with one.

--- a/src/coursejunction/daemon/node.cpp
+++ b/src/coursejunction/daemon/node.cpp
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 
 #include "coursejunction/core/log.hpp"
+#include "coursejunction/core/rendezvous.hpp"
+#include "coursejunction/daemon/internal/configuration_restorer.hpp"
 #include "coursejunction/daemon/internal/configuration_watch.hpp"
 #include "coursejunction/daemon/internal/heartbeat_gossip.hpp"
 #include "coursejunction/daemon/internal/instance_list.hpp"
@@ -50,8 +52,11 @@
           key_values(client, settings.key_value_url,
                      settings.key_value_timeout),
           started(internal::wall_milliseconds()),
+          restorer(
+              loop, key_values, counters, view, [this] { return watch_rank(); },
+              [this](configuration next) { offer(std::move(next)); }),
           watch(loop, key_values, counters, view,
-                [this](configuration next) { offer(std::move(next)); }),
+                [this](configuration next) { found(std::move(next)); }),
           gossip(settings, ring, members, view, counters, started,
                  [this](const instance_id& from, std::uint64_t revision)
                  { pull(from, revision); }),
@@ -237,6 +242,13 @@
 
     // Configuration.
 
+    /*! @brief The key-value service holds this configuration. */
+    void found(configuration next)
+    {
+        restorer.stored(next);
+        offer(std::move(next));
+    }
+
     void offer(configuration next)
     {
         const bool was_ready = view.ready();
@@ -248,6 +260,7 @@
             log::state("configuration_in_force",
                        {{"revision",
                          std::to_string(view.current().number().value())}});
+            restorer.changed();
             announce();
         }
         if (newer || !was_ready)
@@ -256,12 +269,33 @@
 
     void watch_if_designated()
     {
-        if (settings.kind != role::entry)
-            return;
-        const auto chosen = members.designated_entries(
-            settings.hall, designated_per_hall, now());
-        watch.designate(std::find(chosen.begin(), chosen.end(),
-                                  settings.instance) != chosen.end());
+        if (settings.kind == role::entry)
+            watch.designate(designated(settings.instance, settings.hall));
+    }
+
+    bool designated(const instance_id& id, const hall_id& hall) const
+    {
+        const auto chosen =
+            members.designated_entries(hall, designated_per_hall, now());
+        return std::find(chosen.begin(), chosen.end(), id) != chosen.end();
+    }
+
+    /*! @brief Returns the place of this instance among all that watch. */
+    std::optional<std::size_t> watch_rank() const
+    {
+        if (!watch.designated())
+            return std::nullopt;
+        std::vector<instance_id> watchers;
+        for (const auto& one : members.select(role::entry, std::nullopt, now()))
+        {
+            if (designated(one.id, one.hall))
+                watchers.push_back(one.id);
+        }
+        const auto ranked =
+            rendezvous_rank(configuration_key, watchers, watchers.size());
+        const auto own =
+            std::find(ranked.begin(), ranked.end(), settings.instance);
+        return static_cast<std::size_t>(own - ranked.begin());
     }
 
     void pulled(const instance_id& from, const frame& one)
@@ -400,6 +434,7 @@
     http_client::call_id list_call{0};
     std::string list_tag;
     std::uint64_t started;
+    internal::configuration_restorer restorer;
     internal::configuration_watch watch;
     internal::heartbeat_gossip gossip;
     internal::crash_gossip crashes;
--- a/tests/control/configuration_writer.cpp
+++ b/tests/control/configuration_writer.cpp
@@ -345,3 +345,61 @@
                  }
              });
 }
+
+namespace
+{
+
+std::optional<cj::configuration> restore(fake_store& store,
+                                         const cj::configuration& known)
+{
+    std::optional<cj::configuration> got;
+    cj::configuration_writer<fake_store>::restore(
+        store, known, cj::write_id(cj::random_id()),
+        [&](const cj::write_result& end)
+        {
+            INFO((end.end ? "" : end.end.error().message));
+            REQUIRE(end.end);
+            got = end.end.value();
+        });
+    return got;
+}
+
+} // namespace
+
+SCENARIO("what the service lost is written again", "[control]")
+{
+    fake_store store;
+    write(store, "notes");
+    store.take_copy();
+    const auto known = write(store, "ledger").end.value();
+    GIVEN("a service that has lost nothing")
+    {
+        const auto swaps = store.swaps;
+        CHECK(restore(store, known)->number() == known.number());
+        THEN("nothing is written")
+        {
+            CHECK(store.swaps == swaps);
+        }
+    }
+    GIVEN("a service that came back from its copy")
+    {
+        store.restore();
+        WHEN("two who know what it lost restore it")
+        {
+            CHECK(restore(store, known)->number() == known.number());
+            const auto swaps = store.swaps;
+            CHECK(restore(store, known)->number() == known.number());
+            THEN("the first one writes it as it was")
+            {
+                CHECK(store.value.text == known.text());
+                CHECK(store.swaps == swaps);
+            }
+        }
+        WHEN("its answers are lost")
+        {
+            store.faults = {fault::none, fault::lose_answer, fault::refuse};
+            CHECK(restore(store, known)->number() == known.number());
+            CHECK(store.value.text == known.text());
+        }
+    }
+}
--- a/tests/session/test_configuration.py
+++ b/tests/session/test_configuration.py
@@ -151,6 +151,17 @@
         wait_for("watchers", lambda: ask(self.lab.kv.url + "/counts")["watching"] == 2 * len(self.lab.halls))
         self.key_value_restored()
 
+    def test_what_the_service_lost_is_written_again(self):
+        self.lose("lost")
+        wait_for("written again", lambda: self.names(self.stored()) == ["kept", "lost"], 20)
+        # All that knew it end: what lasts lies in the service.
+        for name, one in list(self.lab.entries.items()):
+            one.kill()
+            self.lab.unregister(name)
+        self.lab.entries.clear()
+        self.lab.start_entry("entry-north-9", "north")
+        self.all_hold("kept", "lost")
+
     def test_the_next_change_is_accepted(self):
         self.lose("lost")
         status, body = self.write("next")
