A configuration does not replace one whose changes it lacks

Seen: the key-value service came back from an older copy. An entry that began then knew only the copy and accepted two changes; everybody else put its revision 3 into force in place of their revision 2, and a change that had been accepted was gone everywhere.

Cause: configuration_view took the higher number for the newer configuration. Numbers are given out again after such a return.

Unit property "no acknowledged change is lost with a copy": random writes, copies, returns and gossip.

Ruled out: joining in each instance's memory. Two instances would give one number to different contents.

Why it works: the view accepts only what descends from what is in force. A configuration that neither descends from it nor the other way round is left to the watchers, who join both at the service by compare-and-swap; the result descends from both, so that everybody accepts it.

--- a/src/coursejunction/control/configuration_view.hpp
+++ b/src/coursejunction/control/configuration_view.hpp
@@ -15,8 +15,8 @@
 namespace coursejunction
 {
 
-/*! @brief Holds the newest configuration seen; its revision only rises,
- * whoever brings one: the key-value service, a peer or a stale read. */
+/*! @brief Holds the newest configuration seen; each descends from the one
+ * before, whoever brings it: the key-value service, a peer or a stale read. */
 class configuration_view
 {
 public:
@@ -35,7 +35,7 @@
     bool offer(configuration next)
     {
         known = true;
-        if (next.number() <= in_force.number())
+        if (next.number() <= in_force.number() || diverges_from(next))
         {
             refused_older += next.number() < in_force.number() ? 1 : 0;
             return false;
@@ -45,6 +45,13 @@
         return true;
     }
 
+    /*! @brief Tells whether another one and the one in force have changes that
+     * the other lacks. */
+    [[nodiscard]] bool diverges_from(const configuration& other) const
+    {
+        return !other.descends_from(in_force) && !in_force.descends_from(other);
+    }
+
     /*! @brief Returns the configuration in force. */
     [[nodiscard]] const configuration& current() const noexcept
     {
--- a/src/coursejunction/daemon/internal/configuration_restorer.cpp
+++ b/src/coursejunction/daemon/internal/configuration_restorer.cpp
@@ -34,6 +34,8 @@
 void configuration_restorer::stored(const configuration& now)
 {
     held = now;
+    if (branch && held->descends_from(*branch))
+        branch.reset();
     compare();
 }
 
@@ -42,12 +44,22 @@
     compare();
 }
 
+void configuration_restorer::diverged(configuration other)
+{
+    if (!rank())
+        return;
+    branch = std::move(other);
+    compare();
+}
+
 /*! @brief Returns an acknowledged configuration that the service lacks. */
 const configuration* configuration_restorer::missing() const
 {
-    if (!held || held->descends_from(view.current()))
+    if (!held)
         return nullptr;
-    return &view.current();
+    if (!held->descends_from(view.current()))
+        return &view.current();
+    return branch && !held->descends_from(*branch) ? &*branch : nullptr;
 }
 
 void configuration_restorer::compare()
--- a/src/coursejunction/daemon/internal/configuration_restorer.hpp
+++ b/src/coursejunction/daemon/internal/configuration_restorer.hpp
@@ -41,6 +41,10 @@
     /*! @brief Another configuration is in force. */
     void changed();
 
+    /*! @brief An acknowledged configuration and the one in force do not
+     * descend from each other. */
+    void diverged(configuration other);
+
 private:
     void compare();
     void restore();
@@ -54,6 +58,7 @@
     rank_callback rank;
     found_callback found;
     std::optional<configuration> held;
+    std::optional<configuration> branch;
     std::optional<configuration_store> store;
     bool waiting{false};
     timer turn;
--- a/src/coursejunction/daemon/node.cpp
+++ b/src/coursejunction/daemon/node.cpp
@@ -251,6 +251,8 @@
 
     void offer(configuration next)
     {
+        if (view.diverges_from(next))
+            return restorer.diverged(std::move(next));
         const bool was_ready = view.ready();
         const bool newer = view.offer(std::move(next));
         if (newer)
--- a/tests/control/configuration_writer.cpp
+++ b/tests/control/configuration_writer.cpp
@@ -1,5 +1,6 @@
 #include "coursejunction/control/configuration_writer.hpp"
 
+#include <array>
 #include <deque>
 
 #include <catch2/catch.hpp>
@@ -403,3 +404,51 @@
         }
     }
 }
+
+TEST_CASE("no acknowledged change is lost with a copy", "[control]")
+{
+    rc::prop(
+        "all who restore agree, and hold every change that was accepted",
+        [](const std::vector<std::uint8_t>& steps)
+        {
+            constexpr std::size_t count = 3;
+            fake_store store;
+            std::array<cj::configuration_view, count> views;
+            std::vector<std::string> accepted;
+            for (const auto step : steps)
+            {
+                auto& view = views[step % count];
+                switch (step / count % 6)
+                {
+                case 0:
+                    store.take_copy();
+                    break;
+                case 1:
+                    store.restore();
+                    break;
+                case 2:
+                    view.offer(views[(step + 1) % count].current());
+                    break;
+                case 3:
+                    if (store.value.index != 0)
+                        view.offer(store.value.text).value();
+                    break;
+                default:
+                    accepted.push_back("d" + std::to_string(accepted.size()));
+                    view.offer(write(store, accepted.back(), view.current())
+                                   .end.value());
+                    break;
+                }
+            }
+            for (std::size_t at = 0; at < 2 * count; ++at)
+                views[at % count].offer(
+                    *restore(store, views[at % count].current()));
+            for (const auto& view : views)
+            {
+                RC_ASSERT(view.text() == views[0].text());
+                for (const auto& name : accepted)
+                    RC_ASSERT(view.current().find(cj::deployment_name(name)) !=
+                              nullptr);
+            }
+        });
+}
--- a/tests/session/test_configuration.py
+++ b/tests/session/test_configuration.py
@@ -168,6 +168,27 @@
         self.assertEqual((status, body.get("revision")), (200, 3), body)
         self.all_hold("kept", "lost", "next")
 
+    def test_a_change_made_by_who_knows_only_the_copy_is_joined(self):
+        self.write("kept")
+        self.key_value_copy()
+        self.lab.entries.pop("entry-south-1").kill()
+        self.lab.unregister("entry-south-1")
+        self.write("lost")
+        self.everywhere(2)
+        knowing = dict(self.lab.entries)
+        for one in knowing.values():
+            one.freeze()
+        self.key_value_restored()
+        self.lab.start_entry("entry-south-9", "south")
+        wait_for("ready", lambda: self.lab.dump(self.lab.entries["entry-south-9"])["ready"])
+        for at in (1, 2):
+            status, body = self.write(f"other-{at}", "entry-south-9")
+            self.assertEqual((status, body["revision"]), (200, at + 1))
+        for one in knowing.values():
+            one.wake()
+        self.all_hold("kept", "lost", "other-1", "other-2")
+        self.assertEqual(self.names(self.stored()), ["kept", "lost", "other-1", "other-2"])
+
     def test_a_change_at_an_index_that_was_given_out_before_is_seen(self):
         self.lose("lost-1", "lost-2")
         # Another instance, which then ends, writes the next change.
