A write that is in force is reported as accepted

Seen: an operator asked GET /v1/writes/ID for a change that had been accepted and was in force, and got 404 {"accepted": false}, after the key-value service had come back from a copy that lacks it.

Cause: find_write asked the service only, and took its silence on the id for the answer.

Evidence: test_a_write_that_the_service_lost_is_still_accepted failed on the code before ((404, False) != (200, True)) and passes with this change.

Ruled out: waiting until it is written again, which takes some seconds and depends on the service.

Why it works: what is in force was accepted, and the configuration in force carries the ids of its last writes. Only an id that is not among them is asked for at the service.

--- a/src/coursejunction/daemon/resource_api.cpp
+++ b/src/coursejunction/daemon/resource_api.cpp
@@ -390,9 +390,13 @@
               spec == nullptr ? json() : json::parse(spec->json())}});
     }
 
-    /*! @brief Says what became of a write, from the service itself. */
+    /*! @brief Says what became of a write. What is in force was accepted, also
+     * when the service has lost it since. */
     void find_write(const write_id& id, const reply_pointer& reply)
     {
+        const auto known = host.view().current().written(id);
+        if (known)
+            return send_accepted(id, *known, reply);
         host.key_values().read(
             configuration_key,
             [this, id, reply](const result<stored_value>& got)
@@ -407,13 +411,19 @@
                         reply, 404,
                         {{"write", id.value()}, {"accepted", false}});
                 host.adopt(stored.value());
-                internal::send_json(reply, 200,
-                                    {{"write", id.value()},
-                                     {"accepted", true},
-                                     {"revision", made->value()}});
+                send_accepted(id, *made, reply);
             });
     }
 
+    static void send_accepted(const write_id& id, revision made,
+                              const reply_pointer& reply)
+    {
+        internal::send_json(reply, 200,
+                            {{"write", id.value()},
+                             {"accepted", true},
+                             {"revision", made.value()}});
+    }
+
     // Status.
 
     void status(const std::vector<std::string>& parts,
--- a/tests/session/test_configuration.py
+++ b/tests/session/test_configuration.py
@@ -189,6 +189,16 @@
         self.all_hold("kept", "lost", "other-1", "other-2")
         self.assertEqual(self.names(self.stored()), ["kept", "lost", "other-1", "other-2"])
 
+    def test_a_write_that_the_service_lost_is_still_accepted(self):
+        self.write("kept")
+        self.key_value_copy()
+        _, body = self.write("lost")
+        self.everywhere(2)
+        self.key_value_restored()
+        status, _, text = call("GET", self.lab.entries["entry-south-0"].url + "/v1/writes/" + body["write"],
+                               headers=AUTH)
+        self.assertEqual((status, json.loads(text).get("accepted")), (200, True))
+
     def test_a_change_at_an_index_that_was_given_out_before_is_seen(self):
         self.lose("lost-1", "lost-2")
         # Another instance, which then ends, writes the next change.
