Watchers of an absent configuration wait

Seen: while the key-value service held no configuration (before the first write, or back from a copy of that time), the watchers of six entries called it 2,100 times a second, which is all the reads that it gives; some of their calls were refused, and all others of the system had to share what was left.

Cause: a watch waited above the index of the value, which is 0 for an absent key. Consul answers a query with index 0 at once.

Evidence: the stand-in held such a query and hid the fault; it now answers at once and counts indices from 1, as Consul does. With that, test_watchers_of_an_absent_configuration_wait failed on the code before ("not in 60 s: watchers", 4,199 reads in 2 s in a trial) and passes with this change (no read in 2 s).

Ruled out: a pause before each next call, which costs calls all the time and tells of the first write later.

Why it works: the service tells its index with the absent key, too (X-Consul-Index); a watch above that is held until the key is written.

--- a/src/coursejunction/control/configuration_writer.hpp
+++ b/src/coursejunction/control/configuration_writer.hpp
@@ -25,6 +25,9 @@
 {
     std::uint64_t index{0}; /*!< Index of the last change; 0 when absent. */
     std::string text;
+    /*! @brief Index that a watch waits above: of the service when the key is
+     * absent, since a watch above 0 is answered at once. */
+    std::uint64_t watched{0};
 };
 
 /*! @brief What became of one compare-and-swap. */
--- a/src/coursejunction/control/key_value_client.cpp
+++ b/src/coursejunction/control/key_value_client.cpp
@@ -1,5 +1,6 @@
 #include "coursejunction/control/key_value_client.hpp"
 
+#include <cstdlib>
 #include <random>
 
 #include <nlohmann/json.hpp>
@@ -63,14 +64,24 @@
     auto text = from_base64(one["Value"].get<std::string>());
     if (!text)
         return failure(text.error().kind, text.error().message);
-    return stored_value{one["ModifyIndex"].get<std::uint64_t>(),
-                        std::move(text.value())};
+    const auto index = one["ModifyIndex"].get<std::uint64_t>();
+    return stored_value{index, std::move(text.value()), index};
+}
+
+/*! @brief Returns the index of the service, 0 when it told none. */
+std::uint64_t service_index(const http_result& end)
+{
+    constexpr int decimal = 10;
+    const auto found = end.headers.find("x-consul-index");
+    return found == end.headers.end()
+               ? 0
+               : std::strtoull(found->second.c_str(), nullptr, decimal);
 }
 
 result<stored_value> read_result(const http_result& end)
 {
     if (end.reach == http_reach::answered && end.status == http_not_found)
-        return stored_value{};
+        return stored_value{0, {}, service_index(end)};
     if (!end.ok())
         return failure(error_kind::unavailable,
                        "key-value service: " + end.fault);
--- a/src/coursejunction/daemon/internal/configuration_watch.cpp
+++ b/src/coursejunction/daemon/internal/configuration_watch.cpp
@@ -68,7 +68,7 @@
         retry_watch = loop.after(watch_retry, [this] { watch(); });
         return;
     }
-    index = got.value().index;
+    index = got.value().watched;
     take(got.value());
     watch();
 }
--- a/standin/key_value.cpp
+++ b/standin/key_value.cpp
@@ -64,7 +64,7 @@
     {
         std::map<std::string, entry> entries;
         std::set<std::string> sessions;
-        std::uint64_t last{0};
+        std::uint64_t last{1};
     };
 
     static constexpr std::size_t max_value = std::size_t{1} << 20U;
@@ -168,13 +168,14 @@
         const auto index = request.parameter("index");
         const auto found = entries.find(key);
         const auto now = found == entries.end() ? 0 : found->second.index;
-        if (!index || std::stoull(*index) < now)
+        const auto above = index ? std::stoull(*index) : 0;
+        if (above == 0 || above < now)
         {
             ++reads;
             return send_entry(key, reply);
         }
         ++watched;
-        watches.push_back({key, std::stoull(*index), reply});
+        watches.push_back({key, above, reply});
         const auto wait = request.parameter("wait").value_or("10s");
         later.after(std::chrono::seconds(std::stol(wait)),
                     [this, reply] { end_watch(reply); });
@@ -277,7 +278,7 @@
     std::set<std::string> sessions;
     contents copy;
     std::vector<watch> watches;
-    std::uint64_t last{0};
+    std::uint64_t last{1};
     std::uint64_t reads{0};
     std::uint64_t writes{0};
     std::uint64_t watched{0};
--- a/tests/session/test_configuration.py
+++ b/tests/session/test_configuration.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import pathlib
+import time
 import unittest
 
 from support import LabCase, ask, call, wait_for
@@ -47,6 +48,15 @@
         self.everywhere(1)
         self.assertLessEqual(ask(self.lab.kv.url + "/counts")["watching"], 6)
 
+    def test_watchers_of_an_absent_configuration_wait(self):
+        wait_for("watchers", lambda: ask(self.lab.kv.url + "/counts")["watching"] == 2 * len(self.lab.halls))
+        counts = [ask(self.lab.kv.url + "/counts")]
+        time.sleep(2)
+        counts.append(ask(self.lab.kv.url + "/counts"))
+        self.assertEqual(counts[1]["reads"], counts[0]["reads"])
+        self.assertEqual(self.write("a")[0], 200)
+        self.everywhere(1)
+
     def test_an_answer_lost_after_the_write(self):
         ask(self.lab.kv.url + "/faults", {"lose_answers": 1})
         status, body = self.write("b")
