--- a/src/coursejunction/control/key_value_client.cpp
+++ b/src/coursejunction/control/key_value_client.cpp
@@ -1,5 +1,6 @@
 #include "coursejunction/control/key_value_client.hpp"
 
+#include <cstdlib>
 #include <random>
 
 #include <nlohmann/json.hpp>
@@ -17,6 +18,10 @@
 
 constexpr int http_not_found = 404;
 constexpr int http_too_many = 429;
+constexpr int http_internal_error = 500;
+
+/*! @brief What Consul answers to an acquire by a session that it lacks. */
+constexpr std::string_view invalid_session = "invalid session";
 
 /*! @brief Mean pause after a first failed try of a write; a read of a megabyte
  * takes 0.44 s over 24 Mbit/s. */
@@ -59,14 +64,24 @@
     auto text = from_base64(one["Value"].get<std::string>());
     if (!text)
         return failure(text.error().kind, text.error().message);
-    return stored_value{one["ModifyIndex"].get<std::uint64_t>(),
-                        std::move(text.value())};
+    const auto index = one["ModifyIndex"].get<std::uint64_t>();
+    return stored_value{index, std::move(text.value()), index};
+}
+
+/*! @brief Returns the index of the service, 0 when it told none. */
+std::uint64_t service_index(const http_result& end)
+{
+    constexpr int decimal = 10;
+    const auto found = end.headers.find("x-consul-index");
+    return found == end.headers.end()
+               ? 0
+               : std::strtoull(found->second.c_str(), nullptr, decimal);
 }
 
 result<stored_value> read_result(const http_result& end)
 {
     if (end.reach == http_reach::answered && end.status == http_not_found)
-        return stored_value{};
+        return stored_value{0, {}, service_index(end)};
     if (!end.ok())
         return failure(error_kind::unavailable,
                        "key-value service: " + end.fault);
@@ -78,6 +93,10 @@
     if (end.ok())
         return end.body.rfind("true", 0) == 0 ? swap_outcome::swapped
                                               : swap_outcome::lost_race;
+    if (end.reach == http_reach::answered &&
+        end.status == http_internal_error &&
+        end.body.find(invalid_session) != std::string::npos)
+        return swap_outcome::no_session;
     const bool refused =
         end.reach == http_reach::answered && end.status == http_too_many;
     if (refused || end.reach == http_reach::not_sent)
--- a/tests/session/test_configuration.py
+++ b/tests/session/test_configuration.py
@@ -1,7 +1,9 @@
 """Accepted means in force everywhere, and it never goes back."""
 
+import base64
 import json
 import pathlib
+import time
 import unittest
 
 from support import LabCase, ask, call, wait_for
@@ -15,7 +17,9 @@
             "placements": [{"hall": "north", "count": 1}], **more}
 
 
-class Configuration(LabCase):
+class EntriesCase(LabCase):
+    """Two entries in each hall."""
+
     def setUp(self):
         super().setUp()
         for hall in self.lab.halls:
@@ -36,12 +40,23 @@
             if one.running():
                 wait_for(f"revision {revision}", lambda one=one: self.lab.dump(one)["revision"] >= revision)
 
+
+class Configuration(EntriesCase):
     def test_a_change_reaches_everybody_with_few_watchers(self):
         status, body = self.write("a")
         self.assertEqual(status, 200)
         self.everywhere(1)
         self.assertLessEqual(ask(self.lab.kv.url + "/counts")["watching"], 6)
 
+    def test_watchers_of_an_absent_configuration_wait(self):
+        wait_for("watchers", lambda: ask(self.lab.kv.url + "/counts")["watching"] == 2 * len(self.lab.halls))
+        counts = [ask(self.lab.kv.url + "/counts")]
+        time.sleep(2)
+        counts.append(ask(self.lab.kv.url + "/counts"))
+        self.assertEqual(counts[1]["reads"], counts[0]["reads"])
+        self.assertEqual(self.write("a")[0], 200)
+        self.everywhere(1)
+
     def test_an_answer_lost_after_the_write(self):
         ask(self.lab.kv.url + "/faults", {"lose_answers": 1})
         status, body = self.write("b")
@@ -121,6 +136,91 @@
         self.assertEqual(subprocess.run([binary("coursejunctiond"), "--check", str(good)]).returncode, 0)
 
 
+class OlderCopy(EntriesCase):
+    """The key-value service comes back without what it has acknowledged."""
+
+    key = "/v1/kv/coursejunction/configuration"
+
+    def stored(self):
+        return json.loads(base64.b64decode(ask(self.lab.kv.url + self.key)[0]["Value"]))
+
+    def names(self, configuration):
+        return sorted(one["name"] for one in configuration["deployments"])
+
+    def all_hold(self, *names):
+        for one in self.lab.entries.values():
+            wait_for(f"{names} in force", lambda one=one: self.names(self.lab.dump(one)["configuration"]) == list(names))
+
+    def lose(self, *names):
+        """The service acknowledges changes, which are in force, and loses them."""
+        self.write("kept")
+        self.key_value_copy()
+        for name in names:
+            self.assertEqual(self.write(name)[0], 200)
+        self.everywhere(1 + len(names))
+        wait_for("watchers", lambda: ask(self.lab.kv.url + "/counts")["watching"] == 2 * len(self.lab.halls))
+        self.key_value_restored()
+
+    def test_what_the_service_lost_is_written_again(self):
+        self.lose("lost")
+        wait_for("written again", lambda: self.names(self.stored()) == ["kept", "lost"], 20)
+        # All that knew it end: what lasts lies in the service.
+        for name, one in list(self.lab.entries.items()):
+            one.kill()
+            self.lab.unregister(name)
+        self.lab.entries.clear()
+        self.lab.start_entry("entry-north-9", "north")
+        self.all_hold("kept", "lost")
+
+    def test_the_next_change_is_accepted(self):
+        self.lose("lost")
+        status, body = self.write("next")
+        self.assertEqual((status, body.get("revision")), (200, 3), body)
+        self.all_hold("kept", "lost", "next")
+
+    def test_a_change_made_by_who_knows_only_the_copy_is_joined(self):
+        self.write("kept")
+        self.key_value_copy()
+        self.lab.entries.pop("entry-south-1").kill()
+        self.lab.unregister("entry-south-1")
+        self.write("lost")
+        self.everywhere(2)
+        knowing = dict(self.lab.entries)
+        for one in knowing.values():
+            one.freeze()
+        self.key_value_restored()
+        self.lab.start_entry("entry-south-9", "south")
+        wait_for("ready", lambda: self.lab.dump(self.lab.entries["entry-south-9"])["ready"])
+        for at in (1, 2):
+            status, body = self.write(f"other-{at}", "entry-south-9")
+            self.assertEqual((status, body["revision"]), (200, at + 1))
+        for one in knowing.values():
+            one.wake()
+        self.all_hold("kept", "lost", "other-1", "other-2")
+        self.assertEqual(self.names(self.stored()), ["kept", "lost", "other-1", "other-2"])
+
+    def test_a_write_that_the_service_lost_is_still_accepted(self):
+        self.write("kept")
+        self.key_value_copy()
+        _, body = self.write("lost")
+        self.everywhere(2)
+        self.key_value_restored()
+        status, _, text = call("GET", self.lab.entries["entry-south-0"].url + "/v1/writes/" + body["write"],
+                               headers=AUTH)
+        self.assertEqual((status, json.loads(text).get("accepted")), (200, True))
+
+    def test_a_change_at_an_index_that_was_given_out_before_is_seen(self):
+        self.lose("lost-1", "lost-2")
+        # Another instance, which then ends, writes the next change.
+        text = self.lab.dump(self.lab.entries["entry-north-0"])["configuration"]
+        text["deployments"] = [one for one in text["deployments"] if one["name"] != "kept"]
+        text["revision"] += 1
+        text["writes"].append(["other", text["revision"]])
+        call("PUT", self.lab.kv.url + self.key, json.dumps(text))
+        for one in self.lab.entries.values():
+            wait_for("in force", lambda one=one: self.names(self.lab.dump(one)["configuration"]) == ["lost-1", "lost-2"], 6)
+
+
 class RegionCut(LabCase):
     """A region cut off serves itself."""
 
