Soak: a store that comes back from an older copy; late writes of version names

Cause: no stand-in named Store-Era or lost what it had acknowledged, so that nothing guarded what processes know across eras. Off by default; runs without these switches draw as before.

--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -27,6 +27,11 @@
     return f"/newest/{number}/"
 
 
+def newest_key(number):
+    """A key that only one configuration has."""
+    return f"key-{number}"
+
+
 def newest_route(number):
     """A route that only one configuration has."""
     return {"name": "newest", "hostname": "a.example", "pathPrefix": newest_path(number),
--- a/tests/soak/knowledge.py
+++ b/tests/soak/knowledge.py
@@ -52,13 +52,16 @@
             return "tells no state"
         if state["mirror_revision"] < self.revision:
             return f"is at revision {state['mirror_revision']}, not {self.revision}"
+        if state["mirror_revision"] > self.soak.store.revision:
+            return f"is at revision {state['mirror_revision']}, which the store does not have"
         if one not in self.soak.entries:
             return None
         held = {name.partition("/")[2] for name in self.soak.store.items}
         unknown = self.records & held - {known["id"] for known in state["upstreams"]}
         if unknown:
             return f"does not know {sorted(unknown)}"
-        if self.soak.rate and await self.soak.ask_newest(one) in (404, None):
+        newest = self.soak.rate or self.soak.judges_acknowledged
+        if newest and await self.soak.ask_newest(one) in (404, None):
             return f"has no route of configuration {self.soak.configuration}"
         return None
 
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -6,7 +6,9 @@
 import base64
 import hashlib
 import json
+import socket
 import time
+import typing
 import urllib.parse
 
 MODEL = "tutor"
@@ -82,39 +84,108 @@
             writer.close()
 
 
+class Copy(typing.NamedTuple):
+    """The store as it was at a moment."""
+
+    at: float
+    revision: int
+    items: dict
+    history: list
+    forgotten: int
+    leases: list
+
+
 class Store(Server):
-    """Keys with revisions, ranges and watches."""
+    """Keys with revisions, ranges and watches; it can come back from an older copy."""
+
+    COPIES_S = 6.0  # For how long copies are kept.
 
     def __init__(self, host):
         super().__init__(host, 0)
         self.revision = 1
+        self.era = 1
         self.items = {}
         self.history = []
         self.forgotten = 0
         self.fault = "none"
-        self.leases = 0
+        self.leases = []  # Whether each lease that was given out still runs.
         self.changed = asyncio.Condition()
+        self.copies = None
+        self.present = asyncio.Event()
+        self.present.set()
 
     async def put(self, key, value):
         await self.put_bytes(key, json.dumps(value).encode())
 
-    async def put_bytes(self, key, value, lease=0):
+    async def put_bytes(self, key, value):
+        """Returns when the write is acknowledged; waits while the store is away."""
+        await self.present.wait()
+        self.set_item(key, value, 0)
+        await self.tell()
+
+    async def remove(self, key):
+        await self.present.wait()
+        if self.remove_item(key):
+            await self.tell()
+
+    def set_item(self, key, value, lease):
         self.revision += 1
         payload = base64.b64encode(value).decode()
         self.items[key] = {"keyFile": key, "payload": payload, "revision": self.revision,
                            "created": self.revision, "leaseId": lease}
-        await self.tell(dict(self.items[key]))
+        self.history.append(dict(self.items[key]))
 
-    async def remove(self, key):
-        if self.items.pop(key, None):
-            self.revision += 1
-            await self.tell({"keyFile": key, "revision": self.revision, "compacted": True})
+    def remove_item(self, key):
+        if not self.items.pop(key, None):
+            return False
+        self.revision += 1
+        self.history.append({"keyFile": key, "revision": self.revision, "compacted": True})
+        return True
 
-    async def tell(self, event):
-        self.history.append(event)
+    async def tell(self):
+        if self.copies is not None:
+            self.take_copy()
         async with self.changed:
             self.changed.notify_all()
 
+    def holds(self, key, value):
+        held = self.items.get(key)
+        return held is not None and base64.b64decode(held["payload"]) == json.dumps(value).encode()
+
+    def take_copy(self):
+        """Copies are taken from the first call on."""
+        now = asyncio.get_running_loop().time()
+        kept = self.copies or []
+        while len(kept) > 1 and kept[1].at < now - self.COPIES_S:
+            kept.pop(0)
+        self.copies = kept + [Copy(now, self.revision, dict(self.items), list(self.history),
+                                   self.forgotten, list(self.leases))]
+
+    async def rewind(self, away, age, keeps_leases):
+        """Goes away, and comes back as it was before.
+        age: of the copy, when the store goes away.
+        keeps_leases: whether the leases that the copy knows still run."""
+        asked = asyncio.get_running_loop().time() - age
+        copy = max((one for one in self.copies if one.at <= asked), key=lambda one: one.at,
+                   default=self.copies[0])
+        self.present.clear()
+        await self.stop()
+        # The port stays taken, so that calls are refused and nobody else gets it.
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind((self.host, self.port))
+        await asyncio.sleep(away)
+        self.era += 1
+        self.revision, self.forgotten = copy.revision, copy.forgotten
+        self.leases = [runs and keeps_leases for runs in copy.leases]
+        self.items = {key: one for key, one in copy.items.items()
+                      if not one["leaseId"] or self.leases[one["leaseId"] - 1]}
+        self.history = list(copy.history)
+        self.copies = []
+        self.take_copy()
+        self.listener = await asyncio.start_server(self.serve, sock=held)
+        self.present.set()
+
     def listed_bytes(self):
         """What a listing of every key takes, its frame not counted."""
         return sum(len(one["payload"]) for one in self.items.values())
@@ -125,6 +196,14 @@
         self.reset_all()
 
     async def handle(self, method, target, headers, body, writer):
+        era = self.era
+        made = await self.answered(method, target, body)
+        if self.era != era or not self.present.is_set():
+            writer.transport.abort()
+            return None
+        return made.replace(b"\r\n", f"\r\nStore-Era: {era}\r\n".encode(), 1)
+
+    async def answered(self, method, target, body):
         parts = urllib.parse.urlsplit(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(parts.query).items()}
         if self.fault == "busy":
@@ -132,7 +211,10 @@
         if self.fault == "silent":
             await asyncio.sleep(30)
         if self.fault == "slow":
+            era = self.era
             await asyncio.sleep(0.3)
+            if self.era != era or not self.present.is_set():
+                return answer(503)  # It is not sent; the store left meanwhile.
         if parts.path == "/kv-range":
             after = query.get("after", "")
             keys = sorted(k for k in self.items if k > after)
@@ -146,7 +228,7 @@
         after = int(query["after"])
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.forgotten:
+            if after < self.forgotten or after > self.revision:
                 return answer(410)
             events = [one for one in self.history if one["revision"] > after]
             left = deadline - asyncio.get_running_loop().time()
@@ -161,8 +243,8 @@
     async def write(self, path, asked):
         """What the processes may write; runs are shorter than any lease."""
         if path == "/kv-lease":
-            self.leases += 1
-            return json_answer(200, {"leaseId": self.leases, "ttlMs": asked["ttlMs"]})
+            self.leases.append(True)
+            return json_answer(200, {"leaseId": len(self.leases), "ttlMs": asked["ttlMs"]})
         if path != "/kv-txn":
             return answer(404)
         keys = [one["keyFile"] for one in asked["write"]] + asked["remove"]
@@ -172,12 +254,14 @@
             held = self.items.get(one["keyFile"], {"revision": 0})
             if held["revision"] != one["revision"]:
                 return json_answer(412, {"entries": [held]})
+        leases = [one["leaseId"] for one in asked["write"]]
+        if not all(0 < one <= len(self.leases) and self.leases[one - 1] for one in leases):
+            return answer(404)
         for one in asked["write"]:
-            if not 0 < one["leaseId"] <= self.leases:
-                return answer(404)
-            await self.put_bytes(one["keyFile"], base64.b64decode(one["payload"]), one["leaseId"])
+            self.set_item(one["keyFile"], base64.b64decode(one["payload"]), one["leaseId"])
         for key in asked["remove"]:
-            await self.remove(key)
+            self.remove_item(key)
+        await self.tell()
         return json_answer(200, {"revision": self.revision})
 
 
@@ -289,6 +373,7 @@
         self.begun = []
         self.crashed = []  # When a request ended it.
         self.away = False
+        self.draining = False
         self.notice = None  # What it says of itself in its answers.
 
     @property
@@ -304,6 +389,7 @@
         """A new life under the same id, without weights or orders."""
         self.born = max(self.born + 1, int(time.time() * 1000))
         self.version, self.sequence, self.ordered, self.notice = 0, 0, False, None
+        self.draining = False
         self.reset_all()
 
     async def end_under_request(self):
@@ -377,7 +463,7 @@
         version = self.version
         if headers.get("x-coursejunction-expect-instance") != self.id or not version:
             return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
-        self.begun.append((asyncio.get_running_loop().time(), asked, version))
+        self.begun.append((asyncio.get_running_loop().time(), asked, version, self.id))
         if body == CRASHING:
             await self.end_under_request()
             return None
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,10 @@
                                        other writers spoil records
     soak.py ... --crashing         a request that ends its engines comes again and again
     soak.py ... --notices          upstreams say that they leave, rest, or take few requests
+    soak.py ... --rewinds N        the store goes away N times and comes back from an older copy, while
+                                       configurations change and engines drain
+    soak.py ... --late-writes N    after the faults, the name of an older version is written again N
+                                       times, at times followed by the end of all processes
     soak.py ... --suspending       instances are suspended: their steady clocks stand for a while
     soak.py ... --crashing --wide        its copies come to all entries at once, also for plain services
     soak.py ... --crashing --blackout    all entries lose power at once while its copies come
@@ -33,19 +37,23 @@
 import sys
 import tempfile
 
-from configuration import LARGE_ROUTES, least_and_most_large, newest_path, newest_route, plain_rules
+from acknowledged import Acknowledged
+from configuration import (
+    LARGE_ROUTES, least_and_most_large, newest_key, newest_path, newest_route, plain_rules)
 from crashing import judge_bystanders, judge_crashes, lose_all_entries, send_copies, send_copies_widely
 from knowledge import Knowledge, fetch, judge_rest
 from links import HallLink, Proxy
 from notices import give_notices, judge_notices
 from platform_standin import MODEL, Engine, Origin, Service, Store
 from process import LATE_S, Daemon, free_port
+from rewinds import change_configurations, drain_engines, play_late_writes, play_rewinds
 from standstills import Standstills, stand_still
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HALLS = ["north", "south", "east", "west", "middle"]
 SETTLE_S = 36.0  # After the last fault: several versions' time of 8 s and a restart.
 TEAR_DOWN_S = 10.0
+HEARTBEAT_S = 1.2
 DISTURBED_S = 5.0
 STANDSTILLS = 5
 BETWEEN_STANDSTILLS_S = 0.002  # Less than a process needs to tell its state.
@@ -63,7 +71,8 @@
         self.rate = asked.link * 1e6 / 8
         # What happens at a moment that the processes choose must not change the
         # faults; kept seeds of runs without links were drawn from one dice.
-        self.noise = random.Random(seed + 1) if self.rate else self.dice
+        self.judges_acknowledged = bool(asked.rewinds or asked.late_writes)
+        self.noise = random.Random(seed + 1) if self.rate or self.judges_acknowledged else self.dice
         self.halls, self.links, self.large = HALLS[:asked.halls], {}, 0
         if self.rate:
             self.draw_links()
@@ -72,9 +81,11 @@
         self.log = open(self.dir / "log", "wb")
         self.breaks, self.counts, self.faults, self.tasks = [], {}, [], []
         self.answers, self.standstills = {}, Standstills()
+        self.acknowledged, self.told = Acknowledged(self), {}
+        self.lapsing, self.silent = {}, {}  # Records, each until when.
         self.notices, self.sent_to, self.disturbed = [], {}, {}
         self.version, self.configuration, self.number = 1, 1, 0
-        self.stopping, self.blackout = False, None
+        self.stopping, self.calm, self.blackout = False, False, None
 
     def broken(self, promise, what):
         self.breaks.append(f"{promise}: {what}")
@@ -107,8 +118,10 @@
             proxy = Proxy(one.host, one.address)
             await proxy.start()
             self.fronts[one] = proxy
-        await self.store.put("op/config", self.rules())
+        await self.change_rules(0)
         await self.tell_upstreams()
+        if self.asked.rewinds:
+            self.store.take_copy()
         # Every process listens there, each at its own host.
         hosts = [f"127.0.1.{at + 1}" for at in range(self.asked.entries)]
         port = free_port(*hosts, *(one.host for one in self.engines))
@@ -145,8 +158,10 @@
 
     def rules(self):
         rules = plain_rules(self.configuration, self.origin.address(), HALLS[0])
-        if self.rate:
+        if self.rate or self.judges_acknowledged:
             rules["routes"] += [newest_route(self.configuration), *LARGE_ROUTES[:self.large]]
+        if self.judges_acknowledged:
+            rules["tenants"][0]["apiKeys"].append(newest_key(self.configuration))
         return rules
 
     async def tell_upstreams(self):
@@ -155,22 +170,29 @@
         for at, one in enumerate(self.engines):
             wanted[f"servers/{one.id}"] = {
                 "service": "llm", "address": self.fronts[one].address(), "zone": self.hall(at),
-                "slots": 16, "state": "ready", "modelList": one.model_list(), **self.told_alike(one)}
+                "slots": 16, "state": "draining" if one.draining else "ready",
+                "modelList": one.model_list(), **self.told_alike(one)}
         for at, one in enumerate(self.services):
             wanted[f"servers/{one.id}"] = {"service": "plain", "address": one.address(),
                                            "zone": self.hall(at), "slots": 8, "state": "ready",
                                            **self.told_alike(one)}
+        clock = asyncio.get_running_loop().time
         for key in [key for key in self.store.items if key.startswith("servers/")]:
-            if key not in wanted:
+            await self.store.present.wait()
+            if key not in wanted and self.lapsing.get(key, 0) <= clock():
                 await self.store.remove(key)
+        self.told = {key: value for key, value in self.told.items() if key in wanted}
         for key, value in wanted.items():
-            if getattr(self, "told", {}).get(key) != value:
+            await self.store.present.wait()
+            if self.told.get(key) != value and self.silent.get(key, 0) <= clock():
                 await self.store.put(key, value)
-        self.told = wanted
+                self.told[key] = value
+                self.acknowledged.record(key, value)
 
-    @staticmethod
-    def told_alike(one):
-        return {"version": "v1", "coldRemainingMs": 0, "sequence": 1, "born": one.born}
+    def told_alike(self, one):
+        """With rewinds heartbeats count, so that a copy lacks many revisions."""
+        beats = asyncio.get_running_loop().time() / HEARTBEAT_S if self.asked.rewinds else 0
+        return {"version": "v1", "coldRemainingMs": 0, "sequence": 1 + int(beats), "born": one.born}
 
     async def keep_records(self):
         while not self.stopping:
@@ -230,10 +252,14 @@
 
     async def ask_newest(self, entry):
         """Returns the status of a request on the newest route, if it is answered."""
+        return await self.ask_single(entry, f"{newest_path(self.configuration)}x", "key")
+
+    async def ask_single(self, entry, path, key):
         self.number += 1
         asked = f"{self.seed:x}-{self.number:x}"
-        lines = [f"POST {newest_path(self.configuration)}x HTTP/1.1", "Host: a.example",
-                 "Connection: close", "Authorization: Token key", f"X-Coursejunction-Attempt-Id: {asked}",
+        self.sent_to[asked] = entry.name
+        lines = [f"POST {path} HTTP/1.1", "Host: a.example", "Connection: close",
+                 f"Authorization: Token {key}", f"X-Coursejunction-Attempt-Id: {asked}",
                  "X-Coursejunction-Deadline-Ms: 2000", "Content-Length: 2"]
         try:
             status, _ = await asyncio.wait_for(
@@ -293,6 +319,7 @@
         one = self.dice.choice(self.entries + self.sides)
         if kind in ("kill", "stop", "pause", "suspend"):
             self.disturbed.setdefault(one.name, []).append(asyncio.get_running_loop().time())
+        trouble = self.acknowledged.begin(kind, one.name)
         if kind == "kill":
             await one.stop(signal.SIGKILL)
         elif kind == "stop":
@@ -330,9 +357,7 @@
         elif kind == "origin":
             await self.spoil(self.origin, self.dice.choice(["down", "spoilt"]), length)
         elif kind == "version":
-            self.version += 1
-            await self.store.put(f"op/version/{MODEL}",
-                                 {"modelId": MODEL, "version": self.version})
+            await self.name_version()
         elif kind == "rules":
             await self.change_rules(self.dice.randint(1, 3))
         elif kind == "large":
@@ -345,6 +370,7 @@
             self.store.forget()
         elif kind == "reset":
             self.dice.choice(list(self.fronts.values()) + list(self.proxies.values())).reset_all()
+        trouble.end = asyncio.get_running_loop().time()
         self.faults.remove(kind)
 
     def disturbed_since(self, name, moment):
@@ -363,7 +389,17 @@
 
     async def change_rules(self, step):
         self.configuration += step
+        number = self.configuration
         await self.store.put("op/config", self.rules())
+        self.acknowledged.configuration(number)
+
+    async def name_version(self):
+        self.version += 1
+        await self.write_version(self.version)
+
+    async def write_version(self, number):
+        await self.store.put(f"op/version/{MODEL}", {"modelId": MODEL, "version": number})
+        self.acknowledged.version(number)
 
     async def grow_rules(self, dice):
         """Many routes come in a few steps, and the usual changes go on after them."""
@@ -399,10 +435,19 @@
             self.tasks.append(asyncio.create_task(give_notices(self)))
         if self.asked.blackout:
             self.tasks.append(asyncio.create_task(lose_all_entries(self)))
+        if self.judges_acknowledged:
+            self.tasks += [asyncio.create_task(one) for one in (
+                change_configurations(self), drain_engines(self), self.acknowledged.ask())]
+        if self.asked.rewinds:
+            self.tasks.append(asyncio.create_task(play_rewinds(self, self.asked.rewinds)))
         end = asyncio.get_running_loop().time() + self.seconds
         while asyncio.get_running_loop().time() < end:
             self.tasks.append(asyncio.create_task(self.fault()))
-            await asyncio.sleep(self.dice.uniform(0.1, 0.9))
+            # What is acknowledged binds after a while without faults only.
+            await asyncio.sleep(self.dice.uniform(0.1, 0.9) * (4 if self.judges_acknowledged else 1))
+        self.calm = True
+        if self.asked.late_writes:
+            await play_late_writes(self, self.asked.late_writes)
         if self.asked.standstill:
             self.tasks.append(asyncio.create_task(self.stand_still_while_judged()))
         await self.settle()
@@ -480,12 +525,13 @@
                 self.broken("twice", f"{asked} ran {count} times")
             if single and status in (408, 421, 429, 503):
                 self.broken("refused", f"{asked} ran and got {status}")
-        begun = {asked for one in self.engines for _, asked, _ in one.begun}
+        begun = {asked for one in self.engines for _, asked, *_ in one.begun}
         for asked, (status, single) in self.answers.items():
             if not single and status in (408, 421, 429, 503) and asked in begun:
                 self.broken("refused", f"{asked} began and got {status}")
         judge_crashes(self)
         judge_notices(self)
+        self.acknowledged.judge()
         for one in self.engines:
             if one.wrong_weights:
                 self.broken("whole", f"partial or mixed weights: {one.wrong_weights}")
@@ -530,6 +576,8 @@
     parser.add_argument("--reborn", action="store_true")
     parser.add_argument("--crashing", action="store_true")
     parser.add_argument("--notices", action="store_true")
+    parser.add_argument("--rewinds", type=int, default=0)
+    parser.add_argument("--late-writes", type=int, default=0)
     parser.add_argument("--suspending", action="store_true")
     parser.add_argument("--wide", action="store_true")
     parser.add_argument("--blackout", action="store_true")
