Soak: late writes beside a lost origin, lost engines and the end of all

Change: origins may be away while versions are named, and engines may crash or lose power after the late write. Versions are also named beside rewinds.

--- a/tests/soak/rewinds.py
+++ b/tests/soak/rewinds.py
@@ -60,13 +60,16 @@
             await soak.write_version(soak.version)
 
 
-async def change_configurations(soak):
-    dice = random.Random(f"{soak.seed} configurations")
-    soak.faults.append("configurations")
+async def give_orders(soak):
+    """Configurations change, and at times new versions are named."""
+    dice = random.Random(f"{soak.seed} orders")
+    soak.faults.append("orders")
     while not soak.calm:
         await soak.change_rules(dice.randint(1, 4))
+        if dice.random() < 0.15:
+            await soak.name_version()
         await asyncio.sleep(dice.uniform(0.3, 4))
-    soak.faults.remove("configurations")
+    soak.faults.remove("orders")
 
 
 async def drain_engines(soak):
@@ -77,6 +80,7 @@
         await asyncio.sleep(dice.uniform(0.5, 3))
         engine = dice.choice(soak.engines)
         life, left = engine.born, dice.uniform(4, 8)
+        soak.count("drain")
         engine.draining = True
         while left > 0 and engine.born == life:
             await asyncio.sleep(0.1)
@@ -94,20 +98,30 @@
         await asyncio.sleep(0.1)
     for _ in range(count):
         soak.count("fault late write")
+        if dice.random() < 0.5:
+            soak.tasks.append(asyncio.create_task(
+                soak.spoil(soak.origin, "down", dice.uniform(1, 6))))
         await soak.name_version()
         older = soak.version
         await asyncio.sleep(dice.uniform(0.3, 1.5))
         await soak.name_version()
         await asyncio.sleep(dice.uniform(0.5, 3))
         await soak.store.put(f"op/version/{MODEL}", {"modelId": MODEL, "version": older})
-        if dice.random() < 0.6:
-            await asyncio.sleep(dice.uniform(0, 3))
+        await asyncio.sleep(dice.uniform(0, 3))
+        ends = dice.choice(["none", "all", "all"])
+        if ends == "all":
             await end_all(soak)
+        lives = dice.choice(["go on", "crash", "lose power"])
+        soak.count(f"late write: {ends} end, engines {lives}")
+        for engine in soak.engines if lives != "go on" else []:
+            if lives == "crash":
+                engine.crash()
+            else:
+                engine.lose_power()
         await asyncio.sleep(VERSION_S + dice.uniform(2, 5))
 
 
 async def end_all(soak):
-    soak.count("fault end of all")
     everyone = soak.entries + soak.sides
     troubles = [soak.acknowledged.begin("kill", one.name) for one in everyone]
     await asyncio.gather(*(one.stop(signal.SIGKILL) for one in everyone))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,7 +46,7 @@
 from notices import give_notices, judge_notices
 from platform_standin import MODEL, Engine, Origin, Service, Store
 from process import LATE_S, Daemon, free_port
-from rewinds import change_configurations, drain_engines, play_late_writes, play_rewinds
+from rewinds import drain_engines, give_orders, play_late_writes, play_rewinds
 from standstills import Standstills, stand_still
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -437,7 +437,7 @@
             self.tasks.append(asyncio.create_task(lose_all_entries(self)))
         if self.judges_acknowledged:
             self.tasks += [asyncio.create_task(one) for one in (
-                change_configurations(self), drain_engines(self), self.acknowledged.ask())]
+                give_orders(self), drain_engines(self), self.acknowledged.ask())]
         if self.asked.rewinds:
             self.tasks.append(asyncio.create_task(play_rewinds(self, self.asked.rewinds)))
         end = asyncio.get_running_loop().time() + self.seconds
