Soak: rewinds lose more than heartbeats bring back at once; drains follow closer

Change: other writers' changes may be lost with a rewind as well; engines begin to drain more often. The wait after a late write runs from the newer name.

--- a/tests/soak/rewinds.py
+++ b/tests/soak/rewinds.py
@@ -5,12 +5,13 @@
 import random
 import signal
 
-from acknowledged import VERSION_S
+from acknowledged import CONTACT_S, SOON_S, VERSION_S
 from platform_standin import MODEL
 
 AWAY_S = (0.2, 2.0)
 COPY_AGE_S = (1.0, 5.0)
 AGAIN_S = (0.3, 1.3)  # Records are written up to 0.2 s after that.
+MOST_LOST = 60  # Writes of others, beside heartbeats, that the copy lacks.
 LAPSE_S = 3.6  # Three heartbeats that did not come.
 
 
@@ -26,6 +27,8 @@
 
 async def rewind(soak, dice):
     soak.count("fault rewind")
+    for at in range(dice.choice([0, dice.randint(1, MOST_LOST)])):
+        await soak.store.put("other/writer", at)
     trouble = soak.acknowledged.begin("rewind", None)
     await soak.store.rewind(dice.uniform(*AWAY_S), dice.uniform(*COPY_AGE_S), dice.random() < 0.5)
     trouble.end = asyncio.get_running_loop().time()
@@ -77,9 +80,9 @@
     dice = random.Random(f"{soak.seed} drains")
     soak.faults.append("drains")
     while not soak.calm:
-        await asyncio.sleep(dice.uniform(0.5, 3))
+        await asyncio.sleep(dice.uniform(0.2, 1.5))
         engine = dice.choice(soak.engines)
-        life, left = engine.born, dice.uniform(4, 8)
+        life, left = engine.born, dice.uniform(4, 7)
         soak.count("drain")
         engine.draining = True
         while left > 0 and engine.born == life:
@@ -105,6 +108,7 @@
         older = soak.version
         await asyncio.sleep(dice.uniform(0.3, 1.5))
         await soak.name_version()
+        named = asyncio.get_running_loop().time()
         await asyncio.sleep(dice.uniform(0.5, 3))
         await soak.store.put(f"op/version/{MODEL}", {"modelId": MODEL, "version": older})
         await asyncio.sleep(dice.uniform(0, 3))
@@ -118,7 +122,8 @@
                 engine.crash()
             else:
                 engine.lose_power()
-        await asyncio.sleep(VERSION_S + dice.uniform(2, 5))
+        bound = named + VERSION_S + SOON_S + dice.uniform(1, 3)
+        await asyncio.sleep(max(bound - asyncio.get_running_loop().time(), CONTACT_S + 1))
 
 
 async def end_all(soak):
