--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -255,7 +255,8 @@
             if held["revision"] != one["revision"]:
                 return json_answer(412, {"entries": [held]})
         leases = [one["leaseId"] for one in asked["write"]]
-        if not all(0 < one <= len(self.leases) and self.leases[one - 1] for one in leases):
+        # 0 is no lease: the key stays.
+        if not all(one == 0 or (0 < one <= len(self.leases) and self.leases[one - 1]) for one in leases):
             return answer(404)
         for one in asked["write"]:
             self.set_item(one["keyFile"], base64.b64decode(one["payload"]), one["leaseId"])
