Test waits for the record of a version in place of a time

Found by the review, by reading: with a slow first write the record of version 3 could come after the 0.7 s that the test waited.

--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -144,6 +144,23 @@
         return holds_soon([&] { return made->view().newest("m") == version; });
     }
 
+    /*! @brief Waits until the store's record of versions has a newest one. */
+    [[nodiscard]] bool has_kept(const proxy_test::stored_keys& keys,
+                                std::uint64_t version)
+    {
+        const auto key = cj::version_record_key("m");
+        return holds_soon(
+            [&]
+            {
+                const auto found = keys.items.find(key);
+                if (found == keys.items.end())
+                    return false;
+                const auto kept =
+                    cj::read_version_record(key, found->second.payload);
+                return kept && kept.value().newest == version;
+            });
+    }
+
     /*! @brief Returns the number of the configuration in force; 0 for none. */
     [[nodiscard]] std::uint64_t configuration()
     {
@@ -224,8 +241,9 @@
         before.change([&] { keys.write("named/m", "3"); });
         REQUIRE(before.learns(3));
 
+        REQUIRE(before.has_kept(keys, 3));
+
         // A write whose answer was lost is done once more.
-        std::this_thread::sleep_for(500ms);
         before.change([&] { keys.write("named/m", "2"); });
         std::this_thread::sleep_for(200ms);
         CHECK(before.newest() == 3);
