Values that stand from earlier eras are counted at a change, not at each heartbeat

Each heartbeat sent and heard went through all 3,000 values of the mirror to count those of earlier eras. Change: store_mirror keeps the count and makes it anew after a listing, and after changes only while values stand or one of an earlier era comes. Tests: fleet/store_mirror on carried values, as before; 89 cases of fleet, core, proxy, platform, daemon passed.

--- a/src/coursejunction/fleet/store_mirror.hpp
+++ b/src/coursejunction/fleet/store_mirror.hpp
@@ -81,6 +81,7 @@
                                    store_position complete_to, time_point now)
     {
         std::vector<std::string> changed;
+        bool older = false;
         for (const auto& one : changes)
         {
             // The mirror is whole up to its position: a key that it does not
@@ -90,8 +91,12 @@
                                   !(one.era < upto.era && stands(one.key));
             if (!outdated && put(one, now))
                 changed.push_back(one.key);
+            older = older || one.era < upto.era;
         }
+        const bool crosses = complete_to.era > upto.era;
         upto = std::max(upto, complete_to);
+        if (older || crosses || standing > 0)
+            count_standing();
         return changed;
     }
 
@@ -122,6 +127,7 @@
             changed.push_back(key);
         }
         upto = std::max(upto, as_of);
+        count_standing();
         return changed;
     }
 
@@ -162,15 +168,17 @@
     [[nodiscard]] store_position position() const noexcept { return upto; }
 
     /*! @brief Returns how many values stand from earlier eras of the store. */
-    [[nodiscard]] std::uint32_t carried() const
+    [[nodiscard]] std::uint32_t carried() const noexcept { return standing; }
+
+private:
+    void count_standing()
     {
-        return static_cast<std::uint32_t>(std::count_if(
+        standing = static_cast<std::uint32_t>(std::count_if(
             values.begin(), values.end(),
             [&](const auto& one)
             { return !one.second.removed && one.second.era < upto.era; }));
     }
 
-private:
     [[nodiscard]] bool stands(const std::string& key) const
     {
         return rules.stands && rules.stands(key);
@@ -261,6 +269,7 @@
     item_rules rules;
     std::map<std::string, mirrored_value> values;
     store_position upto;
+    std::uint32_t standing{0}; /*!< Values of earlier eras. */
 };
 
 } // namespace coursejunction
