A name of a version that is written anew without rising is logged

What tells a name that was overwritten between two reads from one that was never written is this alone. No decision goes by it yet.

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -223,10 +223,17 @@
             return unreadable(key, value, read.error().message);
         const auto& named = read.value();
         const auto known = newest(named.model);
-        targets.try_emplace({named.model, named.version}, value.learnt);
+        const bool repeated =
+            !targets.try_emplace({named.model, named.version}, value.learnt)
+                 .second;
         log::state("version_named", {{"model", named.model},
                                      {"version", std::to_string(named.version)},
                                      {"revision", value.position().text()}});
+        if (repeated && named.version == known)
+            log::warning("version_name_repeated",
+                         {{"model", named.model},
+                          {"version", std::to_string(named.version)},
+                          {"revision", value.position().text()}});
         if (named.version < known)
             log::warning("version_name_went_back",
                          {{"model", named.model},
