Test that fails: a version that was overwritten before any entry read it

An entry that starts, and one that lives, read version 2 in the store; version 3 was named, acknowledged and overwritten before a read. The origin of weights knows it.

--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include "net/loopback.hpp"
 #include "proxy/entry_on_loopback.hpp"
+#include "proxy/memory_origin.hpp"
 #include "proxy/memory_store.hpp"
 
 namespace cj = coursejunction;
@@ -37,6 +38,14 @@
     {
         cj::installation made;
         made.version = std::stoull(payload);
+        cj::service_profile service;
+        service.name = cj::service_name("s");
+        service.origin = "origin";
+        service.engine = cj::engine_profile{};
+        service.engine->models = {"m"};
+        service.engine->chunks = proxy_test::origin_chunks;
+        service.engine->chunk_bytes = proxy_test::origin_chunk_bytes;
+        made.services[service.name] = service;
         return made;
     }
     static cj::result<cj::upstream_record> upstream(const std::string& key,
@@ -75,6 +84,7 @@
     using store = proxy_test::memory_store;
     using catalogue = plain_catalogue;
     using codec = proxy_test::plain_codec;
+    using origin = proxy_test::memory_origin;
 };
 
 /*! @brief An entry process that reads and writes a store. */
@@ -252,6 +262,39 @@
     CHECK(after.learns(3));
 }
 
+SCENARIO("a version that was overwritten before any entry read it is known",
+         "[proxy]")
+{
+    proxy_test::named_versions named;
+    named.name("m", 3);
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+
+    SECTION("when the entry starts after that")
+    {
+        keys.write("named/m", "2");
+        entry_process entry(keys, 1);
+        CHECK(entry.learns(3));
+        CHECK(entry.has_kept(keys, 3));
+    }
+    SECTION("when the entry lives and its watch shows the last write only")
+    {
+        named.name("m", 2);
+        keys.write("named/m", "2");
+        entry_process entry(keys, 1);
+        REQUIRE(entry.learns(2));
+        entry.change(
+            [&]
+            {
+                named.name("m", 3);
+                keys.write("named/m", "3");
+                keys.write("named/m", "2");
+            });
+        CHECK(entry.learns(3));
+        CHECK(entry.has_kept(keys, 3));
+    }
+}
+
 SCENARIO("news of a store that came back from an older copy are not missed",
          "[proxy]")
 {
