Entries ask the origin of weights which version was named last

Cause: what is read of a key is taken for all that was written to it. The name of a model's version is one value; version 3 was overwritten by the late write of version 2 while no watch was answered, so that nobody read it. The records that entries keep in the store hold what somebody has read.

Change: the origin answers a question without a version with the newest that was named, and a late write of the store does not reach it. Entries ask it: the one of rank r every (r + 1)^2 seconds, sooner after a gap in what was heard, after a name that was written anew without rising, and at their start; with manifests so large that one a second takes more than 0.5 % of the origin's link, less often. What the store does not show a second later is taken as named, written into the record, and told in the heartbeats of entries until the record shows it. A version counts as named when it was told, or one second after the origin told none newer, whichever is first. An answer is not believed where it is older, more than 1,000 ahead, or its weights do not fit the model.

The alarms: a warning and a gauge where the store names an older version than the newest known, and where nobody serves a version that binds.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -175,6 +175,9 @@
         return age.behind_for(copy.position(), now);
     }
 
+    /*! @brief Returns how often changes of the store may have been missed. */
+    [[nodiscard]] std::uint64_t gaps() const { return reader.gaps(); }
+
     [[nodiscard]] const store_mirror& mirror() const { return copy; }
     [[nodiscard]] Store& service() { return store; }
     [[nodiscard]] const peer_directory& peers() const { return directory; }
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -153,6 +153,44 @@
         return bound;
     }
 
+    /*! @brief Takes a version that the store does not show.
+     * @param known When it was named, at the earliest. */
+    void told(const std::string& model, std::uint64_t version, time_point known)
+    {
+        if (!targets.try_emplace({model, version}, known).second)
+            return;
+        log::state("version_told",
+                   {{"model", model}, {"version", std::to_string(version)}});
+    }
+
+    /*! @brief Returns the newest version that a name or a record of the store
+     * tells; 1 when none does. */
+    [[nodiscard]] std::uint64_t stored(const std::string& model) const
+    {
+        const auto name = named.find(model);
+        const auto record = kept.find(model);
+        return std::max({std::uint64_t{1},
+                         name == named.end() ? 0 : name->second,
+                         record == kept.end() ? 0 : record->second});
+    }
+
+    /*! @brief Returns what the store names now, by model; 1 for a model that
+     * only others tell of. */
+    [[nodiscard]] std::map<std::string, std::uint64_t> named_in_store() const
+    {
+        std::map<std::string, std::uint64_t> made = named;
+        for (const auto& [key, known] : targets)
+            made.try_emplace(key.first, 1);
+        return made;
+    }
+
+    /*! @brief Tells, once, whether a name was written anew without rising:
+     * another one may have been written and overwritten in between. */
+    [[nodiscard]] bool take_repeated_names()
+    {
+        return std::exchange(repeated, false);
+    }
+
     /*! @brief Returns when a version was named, as far as is known. */
     [[nodiscard]] time_point named_at(const std::string& model,
                                       std::uint64_t version) const
@@ -221,23 +259,27 @@
         const auto read = catalogue::version(value.payload);
         if (!read)
             return unreadable(key, value, read.error().message);
-        const auto& named = read.value();
-        const auto known = newest(named.model);
-        const bool repeated =
-            !targets.try_emplace({named.model, named.version}, value.learnt)
-                 .second;
-        log::state("version_named", {{"model", named.model},
-                                     {"version", std::to_string(named.version)},
-                                     {"revision", value.position().text()}});
-        if (repeated && named.version == known)
+        const auto& target = read.value();
+        const auto known = newest(target.model);
+        const auto [before, first] =
+            named.try_emplace(target.model, target.version);
+        const bool rises = first || target.version > before->second;
+        repeated = repeated || !rises;
+        before->second = target.version;
+        targets.try_emplace({target.model, target.version}, value.learnt);
+        log::state("version_named",
+                   {{"model", target.model},
+                    {"version", std::to_string(target.version)},
+                    {"revision", value.position().text()}});
+        if (!rises && target.version == known)
             log::warning("version_name_repeated",
-                         {{"model", named.model},
-                          {"version", std::to_string(named.version)},
+                         {{"model", target.model},
+                          {"version", std::to_string(target.version)},
                           {"revision", value.position().text()}});
-        if (named.version < known)
+        if (target.version < known)
             log::warning("version_name_went_back",
-                         {{"model", named.model},
-                          {"version", std::to_string(named.version)},
+                         {{"model", target.model},
+                          {"version", std::to_string(target.version)},
                           {"known", std::to_string(known)},
                           {"revision", value.position().text()}});
     }
@@ -250,6 +292,8 @@
         const auto& record = read.value();
         if (record.newest > 0)
             targets.try_emplace({record.model, record.newest}, value.learnt);
+        auto& newest_kept = kept[record.model];
+        newest_kept = std::max(newest_kept, record.newest);
         auto& least = bound[record.model];
         least = std::max(least, record.binding);
         log::state("version_record_read",
@@ -274,6 +318,9 @@
     std::size_t refused{0};
     std::map<std::pair<std::string, std::uint64_t>, time_point> targets;
     std::map<std::string, std::uint64_t> bound;
+    std::map<std::string, std::uint64_t> named; /*!< By the store's names. */
+    std::map<std::string, std::uint64_t> kept;  /*!< By its records. */
+    bool repeated{false}; /*!< A name was written anew without rising. */
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/fleet/fwd.hpp
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -32,6 +32,11 @@
 struct version_record;
 template <typename Store>
 class version_keeper;
+class inquiry_schedule;
+struct offered_version;
+struct unheard_version;
+class lasting_condition;
+struct version_alarms;
 
 } // namespace coursejunction
 
--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -117,6 +117,10 @@
         return busy && !up && !listing;
     }
 
+    /*! @brief Returns how often changes may have been missed: only the last
+     * write of each key is seen after a gap. */
+    [[nodiscard]] std::uint64_t gaps() const noexcept { return missed; }
+
     /*! @brief Tells whether an outage of the store ended just now. */
     [[nodiscard]] bool returned(time_point now) const
     {
@@ -200,6 +204,7 @@
         if (now_at.era < called_at.era)
             return failed("watch", "an earlier era of the store");
         forgotten = called_at;
+        ++missed;
         log::warning("store_era_changed",
                      {{"before", called_at.text()}, {"now", now_at.text()}});
         counters.count("store_eras_total");
@@ -214,6 +219,7 @@
         // One of the hall lists the store anew; those whose mirror it brings
         // past this revision watch on from there.
         forgotten = mirror.position();
+        ++missed;
         log::warning("store_history_gone", {{"revision", forgotten.text()}});
         busy = false;
         up = false;
@@ -227,6 +233,7 @@
         const auto now = event_loop::now();
         busy = false;
         up = false;
+        ++missed;
         outage.failed(now);
         turns.failed(now);
         counters.count("store_failures_total", 1, {{"call", call}});
@@ -306,6 +313,7 @@
     bool busy{false};           /*!< A call or a pause of the watch runs. */
     bool listing{false};        /*!< The call lists the whole store. */
     std::size_t gone_in_row{0}; /*!< Watches whose history was gone. */
+    std::uint64_t missed{0};    /*!< Gaps in what was heard. */
 };
 
 } // namespace coursejunction
--- /dev/null
+++ b/src/coursejunction/fleet/version_inquiry.hpp
@@ -0,0 +1,214 @@
+/*! @file
+ * @brief Asks a second source which version of a model was named last: what is
+ * overwritten in the platform's store before anybody reads it is known there.
+ */
+#ifndef COURSEJUNCTION_FLEET_VERSION_INQUIRY_HPP
+#define COURSEJUNCTION_FLEET_VERSION_INQUIRY_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/core/result.hpp"
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/fleet/inquiry_schedule.hpp"
+#include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/fleet/version_record.hpp"
+#include "coursejunction/fleet/version_source.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief A model whose newest version is asked for, and what is known of it.
+ */
+struct versioned_model
+{
+    std::string name;
+    std::uint64_t newest{1}; /*!< Named, as far as is known otherwise. */
+    std::size_t chunks{0};
+    std::size_t chunk_bytes{0};
+};
+
+/*! @brief A version that only the second source told. */
+struct unheard_version
+{
+    std::string model;
+    std::uint64_t version{0};
+    time_point named_at{}; /*!< As far as is known. */
+};
+
+/*! @brief Keeps asking, one question at a time.
+ * @tparam Source A `Version_source`. */
+template <Version_source Source>
+class version_inquiry
+{
+public:
+    /*! @brief A version that the source tells is usually on its way from the
+     * store as well; after this long it is not. */
+    static constexpr milliseconds hearing_time{1000};
+
+    /*! @brief A version counts as named when it was told, but no later than
+     * this after the source told none newer: where it could not be asked for
+     * long, most of the time until the version binds may be over. */
+    static constexpr milliseconds most_unsure{1000};
+
+    /*! @param told Takes versions that nobody reads in the store.
+     * @param seed Another one for each entry. */
+    version_inquiry(Source& asked, metrics& counted, std::uint32_t seed,
+                    std::function<void(const unheard_version&)> told)
+        : source(asked), counters(counted), number(seed), news(std::move(told))
+    {
+    }
+
+    /*! @brief What was read of the store may be incomplete. */
+    void doubt(const std::string& why, time_point now)
+    {
+        log::state("version_doubted", {{"why", why}});
+        for (auto& [model, one] : models)
+            one.schedule.doubt(now);
+    }
+
+    /*! @brief Asks when it is this entry's turn, and tells what nobody reads
+     * in the store.
+     * @param from The service that is the source.
+     * @param rank How many entries come before this one. */
+    void consider(const service_profile& from, const versioned_model& model,
+                  std::size_t rank, time_point now)
+    {
+        auto& one = known(model.name, now);
+        one.model = model;
+        tell(one, now);
+        if (asking || !one.schedule.due(rank, now))
+            return;
+        one.schedule.asked(now);
+        asking = true;
+        source.newest(from.origin, model.name,
+                      [this, now, name = model.name, rate = from.origin_rate](
+                          const result<offered_version>& answer)
+                      { answered(models.at(name), now, rate, answer); });
+    }
+
+private:
+    struct model_state
+    {
+        inquiry_schedule schedule;
+        versioned_model model;
+        /*! @brief When the source told nothing newer than what was known; at
+         * first, when this process began to ask. */
+        time_point confirmed_at{};
+        std::optional<std::uint64_t> told; /*!< Newer, not in the store yet. */
+        time_point told_at{};
+        std::uint64_t offered{0}; /*!< By the last answer. */
+        std::string fault;        /*!< Of the last answer, logged once. */
+    };
+
+    model_state& known(const std::string& model, time_point now)
+    {
+        const auto found = models.find(model);
+        if (found != models.end())
+            return found->second;
+        model_state made{inquiry_schedule(number), {}, now, {}, {}, 0, {}};
+        made.schedule.doubt(now);
+        return models.emplace(model, std::move(made)).first->second;
+    }
+
+    /*! @brief Tells a version that did not come from the store either. */
+    void tell(model_state& one, time_point now)
+    {
+        if (!one.told || now - one.told_at < hearing_time)
+            return;
+        const auto version = *std::exchange(one.told, std::nullopt);
+        if (version <= one.model.newest)
+            return;
+        counters.count("versions_unheard_total");
+        log::warning("version_unheard",
+                     {{"model", one.model.name},
+                      {"version", std::to_string(version)},
+                      {"known", std::to_string(one.model.newest)}});
+        news({one.model.name, version,
+              std::min(one.told_at, one.confirmed_at + most_unsure)});
+    }
+
+    void answered(model_state& one, time_point asked_at, byte_rate rate,
+                  const result<offered_version>& answer)
+    {
+        asking = false;
+        const auto fault = fault_of(answer, one.model);
+        note(one, fault);
+        if (!fault.empty())
+            return;
+        const auto& offer = answer.value();
+        one.schedule.answered(offer.answer_bytes, rate);
+        note_offer(one, offer.version);
+        if (offer.version <= one.model.newest)
+        {
+            one.confirmed_at = asked_at;
+            return;
+        }
+        if (!one.told)
+            one.told_at = event_loop::now();
+        one.told = offer.version;
+    }
+
+    /*! @brief Returns why an answer is not believed; empty when it is. A
+     * source that tells less than is known takes nothing back. */
+    [[nodiscard]] static std::string
+    fault_of(const result<offered_version>& answer,
+             const versioned_model& model)
+    {
+        if (!answer)
+            return answer.error().message;
+        const auto& offer = answer.value();
+        const auto told = std::to_string(offer.version);
+        if (offer.version < model.newest)
+            return "older than what was named: " + told;
+        if (!follows_closely(model.newest, offer.version))
+            return "absurd version: " + told;
+        if (offer.chunks != model.chunks ||
+            offer.chunk_bytes != model.chunk_bytes)
+            return "its weights do not fit the model";
+        return {};
+    }
+
+    /*! @brief Counts an answer, and logs a fault that begins. */
+    void note(model_state& one, const std::string& fault)
+    {
+        counters.count("version_inquiries_total", 1,
+                       {{"result", fault.empty() ? "answered" : "refused"}});
+        if (fault != one.fault && !fault.empty())
+            log::warning("version_source_refused",
+                         {{"model", one.model.name},
+                          {"known", std::to_string(one.model.newest)},
+                          {"why", fault}});
+        one.fault = fault;
+    }
+
+    static void note_offer(model_state& one, std::uint64_t version)
+    {
+        if (std::exchange(one.offered, version) == version)
+            return;
+        log::state("version_offered",
+                   {{"model", one.model.name},
+                    {"version", std::to_string(version)},
+                    {"known", std::to_string(one.model.newest)}});
+    }
+
+    Source& source;
+    metrics& counters;
+    std::uint32_t number;
+    std::function<void(const unheard_version&)> news;
+    std::map<std::string, model_state> models;
+    bool asking{false};
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/fleet/version_record.hpp
+++ b/src/coursejunction/fleet/version_record.hpp
@@ -18,6 +18,18 @@
 /*! @brief Keys of these items begin so; the model follows. */
 inline constexpr std::string_view version_record_prefix = "version/";
 
+/*! @brief How far a version may be ahead of the newest that the operator's
+ * name in the store tells, where somebody else tells it: a number that was
+ * spoilt would bind for good. */
+inline constexpr std::uint64_t farthest_step = 1000;
+
+/*! @brief Tells whether a version may be believed after a known one. */
+[[nodiscard]] constexpr bool follows_closely(std::uint64_t known,
+                                             std::uint64_t version) noexcept
+{
+    return version <= known || version - known <= farthest_step;
+}
+
 /*! @brief What is known of a model's versions. Both only rise. */
 struct version_record
 {
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -19,12 +19,12 @@
 #include "coursejunction/fleet/fleet_view.hpp"
 #include "coursejunction/fleet/quarantine_item.hpp"
 #include "coursejunction/fleet/quarantine_keeper.hpp"
-#include "coursejunction/fleet/version_keeper.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/proxy/exchange_service.hpp"
 #include "coursejunction/proxy/refusal_news.hpp"
+#include "coursejunction/proxy/version_controller.hpp"
 
 namespace coursejunction
 {
@@ -45,7 +45,7 @@
 };
 
 /*! @brief Serves callers.
- * @tparam Platform Names the `store`, `catalogue` and `codec`. */
+ * @tparam Platform Names the `store`, `catalogue`, `codec` and `origin`. */
 template <typename Platform>
 class gateway
 {
@@ -151,8 +151,8 @@
                     options.exchange),
           keeper(owner, peers.service(), peers.mirror(), counted,
                  seed_of(peers)),
-          versions(owner, peers.service(), peers.mirror(), counted,
-                   seed_of(peers))
+          versions(owner, peers, fleet, exchanges.floors(), counted,
+                   options.version_time, seed_of(peers))
     {
     }
 
@@ -227,53 +227,12 @@
                         {"removed", one.removed ? "true" : "false"},
                         {"lapse", lapse ? "true" : "false"}});
         }
-        auto& floors = exchanges.floors();
-        for (const auto& [key, named] : fleet.versions())
-        {
-            const auto& [model, version] = key;
-            if (before == nullptr && version == fleet.newest(model))
-                floors.found(model, version, named, options.version_time);
-        }
-        for (const auto& [key, named] : fleet.versions())
-            floors.name(key.first, key.second, named, options.version_time);
-        for (const auto& [model, version] : fleet.binding())
-            floors.binds(model, version);
-        judge_found_versions();
+        versions.read(before == nullptr, now);
         if (fleet.rules() != before)
             configure();
         name_sides();
     }
 
-    /*! @brief A version that was found at the start binds once most upstreams
-     * serve it. */
-    void judge_found_versions()
-    {
-        for (const auto& [key, named] : fleet.versions())
-        {
-            const auto& [model, version] = key;
-            if (exchanges.floors().found_only(model, version) &&
-                served_by_most(model, version))
-                exchanges.floors().served_by_most(model, version);
-        }
-    }
-
-    [[nodiscard]] bool served_by_most(const std::string& model,
-                                      std::uint64_t version) const
-    {
-        std::size_t all = 0;
-        std::size_t newest = 0;
-        for (const auto& [id, one] : fleet.upstreams())
-        {
-            const auto weights = one.weights.find(model);
-            if (weights == one.weights.end() || weights->second == 0)
-                continue;
-            ++all;
-            if (weights->second >= version)
-                ++newest;
-        }
-        return newest > 0 && 2 * newest >= all;
-    }
-
     /*! @brief Takes in quarantines that the store keeps. They come with the
      * configuration: an entry that has just started knows them before it takes
      * a request. */
@@ -367,6 +326,7 @@
                 exchanges.sent_away_elsewhere(refusal_of(told, now), now);
             for (const auto& told : one.terms)
                 exchanges.notices().told(told, from, now);
+            versions.heard(one.versions, now);
             return exchanges.crashing().take(one.crashes, from);
         }
         take_status(from, one.upstream, now);
@@ -400,10 +360,13 @@
         return !leaving;
     }
 
-    /*! @brief Adds what this entry's callers ask to a heartbeat. */
+    /*! @brief Adds what this entry's callers ask to a heartbeat, and versions
+     * that the store does not show. */
     void describe(message::fleet_heartbeat& into) const
     {
-        const auto rates = exchanges.rates(event_loop::now());
+        const auto now = event_loop::now();
+        const auto rates = exchanges.rates(now);
+        into.versions = versions.told(now);
         into.load.asked = static_cast<float>(rates.asked);
         into.load.refused = static_cast<float>(rates.refused);
         into.load.demanded = static_cast<float>(rates.demanded);
@@ -454,23 +417,9 @@
         exchanges.outdated(node.behind_for(now) >= outdated_time);
         book.entries(entries);
         share_engines(now);
+        versions.tick(!leaving, now);
         if (leaving)
-            return go_on_stopping(now);
-        keep_versions(now);
-    }
-
-    /*! @brief Has the store keep which versions were named and which bind: an
-     * entry that starts alone knows neither otherwise. */
-    void keep_versions(time_point now)
-    {
-        for (const auto& [named, known] : fleet.versions())
-        {
-            const auto& [model, version] = named;
-            const auto binding = exchanges.floors().least_known(model, now);
-            versions.know({model, std::max(version, binding), binding});
-        }
-        versions.consider(
-            node.peers().entries_before(node.settings().address, now), now);
+            go_on_stopping(now);
     }
 
     void go_on_stopping(time_point now)
@@ -499,7 +448,7 @@
     fleet_view<Platform> fleet;
     exchange_service<codec> exchanges;
     quarantine_keeper<typename Platform::store> keeper;
-    version_keeper<typename Platform::store> versions;
+    version_controller<Platform> versions;
     std::unique_ptr<stream_server> callers;
     std::unique_ptr<stream_server> readiness;
     std::function<void()> stopped;
--- /dev/null
+++ b/src/coursejunction/proxy/version_controller.hpp
@@ -0,0 +1,254 @@
+/*! @file
+ * @brief What an entry does about named versions: from when on each binds, what
+ * the store has to keep, whom else to ask, and what operators have to see.
+ */
+#ifndef COURSEJUNCTION_PROXY_VERSION_CONTROLLER_HPP
+#define COURSEJUNCTION_PROXY_VERSION_CONTROLLER_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/fleet/fleet_node.hpp"
+#include "coursejunction/fleet/fleet_view.hpp"
+#include "coursejunction/fleet/told_versions.hpp"
+#include "coursejunction/fleet/version_alarm.hpp"
+#include "coursejunction/fleet/version_inquiry.hpp"
+#include "coursejunction/fleet/version_keeper.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/route/version_floor.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Acts for one entry.
+ * @tparam Platform Names the `store`, `catalogue` and `origin`. */
+template <typename Platform>
+class version_controller
+{
+public:
+    using node_type = fleet_node<typename Platform::store>;
+    using view_type = fleet_view<Platform>;
+    using origin_type = typename Platform::origin;
+
+    /*! @param allowed How long after its naming older weights may begin
+     * requests.
+     * @param seed Another one for each entry. */
+    version_controller(event_loop& owner, node_type& peers, view_type& known,
+                       version_floor& bounds, metrics& counted,
+                       milliseconds allowed, std::uint32_t seed)
+        : node(peers), fleet(known), floors(bounds), counters(counted),
+          version_time(allowed),
+          keeper(owner, peers.service(), peers.mirror(), counted, seed),
+          origin(peers.client()),
+          inquiry(origin, counted, seed,
+                  [this](const unheard_version& one) { take_unheard(one); })
+    {
+    }
+
+    /*! @brief Keys of the store were read.
+     * @param first Nothing was known before. */
+    void read(bool first, time_point now)
+    {
+        for (const auto& [key, named] : fleet.versions())
+        {
+            const auto& [model, version] = key;
+            if (first && version == fleet.newest(model))
+                floors.found(model, version, named, version_time);
+        }
+        bind();
+        if (fleet.take_repeated_names())
+            inquiry.doubt("named again without rising", now);
+    }
+
+    /*! @brief Takes what a peer was told of versions that the store lacks. */
+    void heard(const std::vector<message::told_version>& told, time_point now)
+    {
+        if (take_told(fleet, told, now))
+            bind();
+    }
+
+    /*! @brief Returns what the store does not show, for other processes. */
+    [[nodiscard]] std::vector<message::told_version> told(time_point now) const
+    {
+        return versions_to_tell(fleet, now);
+    }
+
+    /*! @brief Called often; `takes_part` is false while this entry stops. */
+    void tick(bool takes_part, time_point now)
+    {
+        watch(now);
+        if (!takes_part)
+            return;
+        const auto rank =
+            node.peers().entries_before(node.settings().address, now);
+        keep(rank, now);
+        ask(rank, now);
+    }
+
+private:
+    /*! @brief How often the alarms are looked at. */
+    static constexpr milliseconds alarm_interval{1000};
+
+    void bind()
+    {
+        for (const auto& [key, named] : fleet.versions())
+            floors.name(key.first, key.second, named, version_time);
+        for (const auto& [model, version] : fleet.binding())
+            floors.binds(model, version);
+        judge_found();
+    }
+
+    /*! @brief A version that was found at the start binds once most upstreams
+     * serve it. */
+    void judge_found()
+    {
+        for (const auto& [key, named] : fleet.versions())
+        {
+            const auto& [model, version] = key;
+            if (floors.found_only(model, version) &&
+                served_by_most(model, version))
+                floors.served_by_most(model, version);
+        }
+    }
+
+    [[nodiscard]] bool served_by_most(const std::string& model,
+                                      std::uint64_t version) const
+    {
+        const auto count = serving(model, version);
+        return count.newest > 0 && 2 * count.newest >= count.all;
+    }
+
+    struct serving_count
+    {
+        std::size_t all{0};    /*!< Serve any version of the model. */
+        std::size_t newest{0}; /*!< Serve at least the one asked for. */
+    };
+
+    [[nodiscard]] serving_count serving(const std::string& model,
+                                        std::uint64_t version) const
+    {
+        serving_count made;
+        for (const auto& [id, one] : fleet.upstreams())
+        {
+            const auto weights = one.weights.find(model);
+            if (weights == one.weights.end() || weights->second == 0)
+                continue;
+            ++made.all;
+            if (weights->second >= version)
+                ++made.newest;
+        }
+        return made;
+    }
+
+    /*! @brief Has the store keep which versions were named and which bind: an
+     * entry that starts alone knows neither otherwise. */
+    void keep(std::size_t rank, time_point now)
+    {
+        for (const auto& [named, known] : fleet.versions())
+        {
+            const auto& [model, version] = named;
+            const auto binding = floors.least_known(model, now);
+            keeper.know({model, std::max(version, binding), binding});
+        }
+        keeper.consider(rank, now);
+    }
+
+    void ask(std::size_t rank, time_point now)
+    {
+        const auto gaps = node.gaps();
+        if (gaps != gaps_seen)
+            inquiry.doubt("a gap in what was heard of the store", now);
+        gaps_seen = gaps;
+        const auto* rules = fleet.rules();
+        const auto* from = rules != nullptr ? rules->origin() : nullptr;
+        if (from == nullptr)
+            return;
+        for (const auto& [name, service] : rules->services)
+        {
+            if (service.engine)
+                ask(*from, *service.engine, rank, now);
+        }
+    }
+
+    void ask(const service_profile& from, const engine_profile& engine,
+             std::size_t rank, time_point now)
+    {
+        for (const auto& model : engine.models)
+            inquiry.consider(
+                from,
+                {model, fleet.newest(model), engine.chunks, engine.chunk_bytes},
+                rank, now);
+    }
+
+    void take_unheard(const unheard_version& one)
+    {
+        fleet.told(one.model, one.version, one.named_at);
+        bind();
+        node.announce();
+    }
+
+    void watch(time_point now)
+    {
+        if (now - watched_at < alarm_interval)
+            return;
+        watched_at = now;
+        for (const auto& [model, version] : fleet.named_in_store())
+            watch(model, version, now);
+    }
+
+    void watch(const std::string& model, std::uint64_t named, time_point now)
+    {
+        const auto newest = fleet.newest(model);
+        const auto known_at = fleet.named_at(model, newest);
+        const bool binds = floors.least(model, now) >= newest;
+        const bool unserved =
+            newest > 1 && binds && serving(model, newest).newest == 0;
+        auto& one = alarms[model];
+        report("version_name_outdated", model, named,
+               one.outdated.note(named < newest, now));
+        report("version_unserved", model, named,
+               one.unserved.note(unserved, known_at + version_time));
+        counters.set("version_name_outdated_seconds",
+                     to_seconds(one.outdated.lasts(now)), {{"model", model}});
+        counters.set("version_unserved_seconds",
+                     to_seconds(one.unserved.lasts(now)), {{"model", model}});
+    }
+
+    void report(const std::string& what, const std::string& model,
+                std::uint64_t named, lasting_condition::change change) const
+    {
+        if (change == lasting_condition::change::none)
+            return;
+        const auto newest = std::to_string(fleet.newest(model));
+        const auto name = std::to_string(named);
+        if (change == lasting_condition::change::began)
+            log::warning(
+                what, {{"model", model}, {"named", name}, {"newest", newest}});
+        else
+            log::state(what + "_ended",
+                       {{"model", model}, {"named", name}, {"newest", newest}});
+    }
+
+    node_type& node;
+    view_type& fleet;
+    version_floor& floors;
+    metrics& counters;
+    milliseconds version_time;
+    version_keeper<typename Platform::store> keeper;
+    origin_type origin;
+    version_inquiry<origin_type> inquiry;
+    std::uint64_t gaps_seen{0};
+    time_point watched_at{};
+    std::map<std::string, version_alarms> alarms;
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/fleet/fleet_node.hpp"
 #include "coursejunction/fleet/fleet_view.hpp"
+#include "coursejunction/fleet/told_versions.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/rollout/agent_state.hpp"
@@ -582,7 +583,11 @@
     void heard(const std::string& from, const message::fleet_heartbeat& one)
     {
         if (one.entry)
+        {
+            if (take_told(fleet, one.versions, event_loop::now()))
+                decide();
             return;
+        }
         for (const auto& [version, transfer] : transfers)
             transfer->peer_lives(instance_id(from));
         for (const auto& told : one.chunks)
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -146,6 +146,22 @@
     }
 };
 
+/*! @brief A named version that the platform's store does not show. */
+struct told_version
+{
+    /*! @brief Bytes on the wire; a run longer than the message is refused. */
+    static constexpr std::size_t least_bytes = 16;
+    std::string model;
+    std::uint64_t version{0};
+    std::uint32_t age_ms{0}; /*!< Since its naming, at most. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(model, version, age_ms);
+    }
+};
+
 /*! @brief Datagram between any two processes of an installation. */
 struct fleet_heartbeat
 {
@@ -174,6 +190,7 @@
     std::vector<crash_record> crashes;    /*!< Of an entry. */
     std::vector<refused_caller> refusals; /*!< Of an entry, new ones. */
     std::vector<upstream_terms> terms;    /*!< Of an entry, new ones. */
+    std::vector<told_version> versions;   /*!< Of an entry; seldom any. */
 
     template <typename Archive>
     void serialize(Archive& archive)
@@ -182,7 +199,7 @@
                 watching, fetching, probing, store_returned, store_distance,
                 entries);
         if (entry)
-            archive(load, digest, crashes, refusals, terms);
+            archive(load, digest, crashes, refusals, terms, versions);
         else
             archive(upstream, chunks);
     }
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -40,12 +40,15 @@
         made.version = std::stoull(payload);
         cj::service_profile service;
         service.name = cj::service_name("s");
-        service.origin = "origin";
         service.engine = cj::engine_profile{};
         service.engine->models = {"m"};
         service.engine->chunks = proxy_test::origin_chunks;
         service.engine->chunk_bytes = proxy_test::origin_chunk_bytes;
         made.services[service.name] = service;
+        cj::service_profile weights;
+        weights.name = cj::service_name("weights");
+        weights.origin = "origin";
+        made.services[weights.name] = weights;
         return made;
     }
     static cj::result<cj::upstream_record> upstream(const std::string& key,
