Versions that a watch tells before a later write are not dropped

A watch tells values as they were written. A page with version 3 and then a late version 2 of the same name went into the mirror, which keeps the last value, and only that was read: a version that the store had told was unknown, with the origin away for good. Configurations alike.

Change: values that a later one of the same page replaces are told to the role before the page is taken. A key that changes twice in a page is told once: the second telling counted as a name that was written anew without rising.

The test failed before (learns(3) and has_kept(3), each false after 2 s).

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -8,8 +8,10 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -55,6 +57,9 @@
     std::function<void(const std::vector<std::string>& keys,
                        bool store_returned)>
         changed;
+    /*! @brief A value that another one replaced before it was read; called
+     * before `changed` tells of the key. */
+    std::function<void(const message::mirror_item&)> overwritten;
     std::function<void(const std::string& from,
                        const message::fleet_heartbeat&)>
         heard;
@@ -543,9 +548,25 @@
         reader.consider(turn, event_loop::now());
     }
 
+    /*! @brief Tells the role of values that a later one of the page hides. */
+    void tell_overwritten(const store_mirror::items& items)
+    {
+        if (!hooks.overwritten)
+            return;
+        std::map<std::string_view, std::size_t> last;
+        for (std::size_t place = 0; place < items.size(); ++place)
+            last[items[place].key] = place;
+        for (std::size_t place = 0; place < items.size(); ++place)
+        {
+            if (last[items[place].key] != place && !items[place].removed)
+                hooks.overwritten(items[place]);
+        }
+    }
+
     void read_page(const store_page& page, bool whole)
     {
         const auto now = event_loop::now();
+        tell_overwritten(page.items);
         const auto era = copy.position().era;
         took(whole ? copy.replace(page.items, page.position, now)
                    : copy.apply(page.items, page.position, now),
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -163,6 +163,22 @@
                    {{"model", model}, {"version", std::to_string(version)}});
     }
 
+    /*! @brief Takes a value that a later one replaced before it was read: the
+     * mirror keeps the last one only. */
+    void pass(const message::mirror_item& one, time_point now)
+    {
+        mirrored_value value;
+        value.payload = one.payload;
+        value.revision = one.revision;
+        value.era = one.era;
+        value.learnt = now;
+        const auto kind = catalogue::kind(one.key);
+        if (kind == item_kind::version)
+            read_version(one.key, value);
+        else if (kind == item_kind::configuration)
+            read_configuration(one.key, value);
+    }
+
     /*! @brief Returns the newest version that a name or a record of the store
      * tells; 1 when none does. */
     [[nodiscard]] std::uint64_t stored(const std::string& model) const
--- a/src/coursejunction/fleet/store_mirror.hpp
+++ b/src/coursejunction/fleet/store_mirror.hpp
@@ -76,11 +76,12 @@
 
     /*! @brief Takes changes that complete the mirror up to a position of the
      * same era.
-     * @return The keys that changed. */
+     * @return The keys that changed, each once. */
     std::vector<std::string> apply(const items& changes,
                                    store_position complete_to, time_point now)
     {
         std::vector<std::string> changed;
+        std::set<std::string_view> seen;
         bool older = false;
         for (const auto& one : changes)
         {
@@ -89,7 +90,7 @@
             const bool outdated = one.position() <= upto &&
                                   !values.contains(one.key) &&
                                   !(one.era < upto.era && stands(one.key));
-            if (!outdated && put(one, now))
+            if (!outdated && put(one, now) && seen.insert(one.key).second)
                 changed.push_back(one.key);
             older = older || one.era < upto.era;
         }
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -74,6 +74,8 @@
         hooks.changed =
             [this](const std::vector<std::string>& keys, bool store_returned)
         { changed(keys, store_returned); };
+        hooks.overwritten = [this](const message::mirror_item& one)
+        { fleet.pass(one, event_loop::now()); };
         hooks.heard =
             [this](const std::string& from, const message::fleet_heartbeat& one)
         { heard(from, one); };
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -87,6 +87,8 @@
         fleet_hooks hooks;
         hooks.changed = [this](const std::vector<std::string>& keys, bool)
         { changed(keys); };
+        hooks.overwritten = [this](const message::mirror_item& one)
+        { fleet.pass(one, event_loop::now()); };
         hooks.heard =
             [this](const std::string& from, const message::fleet_heartbeat& one)
         { heard(from, one); };
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -298,6 +298,25 @@
     }
 }
 
+SCENARIO("a version that a watch tells before a later write is known",
+         "[proxy]")
+{
+    proxy_test::stored_keys keys;
+    keys.tells_history = true;
+    keys.write("configuration", "1");
+    keys.write("named/m", "2");
+    entry_process entry(keys, 1);
+    REQUIRE(entry.learns(2));
+    entry.change(
+        [&]
+        {
+            keys.write("named/m", "3");
+            keys.write("named/m", "2");
+        });
+    CHECK(entry.learns(3));
+    CHECK(entry.has_kept(keys, 3));
+}
+
 SCENARIO("news of a store that came back from an older copy are not missed",
          "[proxy]")
 {
--- a/tests/proxy/memory_store.hpp
+++ b/tests/proxy/memory_store.hpp
@@ -27,6 +27,7 @@
     void write(const std::string& key, const std::string& payload)
     {
         items[key] = {key, payload, ++revision, 0, false, {}, 0};
+        history.push_back(items[key]);
     }
 
     /*! @brief Comes back from an older copy: what was written since is gone,
@@ -39,8 +40,10 @@
     }
 
     std::map<std::string, cj::message::mirror_item> items;
+    std::vector<cj::message::mirror_item> history;
     std::uint64_t revision{0};
     std::uint64_t era{1};
+    bool tells_history{false}; /*!< Watches tell overwritten values as well. */
 };
 
 /*! @brief One process's access to the keys. */
@@ -114,10 +117,25 @@
                                             "no such revision"));
                 if (keys.revision <= after && cj::event_loop::now() < until)
                     return poll(after, until, done);
-                done(changed_after(after));
+                done(keys.tells_history ? written_after(after)
+                                        : changed_after(after));
             });
     }
 
+    [[nodiscard]] cj::store_page written_after(std::uint64_t after) const
+    {
+        cj::store_page page;
+        page.position = {keys.era, keys.revision};
+        for (const auto& item : keys.history)
+        {
+            if (item.revision <= after)
+                continue;
+            page.items.push_back(item);
+            page.items.back().era = keys.era;
+        }
+        return page;
+    }
+
     [[nodiscard]] cj::store_page changed_after(std::uint64_t after) const
     {
         cj::store_page page;
