One spoilt answer of the origin names no version

With one digit of its version changed an answer still fits the model, and one answer was enough: version 9 was known at every entry, in the record, and would have bound six seconds later, served by nobody.

Change: a newer version counts once two answers in a row tell it; one that tells none newer takes the first back.

A question that failed leaves the doubt in place, with pauses that double. Each model has its own question under way. What the store's record lacks after an era is told again. An entry that has read nothing takes no peer's word. Alarms count from when they are seen, and only for models of the configuration. A gauge tells for how long the source has not confirmed what is known.

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -99,6 +100,8 @@
             case item_kind::version_record:
                 if (value != nullptr)
                     read_record(key, *value);
+                else
+                    kept.erase(key.substr(version_record_prefix.size()));
                 break;
             case item_kind::quarantine:
             case item_kind::other:
@@ -154,13 +157,24 @@
     }
 
     /*! @brief Takes a version that the store does not show.
-     * @param known When it was named, at the earliest. */
-    void told(const std::string& model, std::uint64_t version, time_point known)
+     * @param known When it was named. Of several words the latest counts: each
+     * is the earliest that somebody could tell.
+     * @return Whether it is new, or was named later than was known. */
+    bool told(const std::string& model, std::uint64_t version, time_point known)
     {
-        if (!targets.try_emplace({model, version}, known).second)
-            return;
-        log::state("version_told",
-                   {{"model", model}, {"version", std::to_string(version)}});
+        const auto [place, added] =
+            targets.try_emplace({model, version}, known);
+        if (added)
+        {
+            only_told.insert({model, version});
+            log::state("version_told", {{"model", model},
+                                        {"version", std::to_string(version)}});
+            return true;
+        }
+        if (!only_told.contains({model, version}) || known <= place->second)
+            return false;
+        place->second = known;
+        return true;
     }
 
     /*! @brief Takes a value that a later one replaced before it was read: the
@@ -190,14 +204,11 @@
                          record == kept.end() ? 0 : record->second});
     }
 
-    /*! @brief Returns what the store names now, by model; 1 for a model that
-     * only others tell of. */
-    [[nodiscard]] std::map<std::string, std::uint64_t> named_in_store() const
+    /*! @brief Returns the version that the store names now; 1 when none. */
+    [[nodiscard]] std::uint64_t named_in_store(const std::string& model) const
     {
-        std::map<std::string, std::uint64_t> made = named;
-        for (const auto& [key, known] : targets)
-            made.try_emplace(key.first, 1);
-        return made;
+        const auto found = named.find(model);
+        return found == named.end() ? 1 : found->second;
     }
 
     /*! @brief Tells, once, whether a name was written anew without rising:
@@ -308,8 +319,7 @@
         const auto& record = read.value();
         if (record.newest > 0)
             targets.try_emplace({record.model, record.newest}, value.learnt);
-        auto& newest_kept = kept[record.model];
-        newest_kept = std::max(newest_kept, record.newest);
+        kept[record.model] = record.newest;
         auto& least = bound[record.model];
         least = std::max(least, record.binding);
         log::state("version_record_read",
@@ -333,6 +343,8 @@
     std::map<instance_id, incarnation> lives;
     std::size_t refused{0};
     std::map<std::pair<std::string, std::uint64_t>, time_point> targets;
+    /*! @brief Those that no name or record of the store told first. */
+    std::set<std::pair<std::string, std::uint64_t>> only_told;
     std::map<std::string, std::uint64_t> bound;
     std::map<std::string, std::uint64_t> named; /*!< By the store's names. */
     std::map<std::string, std::uint64_t> kept;  /*!< By its records. */
--- a/src/coursejunction/fleet/inquiry_schedule.hpp
+++ b/src/coursejunction/fleet/inquiry_schedule.hpp
@@ -53,7 +53,7 @@
         const auto before = static_cast<std::int64_t>(rank);
         if (doubted_at &&
             now - *doubted_at >= interval / turns_per_interval * before &&
-            now - asked_at >= interval / turns_per_interval)
+            now - asked_at >= least_interval / turns_per_interval)
             return true;
         return now - asked_at >= interval * (before + 1) * (before + 1);
     }
@@ -62,14 +62,24 @@
     void asked(time_point now)
     {
         asked_at = now;
+        asked_in_doubt = doubted_at.has_value();
         doubted_at.reset();
     }
 
+    /*! @brief A question was not answered: what was doubted still is. */
+    void failed(time_point now)
+    {
+        failures = std::min(failures + 1, most_doublings);
+        if (asked_in_doubt && !doubted_at)
+            doubted_at = now + drawn(interval * (1 << failures));
+    }
+
     /*! @brief Notes what an answer costs.
      * @param rate Of the source's link; 0 when it is not known. */
     void answered(std::size_t bytes, byte_rate rate)
     {
         interval = least_interval;
+        failures = 0;
         if (rate <= 0)
             return;
         const auto takes = static_cast<double>(bytes) / rate / link_share;
@@ -78,6 +88,9 @@
     }
 
 private:
+    /*! @brief Of the pause after questions that failed in a row. */
+    static constexpr int most_doublings = 3;
+
     [[nodiscard]] std::chrono::microseconds
     drawn(std::chrono::microseconds longest)
     {
@@ -89,6 +102,8 @@
     std::chrono::microseconds interval{least_interval};
     time_point asked_at{};
     std::optional<time_point> doubted_at; /*!< With this entry's own delay. */
+    bool asked_in_doubt{false};
+    int failures{0}; /*!< Questions in a row without an answer. */
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -271,7 +271,10 @@
         busy = false;
         up = false;
         if (!told_more)
+        {
             forgotten = mirror.position();
+            ++missed;
+        }
         counters.count("store_calls_given_up_total");
         log::state("store_call_given_up",
                    {{"began_at", called_at.text()},
--- a/src/coursejunction/fleet/told_versions.hpp
+++ b/src/coursejunction/fleet/told_versions.hpp
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "coursejunction/core/log.hpp"
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/fleet/version_record.hpp"
+#include "coursejunction/net/metrics.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
 namespace coursejunction
@@ -38,27 +38,28 @@
     return made;
 }
 
-/*! @brief Takes versions that a peer tells.
+/*! @brief Takes versions that a peer tells; those that cannot be are counted.
+ * Who has read nothing of the store yet takes none.
  * @tparam View A `fleet_view`.
- * @return Whether one was new. */
-template <typename View>
+ * @param naming Returns when a version that a peer tells was named, by the
+ * peer's word and what is known here.
+ * @return Whether anything changed. */
+template <typename View, typename Naming>
 bool take_told(View& fleet, const std::vector<message::told_version>& told,
-               time_point now)
+               time_point now, metrics& counters, Naming naming)
 {
+    if (fleet.rules() == nullptr)
+        return false;
     bool changed = false;
     for (const auto& one : told)
     {
-        if (fleet.newest(one.model) >= one.version)
-            continue;
         if (!follows_closely(fleet.newest(one.model), one.version))
         {
-            log::warning("version_told_absurd",
-                         {{"model", one.model},
-                          {"version", std::to_string(one.version)}});
+            counters.count("versions_told_refused_total");
             continue;
         }
-        fleet.told(one.model, one.version, now - milliseconds(one.age_ms));
-        changed = true;
+        const auto known = naming(one.model, now - milliseconds(one.age_ms));
+        changed = fleet.told(one.model, one.version, known) || changed;
     }
     return changed;
 }
--- a/src/coursejunction/fleet/version_inquiry.hpp
+++ b/src/coursejunction/fleet/version_inquiry.hpp
@@ -6,6 +6,7 @@
 #define COURSEJUNCTION_FLEET_VERSION_INQUIRY_HPP
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -45,7 +46,8 @@
     time_point named_at{}; /*!< As far as is known. */
 };
 
-/*! @brief Keeps asking, one question at a time.
+/*! @brief Keeps asking, one question at a time for each model. A newer version
+ * counts once two answers in a row tell it: one may be spoilt on its way.
  * @tparam Source A `Version_source`. */
 template <Version_source Source>
 class version_inquiry
@@ -86,16 +88,38 @@
         auto& one = known(model.name, now);
         one.model = model;
         tell(one, now);
-        if (asking || !one.schedule.due(rank, now))
+        if (one.asking || !one.schedule.due(rank, now))
             return;
         one.schedule.asked(now);
-        asking = true;
+        one.asking = true;
         source.newest(from.origin, model.name,
                       [this, now, name = model.name, rate = from.origin_rate](
                           const result<offered_version>& answer)
                       { answered(models.at(name), now, rate, answer); });
     }
 
+    /*! @brief Returns the latest moment at which a version that is newer than
+     * all that are known here can count as named. */
+    [[nodiscard]] time_point latest_naming(const std::string& model,
+                                           time_point now) const
+    {
+        const auto found = models.find(model);
+        return found == models.end()
+                   ? time_point{}
+                   : std::min(now, found->second.confirmed_at + most_unsure);
+    }
+
+    /*! @brief Returns how long ago the source last confirmed what is known. */
+    [[nodiscard]] std::chrono::microseconds
+    unconfirmed_for(const std::string& model, time_point now) const
+    {
+        const auto found = models.find(model);
+        if (found == models.end())
+            return {};
+        return std::chrono::duration_cast<std::chrono::microseconds>(
+            now - found->second.confirmed_at);
+    }
+
 private:
     struct model_state
     {
@@ -106,6 +130,8 @@
         time_point confirmed_at{};
         std::optional<std::uint64_t> told; /*!< Newer, not in the store yet. */
         time_point told_at{};
+        bool agreed{false}; /*!< A second answer tells the same. */
+        bool asking{false};
         std::uint64_t offered{0}; /*!< By the last answer. */
         std::string fault;        /*!< Of the last answer, logged once. */
     };
@@ -115,7 +141,7 @@
         const auto found = models.find(model);
         if (found != models.end())
             return found->second;
-        model_state made{inquiry_schedule(number), {}, now, {}, {}, 0, {}};
+        model_state made{inquiry_schedule(number), {}, now};
         made.schedule.doubt(now);
         return models.emplace(model, std::move(made)).first->second;
     }
@@ -123,39 +149,46 @@
     /*! @brief Tells a version that did not come from the store either. */
     void tell(model_state& one, time_point now)
     {
-        if (!one.told || now - one.told_at < hearing_time)
+        if (!one.told || !one.agreed || now - one.told_at < hearing_time)
             return;
         const auto version = *std::exchange(one.told, std::nullopt);
         if (version <= one.model.newest)
             return;
         counters.count("versions_unheard_total");
+        const auto named =
+            std::min(one.told_at, one.confirmed_at + most_unsure);
+        const auto age = std::chrono::duration_cast<milliseconds>(now - named);
         log::warning("version_unheard",
                      {{"model", one.model.name},
                       {"version", std::to_string(version)},
-                      {"known", std::to_string(one.model.newest)}});
-        news({one.model.name, version,
-              std::min(one.told_at, one.confirmed_at + most_unsure)});
+                      {"known", std::to_string(one.model.newest)},
+                      {"age_ms", std::to_string(age.count())}});
+        news({one.model.name, version, named});
     }
 
     void answered(model_state& one, time_point asked_at, byte_rate rate,
                   const result<offered_version>& answer)
     {
-        asking = false;
+        one.asking = false;
         const auto fault = fault_of(answer, one.model);
         note(one, fault);
         if (!fault.empty())
-            return;
+            return one.schedule.failed(event_loop::now());
         const auto& offer = answer.value();
         one.schedule.answered(offer.answer_bytes, rate);
         note_offer(one, offer.version);
         if (offer.version <= one.model.newest)
         {
             one.confirmed_at = asked_at;
+            one.told.reset();
             return;
         }
-        if (!one.told)
-            one.told_at = event_loop::now();
+        one.agreed = one.told == offer.version;
+        if (one.agreed)
+            return;
         one.told = offer.version;
+        one.told_at = event_loop::now();
+        one.schedule.doubt(one.told_at);
     }
 
     /*! @brief Returns why an answer is not believed; empty when it is. A
@@ -206,7 +239,6 @@
     std::uint32_t number;
     std::function<void(const unheard_version&)> news;
     std::map<std::string, model_state> models;
-    bool asking{false};
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/fleet/version_record.hpp
+++ b/src/coursejunction/fleet/version_record.hpp
@@ -18,9 +18,9 @@
 /*! @brief Keys of these items begin so; the model follows. */
 inline constexpr std::string_view version_record_prefix = "version/";
 
-/*! @brief How far a version may be ahead of the newest that the operator's
- * name in the store tells, where somebody else tells it: a number that was
- * spoilt would bind for good. */
+/*! @brief How far a version that somebody else than the operator's name tells
+ * may be ahead of the newest that is known: a spoilt number would bind for
+ * good. */
 inline constexpr std::uint64_t farthest_step = 1000;
 
 /*! @brief Tells whether a version may be believed after a known one. */
--- a/src/coursejunction/proxy/version_controller.hpp
+++ b/src/coursejunction/proxy/version_controller.hpp
@@ -70,8 +70,15 @@
     /*! @brief Takes what a peer was told of versions that the store lacks. */
     void heard(const std::vector<message::told_version>& told, time_point now)
     {
-        if (take_told(fleet, told, now))
-            bind();
+        const auto naming = [&](const std::string& model, time_point word)
+        { return std::max(word, inquiry.latest_naming(model, now)); };
+        if (!take_told(fleet, told, now, counters, naming))
+            return;
+        bind();
+        for (const auto& one : told)
+            floors.named_later(one.model, one.version,
+                               fleet.named_at(one.model, one.version),
+                               version_time);
     }
 
     /*! @brief Returns what the store does not show, for other processes. */
@@ -199,14 +206,22 @@
         if (now - watched_at < alarm_interval)
             return;
         watched_at = now;
-        for (const auto& [model, version] : fleet.named_in_store())
-            watch(model, version, now);
+        const auto* rules = fleet.rules();
+        if (rules == nullptr)
+            return;
+        for (const auto& [name, service] : rules->services)
+        {
+            if (!service.engine)
+                continue;
+            for (const auto& model : service.engine->models)
+                watch(model, now);
+        }
     }
 
-    void watch(const std::string& model, std::uint64_t named, time_point now)
+    void watch(const std::string& model, time_point now)
     {
+        const auto named = fleet.named_in_store(model);
         const auto newest = fleet.newest(model);
-        const auto known_at = fleet.named_at(model, newest);
         const bool binds = floors.least(model, now) >= newest;
         const bool unserved =
             newest > 1 && binds && serving(model, newest).newest == 0;
@@ -214,11 +229,14 @@
         report("version_name_outdated", model, named,
                one.outdated.note(named < newest, now));
         report("version_unserved", model, named,
-               one.unserved.note(unserved, known_at + version_time));
+               one.unserved.note(unserved, now));
+        const metrics::labels of{{"model", model}};
         counters.set("version_name_outdated_seconds",
-                     to_seconds(one.outdated.lasts(now)), {{"model", model}});
+                     to_seconds(one.outdated.lasts(now)), of);
         counters.set("version_unserved_seconds",
-                     to_seconds(one.unserved.lasts(now)), {{"model", model}});
+                     to_seconds(one.unserved.lasts(now)), of);
+        counters.set("version_unconfirmed_seconds",
+                     to_seconds(inquiry.unconfirmed_for(model, now)), of);
     }
 
     void report(const std::string& what, const std::string& model,
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -586,7 +586,10 @@
     {
         if (one.entry)
         {
-            if (take_told(fleet, one.versions, event_loop::now()))
+            const auto as_told = [](const std::string&, time_point named)
+            { return named; };
+            if (take_told(fleet, one.versions, event_loop::now(), counters,
+                          as_told))
                 decide();
             return;
         }
--- a/src/coursejunction/route/version_floor.hpp
+++ b/src/coursejunction/route/version_floor.hpp
@@ -50,6 +50,22 @@
         unsure[model] = version;
     }
 
+    /*! @brief Notes that a version was named later than was believed; one that
+     * is known to bind goes on to.
+     * @param known When it was. */
+    void named_later(const std::string& model, std::uint64_t version,
+                     time_point known, milliseconds allowed)
+    {
+        for (auto& one : targets[model])
+        {
+            if (one.version != version || one.binds_at == time_point{})
+                continue;
+            one.binds_at = std::max(one.binds_at, known + allowed);
+            one.known_to_bind_at =
+                std::max(one.known_to_bind_at, known + allowed);
+        }
+    }
+
     /*! @brief Notes a version that is known to bind, whenever it was named. */
     void binds(const std::string& model, std::uint64_t version)
     {
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -317,6 +317,21 @@
     CHECK(entry.has_kept(keys, 3));
 }
 
+SCENARIO("one spoilt answer of the origin names no version", "[proxy]")
+{
+    proxy_test::named_versions named;
+    named.name("m", 2);
+    named.spoil_once(9);
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+    keys.write("named/m", "2");
+    entry_process entry(keys, 1);
+    REQUIRE(entry.learns(2));
+    std::this_thread::sleep_for(2s);
+    CHECK(entry.newest() == 2);
+    CHECK(entry.has_kept(keys, 2));
+}
+
 SCENARIO("news of a store that came back from an older copy are not missed",
          "[proxy]")
 {
--- a/tests/proxy/memory_origin.hpp
+++ b/tests/proxy/memory_origin.hpp
@@ -9,7 +9,9 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "coursejunction/fleet/version_source.hpp"
 #include "coursejunction/net/stream_client.hpp"
@@ -38,14 +40,23 @@
         newest[model] = version;
     }
 
+    /*! @brief The next answer tells another version. */
+    void spoil_once(std::uint64_t version)
+    {
+        const std::lock_guard hold(guard());
+        spoilt = version;
+    }
+
     [[nodiscard]] static cj::result<cj::offered_version>
     ask(const std::string& model)
     {
         const std::lock_guard hold(guard());
         if (current() == nullptr || !current()->newest.contains(model))
             return cj::failure(cj::error_kind::unavailable, "no origin");
-        return cj::offered_version{current()->newest[model], origin_chunks,
-                                   origin_chunk_bytes, origin_chunks};
+        const auto version = std::exchange(current()->spoilt, std::nullopt);
+        return cj::offered_version{version.value_or(current()->newest[model]),
+                                   origin_chunks, origin_chunk_bytes,
+                                   origin_chunks};
     }
 
 private:
@@ -68,6 +79,7 @@
     }
 
     std::map<std::string, std::uint64_t> newest;
+    std::optional<std::uint64_t> spoilt;
 };
 
 /*! @brief One process's access to it. */
