--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -19,7 +19,8 @@
 #include "coursejunction/core/result.hpp"
 #include "coursejunction/core/suspension.hpp"
 #include "coursejunction/fleet/beat_plan.hpp"
-#include "coursejunction/fleet/hall_digest.hpp"
+#include "coursejunction/fleet/beat_sender.hpp"
+#include "coursejunction/fleet/fleet_hooks.hpp"
 #include "coursejunction/fleet/mirror_age.hpp"
 #include "coursejunction/fleet/mirror_puller.hpp"
 #include "coursejunction/fleet/node_address.hpp"
@@ -37,47 +38,6 @@
 namespace coursejunction
 {
 
-/*! @brief How a node finds its peers. */
-struct fleet_options
-{
-    std::string address;
-    std::uint16_t port{0}; /*!< Alike on every instance of an installation. */
-    hall_id hall;
-    bool entry{false};
-    std::vector<std::string> seeds; /*!< IP addresses of entries. */
-    item_rules items;               /*!< Of the store's keys. */
-};
-
-/*! @brief What a role adds to a node. */
-struct fleet_hooks
-{
-    /*! @brief Keys changed.
-     * @param store_returned Whether the store was away until just now, so that
-     * records may have lapsed only. */
-    std::function<void(const std::vector<std::string>& keys,
-                       bool store_returned)>
-        changed;
-    /*! @brief A value that another one replaced before it was read; called
-     * before `changed` tells of the key. */
-    std::function<void(const message::mirror_item&)> overwritten;
-    std::function<void(const std::string& from,
-                       const message::fleet_heartbeat&)>
-        heard;
-    /*! @brief Adds what the role knows. */
-    std::function<void(message::fleet_heartbeat&, chunk_detail)> describe;
-    std::function<void(stream_request, stream_reply)> request;
-    /*! @brief Returns records of requests that crash upstreams, for other
-     * entries; only an entry has any. */
-    std::function<std::vector<message::crash_record>()> crashes;
-    /*! @brief Returns callers that this entry sent away, for the other entries
-     * of its hall, each once. */
-    std::function<std::vector<message::refused_caller>()> refusals;
-    /*! @brief Returns what upstreams lately told this entry of their terms. */
-    std::function<std::vector<message::upstream_terms>()> terms;
-    /*! @brief Tells whether weights are on their way to some side. */
-    std::function<bool()> spreading;
-};
-
 /*! @brief One process among its peers.
  * @tparam Store A `Readable_store`. */
 template <typename Store>
@@ -206,7 +166,13 @@
                   std::chrono::system_clock::now().time_since_epoch())
                   .count())),
           copy(options.items), reader(owner, service, counted, copy, seed()),
-          puller(owner, calls, counted, copy, directory, seed())
+          puller(owner, calls, counted, copy, directory, seed()),
+          beats(
+              options, directory, counted,
+              [this](time_point now, const beat_moment& sent)
+              { return beat(now, sent); },
+              [this](const std::string& address, const std::string& datagram)
+              { socket->send(address + port_suffix, datagram); })
     {
     }
 
@@ -304,111 +270,11 @@
                      static_cast<double>(standing().fetching));
     }
 
-    /*! @brief Returns the sides of the own hall, this one included, in the
-     * order of their addresses. */
-    [[nodiscard]] std::vector<std::string> hall_ring() const
-    {
-        std::vector<std::string> ring;
-        for (const auto& [address, one] : directory.all())
-        {
-            if (!one.entry && own_hall(one))
-                ring.push_back(address);
-        }
-        if (!options.entry)
-            ring.insert(
-                std::upper_bound(ring.begin(), ring.end(), options.address),
-                options.address);
-        return ring;
-    }
-
-    static std::size_t place_of(const std::vector<std::string>& ring,
-                                const std::string& address)
-    {
-        return static_cast<std::size_t>(
-            std::lower_bound(ring.begin(), ring.end(), address) - ring.begin());
-    }
-
-    void tell(beat_moment sent)
+    void tell(const beat_moment& sent)
     {
         const auto now = event_loop::now();
         directory.expire(now);
-        const auto ring = hall_ring();
-        const auto own = place_of(ring, options.address);
-        const auto digest =
-            digest_place_of(directory, options.address, options.hall, now);
-        sent.hall_sides = ring.size();
-        sent.passed_on = !options.entry && digest.entries > 1;
-        const auto datagram = encode(beat(now, sent));
-        std::vector<std::string> passed;
-        std::size_t near = 0;
-        std::size_t far = 0;
-        for (const auto& [address, one] : directory.all())
-        {
-            beat_receiver to{one.entry, own_hall(one), false, false};
-            to.neighbour =
-                !options.entry && !one.entry && to.near &&
-                ring_neighbour(own, place_of(ring, address), ring.size());
-            to.digest = options.entry && one.entry && !to.near &&
-                        sent.reason == beat_reason::regular &&
-                        passes_digest(digest, address, sent.number);
-            // Entries of other halls never tell a side anything: it knocks at
-            // them only while none of its own hall is there.
-            const bool unheard = one.entry && one.heard == time_point{} &&
-                                 sent.reason == beat_reason::regular &&
-                                 !sent.passed_on;
-            if (to.digest)
-                passed.push_back(address);
-            if (!hears(sent, to) && !unheard)
-                continue;
-            send(address, datagram);
-            ++(to.near ? near : far);
-        }
-        count_bytes(sent.reason, true, near * datagram.size());
-        count_bytes(sent.reason, false, far * datagram.size());
-        if (!passed.empty())
-            pass_digest(passed, now);
-    }
-
-    /*! @brief Tells entries of other halls what the sides of this one tell. */
-    void pass_digest(const std::vector<std::string>& to, time_point now)
-    {
-        for (auto& part : digest_parts(directory, options.hall, now))
-        {
-            auto made = beat(now, moment(beat_reason::load));
-            made.digest = std::move(part);
-            const auto datagram = encode(made);
-            for (const auto& address : to)
-                send(address, datagram);
-            count_bytes(beat_reason::digest, false,
-                        to.size() * datagram.size());
-        }
-    }
-
-    /*! @brief Tells one peer that it is behind. */
-    void tell_behind(const std::string& address)
-    {
-        const auto now = event_loop::now();
-        const auto* peer = directory.find(address);
-        const auto datagram = encode(beat(now, moment(beat_reason::mirror)));
-        send(address, datagram);
-        count_bytes(beat_reason::behind, peer != nullptr && own_hall(*peer),
-                    datagram.size());
-    }
-
-    void send(const std::string& address, const std::string& datagram)
-    {
-        socket->send(address + port_suffix, datagram);
-    }
-
-    /*! @brief Counts bytes by why and how far they go: bytes between regions
-     * are few and dear. */
-    void count_bytes(beat_reason why, bool near, std::size_t bytes)
-    {
-        if (bytes > 0)
-            counters.count("fleet_datagram_bytes_total",
-                           static_cast<double>(bytes),
-                           {{"why", std::string(reason_name(why))},
-                            {"to", near ? "hall" : "elsewhere"}});
+        beats.tell(sent, now);
     }
 
     message::fleet_heartbeat beat(time_point now, const beat_moment& sent)
@@ -475,7 +341,7 @@
         if (options.entry && !read.value().entry &&
             read.value().mirrored < copy.position() &&
             now - advanced_at >= (own ? behind_grace : far_behind_grace))
-            tell_behind(from);
+            beats.tell_behind(from, now);
         if (own && carries_more(read.value()))
             puller.heard(from, own);
         if (read.value().mirrored > copy.position())
@@ -664,6 +530,7 @@
     timer beat_timer;
     store_reader<Store> reader;
     mirror_puller puller;
+    beat_sender beats;
     time_point started_at{};
     bool leaving{false};
 };
--- a/src/coursejunction/fleet/fwd.hpp
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -21,6 +21,9 @@
 class fetch_turn;
 class mirror_age;
 class mirror_puller;
+class beat_sender;
+struct fleet_options;
+struct fleet_hooks;
 struct digest_place;
 struct store_page;
 template <typename Store>
--- a/src/coursejunction/route/version_floor.hpp
+++ b/src/coursejunction/route/version_floor.hpp
@@ -106,16 +106,8 @@
     [[nodiscard]] std::uint64_t least(const std::string& model,
                                       time_point now) const
     {
-        std::uint64_t version = 1;
-        const auto found = targets.find(model);
-        if (found == targets.end())
-            return version;
-        for (const auto& one : found->second)
-        {
-            if (now >= one.binds_at)
-                version = std::max(version, one.version);
-        }
-        return version;
+        return highest(model,
+                       [&](const target& one) { return now >= one.binds_at; });
     }
 
     /*! @brief Returns the least version that may begin a request by what is
@@ -124,16 +116,8 @@
     [[nodiscard]] std::uint64_t least_known(const std::string& model,
                                             time_point now) const
     {
-        std::uint64_t version = 1;
-        const auto found = targets.find(model);
-        if (found == targets.end())
-            return version;
-        for (const auto& one : found->second)
-        {
-            if (now >= one.known_to_bind_at)
-                version = std::max(version, one.version);
-        }
-        return version;
+        return highest(model, [&](const target& one)
+                       { return now >= one.known_to_bind_at; });
     }
 
     /*! @brief Returns when a version becomes too old to begin a request;
@@ -156,13 +140,7 @@
     /*! @brief Returns the newest version that was named, 1 when none was. */
     [[nodiscard]] std::uint64_t newest(const std::string& model) const
     {
-        std::uint64_t version = 1;
-        const auto found = targets.find(model);
-        if (found == targets.end())
-            return version;
-        for (const auto& one : found->second)
-            version = std::max(version, one.version);
-        return version;
+        return highest(model, [](const target&) { return true; });
     }
 
 private:
@@ -173,6 +151,24 @@
         time_point known_to_bind_at{}; /*!< Without what is only inferred. */
     };
 
+    /*! @brief Returns the highest version that a condition holds for; 1 when
+     * it holds for none. */
+    template <typename Condition>
+    [[nodiscard]] std::uint64_t highest(const std::string& model,
+                                        Condition holds) const
+    {
+        std::uint64_t version = 1;
+        const auto found = targets.find(model);
+        if (found == targets.end())
+            return version;
+        for (const auto& one : found->second)
+        {
+            if (holds(one))
+                version = std::max(version, one.version);
+        }
+        return version;
+    }
+
     std::map<std::string, std::vector<target>> targets;
     /*! @brief Versions of which it is not known when they were named. */
     std::map<std::string, std::uint64_t> unsure;
