--- a/src/coursejunction/fleet/version_inquiry.hpp
+++ b/src/coursejunction/fleet/version_inquiry.hpp
@@ -46,8 +46,9 @@
 };
 
 /*! @brief Keeps asking, one question at a time.
- * @tparam Source A `Version_source`. */
-template <Version_source Source>
+ * @tparam Source A `Version_source`.
+ * @tparam Clock Tells the time at which an answer comes. */
+template <Version_source Source, typename Clock = event_loop>
 class version_inquiry
 {
 public:
@@ -160,7 +161,7 @@
             return;
         }
         if (!one.told)
-            one.told_at = event_loop::now();
+            one.told_at = Clock::now();
         one.told = offer.version;
     }
 
