A schedule hears of its rank while another question is on its way

Seen: a model that was first looked at while a question of another one was unanswered was not asked for after that, however long it had waited:

REQUIRE( entry.questions() == 2 ) with expansion: 1 == 2

Cause: the schedule was not called while a question was on its way, so that its rank had not settled by then. It is called always.

--- a/src/coursejunction/fleet/version_inquiry.hpp
+++ b/src/coursejunction/fleet/version_inquiry.hpp
@@ -87,7 +87,9 @@
         auto& one = known(from, model, now);
         one.model = model;
         tell(one, now);
-        if (asking || !one.schedule.due(rank, now))
+        // The schedule is told the rank while a question is on its way, too.
+        const bool due = one.schedule.due(rank, now);
+        if (asking || !due)
             return;
         one.schedule.asked(now);
         asking = true;
--- a/tests/fleet/version_inquiry.cpp
+++ b/tests/fleet/version_inquiry.cpp
@@ -267,6 +267,13 @@
                 entry.pass(200ms);
                 CHECK(entry.questions() == 2);
             }
+            THEN("other models have their turn")
+            {
+                virtual_clock::moment() += asker::tick;
+                entry.look("other");
+                REQUIRE(entry.questions() == 2);
+                CHECK(entry.source.models[1] == "other");
+            }
         }
     }
 }
