Each version that a source tells has a second to show in the store

Seen: version 4 that came 0.6 s after version 3 was told 0.4 s later, though the store would have shown it; version 3 was not told:

CHECK( one.version == 3 ) with expansion: 4 == 3

Cause: one time for all that waits. Each version keeps the time at which it was told first.

--- a/src/coursejunction/fleet/version_inquiry.hpp
+++ b/src/coursejunction/fleet/version_inquiry.hpp
@@ -107,8 +107,9 @@
         /*! @brief When the source told nothing newer than what was known; at
          * first, when this process began to ask. */
         time_point confirmed_at{};
-        std::optional<std::uint64_t> told; /*!< Newer, not in the store yet. */
-        time_point told_at{};
+        /*! @brief Newer versions that the store does not show yet, with the
+         * times at which they were told first. */
+        std::map<std::uint64_t, time_point> told;
         std::uint64_t offered{0}; /*!< By the last answer. */
         std::string fault;        /*!< Of the last answer, logged once. */
     };
@@ -122,28 +123,35 @@
         const auto found = models.find(model.name);
         if (found != models.end())
             return found->second;
-        model_state made{inquiry_schedule(number), {}, now, {}, {}, 0, {}};
+        model_state made{inquiry_schedule(number), {}, now, {}, 0, {}};
         made.schedule.costs(model.chunks * chunk_answer_bytes,
                             from.origin_rate);
         made.schedule.doubt(now);
         return models.emplace(model.name, std::move(made)).first->second;
     }
 
-    /*! @brief Tells a version that did not come from the store either. */
+    /*! @brief Tells versions that did not come from the store either. */
     void tell(model_state& one, time_point now)
     {
-        if (!one.told || now - one.told_at < hearing_time)
-            return;
-        const auto version = *std::exchange(one.told, std::nullopt);
-        if (version <= one.model.newest)
-            return;
+        while (!one.told.empty() &&
+               now - one.told.begin()->second >= hearing_time)
+        {
+            const auto [version, told_at] = *one.told.begin();
+            one.told.erase(one.told.begin());
+            if (version > one.model.newest)
+                tell(one, version, told_at);
+        }
+    }
+
+    void tell(const model_state& one, std::uint64_t version, time_point told_at)
+    {
         counters.count("versions_unheard_total");
         log::warning("version_unheard",
                      {{"model", one.model.name},
                       {"version", std::to_string(version)},
                       {"known", std::to_string(one.model.newest)}});
         news({one.model.name, version,
-              std::min(one.told_at, one.confirmed_at + most_unsure)});
+              std::min(told_at, one.confirmed_at + most_unsure)});
     }
 
     void answered(model_state& one, time_point asked_at, byte_rate rate,
@@ -162,9 +170,7 @@
             one.confirmed_at = asked_at;
             return;
         }
-        if (!one.told)
-            one.told_at = Clock::now();
-        one.told = offer.version;
+        one.told.try_emplace(offer.version, Clock::now());
     }
 
     /*! @brief Returns why an answer is not believed; empty when it is. A
--- a/tests/fleet/version_inquiry.cpp
+++ b/tests/fleet/version_inquiry.cpp
@@ -251,6 +251,37 @@
             CHECK(seen_at() > named - 1000ms);
         }
     }
+    WHEN("a newer one is told before the second is over")
+    {
+        entry.answer = offers(3);
+        const auto before = entry.questions();
+        while (entry.questions() == before)
+            entry.pass(asker::tick);
+        entry.pass(600ms);
+        entry.inquiry.doubt("a test", virtual_clock::now());
+        entry.answer = offers(4);
+        entry.pass(300ms);
+        REQUIRE(entry.questions() == before + 2);
+        const auto told = virtual_clock::now();
+        THEN("the store has a second to show that one as well")
+        {
+            entry.pass(600ms);
+            for (const auto& one : entry.news)
+                CHECK(one.version == 3);
+            entry.newest = 4;
+            entry.pass(3000ms);
+            for (const auto& one : entry.news)
+                CHECK(one.version == 3);
+        }
+        THEN("it is told when the store does not")
+        {
+            entry.pass(2000ms);
+            REQUIRE_FALSE(entry.news.empty());
+            CHECK(entry.news.back().version == 4);
+            CHECK(entry.news.back().named_at <= told);
+            CHECK(entry.news.size() <= 2);
+        }
+    }
 }
 
 SCENARIO("an entry has one question on its way", "[fleet]")
