An origin's negative or fractional numbers are no version

Seen: a manifest of version -1 was read as version (the inquiry refused it as absurd; no caller saw it):

REQUIRE_FALSE( *seen.read ) with message: version: -1

Cause: the JSON library converts numbers.

--- a/tests/platform/engine_client.cpp
+++ b/tests/platform/engine_client.cpp
@@ -1,9 +1,13 @@
 #include "platform/engine_client.hpp"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -208,3 +212,163 @@
         }
     }
 }
+
+namespace
+{
+
+using offer = cj::result<cj::offered_version>;
+
+/*! @brief What an origin is asked, and what its answer is read as. */
+struct inquiry_outcome
+{
+    std::optional<offer> read;
+    std::string question; /*!< The first, as it came. */
+    std::size_t questions{0};
+};
+
+/*! @brief Asks an origin that gives these bytes for the newest version. */
+inquiry_outcome newest_of(const std::string& bytes)
+{
+    loopback::running_loop running;
+    loopback::scripted_peer origin({bytes});
+    std::unique_ptr<cj::stream_client> client;
+    std::unique_ptr<cj::platform::origin_client> calls;
+    inquiry_outcome made;
+    std::atomic<bool> done{false};
+    running.on_loop(
+        [&]
+        {
+            client = std::make_unique<cj::stream_client>(running.loop);
+            calls = std::make_unique<cj::platform::origin_client>(*client);
+            calls->newest(origin.address, "tutor",
+                          [&](offer told)
+                          {
+                              made.read.emplace(std::move(told));
+                              done = true;
+                              done.notify_all();
+                          });
+        });
+    done.wait(false);
+    running.on_loop([&] { client.reset(); });
+    const auto arrivals = origin.arrivals();
+    made.questions = arrivals.size();
+    made.question = arrivals.empty() ? "" : arrivals.front();
+    return made;
+}
+
+std::string answer_of(const std::string& head, const std::string& body)
+{
+    return "HTTP/1.1 " + head +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+/*! @brief Returns an origin's manifest with one field in the place of its. */
+std::string manifest_with(const std::string& field, const std::string& value)
+{
+    std::map<std::string, std::string> fields{{"modelId", R"("tutor")"},
+                                              {"version", "3"},
+                                              {"blockBytes", "32768"},
+                                              {"hashes", R"(["a","b"])"}};
+    if (value.empty())
+        fields.erase(field);
+    else
+        fields[field] = value;
+    std::string made;
+    for (const auto& [name, text] : fields)
+        made += (made.empty() ? "{\"" : ",\"") + name + "\":" + text;
+    return made + "}";
+}
+
+} // namespace
+
+SCENARIO("an origin tells the newest version that was named", "[platform]")
+{
+    const auto body = manifest_with("version", "3");
+    const auto seen = newest_of(answer_of("200 OK", body));
+    REQUIRE(seen.read);
+    REQUIRE(*seen.read);
+    CHECK(seen.read->value().version == 3);
+    CHECK(seen.read->value().chunks == 2);
+    CHECK(seen.read->value().chunk_bytes == 32768);
+    CHECK(seen.read->value().answer_bytes == body.size());
+    THEN("it was asked for no version of its own")
+    {
+        CHECK(seen.question.starts_with("GET /manifest/tutor HTTP/1.1\r\n"));
+        CHECK(seen.questions == 1);
+    }
+}
+
+SCENARIO("an origin's answer that tells no version is none", "[platform]")
+{
+    const auto fails_as = [](const std::string& bytes)
+    {
+        const auto seen = newest_of(bytes);
+        REQUIRE(seen.read);
+        REQUIRE_FALSE(*seen.read);
+        CHECK_FALSE(seen.read->error().message.empty());
+        return seen.read->error().kind;
+    };
+    const auto whole = manifest_with("version", "3");
+
+    SECTION("another status")
+    {
+        for (const auto* head : {"410 Gone", "404 Not Found", "500 Broken",
+                                 "503 Busy", "206 Partial Content"})
+        {
+            INFO(head);
+            CHECK(fails_as(answer_of(head, whole)) ==
+                  cj::error_kind::unavailable);
+        }
+    }
+    SECTION("a redirect, which is not followed")
+    {
+        loopback::scripted_peer elsewhere({answer_of("200 OK", whole)});
+        CHECK(fails_as(answer_of("302 Found\r\nLocation: http://" +
+                                     elsewhere.address + "/manifest/tutor",
+                                 "")) == cj::error_kind::unavailable);
+        CHECK(elsewhere.arrivals().empty());
+    }
+    SECTION("no answer, or half of one")
+    {
+        CHECK(fails_as("") == cj::error_kind::unavailable);
+        auto half = answer_of("200 OK", whole);
+        half.resize(half.size() - 10);
+        CHECK(fails_as(half) == cj::error_kind::unavailable);
+    }
+    SECTION("what is no manifest")
+    {
+        for (const std::string wrong :
+             {"", "what", "{", "[]", "[3]", "3", "null", "{}", "\"tutor\""})
+        {
+            INFO(wrong);
+            CHECK(fails_as(answer_of("200 OK", wrong)) ==
+                  cj::error_kind::refused);
+        }
+        CHECK(fails_as(answer_of("200 OK", whole.substr(0, 20))) ==
+              cj::error_kind::refused);
+        CHECK(fails_as(answer_of("200 OK", std::string(5000, '['))) ==
+              cj::error_kind::refused);
+    }
+    SECTION("a field that is missing or cannot be")
+    {
+        const std::vector<std::pair<std::string, std::vector<std::string>>>
+            wrong{{"modelId", {"", R"("other")", "3", "null"}},
+                  {"version",
+                   {"", "-1", "1.5", R"("3")", "null", "[]", "1e300", "true",
+                    "18446744073709551616"}},
+                  {"blockBytes",
+                   {"", "-32768", "32768.5", R"("32768")", "null", "1e300"}},
+                  {"hashes", {"", "null", "3", R"("ab")", "{}"}}};
+        for (const auto& [field, values] : wrong)
+        {
+            for (const auto& value : values)
+            {
+                INFO(field << ": " << value);
+                CHECK(fails_as(
+                          answer_of("200 OK", manifest_with(field, value))) ==
+                      cj::error_kind::refused);
+            }
+        }
+    }
+}
