A told version's age does not begin anew after 49 days

Seen, in a test alone: a version told with the greatest age of 2^32 - 1 ms is told on an hour later as 3599999 ms old:

Cause: the age was cut to 32 bits. It stays at the greatest.

--- a/src/coursejunction/fleet/told_versions.hpp
+++ b/src/coursejunction/fleet/told_versions.hpp
@@ -5,8 +5,10 @@
 #ifndef COURSEJUNCTION_FLEET_TOLD_VERSIONS_HPP
 #define COURSEJUNCTION_FLEET_TOLD_VERSIONS_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -33,7 +35,11 @@
             continue;
         const auto age =
             std::chrono::duration_cast<milliseconds>(now - known).count();
-        made.push_back({model, version, static_cast<std::uint32_t>(age)});
+        constexpr std::int64_t oldest{
+            std::numeric_limits<std::uint32_t>::max()};
+        made.push_back({model, version,
+                        static_cast<std::uint32_t>(
+                            std::clamp<std::int64_t>(age, 0, oldest))});
     }
     return made;
 }
