--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -80,6 +80,26 @@
                  RC_ASSERT(read);
                  RC_ASSERT(read.value().chunks.size() == models.size());
              });
+    rc::prop("versions that the store does not show, in an entry's heartbeat",
+             [](const std::vector<std::string>& models, std::uint64_t version,
+                std::uint32_t age)
+             {
+                 message::fleet_heartbeat from;
+                 from.entry = true;
+                 for (const auto& name : models)
+                     from.versions.push_back({name, version, age});
+                 const auto read =
+                     cj::decode<message::fleet_heartbeat>(cj::encode(from));
+                 RC_ASSERT(read);
+                 const auto& told = read.value().versions;
+                 RC_ASSERT(told.size() == models.size());
+                 for (std::size_t at = 0; at < models.size(); ++at)
+                 {
+                     RC_ASSERT(told[at].model == models[at]);
+                     RC_ASSERT(told[at].version == version);
+                     RC_ASSERT(told[at].age_ms == age);
+                 }
+             });
 }
 
 TEST_CASE("hostile heads are refused without taking memory", "[wire]")
@@ -93,6 +113,29 @@
         CHECK_FALSE(cj::decode<message::have>(head));
         CHECK_FALSE(cj::decode<message::status_reply>(head));
     }
+    SECTION("a length that lies, of versions in an entry's heartbeat")
+    {
+        message::fleet_heartbeat from;
+        from.entry = true;
+        // The versions come last: their count is the last four bytes.
+        auto head = cj::encode(from);
+        REQUIRE(head.ends_with(std::string(4, '\0')));
+        REQUIRE(cj::decode<message::fleet_heartbeat>(head));
+        for (const auto* count :
+             {"\xff\xff\xff\xbf", "\xff\xff\xff\xff", "\x01\x00\x00\x00"})
+        {
+            head.replace(head.size() - 4, 4, std::string(count, 4));
+            CHECK_FALSE(cj::decode<message::fleet_heartbeat>(head));
+            CHECK_FALSE(cj::decode<message::fleet_heartbeat>(
+                head + std::string(15, 'x')));
+        }
+        // A name that claims more than the message holds.
+        from.versions.push_back({"model", 3, 0});
+        head = cj::encode(from);
+        const auto name = head.rfind("model");
+        head.replace(name - 4, 4, std::string("\xff\xff\xff\x7f", 4));
+        CHECK_FALSE(cj::decode<message::fleet_heartbeat>(head));
+    }
     SECTION("a head that goes on")
     {
         CHECK_FALSE(cj::decode<message::cancel>(cj::encode(message::cancel{}) +
