--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -162,6 +162,8 @@
      * @return Whether it is new, or was named later than was known. */
     bool told(const std::string& model, std::uint64_t version, time_point known)
     {
+        if (version < newest(model) && !targets.contains({model, version}))
+            return false;
         const auto [place, added] =
             targets.try_emplace({model, version}, known);
         if (added)
@@ -171,12 +173,22 @@
                                         {"version", std::to_string(version)}});
             return true;
         }
-        if (!only_told.contains({model, version}) || known <= place->second)
+        if (!only_told.contains({model, version}) ||
+            known - place->second < least_correction)
             return false;
         place->second = known;
         return true;
     }
 
+    /*! @brief A peer told a version that cannot be; logged once for a model. */
+    void told_absurd(const std::string& model, std::uint64_t version)
+    {
+        if (absurd.insert(model).second)
+            log::warning(
+                "version_told_absurd",
+                {{"model", model}, {"version", std::to_string(version)}});
+    }
+
     /*! @brief Takes a value that a later one replaced before it was read: the
      * mirror keeps the last one only. */
     void pass(const message::mirror_item& one, time_point now)
@@ -227,6 +239,9 @@
     }
 
 private:
+    /*! @brief Words of one naming differ by what they took to arrive. */
+    static constexpr milliseconds least_correction{1000};
+
     void read_configuration(const std::string& key, const mirrored_value& value)
     {
         auto read = catalogue::configuration(value.payload);
@@ -345,6 +360,7 @@
     std::map<std::pair<std::string, std::uint64_t>, time_point> targets;
     /*! @brief Those that no name or record of the store told first. */
     std::set<std::pair<std::string, std::uint64_t>> only_told;
+    std::set<std::string> absurd; /*!< Models of which that was told. */
     std::map<std::string, std::uint64_t> bound;
     std::map<std::string, std::uint64_t> named; /*!< By the store's names. */
     std::map<std::string, std::uint64_t> kept;  /*!< By its records. */
--- a/src/coursejunction/fleet/told_versions.hpp
+++ b/src/coursejunction/fleet/told_versions.hpp
@@ -5,14 +5,15 @@
 #ifndef COURSEJUNCTION_FLEET_TOLD_VERSIONS_HPP
 #define COURSEJUNCTION_FLEET_TOLD_VERSIONS_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/fleet/version_record.hpp"
-#include "coursejunction/net/metrics.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
 namespace coursejunction
@@ -33,29 +34,40 @@
             continue;
         const auto age =
             std::chrono::duration_cast<milliseconds>(now - known).count();
-        made.push_back({model, version, static_cast<std::uint32_t>(age)});
+        constexpr std::int64_t oldest{
+            std::numeric_limits<std::uint32_t>::max()};
+        made.push_back({model, version,
+                        static_cast<std::uint32_t>(
+                            std::clamp<std::int64_t>(age, 0, oldest))});
     }
     return made;
 }
 
-/*! @brief Takes versions that a peer tells; those that cannot be are counted.
- * Who has read nothing of the store yet takes none.
+/*! @brief Believes a peer's word of when a version was named. */
+struct naming_as_told
+{
+    [[nodiscard]] time_point operator()(const std::string&,
+                                        time_point told) const noexcept
+    {
+        return told;
+    }
+};
+
+/*! @brief Takes versions that a peer tells.
  * @tparam View A `fleet_view`.
- * @param naming Returns when a version that a peer tells was named, by the
- * peer's word and what is known here.
+ * @param naming Returns when a version of a model was named, by the peer's word
+ * and what is known here.
  * @return Whether anything changed. */
-template <typename View, typename Naming>
+template <typename View, typename Naming = naming_as_told>
 bool take_told(View& fleet, const std::vector<message::told_version>& told,
-               time_point now, metrics& counters, Naming naming)
+               time_point now, Naming naming = {})
 {
-    if (fleet.rules() == nullptr)
-        return false;
     bool changed = false;
     for (const auto& one : told)
     {
         if (!follows_closely(fleet.newest(one.model), one.version))
         {
-            counters.count("versions_told_refused_total");
+            fleet.told_absurd(one.model, one.version);
             continue;
         }
         const auto known = naming(one.model, now - milliseconds(one.age_ms));
--- a/src/coursejunction/fleet/version_inquiry.hpp
+++ b/src/coursejunction/fleet/version_inquiry.hpp
@@ -6,7 +6,6 @@
 #define COURSEJUNCTION_FLEET_VERSION_INQUIRY_HPP
 
 #include <algorithm>
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -47,9 +46,10 @@
 };
 
 /*! @brief Keeps asking, one question at a time for each model. A newer version
- * counts once two answers in a row tell it: one may be spoilt on its way.
- * @tparam Source A `Version_source`. */
-template <Version_source Source>
+ * counts once two answers tell it or a newer one: one may be spoilt.
+ * @tparam Source A `Version_source`.
+ * @tparam Clock Tells the time at which an answer comes. */
+template <Version_source Source, typename Clock = event_loop>
 class version_inquiry
 {
 public:
@@ -75,7 +75,7 @@
     {
         log::state("version_doubted", {{"why", why}});
         for (auto& [model, one] : models)
-            one.schedule.doubt(now);
+            one.schedule.repeat();
     }
 
     /*! @brief Asks when it is this entry's turn, and tells what nobody reads
@@ -85,10 +85,12 @@
     void consider(const service_profile& from, const versioned_model& model,
                   std::size_t rank, time_point now)
     {
-        auto& one = known(model.name, now);
+        auto& one = known(from, model, now);
         one.model = model;
         tell(one, now);
-        if (one.asking || !one.schedule.due(rank, now))
+        // The schedule is told the rank while a question is on its way, too.
+        const bool due = one.schedule.due(rank, now);
+        if (one.asking || !due)
             return;
         one.schedule.asked(now);
         one.asking = true;
@@ -121,6 +123,16 @@
     }
 
 private:
+    /*! @brief Answers that tell a version until it counts. */
+    static constexpr int least_answers = 2;
+
+    /*! @brief A newer version that the store does not show yet. */
+    struct told_newer
+    {
+        time_point first_at{}; /*!< When it was told first. */
+        int answers{0};
+    };
+
     struct model_state
     {
         inquiry_schedule schedule;
@@ -128,36 +140,55 @@
         /*! @brief When the source told nothing newer than what was known; at
          * first, when this process began to ask. */
         time_point confirmed_at{};
-        std::optional<std::uint64_t> told; /*!< Newer, not in the store yet. */
-        time_point told_at{};
-        bool agreed{false}; /*!< A second answer tells the same. */
+        std::map<std::uint64_t, told_newer> told;
         bool asking{false};
         std::uint64_t offered{0}; /*!< By the last answer. */
         std::string fault;        /*!< Of the last answer, logged once. */
     };
 
-    model_state& known(const std::string& model, time_point now)
+    /*! @brief Bytes that an answer takes for each chunk: a hash as text. */
+    static constexpr std::size_t chunk_answer_bytes = 70;
+
+    model_state& known(const service_profile& from,
+                       const versioned_model& model, time_point now)
     {
-        const auto found = models.find(model);
+        const auto found = models.find(model.name);
         if (found != models.end())
             return found->second;
         model_state made{inquiry_schedule(number), {}, now};
+        made.schedule.costs(model.chunks * chunk_answer_bytes,
+                            from.origin_rate);
         made.schedule.doubt(now);
-        return models.emplace(model, std::move(made)).first->second;
+        return models.emplace(model.name, std::move(made)).first->second;
     }
 
-    /*! @brief Tells a version that did not come from the store either. */
+    /*! @brief Tells versions that did not come from the store either. */
     void tell(model_state& one, time_point now)
     {
-        if (!one.told || !one.agreed || now - one.told_at < hearing_time)
-            return;
-        const auto version = *std::exchange(one.told, std::nullopt);
-        if (version <= one.model.newest)
-            return;
-        counters.count("versions_unheard_total");
-        const auto named =
-            std::min(one.told_at, one.confirmed_at + most_unsure);
+        while (!one.told.empty() && agreed(one) &&
+               now - one.told.begin()->second.first_at >= hearing_time)
+        {
+            const auto [version, first] = *one.told.begin();
+            one.told.erase(one.told.begin());
+            if (version > one.model.newest)
+                tell(one, version, first.first_at, now);
+        }
+    }
+
+    /*! @brief Tells whether the first of the told versions counts. */
+    [[nodiscard]] static bool agreed(const model_state& one)
+    {
+        return std::any_of(one.told.begin(), one.told.end(),
+                           [](const auto& each)
+                           { return each.second.answers >= least_answers; });
+    }
+
+    void tell(const model_state& one, std::uint64_t version, time_point told_at,
+              time_point now)
+    {
+        const auto named = std::min(told_at, one.confirmed_at + most_unsure);
         const auto age = std::chrono::duration_cast<milliseconds>(now - named);
+        counters.count("versions_unheard_total");
         log::warning("version_unheard",
                      {{"model", one.model.name},
                       {"version", std::to_string(version)},
@@ -171,24 +202,30 @@
     {
         one.asking = false;
         const auto fault = fault_of(answer, one.model);
-        note(one, fault);
+        note(one, fault, answer);
         if (!fault.empty())
-            return one.schedule.failed(event_loop::now());
+            return one.schedule.failed(Clock::now());
         const auto& offer = answer.value();
-        one.schedule.answered(offer.answer_bytes, rate);
+        one.schedule.costs(offer.answer_bytes, rate);
         note_offer(one, offer.version);
         if (offer.version <= one.model.newest)
         {
             one.confirmed_at = asked_at;
-            one.told.reset();
+            one.told.clear();
             return;
         }
-        one.agreed = one.told == offer.version;
-        if (one.agreed)
-            return;
-        one.told = offer.version;
-        one.told_at = event_loop::now();
-        one.schedule.doubt(one.told_at);
+        note_newer(one, offer.version, Clock::now());
+    }
+
+    /*! @brief The source only rises: what it told beyond this was spoilt. */
+    static void note_newer(model_state& one, std::uint64_t version,
+                           time_point now)
+    {
+        one.told.erase(one.told.upper_bound(version), one.told.end());
+        auto& told =
+            one.told.try_emplace(version, told_newer{now, 0}).first->second;
+        if (++told.answers < least_answers)
+            one.schedule.doubt(now);
     }
 
     /*! @brief Returns why an answer is not believed; empty when it is. A
@@ -200,11 +237,10 @@
         if (!answer)
             return answer.error().message;
         const auto& offer = answer.value();
-        const auto told = std::to_string(offer.version);
         if (offer.version < model.newest)
-            return "older than what was named: " + told;
+            return "older than what was named";
         if (!follows_closely(model.newest, offer.version))
-            return "absurd version: " + told;
+            return "absurd version";
         if (offer.chunks != model.chunks ||
             offer.chunk_bytes != model.chunk_bytes)
             return "its weights do not fit the model";
@@ -212,15 +248,19 @@
     }
 
     /*! @brief Counts an answer, and logs a fault that begins. */
-    void note(model_state& one, const std::string& fault)
+    void note(model_state& one, const std::string& fault,
+              const result<offered_version>& answer)
     {
         counters.count("version_inquiries_total", 1,
                        {{"result", fault.empty() ? "answered" : "refused"}});
         if (fault != one.fault && !fault.empty())
-            log::warning("version_source_refused",
-                         {{"model", one.model.name},
-                          {"known", std::to_string(one.model.newest)},
-                          {"why", fault}});
+            log::warning(
+                "version_source_refused",
+                {{"model", one.model.name},
+                 {"known", std::to_string(one.model.newest)},
+                 {"told", answer ? std::to_string(answer.value().version)
+                                 : std::string()},
+                 {"why", fault}});
         one.fault = fault;
     }
 
--- a/src/coursejunction/proxy/version_controller.hpp
+++ b/src/coursejunction/proxy/version_controller.hpp
@@ -72,7 +72,7 @@
     {
         const auto naming = [&](const std::string& model, time_point word)
         { return std::max(word, inquiry.latest_naming(model, now)); };
-        if (!take_told(fleet, told, now, counters, naming))
+        if (fleet.rules() == nullptr || !take_told(fleet, told, now, naming))
             return;
         bind();
         for (const auto& one : told)
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -586,10 +586,8 @@
     {
         if (one.entry)
         {
-            const auto as_told = [](const std::string&, time_point named)
-            { return named; };
-            if (take_told(fleet, one.versions, event_loop::now(), counters,
-                          as_told))
+            if (fleet.rules() != nullptr &&
+                take_told(fleet, one.versions, event_loop::now()))
                 decide();
             return;
         }
