An entry that hears nobody at its start asks after half a second

Cause: each entry waited 1.2 s for others to be heard, also one that is alone.

Change: the schedule is told how many others are heard. Whoever hears none after 0.5 s is alone or cut off, as entries that are known from the first (three seeds) answer within a heartbeat; whoever hears some waits for the others, which they name within 1 s. The replay plays seeds so.

--- a/src/coursejunction/fleet/fwd.hpp
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -32,6 +32,7 @@
 struct version_record;
 template <typename Store>
 class version_keeper;
+struct entry_standing;
 class inquiry_schedule;
 struct offered_version;
 struct unheard_version;
--- a/src/coursejunction/fleet/inquiry_schedule.hpp
+++ b/src/coursejunction/fleet/inquiry_schedule.hpp
@@ -16,6 +16,13 @@
 namespace coursejunction
 {
 
+/*! @brief An entry among those that it hears. */
+struct entry_standing
+{
+    std::size_t rank{0};   /*!< How many come before it. */
+    std::size_t others{0}; /*!< How many it hears at all. */
+};
+
 /*! @brief Spreads the questions of all entries over a source's link. Entries
  * need not hear of each other's answers: the one of rank r asks every
  * (r + 1) * (r + 1) intervals, so that all together, however many, ask less
@@ -44,7 +51,8 @@
     /*! @brief An entry that did nothing for so long takes others for gone. */
     static constexpr milliseconds frozen_time{1000};
 
-    /*! @brief Entries that start hear of all others within this time. */
+    /*! @brief Entries that start hear of all others within this time; before
+     * that they hear of those that are named to them from the first. */
     static constexpr milliseconds starting_time{1200};
 
     /*! @param seed Another one for each entry. */
@@ -60,11 +68,10 @@
         part = std::uniform_real_distribution<double>(0, 1)(random);
     }
 
-    /*! @brief Tells whether to ask now; called often.
-     * @param rank How many entries come before this one. */
-    [[nodiscard]] bool due(std::size_t rank, time_point now)
+    /*! @brief Tells whether to ask now; called often. */
+    [[nodiscard]] bool due(const entry_standing& at, time_point now)
     {
-        note(rank, now);
+        note(at, now);
         if (!settled)
             return false;
         const auto before = static_cast<double>(*settled);
@@ -111,8 +118,9 @@
         return before + part * width * width;
     }
 
-    void note(std::size_t rank, time_point now)
+    void note(const entry_standing& at, time_point now)
     {
+        const auto rank = at.rank;
         if (!noted_at)
             asked_at = now;
         const bool frozen = noted_at && now - *noted_at >= frozen_time;
@@ -129,7 +137,8 @@
             lower = 0;
         }
         lower = std::max(lower, rank);
-        if (now - *lower_since < (settled ? settling_time : starting_time))
+        const bool starting = !settled && at.others > 0;
+        if (now - *lower_since < (starting ? starting_time : settling_time))
             return;
         settled = lower;
         lower_since.reset();
--- a/src/coursejunction/fleet/version_inquiry.hpp
+++ b/src/coursejunction/fleet/version_inquiry.hpp
@@ -80,15 +80,15 @@
     /*! @brief Asks when it is this entry's turn, and tells what nobody reads
      * in the store.
      * @param from The service that is the source.
-     * @param rank How many entries come before this one. */
+     * @param at This entry's place among those that it hears. */
     void consider(const service_profile& from, const versioned_model& model,
-                  std::size_t rank, time_point now)
+                  const entry_standing& at, time_point now)
     {
         auto& one = known(from, model, now);
         one.model = model;
         tell(one, now);
         // The schedule is told the rank while a question is on its way, too.
-        const bool due = one.schedule.due(rank, now);
+        const bool due = one.schedule.due(at, now);
         if (asking || !due)
             return;
         one.schedule.asked(now);
--- a/src/coursejunction/proxy/version_controller.hpp
+++ b/src/coursejunction/proxy/version_controller.hpp
@@ -89,7 +89,7 @@
         const auto rank =
             node.peers().entries_before(node.settings().address, now);
         keep(rank, now);
-        ask(rank, now);
+        ask({rank, node.peers().entries(now)}, now);
     }
 
 private:
@@ -160,7 +160,7 @@
         keeper.consider(rank, now);
     }
 
-    void ask(std::size_t rank, time_point now)
+    void ask(const entry_standing& at, time_point now)
     {
         const auto gaps = node.gaps();
         if (gaps != gaps_seen)
@@ -173,18 +173,18 @@
         for (const auto& [name, service] : rules->services)
         {
             if (service.engine)
-                ask(*from, *service.engine, rank, now);
+                ask(*from, *service.engine, at, now);
         }
     }
 
     void ask(const service_profile& from, const engine_profile& engine,
-             std::size_t rank, time_point now)
+             const entry_standing& at, time_point now)
     {
         for (const auto& model : engine.models)
             inquiry.consider(
                 from,
                 {model, fleet.newest(model), engine.chunks, engine.chunk_bytes},
-                rank, now);
+                at, now);
     }
 
     void take_unheard(const unheard_version& one)
--- a/tests/fleet/inquiry_replay.hpp
+++ b/tests/fleet/inquiry_replay.hpp
@@ -52,6 +52,7 @@
     /*! @brief Entries that an entry hears of from others: those after them
      * never hear of each other. */
     std::size_t most_named{1'000};
+    std::size_t seeds{3};   /*!< Entries that all know from the first. */
     std::vector<ms> doubts; /*!< Moments at which all doubt. */
     ms named_at{-1};        /*!< The source alone is told a version. */
     ms window{10'000};      /*!< In which the link's share is looked at. */
@@ -80,6 +81,9 @@
         for (std::size_t at = 0; at < played.entries; ++at)
             entries.emplace_back(static_cast<std::uint32_t>(random()),
                                  start(random));
+        std::uniform_int_distribution<std::size_t> any(0, played.entries - 1);
+        for (std::size_t at = 0; at < played.seeds; ++at)
+            entries[any(random)].seed = true;
     }
 
     /*! @brief Changes what happens to an entry. */
@@ -97,7 +101,8 @@
     /*! @brief From a start until all others are heard, which are named by
      * those that are known. */
     static constexpr ms meeting{800};
-    /*! @brief From the end of a silence until others are heard. */
+    /*! @brief From the end of a silence until others are heard, and from a
+     * start until those that are known from the first are. */
     static constexpr ms hearing{200};
     /*! @brief After this silence an entry counts as gone. */
     static constexpr ms silence{1'000};
@@ -116,7 +121,8 @@
         cj::inquiry_schedule schedule;
         fate life;
         bool begun{false};
-        std::size_t rank{0};
+        bool seed{false};
+        cj::entry_standing at;
         ms asking_until{0};
     };
 
@@ -141,24 +147,31 @@
     [[nodiscard]] bool hears(std::size_t by, std::size_t other, ms now) const
     {
         const auto& own = entries[by].life;
+        const bool known = entries[by].seed || entries[other].seed;
         const auto& one = entries[other].life;
-        if (by >= played.most_named && other >= played.most_named)
+        if (by >= played.most_named && other >= played.most_named && !known)
             return false;
         if (own.frozen && now >= own.frozen->to &&
             now < own.frozen->to + hearing &&
             own.frozen->to - own.frozen->from >= silence)
             return false;
-        return now >= std::max(own.starts, one.starts) + meeting &&
+        return now >= std::max(own.starts, one.starts) +
+                          (known ? hearing : meeting) &&
                !(one.stops && now >= *one.stops) && clear(one.frozen, now) &&
                clear(own.cut, now) && clear(one.cut, now);
     }
 
-    [[nodiscard]] std::size_t rank_of(std::size_t at, ms now) const
+    [[nodiscard]] cj::entry_standing standing_of(std::size_t at, ms now) const
     {
-        std::size_t count = 0;
-        for (std::size_t other = 0; other < at; ++other)
-            count += hears(at, other, now) ? 1 : 0;
-        return count;
+        cj::entry_standing seen;
+        for (std::size_t other = 0; other < entries.size(); ++other)
+        {
+            if (other == at || !hears(at, other, now))
+                continue;
+            ++seen.others;
+            seen.rank += other < at ? 1 : 0;
+        }
+        return seen;
     }
 
     void step(ms now)
@@ -178,9 +191,9 @@
             const bool thaws = one.life.frozen && now >= one.life.frozen->to &&
                                now < one.life.frozen->to + played.tick;
             if (thaws || (now % beat < played.tick && changes(now)))
-                one.rank = rank_of(at, now);
+                one.at = standing_of(at, now);
             if (now >= one.asking_until &&
-                one.schedule.due(one.rank, moment(now)))
+                one.schedule.due(one.at, moment(now)))
                 ask(one, now);
         }
     }
--- a/tests/fleet/inquiry_schedule.cpp
+++ b/tests/fleet/inquiry_schedule.cpp
@@ -16,6 +16,7 @@
 using schedule = cj::inquiry_schedule;
 
 constexpr cj::time_point start{100s};
+constexpr std::size_t others = 9; /*!< Entries that are heard. */
 
 /*! @brief Returns how long after a moment a schedule is due, looked at every
  * 20 ms; the longest time when it is not. */
@@ -23,7 +24,7 @@
                            cj::milliseconds longest)
 {
     for (cj::milliseconds passed{0}; passed < longest; passed += 20ms)
-        if (one.due(rank, from + passed))
+        if (one.due({rank, others}, from + passed))
             return passed;
     return longest;
 }
@@ -88,7 +89,7 @@
             {
                 const auto now = asked + passed;
                 one.doubt(now);
-                if (!one.due(0, now))
+                if (!one.due({0, others}, now))
                     continue;
                 one.asked(now);
                 ++questions;
@@ -105,13 +106,13 @@
 SCENARIO("a rank that falls counts once it lasts", "[fleet]")
 {
     schedule one(7);
-    GIVEN("an entry that has just started and has heard nobody")
+    GIVEN("an entry that has just started and has heard some")
     {
-        THEN("it asks nothing before others had time to tell")
+        THEN("it asks nothing before all had time to tell")
         {
             CHECK(due_after(one, 0, start, 3000ms) >= schedule::starting_time);
         }
-        WHEN("it hears of others in that time")
+        WHEN("it hears of more in that time")
         {
             CHECK(due_after(one, 0, start, 300ms) == 300ms);
             THEN("it waits for its turn")
@@ -120,6 +121,17 @@
             }
         }
     }
+    GIVEN("an entry that has just started and hears nobody")
+    {
+        THEN("it asks as soon as those it knows would have told")
+        {
+            one.doubt(start);
+            cj::milliseconds passed{0};
+            while (!one.due({0, 0}, start + passed))
+                passed += 20ms;
+            CHECK(passed == schedule::settling_time);
+        }
+    }
     GIVEN("an entry that knows its place and has asked")
     {
         const auto asked = start + due_after(one, 9, start, 200'000ms);
@@ -151,7 +163,7 @@
     std::size_t questions = 0;
     for (cj::milliseconds passed{0}; passed < 20'000ms; passed += 700ms)
     {
-        if (!one.due(0, start + passed))
+        if (!one.due({0, others}, start + passed))
             continue;
         one.asked(start + passed);
         ++questions;
--- a/tests/fleet/version_histories.cpp
+++ b/tests/fleet/version_histories.cpp
@@ -153,9 +153,9 @@
             store.write(key, cj::version_record_payload(known));
     }
 
-    void ask(std::size_t rank)
+    void ask(const cj::entry_standing& standing)
     {
-        inquiry.consider(from, {"m", newest(), chunks, chunk_bytes}, rank,
+        inquiry.consider(from, {"m", newest(), chunks, chunk_bytes}, standing,
                          virtual_clock::now());
     }
 
@@ -283,7 +283,8 @@
         if (!all.empty() && now % 500 == 0 && !played.writes.covers(now))
             all.front()->keep(store);
         for (std::size_t at = 0; at < all.size(); ++at)
-            all[at]->ask(met ? at : 0);
+            all[at]->ask(met ? cj::entry_standing{at, all.size() - 1}
+                             : cj::entry_standing{});
         if (now % beat != 0 || !met)
             return;
         const auto moment = virtual_clock::now();
--- a/tests/fleet/version_inquiry.cpp
+++ b/tests/fleet/version_inquiry.cpp
@@ -85,7 +85,7 @@
 
     void look(const std::string& model)
     {
-        inquiry.consider(from, {model, newest, chunks, chunk_bytes}, rank,
+        inquiry.consider(from, {model, newest, chunks, chunk_bytes}, {rank, 9},
                          virtual_clock::now());
     }
 
@@ -360,7 +360,7 @@
     for (int turn = 0; turn < 600; ++turn)
     {
         virtual_clock::moment() += asker::tick;
-        entry.inquiry.consider(entry.from, {"m", 2, many, chunk_bytes}, 0,
+        entry.inquiry.consider(entry.from, {"m", 2, many, chunk_bytes}, {0, 9},
                                virtual_clock::now());
         entry.reply(cj::failure(cj::error_kind::unavailable, "no answer"));
     }
