An absurd record of versions is neither believed nor kept

What callers saw: nothing yet; found by review. A record `version/MODEL` whose number was spoilt was believed by every process: the number counted as named, bound, and was written again by the keeper (which merges what the store holds) while any process lived. No upstream can ever serve it: every request is refused.

Cause: what is read of a key is taken for what was written by one of us.

Why it works: fleet_view keeps apart what anything but a record told (names at any time, peers, the origin) and believes a record only within farthest_step of that. Judged after all keys of a page are read, and again with each later page and each told version, so that neither the order nor a large, legitimate name matters. The keeper judges by the same figure, waits 1 s (the name may be on its way) and replaces the record. Its pauses grow over replacements: entries that know different things cannot chase each other's records every half second.

Not covered: a spoilt number within 1,000 of the truth; a name that rose by over 1,000 at once, went back by a late write, and was then only in the record when all processes ended.

tests/fleet/version_keeper.cpp: know() takes the vouched version; checks as before.

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -105,6 +105,7 @@
                 break;
             }
         }
+        judge_records();
         return changes;
     }
 
@@ -157,10 +158,19 @@
      * @param known When it was named, at the earliest. */
     void told(const std::string& model, std::uint64_t version, time_point known)
     {
-        if (!targets.try_emplace({model, version}, known).second)
-            return;
-        log::state("version_told",
-                   {{"model", model}, {"version", std::to_string(version)}});
+        vouch(model, version);
+        judge_records();
+        if (targets.try_emplace({model, version}, known).second)
+            log::state("version_told", {{"model", model},
+                                        {"version", std::to_string(version)}});
+    }
+
+    /*! @brief Returns the newest version of a model that anything but a record
+     * told; 1 when nothing did. */
+    [[nodiscard]] std::uint64_t vouched(const std::string& model) const
+    {
+        const auto found = vouched_for.find(model);
+        return found == vouched_for.end() ? 1 : found->second;
     }
 
     /*! @brief Returns the newest version that a name or a record of the store
@@ -200,6 +210,14 @@
     }
 
 private:
+    /*! @brief A record of versions that was read. */
+    struct record_claim
+    {
+        version_record record;
+        time_point learnt{};
+        bool refused{false}; /*!< That it is not believed was logged. */
+    };
+
     void read_configuration(const std::string& key, const mirrored_value& value)
     {
         auto read = catalogue::configuration(value.payload);
@@ -266,6 +284,7 @@
         const bool rises = first || target.version > before->second;
         repeated = repeated || !rises;
         before->second = target.version;
+        vouch(target.model, target.version);
         targets.try_emplace({target.model, target.version}, value.learnt);
         log::state("version_named",
                    {{"model", target.model},
@@ -289,9 +308,36 @@
         const auto read = read_version_record(key, value.payload);
         if (!read)
             return unreadable(key, value, read.error().message);
-        const auto& record = read.value();
+        claims[read.value().model] = {read.value(), value.learnt, false};
+    }
+
+    /*! @brief Believes the records that what else is known allows. A record
+     * may be read before the name that bears it out: the others wait. */
+    void judge_records()
+    {
+        for (auto one = claims.begin(); one != claims.end();)
+        {
+            auto& [model, claim] = *one;
+            if (believable(claim.record, vouched(model)))
+            {
+                believe(claim);
+                one = claims.erase(one);
+                continue;
+            }
+            if (!std::exchange(claim.refused, true))
+                log::warning("version_record_absurd",
+                             {{"model", model},
+                              {"newest", std::to_string(claim.record.newest)},
+                              {"known", std::to_string(vouched(model))}});
+            ++one;
+        }
+    }
+
+    void believe(const record_claim& claim)
+    {
+        const auto& record = claim.record;
         if (record.newest > 0)
-            targets.try_emplace({record.model, record.newest}, value.learnt);
+            targets.try_emplace({record.model, record.newest}, claim.learnt);
         auto& newest_kept = kept[record.model];
         newest_kept = std::max(newest_kept, record.newest);
         auto& least = bound[record.model];
@@ -302,6 +348,12 @@
                     {"binding", std::to_string(record.binding)}});
     }
 
+    void vouch(const std::string& model, std::uint64_t version)
+    {
+        auto& newest_vouched = vouched_for.try_emplace(model, 1).first->second;
+        newest_vouched = std::max(newest_vouched, version);
+    }
+
     static void unreadable(const std::string& key, const mirrored_value& value,
                            const std::string& why)
     {
@@ -320,6 +372,9 @@
     std::map<std::string, std::uint64_t> bound;
     std::map<std::string, std::uint64_t> named; /*!< By the store's names. */
     std::map<std::string, std::uint64_t> kept;  /*!< By its records. */
+    /*! @brief The newest that anything but a record told. */
+    std::map<std::string, std::uint64_t> vouched_for;
+    std::map<std::string, record_claim> claims; /*!< Not believed yet. */
     bool repeated{false}; /*!< A name was written anew without rising. */
 };
 
--- a/src/coursejunction/fleet/version_keeper.hpp
+++ b/src/coursejunction/fleet/version_keeper.hpp
@@ -5,6 +5,7 @@
 #ifndef COURSEJUNCTION_FLEET_VERSION_KEEPER_HPP
 #define COURSEJUNCTION_FLEET_VERSION_KEEPER_HPP
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -50,6 +51,10 @@
     /*! @brief An entry waits this long for each entry before it. */
     static constexpr milliseconds turn{500};
 
+    /*! @brief A record that cannot be believed is left for so long: the name
+     * that bears it out may be on its way. */
+    static constexpr milliseconds doubt_time{1000};
+
     /*! @brief Pauses after writes, until the mirror shows what became of
      * them. */
     static constexpr milliseconds first_pause{500};
@@ -63,61 +68,88 @@
     {
     }
 
-    /*! @brief Notes what is known of a model's versions. */
-    void know(const version_record& record)
+    /*! @brief Notes what is known of a model's versions.
+     * @param vouched The newest version that anything but a record tells. */
+    void know(const version_record& record, std::uint64_t vouched)
     {
         auto& one = known[record.model];
-        one.model = record.model;
-        one.merge(record);
+        one.record.model = record.model;
+        one.record.merge(record);
+        one.vouched = std::max(one.vouched, vouched);
     }
 
     /*! @brief Writes what is missing when it is this entry's turn.
      * @param rank How many entries come before this one. */
     void consider(std::size_t rank, time_point now)
     {
-        for (const auto& [model, record] : known)
+        for (const auto& [model, one] : known)
         {
-            if (kept(record))
+            const auto held = stored(one);
+            if (held.believed && held.record.covers(one.record))
             {
                 missing_since.erase(model);
                 continue;
             }
             const auto since = missing_since.try_emplace(model, now);
-            const auto waits = turn * static_cast<std::int64_t>(rank);
+            const auto waits = turn * static_cast<std::int64_t>(rank) +
+                               (held.believed ? milliseconds{0} : doubt_time);
             if (!busy && now - since.first->second >= waits)
-                write(record);
+                write(one.record, held);
         }
     }
 
 private:
-    /*! @brief Tells whether the store keeps a record as far as is known. */
-    [[nodiscard]] bool kept(const version_record& record) const
+    struct known_versions
+    {
+        version_record record;
+        std::uint64_t vouched{1};
+    };
+
+    /*! @brief What the store holds as far as is known. */
+    struct stored_record
+    {
+        version_record record; /*!< Empty when there is none to read. */
+        std::uint64_t revision{0};
+        bool believed{true};
+    };
+
+    [[nodiscard]] stored_record stored(const known_versions& one) const
     {
-        const auto key = version_record_key(record.model);
+        stored_record made;
+        const auto key = version_record_key(one.record.model);
         const auto* value = mirror.find(key);
         if (value == nullptr)
-            return false;
-        const auto read = read_version_record(key, value->payload);
-        return read && read.value().covers(record);
+            return made;
+        made.revision = value->revision;
+        if (const auto read = read_version_record(key, value->payload))
+            made.record = read.value();
+        made.believed = believable(made.record, one.vouched);
+        return made;
     }
 
-    void write(version_record record)
+    /*! @brief Replaces a record that cannot be believed, and adds to another
+     * one. */
+    void write(version_record record, const stored_record& held)
     {
-        const auto key = version_record_key(record.model);
-        const auto* value = mirror.find(key);
-        if (value != nullptr)
-        {
-            if (const auto read = read_version_record(key, value->payload))
-                record.merge(read.value());
-        }
+        if (held.believed)
+            record.merge(held.record);
+        else
+            log::warning("version_record_replaced",
+                         {{"model", record.model},
+                          {"held", std::to_string(held.record.newest)},
+                          {"newest", std::to_string(record.newest)}});
         busy = true;
-        store.keep(key, version_record_payload(record),
-                   value == nullptr ? 0 : value->revision,
-                   [this, record](const result<bool>& answer)
-                   { ended(record, answer); });
+        store.keep(
+            version_record_key(record.model), version_record_payload(record),
+            held.revision,
+            [this, record, added = held.believed](const result<bool>& answer)
+            { ended(record, added, answer); });
     }
 
-    void ended(const version_record& record, const result<bool>& answer)
+    /*! @param added Nothing was replaced. Entries that know different things
+     * would replace each other's records: those pauses grow. */
+    void ended(const version_record& record, bool added,
+               const result<bool>& answer)
     {
         const bool good = answer && answer.value();
         const std::string outcome = good     ? "written"
@@ -130,7 +162,7 @@
                     {"binding", std::to_string(record.binding)},
                     {"result", outcome},
                     {"why", answer ? std::string() : answer.error().message}});
-        if (good)
+        if (good && added)
             pauses.reset();
         again = loop.after(pauses.next(), [this] { busy = false; });
     }
@@ -139,7 +171,7 @@
     Store& store;
     const store_mirror& mirror;
     metrics& counters;
-    std::map<std::string, version_record> known;
+    std::map<std::string, known_versions> known;
     std::map<std::string, time_point> missing_since;
     backoff pauses;
     bool busy{false}; /*!< A write or the pause after it runs. */
--- a/src/coursejunction/fleet/version_record.hpp
+++ b/src/coursejunction/fleet/version_record.hpp
@@ -51,6 +51,14 @@
     }
 };
 
+/*! @brief Tells whether a record may be believed.
+ * @param vouched The newest version that anything but a record tells. */
+[[nodiscard]] inline bool believable(const version_record& record,
+                                     std::uint64_t vouched) noexcept
+{
+    return follows_closely(vouched, std::max(record.newest, record.binding));
+}
+
 /*! @brief Returns the key of a model's item. */
 [[nodiscard]] std::string version_record_key(const std::string& model);
 
--- a/src/coursejunction/proxy/version_controller.hpp
+++ b/src/coursejunction/proxy/version_controller.hpp
@@ -155,7 +155,8 @@
         {
             const auto& [model, version] = named;
             const auto binding = floors.least_known(model, now);
-            keeper.know({model, std::max(version, binding), binding});
+            keeper.know({model, std::max(version, binding), binding},
+                        fleet.vouched(model));
         }
         keeper.consider(rank, now);
     }
--- a/tests/fleet/version_keeper.cpp
+++ b/tests/fleet/version_keeper.cpp
@@ -62,7 +62,7 @@
         on_loop(
             [&]
             {
-                keeper.know({"m", 3, 2});
+                keeper.know({"m", 3, 2}, 3);
                 keeper.consider(0, start);
                 keeper.consider(0, start);
                 REQUIRE(store.calls.size() == 1);
@@ -80,7 +80,7 @@
         on_loop(
             [&]
             {
-                keeper.know({"m", 3, 2});
+                keeper.know({"m", 3, 2}, 3);
                 keeper.consider(2, start);
                 keeper.consider(2, start + keeper_type::turn);
                 CHECK(store.calls.empty());
@@ -94,7 +94,7 @@
             [&]
             {
                 shows({"m", 5, 1}, 9);
-                keeper.know({"m", 3, 2});
+                keeper.know({"m", 3, 2}, 3);
                 keeper.consider(0, start);
                 REQUIRE(store.calls.size() == 1);
                 CHECK(store.calls[0].written.newest == 5);
@@ -102,12 +102,41 @@
                 CHECK(store.calls[0].revision == 9);
             });
     }
+    SECTION("an absurd record is replaced, not added to")
+    {
+        on_loop(
+            [&]
+            {
+                shows({"m", 1'000'000'000'000, 1'000'000'000'000}, 9);
+                keeper.know({"m", 3, 2}, 3);
+                keeper.consider(0, start);
+                CHECK(store.calls.empty());
+                keeper.consider(0, start + keeper_type::doubt_time);
+                REQUIRE(store.calls.size() == 1);
+                CHECK(store.calls[0].written.newest == 3);
+                CHECK(store.calls[0].written.binding == 2);
+                CHECK(store.calls[0].revision == 9);
+            });
+    }
+    SECTION("a record that is not believed yet stays once its name is read")
+    {
+        on_loop(
+            [&]
+            {
+                shows({"m", 70'000, 70'000}, 9);
+                keeper.know({"m", 3, 2}, 3);
+                keeper.consider(0, start);
+                keeper.know({"m", 70'000, 70'000}, 70'000);
+                keeper.consider(0, start + 10s);
+                CHECK(store.calls.empty());
+            });
+    }
     const auto is_tried_again = [&](const result<bool>& answer)
     {
         on_loop(
             [&]
             {
-                keeper.know({"m", 3, 2});
+                keeper.know({"m", 3, 2}, 3);
                 keeper.consider(0, start);
                 store.calls.at(0).done(answer);
                 keeper.consider(0, start);
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -298,6 +298,35 @@
     }
 }
 
+SCENARIO("an absurd record of versions does not bind entries for good",
+         "[proxy]")
+{
+    constexpr std::uint64_t absurd = 1'000'000'000'000;
+    const auto key = cj::version_record_key("m");
+    const auto payload = cj::version_record_payload({"m", absurd, absurd});
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+    keys.write("named/m", "3");
+
+    SECTION("that start after it was written")
+    {
+        keys.write(key, payload);
+        entry_process entry(keys, 1);
+        CHECK(entry.learns(3));
+        CHECK(entry.has_kept(keys, 3));
+        CHECK(entry.newest() == 3);
+    }
+    SECTION("that live when it is written")
+    {
+        entry_process entry(keys, 1);
+        REQUIRE(entry.has_kept(keys, 3));
+        entry.change([&] { keys.write(key, payload); });
+        CHECK(entry.has_kept(keys, absurd));
+        CHECK(entry.has_kept(keys, 3));
+        CHECK(entry.newest() == 3);
+    }
+}
+
 SCENARIO("news of a store that came back from an older copy are not missed",
          "[proxy]")
 {
