A late write does not bring back an upstream that leaves

What callers saw: nothing yet; found by review. An upstream's write `ready` that lost its answer can be done seconds later, over its `draining` or after its record went. It has a higher revision then and was taken: requests went to an upstream that had said it leaves.

Cause: the last write of a key is taken for the last word of its writer. The count of a record was compared across eras of the store only.

Why it works: fleet_view keeps, with the life of an id, its highest count and whether it said that it leaves or its record was removed. From then on a record that says ready with a lower count of the same life is outdated.

Ruled out: the comparison in the mirror. It must go on showing what the store holds; a new process pulls by revisions and would not learn the refused value.

Not covered: who starts between the late write and the upstream's next record.

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -89,7 +89,7 @@
                     read_configuration(key, *value);
                 break;
             case item_kind::upstream:
-                if (auto change = read_upstream(key, value))
+                if (auto change = read_upstream(mirror, key))
                     changes.push_back(std::move(*change));
                 break;
             case item_kind::version:
@@ -218,6 +218,30 @@
         bool refused{false}; /*!< That it is not believed was logged. */
     };
 
+    /*! @brief The latest life of an upstream. A write without an answer may be
+     * done seconds later, over what was written since. */
+    struct known_life
+    {
+        /*! @brief Tells whether a record was written before what is known: in
+         * an earlier life, or in this one before it was to end. */
+        [[nodiscard]] bool precludes(const upstream_record& one) const
+        {
+            return one.life < life || (one.life == life && closed &&
+                                       !one.leaving && one.count < count);
+        }
+
+        void take(const upstream_record& one)
+        {
+            count = one.life == life ? std::max(count, one.count) : one.count;
+            life = one.life;
+            closed = one.leaving;
+        }
+
+        incarnation life;
+        std::uint64_t count{0}; /*!< The highest of its records. */
+        bool closed{false};     /*!< It said that it leaves, or is gone. */
+    };
+
     void read_configuration(const std::string& key, const mirrored_value& value)
     {
         auto read = catalogue::configuration(value.payload);
@@ -233,32 +257,42 @@
 
     /*! @brief Reads an upstream's record. One that cannot be read names no
      * upstream to use, and what it replaced is not kept in its place.
-     * @return What changed; nothing for news of an earlier life. */
-    std::optional<upstream_change> read_upstream(const std::string& key,
-                                                 const mirrored_value* value)
+     * @return What changed; nothing for what was written before. */
+    std::optional<upstream_change> read_upstream(const store_mirror& mirror,
+                                                 const std::string& key)
     {
         const auto id = catalogue::upstream_id(key);
+        const auto* value = mirror.find(key);
         if (value == nullptr)
         {
+            const auto mark = mirror.all().find(key);
+            const auto known = lives.find(id);
+            // What a store lost by coming back from a copy was not ended.
+            if (known != lives.end() &&
+                (mark == mirror.all().end() || !mark->second.lost))
+                known->second.closed = true;
             records.erase(id);
             return upstream_change{id, {}, true};
         }
         auto read = catalogue::upstream(key, value->payload);
         if (!read)
             return refuse_upstream(key, *value, read.error().message);
-        auto& latest = lives[id];
-        if (read.value().life.empty() && !latest.empty())
+        auto& known = lives[id];
+        const auto& one = read.value();
+        if (one.life.empty() && !known.life.empty())
             return refuse_upstream(key, *value, "its life is not told");
-        // A write of an earlier life may be done seconds after it ended.
-        if (read.value().life < latest)
+        if (known.precludes(one))
         {
             log::state("upstream_record_outdated",
-                       {{"key", key}, {"revision", value->position().text()}});
+                       {{"key", key},
+                        {"revision", value->position().text()},
+                        {"count", std::to_string(one.count)},
+                        {"known", std::to_string(known.count)}});
             return std::nullopt;
         }
-        latest = read.value().life;
+        known.take(one);
         records[id] = std::move(read.value());
-        return upstream_change{id, latest};
+        return upstream_change{id, known.life};
     }
 
     upstream_change refuse_upstream(const std::string& key,
@@ -366,7 +400,7 @@
     std::map<instance_id, upstream_record> records;
     /*! @brief The latest life of each id; ids are kept as the mirror keeps the
      * marks of removed keys. */
-    std::map<instance_id, incarnation> lives;
+    std::map<instance_id, known_life> lives;
     std::size_t refused{0};
     std::map<std::pair<std::string, std::uint64_t>, time_point> targets;
     std::map<std::string, std::uint64_t> bound;
--- a/src/coursejunction/fleet/installation.hpp
+++ b/src/coursejunction/fleet/installation.hpp
@@ -142,6 +142,7 @@
     bool leaving{false};
     std::uint64_t cold_ms{0};
     std::map<std::string, std::uint64_t> weights; /*!< Model and version. */
+    std::uint64_t count{0}; /*!< Of its records in this life. */
 };
 
 /*! @brief The version of a model that is to be served. */
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -58,6 +58,7 @@
         made.id = cj::instance_id(key);
         made.address = "127.0.0.1:9";
         made.leaving = payload.ends_with(" leaves");
+        made.count = std::stoull(payload);
         return made;
     }
     static cj::instance_id upstream_id(const std::string& key)
@@ -203,6 +204,16 @@
             });
     }
 
+    [[nodiscard]] bool knows_ready(const std::string& upstream)
+    {
+        return holds_soon(
+            [&]
+            {
+                const auto* one = record_of(upstream);
+                return one != nullptr && !one->record.leaving;
+            });
+    }
+
 private:
     static constexpr std::uint16_t port{21'731};
 
@@ -298,6 +309,26 @@
     }
 }
 
+SCENARIO("a late write does not bring an upstream back that leaves", "[proxy]")
+{
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+    keys.write("up/a", "1 ready");
+    entry_process entry(keys, 1);
+    REQUIRE(entry.knows("up/a"));
+    entry.change([&] { keys.write("up/a", "3 leaves"); });
+    REQUIRE(entry.knows_leaving("up/a"));
+    entry.change([&] { keys.write("up/a", "2 ready"); });
+    std::this_thread::sleep_for(500ms);
+    CHECK(entry.knows_leaving("up/a"));
+
+    SECTION("its next word that it is ready does")
+    {
+        entry.change([&] { keys.write("up/a", "4 ready"); });
+        CHECK(entry.knows_ready("up/a"));
+    }
+}
+
 SCENARIO("an absurd record of versions does not bind entries for good",
          "[proxy]")
 {
