Quarantines that a restored copy of the store lacks are kept again

What callers saw: nothing yet; listed as open. A store that came back from an older copy lacks the quarantines found since. Entries that live know them, one that starts afterwards lets the request end upstreams again.

Cause: a quarantine is written once, when it is found, and its being in the store is taken to last as long as its lease.

Evidence, before (old sources, this test): gateway.cpp:456: CHECK( entry.sees(keys, key) ) false gateway.cpp:460: CHECK( after.suspects(bad) ) false After: all pass.

Why it works: after each change of the store's era an entry writes, at its turn (0.5 s for each entry before it), what its ledger suspects and the mirror lacks by loss. A key that was removed before, or whose lease ended, is marked as removed and not written. The write is at revision 0, and given up when another entry's is seen, so that a later turn or an outrun write costs nothing; news that are found meanwhile go first. Eras of a store that tells none never change.

Not covered: a quarantine that had been dropped and comes back with the copy is believed by an entry that starts then, until its trial.

tests/proxy/memory_store.hpp: removals leave a mark, so that watches tell them (before, a removal was silent; no test relied on it).

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -265,11 +265,8 @@
         const auto* value = mirror.find(key);
         if (value == nullptr)
         {
-            const auto mark = mirror.all().find(key);
             const auto known = lives.find(id);
-            // What a store lost by coming back from a copy was not ended.
-            if (known != lives.end() &&
-                (mark == mirror.all().end() || !mark->second.lost))
+            if (known != lives.end() && !mirror.lacks_by_loss(key))
                 known->second.closed = true;
             records.erase(id);
             return upstream_change{id, {}, true};
--- a/src/coursejunction/fleet/quarantine_keeper.hpp
+++ b/src/coursejunction/fleet/quarantine_keeper.hpp
@@ -73,7 +73,15 @@
     /*! @brief Keeps a quarantine, in place of an earlier record of it. */
     void keep(const request_content& what, std::string payload)
     {
-        want(what, std::move(payload));
+        want(what, {std::move(payload), false});
+    }
+
+    /*! @brief Keeps a quarantine that the store lost, unless another entry
+     * writes it first. */
+    void restore(const request_content& what, std::string payload)
+    {
+        if (!wanted.contains(what))
+            want(what, {std::move(payload), true});
     }
 
     /*! @brief A quarantine is over before its time. */
@@ -82,15 +90,21 @@
         const auto* kept = mirror.find(quarantine_key(what));
         const bool coming = wanted.contains(what) || under_way == what;
         if (kept != nullptr || coming)
-            want(what, std::nullopt);
+            want(what, {std::nullopt, false});
     }
 
     /*! @brief Returns how many writes are not done yet. */
     [[nodiscard]] std::size_t waiting() const { return wanted.size(); }
 
 private:
-    /*! @brief A payload, or nothing where the item is to go. */
-    using target = std::optional<std::string>;
+    /*! @brief What an item is to be. */
+    struct target
+    {
+        std::optional<std::string> payload; /*!< Nothing: it is to go. */
+        bool only_absent{false}; /*!< Whatever the store holds is as good. */
+
+        friend bool operator==(const target&, const target&) = default;
+    };
 
     void want(const request_content& what, target next)
     {
@@ -113,7 +127,9 @@
         const auto key = quarantine_key(what);
         const auto* kept = mirror.find(key);
         const auto revision = kept == nullptr ? 0 : kept->revision;
-        if (!next && revision == 0)
+        const bool done_already =
+            next.payload ? next.only_absent && kept != nullptr : revision == 0;
+        if (done_already)
         {
             wanted.erase(what);
             return go_on();
@@ -121,8 +137,8 @@
         under_way = what;
         const auto done = [this, written = next](const result<bool>& answer)
         { ended(written, answer); };
-        if (next)
-            store.put(key, *next, revision, lifetime, done);
+        if (next.payload)
+            store.put(key, *next.payload, revision, lifetime, done);
         else
             store.remove(key, revision, done);
     }
--- a/src/coursejunction/fleet/store_mirror.hpp
+++ b/src/coursejunction/fleet/store_mirror.hpp
@@ -157,6 +157,15 @@
                                                               : &found->second;
     }
 
+    /*! @brief Tells whether a key is absent and was not removed, as far as is
+     * known: the store never showed it, or came back without it. */
+    [[nodiscard]] bool lacks_by_loss(const std::string& key) const
+    {
+        const auto found = values.find(key);
+        return found == values.end() ||
+               (found->second.removed && found->second.lost);
+    }
+
     /*! @brief Returns every key, removed ones included. */
     [[nodiscard]] const std::map<std::string, mirrored_value>& all() const
     {
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -19,6 +19,7 @@
 #include "coursejunction/fleet/fleet_view.hpp"
 #include "coursejunction/fleet/quarantine_item.hpp"
 #include "coursejunction/fleet/quarantine_keeper.hpp"
+#include "coursejunction/fleet/restore_turn.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
@@ -263,6 +264,24 @@
             keeper.drop(what);
     }
 
+    /*! @brief Writes quarantines again that the store lost by coming back from
+     * an older copy: an entry that starts now would not know them. */
+    void restore_quarantines(time_point now)
+    {
+        const auto rank =
+            node.peers().entries_before(node.settings().address, now);
+        if (!restoring.due(node.mirror().position(), rank, now))
+            return;
+        const auto& records = exchanges.crashing().records();
+        for (const auto& [what, one] : records.all())
+        {
+            if (records.suspects(what) &&
+                node.mirror().lacks_by_loss(quarantine_key(what)))
+                keeper.restore(what, quarantine_payload(
+                                         records.record(what, now), wall_ms()));
+        }
+    }
+
     /*! @brief Returns the Unix time in milliseconds. */
     [[nodiscard]] static std::int64_t wall_ms()
     {
@@ -418,7 +437,9 @@
         book.entries(entries);
         share_engines(now);
         versions.tick(!leaving, now);
-        if (leaving)
+        if (!leaving)
+            restore_quarantines(now);
+        else
             go_on_stopping(now);
     }
 
@@ -448,6 +469,7 @@
     fleet_view<Platform> fleet;
     exchange_service<codec> exchanges;
     quarantine_keeper<typename Platform::store> keeper;
+    restore_turn restoring;
     version_controller<Platform> versions;
     std::unique_ptr<stream_server> callers;
     std::unique_ptr<stream_server> readiness;
--- a/src/coursejunction/run/crash_ledger.cpp
+++ b/src/coursejunction/run/crash_ledger.cpp
@@ -245,6 +245,12 @@
                   { return now - one.second.last >= limits.memory; });
 }
 
+bool crash_ledger::suspects(const request_content& what) const
+{
+    const auto found = records.find(what);
+    return found != records.end() && suspected(found->second);
+}
+
 std::size_t crash_ledger::suspected() const
 {
     return static_cast<std::size_t>(
--- a/src/coursejunction/run/crash_ledger.hpp
+++ b/src/coursejunction/run/crash_ledger.hpp
@@ -133,6 +133,9 @@
         return records;
     }
 
+    /*! @brief Tells whether a request is quarantined or on trial. */
+    [[nodiscard]] bool suspects(const request_content& what) const;
+
     /*! @brief Returns how many requests are quarantined or on trial. */
     [[nodiscard]] std::size_t suspected() const;
 
--- a/tests/fleet/quarantine_keeper.cpp
+++ b/tests/fleet/quarantine_keeper.cpp
@@ -76,6 +76,53 @@
                 CHECK(store.calls.size() == 1);
             });
     }
+    SECTION("one that the store lost is written again")
+    {
+        on_loop(
+            [&]
+            {
+                keeper.restore(bad, "first");
+                REQUIRE(store.calls.size() == 1);
+                CHECK(store.calls[0].revision == 0);
+                store.calls[0].done(true);
+                CHECK(keeper.waiting() == 0);
+            });
+    }
+    SECTION("one that the store lost and another entry writes stays as it is")
+    {
+        on_loop(
+            [&]
+            {
+                keeper.restore(bad, "first");
+                REQUIRE(store.calls.size() == 1);
+                shows(9);
+                store.calls[0].done(false);
+            });
+        std::this_thread::sleep_for(900ms);
+        on_loop(
+            [&]
+            {
+                CHECK(store.calls.size() == 1);
+                CHECK(keeper.waiting() == 0);
+                keeper.restore(bad, "first");
+                CHECK(store.calls.size() == 1);
+            });
+    }
+    SECTION("what is found anew goes before what the store lost")
+    {
+        on_loop(
+            [&]
+            {
+                keeper.restore(bad, "first");
+                keeper.keep(bad, "second");
+                keeper.restore(bad, "first");
+                shows(7);
+                store.calls.at(0).done(true);
+                REQUIRE(store.calls.size() == 2);
+                CHECK(store.calls[1].payload == "second");
+                CHECK(store.calls[1].revision == 7);
+            });
+    }
     SECTION("news that come while it is written follow it")
     {
         on_loop(
--- /dev/null
+++ b/tests/fleet/restore_turn.cpp
@@ -0,0 +1,39 @@
+#include "coursejunction/fleet/restore_turn.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace coursejunction;
+using namespace std::chrono_literals;
+
+TEST_CASE("entries write again one after the other what a store lost",
+          "[fleet]")
+{
+    const time_point now{100s};
+    restore_turn turn;
+
+    SECTION("nothing is lost when the store is read for the first time")
+    {
+        CHECK_FALSE(turn.due({}, 0, now));
+        CHECK_FALSE(turn.due({3, 9}, 0, now));
+        CHECK_FALSE(turn.due({3, 10}, 0, now + 9s));
+    }
+    SECTION("the first at once, and once for each new era")
+    {
+        CHECK_FALSE(turn.due({1, 9}, 0, now));
+        CHECK(turn.due({2, 4}, 0, now));
+        CHECK_FALSE(turn.due({2, 5}, 0, now + 9s));
+        CHECK(turn.due({3, 2}, 0, now + 9s));
+    }
+    SECTION("the others later")
+    {
+        CHECK_FALSE(turn.due({1, 9}, 2, now));
+        CHECK_FALSE(turn.due({2, 4}, 2, now));
+        CHECK_FALSE(turn.due({2, 4}, 2, now + restore_turn::turn));
+        CHECK(turn.due({2, 4}, 2, now + 2 * restore_turn::turn));
+    }
+    SECTION("a store that told no era before")
+    {
+        CHECK_FALSE(turn.due({0, 9}, 0, now));
+        CHECK(turn.due({1, 4}, 0, now));
+    }
+}
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -28,6 +28,8 @@
             return cj::item_kind::configuration;
         if (key.starts_with(cj::version_record_prefix))
             return cj::item_kind::version_record;
+        if (key.starts_with(cj::quarantine_prefix))
+            return cj::item_kind::quarantine;
         if (key.starts_with("up/"))
             return cj::item_kind::upstream;
         return key.starts_with("named/") ? cj::item_kind::version
@@ -72,9 +74,11 @@
     static cj::item_order order(const std::string& key,
                                 const std::string& payload)
     {
-        return key == "other" || kind(key) == cj::item_kind::version_record
-                   ? cj::item_order{}
-                   : cj::item_order{0, std::stoull(payload)};
+        const bool unordered = key == "other" ||
+                               kind(key) == cj::item_kind::version_record ||
+                               kind(key) == cj::item_kind::quarantine;
+        return unordered ? cj::item_order{}
+                         : cj::item_order{0, std::stoull(payload)};
     }
     static bool is_operators(const std::string& key)
     {
@@ -204,6 +208,20 @@
             });
     }
 
+    /*! @brief Waits until a request is known to end upstreams. */
+    [[nodiscard]] bool suspects(const cj::request_content& what)
+    {
+        return holds_soon(
+            [&] { return made->crashing().records().suspects(what); });
+    }
+
+    /*! @brief Waits until the store holds a key. */
+    [[nodiscard]] bool sees(const proxy_test::stored_keys& keys,
+                            const std::string& key)
+    {
+        return holds_soon([&] { return keys.holds(key); });
+    }
+
     [[nodiscard]] bool knows_ready(const std::string& upstream)
     {
         return holds_soon(
@@ -404,3 +422,51 @@
         CHECK(entry.knows_leaving("up/a"));
     }
 }
+
+namespace
+{
+
+/*! @brief A quarantine whose last upstream ended just now. */
+std::string fresh_quarantine(const cj::request_content& what)
+{
+    const auto now = std::chrono::duration_cast<cj::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    return cj::quarantine_payload({what, {{1, 2}, {2, 2}, {3, 2}}, {}, 0},
+                                  now.count());
+}
+
+} // namespace
+
+SCENARIO("quarantines that a restored copy of the store lacks are kept again",
+         "[proxy]")
+{
+    const auto bad = cj::request_content::of("school", "/", "bad");
+    const auto key = cj::quarantine_key(bad);
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+    const auto copy = keys;
+    keys.write(key, fresh_quarantine(bad));
+
+    SECTION("and an entry that starts after that knows them")
+    {
+        {
+            entry_process entry(keys, 1);
+            REQUIRE(entry.suspects(bad));
+            entry.change([&] { keys.come_back(copy); });
+            CHECK(entry.sees(keys, key));
+        }
+        entry_process after(keys, 1);
+        REQUIRE(after.obeys(1));
+        CHECK(after.suspects(bad));
+    }
+    SECTION("unless they had been removed before")
+    {
+        entry_process entry(keys, 1);
+        REQUIRE(entry.suspects(bad));
+        entry.change([&] { keys.remove(key); });
+        std::this_thread::sleep_for(300ms);
+        entry.change([&] { keys.come_back(copy); });
+        std::this_thread::sleep_for(1s);
+        entry.change([&] { CHECK_FALSE(keys.holds(key)); });
+    }
+}
--- a/tests/proxy/memory_store.hpp
+++ b/tests/proxy/memory_store.hpp
@@ -29,6 +29,18 @@
         items[key] = {key, payload, ++revision, 0, false, {}, 0};
     }
 
+    /*! @brief Removes a key; watches tell so. */
+    void remove(const std::string& key)
+    {
+        items[key] = {key, {}, ++revision, 0, true, {}, 0};
+    }
+
+    [[nodiscard]] bool holds(const std::string& key) const
+    {
+        const auto found = items.find(key);
+        return found != items.end() && !found->second.removed;
+    }
+
     /*! @brief Comes back from an older copy: what was written since is gone,
      * and its revisions are given out again. */
     void come_back(const stored_keys& copy)
@@ -75,8 +87,7 @@
              std::uint64_t revision, cj::milliseconds,
              const write_callback& done)
     {
-        const auto found = keys.items.find(key);
-        const auto at = found == keys.items.end() ? 0 : found->second.revision;
+        const auto at = keys.holds(key) ? keys.items.at(key).revision : 0;
         if (at != revision)
             return done(false);
         keys.write(key, payload);
@@ -92,7 +103,10 @@
     void remove(const std::string& key, std::uint64_t,
                 const write_callback& done)
     {
-        done(keys.items.erase(key) > 0);
+        const bool held = keys.holds(key);
+        if (held)
+            keys.remove(key);
+        done(held);
     }
 
 private:
@@ -124,7 +138,7 @@
         page.position = {keys.era, keys.revision};
         for (const auto& [key, item] : keys.items)
         {
-            if (item.revision <= after)
+            if (item.revision <= after || (after == 0 && item.removed))
                 continue;
             page.items.push_back(item);
             page.items.back().era = keys.era;
