An older configuration is not in force again after all entries start anew

The operator's write of an older configuration that lost its answer is done after a newer one. Processes that live refuse it; once all have ended, those that start take it: keys that were revoked hold again, routes are gone. The same where a store comes back without the newest configuration and all processes end before it is written again.

Evidence, before (old sources with the key's name, this test): gateway.cpp:503: CHECK( before.sees(keys, copied) ) false gateway.cpp:509: CHECK( before.sees(keys, copied) ) false gateway.cpp:514: CHECK( after.obeys(5) ) false (both ways) After: all pass.

Why it works: while the operator's key shows an older number than the one in force, or its value only stands from an earlier era, the entries keep the newest payload under a key of ours, one after the other. Who starts takes the higher of both. The copy has no order of its own, so that one that a restored store brings back is seen and replaced. It is removed once the operator's key shows the newest.

Costs: one write of the configuration's size in that case, and its way to every process as for a change of configuration; an entry holds the newest payload once more. Numbers are read when a key changes, not at each tick.

Not covered: a configuration that no process read before it was overwritten.

--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -31,9 +31,18 @@
     version,
     version_record, /*!< What is known of a model's versions. */
     quarantine,     /*!< A request that crashes upstreams. */
+    /*! @brief The newest configuration, while the operator's key shows an older
+     * one. */
+    kept_configuration,
     other
 };
 
+/*! @brief Returns the key of that copy. */
+[[nodiscard]] inline std::string kept_configuration_key()
+{
+    return "configuration/newest";
+}
+
 /*! @brief Reads the platform's items; pure. */
 template <typename Catalogue>
 concept Item_catalogue = requires(const std::string& key,
@@ -79,6 +88,7 @@
                                         const std::vector<std::string>& keys)
     {
         std::vector<upstream_change> changes;
+        bool configured = false;
         for (const auto& key : keys)
         {
             const auto* value = mirror.find(key);
@@ -87,6 +97,10 @@
             case item_kind::configuration:
                 if (value != nullptr)
                     read_configuration(key, *value);
+                configured = true;
+                break;
+            case item_kind::kept_configuration:
+                configured = true;
                 break;
             case item_kind::upstream:
                 if (auto change = read_upstream(mirror, key))
@@ -106,6 +120,8 @@
             }
         }
         judge_records();
+        if (configured)
+            read_kept_configuration(mirror);
         return changes;
     }
 
@@ -249,12 +265,38 @@
             return unreadable(key, value, read.error().message);
         if (current && read.value().version < current->version)
             return unreadable(key, value, "version goes back");
-        current = std::make_shared<const installation>(std::move(read.value()));
+        configure(std::move(read.value()), value);
+    }
+
+    void configure(installation next, const mirrored_value& value)
+    {
+        current = std::make_shared<const installation>(std::move(next));
         log::state("configuration_in_force",
                    {{"version", std::to_string(current->version)},
                     {"revision", value.position().text()}});
     }
 
+    /*! @brief Takes the copy of a newer configuration than the operator's key
+     * shows. It says nothing without that one: a number that was spoilt would
+     * stay in force for good. */
+    void read_kept_configuration(const store_mirror& mirror)
+    {
+        const auto* value = mirror.find(kept_configuration_key());
+        if (value == nullptr || !current)
+            return;
+        auto read = catalogue::configuration(value->payload);
+        if (!read)
+            return unreadable(kept_configuration_key(), *value,
+                              read.error().message);
+        const auto version = read.value().version;
+        if (version <= current->version)
+            return;
+        if (!follows_closely(current->version, version))
+            return unreadable(kept_configuration_key(), *value,
+                              "absurd version: " + std::to_string(version));
+        configure(std::move(read.value()), *value);
+    }
+
     /*! @brief Reads an upstream's record. One that cannot be read names no
      * upstream to use, and what it replaced is not kept in its place.
      * @return What changed; nothing for what was written before. */
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -15,6 +15,7 @@
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/rendezvous.hpp"
+#include "coursejunction/fleet/configuration_keeper.hpp"
 #include "coursejunction/fleet/fleet_node.hpp"
 #include "coursejunction/fleet/fleet_view.hpp"
 #include "coursejunction/fleet/quarantine_item.hpp"
@@ -152,6 +153,8 @@
                     options.exchange),
           keeper(owner, peers.service(), peers.mirror(), counted,
                  seed_of(peers)),
+          configurations(owner, peers.service(), peers.mirror(), counted,
+                         seed_of(peers)),
           versions(owner, peers, fleet, exchanges.floors(), counted,
                    options.version_time, seed_of(peers))
     {
@@ -231,6 +234,8 @@
         versions.read(before == nullptr, now);
         if (fleet.rules() != before)
             configure();
+        const auto* rules = fleet.rules();
+        configurations.read(keys, rules == nullptr ? 0 : rules->version);
         name_sides();
     }
 
@@ -266,10 +271,8 @@
 
     /*! @brief Writes quarantines again that the store lost by coming back from
      * an older copy: an entry that starts now would not know them. */
-    void restore_quarantines(time_point now)
+    void restore_quarantines(std::size_t rank, time_point now)
     {
-        const auto rank =
-            node.peers().entries_before(node.settings().address, now);
         if (!restoring.due(node.mirror().position(), rank, now))
             return;
         const auto& records = exchanges.crashing().records();
@@ -437,10 +440,19 @@
         book.entries(entries);
         share_engines(now);
         versions.tick(!leaving, now);
-        if (!leaving)
-            restore_quarantines(now);
-        else
+        if (leaving)
             go_on_stopping(now);
+        else
+            keep_up(now);
+    }
+
+    /*! @brief Writes what the store lacks. */
+    void keep_up(time_point now)
+    {
+        const auto rank =
+            node.peers().entries_before(node.settings().address, now);
+        restore_quarantines(rank, now);
+        configurations.consider(rank, now);
     }
 
     void go_on_stopping(time_point now)
@@ -470,6 +482,8 @@
     exchange_service<codec> exchanges;
     quarantine_keeper<typename Platform::store> keeper;
     restore_turn restoring;
+    configuration_keeper<typename Platform::store, typename Platform::catalogue>
+        configurations;
     version_controller<Platform> versions;
     std::unique_ptr<stream_server> callers;
     std::unique_ptr<stream_server> readiness;
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -30,6 +30,8 @@
             return cj::item_kind::version_record;
         if (key.starts_with(cj::quarantine_prefix))
             return cj::item_kind::quarantine;
+        if (key == cj::kept_configuration_key())
+            return cj::item_kind::kept_configuration;
         if (key.starts_with("up/"))
             return cj::item_kind::upstream;
         return key.starts_with("named/") ? cj::item_kind::version
@@ -76,7 +78,8 @@
     {
         const bool unordered = key == "other" ||
                                kind(key) == cj::item_kind::version_record ||
-                               kind(key) == cj::item_kind::quarantine;
+                               kind(key) == cj::item_kind::quarantine ||
+                               kind(key) == cj::item_kind::kept_configuration;
         return unordered ? cj::item_order{}
                          : cj::item_order{0, std::stoull(payload)};
     }
@@ -215,6 +218,13 @@
             [&] { return made->crashing().records().suspects(what); });
     }
 
+    /*! @brief Waits until the store does not hold a key. */
+    [[nodiscard]] bool misses(const proxy_test::stored_keys& keys,
+                              const std::string& key)
+    {
+        return holds_soon([&] { return !keys.holds(key); });
+    }
+
     /*! @brief Waits until the store holds a key. */
     [[nodiscard]] bool sees(const proxy_test::stored_keys& keys,
                             const std::string& key)
@@ -470,3 +480,57 @@
         entry.change([&] { CHECK_FALSE(keys.holds(key)); });
     }
 }
+
+SCENARIO("an older configuration is not in force again after all entries start "
+         "anew",
+         "[proxy]")
+{
+    const auto copied = cj::kept_configuration_key();
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "3");
+    const auto copy = keys;
+    {
+        entry_process before(keys, 1);
+        REQUIRE(before.obeys(3));
+        before.change([&] { keys.write("configuration", "5"); });
+        REQUIRE(before.obeys(5));
+        std::this_thread::sleep_for(300ms);
+        before.change([&] { CHECK_FALSE(keys.holds(copied)); });
+
+        SECTION("though a late write put it back")
+        {
+            before.change([&] { keys.write("configuration", "3"); });
+            CHECK(before.sees(keys, copied));
+            CHECK(before.configuration() == 5);
+        }
+        SECTION("though the store came back from an older copy")
+        {
+            before.change([&] { keys.come_back(copy); });
+            CHECK(before.sees(keys, copied));
+            CHECK(before.configuration() == 5);
+        }
+    }
+    entry_process after(keys, 1);
+    CHECK(after.obeys(5));
+
+    WHEN("the next one is written")
+    {
+        after.change([&] { keys.write("configuration", "6"); });
+        THEN("it is in force, and the copy goes")
+        {
+            CHECK(after.obeys(6));
+            CHECK(after.misses(keys, copied));
+        }
+    }
+}
+
+SCENARIO("an absurd copy of the configuration is not believed", "[proxy]")
+{
+    proxy_test::stored_keys keys;
+    keys.write(cj::kept_configuration_key(), "1000000000000");
+    keys.write("configuration", "3");
+    entry_process entry(keys, 1);
+    REQUIRE(entry.obeys(3));
+    CHECK(entry.misses(keys, cj::kept_configuration_key()));
+    CHECK(entry.configuration() == 3);
+}
