--- a/src/coursejunction/fleet/store_mirror.hpp
+++ b/src/coursejunction/fleet/store_mirror.hpp
@@ -193,28 +193,23 @@
         return rules.stands && rules.stands(key);
     }
 
+    /*! @tparam Value A `mirrored_value` or a `mirror_item`. */
+    template <typename Value>
     [[nodiscard]] item_order order_of(const std::string& key,
-                                      const mirrored_value& value) const
+                                      const Value& value) const
     {
         if (value.removed || !rules.order)
             return value.order;
         return rules.order(key, value.payload);
     }
 
-    [[nodiscard]] item_order order_of(const message::mirror_item& one) const
-    {
-        if (one.removed || !rules.order)
-            return one.order;
-        return rules.order(one.key, one.payload);
-    }
-
     /*! @brief Tells whether a value of another era takes the place of the one
      * that is known. */
     [[nodiscard]] bool replaces(const message::mirror_item& one,
                                 const mirrored_value& known) const
     {
         const bool later = one.era > known.era;
-        const auto next = order_of(one);
+        const auto next = order_of(one.key, one);
         const auto before = order_of(one.key, known);
         const bool unordered = next == item_order{} && before == item_order{};
         if (unordered || (one.removed && known.removed))
