One writer of single keys for the keepers of versions and quarantines

fleet/key_writer (from the keeper of configurations) now has the one write at a time, the pauses and the counted outcomes of version_keeper and quarantine_keeper as well.

--- a/src/coursejunction/fleet/key_writer.hpp
+++ b/src/coursejunction/fleet/key_writer.hpp
@@ -78,8 +78,9 @@
                            [this, call = std::move(then)]
                            {
                                resting = false;
-                               if (call)
-                                   call();
+                               // It may rest again, which ends this timer.
+                               if (const auto next = call)
+                                   next();
                            });
     }
 
--- a/src/coursejunction/fleet/quarantine_keeper.hpp
+++ b/src/coursejunction/fleet/quarantine_keeper.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/request_content.hpp"
 #include "coursejunction/core/result.hpp"
+#include "coursejunction/fleet/key_writer.hpp"
 #include "coursejunction/fleet/quarantine_item.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
 #include "coursejunction/net/event_loop.hpp"
@@ -65,8 +66,9 @@
     quarantine_keeper(event_loop& owner, Store& service,
                       const store_mirror& held, metrics& counted,
                       std::uint32_t seed)
-        : loop(owner), store(service), mirror(held), counters(counted),
-          pauses(first_pause, longest_pause, seed)
+        : store(service), mirror(held), counters(counted),
+          writer(owner, counted, "quarantine_writes_total",
+                 backoff(first_pause, longest_pause, seed))
     {
     }
 
@@ -121,7 +123,7 @@
 
     void go_on()
     {
-        if (under_way || resting || wanted.empty())
+        if (writer.busy() || wanted.empty())
             return;
         const auto [what, next] = *wanted.begin();
         const auto key = quarantine_key(what);
@@ -135,30 +137,30 @@
             return go_on();
         }
         under_way = what;
-        const auto done = [this, written = next](const result<bool>& answer)
-        { ended(written, answer); };
+        const auto done =
+            writer.begin([this, written = next](write_outcome outcome,
+                                                const std::string& why)
+                         { ended(written, outcome, why); });
         if (next.payload)
             store.put(key, *next.payload, revision, lifetime, done);
         else
             store.remove(key, revision, done);
     }
 
-    void ended(const target& written, const result<bool>& answer)
+    void ended(const target& written, write_outcome outcome,
+               const std::string& why)
     {
         const auto what = *std::exchange(under_way, std::nullopt);
-        const bool good = answer && answer.value();
-        counters.count("quarantine_writes_total", 1,
-                       {{"result", good     ? "written"
-                                   : answer ? "outrun"
-                                            : "failed"}});
+        const bool good = outcome == write_outcome::written;
         const auto found = wanted.find(what);
         if (good && found != wanted.end() && found->second == written)
             wanted.erase(found);
         if (good)
-            pauses.reset();
+            writer.succeeded();
         else
-            rest(what,
-                 answer ? "another entry wrote it" : answer.error().message);
+            rest(what, outcome == write_outcome::outrun
+                           ? "another entry wrote it"
+                           : why);
         go_on();
     }
 
@@ -166,24 +168,15 @@
     {
         log::state("quarantine_not_written",
                    {{"content", what.hex()}, {"why", why}});
-        resting = true;
-        again = loop.after(pauses.next(),
-                           [this]
-                           {
-                               resting = false;
-                               go_on();
-                           });
+        writer.rest([this] { go_on(); });
     }
 
-    event_loop& loop;
     Store& store;
     const store_mirror& mirror;
     metrics& counters;
     std::map<request_content, target> wanted;
     std::optional<request_content> under_way;
-    backoff pauses;
-    bool resting{false};
-    timer again;
+    key_writer writer;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/fleet/version_keeper.hpp
+++ b/src/coursejunction/fleet/version_keeper.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/fleet/key_writer.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
 #include "coursejunction/fleet/version_record.hpp"
 #include "coursejunction/net/event_loop.hpp"
@@ -63,8 +64,9 @@
     /*! @param seed Another one for each entry. */
     version_keeper(event_loop& owner, Store& service, const store_mirror& held,
                    metrics& counted, std::uint32_t seed)
-        : loop(owner), store(service), mirror(held), counters(counted),
-          pauses(first_pause, longest_pause, seed)
+        : store(service), mirror(held),
+          writer(owner, counted, "version_record_writes_total",
+                 backoff(first_pause, longest_pause, seed))
     {
     }
 
@@ -93,7 +95,7 @@
             const auto since = missing_since.try_emplace(model, now);
             const auto waits = turn * static_cast<std::int64_t>(rank) +
                                (held.believed ? milliseconds{0} : doubt_time);
-            if (!busy && now - since.first->second >= waits)
+            if (!writer.busy() && now - since.first->second >= waits)
                 write(one.record, held);
         }
     }
@@ -138,44 +140,35 @@
                          {{"model", record.model},
                           {"held", std::to_string(held.record.newest)},
                           {"newest", std::to_string(record.newest)}});
-        busy = true;
         store.keep(
             version_record_key(record.model), version_record_payload(record),
             held.revision,
-            [this, record, added = held.believed](const result<bool>& answer)
-            { ended(record, added, answer); });
+            writer.begin([this, record, added = held.believed](
+                             write_outcome outcome, const std::string& why)
+                         { ended(record, added, outcome, why); }));
     }
 
     /*! @param added Nothing was replaced. Entries that know different things
      * would replace each other's records: those pauses grow. */
-    void ended(const version_record& record, bool added,
-               const result<bool>& answer)
+    void ended(const version_record& record, bool added, write_outcome outcome,
+               const std::string& why)
     {
-        const bool good = answer && answer.value();
-        const std::string outcome = good     ? "written"
-                                    : answer ? "outrun"
-                                             : "failed";
-        counters.count("version_record_writes_total", 1, {{"result", outcome}});
         log::state("version_record_write",
                    {{"model", record.model},
                     {"newest", std::to_string(record.newest)},
                     {"binding", std::to_string(record.binding)},
-                    {"result", outcome},
-                    {"why", answer ? std::string() : answer.error().message}});
-        if (good && added)
-            pauses.reset();
-        again = loop.after(pauses.next(), [this] { busy = false; });
+                    {"result", write_outcome_name(outcome)},
+                    {"why", why}});
+        if (outcome == write_outcome::written && added)
+            writer.succeeded();
+        writer.rest();
     }
 
-    event_loop& loop;
     Store& store;
     const store_mirror& mirror;
-    metrics& counters;
     std::map<std::string, known_versions> known;
     std::map<std::string, time_point> missing_since;
-    backoff pauses;
-    bool busy{false}; /*!< A write or the pause after it runs. */
-    timer again;
+    key_writer writer;
 };
 
 } // namespace coursejunction
