--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -32,9 +32,18 @@
     version,
     version_record, /*!< What is known of a model's versions. */
     quarantine,     /*!< A request that crashes upstreams. */
+    /*! @brief The newest configuration, while the operator's key shows an older
+     * one. */
+    kept_configuration,
     other
 };
 
+/*! @brief Returns the key of that copy. */
+[[nodiscard]] inline std::string kept_configuration_key()
+{
+    return "configuration/newest";
+}
+
 /*! @brief Reads the platform's items; pure. */
 template <typename Catalogue>
 concept Item_catalogue = requires(const std::string& key,
@@ -80,6 +89,7 @@
                                         const std::vector<std::string>& keys)
     {
         std::vector<upstream_change> changes;
+        bool configured = false;
         for (const auto& key : keys)
         {
             const auto* value = mirror.find(key);
@@ -88,9 +98,13 @@
             case item_kind::configuration:
                 if (value != nullptr)
                     read_configuration(key, *value);
+                configured = true;
+                break;
+            case item_kind::kept_configuration:
+                configured = true;
                 break;
             case item_kind::upstream:
-                if (auto change = read_upstream(key, value))
+                if (auto change = read_upstream(mirror, key))
                     changes.push_back(std::move(*change));
                 break;
             case item_kind::version:
@@ -108,6 +122,9 @@
                 break;
             }
         }
+        judge_records();
+        if (configured)
+            read_kept_configuration(mirror);
         return changes;
     }
 
@@ -162,6 +179,8 @@
      * @return Whether it is new, or was named later than was known. */
     bool told(const std::string& model, std::uint64_t version, time_point known)
     {
+        vouch(model, version);
+        judge_records();
         if (version < newest(model) && !targets.contains({model, version}))
             return false;
         const auto [place, added] =
@@ -205,6 +224,14 @@
             read_configuration(one.key, value);
     }
 
+    /*! @brief Returns the newest version of a model that anything but a record
+     * told; 1 when nothing did. */
+    [[nodiscard]] std::uint64_t vouched(const std::string& model) const
+    {
+        const auto found = vouched_for.find(model);
+        return found == vouched_for.end() ? 1 : found->second;
+    }
+
     /*! @brief Returns the newest version that a name or a record of the store
      * tells; 1 when none does. */
     [[nodiscard]] std::uint64_t stored(const std::string& model) const
@@ -242,6 +269,38 @@
     /*! @brief Words of one naming differ by what they took to arrive. */
     static constexpr milliseconds least_correction{1000};
 
+    /*! @brief A record of versions that was read. */
+    struct record_claim
+    {
+        version_record record;
+        time_point learnt{};
+        bool refused{false}; /*!< That it is not believed was logged. */
+    };
+
+    /*! @brief The latest life of an upstream. A write without an answer may be
+     * done seconds later, over what was written since. */
+    struct known_life
+    {
+        /*! @brief Tells whether a record was written before what is known: in
+         * an earlier life, or in this one before it was to end. */
+        [[nodiscard]] bool precludes(const upstream_record& one) const
+        {
+            return one.life < life || (one.life == life && closed &&
+                                       !one.leaving && one.count < count);
+        }
+
+        void take(const upstream_record& one)
+        {
+            count = one.life == life ? std::max(count, one.count) : one.count;
+            life = one.life;
+            closed = one.leaving;
+        }
+
+        incarnation life;
+        std::uint64_t count{0}; /*!< The highest of its records. */
+        bool closed{false};     /*!< It said that it leaves, or is gone. */
+    };
+
     void read_configuration(const std::string& key, const mirrored_value& value)
     {
         auto read = catalogue::configuration(value.payload);
@@ -249,40 +308,73 @@
             return unreadable(key, value, read.error().message);
         if (current && read.value().version < current->version)
             return unreadable(key, value, "version goes back");
-        current = std::make_shared<const installation>(std::move(read.value()));
+        configure(std::move(read.value()), value);
+    }
+
+    void configure(installation next, const mirrored_value& value)
+    {
+        current = std::make_shared<const installation>(std::move(next));
         log::state("configuration_in_force",
                    {{"version", std::to_string(current->version)},
                     {"revision", value.position().text()}});
     }
 
+    /*! @brief Takes the copy of a newer configuration than the operator's key
+     * shows. It says nothing without that one: a number that was spoilt would
+     * stay in force for good. */
+    void read_kept_configuration(const store_mirror& mirror)
+    {
+        const auto* value = mirror.find(kept_configuration_key());
+        if (value == nullptr || !current)
+            return;
+        auto read = catalogue::configuration(value->payload);
+        if (!read)
+            return unreadable(kept_configuration_key(), *value,
+                              read.error().message);
+        const auto version = read.value().version;
+        if (version <= current->version)
+            return;
+        if (!follows_closely(current->version, version))
+            return unreadable(kept_configuration_key(), *value,
+                              "absurd version: " + std::to_string(version));
+        configure(std::move(read.value()), *value);
+    }
+
     /*! @brief Reads an upstream's record. One that cannot be read names no
      * upstream to use, and what it replaced is not kept in its place.
-     * @return What changed; nothing for news of an earlier life. */
-    std::optional<upstream_change> read_upstream(const std::string& key,
-                                                 const mirrored_value* value)
+     * @return What changed; nothing for what was written before. */
+    std::optional<upstream_change> read_upstream(const store_mirror& mirror,
+                                                 const std::string& key)
     {
         const auto id = catalogue::upstream_id(key);
+        const auto* value = mirror.find(key);
         if (value == nullptr)
         {
+            const auto known = lives.find(id);
+            if (known != lives.end() && !mirror.lacks_by_loss(key))
+                known->second.closed = true;
             records.erase(id);
             return upstream_change{id, {}, true};
         }
         auto read = catalogue::upstream(key, value->payload);
         if (!read)
             return refuse_upstream(key, *value, read.error().message);
-        auto& latest = lives[id];
-        if (read.value().life.empty() && !latest.empty())
+        auto& known = lives[id];
+        const auto& one = read.value();
+        if (one.life.empty() && !known.life.empty())
             return refuse_upstream(key, *value, "its life is not told");
-        // A write of an earlier life may be done seconds after it ended.
-        if (read.value().life < latest)
+        if (known.precludes(one))
         {
             log::state("upstream_record_outdated",
-                       {{"key", key}, {"revision", value->position().text()}});
+                       {{"key", key},
+                        {"revision", value->position().text()},
+                        {"count", std::to_string(one.count)},
+                        {"known", std::to_string(known.count)}});
             return std::nullopt;
         }
-        latest = read.value().life;
+        known.take(one);
         records[id] = std::move(read.value());
-        return upstream_change{id, latest};
+        return upstream_change{id, known.life};
     }
 
     upstream_change refuse_upstream(const std::string& key,
@@ -308,6 +400,7 @@
         const bool rises = first || target.version > before->second;
         repeated = repeated || !rises;
         before->second = target.version;
+        vouch(target.model, target.version);
         targets.try_emplace({target.model, target.version}, value.learnt);
         log::state("version_named",
                    {{"model", target.model},
@@ -331,9 +424,36 @@
         const auto read = read_version_record(key, value.payload);
         if (!read)
             return unreadable(key, value, read.error().message);
-        const auto& record = read.value();
+        claims[read.value().model] = {read.value(), value.learnt, false};
+    }
+
+    /*! @brief Believes the records that what else is known allows. A record
+     * may be read before the name that bears it out: the others wait. */
+    void judge_records()
+    {
+        for (auto one = claims.begin(); one != claims.end();)
+        {
+            auto& [model, claim] = *one;
+            if (believable(claim.record, vouched(model)))
+            {
+                believe(claim);
+                one = claims.erase(one);
+                continue;
+            }
+            if (!std::exchange(claim.refused, true))
+                log::warning("version_record_absurd",
+                             {{"model", model},
+                              {"newest", std::to_string(claim.record.newest)},
+                              {"known", std::to_string(vouched(model))}});
+            ++one;
+        }
+    }
+
+    void believe(const record_claim& claim)
+    {
+        const auto& record = claim.record;
         if (record.newest > 0)
-            targets.try_emplace({record.model, record.newest}, value.learnt);
+            targets.try_emplace({record.model, record.newest}, claim.learnt);
         kept[record.model] = record.newest;
         auto& least = bound[record.model];
         least = std::max(least, record.binding);
@@ -343,6 +463,12 @@
                     {"binding", std::to_string(record.binding)}});
     }
 
+    void vouch(const std::string& model, std::uint64_t version)
+    {
+        auto& newest_vouched = vouched_for.try_emplace(model, 1).first->second;
+        newest_vouched = std::max(newest_vouched, version);
+    }
+
     static void unreadable(const std::string& key, const mirrored_value& value,
                            const std::string& why)
     {
@@ -355,7 +481,7 @@
     std::map<instance_id, upstream_record> records;
     /*! @brief The latest life of each id; ids are kept as the mirror keeps the
      * marks of removed keys. */
-    std::map<instance_id, incarnation> lives;
+    std::map<instance_id, known_life> lives;
     std::size_t refused{0};
     std::map<std::pair<std::string, std::uint64_t>, time_point> targets;
     /*! @brief Those that no name or record of the store told first. */
@@ -364,6 +490,9 @@
     std::map<std::string, std::uint64_t> bound;
     std::map<std::string, std::uint64_t> named; /*!< By the store's names. */
     std::map<std::string, std::uint64_t> kept;  /*!< By its records. */
+    /*! @brief The newest that anything but a record told. */
+    std::map<std::string, std::uint64_t> vouched_for;
+    std::map<std::string, record_claim> claims; /*!< Not believed yet. */
     bool repeated{false}; /*!< A name was written anew without rising. */
 };
 
--- a/src/coursejunction/fleet/quarantine_keeper.hpp
+++ b/src/coursejunction/fleet/quarantine_keeper.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/request_content.hpp"
 #include "coursejunction/core/result.hpp"
+#include "coursejunction/fleet/key_writer.hpp"
 #include "coursejunction/fleet/quarantine_item.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
 #include "coursejunction/net/event_loop.hpp"
@@ -65,15 +66,24 @@
     quarantine_keeper(event_loop& owner, Store& service,
                       const store_mirror& held, metrics& counted,
                       std::uint32_t seed)
-        : loop(owner), store(service), mirror(held), counters(counted),
-          pauses(first_pause, longest_pause, seed)
+        : store(service), mirror(held), counters(counted),
+          writer(owner, counted, "quarantine_writes_total",
+                 backoff(first_pause, longest_pause, seed))
     {
     }
 
     /*! @brief Keeps a quarantine, in place of an earlier record of it. */
     void keep(const request_content& what, std::string payload)
     {
-        want(what, std::move(payload));
+        want(what, {std::move(payload), false});
+    }
+
+    /*! @brief Keeps a quarantine that the store lost, unless another entry
+     * writes it first. */
+    void restore(const request_content& what, std::string payload)
+    {
+        if (!wanted.contains(what))
+            want(what, {std::move(payload), true});
     }
 
     /*! @brief A quarantine is over before its time. */
@@ -82,15 +92,21 @@
         const auto* kept = mirror.find(quarantine_key(what));
         const bool coming = wanted.contains(what) || under_way == what;
         if (kept != nullptr || coming)
-            want(what, std::nullopt);
+            want(what, {std::nullopt, false});
     }
 
     /*! @brief Returns how many writes are not done yet. */
     [[nodiscard]] std::size_t waiting() const { return wanted.size(); }
 
 private:
-    /*! @brief A payload, or nothing where the item is to go. */
-    using target = std::optional<std::string>;
+    /*! @brief What an item is to be. */
+    struct target
+    {
+        std::optional<std::string> payload; /*!< Nothing: it is to go. */
+        bool only_absent{false}; /*!< Whatever the store holds is as good. */
+
+        friend bool operator==(const target&, const target&) = default;
+    };
 
     void want(const request_content& what, target next)
     {
@@ -107,42 +123,44 @@
 
     void go_on()
     {
-        if (under_way || resting || wanted.empty())
+        if (writer.busy() || wanted.empty())
             return;
         const auto [what, next] = *wanted.begin();
         const auto key = quarantine_key(what);
         const auto* kept = mirror.find(key);
         const auto revision = kept == nullptr ? 0 : kept->revision;
-        if (!next && revision == 0)
+        const bool done_already =
+            next.payload ? next.only_absent && kept != nullptr : revision == 0;
+        if (done_already)
         {
             wanted.erase(what);
             return go_on();
         }
         under_way = what;
-        const auto done = [this, written = next](const result<bool>& answer)
-        { ended(written, answer); };
-        if (next)
-            store.put(key, *next, revision, lifetime, done);
+        const auto done =
+            writer.begin([this, written = next](write_outcome outcome,
+                                                const std::string& why)
+                         { ended(written, outcome, why); });
+        if (next.payload)
+            store.put(key, *next.payload, revision, lifetime, done);
         else
             store.remove(key, revision, done);
     }
 
-    void ended(const target& written, const result<bool>& answer)
+    void ended(const target& written, write_outcome outcome,
+               const std::string& why)
     {
         const auto what = *std::exchange(under_way, std::nullopt);
-        const bool good = answer && answer.value();
-        counters.count("quarantine_writes_total", 1,
-                       {{"result", good     ? "written"
-                                   : answer ? "outrun"
-                                            : "failed"}});
+        const bool good = outcome == write_outcome::written;
         const auto found = wanted.find(what);
         if (good && found != wanted.end() && found->second == written)
             wanted.erase(found);
         if (good)
-            pauses.reset();
+            writer.succeeded();
         else
-            rest(what,
-                 answer ? "another entry wrote it" : answer.error().message);
+            rest(what, outcome == write_outcome::outrun
+                           ? "another entry wrote it"
+                           : why);
         go_on();
     }
 
@@ -150,24 +168,15 @@
     {
         log::state("quarantine_not_written",
                    {{"content", what.hex()}, {"why", why}});
-        resting = true;
-        again = loop.after(pauses.next(),
-                           [this]
-                           {
-                               resting = false;
-                               go_on();
-                           });
+        writer.rest([this] { go_on(); });
     }
 
-    event_loop& loop;
     Store& store;
     const store_mirror& mirror;
     metrics& counters;
     std::map<request_content, target> wanted;
     std::optional<request_content> under_way;
-    backoff pauses;
-    bool resting{false};
-    timer again;
+    key_writer writer;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/fleet/version_keeper.hpp
+++ b/src/coursejunction/fleet/version_keeper.hpp
@@ -5,6 +5,7 @@
 #ifndef COURSEJUNCTION_FLEET_VERSION_KEEPER_HPP
 #define COURSEJUNCTION_FLEET_VERSION_KEEPER_HPP
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -17,6 +18,7 @@
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/fleet/key_writer.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
 #include "coursejunction/fleet/version_record.hpp"
 #include "coursejunction/net/event_loop.hpp"
@@ -50,6 +52,10 @@
     /*! @brief An entry waits this long for each entry before it. */
     static constexpr milliseconds turn{500};
 
+    /*! @brief A record that cannot be believed is left for so long: the name
+     * that bears it out may be on its way. */
+    static constexpr milliseconds doubt_time{1000};
+
     /*! @brief Pauses after writes, until the mirror shows what became of
      * them. */
     static constexpr milliseconds first_pause{500};
@@ -58,92 +64,111 @@
     /*! @param seed Another one for each entry. */
     version_keeper(event_loop& owner, Store& service, const store_mirror& held,
                    metrics& counted, std::uint32_t seed)
-        : loop(owner), store(service), mirror(held), counters(counted),
-          pauses(first_pause, longest_pause, seed)
+        : store(service), mirror(held),
+          writer(owner, counted, "version_record_writes_total",
+                 backoff(first_pause, longest_pause, seed))
     {
     }
 
-    /*! @brief Notes what is known of a model's versions. */
-    void know(const version_record& record)
+    /*! @brief Notes what is known of a model's versions.
+     * @param vouched The newest version that anything but a record tells. */
+    void know(const version_record& record, std::uint64_t vouched)
     {
         auto& one = known[record.model];
-        one.model = record.model;
-        one.merge(record);
+        one.record.model = record.model;
+        one.record.merge(record);
+        one.vouched = std::max(one.vouched, vouched);
     }
 
     /*! @brief Writes what is missing when it is this entry's turn.
      * @param rank How many entries come before this one. */
     void consider(std::size_t rank, time_point now)
     {
-        for (const auto& [model, record] : known)
+        for (const auto& [model, one] : known)
         {
-            if (kept(record))
+            const auto held = stored(one);
+            if (held.believed && held.record.covers(one.record))
             {
                 missing_since.erase(model);
                 continue;
             }
             const auto since = missing_since.try_emplace(model, now);
-            const auto waits = turn * static_cast<std::int64_t>(rank);
-            if (!busy && now - since.first->second >= waits)
-                write(record);
+            const auto waits = turn * static_cast<std::int64_t>(rank) +
+                               (held.believed ? milliseconds{0} : doubt_time);
+            if (!writer.busy() && now - since.first->second >= waits)
+                write(one.record, held);
         }
     }
 
 private:
-    /*! @brief Tells whether the store keeps a record as far as is known. */
-    [[nodiscard]] bool kept(const version_record& record) const
+    struct known_versions
+    {
+        version_record record;
+        std::uint64_t vouched{1};
+    };
+
+    /*! @brief What the store holds as far as is known. */
+    struct stored_record
+    {
+        version_record record; /*!< Empty when there is none to read. */
+        std::uint64_t revision{0};
+        bool believed{true};
+    };
+
+    [[nodiscard]] stored_record stored(const known_versions& one) const
     {
-        const auto key = version_record_key(record.model);
+        stored_record made;
+        const auto key = version_record_key(one.record.model);
         const auto* value = mirror.find(key);
         if (value == nullptr)
-            return false;
-        const auto read = read_version_record(key, value->payload);
-        return read && read.value().covers(record);
+            return made;
+        made.revision = value->revision;
+        if (const auto read = read_version_record(key, value->payload))
+            made.record = read.value();
+        made.believed = believable(made.record, one.vouched);
+        return made;
     }
 
-    void write(version_record record)
+    /*! @brief Replaces a record that cannot be believed, and adds to another
+     * one. */
+    void write(version_record record, const stored_record& held)
     {
-        const auto key = version_record_key(record.model);
-        const auto* value = mirror.find(key);
-        if (value != nullptr)
-        {
-            if (const auto read = read_version_record(key, value->payload))
-                record.merge(read.value());
-        }
-        busy = true;
-        store.keep(key, version_record_payload(record),
-                   value == nullptr ? 0 : value->revision,
-                   [this, record](const result<bool>& answer)
-                   { ended(record, answer); });
+        if (held.believed)
+            record.merge(held.record);
+        else
+            log::warning("version_record_replaced",
+                         {{"model", record.model},
+                          {"held", std::to_string(held.record.newest)},
+                          {"newest", std::to_string(record.newest)}});
+        store.keep(
+            version_record_key(record.model), version_record_payload(record),
+            held.revision,
+            writer.begin([this, record, added = held.believed](
+                             write_outcome outcome, const std::string& why)
+                         { ended(record, added, outcome, why); }));
     }
 
-    void ended(const version_record& record, const result<bool>& answer)
+    /*! @param added Nothing was replaced. Entries that know different things
+     * would replace each other's records: those pauses grow. */
+    void ended(const version_record& record, bool added, write_outcome outcome,
+               const std::string& why)
     {
-        const bool good = answer && answer.value();
-        const std::string outcome = good     ? "written"
-                                    : answer ? "outrun"
-                                             : "failed";
-        counters.count("version_record_writes_total", 1, {{"result", outcome}});
         log::state("version_record_write",
                    {{"model", record.model},
                     {"newest", std::to_string(record.newest)},
                     {"binding", std::to_string(record.binding)},
-                    {"result", outcome},
-                    {"why", answer ? std::string() : answer.error().message}});
-        if (good)
-            pauses.reset();
-        again = loop.after(pauses.next(), [this] { busy = false; });
+                    {"result", write_outcome_name(outcome)},
+                    {"why", why}});
+        if (outcome == write_outcome::written && added)
+            writer.succeeded();
+        writer.rest();
     }
 
-    event_loop& loop;
     Store& store;
     const store_mirror& mirror;
-    metrics& counters;
-    std::map<std::string, version_record> known;
+    std::map<std::string, known_versions> known;
     std::map<std::string, time_point> missing_since;
-    backoff pauses;
-    bool busy{false}; /*!< A write or the pause after it runs. */
-    timer again;
+    key_writer writer;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -15,10 +15,12 @@
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/rendezvous.hpp"
+#include "coursejunction/fleet/configuration_keeper.hpp"
 #include "coursejunction/fleet/fleet_node.hpp"
 #include "coursejunction/fleet/fleet_view.hpp"
 #include "coursejunction/fleet/quarantine_item.hpp"
 #include "coursejunction/fleet/quarantine_keeper.hpp"
+#include "coursejunction/fleet/restore_turn.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
@@ -153,6 +155,8 @@
                     options.exchange),
           keeper(owner, peers.service(), peers.mirror(), counted,
                  seed_of(peers)),
+          configurations(owner, peers.service(), peers.mirror(), counted,
+                         seed_of(peers)),
           versions(owner, peers, fleet, exchanges.floors(), counted,
                    options.version_time, seed_of(peers))
     {
@@ -232,6 +236,8 @@
         versions.read(before == nullptr, now);
         if (fleet.rules() != before)
             configure();
+        const auto* rules = fleet.rules();
+        configurations.read(keys, rules == nullptr ? 0 : rules->version);
         name_sides();
     }
 
@@ -265,6 +271,22 @@
             keeper.drop(what);
     }
 
+    /*! @brief Writes quarantines again that the store lost by coming back from
+     * an older copy: an entry that starts now would not know them. */
+    void restore_quarantines(std::size_t rank, time_point now)
+    {
+        if (!restoring.due(node.mirror().position(), rank, now))
+            return;
+        const auto& records = exchanges.crashing().records();
+        for (const auto& [what, one] : records.all())
+        {
+            if (records.suspects(what) &&
+                node.mirror().lacks_by_loss(quarantine_key(what)))
+                keeper.restore(what, quarantine_payload(
+                                         records.record(what, now), wall_ms()));
+        }
+    }
+
     /*! @brief Returns the Unix time in milliseconds. */
     [[nodiscard]] static std::int64_t wall_ms()
     {
@@ -422,6 +444,17 @@
         versions.tick(!leaving, now);
         if (leaving)
             go_on_stopping(now);
+        else
+            keep_up(now);
+    }
+
+    /*! @brief Writes what the store lacks. */
+    void keep_up(time_point now)
+    {
+        const auto rank =
+            node.peers().entries_before(node.settings().address, now);
+        restore_quarantines(rank, now);
+        configurations.consider(rank, now);
     }
 
     void go_on_stopping(time_point now)
@@ -450,6 +483,9 @@
     fleet_view<Platform> fleet;
     exchange_service<codec> exchanges;
     quarantine_keeper<typename Platform::store> keeper;
+    restore_turn restoring;
+    configuration_keeper<typename Platform::store, typename Platform::catalogue>
+        configurations;
     version_controller<Platform> versions;
     std::unique_ptr<stream_server> callers;
     std::unique_ptr<stream_server> readiness;
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -28,6 +28,10 @@
             return cj::item_kind::configuration;
         if (key.starts_with(cj::version_record_prefix))
             return cj::item_kind::version_record;
+        if (key.starts_with(cj::quarantine_prefix))
+            return cj::item_kind::quarantine;
+        if (key == cj::kept_configuration_key())
+            return cj::item_kind::kept_configuration;
         if (key.starts_with("up/"))
             return cj::item_kind::upstream;
         return key.starts_with("named/") ? cj::item_kind::version
@@ -58,6 +62,7 @@
         made.id = cj::instance_id(key);
         made.address = "127.0.0.1:9";
         made.leaving = payload.ends_with(" leaves");
+        made.count = std::stoull(payload);
         return made;
     }
     static cj::instance_id upstream_id(const std::string& key)
@@ -71,9 +76,12 @@
     static cj::item_order order(const std::string& key,
                                 const std::string& payload)
     {
-        return key == "other" || kind(key) == cj::item_kind::version_record
-                   ? cj::item_order{}
-                   : cj::item_order{0, std::stoull(payload)};
+        const bool unordered = key == "other" ||
+                               kind(key) == cj::item_kind::version_record ||
+                               kind(key) == cj::item_kind::quarantine ||
+                               kind(key) == cj::item_kind::kept_configuration;
+        return unordered ? cj::item_order{}
+                         : cj::item_order{0, std::stoull(payload)};
     }
     static bool is_operators(const std::string& key)
     {
@@ -203,6 +211,37 @@
             });
     }
 
+    /*! @brief Waits until a request is known to end upstreams. */
+    [[nodiscard]] bool suspects(const cj::request_content& what)
+    {
+        return holds_soon(
+            [&] { return made->crashing().records().suspects(what); });
+    }
+
+    /*! @brief Waits until the store does not hold a key. */
+    [[nodiscard]] bool misses(const proxy_test::stored_keys& keys,
+                              const std::string& key)
+    {
+        return holds_soon([&] { return !keys.holds(key); });
+    }
+
+    /*! @brief Waits until the store holds a key. */
+    [[nodiscard]] bool sees(const proxy_test::stored_keys& keys,
+                            const std::string& key)
+    {
+        return holds_soon([&] { return keys.holds(key); });
+    }
+
+    [[nodiscard]] bool knows_ready(const std::string& upstream)
+    {
+        return holds_soon(
+            [&]
+            {
+                const auto* one = record_of(upstream);
+                return one != nullptr && !one->record.leaving;
+            });
+    }
+
 private:
     static constexpr std::uint16_t port{21'731};
 
@@ -332,6 +371,55 @@
     CHECK(entry.has_kept(keys, 2));
 }
 
+SCENARIO("a late write does not bring an upstream back that leaves", "[proxy]")
+{
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+    keys.write("up/a", "1 ready");
+    entry_process entry(keys, 1);
+    REQUIRE(entry.knows("up/a"));
+    entry.change([&] { keys.write("up/a", "3 leaves"); });
+    REQUIRE(entry.knows_leaving("up/a"));
+    entry.change([&] { keys.write("up/a", "2 ready"); });
+    std::this_thread::sleep_for(500ms);
+    CHECK(entry.knows_leaving("up/a"));
+
+    SECTION("its next word that it is ready does")
+    {
+        entry.change([&] { keys.write("up/a", "4 ready"); });
+        CHECK(entry.knows_ready("up/a"));
+    }
+}
+
+SCENARIO("an absurd record of versions does not bind entries for good",
+         "[proxy]")
+{
+    constexpr std::uint64_t absurd = 1'000'000'000'000;
+    const auto key = cj::version_record_key("m");
+    const auto payload = cj::version_record_payload({"m", absurd, absurd});
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+    keys.write("named/m", "3");
+
+    SECTION("that start after it was written")
+    {
+        keys.write(key, payload);
+        entry_process entry(keys, 1);
+        CHECK(entry.learns(3));
+        CHECK(entry.has_kept(keys, 3));
+        CHECK(entry.newest() == 3);
+    }
+    SECTION("that live when it is written")
+    {
+        entry_process entry(keys, 1);
+        REQUIRE(entry.has_kept(keys, 3));
+        entry.change([&] { keys.write(key, payload); });
+        CHECK(entry.has_kept(keys, absurd));
+        CHECK(entry.has_kept(keys, 3));
+        CHECK(entry.newest() == 3);
+    }
+}
+
 SCENARIO("news of a store that came back from an older copy are not missed",
          "[proxy]")
 {
@@ -378,3 +466,105 @@
         CHECK(entry.knows_leaving("up/a"));
     }
 }
+
+namespace
+{
+
+/*! @brief A quarantine whose last upstream ended just now. */
+std::string fresh_quarantine(const cj::request_content& what)
+{
+    const auto now = std::chrono::duration_cast<cj::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    return cj::quarantine_payload({what, {{1, 2}, {2, 2}, {3, 2}}, {}, 0},
+                                  now.count());
+}
+
+} // namespace
+
+SCENARIO("quarantines that a restored copy of the store lacks are kept again",
+         "[proxy]")
+{
+    const auto bad = cj::request_content::of("school", "/", "bad");
+    const auto key = cj::quarantine_key(bad);
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "1");
+    const auto copy = keys;
+    keys.write(key, fresh_quarantine(bad));
+
+    SECTION("and an entry that starts after that knows them")
+    {
+        {
+            entry_process entry(keys, 1);
+            REQUIRE(entry.suspects(bad));
+            entry.change([&] { keys.come_back(copy); });
+            CHECK(entry.sees(keys, key));
+        }
+        entry_process after(keys, 1);
+        REQUIRE(after.obeys(1));
+        CHECK(after.suspects(bad));
+    }
+    SECTION("unless they had been removed before")
+    {
+        entry_process entry(keys, 1);
+        REQUIRE(entry.suspects(bad));
+        entry.change([&] { keys.remove(key); });
+        std::this_thread::sleep_for(300ms);
+        entry.change([&] { keys.come_back(copy); });
+        std::this_thread::sleep_for(1s);
+        entry.change([&] { CHECK_FALSE(keys.holds(key)); });
+    }
+}
+
+SCENARIO("an older configuration is not in force again after all entries start "
+         "anew",
+         "[proxy]")
+{
+    const auto copied = cj::kept_configuration_key();
+    proxy_test::stored_keys keys;
+    keys.write("configuration", "3");
+    const auto copy = keys;
+    {
+        entry_process before(keys, 1);
+        REQUIRE(before.obeys(3));
+        before.change([&] { keys.write("configuration", "5"); });
+        REQUIRE(before.obeys(5));
+        std::this_thread::sleep_for(300ms);
+        before.change([&] { CHECK_FALSE(keys.holds(copied)); });
+
+        SECTION("though a late write put it back")
+        {
+            before.change([&] { keys.write("configuration", "3"); });
+            CHECK(before.sees(keys, copied));
+            CHECK(before.configuration() == 5);
+        }
+        SECTION("though the store came back from an older copy")
+        {
+            before.change([&] { keys.come_back(copy); });
+            CHECK(before.sees(keys, copied));
+            CHECK(before.configuration() == 5);
+        }
+    }
+    entry_process after(keys, 1);
+    CHECK(after.obeys(5));
+
+    WHEN("the next one is written")
+    {
+        after.change([&] { keys.write("configuration", "6"); });
+        THEN("it is in force, and the copy goes")
+        {
+            CHECK(after.obeys(6));
+            CHECK(after.misses(keys, copied));
+        }
+    }
+}
+
+SCENARIO("an absurd copy of the configuration is not believed", "[proxy]")
+{
+    proxy_test::stored_keys keys;
+    keys.write(cj::kept_configuration_key(), "1000000000000");
+    keys.write("configuration", "3");
+    entry_process entry(keys, 1);
+    REQUIRE(entry.obeys(3));
+    CHECK(entry.misses(keys, cj::kept_configuration_key()));
+    CHECK(entry.configuration() == 3);
+}
