Own interface: a change overwritten before any watch is answered comes back

The key-value stand-in can keep its watches silent (`silent_watches`): writes are done and acknowledged, nobody hears of them, and afterwards each watch is answered with the last value only.

With it, the counterpart of the version that no process read: an operator's change is acknowledged, another writer puts the older configuration over it without a condition, and only then are watches answered.

The stand-in of the origin is left as it is: versions of this interface are digests without an order, and nobody asks it which one is newest.

--- a/standin/key_value.cpp
+++ b/standin/key_value.cpp
@@ -104,11 +104,23 @@
         lose_answers = body.value("lose_answers", lose_answers);
         stale_reads = body.value("stale_reads", stale_reads);
         down_after_write = body.value("down_after_write", false);
+        silence_watches(body.value("silent_watches", silent_watches));
         if (down && !was_down)
             cut_watches();
         send_json(reply, 200, {{"done", true}});
     }
 
+    /*! @brief While they are silent, watches hear of no write; afterwards,
+     * each hears of the last one only. */
+    void silence_watches(bool silent)
+    {
+        silent_watches = silent;
+        if (silent)
+            return;
+        for (const auto& [key, one] : entries)
+            wake(key);
+    }
+
     json counts() const
     {
         return {{"reads", reads},     {"writes", writes},
@@ -188,7 +200,10 @@
                       {
                           if (one.reply != reply)
                               return false;
-                          send_entry(one.key, reply);
+                          if (silent_watches)
+                              reply->cut();
+                          else
+                              send_entry(one.key, reply);
                           return true;
                       });
     }
@@ -248,7 +263,8 @@
         if (found != entries.end())
             previous[key] = found->second;
         entries[key] = {request.body, session, ++last};
-        wake(key);
+        if (!silent_watches)
+            wake(key);
         return true;
     }
 
@@ -285,6 +301,7 @@
     std::uint64_t refused{0};
     bool down{false};
     bool down_after_write{false};
+    bool silent_watches{false};
     std::chrono::microseconds delay{0};
     int lose_answers{0};
     int stale_reads{0};
--- a/tests/session/test_configuration.py
+++ b/tests/session/test_configuration.py
@@ -221,6 +221,32 @@
             wait_for("in force", lambda one=one: self.names(self.lab.dump(one)["configuration"]) == ["lost-1", "lost-2"], 6)
 
 
+class Unheard(EntriesCase):
+    """The key-value service acknowledges a change, and another writer replaces it
+    before any watch is answered."""
+
+    key = "/v1/kv/coursejunction/configuration"
+
+    def stored(self):
+        return base64.b64decode(ask(self.lab.kv.url + self.key)[0]["Value"])
+
+    def test_a_change_overwritten_before_any_watch_is_answered_comes_back(self):
+        self.assertEqual(self.write("kept")[0], 200)
+        self.everywhere(1)
+        wait_for("watchers", lambda: ask(self.lab.kv.url + "/counts")["watching"] == 2 * len(self.lab.halls))
+        older = self.stored().decode()
+        ask(self.lab.kv.url + "/faults", {"silent_watches": True})
+        status, body = self.write("unheard")
+        self.assertEqual((status, body["revision"]), (200, 2))
+        call("PUT", self.lab.kv.url + self.key, older)
+        self.assertNotIn(b"unheard", self.stored())
+        ask(self.lab.kv.url + "/faults", {"silent_watches": False})
+        for one in self.lab.entries.values():
+            wait_for("in force", lambda one=one: sorted(
+                each["name"] for each in self.lab.dump(one)["configuration"]["deployments"]) == ["kept", "unheard"])
+        wait_for("written again", lambda: b"unheard" in self.stored(), 20)
+
+
 class RegionCut(LabCase):
     """A region cut off serves itself."""
 
