Soak: a version that is named and written over before any watch is answered

`--unheard N`: N times after the faults, watches of the store hang or are cut, a version is named and acknowledged, and the name of the older one is written over it; in three of four cases the history is dropped before watches are answered again. The stand-in of the origin answers a question without a version with the newest ever named, and 410 for what is two back.

--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -104,6 +104,12 @@
         # they had loaded, and the older version was loaded and served for good.
         self.play(7, 0, "--late-writes", "1")
 
+    def test_a_version_overwritten_before_anybody_read_it_is_served(self):
+        # Seed 3 failed: version 3 was named and written over by the name of version 2
+        # while watches heard nothing; then all processes ended. Version 2 was served for
+        # good.
+        self.play(3, 0, "--unheard", "1")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -108,6 +108,9 @@
         self.history = []
         self.forgotten = 0
         self.fault = "none"
+        self.watches = "answered"  # Else nobody hears: they "hang" or are "cut".
+        self.watching = set()  # Connections with a watch.
+        self.shown = set()  # Revisions of items that calls were answered with.
         self.leases = []  # Whether each lease that was given out still runs.
         self.changed = asyncio.Condition()
         self.copies = None
@@ -191,19 +194,39 @@
         return sum(len(one["payload"]) for one in self.items.values())
 
     def forget(self):
+        self.forget_history()
+        self.reset_all()
+
+    def forget_history(self):
         self.history.clear()
         self.forgotten = self.revision
-        self.reset_all()
+
+    def silence_watches(self, how):
+        """Other calls are still answered."""
+        self.watches = how
+        if how == "cut":
+            for writer in self.watching:
+                writer.transport.abort()
+
+    async def answer_watches(self):
+        self.watches = "answered"
+        await self.tell()
 
     async def handle(self, method, target, headers, body, writer):
         era = self.era
-        made = await self.answered(method, target, body)
-        if self.era != era or not self.present.is_set():
+        watches = target.startswith("/kv-watch")
+        if watches:
+            self.watching.add(writer)
+        made = await self.answered(method, target, body, writer)
+        if watches:
+            self.watching.discard(writer)
+        if made is None or self.era != era or not self.present.is_set():
             writer.transport.abort()
             return None
         return made.replace(b"\r\n", f"\r\nStore-Era: {era}\r\n".encode(), 1)
 
-    async def answered(self, method, target, body):
+    async def answered(self, method, target, body, writer):
+        """Returns nothing when the call is cut."""
         parts = urllib.parse.urlsplit(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(parts.query).items()}
         if self.fault == "busy":
@@ -219,6 +242,7 @@
             after = query.get("after", "")
             keys = sorted(k for k in self.items if k > after)
             page = [self.items[k] for k in keys[:5]]
+            self.shown.update(one["revision"] for one in page)
             return json_answer(200, {"entries": page, "hasMore": len(keys) > 5,
                                      "timestamp": self.revision})
         if method == "POST":
@@ -228,11 +252,17 @@
         after = int(query["after"])
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
+            if self.watches == "cut" or writer.is_closing():
+                return None
+            while self.watches == "hang":
+                async with self.changed:
+                    await self.changed.wait()
             if after < self.forgotten or after > self.revision:
                 return answer(410)
             events = [one for one in self.history if one["revision"] > after]
             left = deadline - asyncio.get_running_loop().time()
             if events or left <= 0:
+                self.shown.update(one["revision"] for one in events)
                 return json_answer(200, {"events": events, "timestamp": self.revision})
             async with self.changed:
                 try:
@@ -275,6 +305,10 @@
         super().__init__(host, 0)
         self.fault = "none"
         self.sent = 0
+        self.newest = 1  # Ever named, whatever the store says now.
+
+    def name(self, version):
+        self.newest = max(self.newest, version)
 
     async def handle(self, method, target, headers, body, writer):
         if self.fault == "down":
@@ -282,7 +316,9 @@
             return None
         parts = urllib.parse.urlsplit(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(parts.query).items()}
-        version = int(query.get("version", "1"))
+        version = int(query.get("version", self.newest))
+        if version <= self.newest - 2:
+            return answer(410)
         if parts.path.startswith("/manifest/"):
             hashes = [hashlib.sha256(chunk_of(version, at)).hexdigest() for at in range(CHUNKS)]
             return json_answer(200, {"modelId": MODEL, "version": version, "layers": LAYERS,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,9 @@
                                        configurations change and engines drain
     soak.py ... --late-writes N    after the faults, the name of an older version is written again N
                                        times, at times followed by the end of all processes
+    soak.py ... --unheard N        after the faults, a new version is named and its name written over by
+                                       that of the older one N times while no watch is answered, beside
+                                       ends of all processes, and a store or an origin that is away
     soak.py ... --suspending       instances are suspended: their steady clocks stand for a while
     soak.py ... --crashing --wide        its copies come to all entries at once, also for plain services
     soak.py ... --crashing --blackout    all entries lose power at once while its copies come
@@ -48,6 +51,7 @@
 from process import LATE_S, Daemon, free_port
 from rewinds import drain_engines, give_orders, play_late_writes, play_rewinds
 from standstills import Standstills, stand_still
+from unheard import play_unheard
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HALLS = ["north", "south", "east", "west", "middle"]
@@ -71,7 +75,7 @@
         self.rate = asked.link * 1e6 / 8
         # What happens at a moment that the processes choose must not change the
         # faults; kept seeds of runs without links were drawn from one dice.
-        self.judges_acknowledged = bool(asked.rewinds or asked.late_writes)
+        self.judges_acknowledged = bool(asked.rewinds or asked.late_writes or asked.unheard)
         self.noise = random.Random(seed + 1) if self.rate or self.judges_acknowledged else self.dice
         self.halls, self.links, self.large = HALLS[:asked.halls], {}, 0
         if self.rate:
@@ -399,6 +403,7 @@
 
     async def write_version(self, number):
         await self.store.put(f"op/version/{MODEL}", {"modelId": MODEL, "version": number})
+        self.origin.name(number)
         self.acknowledged.version(number)
 
     async def grow_rules(self, dice):
@@ -448,6 +453,8 @@
         self.calm = True
         if self.asked.late_writes:
             await play_late_writes(self, self.asked.late_writes)
+        if self.asked.unheard:
+            await play_unheard(self, self.asked.unheard)
         if self.asked.standstill:
             self.tasks.append(asyncio.create_task(self.stand_still_while_judged()))
         await self.settle()
@@ -578,6 +585,7 @@
     parser.add_argument("--notices", action="store_true")
     parser.add_argument("--rewinds", type=int, default=0)
     parser.add_argument("--late-writes", type=int, default=0)
+    parser.add_argument("--unheard", type=int, default=0)
     parser.add_argument("--suspending", action="store_true")
     parser.add_argument("--wide", action="store_true")
     parser.add_argument("--blackout", action="store_true")
