Entries that lose each other do not all ask the origin as the first

Seen in the replay: an entry that hears no other takes itself for the first and asks every second.

It cannot tell whether the others are gone or hear each other.

Change: who hears nobody but knew n others asks every n / 5 seconds, as though all were in its place, from a drawn moment on. Fewer than 6 others change nothing.

The price: an entry that lives alone after 339 others ended asks every 68 s until it hears another or starts again.

--- a/src/coursejunction/fleet/inquiry_schedule.hpp
+++ b/src/coursejunction/fleet/inquiry_schedule.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <utility>
 
 #include "coursejunction/core/types.hpp"
 
@@ -45,6 +46,11 @@
      * entry before it. */
     static constexpr int turns_per_interval = 4;
 
+    /*! @brief An entry that hears none of those it knew cannot tell whether
+     * they hear each other: it leaves the link to so many as if they did not.
+     */
+    static constexpr double lone_entries = 5;
+
     /*! @brief A rank that fell counts after this time. */
     static constexpr milliseconds settling_time{500};
 
@@ -76,11 +82,13 @@
             return false;
         const auto before = static_cast<double>(*settled);
         const auto passed = now - asked_at;
-        const auto turn = interval / turns_per_interval;
-        if (doubted_at && passed >= turn &&
+        const auto whole = times(interval, spread);
+        const auto turn = spread > 1 ? whole : whole / turns_per_interval;
+        const bool rested = passed >= interval / turns_per_interval;
+        if (doubted_at && rested &&
             now - *doubted_at >= times(turn, turns_waited(before)))
             return true;
-        return passed >= times(interval, (before + 1) * (before + 1));
+        return passed >= times(whole, (before + 1) * (before + 1));
     }
 
     /*! @brief A question is sent: whatever was doubted until now is asked. */
@@ -121,6 +129,7 @@
     void note(const entry_standing& at, time_point now)
     {
         const auto rank = at.rank;
+        note_others(at.others, now);
         if (!noted_at)
             asked_at = now;
         const bool frozen = noted_at && now - *noted_at >= frozen_time;
@@ -144,6 +153,23 @@
         lower_since.reset();
     }
 
+    /*! @brief Questions of entries that lose each other at the same moment are
+     * spread from there on. */
+    void note_others(std::size_t others, time_point now)
+    {
+        most_others = std::max(most_others, others);
+        const auto before = std::exchange(
+            spread, others > 0
+                        ? 1
+                        : std::max(1.0, static_cast<double>(most_others) /
+                                            lone_entries));
+        if (spread <= before)
+            return;
+        asked_at = now;
+        doubted_at.reset();
+        doubt(now);
+    }
+
     std::minstd_rand random;
     std::chrono::microseconds interval{least_interval};
     time_point asked_at{};
@@ -152,7 +178,9 @@
     std::optional<std::size_t> settled; /*!< The rank that counts. */
     std::optional<time_point> noted_at;
     std::optional<time_point> lower_since;
-    std::size_t lower{0}; /*!< The highest rank noted since then. */
+    std::size_t most_others{0}; /*!< That were ever heard. */
+    double spread{1};           /*!< Of the questions of an entry alone. */
+    std::size_t lower{0};       /*!< The highest rank noted since then. */
 };
 
 } // namespace coursejunction
--- a/tests/fleet/inquiry_schedule.cpp
+++ b/tests/fleet/inquiry_schedule.cpp
@@ -157,6 +157,42 @@
     }
 }
 
+SCENARIO("an entry that loses all others leaves the link to them", "[fleet]")
+{
+    const auto questions = [](std::size_t known)
+    {
+        schedule one(7);
+        std::size_t count = 0;
+        for (cj::milliseconds passed{0}; passed < 120'000ms; passed += 100ms)
+        {
+            const bool alone = passed >= 20'000ms;
+            if (!one.due({0, alone ? 0 : known}, start + passed))
+                continue;
+            one.asked(start + passed);
+            count += alone ? 1 : 0;
+        }
+        return count;
+    };
+    SECTION("it knew few: it asks as the first")
+    {
+        CHECK(questions(4) >= 99);
+        CHECK(questions(0) >= 99);
+    }
+    SECTION("it knew fifty: a tenth as often")
+    {
+        CHECK(questions(50) >= 9);
+        CHECK(questions(50) <= 11);
+    }
+    SECTION("and as before when it hears one of them again")
+    {
+        schedule one(7);
+        CHECK(due_after(one, 0, start, 3000ms) < 3000ms);
+        one.asked(start + 2s);
+        CHECK_FALSE(one.due({0, 0}, start + 2100ms));
+        CHECK(due_after(one, 0, start + 2200ms, 2000ms) <= 1000ms);
+    }
+}
+
 SCENARIO("an entry that is busy asks all the same", "[fleet]")
 {
     schedule one(7);
@@ -260,11 +296,20 @@
     SECTION("some hear no other for a minute")
     {
         replay::player player(set);
-        const auto some = std::min<std::size_t>(entries, 8);
+        const auto some = std::min(
+            entries, GENERATE(std::size_t{1}, std::size_t{8}, std::size_t{40}));
         for (std::size_t at = 0; at < some; ++at)
             player.of(entries / some * at).cut = {20'000, 80'000};
         check_aims(player.play());
     }
+    SECTION("nobody hears any other for a while")
+    {
+        const auto cut = GENERATE(replay::ms{20'000}, replay::ms{60'000});
+        replay::player player(set);
+        for (std::size_t at = 0; at < entries; ++at)
+            player.of(at).cut = {cut, 80'000};
+        check_aims(player.play());
+    }
     SECTION("the first cannot reach the source")
     {
         replay::player player(set);
