Tests that fail: a claim that the key-value service lost lets a request run twice

A request that may run once ran, the key-value service came back from a copy that lacks its claim, and its side ended. Asked for again it ran a second time, and with no side left its caller was told "not run".

--- a/tests/session/test_requests.py
+++ b/tests/session/test_requests.py
@@ -245,6 +245,38 @@
         self.assertEqual(fresh.answer_headers["outcome"], "not_run")
         self.assertEqual((self.runs("c7"), self.runs("c8")), (1, 0))
 
+    def charged_with_lost_claims(self, names):
+        """Runs requests whose claims the key-value service then lacks; the sides end."""
+        self.key_value_copy()
+        for name in names:
+            self.assertEqual(self.charge("entry-1", name).end().status, 200)
+        self.key_value_restored()
+        for name in ("side-1", "side-2"):
+            self.lab.sides[name].kill()
+        for entry in ("entry-1", "entry-2"):
+            wait_for("sides lost", lambda: not any(
+                one["open"] for one in self.lab.dump(self.lab.entries[entry])["state"]["requests"]["upstreams"]))
+
+    def test_a_lost_claim_whose_side_is_gone_lets_nothing_run_again(self):
+        names = [f"l{at}" for at in range(4)]
+        self.charged_with_lost_claims(names)
+        for name in ("side-1", "side-2"):
+            self.lab.restart_side(name)
+        for entry in ("entry-1", "entry-2"):
+            self.heard(entry, 2, "ledger")
+        told = {name: self.charge("entry-2", name).end().answer_headers["outcome"] for name in names}
+        self.assertEqual({name: self.runs(name) for name in names}, dict.fromkeys(names, 1), told)
+        self.assertEqual(told, dict.fromkeys(names, "unknown"))
+        self.assertEqual(self.charge("entry-2", "l-new").end().status, 200)
+        self.assertEqual(self.runs("l-new"), 1)
+
+    def test_not_run_is_never_said_of_an_id_whose_claim_was_lost(self):
+        self.charged_with_lost_claims(["l0"])
+        for entry in ("entry-1", "entry-2"):
+            self.assertEqual(self.charge(entry, "l0").end().answer_headers["outcome"], "unknown")
+            fresh = self.charge(entry, "l-new").end()
+            self.assertEqual(fresh.answer_headers["outcome"], "not_run")
+
     def test_many_at_once_through_both_entries(self):
         callers = [self.charge(entry, f"m{at}") for at in range(30) for entry in ("entry-1", "entry-2")]
         for caller in callers:
