Entries keep claims beside the key-value service

What callers saw: a request that may run once ran again, or was said to be "not run", after the key-value service had come back from a copy that lacks its claim and the side that ran it had ended.

Cause: the claim stood in the service and in the memory of that one side. Nothing in the service's answers tells that it went back: its own interface has no era, and its indices are soon passed again.

Ruled out: sides that write lost claims anew, since those that are gone cannot and another claim may come first; and refusing all such requests for a while after the service went back, since that moment need not be seen by anybody.

Why it works: three entries, drawn by the id among all that are listed, keep each claim. A side that has created the claim notes it with them before it starts. One that knows another claimant ends the try as "unknown"; at least half must answer, else nothing starts. "Not run" asks the keepers as well.

The claims of a side are a module of their own (`run_claims`); its retry no longer holds itself by its own timer.

--- a/src/coursejunction/daemon/fwd.hpp
+++ b/src/coursejunction/daemon/fwd.hpp
@@ -24,6 +24,7 @@
 class engine_hand_over;
 class answer_events;
 class caller_answers;
+class claim_notes;
 class configuration_watch;
 class fenced_orders;
 class have_announcer;
@@ -34,6 +35,7 @@
 class paced_downlink;
 class peer_links;
 class retry_rule;
+class run_claims;
 template <typename Key>
 class service_times;
 class side_reports;
--- a/src/coursejunction/daemon/internal/caller_answers.cpp
+++ b/src/coursejunction/daemon/internal/caller_answers.cpp
@@ -44,8 +44,8 @@
 
 } // namespace
 
-caller_answers::caller_answers(node& owner)
-    : host(owner),
+caller_answers::caller_answers(node& owner, claim_notes& kept)
+    : host(owner), notes(kept),
       flush_timer(owner.loop().every(flush_interval, [this] { flush(); }))
 {
 }
@@ -105,12 +105,25 @@
         claim_key(one->id),
         [this, one, end](const result<stored_value>& got) mutable
         {
-            if (!got || got.value().index != 0)
-                end.result = outcome::unknown;
+            if (got && got.value().index == 0)
+                return unclaimed(one, end);
+            end.result = outcome::unknown;
             answer(*one, end);
         });
 }
 
+/*! @brief The key-value service has no claim: it may have lost one. */
+void caller_answers::unclaimed(const live_pointer& one, attempt_end end)
+{
+    notes.look(one->id,
+               [this, one, end](claim_word word) mutable
+               {
+                   if (word != claim_word::free)
+                       end.result = outcome::unknown;
+                   answer(*one, end);
+               });
+}
+
 /*! @brief Sends a final answer that is no answer of an upstream; a stream
  * that has begun is cut so that nobody takes it for whole. */
 void caller_answers::answer(live_request& one, const attempt_end& end)
--- a/src/coursejunction/daemon/internal/caller_answers.hpp
+++ b/src/coursejunction/daemon/internal/caller_answers.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coursejunction/daemon/internal/claim_notes.hpp"
 #include "coursejunction/daemon/internal/live_request.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/http_server.hpp"
@@ -26,7 +27,9 @@
 class caller_answers
 {
 public:
-    explicit caller_answers(node& owner);
+    /*! @param kept Claims that the key-value service may have lost; it must
+     * outlive the answers. */
+    caller_answers(node& owner, claim_notes& kept);
 
     /*! @brief Begins a stream of events. */
     void begin(live_request& one);
@@ -48,10 +51,12 @@
                              const std::string& fault);
 
 private:
+    void unclaimed(const live_pointer& one, attempt_end end);
     void answer(live_request& one, const attempt_end& end);
     void flush();
 
     node& host;
+    claim_notes& notes;
     std::vector<live_pointer> to_flush;
     timer flush_timer;
 };
--- /dev/null
+++ b/src/coursejunction/daemon/internal/claim_notes.cpp
@@ -0,0 +1,141 @@
+#include "coursejunction/daemon/internal/claim_notes.hpp"
+
+#include <set>
+#include <utility>
+
+#include "coursejunction/core/rendezvous.hpp"
+#include "coursejunction/daemon/node.hpp"
+
+namespace coursejunction::internal
+{
+
+namespace
+{
+
+/*! @brief Entries that remember a claim. */
+constexpr std::size_t keepers_per_claim = 3;
+
+/*! @brief Claims that an entry remembers, some 200 bytes each. */
+constexpr std::size_t remembered_claims = 100'000;
+
+/*! @brief Time in which a keeper that lives answers, also from far away. */
+constexpr milliseconds keeper_patience{300};
+
+} // namespace
+
+claim_notes::claim_notes(node& owner)
+    : host(owner),
+      process_id(owner.settings().instance.value() + "/" + random_id()),
+      book(remembered_claims), numbers(stable_hash(process_id))
+{
+}
+
+void claim_notes::note(const request_id& request, done_callback done)
+{
+    ask(request, process_id, std::move(done));
+}
+
+void claim_notes::look(const request_id& request, done_callback done)
+{
+    ask(request, {}, std::move(done));
+}
+
+void claim_notes::ask(const request_id& request, const std::string& claimant,
+                      done_callback done)
+{
+    const message::claim_note note{++numbers, digest::of(request.value()),
+                                   claimant};
+    const auto keepers = keepers_of(note.request);
+    auto& one =
+        questions
+            .emplace(note.number,
+                     question{claim_tally({keepers.begin(), keepers.end()}),
+                              std::move(done),
+                              {}})
+            .first->second;
+    for (const auto& keeper : keepers)
+    {
+        if (keeper == host.settings().instance)
+            one.tally.answered(keeper, taken(note));
+        else if (!host.send(keeper, note))
+            one.tally.lost(keeper);
+    }
+    one.patience = host.loop().after(keeper_patience,
+                                     [this, number = note.number]
+                                     {
+                                         questions.at(number).tally.close();
+                                         settle(number);
+                                     });
+    settle(note.number);
+}
+
+/*! @brief Keepers are drawn among all listed entries, so that processes that
+ * differ in whom they hear from still ask the same. */
+std::vector<instance_id> claim_notes::keepers_of(const digest& request) const
+{
+    std::vector<instance_id> entries;
+    for (const auto& [id, one] : host.members().all())
+    {
+        if (one.kind == role::entry)
+            entries.push_back(id);
+    }
+    return rendezvous_rank(request.hex(), entries, keepers_per_claim);
+}
+
+bool claim_notes::taken(const message::claim_note& ask)
+{
+    return ask.claimant.empty()
+               ? book.holds(ask.request, node::now())
+               : !book.note(ask.request, ask.claimant, node::now());
+}
+
+bool claim_notes::received(const instance_id& from, const frame& one)
+{
+    if (one.type == frame_type::claim_note)
+    {
+        const auto ask = decode<message::claim_note>(one.head);
+        if (ask)
+            host.send(from, message::claim_answer{ask.value().number,
+                                                  taken(ask.value())});
+        return true;
+    }
+    if (one.type == frame_type::claim_answer)
+    {
+        const auto answer = decode<message::claim_answer>(one.head);
+        const auto found =
+            answer ? questions.find(answer.value().number) : questions.end();
+        if (found == questions.end())
+            return true;
+        found->second.tally.answered(from, answer.value().taken);
+        settle(found->first);
+        return true;
+    }
+    return false;
+}
+
+void claim_notes::peer_lost(const instance_id& peer)
+{
+    std::vector<std::uint64_t> open;
+    for (auto& [number, one] : questions)
+    {
+        one.tally.lost(peer);
+        open.push_back(number);
+    }
+    for (const auto number : open)
+        settle(number);
+}
+
+/*! @brief Gives the word when it is settled. */
+void claim_notes::settle(std::uint64_t number)
+{
+    const auto found = questions.find(number);
+    const auto word =
+        found == questions.end() ? std::nullopt : found->second.tally.word();
+    if (!word)
+        return;
+    const auto ended = std::move(found->second);
+    questions.erase(found);
+    ended.done(*word);
+}
+
+} // namespace coursejunction::internal
--- /dev/null
+++ b/src/coursejunction/daemon/internal/claim_notes.hpp
@@ -0,0 +1,79 @@
+/*! @file
+ * @brief The second memory of claims, beside the key-value service.
+ */
+#ifndef COURSEJUNCTION_DAEMON_INTERNAL_CLAIM_NOTES_HPP
+#define COURSEJUNCTION_DAEMON_INTERNAL_CLAIM_NOTES_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/run/claim_book.hpp"
+#include "coursejunction/run/claim_tally.hpp"
+#include "coursejunction/wire/codec.hpp"
+
+namespace coursejunction
+{
+
+class node;
+
+namespace internal
+{
+
+/*! @brief Keeps claims at three entries each, drawn by the request's id, and
+ * asks them. The key-value service may come back from a copy that lacks a
+ * claim; its keepers still know of it, and so outlast the side that ran it. */
+class claim_notes
+{
+public:
+    using done_callback = std::function<void(claim_word)>;
+
+    explicit claim_notes(node& owner);
+
+    /*! @brief Notes a claim of this process with its keepers; again is the
+     * same. */
+    void note(const request_id& request, done_callback done);
+
+    /*! @brief Asks whether anybody has claimed a request. */
+    void look(const request_id& request, done_callback done);
+
+    /*! @brief Takes a frame of claims.
+     * @return Whether it was one. */
+    bool received(const instance_id& from, const frame& one);
+
+    void peer_lost(const instance_id& peer);
+
+private:
+    struct question
+    {
+        claim_tally tally;
+        done_callback done;
+        timer patience;
+    };
+
+    void ask(const request_id& request, const std::string& claimant,
+             done_callback done);
+    [[nodiscard]] bool taken(const message::claim_note& ask);
+    [[nodiscard]] std::vector<instance_id>
+    keepers_of(const digest& request) const;
+    void settle(std::uint64_t number);
+
+    node& host;
+    std::string process_id; /*!< A process that starts again is another. */
+    claim_book book;
+    std::map<std::uint64_t, question> questions;
+    /*! @brief Begins anywhere: an answer may come to another process of the
+     * same instance. */
+    std::uint64_t numbers;
+};
+
+} // namespace internal
+
+} // namespace coursejunction
+
+#endif
--- /dev/null
+++ b/src/coursejunction/daemon/internal/run_claims.cpp
@@ -0,0 +1,117 @@
+#include "coursejunction/daemon/internal/run_claims.hpp"
+
+#include <utility>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/daemon/node.hpp"
+
+namespace coursejunction::internal
+{
+
+namespace
+{
+
+constexpr std::chrono::hours session_ttl{24};
+constexpr std::chrono::hours session_age{1};
+constexpr unsigned claim_attempts = 3;
+constexpr milliseconds claim_retry{150};
+
+} // namespace
+
+run_claims::run_claims(node& owner) : host(owner), notes(owner) {}
+
+void run_claims::claim(const request_id& request, done_callback done)
+{
+    auto one = std::make_shared<attempt>();
+    one->request = request;
+    one->done = std::move(done);
+    acquire(one);
+}
+
+void run_claims::acquire(const attempt_pointer& one)
+{
+    one->retry.stop();
+    if (session.empty() || node::now() - session_since > session_age)
+        return open_session(one);
+    ++one->tries;
+    host.key_values().acquire(claim_key(one->request), session,
+                              host.settings().instance.value(),
+                              [this, one, used = session](swap_outcome end)
+                              { acquired(one, used, end); });
+}
+
+void run_claims::open_session(const attempt_pointer& one)
+{
+    host.key_values().open_session(
+        std::chrono::duration_cast<std::chrono::seconds>(session_ttl),
+        [this, one](result<std::string> opened)
+        {
+            if (!opened)
+                return one->done(claim_end::unknown);
+            session = opened.value();
+            session_since = node::now();
+            acquire(one);
+        });
+}
+
+void run_claims::acquired(const attempt_pointer& one, const std::string& used,
+                          swap_outcome end)
+{
+    switch (end)
+    {
+    case swap_outcome::swapped:
+        return note(one);
+    case swap_outcome::lost_race:
+        return one->done(claim_end::lost);
+    case swap_outcome::no_session:
+        if (session == used)
+            session.clear();
+        return acquire_later(one);
+    case swap_outcome::not_sent:
+    case swap_outcome::unknown:
+        // The same session may acquire again: if the write took effect, the
+        // next try says so.
+        return acquire_later(one);
+    }
+}
+
+void run_claims::acquire_later(const attempt_pointer& one)
+{
+    if (one->tries >= claim_attempts)
+        return one->done(claim_end::unknown);
+    one->retry = host.loop().after(claim_retry, [this, one] { acquire(one); });
+}
+
+/*! @brief The service has no other claim; whether it lost one, the keepers
+ * say. Their notes stand before the request starts. */
+void run_claims::note(const attempt_pointer& one)
+{
+    notes.note(one->request,
+               [this, one](claim_word word)
+               {
+                   switch (word)
+                   {
+                   case claim_word::free:
+                       return one->done(claim_end::won);
+                   case claim_word::taken:
+                       host.counters().count("claims_lost_by_service_total");
+                       log::warning("claim_lost_by_service",
+                                    {{"request", one->request.value()}});
+                       return one->done(claim_end::lost);
+                   case claim_word::silent:
+                       return one->done(claim_end::unknown);
+                   }
+               });
+}
+
+bool run_claims::received(const instance_id& from, const frame& one)
+{
+    return notes.received(from, one);
+}
+
+void run_claims::peer_lost(const instance_id& peer)
+{
+    notes.peer_lost(peer);
+}
+
+} // namespace coursejunction::internal
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -12,6 +12,7 @@
 #include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/daemon/entry_request.hpp"
 #include "coursejunction/daemon/internal/caller_answers.hpp"
+#include "coursejunction/daemon/internal/claim_notes.hpp"
 #include "coursejunction/daemon/internal/live_request.hpp"
 #include "coursejunction/daemon/internal/live_upstreams.hpp"
 #include "coursejunction/daemon/internal/retry_rule.hpp"
@@ -53,7 +54,8 @@
     using pointer = internal::live_pointer;
 
     explicit implementation(node& owner)
-        : host(owner), upstreams(owner.settings()), answers(owner)
+        : host(owner), upstreams(owner.settings()), claims(owner),
+          answers(owner, claims)
     {
     }
 
@@ -458,6 +460,7 @@
 
     void peer_lost(const instance_id& peer)
     {
+        claims.peer_lost(peer);
         upstreams.peer_lost(peer);
         std::vector<pointer> affected;
         for (const auto& [stream, one] : live)
@@ -523,6 +526,7 @@
 
     node& host;
     internal::live_upstreams upstreams;
+    internal::claim_notes claims;
     internal::caller_answers answers;
     internal::retry_rule retries;
     internal::service_times<queue_key> times;
@@ -567,7 +571,7 @@
             self->end(from, head.value());
         return true;
     }
-    return false;
+    return self->claims.received(from, one);
 }
 
 void request_service::peer_lost(const instance_id& peer)
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "coursejunction/core/log.hpp"
+#include "coursejunction/daemon/internal/run_claims.hpp"
 #include "coursejunction/daemon/node.hpp"
 #include "coursejunction/daemon/upstream_client.hpp"
 #include "coursejunction/run/crash_witness.hpp"
@@ -19,11 +20,7 @@
 
 constexpr std::size_t remembered_requests = 100'000;
 constexpr std::size_t kept_body = std::size_t{64} << 10U;
-constexpr std::chrono::hours session_ttl{24};
-constexpr std::chrono::hours session_age{1};
 constexpr std::chrono::seconds longest_silence{300};
-constexpr unsigned claim_attempts = 3;
-constexpr milliseconds claim_retry{150};
 constexpr milliseconds outage_retry{1000};
 constexpr milliseconds busy_retry{100};
 /*! @brief Time in which an upstream that lives answers for its state. */
@@ -70,16 +67,14 @@
         bool orphan{false};
         bool mixed{false};
         refusal refused{refusal::none};
-        unsigned claims{0};
         time_point began{};
-        timer retry;
     };
 
     using run_pointer = std::shared_ptr<run>;
 
     implementation(node& owner, upstream_client& to, run_gate with)
         : host(owner), upstream(to), gate(std::move(with)),
-          registry(internal::remembered_requests)
+          registry(internal::remembered_requests), claims(owner)
     {
     }
 
@@ -164,67 +159,30 @@
         end(one, outcome::answered, answer->status, "repeated answer");
     }
 
-    // The claim in the key-value service.
-
     void claim(const run_pointer& one)
     {
-        if (session.empty() || now() - session_since > internal::session_age)
-            return open_session(one);
-        ++one->claims;
-        host.key_values().acquire(claim_key(request_id(one->ask.request)),
-                                  session, host.settings().instance.value(),
-                                  [this, one, used = session](swap_outcome done)
-                                  { claimed(one, used, done); });
+        claims.claim(request_id(one->ask.request),
+                     [this, one](internal::claim_end end)
+                     { claimed(one, end); });
     }
 
-    void open_session(const run_pointer& one)
-    {
-        host.key_values().open_session(
-            std::chrono::duration_cast<std::chrono::seconds>(
-                internal::session_ttl),
-            [this, one](result<std::string> opened)
-            {
-                if (!opened)
-                    return unclaimed(one);
-                session = opened.value();
-                session_since = now();
-                claim(one);
-            });
-    }
-
-    void claimed(const run_pointer& one, const std::string& used,
-                 swap_outcome done)
+    void claimed(const run_pointer& one, internal::claim_end end)
     {
         const request_id id(one->ask.request);
-        switch (done)
+        switch (end)
         {
-        case swap_outcome::swapped:
+        case internal::claim_end::won:
             one->claiming = false;
             if (registry.start(id))
                 return start(one);
             return refuse(one, refusal::cancelled, milliseconds(0));
-        case swap_outcome::lost_race:
+        case internal::claim_end::lost:
             one->claiming = false;
             registry.lost(id);
             return duplicate(one);
-        case swap_outcome::no_session:
-            if (session == used)
-                session.clear();
-            return claim_later(one);
-        case swap_outcome::not_sent:
-        case swap_outcome::unknown:
-            // The same session may acquire again: if the write took effect,
-            // the next try says so.
-            return claim_later(one);
-        }
-    }
-
-    void claim_later(const run_pointer& one)
-    {
-        if (one->claims >= internal::claim_attempts)
+        case internal::claim_end::unknown:
             return unclaimed(one);
-        one->retry = host.loop().after(internal::claim_retry,
-                                       [this, one] { claim(one); });
+        }
     }
 
     void unclaimed(const run_pointer& one)
@@ -470,6 +428,7 @@
 
     void peer_lost(const instance_id& peer)
     {
+        claims.peer_lost(peer);
         std::vector<run_pointer> affected;
         for (const auto& [key, one] : runs)
         {
@@ -487,11 +446,10 @@
     upstream_client& upstream;
     run_gate gate;
     run_registry registry;
+    internal::run_claims claims;
     crash_witness witness;
     std::uint64_t ends{0}; /*!< Of the upstream, as far as they were seen. */
     std::map<run_key, run_pointer> runs;
-    std::string session;
-    time_point session_since{};
 };
 
 run_service::run_service(node& owner, upstream_client& upstream, run_gate gate)
@@ -518,7 +476,7 @@
             self->cancelled(from, cancel.value());
         return true;
     }
-    return false;
+    return self->claims.received(from, one);
 }
 
 void run_service::peer_lost(const instance_id& peer)
--- a/src/coursejunction/run/fwd.hpp
+++ b/src/coursejunction/run/fwd.hpp
@@ -11,12 +11,15 @@
 
 enum class admission : std::uint8_t;
 enum class attempt_loss : std::uint8_t;
+enum class claim_word : std::uint8_t;
 enum class crash_standing : std::uint8_t;
 enum class end_evidence : std::uint8_t;
 enum class end_proof : std::uint8_t;
 struct crash_accusation;
 struct crash_entry;
 struct lost_attempt;
+class claim_book;
+class claim_tally;
 class crash_ledger;
 class crash_witness;
 class recent_answers;
--- a/src/coursejunction/wire/frame.hpp
+++ b/src/coursejunction/wire/frame.hpp
@@ -46,11 +46,13 @@
     status_reply = 18,
     heartbeat = 19,
     load_report = 20,
-    crash_news = 21
+    crash_news = 21,
+    claim_note = 22,
+    claim_answer = 23
 };
 
 /*! @brief Highest number of a frame type. */
-inline constexpr frame_type last_frame_type = frame_type::crash_news;
+inline constexpr frame_type last_frame_type = frame_type::claim_answer;
 
 /*! @brief Version in each frame; an unknown one is refused. */
 inline constexpr std::uint8_t protocol_version = 1;
--- a/src/coursejunction/wire/message.hpp
+++ b/src/coursejunction/wire/message.hpp
@@ -50,7 +50,7 @@
     busy,        /*!< Every slot is taken. */
     closed,      /*!< The gate is closed, or other weights are served. */
     leaving,     /*!< The side takes no new work. */
-    claim,       /*!< The key-value service does not answer. */
+    claim,       /*!< It is not known who claimed the request. */
     unreachable, /*!< The upstream cannot be connected to. */
     duplicate,   /*!< The same request was started before. */
     cancelled    /*!< The caller left first. */
@@ -70,7 +70,7 @@
     case refusal::leaving:
         return "the upstream is leaving";
     case refusal::claim:
-        return "the key-value service does not answer";
+        return "the request cannot be claimed now";
     case refusal::unreachable:
         return "the upstream does not answer";
     case refusal::duplicate:
@@ -441,6 +441,36 @@
     }
 };
 
+/*! @brief To an entry that keeps a claim: note it, or tell whether there is
+ * one. */
+struct claim_note
+{
+    static constexpr auto type = frame_type::claim_note;
+    std::uint64_t number{0}; /*!< Of the question. */
+    digest request;          /*!< Of the request's id. */
+    std::string claimant;    /*!< One process; empty to ask only. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, request, claimant);
+    }
+};
+
+/*! @brief From an entry that keeps claims. */
+struct claim_answer
+{
+    static constexpr auto type = frame_type::claim_answer;
+    std::uint64_t number{0};
+    bool taken{false}; /*!< Another process has claimed the request. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, taken);
+    }
+};
+
 } // namespace message
 
 } // namespace coursejunction
--- a/tests/session/test_requests.py
+++ b/tests/session/test_requests.py
@@ -270,6 +270,27 @@
         self.assertEqual(self.charge("entry-2", "l-new").end().status, 200)
         self.assertEqual(self.runs("l-new"), 1)
 
+    def test_a_lost_claim_whose_side_and_entry_are_gone_lets_nothing_run_again(self):
+        self.charged_with_lost_claims(["l0"])
+        self.lab.entries["entry-1"].kill()
+        for name in ("side-1", "side-2"):
+            self.lab.restart_side(name)
+        self.heard("entry-2", 2, "ledger")
+        self.assertEqual(self.charge("entry-2", "l0").end().answer_headers["outcome"], "unknown")
+        self.assertEqual(self.charge("entry-2", "l-new").end().status, 200)
+        self.assertEqual((self.runs("l0"), self.runs("l-new")), (1, 1))
+
+    def test_a_claim_that_no_entry_keeps_starts_nothing(self):
+        for name in ("entry-1", "entry-2"):
+            self.lab.unregister(name)
+        for name in ("side-1", "side-2"):
+            wait_for("no entry is listed", lambda name=name: not any(
+                one["role"] == "entry" for one in self.lab.dump(self.lab.sides[name])["members"]))
+        caller = self.charge("entry-1", "k0").end()
+        self.assertEqual(caller.answer_headers["outcome"], "unknown")
+        self.assertGreater(int(caller.answer_headers["retry-after-ms"]), 0)
+        self.assertEqual(self.runs("k0"), 0)
+
     def test_not_run_is_never_said_of_an_id_whose_claim_was_lost(self):
         self.charged_with_lost_claims(["l0"])
         for entry in ("entry-1", "entry-2"):
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -29,6 +29,20 @@
                  RC_ASSERT(read.value().attempt == attempt);
                  RC_ASSERT(read.value().not_repeatable == once);
              });
+    rc::prop("a claim and the word of its keeper",
+             [](std::uint64_t number, const std::string& id, bool taken)
+             {
+                 const message::claim_note from{number, cj::digest::of(id), id};
+                 const auto read =
+                     cj::decode<message::claim_note>(cj::encode(from));
+                 RC_ASSERT(read.value().number == number);
+                 RC_ASSERT(read.value().request == from.request);
+                 RC_ASSERT(read.value().claimant == id);
+                 const auto word = cj::decode<message::claim_answer>(
+                     cj::encode(message::claim_answer{number, taken}));
+                 RC_ASSERT(word.value().number == number);
+                 RC_ASSERT(word.value().taken == taken);
+             });
     rc::prop("chunks that are held",
              [](const std::vector<std::uint32_t>& chunks)
              {
