A side leaves its claims' session before it forgets what it claimed

What callers could see: a request that may run once ran again at the side that had run it, when the side had taken 100,000 others since and within the same hour. No outage is needed.

Cause: a side forgets the oldest of 100,000 requests, while its session may acquire a claim that it holds again, which settles a lost answer. The comment "the claim outlives what is dropped here" was not true of the same session.

Why it works: a session makes at most half as many claims as the side remembers requests, so that whatever it forgot was claimed with an earlier session. The keepers know a claim by its session for the same reason.

--- a/src/coursejunction/daemon/internal/claim_notes.cpp
+++ b/src/coursejunction/daemon/internal/claim_notes.cpp
@@ -24,15 +24,14 @@
 } // namespace
 
 claim_notes::claim_notes(node& owner)
-    : host(owner),
-      process_id(owner.settings().instance.value() + "/" + random_id()),
-      book(remembered_claims), numbers(stable_hash(process_id))
+    : host(owner), book(remembered_claims), numbers(stable_hash(random_id()))
 {
 }
 
-void claim_notes::note(const request_id& request, done_callback done)
+void claim_notes::note(const request_id& request, const std::string& claimant,
+                       done_callback done)
 {
-    ask(request, process_id, std::move(done));
+    ask(request, claimant, std::move(done));
 }
 
 void claim_notes::look(const request_id& request, done_callback done)
--- a/src/coursejunction/daemon/internal/claim_notes.hpp
+++ b/src/coursejunction/daemon/internal/claim_notes.hpp
@@ -35,9 +35,10 @@
 
     explicit claim_notes(node& owner);
 
-    /*! @brief Notes a claim of this process with its keepers; again is the
-     * same. */
-    void note(const request_id& request, done_callback done);
+    /*! @brief Notes a claim with its keepers; again is the same.
+     * @param claimant The session that has it in the key-value service. */
+    void note(const request_id& request, const std::string& claimant,
+              done_callback done);
 
     /*! @brief Asks whether anybody has claimed a request. */
     void look(const request_id& request, done_callback done);
@@ -64,7 +65,6 @@
     void settle(std::uint64_t number);
 
     node& host;
-    std::string process_id; /*!< A process that starts again is another. */
     claim_book book;
     std::map<std::uint64_t, question> questions;
     /*! @brief Begins anywhere: an answer may come to another process of the
--- a/src/coursejunction/daemon/internal/run_claims.cpp
+++ b/src/coursejunction/daemon/internal/run_claims.cpp
@@ -12,13 +12,15 @@
 {
 
 constexpr std::chrono::hours session_ttl{24};
-constexpr std::chrono::hours session_age{1};
 constexpr unsigned claim_attempts = 3;
 constexpr milliseconds claim_retry{150};
 
 } // namespace
 
-run_claims::run_claims(node& owner) : host(owner), notes(owner) {}
+run_claims::run_claims(node& owner, std::size_t remembered)
+    : host(owner), notes(owner), session(remembered / 2)
+{
+}
 
 void run_claims::claim(const request_id& request, done_callback done)
 {
@@ -31,13 +33,13 @@
 void run_claims::acquire(const attempt_pointer& one)
 {
     one->retry.stop();
-    if (session.empty() || node::now() - session_since > session_age)
+    if (!session.usable(node::now()))
         return open_session(one);
     ++one->tries;
-    host.key_values().acquire(claim_key(one->request), session,
-                              host.settings().instance.value(),
-                              [this, one, used = session](swap_outcome end)
-                              { acquired(one, used, end); });
+    const auto used = session.use();
+    host.key_values().acquire(
+        claim_key(one->request), used, host.settings().instance.value(),
+        [this, one, used](swap_outcome end) { acquired(one, used, end); });
 }
 
 void run_claims::open_session(const attempt_pointer& one)
@@ -48,8 +50,7 @@
         {
             if (!opened)
                 return one->done(claim_end::unknown);
-            session = opened.value();
-            session_since = node::now();
+            session.opened(opened.value(), node::now());
             acquire(one);
         });
 }
@@ -60,12 +61,11 @@
     switch (end)
     {
     case swap_outcome::swapped:
-        return note(one);
+        return note(one, used);
     case swap_outcome::lost_race:
         return one->done(claim_end::lost);
     case swap_outcome::no_session:
-        if (session == used)
-            session.clear();
+        session.lost(used);
         return acquire_later(one);
     case swap_outcome::not_sent:
     case swap_outcome::unknown:
@@ -84,9 +84,9 @@
 
 /*! @brief The service has no other claim; whether it lost one, the keepers
  * say. Their notes stand before the request starts. */
-void run_claims::note(const attempt_pointer& one)
+void run_claims::note(const attempt_pointer& one, const std::string& used)
 {
-    notes.note(one->request,
+    notes.note(one->request, used,
                [this, one](claim_word word)
                {
                    switch (word)
--- a/src/coursejunction/daemon/internal/run_claims.hpp
+++ b/src/coursejunction/daemon/internal/run_claims.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_DAEMON_INTERNAL_RUN_CLAIMS_HPP
 #define COURSEJUNCTION_DAEMON_INTERNAL_RUN_CLAIMS_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -11,6 +12,7 @@
 
 #include "coursejunction/control/key_value_client.hpp"
 #include "coursejunction/daemon/internal/claim_notes.hpp"
+#include "coursejunction/run/claim_session.hpp"
 
 namespace coursejunction::internal
 {
@@ -30,7 +32,8 @@
 public:
     using done_callback = std::function<void(claim_end)>;
 
-    explicit run_claims(node& owner);
+    /*! @param remembered Requests that the side remembers. */
+    run_claims(node& owner, std::size_t remembered);
 
     void claim(const request_id& request, done_callback done);
 
@@ -56,12 +59,11 @@
     void acquired(const attempt_pointer& one, const std::string& used,
                   swap_outcome end);
     void acquire_later(const attempt_pointer& one);
-    void note(const attempt_pointer& one);
+    void note(const attempt_pointer& one, const std::string& used);
 
     node& host;
     claim_notes notes;
-    std::string session;
-    time_point session_since{};
+    claim_session session;
 };
 
 } // namespace coursejunction::internal
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -74,7 +74,8 @@
 
     implementation(node& owner, upstream_client& to, run_gate with)
         : host(owner), upstream(to), gate(std::move(with)),
-          registry(internal::remembered_requests), claims(owner)
+          registry(internal::remembered_requests),
+          claims(owner, internal::remembered_requests)
     {
     }
 
--- a/src/coursejunction/run/fwd.hpp
+++ b/src/coursejunction/run/fwd.hpp
@@ -19,6 +19,7 @@
 struct crash_entry;
 struct lost_attempt;
 class claim_book;
+class claim_session;
 class claim_tally;
 class crash_ledger;
 class crash_witness;
--- a/src/coursejunction/wire/message.hpp
+++ b/src/coursejunction/wire/message.hpp
@@ -448,7 +448,7 @@
     static constexpr auto type = frame_type::claim_note;
     std::uint64_t number{0}; /*!< Of the question. */
     digest request;          /*!< Of the request's id. */
-    std::string claimant;    /*!< One process; empty to ask only. */
+    std::string claimant;    /*!< One session; empty to ask only. */
 
     template <typename Archive>
     void serialize(Archive& archive)
