--- a/src/coursejunction/fleet/key_writer.hpp
+++ b/src/coursejunction/fleet/key_writer.hpp
@@ -54,7 +54,7 @@
     key_writer(event_loop& owner, metrics& counted, std::string counter,
                backoff between)
         : loop(owner), counters(counted), counter_name(std::move(counter)),
-          pauses(std::move(between))
+          pauses(between)
     {
     }
 
