A told version binds however often its naming is told

Found by reading, by the lead and by a second review that had not seen the work. A version that only the origin told was dated anew with every heartbeat of a peer, by what the origin had confirmed since: it never bound while the store could not be read. The test failed before (told ten times, ten changes).

With it, from the same review: a doubt and the second question that a newer version needs had changed places in a merge (all entries asked at once after a doubt, the second answer waited for the rank); names of versions that a watch passes no longer change what the store is taken to name now, are left out where a peer told more before, and reach the bounds even where the page changes nothing else; configurations are not taken on that way, since what is put in force goes by the mirror; a bound that has passed is not moved; an entry that asks seldom dates a version when it is told, unless a question of its own should have been answered before.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -414,29 +415,50 @@
         reader.consider(turn, event_loop::now());
     }
 
-    /*! @brief Tells the role of values that a later one of the page hides. */
-    void tell_overwritten(const store_mirror::items& items)
+    /*! @brief Tells the role of values that a later one of the page hides.
+     * @return Their keys. */
+    std::set<std::string> tell_overwritten(const store_mirror::items& items)
     {
+        std::set<std::string> keys;
         if (!hooks.overwritten)
-            return;
+            return keys;
         std::map<std::string_view, std::size_t> last;
         for (std::size_t place = 0; place < items.size(); ++place)
             last[items[place].key] = place;
         for (std::size_t place = 0; place < items.size(); ++place)
         {
-            if (last[items[place].key] != place && !items[place].removed)
-                hooks.overwritten(items[place]);
+            const auto& one = items[place];
+            if (last[one.key] == place || one.removed || known(one))
+                continue;
+            hooks.overwritten(one);
+            keys.insert(one.key);
         }
+        return keys;
+    }
+
+    /*! @brief Tells whether the mirror has a value of a key that is as new. */
+    [[nodiscard]] bool known(const message::mirror_item& one) const
+    {
+        const auto found = copy.all().find(one.key);
+        return found != copy.all().end() &&
+               found->second.position() >= one.position();
     }
 
     void read_page(const store_page& page, bool whole)
     {
         const auto now = event_loop::now();
-        tell_overwritten(page.items);
         const auto era = copy.position().era;
-        took(whole ? copy.replace(page.items, page.position, now)
-                   : copy.apply(page.items, page.position, now),
-             "store", era);
+        const auto passed = tell_overwritten(page.items);
+        auto changed = whole ? copy.replace(page.items, page.position, now)
+                             : copy.apply(page.items, page.position, now);
+        // A peer may have told the last value of a key before.
+        for (const auto& key : passed)
+        {
+            if (copy.find(key) != nullptr &&
+                std::find(changed.begin(), changed.end(), key) == changed.end())
+                changed.push_back(key);
+        }
+        took(changed, "store", era);
     }
 
     void take_page(const message::mirror_page& page, const std::string& from)
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -208,20 +208,21 @@
                 {{"model", model}, {"version", std::to_string(version)}});
     }
 
-    /*! @brief Takes a value that a later one replaced before it was read: the
-     * mirror keeps the last one only. */
+    /*! @brief Takes a name of a version that a later one replaced before it was
+     * read: the mirror keeps the last one only. */
     void pass(const message::mirror_item& one, time_point now)
     {
-        mirrored_value value;
-        value.payload = one.payload;
-        value.revision = one.revision;
-        value.era = one.era;
-        value.learnt = now;
-        const auto kind = catalogue::kind(one.key);
-        if (kind == item_kind::version)
-            read_version(one.key, value);
-        else if (kind == item_kind::configuration)
-            read_configuration(one.key, value);
+        if (catalogue::kind(one.key) != item_kind::version)
+            return;
+        const auto read = catalogue::version(one.payload);
+        if (!read)
+            return;
+        const auto& [model, version] = read.value();
+        vouch(model, version);
+        targets.try_emplace({model, version}, now);
+        log::state("version_passed", {{"model", model},
+                                      {"version", std::to_string(version)},
+                                      {"revision", one.position().text()}});
     }
 
     /*! @brief Returns the newest version of a model that anything but a record
--- a/src/coursejunction/fleet/inquiry_schedule.hpp
+++ b/src/coursejunction/fleet/inquiry_schedule.hpp
@@ -97,6 +97,13 @@
         return passed >= times(whole, (before + 1) * (before + 1));
     }
 
+    /*! @brief Returns the time between two questions without a doubt. */
+    [[nodiscard]] std::chrono::microseconds regular_gap() const
+    {
+        const auto place = static_cast<double>(settled.value_or(0) + 1);
+        return times(interval, spread * place * place);
+    }
+
     /*! @brief A question is sent: whatever was doubted until now is asked. */
     void asked(time_point now)
     {
--- a/src/coursejunction/fleet/told_versions.hpp
+++ b/src/coursejunction/fleet/told_versions.hpp
@@ -55,8 +55,8 @@
 
 /*! @brief Takes versions that a peer tells.
  * @tparam View A `fleet_view`.
- * @param naming Returns when a version of a model was named, by the peer's word
- * and what is known here.
+ * @param naming Returns when a version that is new here was named, by the
+ * peer's word and what is known here.
  * @return Whether anything changed. */
 template <typename View, typename Naming = naming_as_told>
 bool take_told(View& fleet, const std::vector<message::told_version>& told,
@@ -70,7 +70,10 @@
             fleet.told_absurd(one.model, one.version);
             continue;
         }
-        const auto known = naming(one.model, now - milliseconds(one.age_ms));
+        // What is confirmed here later says nothing of a version known by then.
+        const bool news = one.version > fleet.newest(one.model);
+        const auto word = now - milliseconds(one.age_ms);
+        const auto known = news ? naming(one.model, word) : word;
         changed = fleet.told(one.model, one.version, known) || changed;
     }
     return changed;
--- a/src/coursejunction/fleet/version_inquiry.hpp
+++ b/src/coursejunction/fleet/version_inquiry.hpp
@@ -57,9 +57,9 @@
      * store as well; after this long it is not. */
     static constexpr milliseconds hearing_time{1000};
 
-    /*! @brief A version counts as named when it was told, but no later than
-     * this after the source told none newer: where it could not be asked for
-     * long, most of the time until the version binds may be over. */
+    /*! @brief A version counts as named when it was told. Where the source did
+     * not answer when it should have, it counts from this long after that:
+     * most of the time until the version binds may be over. */
     static constexpr milliseconds most_unsure{1000};
 
     /*! @param told Takes versions that nobody reads in the store.
@@ -75,7 +75,7 @@
     {
         log::state("version_doubted", {{"why", why}});
         for (auto& [model, one] : models)
-            one.schedule.repeat();
+            one.schedule.doubt(now);
     }
 
     /*! @brief Asks when it is this entry's turn, and tells what nobody reads
@@ -186,7 +186,9 @@
     void tell(const model_state& one, std::uint64_t version, time_point told_at,
               time_point now)
     {
-        const auto named = std::min(told_at, one.confirmed_at + most_unsure);
+        const auto unsure = std::max<std::chrono::microseconds>(
+            most_unsure, one.schedule.regular_gap());
+        const auto named = std::min(told_at, one.confirmed_at + unsure);
         const auto age = std::chrono::duration_cast<milliseconds>(now - named);
         counters.count("versions_unheard_total");
         log::warning("version_unheard",
@@ -225,7 +227,7 @@
         auto& told =
             one.told.try_emplace(version, told_newer{now, 0}).first->second;
         if (++told.answers < least_answers)
-            one.schedule.doubt(now);
+            one.schedule.repeat();
     }
 
     /*! @brief Returns why an answer is not believed; empty when it is. A
--- a/src/coursejunction/proxy/version_controller.hpp
+++ b/src/coursejunction/proxy/version_controller.hpp
@@ -78,7 +78,7 @@
         for (const auto& one : told)
             floors.named_later(one.model, one.version,
                                fleet.named_at(one.model, one.version),
-                               version_time);
+                               version_time, now);
     }
 
     /*! @brief Returns what the store does not show, for other processes. */
--- a/src/coursejunction/route/version_floor.hpp
+++ b/src/coursejunction/route/version_floor.hpp
@@ -51,14 +51,14 @@
     }
 
     /*! @brief Notes that a version was named later than was believed; one that
-     * is known to bind goes on to.
+     * binds already goes on to.
      * @param known When it was. */
     void named_later(const std::string& model, std::uint64_t version,
-                     time_point known, milliseconds allowed)
+                     time_point known, milliseconds allowed, time_point now)
     {
         for (auto& one : targets[model])
         {
-            if (one.version != version || one.binds_at == time_point{})
+            if (one.version != version || now >= one.binds_at)
                 continue;
             one.binds_at = std::max(one.binds_at, known + allowed);
             one.known_to_bind_at =
--- a/tests/fleet/told_versions.cpp
+++ b/tests/fleet/told_versions.cpp
@@ -104,6 +104,27 @@
     }
 }
 
+SCENARIO("a told version binds although its naming is told again and again",
+         "[fleet]")
+{
+    process one;
+    one.names(2);
+    cj::time_point moment = now;
+    // Here the source confirmed a moment ago that nothing newer is named.
+    const auto confirmed = [&](const std::string&, cj::time_point)
+    { return moment; };
+    REQUIRE(cj::take_told(one.view, {{"m", 3, 5000}}, moment, confirmed));
+    CHECK(one.view.named_at("m", 3) == now);
+
+    for (std::uint32_t passed = 1000; passed <= 10'000; passed += 1000)
+    {
+        moment = now + cj::milliseconds(passed);
+        CHECK_FALSE(cj::take_told(one.view, {{"m", 3, 5000 + passed}}, moment,
+                                  confirmed));
+    }
+    CHECK(one.view.named_at("m", 3) == now);
+}
+
 SCENARIO("a peer that tells nonsense binds nobody", "[fleet]")
 {
     process one;
--- a/tests/fleet/version_inquiry.cpp
+++ b/tests/fleet/version_inquiry.cpp
@@ -347,6 +347,24 @@
     }
 }
 
+SCENARIO("a doubt waits for an entry's turn, a second answer does not",
+         "[fleet]")
+{
+    asker entry;
+    entry.rank = 4;
+    entry.answer = offers(2);
+    entry.pass(60'000ms);
+    const auto before = entry.questions();
+    entry.inquiry.doubt("a test", virtual_clock::now());
+    entry.pass(900ms);
+    CHECK(entry.questions() == before);
+    entry.answer = offers(3);
+    while (entry.questions() == before)
+        entry.pass(asker::tick);
+    entry.pass(400ms);
+    CHECK(entry.questions() == before + 2);
+}
+
 SCENARIO("answers that are expected to be long are asked for seldom from the "
          "start",
          "[fleet]")
--- a/tests/route/version_floor.cpp
+++ b/tests/route/version_floor.cpp
@@ -45,6 +45,23 @@
             CHECK(started.least("m", start + 5s) == 1);
         }
     }
+    WHEN("the third turns out to be named later")
+    {
+        floor.named_later("m", 3, start + 6s, 8000ms, start + 5s);
+        THEN("it binds later, and the second as before")
+        {
+            CHECK(floor.least("m", start + 13s) == 2);
+            CHECK(floor.least("m", start + 14s) == 3);
+        }
+    }
+    WHEN("that is told when it binds already")
+    {
+        floor.named_later("m", 3, start + 6s, 8000ms, start + 12s);
+        THEN("it goes on to")
+        {
+            CHECK(floor.least("m", start + 12s) == 3);
+        }
+    }
     WHEN("a version is told again later")
     {
         floor.name("m", 2, start + 5s, 8000ms);
