Log pulls of the mirror from other halls that succeed

Only failed pulls were logged, so a page that took long could not be told from a heartbeat that arrived late: two of the hypotheses on the leaving upstream looked alike. The line has the peer, bytes, duration and the failed pulls before it. Pulls from another hall are few: one for each change and hall.

--- a/src/coursejunction/fleet/mirror_puller.hpp
+++ b/src/coursejunction/fleet/mirror_puller.hpp
@@ -252,6 +252,8 @@
         if (!page)
             return on_pull_failed(group, from, where, began,
                                   page.error().message, answer.body.size());
+        if (&group == &remote)
+            log_remote_pull(from, began, answer.body.size());
         group.schedule.record_success();
         hooks.page_received(page.value(), from);
         cancel_outdated(local);
@@ -282,6 +284,23 @@
             schedule_check(recheck_interval);
     }
 
+    /*! @brief Logs how long a page from another hall took and how many pulls
+     * failed before it. */
+    void log_remote_pull(const std::string& from, time_point began,
+                         std::size_t bytes) const
+    {
+        const auto took = std::chrono::duration_cast<milliseconds>(
+            event_loop::now() - began);
+        log::state(
+            "mirror_pulled",
+            {{"peer", from},
+             {"bytes", std::to_string(bytes)},
+             {"after_ms", std::to_string(took.count())},
+             {"failures",
+              std::to_string(remote.schedule.consecutive_failures())},
+             {"revision", mirror.position().text()}});
+    }
+
     static result<message::mirror_page>
     decode_page(const stream_client::answer& answer)
     {
