Failing test: a leaving upstream behind a full link is used past the bound

Two entries in two halls; the link between them, filled by other traffic, delays datagrams by 0.3 s, loses every second one and passes 10 KB/s of the pages. A configuration is written and an upstream leaves, or its record is removed.

--- /dev/null
+++ b/tests/proxy/leaving_behind_link.cpp
@@ -0,0 +1,120 @@
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <random>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "net/congested_link.hpp"
+#include "net/loopback.hpp"
+#include "proxy/entry_process.hpp"
+#include "proxy/memory_store.hpp"
+
+namespace
+{
+
+using proxy_test::entry_process;
+
+/*! @brief Returns a configuration whose payload cannot be compressed. */
+std::string large_configuration(int number)
+{
+    constexpr std::size_t random_bytes = 60'000;
+    std::minstd_rand random(1);
+    std::string payload = std::to_string(number) + " ";
+    while (payload.size() < random_bytes)
+        payload += static_cast<char>(random() % 256);
+    return payload;
+}
+
+/*! @brief Two entries in halls that a link connects; only the near one reaches
+ * the store. */
+struct two_halls
+{
+    two_halls()
+    {
+        keys.write("configuration", "1");
+        keys.write("up/a", "1 ready");
+        running.on_loop(
+            [&]
+            {
+                link = std::make_unique<loopback::congested_link>(
+                    running.loop,
+                    loopback::congested_link::endpoints{
+                        loopback::own_address(near_host), near_port,
+                        loopback::own_address(far_host), far_port});
+            });
+        near_entry = std::make_unique<entry_process>(
+            keys,
+            entry_process::options{near_host, near_port, "near", near_host});
+        far_entry = std::make_unique<entry_process>(
+            keys, entry_process::options{far_host, far_port, "far", near_host,
+                                         false});
+    }
+
+    ~two_halls()
+    {
+        far_entry.reset();
+        near_entry.reset();
+        running.on_loop([&] { link.reset(); });
+        running.stop();
+    }
+
+    /*! @brief Fills the link and changes the store. */
+    template <typename Change>
+    void change_behind_full_link(Change change)
+    {
+        running.on_loop([&] { link->congest(); });
+        near_entry->on_loop(change);
+    }
+
+    static constexpr int near_host = 11;
+    static constexpr int far_host = 12;
+    static constexpr std::uint16_t near_port{21'741};
+    static constexpr std::uint16_t far_port{21'742};
+
+    proxy_test::store_content keys;
+    loopback::running_loop running;
+    std::unique_ptr<loopback::congested_link> link;
+    std::unique_ptr<entry_process> near_entry;
+    std::unique_ptr<entry_process> far_entry;
+};
+
+} // namespace
+
+// The bound is 2 s after the store acknowledged the change; the page of the
+// mirror takes 6 s, since a large configuration precedes the record.
+SCENARIO("an entry behind a full link sends to an upstream after it left",
+         "[proxy][fleet]")
+{
+    two_halls halls;
+    REQUIRE(halls.far_entry->wait_for_upstream("up/a"));
+
+    WHEN("an upstream says that it leaves")
+    {
+        halls.change_behind_full_link(
+            [&]
+            {
+                halls.keys.write("configuration", large_configuration(2));
+                halls.keys.write("up/a", "2 leaves");
+            });
+        THEN("the entry of the far hall stops to use it within 2 s")
+        {
+            CHECK(halls.far_entry->wait_for_unused_upstream("up/a"));
+        }
+    }
+
+    WHEN("an upstream's record is removed")
+    {
+        halls.change_behind_full_link(
+            [&]
+            {
+                halls.keys.write("configuration", large_configuration(2));
+                halls.keys.remove("up/a");
+            });
+        THEN("the entry of the far hall stops to use it within 2 s")
+        {
+            CHECK(halls.far_entry->wait_for_unused_upstream("up/a"));
+        }
+    }
+}
--- a/tests/proxy/memory_store.hpp
+++ b/tests/proxy/memory_store.hpp
@@ -67,19 +67,26 @@
     using page_callback = std::function<void(cj::result<cj::store_page>)>;
     using write_callback = std::function<void(cj::result<bool>)>;
 
-    memory_store(cj::event_loop& owner, store_content& content)
-        : loop(owner), keys(content)
+    /*! @param is_reachable Whether calls reach the store; otherwise they fail.
+     */
+    memory_store(cj::event_loop& owner, store_content& content,
+                 bool is_reachable = true)
+        : loop(owner), keys(content), reachable(is_reachable)
     {
     }
 
     void list(const page_callback& done)
     {
+        if (!reachable)
+            return fail(done);
         respond([this, done] { done(changed_after(0)); });
     }
 
     void watch(std::uint64_t after, cj::milliseconds wait,
                const page_callback& done)
     {
+        if (!reachable)
+            return fail(done);
         const auto deadline = cj::event_loop::now() + wait;
         poll(after, deadline, done);
     }
@@ -122,6 +129,16 @@
         call = loop.after(response_delay, std::move(work));
     }
 
+    void fail(const page_callback& done)
+    {
+        respond(
+            [done]
+            {
+                done(cj::failure(cj::error_kind::unavailable,
+                                 "the store is out of reach"));
+            });
+    }
+
     void poll(std::uint64_t after, cj::time_point deadline,
               const page_callback& done)
     {
@@ -168,6 +185,7 @@
 
     cj::event_loop& loop;
     store_content& keys;
+    bool reachable;
     cj::timer call;
 };
 
