Entries tell each other that an upstream departed, ahead of the mirror

Cause: an entry of a hall away from the store learnt of it from a page of the mirror alone. Between the heartbeat that announces the page and the page lie a grace time, connections with limits of 250, 500 and 750 ms, back-offs, and a response that also holds whatever else changed, such as a configuration. Each limit is below the bound; the sum is 3 s on a link with 0.3 s of queue. A word of a few bytes that must stop sends waited in the same queue as bulk data.

Change: heartbeats of entries carry departures (upstream, position of the change in the store): at once with the heartbeat that announces the mirror's change, and in all regular ones for 2 s. Whoever is told passes it on. A departure holds until the mirror reaches its position; then the records decide, so a record that lapsed and returns is used again, and a rollback of the store ends it. A removed record is no announcement: a crash is still counted as one. Removals in an outage of the store are not reported. A test adds up the delays that are left.

Why it works: one datagram of 40 bytes needs one trip and no connection, the store's hall sends some 25 of them to each far entry within 2 s, and each far entry repeats it within its hall.

Ruled out: shorter limits of pulls (a full link then fails more of them); asking the sidecar of the upstream first (a call for each request); the sidecar's own report as the source (the engine's report does not say that it leaves).

Processes of the build before drop heartbeats of entries of this build, which have a field more, and count them in fleet_datagrams_refused_total.

--- a/src/coursejunction/fleet/fleet_hooks.hpp
+++ b/src/coursejunction/fleet/fleet_hooks.hpp
@@ -64,6 +64,8 @@
     /*! @brief Returns the terms (limits, back-off) that upstreams recently
      * reported to this entry. */
     std::function<std::vector<message::upstream_terms>()> recent_terms;
+    /*! @brief Returns upstreams that recently departed, for other entries. */
+    std::function<std::vector<message::upstream_departure>()> recent_departures;
     /*! @brief Returns whether some sidecar is downloading weights. */
     std::function<bool()> transfers_active;
 };
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -341,6 +341,8 @@
             heartbeat.refusals = hooks.refused_callers();
         if (hooks.recent_terms && context.reason == heartbeat_reason::regular)
             heartbeat.terms = hooks.recent_terms();
+        if (hooks.recent_departures && carries_departures(context.reason))
+            heartbeat.departures = hooks.recent_departures();
         heartbeat.upstream.side = incarnation;
         return heartbeat;
     }
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -73,7 +73,8 @@
     instance_id id;
     incarnation life; /*!< Incarnation in the record; empty once removed. */
     bool removed{false};
-    bool malformed{false}; /*!< The record exists but cannot be parsed. */
+    bool malformed{false};     /*!< The record exists but cannot be parsed. */
+    store_position position{}; /*!< Of the record or of its removal. */
 };
 
 /*! @brief The configuration, the upstreams and the published versions, updated
@@ -396,7 +397,14 @@
                 !mirror.absent_without_removal(key))
                 known->second.leaving_or_removed = true;
             upstream_records.erase(id);
-            return upstream_change{id, {}, true};
+            const auto removal = mirror.all().find(key);
+            return upstream_change{id,
+                                   {},
+                                   true,
+                                   false,
+                                   removal == mirror.all().end()
+                                       ? store_position{}
+                                       : removal->second.position()};
         }
         auto read = catalogue::upstream(key, value->payload);
         if (!read)
@@ -416,7 +424,8 @@
         }
         known.apply(record);
         upstream_records[id] = std::move(read.value());
-        return upstream_change{id, known.number};
+        return upstream_change{id, known.number, false, false,
+                               value->position()};
     }
 
     upstream_change reject_upstream(const std::string& key,
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -668,7 +668,7 @@
     void report_lost_attempt(const exchange& request, loss_cause cause)
     {
         const auto* known = book.find(request.choice.upstream);
-        if (known != nullptr && known->leaving())
+        if (known != nullptr && known->announced_leaving())
             return;
         const auto known_incarnation =
             known != nullptr ? known->life : incarnation{};
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -24,6 +24,7 @@
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/proxy/departure_messages.hpp"
 #include "coursejunction/proxy/exchange_service.hpp"
 #include "coursejunction/proxy/refusal_messages.hpp"
 #include "coursejunction/proxy/version_controller.hpp"
@@ -95,6 +96,8 @@
         hooks.refused_callers = [this] { return take_refusals_to_send(); };
         hooks.recent_terms = [this]
         { return recent_terms(book, event_loop::now()); };
+        hooks.recent_departures = [this]
+        { return departures_to_report(book, event_loop::now()); };
         exchanges.on_unsent_refusals([this] { node.announce_refusals(); });
         exchanges.crashes().on_records_changed([this]
                                                { node.announce_crashes(); });
@@ -260,6 +263,7 @@
         load_quarantines(keys);
         for (const auto& change : fleet.update(node.mirror(), keys))
         {
+            report_departure(change, store_returned, now);
             if (change.removed)
                 remove_upstream(change, store_returned, now);
             else
@@ -270,6 +274,7 @@
                         {"removed", change.removed ? "true" : "false"},
                         {"lapse", store_returned ? "true" : "false"}});
         }
+        book.set_mirrored(node.mirror().position());
         version_control.on_keys_changed(previous == nullptr, now);
         if (fleet.configuration() != previous)
             configure();
@@ -337,11 +342,50 @@
             .count();
     }
 
+    /*! @brief Reports an upstream that no longer accepts requests to the other
+     * entries. Their mirrors follow later: a page may have to wait for a larger
+     * value or for a congested link. A record that may have lapsed in an outage
+     * of the store is not reported. */
+    void report_departure(const upstream_change& change, bool store_returned,
+                          time_point now)
+    {
+        const auto* known = book.find(change.id);
+        if (known == nullptr || known->announced_leaving())
+            return;
+        const bool gone =
+            change.removed && !store_returned && !change.malformed;
+        const bool leaves =
+            !change.removed && fleet.upstreams().at(change.id).leaving;
+        if (gone || leaves)
+            book.apply_departure({change.id, change.position, gone}, now);
+    }
+
+    /*! @brief Applies departures that another entry reported. */
+    void
+    merge_departures(const std::vector<message::upstream_departure>& reported,
+                     const std::string& from, time_point now)
+    {
+        for (const auto& one : reported)
+        {
+            const auto departure = decode_departure(one);
+            if (departure.position <= node.mirror().position() ||
+                !book.apply_departure(departure, now))
+                continue;
+            counters.count("upstream_departures_told_total");
+            log::state("upstream_departure_told",
+                       {{"upstream", departure.id.value()},
+                        {"told_by", from},
+                        {"removed", departure.removed ? "true" : "false"},
+                        {"revision", departure.position.text()},
+                        {"mirrored", node.mirror().position().text()}});
+        }
+    }
+
     void remove_upstream(const upstream_change& change, bool store_returned,
                          time_point now)
     {
         const auto* known = book.find(change.id);
-        const bool expected = known == nullptr || known->leaving();
+        const bool expected = known == nullptr || known->announced_leaving();
         if (!expected && !store_returned && !change.malformed)
             exchanges.crashes().upstream_record_expired(change.id);
         book.remove(change.id, store_returned && !change.malformed, now);
@@ -398,6 +442,7 @@
                                                 now);
             for (const auto& terms : heartbeat.terms)
                 exchanges.notices().apply_reported_terms(terms, from, now);
+            merge_departures(heartbeat.departures, from, now);
             version_control.merge_reported(heartbeat.versions, now);
             return exchanges.crashes().merge_records(heartbeat.crashes, from);
         }
@@ -484,6 +529,7 @@
     void tick()
     {
         const auto now = event_loop::now();
+        book.set_mirrored(node.mirror().position());
         book.expire(now);
         exchanges.crashes().tick(now);
         exchanges.expire(now);
--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -32,6 +32,8 @@
 struct upstream_notice;
 class upstream_terms;
 class retained_terms;
+struct upstream_departure;
+class upstream_departures;
 struct known_upstream;
 struct upstream_choice;
 class request_limit;
--- a/src/coursejunction/route/known_upstream.hpp
+++ b/src/coursejunction/route/known_upstream.hpp
@@ -13,6 +13,7 @@
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/route/upstream_departures.hpp"
 #include "coursejunction/route/upstream_terms.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
@@ -56,11 +57,22 @@
     double share{0};
     upstream_terms terms;
 
-    /*! @brief Returns whether it accepts no new requests, according to its
-     * record or its responses; either may say so first. */
+    /*! @brief A departure that the mirror does not show yet. */
+    std::optional<upstream_departure> departure;
+
+    /*! @brief Returns whether it accepts no new requests: it said so, or its
+     * record was removed. */
     [[nodiscard]] bool leaving() const
     {
-        return record.leaving || terms.leaving();
+        return departure.has_value() || announced_leaving();
+    }
+
+    /*! @brief Returns whether it said that it accepts no new requests, in its
+     * record or its responses; either may say so first. */
+    [[nodiscard]] bool announced_leaving() const
+    {
+        return record.leaving || terms.leaving() ||
+               (departure && !departure->removed);
     }
 };
 
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -22,6 +22,7 @@
 #include "coursejunction/route/known_upstream.hpp"
 #include "coursejunction/route/retained_terms.hpp"
 #include "coursejunction/route/smoothed_rate.hpp"
+#include "coursejunction/route/upstream_departures.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
 namespace coursejunction
@@ -48,7 +49,10 @@
         const auto [position, added] = upstreams.try_emplace(record.id);
         auto& known = position->second;
         if (added)
+        {
             retained.restore(record.id, record.life, known);
+            known.departure = departures.pending(record.id);
+        }
         if (!record.life.empty() && record.life < known.life)
             return std::nullopt;
         auto ended = start_incarnation(known, record.life);
@@ -65,7 +69,7 @@
         const auto found = upstreams.find(id);
         if (found == upstreams.end())
             return;
-        if (lapse && !found->second.leaving())
+        if (lapse && !found->second.announced_leaving())
         {
             found->second.lapses_at = now + lapse_grace;
             return;
@@ -79,6 +83,7 @@
     void expire(time_point now)
     {
         retained.expire(now);
+        departures.expire(now);
         std::erase_if(upstreams,
                       [&](const auto& entry)
                       {
@@ -200,6 +205,38 @@
         return found->second.terms.apply_report(reported, from, now);
     }
 
+    /*! @brief Applies a departure, read from the mirror or reported by another
+     * entry.
+     * @return False if it is not newer than the known one. */
+    bool apply_departure(const upstream_departure& departure, time_point now)
+    {
+        if (!departures.add(departure, now))
+            return false;
+        const auto found = upstreams.find(departure.id);
+        if (found != upstreams.end())
+            found->second.departure = departures.pending(departure.id);
+        return true;
+    }
+
+    /*! @brief Sets the position of the mirror. Up to there the records say
+     * which upstreams accept requests, and departures no longer count. */
+    void set_mirrored(store_position position)
+    {
+        departures.set_mirrored(position);
+        for (auto& [id, upstream] : upstreams)
+        {
+            if (upstream.departure && upstream.departure->position <= position)
+                upstream.departure.reset();
+        }
+    }
+
+    /*! @brief Returns departures to report to other entries. */
+    [[nodiscard]] std::vector<upstream_departure>
+    departures_to_report(std::size_t max_count, time_point now)
+    {
+        return departures.take_reports(max_count, now);
+    }
+
     /*! @brief Divides the rate limits that upstreams announced between the
      * entries.
      * @param own Address of this entry.
@@ -479,6 +516,7 @@
 
     std::map<instance_id, known_upstream> upstreams;
     retained_terms retained;
+    upstream_departures departures;
     /*! @brief This entry and the others assumed to choose the same upstream. */
     double effective_entries{1};
     double all_lateness{1};
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -149,6 +149,24 @@
     }
 };
 
+/*! @brief An upstream that accepts no new requests, according to a change of
+ * the store. Entries report it to each other ahead of the mirror's pages. */
+struct upstream_departure
+{
+    /*! @brief Minimum encoded size; bounds the length of a list of these. */
+    static constexpr std::size_t least_bytes = 21;
+    std::string upstream;
+    store_position position; /*!< Of the change. */
+    bool removed{false}; /*!< Its record was removed; otherwise the record says
+                            that it leaves. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(upstream, position, removed);
+    }
+};
+
 /*! @brief A published version that is not visible in the platform's store. */
 struct reported_version
 {
@@ -196,6 +214,7 @@
     std::vector<refused_caller> refusals;   /*!< Entries only; new ones. */
     std::vector<upstream_terms> terms;      /*!< Entries only; new ones. */
     std::vector<reported_version> versions; /*!< Entries only; usually empty. */
+    std::vector<upstream_departure> departures; /*!< Entries only; new ones. */
 
     template <typename Archive>
     void serialize(Archive& archive)
@@ -204,7 +223,8 @@
                 watching, fetching, probing, store_returned, store_distance,
                 entries);
         if (entry)
-            archive(load, digest, crashes, refusals, terms, versions);
+            archive(load, digest, crashes, refusals, terms, versions,
+                    departures);
         else
             archive(upstream, chunks);
     }
--- a/tests/proxy/leaving_behind_link.cpp
+++ b/tests/proxy/leaving_behind_link.cpp
@@ -6,11 +6,16 @@
 
 #include <catch2/catch.hpp>
 
+#include "coursejunction/fleet/fleet_node.hpp"
+#include "coursejunction/fleet/heartbeat_plan.hpp"
+#include "coursejunction/fleet/store_reader.hpp"
 #include "net/congested_link.hpp"
 #include "net/loopback.hpp"
 #include "proxy/entry_process.hpp"
 #include "proxy/memory_store.hpp"
 
+namespace cj = coursejunction;
+
 namespace
 {
 
@@ -118,3 +123,31 @@
         }
     }
 }
+
+SCENARIO("the delays until a far hall knows of a departure exceed the bound",
+         "[proxy][fleet]")
+{
+    using reader = cj::store_reader<proxy_test::memory_store>;
+    using node = cj::fleet_node<proxy_test::memory_store>;
+    /*! @brief Smallest bound of the installations, after the store's
+     * acknowledgement. */
+    constexpr cj::milliseconds bound{2000};
+    /*! @brief A configuration of 2.3 MB on a watcher's link of 40 Mbit/s. */
+    constexpr cj::milliseconds longest_watch_response{460};
+    /*! @brief Queue of a full link between regions. */
+    constexpr cj::milliseconds link_delay{300};
+    constexpr int lost_heartbeats = 2;
+
+    constexpr auto remote_interval =
+        node::heartbeat_interval * cj::remote_entry_period;
+    constexpr auto until_far_hall =
+        reader::watch_pause + longest_watch_response +
+        remote_interval * lost_heartbeats + link_delay;
+    CHECK(until_far_hall + node::heartbeat_interval < bound);
+
+    SECTION("a departure is reported for longer than heartbeats may be lost")
+    {
+        CHECK(cj::upstream_departures::report_period >
+              remote_interval * (lost_heartbeats + 1));
+    }
+}
