--- a/src/coursejunction/fleet/mirror_puller.hpp
+++ b/src/coursejunction/fleet/mirror_puller.hpp
@@ -289,16 +289,15 @@
     void log_remote_pull(const std::string& from, time_point began,
                          std::size_t bytes) const
     {
-        const auto took = std::chrono::duration_cast<milliseconds>(
-            event_loop::now() - began);
-        log::state(
-            "mirror_pulled",
-            {{"peer", from},
-             {"bytes", std::to_string(bytes)},
-             {"after_ms", std::to_string(took.count())},
-             {"failures",
-              std::to_string(remote.schedule.consecutive_failures())},
-             {"revision", mirror.position().text()}});
+        const auto took =
+            std::chrono::duration_cast<milliseconds>(event_loop::now() - began);
+        log::state("mirror_pulled",
+                   {{"peer", from},
+                    {"bytes", std::to_string(bytes)},
+                    {"after_ms", std::to_string(took.count())},
+                    {"failures",
+                     std::to_string(remote.schedule.consecutive_failures())},
+                    {"revision", mirror.position().text()}});
     }
 
     static result<message::mirror_page>
--- a/tests/net/congested_link.hpp
+++ b/tests/net/congested_link.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "coursejunction/net/datagram_socket.hpp"
