--- a/tests/net/congested_link.hpp
+++ b/tests/net/congested_link.hpp
@@ -66,7 +66,7 @@
     static constexpr double bytes_per_second = 10'000;
     static constexpr coursejunction::milliseconds step{20};
     static constexpr coursejunction::milliseconds datagram_delay{300};
-    /*! @brief While the link is full, one datagram in this many arrives. */
+    /*! @brief While the link is full, one datagram in this many is lost. */
     static constexpr std::size_t datagram_loss_period = 2;
 
     struct response
--- a/tests/proxy/leaving_behind_link.cpp
+++ b/tests/proxy/leaving_behind_link.cpp
@@ -87,8 +87,8 @@
 
 } // namespace
 
-// The bound is 2 s after the store acknowledged the change; the page of the
-// mirror takes 6 s, since a large configuration precedes the record.
+// The bound is 2 s after the store acknowledged the change. The page of the
+// mirror arrives later, since it also holds a large configuration.
 SCENARIO("an entry behind a full link sends to an upstream after it left",
          "[proxy][fleet]")
 {
