Group the state of one attempt of a request

Refactoring only: what belongs to one attempt (its call, upstream, response and events) stands in a struct of its own, so that a request can have two of them.

--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -32,8 +32,24 @@
     may_have_run    /*!< Nothing proves that the request did not run. */
 };
 
+/*! @brief One attempt of a request at an upstream. `id` identifies it within
+ * this process. */
+struct upstream_attempt
+{
+    std::uint64_t id{0};
+    stream_client::call_id call{0};
+    upstream_choice choice;
+    time_point sent_at{};
+    stream_head response_head;
+    std::string response_body;
+    event_splitter events; /*!< Counts from the first event of the stream, even
+                              if another attempt returned it. */
+    bool has_events{false};
+    bool in_flight{false}; /*!< The upstream has it and may run it. */
+};
+
 /*! @brief A request with its attempt in progress. `number` identifies it within
- * this process, `attempt_id` the attempt; the client's id is in `decoded`. */
+ * this process; the client's id is in `decoded`. */
 struct exchange
 {
     std::uint64_t number{0};
@@ -51,19 +67,11 @@
     arrival_state arrival;
     timer deadline_timer;
 
-    // The attempt in progress, or the last one.
-    stream_client::call_id call{0};
-    std::uint64_t attempt_id{0};
-    upstream_choice choice;
-    time_point sent_at{};
+    upstream_attempt attempt; /*!< In progress, or the last one. */
     time_point failed_at{};
-    stream_head response_head;
-    std::string response_body;
     timer silence_timer;
-    bool has_events{false};
-    bool in_flight{false}; /*!< An upstream has the attempt and may run it. */
-    bool is_trial{false};  /*!< This attempt tests whether a request whose
-                              quarantine ended still crashes upstreams. */
+    bool is_trial{false}; /*!< This attempt tests whether a request whose
+                             quarantine ended still crashes upstreams. */
 
     // The last server error of an upstream. It is the final response when no
     // other attempt is left, unless its status is 503.
@@ -74,7 +82,6 @@
 
     std::vector<instance_id> tried_upstreams;
     std::size_t possible_runs{0}; /*!< Number of attempts that may have run. */
-    event_splitter events;
     bool response_begun{
         false}; /*!< The response head was sent to the caller. */
     bool queued{false};
--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -68,7 +68,7 @@
 [[nodiscard]] inline bool forwards_events(const exchange& request)
 {
     return request.route->kind == request_kind::stream &&
-           request.response_head.status == 200;
+           request.attempt.response_head.status == 200;
 }
 
 /*! @brief Returns whether the request may be sent again after an attempt that
@@ -88,12 +88,13 @@
                 loss_cause cause)
 {
     const auto evidence = request.is_trial ? crash_evidence::trial
-                          : request.has_events
+                          : request.attempt.has_events
                               ? crash_evidence::mid_response
                               : crash_evidence::before_response;
-    const auto crash = crash_id_of(request.choice.upstream, known_incarnation);
-    return {request.choice.upstream,
-            request.choice.address,
+    const auto crash =
+        crash_id_of(request.attempt.choice.upstream, known_incarnation);
+    return {request.attempt.choice.upstream,
+            request.attempt.choice.address,
             {request.content, crash, evidence},
             cause};
 }
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -96,15 +96,16 @@
         "request_sent",
         {{"request", request.decoded.id.value()},
          {"content", request.content.hex()},
-         {"upstream", request.choice.upstream.value()},
-         {"hall", request.choice.hall.value()},
+         {"upstream", request.attempt.choice.upstream.value()},
+         {"hall", request.attempt.choice.hall.value()},
          {"attempt", std::to_string(request.tried_upstreams.size())},
-         {"predicted_ms", integer_text(request.choice.predicted_ms)},
-         {"inside", integer_text(request.choice.load.running)},
-         {"unread_tokens", integer_text(request.choice.load.unread_tokens)},
-         {"load_age_ms", integer_text(request.choice.load.age_ms)},
-         {"expected", integer_text(request.choice.load.expected)},
-         {"version", std::to_string(request.choice.version)},
+         {"predicted_ms", integer_text(request.attempt.choice.predicted_ms)},
+         {"inside", integer_text(request.attempt.choice.load.running)},
+         {"unread_tokens",
+          integer_text(request.attempt.choice.load.unread_tokens)},
+         {"load_age_ms", integer_text(request.attempt.choice.load.age_ms)},
+         {"expected", integer_text(request.attempt.choice.load.expected)},
+         {"version", std::to_string(request.attempt.choice.version)},
          {"left_ms", std::to_string(left.count())},
          {"waited_before_ms",
           std::to_string(request.arrival.history.waited.count())},
@@ -120,33 +121,36 @@
         return log::decision(
             "first_event",
             {{"request", request.decoded.id.value()},
-             {"upstream", request.choice.upstream.value()},
-             {"predicted_ms", integer_text(request.choice.predicted_ms)},
-             {"seen_ms", ms_between(request.sent_at, now)}});
-    log::decision("stream_resumed",
-                  {{"request", request.decoded.id.value()},
-                   {"upstream", request.choice.upstream.value()},
-                   {"predicted_ms", integer_text(request.choice.predicted_ms)},
-                   {"gap_ms", ms_between(request.failed_at, now)}});
+             {"upstream", request.attempt.choice.upstream.value()},
+             {"predicted_ms",
+              integer_text(request.attempt.choice.predicted_ms)},
+             {"seen_ms", ms_between(request.attempt.sent_at, now)}});
+    log::decision(
+        "stream_resumed",
+        {{"request", request.decoded.id.value()},
+         {"upstream", request.attempt.choice.upstream.value()},
+         {"predicted_ms", integer_text(request.attempt.choice.predicted_ms)},
+         {"gap_ms", ms_between(request.failed_at, now)}});
 }
 
 /*! @brief Logs what an upstream reported about itself in a response. */
 inline void notice_received(const exchange& request,
                             const upstream_notice& notice)
 {
-    log::state("upstream_notice",
-               {{"request", request.decoded.id.value()},
-                {"upstream", request.choice.upstream.value()},
-                {"status", std::to_string(request.response_head.status)},
-                {"leaving", notice.leaving ? "true" : "false"},
-                {"rest_ms", notice.retry_after
-                                ? std::to_string(notice.retry_after->count())
-                                : "none"},
-                {"requests_per_second",
-                 notice.requests_per_second
-                     ? std::to_string(*notice.requests_per_second)
-                     : "none"},
-                {"unreadable", notice.unreadable ? "true" : "false"}});
+    log::state(
+        "upstream_notice",
+        {{"request", request.decoded.id.value()},
+         {"upstream", request.attempt.choice.upstream.value()},
+         {"status", std::to_string(request.attempt.response_head.status)},
+         {"leaving", notice.leaving ? "true" : "false"},
+         {"rest_ms", notice.retry_after
+                         ? std::to_string(notice.retry_after->count())
+                         : "none"},
+         {"requests_per_second",
+          notice.requests_per_second
+              ? std::to_string(*notice.requests_per_second)
+              : "none"},
+         {"unreadable", notice.unreadable ? "true" : "false"}});
 }
 
 /*! @brief Logs a change of the terms on which an upstream takes requests. */
@@ -168,15 +172,16 @@
 inline void attempt_failed(const exchange& request, const std::string& why,
                            bool may_have_run, bool resending, time_point now)
 {
-    log::problem("attempt_failed",
-                 {{"request", request.decoded.id.value()},
-                  {"content", request.content.hex()},
-                  {"upstream", request.choice.upstream.value()},
-                  {"why", why},
-                  {"events", std::to_string(request.events.event_count())},
-                  {"may_have_run", may_have_run ? "true" : "false"},
-                  {"sent_again", resending ? "true" : "false"},
-                  {"after_ms", ms_between(request.sent_at, now)}});
+    log::problem(
+        "attempt_failed",
+        {{"request", request.decoded.id.value()},
+         {"content", request.content.hex()},
+         {"upstream", request.attempt.choice.upstream.value()},
+         {"why", why},
+         {"events", std::to_string(request.attempt.events.event_count())},
+         {"may_have_run", may_have_run ? "true" : "false"},
+         {"sent_again", resending ? "true" : "false"},
+         {"after_ms", ms_between(request.attempt.sent_at, now)}});
 }
 
 /*! @brief Logs a request that ended with a complete response of an upstream,
@@ -184,13 +189,14 @@
 inline void answered(const exchange& request, const std::string& outcome,
                      time_point now)
 {
-    log::decision("request_answered",
-                  {{"request", request.decoded.id.value()},
-                   {"upstream", request.choice.upstream.value()},
-                   {"status", std::to_string(request.response_head.status)},
-                   {"outcome", outcome},
-                   {"events", std::to_string(request.events.event_count())},
-                   {"took_ms", ms_between(request.arrived_at, now)}});
+    log::decision(
+        "request_answered",
+        {{"request", request.decoded.id.value()},
+         {"upstream", request.attempt.choice.upstream.value()},
+         {"status", std::to_string(request.attempt.response_head.status)},
+         {"outcome", outcome},
+         {"events", std::to_string(request.attempt.events.event_count())},
+         {"took_ms", ms_between(request.arrived_at, now)}});
 }
 
 /*! @brief Logs a request that failed: no attempt gave a complete response that
@@ -198,14 +204,15 @@
 inline void failed(const exchange& request, std::string_view outcome,
                    const std::string& why, time_point now)
 {
-    log::problem("request_failed",
-                 {{"request", request.decoded.id.value()},
-                  {"outcome", std::string(outcome)},
-                  {"why", why},
-                  {"attempts", std::to_string(request.tried_upstreams.size())},
-                  {"upstream", request.choice.upstream.value()},
-                  {"events", std::to_string(request.events.event_count())},
-                  {"took_ms", ms_between(request.arrived_at, now)}});
+    log::problem(
+        "request_failed",
+        {{"request", request.decoded.id.value()},
+         {"outcome", std::string(outcome)},
+         {"why", why},
+         {"attempts", std::to_string(request.tried_upstreams.size())},
+         {"upstream", request.attempt.choice.upstream.value()},
+         {"events", std::to_string(request.attempt.events.event_count())},
+         {"took_ms", ms_between(request.arrived_at, now)}});
 }
 
 } // namespace coursejunction::exchange_log
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -178,14 +178,14 @@
         const auto was_lost = [&](const exchange& request)
         {
             return std::find(attempts.begin(), attempts.end(),
-                             request.attempt_id) != attempts.end();
+                             request.attempt.id) != attempts.end();
         };
         for (const auto number : open_requests.numbers_of(was_lost))
             open_requests.with(
                 number,
                 [&](exchange& request)
                 {
-                    client.cancel(request.call);
+                    client.cancel(request.attempt.call);
                     guard.attempt_lost(
                         exchange_facts::lost_attempt_of(request, restarted.life,
                                                         loss_cause::closed),
@@ -382,7 +382,7 @@
     {
         const auto may_cancel = [&](const exchange& request)
         {
-            return request.in_flight && !request.has_events &&
+            return request.attempt.in_flight && !request.attempt.has_events &&
                    request.content == content;
         };
         for (const auto number : open_requests.numbers_of(may_cancel))
@@ -466,15 +466,15 @@
         const auto& choice = target.choice;
         const auto now = event_loop::now();
         dequeue(request);
-        request.choice = choice;
-        request.attempt_id = ++last_attempt_id;
-        request.sent_at = now;
-        request.response_head = {};
-        request.response_body.clear();
-        request.has_events = false;
-        request.in_flight = true;
+        auto events = std::move(request.attempt.events);
+        events.discard_incomplete();
+        request.attempt = {};
+        request.attempt.id = ++last_attempt_id;
+        request.attempt.choice = choice;
+        request.attempt.sent_at = now;
+        request.attempt.events = std::move(events);
+        request.attempt.in_flight = true;
         request.tried_upstreams.push_back(choice.upstream);
-        request.events.discard_incomplete();
         const auto left =
             std::chrono::duration_cast<milliseconds>(request.deadline - now);
         attempt_metadata metadata;
@@ -482,8 +482,8 @@
         metadata.organisation = request.organisation;
         metadata.time_left = std::max(left, milliseconds(1));
         metadata.expected_version = choice.version;
-        metadata.last_event_id = request.events.last_id()
-                                     ? request.events.last_id()
+        metadata.last_event_id = request.attempt.events.last_id()
+                                     ? request.attempt.events.last_id()
                                      : request.decoded.last_event_id;
         metadata.priority = target.rank;
         stream_call call;
@@ -497,11 +497,11 @@
         // new connection.
         call.repeatable =
             request.route->repeatable() && !is_superseded_soon(request, now);
-        book.begin_attempt(choice.upstream, request.attempt_id,
+        book.begin_attempt(choice.upstream, request.attempt.id,
                            request.decoded.prompt_tokens, now);
         counters.count("attempts_total");
         exchange_log::sent(request, left);
-        request.call =
+        request.attempt.call =
             client.start(std::move(call), make_callbacks(request.number));
         arm_silence_timer(request);
     }
@@ -514,7 +514,7 @@
                                           time_point now) const
     {
         const auto superseded_at = minimums.superseded_at(
-            request.decoded.model, request.choice.version);
+            request.decoded.model, request.attempt.choice.version);
         return superseded_at &&
                *superseded_at - now < options.old_weights_reconnect_window;
     }
@@ -549,7 +549,7 @@
             !request.route->resumable)
             return;
         request.silence_timer = loop.after(
-            request.has_events
+            request.attempt.has_events
                 ? std::chrono::microseconds(options.dispatch.max_stream_pause)
                 : first_event_timeout(request),
             [this, number = request.number]
@@ -558,7 +558,7 @@
                     number,
                     [&](exchange& found)
                     {
-                        client.cancel(found.call);
+                        client.cancel(found.attempt.call);
                         report_lost_attempt(found, loss_cause::timed_out);
                         on_attempt_failed(found, attempt_failure::may_have_run,
                                           "no event from the upstream in time");
@@ -574,11 +574,12 @@
     first_event_timeout(const exchange& request) const
     {
         std::chrono::microseconds limit =
-            milliseconds(static_cast<std::int64_t>(
-                request.choice.predicted_ms * options.first_event_factor)) +
+            milliseconds(
+                static_cast<std::int64_t>(request.attempt.choice.predicted_ms *
+                                          options.first_event_factor)) +
             options.first_event_slack;
         const auto superseded_at = minimums.superseded_at(
-            request.decoded.model, request.choice.version);
+            request.decoded.model, request.attempt.choice.version);
         if (superseded_at)
             limit = std::min(limit, *superseded_at +
                                         options.old_weights_cancel_delay -
@@ -588,14 +589,14 @@
 
     void on_head(exchange& request, const stream_head& head)
     {
-        request.response_head = head;
+        request.attempt.response_head = head;
         const auto metadata = Codec::decode_response(head);
         if (metadata.id == request.decoded.id || metadata.not_run)
             return intake.apply_notice(request, metadata.notice,
                                        event_loop::now());
         // The response belongs to another request, so nothing on this
         // connection can be trusted.
-        client.cancel(request.call);
+        client.cancel(request.attempt.call);
         on_attempt_failed(request, attempt_failure::may_have_run,
                           "response carries another request's id");
     }
@@ -604,13 +605,13 @@
     {
         if (!exchange_facts::forwards_events(request))
         {
-            request.response_body.append(bytes);
+            request.attempt.response_body.append(bytes);
             return;
         }
-        const auto events = request.events.append(bytes);
+        const auto events = request.attempt.events.append(bytes);
         if (events.empty())
             return;
-        if (!request.has_events)
+        if (!request.attempt.has_events)
             on_first_event(request);
         begin_response(request);
         request.reply.write(events);
@@ -619,13 +620,15 @@
 
     void on_first_event(exchange& request)
     {
-        request.has_events = true;
-        book.mark_first_event(request.choice.upstream, request.attempt_id);
+        request.attempt.has_events = true;
+        book.mark_first_event(request.attempt.choice.upstream,
+                              request.attempt.id);
         const auto now = event_loop::now();
-        const auto took = to_seconds(now - request.sent_at);
+        const auto took = to_seconds(now - request.attempt.sent_at);
         constexpr double ms = 1000;
-        book.record_first_event_time(request.choice.upstream,
-                                     request.choice.uncorrected_ms, took * ms);
+        book.record_first_event_time(request.attempt.choice.upstream,
+                                     request.attempt.choice.uncorrected_ms,
+                                     took * ms);
         counters.observe("first_event_seconds", took);
         exchange_log::first_event(request, now);
     }
@@ -635,8 +638,9 @@
         if (request.response_begun)
             return;
         request.response_begun = true;
-        request.reply.begin(request.response_head.status,
-                            Codec::response_headers(request.response_head));
+        request.reply.begin(
+            request.attempt.response_head.status,
+            Codec::response_headers(request.attempt.response_head));
     }
 
     void on_end(exchange& request, stream_end end, const std::string& reason)
@@ -649,12 +653,13 @@
                                          ? attempt_failure::not_sent
                                          : attempt_failure::may_have_run,
                                      reason);
-        const auto metadata = Codec::decode_response(request.response_head);
+        const auto metadata =
+            Codec::decode_response(request.attempt.response_head);
         if (metadata.not_run)
             return on_attempt_failed(
                 request, attempt_failure::not_run,
                 "upstream did not run the request (" +
-                    std::to_string(request.response_head.status) + ")");
+                    std::to_string(request.attempt.response_head.status) + ")");
         if (metadata.id != request.decoded.id)
             return on_attempt_failed(request, attempt_failure::may_have_run,
                                      "response carries another request's id");
@@ -667,7 +672,7 @@
      * is leaving and may exit as planned. */
     void report_lost_attempt(const exchange& request, loss_cause cause)
     {
-        const auto* known = book.find(request.choice.upstream);
+        const auto* known = book.find(request.attempt.choice.upstream);
         if (known != nullptr && known->announced_leaving())
             return;
         const auto known_incarnation =
@@ -679,7 +684,7 @@
 
     void finish_stream(exchange& request)
     {
-        const auto incomplete_event = request.events.incomplete();
+        const auto incomplete_event = request.attempt.events.incomplete();
         begin_response(request);
         request.reply.write(incomplete_event);
         request.reply.finish();
@@ -690,13 +695,14 @@
      * events. */
     void on_response(exchange& request)
     {
-        const int status = request.response_head.status;
+        const int status = request.attempt.response_head.status;
         constexpr int server_error = 500;
         if (status >= server_error && !request.response_begun &&
             exchange_facts::may_repeat(request))
         {
-            request.error_response_head = request.response_head;
-            request.error_response_body = std::move(request.response_body);
+            request.error_response_head = request.attempt.response_head;
+            request.error_response_body =
+                std::move(request.attempt.response_body);
             return on_attempt_failed(request, attempt_failure::error_response,
                                      "upstream answered " +
                                          std::to_string(status));
@@ -718,9 +724,9 @@
                 "upstream answered " + std::to_string(status) +
                     " without stating that the request did not run");
         }
-        request.reply.send(status,
-                           Codec::response_headers(request.response_head),
-                           request.response_body);
+        request.reply.send(
+            status, Codec::response_headers(request.attempt.response_head),
+            request.attempt.response_body);
         complete(request, status < server_error, "answered");
     }
 
@@ -735,9 +741,9 @@
         const bool may_have_run = failure == attempt_failure::may_have_run ||
                                   failure == attempt_failure::error_response;
         request.silence_timer.stop();
-        request.in_flight = false;
+        request.attempt.in_flight = false;
         request.upstream_errored = failure == attempt_failure::error_response;
-        book.end_attempt(request.choice.upstream, request.attempt_id,
+        book.end_attempt(request.attempt.choice.upstream, request.attempt.id,
                          request.upstream_errored
                              ? attempt_result::answered_failure
                              : attempt_result::failed,
@@ -838,12 +844,13 @@
 
     void cancel_attempt(exchange& request)
     {
-        if (request.attempt_id == 0)
+        if (request.attempt.id == 0)
             return;
-        if (std::exchange(request.in_flight, false))
+        if (std::exchange(request.attempt.in_flight, false))
             report_lost_attempt(request, loss_cause::cancelled);
-        client.cancel(request.call);
-        book.cancel_attempt(request.choice.upstream, request.attempt_id);
+        client.cancel(request.attempt.call);
+        book.cancel_attempt(request.attempt.choice.upstream,
+                            request.attempt.id);
     }
 
     // --- End -------------------------------------------------------------
@@ -853,13 +860,13 @@
     {
         if (succeeded)
             guard.record_response(request.content);
-        book.end_attempt(request.choice.upstream, request.attempt_id,
+        book.end_attempt(request.attempt.choice.upstream, request.attempt.id,
                          succeeded ? attempt_result::succeeded
                                    : attempt_result::answered_failure,
                          event_loop::now());
         counters.count(
             "requests_answered_total", 1,
-            {{"status", std::to_string(request.response_head.status)}});
+            {{"status", std::to_string(request.attempt.response_head.status)}});
         exchange_log::answered(request, description, event_loop::now());
         erase(request);
     }
--- a/src/coursejunction/proxy/notice_intake.hpp
+++ b/src/coursejunction/proxy/notice_intake.hpp
@@ -31,10 +31,11 @@
     void apply_notice(const exchange& request, const upstream_notice& notice,
                       time_point now)
     {
-        const received_notice received{notice, request.sent_at,
-                                       succeeded(request.response_head.status)};
-        if (book.apply_notice(request.choice.upstream, received, now))
-            log_terms(request.choice.upstream, now);
+        const received_notice received{
+            notice, request.attempt.sent_at,
+            succeeded(request.attempt.response_head.status)};
+        if (book.apply_notice(request.attempt.choice.upstream, received, now))
+            log_terms(request.attempt.choice.upstream, now);
         if (notice.empty())
             return;
         count(notice);
--- a/src/coursejunction/proxy/open_exchanges.hpp
+++ b/src/coursejunction/proxy/open_exchanges.hpp
@@ -80,7 +80,7 @@
         for (const auto& [number, other] : requests)
         {
             if (is_other_running(request, *other) && predicate(*other))
-                found.push_back(other->choice.upstream);
+                found.push_back(other->attempt.choice.upstream);
         }
         return found;
     }
@@ -89,7 +89,7 @@
     [[nodiscard]] static bool is_other_running(const exchange& request,
                                                const exchange& other)
     {
-        return other.in_flight && other.number != request.number;
+        return other.attempt.in_flight && other.number != request.number;
     }
 
     std::map<std::uint64_t, std::shared_ptr<exchange>> requests;
