Failing test: silence of an upstream cuts a stream

On the code as it is all five sections fail: where no other upstream can take the stream, breaks off, is silent as well, does not run it or is not reachable, the caller gets no further event although its upstream goes on after 1.3 s.

--- /dev/null
+++ b/tests/proxy/silent_upstream.cpp
@@ -0,0 +1,114 @@
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "net/crashing_peer.hpp"
+#include "net/pacing_peer.hpp"
+#include "proxy/entry_on_loopback.hpp"
+
+namespace cj = coursejunction;
+using namespace std::chrono_literals;
+
+using proxy_test::entry_on_loopback;
+using proxy_test::event_stream;
+using proxy_test::scripted_upstream;
+
+namespace
+{
+
+/*! @brief Pauses before each event: longer than the silence after which an
+ * entry looks for another upstream. */
+constexpr auto event_pause = 1300ms;
+
+void check_complete(const std::string& answer, int events)
+{
+    for (int at = 1; at <= events; ++at)
+        CHECK(answer.find("id: " + std::to_string(at) + "\n") !=
+              std::string::npos);
+    CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
+} // namespace
+
+// Half of all upstreams fell silent for 1.2 s, and their streams were cut.
+SCENARIO("a stream is not cut because its upstream was silent for a second",
+         "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::stream, true, 20'000ms);
+    loopback::pacing_peer silent(3, event_pause);
+    entry.add_upstream("a", silent.address);
+
+    SECTION("where no other upstream can take it")
+    {
+        check_complete(entry.ask(), 3);
+    }
+    SECTION("where the other upstream breaks off")
+    {
+        scripted_upstream other({""});
+        entry.add_upstream("b", other.address);
+        check_complete(entry.ask(), 3);
+        CHECK(other.arrivals().size() == 1);
+    }
+    SECTION("where the other upstream is silent as well")
+    {
+        scripted_upstream other({scripted_upstream::hang});
+        entry.add_upstream("b", other.address);
+        check_complete(entry.ask(), 3);
+        other.closed_by_caller.wait(false);
+    }
+    SECTION("where the other upstream does not run it")
+    {
+        scripted_upstream other({proxy_test::response(
+            "", "7", "503 Service Unavailable", "Not-Run: 1\r\n")});
+        entry.add_upstream("b", other.address);
+        check_complete(entry.ask(), 3);
+    }
+    SECTION("where the other upstream is not reachable")
+    {
+        entry.add_upstream("b", "127.0.0.1:1");
+        check_complete(entry.ask(), 3);
+    }
+}
+
+SCENARIO("the stream of a silent upstream is continued by the first that "
+         "returns an event",
+         "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::stream, true, 20'000ms);
+
+    SECTION("by another upstream, and the silent attempt is cancelled")
+    {
+        scripted_upstream silent({scripted_upstream::hang});
+        scripted_upstream other({event_stream("id: 1\ndata: x\n\n", true)});
+        entry.add_upstream("a", silent.address);
+        entry.add_upstream("b", other.address);
+        check_complete(entry.ask(), 1);
+        silent.closed_by_caller.wait(false);
+        CHECK(silent.reset_by_caller);
+    }
+    SECTION("by another upstream, after the last event that was forwarded")
+    {
+        loopback::pacing_peer silent(2, event_pause);
+        scripted_upstream other({event_stream("id: 2\ndata: other\n\n", true)});
+        entry.add_upstream("a", silent.address);
+        entry.add_upstream("b", other.address);
+        const auto answer = entry.ask();
+        check_complete(answer, 2);
+        CHECK(answer.find("data: other") != std::string::npos);
+        REQUIRE(other.arrivals().size() == 1);
+        CHECK(other.arrivals()[0].find("Last: 1\r\n") != std::string::npos);
+    }
+    SECTION("by the other one if the silent one breaks off")
+    {
+        loopback::crashing_peer silent(
+            {event_stream("id: 1\ndata: a\n\n", false), 1500ms});
+        loopback::pacing_peer other(3, 500ms);
+        entry.add_upstream("a", silent.address);
+        entry.add_upstream("b", other.address);
+        check_complete(entry.ask(), 3);
+    }
+}
