Keep the attempt of a silent upstream until another one answers

What callers saw: where an upstream was silent for a second, the stream of a caller was cut or the caller got 502, though the upstream went on.

Cause: an attempt of a resumable stream was cancelled after 900 ms without an event (or a multiple of the predicted first event), before it was known whether another upstream can take the request. Where none can, where the retry budget is spent or where the second attempt fails, nothing is left. Class: a time limit that is taken for a failure, and a working resource that is given up before there is a replacement.

Ruled out: a longer limit alone. It moves the loss, and a stream of an upstream that is really gone is resumed later.

Change: a silent attempt is kept, and another upstream is looked for every 100 ms. Once one has a place within the limits and the retry budget, the request is at both; the first that returns an event goes on and the other is cancelled. If the second attempt fails, the first is waited for. A request that is suspected of crashing upstreams is not sent to a second one. An attempt whose model version was superseded before its first event is still cancelled, as it must not start any more. The upstream is avoided for new requests at the same moment as before, and the second upstream is asked at the same moment as before.

The unit tests of proxy and route pass.

Conclusion: an answer does not end because of silence any more while its upstream may go on.

--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -44,7 +44,9 @@
     std::string response_body;
     event_splitter events; /*!< Counts from the first event of the stream, even
                               if another attempt returned it. */
+    time_point last_event_at{};
     bool has_events{false};
+    bool silent{false};    /*!< No event arrived in time. */
     bool in_flight{false}; /*!< The upstream has it and may run it. */
 };
 
@@ -68,6 +70,9 @@
     timer deadline_timer;
 
     upstream_attempt attempt; /*!< In progress, or the last one. */
+    /*! @brief An earlier attempt whose upstream is silent. The one that returns
+     * the next event goes on, and the other is cancelled. */
+    std::optional<upstream_attempt> silent_attempt;
     time_point failed_at{};
     timer silence_timer;
     bool is_trial{false}; /*!< This attempt tests whether a request whose
--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -65,10 +65,11 @@
             request.number};
 }
 
-[[nodiscard]] inline bool forwards_events(const exchange& request)
+[[nodiscard]] inline bool forwards_events(const exchange& request,
+                                          const upstream_attempt& attempt)
 {
     return request.route->kind == request_kind::stream &&
-           request.attempt.response_head.status == 200;
+           attempt.response_head.status == 200;
 }
 
 /*! @brief Returns whether the request may be sent again after an attempt that
@@ -84,17 +85,16 @@
  * @param known_incarnation Incarnation of the upstream, as far as it is known.
  */
 [[nodiscard]] inline lost_attempt
-lost_attempt_of(const exchange& request, const incarnation& known_incarnation,
-                loss_cause cause)
+lost_attempt_of(const exchange& request, const upstream_attempt& attempt,
+                const incarnation& known_incarnation, loss_cause cause)
 {
     const auto evidence = request.is_trial ? crash_evidence::trial
-                          : request.attempt.has_events
+                          : attempt.has_events
                               ? crash_evidence::mid_response
                               : crash_evidence::before_response;
-    const auto crash =
-        crash_id_of(request.attempt.choice.upstream, known_incarnation);
-    return {request.attempt.choice.upstream,
-            request.attempt.choice.address,
+    const auto crash = crash_id_of(attempt.choice.upstream, known_incarnation);
+    return {attempt.choice.upstream,
+            attempt.choice.address,
             {request.content, crash, evidence},
             cause};
 }
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -135,22 +135,22 @@
 
 /*! @brief Logs what an upstream reported about itself in a response. */
 inline void notice_received(const exchange& request,
+                            const upstream_attempt& attempt,
                             const upstream_notice& notice)
 {
-    log::state(
-        "upstream_notice",
-        {{"request", request.decoded.id.value()},
-         {"upstream", request.attempt.choice.upstream.value()},
-         {"status", std::to_string(request.attempt.response_head.status)},
-         {"leaving", notice.leaving ? "true" : "false"},
-         {"rest_ms", notice.retry_after
-                         ? std::to_string(notice.retry_after->count())
-                         : "none"},
-         {"requests_per_second",
-          notice.requests_per_second
-              ? std::to_string(*notice.requests_per_second)
-              : "none"},
-         {"unreadable", notice.unreadable ? "true" : "false"}});
+    log::state("upstream_notice",
+               {{"request", request.decoded.id.value()},
+                {"upstream", attempt.choice.upstream.value()},
+                {"status", std::to_string(attempt.response_head.status)},
+                {"leaving", notice.leaving ? "true" : "false"},
+                {"rest_ms", notice.retry_after
+                                ? std::to_string(notice.retry_after->count())
+                                : "none"},
+                {"requests_per_second",
+                 notice.requests_per_second
+                     ? std::to_string(*notice.requests_per_second)
+                     : "none"},
+                {"unreadable", notice.unreadable ? "true" : "false"}});
 }
 
 /*! @brief Logs a change of the terms on which an upstream takes requests. */
@@ -169,19 +169,48 @@
 }
 
 /*! @brief Logs a failed attempt. */
-inline void attempt_failed(const exchange& request, const std::string& why,
-                           bool may_have_run, bool resending, time_point now)
+inline void attempt_failed(const exchange& request,
+                           const upstream_attempt& attempt,
+                           const std::string& why, bool may_have_run,
+                           bool resending, time_point now)
+{
+    log::problem("attempt_failed",
+                 {{"request", request.decoded.id.value()},
+                  {"content", request.content.hex()},
+                  {"upstream", attempt.choice.upstream.value()},
+                  {"why", why},
+                  {"events", std::to_string(attempt.events.event_count())},
+                  {"may_have_run", may_have_run ? "true" : "false"},
+                  {"sent_again", resending ? "true" : "false"},
+                  {"after_ms", ms_between(attempt.sent_at, now)}});
+}
+
+/*! @brief Logs an attempt whose upstream has been silent for too long. */
+inline void upstream_silent(const exchange& request, time_point now)
 {
+    const auto& attempt = request.attempt;
     log::problem(
-        "attempt_failed",
+        "upstream_silent",
         {{"request", request.decoded.id.value()},
-         {"content", request.content.hex()},
-         {"upstream", request.attempt.choice.upstream.value()},
-         {"why", why},
-         {"events", std::to_string(request.attempt.events.event_count())},
-         {"may_have_run", may_have_run ? "true" : "false"},
-         {"sent_again", resending ? "true" : "false"},
-         {"after_ms", ms_between(request.attempt.sent_at, now)}});
+         {"upstream", attempt.choice.upstream.value()},
+         {"events", std::to_string(attempt.events.event_count())},
+         {"silent_ms", ms_between(attempt.has_events ? attempt.last_event_at
+                                                     : attempt.sent_at,
+                                  now)}});
+}
+
+/*! @brief Logs a silent attempt that returned an event before any other
+ * upstream did. */
+inline void silence_ended(const exchange& request, time_point now)
+{
+    const auto& attempt = request.attempt;
+    log::decision(
+        "upstream_resumed",
+        {{"request", request.decoded.id.value()},
+         {"upstream", attempt.choice.upstream.value()},
+         {"silent_ms", ms_between(attempt.has_events ? attempt.last_event_at
+                                                     : attempt.sent_at,
+                                  now)}});
 }
 
 /*! @brief Logs a request that ended with a complete response of an upstream,
--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -30,11 +30,14 @@
     milliseconds trial_retry_after{1000};
     /*! @brief Interval at which queued requests are placed again. */
     milliseconds queue_poll_interval{15};
-    /*! @brief An attempt of a resumable stream is cancelled when its first
-     * event takes longer than this multiple of the predicted time, plus
+    /*! @brief The upstream of a resumable stream counts as silent when the
+     * first event takes longer than this multiple of the predicted time, plus
      * `first_event_slack`. */
     double first_event_factor{3};
     milliseconds first_event_slack{700};
+    /*! @brief Interval at which another upstream is looked for while one is
+     * silent. */
+    milliseconds silence_poll_interval{100};
     /*! @brief A model version is superseded when entries stop sending requests
      * to the upstreams that serve it. An attempt that is still queued at such
      * an upstream is cancelled this long afterwards. The upstream may start
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -175,23 +175,36 @@
     {
         client.close_idle(restarted.address);
         const auto& attempts = restarted.attempts;
-        const auto was_lost = [&](const exchange& request)
+        const auto was_lost = [&](const upstream_attempt& attempt)
         {
-            return std::find(attempts.begin(), attempts.end(),
-                             request.attempt.id) != attempts.end();
+            return std::find(attempts.begin(), attempts.end(), attempt.id) !=
+                   attempts.end();
         };
-        for (const auto number : open_requests.numbers_of(was_lost))
+        const auto lost_any = [&](const exchange& request)
+        {
+            return was_lost(request.attempt) ||
+                   (request.silent_attempt &&
+                    was_lost(*request.silent_attempt));
+        };
+        for (const auto number : open_requests.numbers_of(lost_any))
             open_requests.with(
                 number,
                 [&](exchange& request)
                 {
-                    client.cancel(request.attempt.call);
+                    constexpr const char* reason = "upstream restarted";
+                    const bool silent = !was_lost(request.attempt);
+                    const auto& lost =
+                        silent ? *request.silent_attempt : request.attempt;
+                    client.cancel(lost.call);
                     guard.attempt_lost(
-                        exchange_facts::lost_attempt_of(request, restarted.life,
-                                                        loss_cause::closed),
+                        exchange_facts::lost_attempt_of(
+                            request, lost, restarted.life, loss_cause::closed),
                         event_loop::now());
+                    if (silent)
+                        return end_silent_attempt(
+                            request, attempt_failure::may_have_run, reason);
                     on_attempt_failed(request, attempt_failure::may_have_run,
-                                      "upstream restarted");
+                                      reason);
                 });
         guard.upstream_crashed(restarted.upstream, "upstream restarted");
     }
@@ -386,13 +399,23 @@
                    request.content == content;
         };
         for (const auto number : open_requests.numbers_of(may_cancel))
-            open_requests.with(number,
-                               [this](exchange& request)
-                               {
-                                   cancel_attempt(request);
-                                   ++request.possible_runs;
-                                   give_up(request, quarantine_reason);
-                               });
+            open_requests.with(number, [this](exchange& request)
+                               { cancel_quarantined(request); });
+    }
+
+    /*! @brief Cancels the attempts of a quarantined request, except a silent
+     * one that has returned events. */
+    void cancel_quarantined(exchange& request)
+    {
+        cancel_attempt(request, request.attempt);
+        ++request.possible_runs;
+        if (request.silent_attempt && request.silent_attempt->has_events)
+        {
+            restore_silent_attempt(request);
+            return arm_silence_timer(request);
+        }
+        cancel_silent_attempt(request);
+        give_up(request, quarantine_reason);
     }
 
     [[nodiscard]] placement_request
@@ -502,7 +525,8 @@
         counters.count("attempts_total");
         exchange_log::sent(request, left);
         request.attempt.call =
-            client.start(std::move(call), make_callbacks(request.number));
+            client.start(std::move(call),
+                         make_callbacks(request.number, request.attempt.id));
         arm_silence_timer(request);
     }
 
@@ -519,100 +543,236 @@
                *superseded_at - now < options.old_weights_reconnect_window;
     }
 
-    stream_client::callbacks make_callbacks(std::uint64_t number)
+    stream_client::callbacks make_callbacks(std::uint64_t number,
+                                            std::uint64_t attempt)
     {
         stream_client::callbacks handlers;
-        handlers.head = [this, number](const stream_head& head)
+        handlers.head = [this, number, attempt](const stream_head& head)
         {
             open_requests.with(number, [&](exchange& request)
-                               { on_head(request, head); });
+                               { on_head(request, attempt, head); });
         };
-        handlers.data = [this, number](std::string_view bytes)
+        handlers.data = [this, number, attempt](std::string_view bytes)
         {
             open_requests.with(number, [&](exchange& request)
-                               { on_data(request, bytes); });
+                               { on_data(request, attempt, bytes); });
         };
         handlers.ended =
-            [this, number](stream_end end, const std::string& reason)
+            [this, number, attempt](stream_end end, const std::string& reason)
         {
             open_requests.with(number, [&](exchange& request)
-                               { on_end(request, end, reason); });
+                               { on_end(request, attempt, end, reason); });
         };
         return handlers;
     }
 
-    /*! @brief Restarts the timer that cancels a resumable stream's attempt when
-     * no event arrives in time. */
+    // --- Silence ---------------------------------------------------------
+
+    /*! @brief Starts the timer of a resumable stream for the next time at which
+     * its attempts have to be checked. */
     void arm_silence_timer(exchange& request)
     {
         if (request.route->kind != request_kind::stream ||
             !request.route->resumable)
             return;
-        request.silence_timer = loop.after(
-            request.attempt.has_events
-                ? std::chrono::microseconds(options.dispatch.max_stream_pause)
-                : first_event_timeout(request),
-            [this, number = request.number]
-            {
-                open_requests.with(
-                    number,
-                    [&](exchange& found)
-                    {
-                        client.cancel(found.attempt.call);
-                        report_lost_attempt(found, loss_cause::timed_out);
-                        on_attempt_failed(found, attempt_failure::may_have_run,
-                                          "no event from the upstream in time");
-                    });
-            });
+        const auto now = event_loop::now();
+        auto due = silent_from(request.attempt);
+        if (due <= now)
+            due = now + options.silence_poll_interval;
+        due = std::min(due, start_limit(request, request.attempt));
+        if (request.silent_attempt)
+            due = std::min(due, start_limit(request, *request.silent_attempt));
+        request.silence_timer =
+            loop.after(std::max<time_point::duration>(due - now, {}),
+                       [this, number = request.number]
+                       {
+                           open_requests.with(number, [this](exchange& found)
+                                              { check_silence(found); });
+                       });
+    }
+
+    /*! @brief Returns since when an attempt counts as silent if nothing more
+     * arrives. The first event may take a multiple of the predicted time. */
+    [[nodiscard]] time_point silent_from(const upstream_attempt& attempt) const
+    {
+        if (attempt.has_events)
+            return attempt.last_event_at + options.dispatch.max_stream_pause;
+        return attempt.sent_at +
+               milliseconds(static_cast<std::int64_t>(
+                   attempt.choice.predicted_ms * options.first_event_factor)) +
+               options.first_event_slack;
     }
 
-    /*! @brief Returns the time to wait for an attempt's first event: a multiple
-     * of the predicted time, but no longer than `old_weights_cancel_delay`
-     * after the chosen model version is superseded, since the attempt may still
-     * be queued at the upstream then. */
-    [[nodiscard]] std::chrono::microseconds
-    first_event_timeout(const exchange& request) const
+    /*! @brief Returns until when an attempt may be queued at its upstream:
+     * until `old_weights_cancel_delay` after its model version is superseded,
+     * as it must not start to run there any more. */
+    [[nodiscard]] time_point start_limit(const exchange& request,
+                                         const upstream_attempt& attempt) const
     {
-        std::chrono::microseconds limit =
-            milliseconds(
-                static_cast<std::int64_t>(request.attempt.choice.predicted_ms *
-                                          options.first_event_factor)) +
-            options.first_event_slack;
+        if (attempt.has_events)
+            return time_point::max();
         const auto superseded_at = minimums.superseded_at(
-            request.decoded.model, request.attempt.choice.version);
-        if (superseded_at)
-            limit = std::min(limit, *superseded_at +
-                                        options.old_weights_cancel_delay -
-                                        event_loop::now());
-        return std::max(limit, std::chrono::microseconds(0));
+            request.decoded.model, attempt.choice.version);
+        return superseded_at ? *superseded_at + options.old_weights_cancel_delay
+                             : time_point::max();
+    }
+
+    /*! @brief Ends attempts that must not start any more, and looks for another
+     * upstream while the current one is silent. */
+    void check_silence(exchange& request)
+    {
+        const auto now = event_loop::now();
+        constexpr const char* superseded =
+            "model version was superseded before the first event";
+        if (request.silent_attempt &&
+            start_limit(request, *request.silent_attempt) <= now)
+            time_out_silent_attempt(request, superseded);
+        if (start_limit(request, request.attempt) <= now)
+        {
+            client.cancel(request.attempt.call);
+            report_lost_attempt(request, request.attempt,
+                                loss_cause::timed_out);
+            return on_attempt_failed(request, attempt_failure::may_have_run,
+                                     superseded);
+        }
+        if (silent_from(request.attempt) <= now)
+            on_silence(request, now);
+        arm_silence_timer(request);
+    }
+
+    /*! @brief Handles an upstream that has been silent for too long. It may be
+     * paused and go on, so its attempt is kept; another upstream that returns
+     * an event earlier takes over. */
+    void on_silence(exchange& request, time_point now)
+    {
+        if (!std::exchange(request.attempt.silent, true))
+        {
+            counters.count("attempts_silent_total");
+            book.mark_silent(request.attempt.choice.upstream, now);
+            exchange_log::upstream_silent(request, now);
+        }
+        if (!may_hedge(request, now))
+            return;
+        const auto other =
+            decisions.find_upstream(exchange_facts::service_profile_of(request),
+                                    make_placement_request(request, now), now);
+        if (!other || !budgets.of(request.service).try_spend(now))
+            return;
+        request.silent_attempt = std::move(request.attempt);
+        counters.count("attempts_hedged_total");
+        start_attempt(request, *other);
+    }
+
+    /*! @brief Returns whether a request may be at two upstreams at once. A
+     * request that may crash upstreams may not. */
+    [[nodiscard]] bool may_hedge(const exchange& request, time_point now) const
+    {
+        return !request.silent_attempt && exchange_facts::may_repeat(request) &&
+               request.tried_upstreams.size() < max_total_attempts &&
+               !guard.is_suspect(request.content, now);
+    }
+
+    /*! @brief Continues with the attempt that was silent and drops the other
+     * one. */
+    void resume_silent_attempt(exchange& request)
+    {
+        const auto now = event_loop::now();
+        cancel_attempt(request, request.attempt);
+        ++request.possible_runs;
+        restore_silent_attempt(request);
+        request.attempt.silent = false;
+        counters.count("silent_attempts_resumed_total");
+        exchange_log::silence_ended(request, now);
     }
 
-    void on_head(exchange& request, const stream_head& head)
+    /*! @brief Makes the silent attempt the current one again. */
+    void restore_silent_attempt(exchange& request)
     {
-        request.attempt.response_head = head;
+        request.attempt = std::move(*request.silent_attempt);
+        request.silent_attempt.reset();
+    }
+
+    /*! @brief Ends the silent attempt; the other one goes on. */
+    void end_silent_attempt(exchange& request, attempt_failure failure,
+                            const std::string& reason)
+    {
+        const auto silent = std::move(*request.silent_attempt);
+        request.silent_attempt.reset();
+        client.cancel(silent.call);
+        const auto now = event_loop::now();
+        const bool may_have_run = failure == attempt_failure::may_have_run;
+        if (may_have_run)
+            ++request.possible_runs;
+        book.end_attempt(silent.choice.upstream, silent.id,
+                         attempt_result::failed, now);
+        count_failed_attempt(may_have_run);
+        exchange_log::attempt_failed(request, silent, reason, may_have_run,
+                                     true, now);
+    }
+
+    void time_out_silent_attempt(exchange& request, const std::string& reason)
+    {
+        report_lost_attempt(request, *request.silent_attempt,
+                            loss_cause::timed_out);
+        end_silent_attempt(request, attempt_failure::may_have_run, reason);
+    }
+
+    void count_failed_attempt(bool may_have_run)
+    {
+        counters.count("attempts_failed_total", 1,
+                       {{"may_have_run", may_have_run ? "true" : "false"}});
+    }
+
+    [[nodiscard]] static bool is_silent_attempt(const exchange& request,
+                                                std::uint64_t attempt)
+    {
+        return request.silent_attempt && request.silent_attempt->id == attempt;
+    }
+
+    // --- Response --------------------------------------------------------
+
+    void on_head(exchange& request, std::uint64_t attempt,
+                 const stream_head& head)
+    {
+        const bool silent = is_silent_attempt(request, attempt);
+        auto& received = silent ? *request.silent_attempt : request.attempt;
+        received.response_head = head;
         const auto metadata = Codec::decode_response(head);
         if (metadata.id == request.decoded.id || metadata.not_run)
-            return intake.apply_notice(request, metadata.notice,
+            return intake.apply_notice(request, received, metadata.notice,
                                        event_loop::now());
         // The response belongs to another request, so nothing on this
         // connection can be trusted.
+        constexpr const char* reason = "response carries another request's id";
+        if (silent)
+            return end_silent_attempt(request, attempt_failure::may_have_run,
+                                      reason);
         client.cancel(request.attempt.call);
-        on_attempt_failed(request, attempt_failure::may_have_run,
-                          "response carries another request's id");
+        on_attempt_failed(request, attempt_failure::may_have_run, reason);
     }
 
-    void on_data(exchange& request, std::string_view bytes)
+    void on_data(exchange& request, std::uint64_t attempt,
+                 std::string_view bytes)
     {
-        if (!exchange_facts::forwards_events(request))
+        const bool silent = is_silent_attempt(request, attempt);
+        auto& receiving = silent ? *request.silent_attempt : request.attempt;
+        if (!exchange_facts::forwards_events(request, receiving))
         {
-            request.attempt.response_body.append(bytes);
+            receiving.response_body.append(bytes);
             return;
         }
-        const auto events = request.attempt.events.append(bytes);
+        const auto events = receiving.events.append(bytes);
         if (events.empty())
             return;
+        if (silent)
+            resume_silent_attempt(request);
+        else if (request.silent_attempt)
+            time_out_silent_attempt(request,
+                                    "no event from the upstream in time");
         if (!request.attempt.has_events)
             on_first_event(request);
+        request.attempt.last_event_at = event_loop::now();
+        request.attempt.silent = false;
         begin_response(request);
         request.reply.write(events);
         arm_silence_timer(request);
@@ -643,16 +803,20 @@
             Codec::response_headers(request.attempt.response_head));
     }
 
-    void on_end(exchange& request, stream_end end, const std::string& reason)
+    void on_end(exchange& request, std::uint64_t attempt, stream_end end,
+                const std::string& reason)
     {
+        if (is_silent_attempt(request, attempt))
+        {
+            if (end != stream_end::whole ||
+                !is_stream_of(request, *request.silent_attempt))
+                return on_silent_attempt_lost(request, end, reason);
+            resume_silent_attempt(request);
+        }
         if (end == stream_end::closed)
-            report_lost_attempt(request, loss_cause::closed);
+            report_lost_attempt(request, request.attempt, loss_cause::closed);
         if (end != stream_end::whole)
-            return on_attempt_failed(request,
-                                     end == stream_end::not_sent
-                                         ? attempt_failure::not_sent
-                                         : attempt_failure::may_have_run,
-                                     reason);
+            return on_attempt_failed(request, failure_of(end), reason);
         const auto metadata =
             Codec::decode_response(request.attempt.response_head);
         if (metadata.not_run)
@@ -663,23 +827,59 @@
         if (metadata.id != request.decoded.id)
             return on_attempt_failed(request, attempt_failure::may_have_run,
                                      "response carries another request's id");
-        if (exchange_facts::forwards_events(request))
+        if (exchange_facts::forwards_events(request, request.attempt))
             return finish_stream(request);
         on_response(request);
     }
 
+    /*! @brief Handles a silent attempt that ended without the rest of the
+     * stream. */
+    void on_silent_attempt_lost(exchange& request, stream_end end,
+                                const std::string& reason)
+    {
+        const auto& silent = *request.silent_attempt;
+        if (end == stream_end::whole)
+            return end_silent_attempt(
+                request,
+                Codec::decode_response(silent.response_head).not_run
+                    ? attempt_failure::not_run
+                    : attempt_failure::may_have_run,
+                "upstream answered " +
+                    std::to_string(silent.response_head.status));
+        if (end == stream_end::closed)
+            report_lost_attempt(request, silent, loss_cause::closed);
+        end_silent_attempt(request, failure_of(end), reason);
+    }
+
+    /*! @brief Returns whether an attempt's response is a stream of events of
+     * this request. */
+    [[nodiscard]] static bool is_stream_of(const exchange& request,
+                                           const upstream_attempt& attempt)
+    {
+        const auto metadata = Codec::decode_response(attempt.response_head);
+        return !metadata.not_run && metadata.id == request.decoded.id &&
+               exchange_facts::forwards_events(request, attempt);
+    }
+
+    [[nodiscard]] static attempt_failure failure_of(stream_end end)
+    {
+        return end == stream_end::not_sent ? attempt_failure::not_sent
+                                           : attempt_failure::may_have_run;
+    }
+
     /*! @brief Reports a lost attempt as a possible crash, unless the upstream
      * is leaving and may exit as planned. */
-    void report_lost_attempt(const exchange& request, loss_cause cause)
+    void report_lost_attempt(const exchange& request,
+                             const upstream_attempt& lost, loss_cause cause)
     {
-        const auto* known = book.find(request.attempt.choice.upstream);
+        const auto* known = book.find(lost.choice.upstream);
         if (known != nullptr && known->announced_leaving())
             return;
         const auto known_incarnation =
             known != nullptr ? known->life : incarnation{};
-        guard.attempt_lost(
-            exchange_facts::lost_attempt_of(request, known_incarnation, cause),
-            event_loop::now());
+        guard.attempt_lost(exchange_facts::lost_attempt_of(
+                               request, lost, known_incarnation, cause),
+                           event_loop::now());
     }
 
     void finish_stream(exchange& request)
@@ -708,9 +908,14 @@
                                          std::to_string(status));
         }
         if (request.response_begun)
-            return abort_response(
-                request, "upstream answered " + std::to_string(status) +
-                             " to an attempt to continue a stream");
+        {
+            const auto reason = "upstream answered " + std::to_string(status) +
+                                " to an attempt to continue a stream";
+            if (request.silent_attempt)
+                return on_attempt_failed(
+                    request, attempt_failure::error_response, reason);
+            return abort_response(request, reason);
+        }
         // Callers take these statuses as a promise that the request did not
         // run. The upstream has not stated that here (on_end() handles those
         // that do), so 502 is sent.
@@ -748,25 +953,36 @@
                              ? attempt_result::answered_failure
                              : attempt_result::failed,
                          now);
-        counters.count("attempts_failed_total", 1,
-                       {{"may_have_run", may_have_run ? "true" : "false"}});
+        count_failed_attempt(may_have_run);
         const bool may_resend =
             may_have_run ? exchange_facts::may_repeat(request)
                          : request.tried_upstreams.size() < max_total_attempts;
         request.failed_at = now;
         if (may_have_run)
             ++request.possible_runs;
+        if (request.silent_attempt)
+            return fall_back(request, may_have_run, reason);
         // An attempt that was never sent adds no load, so it needs no budget.
         const bool resending =
             may_resend && (failure == attempt_failure::not_sent ||
                            budgets.of(request.service).try_spend(now));
-        exchange_log::attempt_failed(request, reason, may_have_run, resending,
-                                     now);
+        exchange_log::attempt_failed(request, request.attempt, reason,
+                                     may_have_run, resending, now);
         if (resending)
             return place(request);
         give_up(request, may_resend ? "retry budget is exhausted" : reason);
     }
 
+    /*! @brief Waits for the silent attempt alone after the other one failed. */
+    void fall_back(exchange& request, bool may_have_run,
+                   const std::string& reason)
+    {
+        exchange_log::attempt_failed(request, request.attempt, reason,
+                                     may_have_run, false, event_loop::now());
+        restore_silent_attempt(request);
+        arm_silence_timer(request);
+    }
+
     /*! @brief Returns the Retry-After time for refusals that are not due to
      * overload. */
     [[nodiscard]] milliseconds default_retry_after() const
@@ -816,7 +1032,7 @@
             number,
             [&](exchange& request)
             {
-                cancel_attempt(request);
+                cancel_attempts(request);
                 if (request.response_begun)
                     return abort_response(request, "deadline exceeded");
                 const bool not_run = request.tried_upstreams.empty();
@@ -835,22 +1051,36 @@
         open_requests.with(number,
                            [&](exchange& request)
                            {
-                               cancel_attempt(request);
+                               cancel_attempts(request);
                                log_failure(request, "cancelled",
                                            "caller disconnected");
                                erase(request);
                            });
     }
 
-    void cancel_attempt(exchange& request)
+    void cancel_attempts(exchange& request)
+    {
+        cancel_attempt(request, request.attempt);
+        cancel_silent_attempt(request);
+    }
+
+    void cancel_silent_attempt(exchange& request)
     {
-        if (request.attempt.id == 0)
+        if (request.silent_attempt)
+            cancel_attempt(request, *request.silent_attempt);
+        request.silent_attempt.reset();
+    }
+
+    void cancel_attempt(const exchange& request, upstream_attempt& attempt)
+    {
+        if (attempt.id == 0)
             return;
-        if (std::exchange(request.attempt.in_flight, false))
-            report_lost_attempt(request, loss_cause::cancelled);
-        client.cancel(request.attempt.call);
-        book.cancel_attempt(request.attempt.choice.upstream,
-                            request.attempt.id);
+        if (std::exchange(attempt.in_flight, false))
+            report_lost_attempt(request, attempt,
+                                attempt.silent ? loss_cause::timed_out
+                                               : loss_cause::cancelled);
+        client.cancel(attempt.call);
+        book.cancel_attempt(attempt.choice.upstream, attempt.id);
     }
 
     // --- End -------------------------------------------------------------
@@ -890,6 +1120,7 @@
     void erase(exchange& request)
     {
         dequeue(request);
+        cancel_silent_attempt(request);
         request.deadline_timer.stop();
         request.silence_timer.stop();
         open_requests.erase(request.number);
--- a/src/coursejunction/proxy/notice_intake.hpp
+++ b/src/coursejunction/proxy/notice_intake.hpp
@@ -27,19 +27,18 @@
 
     /*! @brief Applies the notice in a response. It is read from the head of the
      * response, since a stream may end seconds later.
-     * @param request The request, with the head of the response. */
-    void apply_notice(const exchange& request, const upstream_notice& notice,
-                      time_point now)
+     * @param attempt The attempt, with the head of the response. */
+    void apply_notice(const exchange& request, const upstream_attempt& attempt,
+                      const upstream_notice& notice, time_point now)
     {
-        const received_notice received{
-            notice, request.attempt.sent_at,
-            succeeded(request.attempt.response_head.status)};
-        if (book.apply_notice(request.attempt.choice.upstream, received, now))
-            log_terms(request.attempt.choice.upstream, now);
+        const received_notice received{notice, attempt.sent_at,
+                                       succeeded(attempt.response_head.status)};
+        if (book.apply_notice(attempt.choice.upstream, received, now))
+            log_terms(attempt.choice.upstream, now);
         if (notice.empty())
             return;
         count(notice);
-        exchange_log::notice_received(request, notice);
+        exchange_log::notice_received(request, attempt, notice);
     }
 
     /*! @brief Applies terms that another entry received.
--- a/src/coursejunction/proxy/open_exchanges.hpp
+++ b/src/coursejunction/proxy/open_exchanges.hpp
@@ -61,13 +61,14 @@
      * upstreams. */
     [[nodiscard]] std::size_t running_copies(const exchange& request) const
     {
-        return static_cast<std::size_t>(
-            std::count_if(requests.begin(), requests.end(),
-                          [&](const auto& other)
-                          {
-                              return is_other_running(request, *other.second) &&
-                                     other.second->content == request.content;
-                          }));
+        std::size_t copies = 0;
+        for (const auto& [number, other] : requests)
+        {
+            if (is_other_running(request, *other) &&
+                other->content == request.content)
+                copies += other->silent_attempt ? 2 : 1;
+        }
+        return copies;
     }
 
     /*! @brief Returns the upstreams that run other requests that satisfy a
@@ -80,7 +81,11 @@
         for (const auto& [number, other] : requests)
         {
             if (is_other_running(request, *other) && predicate(*other))
+            {
                 found.push_back(other->attempt.choice.upstream);
+                if (other->silent_attempt)
+                    found.push_back(other->silent_attempt->choice.upstream);
+            }
         }
         return found;
     }
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -201,6 +201,23 @@
                               retry_after(control, failure, request, now)};
     }
 
+    /*! @brief Returns an upstream that can take a request now, which is already
+     * at another one. Finding none is not counted as a refusal. */
+    [[nodiscard]] std::optional<send_to>
+    find_upstream(const service_profile& service, placement_request request,
+                  time_point now)
+    {
+        if (service.engine)
+            request.limits = admission_of(service).limits(
+                *service.engine, request.target, request.arrival.history.waited,
+                now);
+        placement_failure failure;
+        auto found = placement.choose(registry, service, request, now, failure);
+        if (!found)
+            return std::nullopt;
+        return send_to{std::move(*found), urgency_for(service, request, now)};
+    }
+
 private:
     admission& admission_of(const service_profile& service)
     {
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -181,6 +181,17 @@
             upstream.failures = 0;
     }
 
+    /*! @brief Avoids an upstream for a while that is silent. This is not
+     * counted as a failure, as it may be paused. */
+    void mark_silent(const instance_id& id, time_point now)
+    {
+        const auto found = upstreams.find(id);
+        if (found != upstreams.end())
+            found->second.avoid_until =
+                std::max(found->second.avoid_until,
+                         now + avoid_time(found->second, now));
+    }
+
     /*! @brief Applies what an upstream announced in a response.
      * @return Whether the terms on which it accepts requests changed. */
     bool apply_notice(const instance_id& id, const received_notice& notice,
@@ -501,14 +512,19 @@
      * that are too old by then. */
     static void avoid(known_upstream& upstream, time_point now)
     {
-        upstream.avoid_until =
-            side_silent(upstream, now)
-                ? now + silent_avoid_time
-                : now + min_avoid_time *
-                            (1 << std::min(upstream.failures, max_doublings));
+        upstream.avoid_until = now + avoid_time(upstream, now);
         ++upstream.failures;
     }
 
+    [[nodiscard]] static milliseconds avoid_time(const known_upstream& upstream,
+                                                 time_point now)
+    {
+        return side_silent(upstream, now)
+                   ? silent_avoid_time
+                   : min_avoid_time *
+                         (1 << std::min(upstream.failures, max_doublings));
+    }
+
     /*! @brief How long an upstream is avoided that failed while its sidecar was
      * silent, unless the sidecar reports again. Instances may be suspended for
      * up to 7 s. */
--- a/tests/proxy/silent_upstream.cpp
+++ b/tests/proxy/silent_upstream.cpp
@@ -112,3 +112,20 @@
         check_complete(entry.ask(), 3);
     }
 }
+// A second copy of a request that may crash upstreams would double the damage.
+SCENARIO("a suspect is not sent to a second upstream while the first is silent",
+         "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::stream, true, 20'000ms);
+    auto crashing = std::make_unique<loopback::crashing_peer>();
+    entry.add_upstream("a", crashing->address);
+    entry.ask();
+    entry.remove_upstream("a");
+    loopback::pacing_peer silent(2, event_pause);
+    scripted_upstream other({event_stream("id: 1\ndata: x\n\n", true)});
+    entry.add_upstream("a", silent.address);
+    entry.add_upstream("b", other.address);
+    check_complete(entry.ask(), 2);
+    CHECK(other.arrivals().empty());
+}
