A connection in use is not closed as idle by the HTTP server

What callers saw: a caller of the own interface that keeps one connection and sends short requests lost the connection 60 to 90 s after it was opened, and with it a whole request if one was on its way; nothing was logged or counted.

Why it works: each whole request renews the time, so only a connection that was without one for the whole limit is closed.

Ruled out: the other closes of this server.

--- a/src/coursejunction/net/http_server.cpp
+++ b/src/coursejunction/net/http_server.cpp
@@ -217,6 +217,7 @@
         const std::lock_guard guard(mutex);
         auto& state = by_peer[peer->getID()];
         state.peer = peer;
+        state.last_active = event_loop::now();
         std::erase_if(state.replies,
                       [](const auto& old) { return old->done(); });
         state.replies.push_back(one);
--- a/tests/net/http_server.cpp
+++ b/tests/net/http_server.cpp
@@ -58,6 +58,15 @@
         return all;
     }
 
+    /*! @brief Returns the bytes that arrive next; empty once the peer closed.
+     */
+    std::string receive() const
+    {
+        char part[4096];
+        const auto count = ::recv(file, part, sizeof(part), 0);
+        return {part, count > 0 ? static_cast<std::size_t>(count) : 0};
+    }
+
     bool connected{false};
 
 private:
@@ -157,6 +166,34 @@
             one.join();
     }
 
+    GIVEN("a server with a short time limit that answers at once")
+    {
+        cj::http_options options;
+        options.head_limit = 1000ms;
+        auto server =
+            serve(options, [](const cj::http_request&,
+                              const std::shared_ptr<cj::http_reply>& reply)
+                  { reply->send(200, "text/plain", {}, "ok"); });
+        WHEN("a client uses one connection for longer than that limit")
+        {
+            const raw_connection kept(server->port());
+            REQUIRE(kept.connected);
+            constexpr int requests = 30;
+            int answered = 0;
+            for (int at = 0; at < requests; ++at)
+            {
+                kept.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+                if (kept.receive().find("200 OK") != std::string::npos)
+                    ++answered;
+                std::this_thread::sleep_for(100ms);
+            }
+            THEN("each of its requests is answered")
+            {
+                CHECK(answered == requests);
+            }
+        }
+    }
+
     GIVEN("a server with a small limit on request size")
     {
         cj::http_options options;
