An entry that stops sends the refusals whose outcome it still looks up

What callers saw: a request that must not run twice and that an entry refuses could end without any answer when the entry was stopping: the connection closed.

Cause: before it tells "not run", the entry reads the claim from the key-value service and then asks the voters, for up to `key_value_timeout` (1 s) and 0.3 s. The request had left the list of live ones by then, so the entry counted as idle and its process ended 3 s after SIGTERM with the look-up under way. A silent key-value service makes this window a second or more long.

Why it works: `request_service::size` again counts every request without a final response, as its comment says, and the process ends when it is 0. The look-up has limits of its own, so it cannot hold the process for longer than them.

Ruled out: a shorter look-up (the claim decides whether "not run" is true).

--- a/src/coursejunction/daemon/internal/response_writer.cpp
+++ b/src/coursejunction/daemon/internal/response_writer.cpp
@@ -106,6 +106,7 @@
         failure.result = outcome::unknown;
     if (failure.result != outcome::not_run || !request->not_repeatable)
         return write_failure(*request, failure);
+    ++undecided_count;
     host.key_values().read(
         claim_key(request->id),
         [this, request, failure](const result<stored_value>& claim) mutable
@@ -113,7 +114,7 @@
             if (claim && claim.value().index == 0)
                 return check_replicas(request, failure);
             failure.result = outcome::unknown;
-            write_failure(*request, failure);
+            write_decided(*request, failure);
         });
 }
 
@@ -127,10 +128,17 @@
                  {
                      if (verdict != claim_verdict::free)
                          failure.result = outcome::unknown;
-                     write_failure(*request, failure);
+                     write_decided(*request, failure);
                  });
 }
 
+void response_writer::write_decided(live_request& request,
+                                    const attempt_failure& failure)
+{
+    --undecided_count;
+    write_failure(request, failure);
+}
+
 /*! @brief Writes the outcome of a request that no upstream answered. A stream
  * that has begun is aborted, so that no caller takes it for complete. */
 void response_writer::write_failure(live_request& request,
--- a/src/coursejunction/daemon/internal/response_writer.hpp
+++ b/src/coursejunction/daemon/internal/response_writer.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_DAEMON_INTERNAL_RESPONSE_WRITER_HPP
 #define COURSEJUNCTION_DAEMON_INTERNAL_RESPONSE_WRITER_HPP
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -49,6 +50,10 @@
     void finish_failed(const live_request_pointer& request,
                        attempt_failure failure);
 
+    /*! @brief Returns the number of failed requests whose outcome is still
+     * being looked up, so that they have no final response yet. */
+    [[nodiscard]] std::size_t undecided() const { return undecided_count; }
+
     /*! @brief Responds to an invalid request with status 400. */
     static void reject_input(const std::shared_ptr<http_reply>& reply,
                              const std::string& error);
@@ -56,12 +61,14 @@
 private:
     void check_replicas(const live_request_pointer& request,
                         attempt_failure failure);
+    void write_decided(live_request& request, const attempt_failure& failure);
     void write_failure(live_request& request, const attempt_failure& failure);
     void flush();
 
     node& host;
     replicated_claims& claims;
     std::vector<live_request_pointer> unflushed;
+    std::size_t undecided_count{0};
     timer flush_timer;
 };
 
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -631,7 +631,7 @@
 
 std::size_t request_service::size() const
 {
-    return self->live_requests.size();
+    return self->live_requests.size() + self->responses.undecided();
 }
 
 std::string request_service::dump() const
--- a/tests/session/test_requests.py
+++ b/tests/session/test_requests.py
@@ -163,6 +163,19 @@
                                   {"Not-Repeatable": "true"})
         self.assertEqual((status, headers["outcome"]), (400, "not_run"))
 
+    def test_an_entry_that_stops_sends_the_refusals_that_it_looks_up(self):
+        # Whether a refused request may have run is read from the key-value service.
+        entry = self.lab.start_entry("entry-3", "north", platform={"key_value_timeout": "5s"})
+        self.lab.kv.freeze()
+        caller = Caller(entry, path="/services/unknown/charge", body="{}",
+                        headers={"Request-Id": "c9", "Not-Repeatable": "true"})
+        wait_for("arrived", lambda: b"requests_total 1" in call("GET", entry.url + "/metrics")[2])
+        entry.terminate()
+        caller.end()
+        self.assertEqual((caller.status, caller.fault), (404, None))
+        self.assertEqual(caller.answer_headers["outcome"], "unknown")
+        self.assertEqual(entry.child.wait(), 0)
+
     def test_an_answer_lost_by_the_upstream_is_unknown_and_never_run_again(self):
         ask(self.ledger.url + "/faults", {"lose_answers": 1})
         caller = self.charge("entry-1", "c2").end()
