Soak: sound upstreams that fall silent and go on

What callers saw: attempts were cancelled for 0.9 s without an event though no other upstream could take the request; streams were cut and callers got 502.

A kind of run, `--silences`: all, half or one of the engines and plain services answer nothing for 0.3 to 1.3 s and go on, their connections staying open, in series and overlapping, beside new configurations (which also change the idle time of callers' connections) and 12 more callers that leave theirs idle for up to 3 s. The stand-ins lose nothing by themselves. `--stops` adds SIGTERM and a new start of one entry after the other. Judged: without `--stops` no stream is cut and nobody gets 502; each request that a line of a log names or that got an answer has exactly one final line. Requests on an open connection that no line names are counted as `unread` and not judged: the log does not tell yet that a connection was closed on them.

Callers take a connection that the entry has closed for closed before they send (`at_eof`); they used to send on it and count a cut. This holds for all runs.

--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -110,6 +110,11 @@
         # good.
         self.play(3, 0, "--unheard", "1")
 
+    def test_silence_of_sound_upstreams_ends_no_answer(self):
+        # Seeds 1, 3, 6 and 10 failed: attempts were cancelled for silence though no
+        # other upstream could take them; streams were cut and callers got 502.
+        self.play(1, 6, "--silences", "--sides", "2")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -39,7 +39,7 @@
             "targetLatencyMs": 400, "maxAttempts": 1, "priority": 2}
 
 
-def plain_rules(number, origin, origin_hall):
+def plain_rules(number, origin, origin_hall, idle_ms):
     return {
         "version": number,
         "routes": [
@@ -59,4 +59,4 @@
             {"name": "plain", "maxConnections": 100}],
         "tenants": [{"name": "school", "apiKeys": ["key"], "priority": 0}],
         "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
-                   "headerTimeoutMs": 5000, "idleTimeoutMs": 20000}}
+                   "headerTimeoutMs": 5000, "idleTimeoutMs": idle_ms}}
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -50,6 +50,8 @@
         self.host, self.port = host, port
         self.writers = set()
         self.listener = None
+        self.speaks = asyncio.Event()  # Else nothing is answered, on open connections.
+        self.speaks.set()
 
     async def start(self):
         self.listener = await asyncio.start_server(self.serve, self.host, self.port)
@@ -74,6 +76,7 @@
                 first, headers, body = message
                 method, target, _ = first.split(" ", 2)
                 made = await self.handle(method, target, headers, body, writer)
+                await self.speaks.wait()
                 if made is not None:
                     writer.write(made)
                 await writer.drain()
@@ -504,6 +507,7 @@
         if body == CRASHING:
             await self.end_under_request()
             return None
+        await self.speaks.wait()
         life = self.born
         self.running += 1
         try:
@@ -513,6 +517,7 @@
                 "Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]).encode())
             for at in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
                 await asyncio.sleep(0.03)
+                await self.speaks.wait()
                 cut = self.version != version or life != self.born
                 if cut or self.faults.random() < 0.002:
                     writer.transport.abort()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,9 @@
     soak.py ... --unheard N        after the faults, a new version is named and its name written over by
                                        that of the older one N times while no watch is answered, beside
                                        ends of all processes, and a store or an origin that is away
+    soak.py ... --silences         upstreams fall silent for about a second and go on, beside changes of the
+                                   configuration; nothing else is wrong
+    soak.py ... --silences --stops also, one entry after the other gets SIGTERM and starts again
     soak.py ... --suspending       instances are suspended: their steady clocks stand for a while
     soak.py ... --crashing --wide        its copies come to all entries at once, also for plain services
     soak.py ... --crashing --blackout    all entries lose power at once while its copies come
@@ -50,6 +53,7 @@
 from platform_standin import MODEL, Engine, Origin, Service, Store
 from process import LATE_S, Daemon, free_port
 from rewinds import drain_engines, give_orders, play_late_writes, play_rewinds
+from silences import KEEPERS, KEPT_S, Faultless, judge_silences, play_silences
 from standstills import Standstills, stand_still
 from unheard import play_unheard
 
@@ -88,6 +92,7 @@
         self.acknowledged, self.told = Acknowledged(self), {}
         self.lapsing, self.silent = {}, {}  # Records, each until when.
         self.notices, self.sent_to, self.disturbed = [], {}, {}
+        self.resting, self.cut, self.idle_ms = set(), set(), 20000
         self.version, self.configuration, self.number = 1, 1, 0
         self.stopping, self.calm, self.blackout = False, False, None
 
@@ -109,10 +114,11 @@
         self.store, self.origin = Store("127.0.0.1"), Origin("127.0.0.1")
         await self.store.start()
         await self.origin.start()
-        self.services = [Service("127.0.0.1", f"plain-{at}", self.noise)
+        noise = Faultless() if self.asked.silences else self.noise
+        self.services = [Service("127.0.0.1", f"plain-{at}", noise)
                          for at in range(6 if self.asked.wide else 2)]
         sides = self.asked.sides
-        self.engines = [Engine(f"127.0.2.{at + 1}", at, self.noise, 1 if at < sides * 3 / 4 else 0)
+        self.engines = [Engine(f"127.0.2.{at + 1}", at, noise, 1 if at < sides * 3 / 4 else 0)
                         for at in range(sides)]
         self.engines[-1].misreads = self.asked.misreads
         for one in self.services + self.engines:
@@ -161,7 +167,7 @@
         return made
 
     def rules(self):
-        rules = plain_rules(self.configuration, self.origin.address(), HALLS[0])
+        rules = plain_rules(self.configuration, self.origin.address(), HALLS[0], self.idle_ms)
         if self.rate or self.judges_acknowledged:
             rules["routes"] += [newest_route(self.configuration), *LARGE_ROUTES[:self.large]]
         if self.judges_acknowledged:
@@ -205,11 +211,11 @@
 
     # Callers.
 
-    async def caller(self, dice):
+    async def caller(self, dice, most_idle=0.1):
         """One caller that keeps its connection until it ends."""
         reader = writer = None
         while not self.stopping:
-            if writer is None or writer.is_closing():
+            if writer is None or writer.is_closing() or reader.at_eof():
                 entry = dice.choice(self.entries)
                 host, port = entry.callers.split(":")
                 try:
@@ -225,7 +231,7 @@
             if not keeps:
                 writer.close()
                 writer = None
-            await asyncio.sleep(dice.uniform(0, 0.1))
+            await asyncio.sleep(dice.uniform(0, most_idle))
         if writer is not None:
             writer.close()
 
@@ -251,6 +257,8 @@
             return False
         self.count(f"{'note' if single else 'chat'} {status}{'' if whole else ' cut'}")
         self.answers[asked] = (status, single)
+        if not whole:
+            self.cut.add(asked)
         self.judge(asked, single, status, headers, text, whole)
         return whole and headers.get("connection", "").lower() != "close"
 
@@ -445,7 +453,12 @@
         if self.asked.rewinds:
             self.tasks += [asyncio.create_task(one) for one in (
                 give_orders(self), drain_engines(self), play_rewinds(self, self.asked.rewinds))]
-        end = asyncio.get_running_loop().time() + self.seconds
+        if self.asked.silences:
+            self.tasks += [asyncio.create_task(self.caller(random.Random(self.dice.random()), KEPT_S))
+                           for _ in range(KEEPERS)]
+            await play_silences(self)
+        seconds = 0 if self.asked.silences else self.seconds
+        end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             self.tasks.append(asyncio.create_task(self.fault()))
             # What is acknowledged binds after a while without faults only.
@@ -465,6 +478,8 @@
         await asyncio.gather(*self.tasks)
         watching.cancel()
         self.judge_upstreams()
+        if self.asked.silences:
+            await judge_silences(self)
         if self.asked.suspending:
             self.counts["suspended"] = (self.dir / "log").read_bytes().count(b'"message": "suspended"')
         await self.tear_down()
@@ -586,6 +601,8 @@
     parser.add_argument("--rewinds", type=int, default=0)
     parser.add_argument("--late-writes", type=int, default=0)
     parser.add_argument("--unheard", type=int, default=0)
+    parser.add_argument("--silences", action="store_true")
+    parser.add_argument("--stops", action="store_true")
     parser.add_argument("--suspending", action="store_true")
     parser.add_argument("--wide", action="store_true")
     parser.add_argument("--blackout", action="store_true")
