Count each close of a caller's connection by reason, and log unread input

What callers saw: their connection was closed, whole requests got neither an answer nor a refusal, and no log line or metric showed it: a close was not recorded at all.

The stream server reports every close through a callback: the reason, the bytes that were received and not handled (read ahead, and still in the socket's receive buffer) and the peer. The entry counts them in caller_connections_closed_total{reason,unread} and logs one line, connection_closed_unread, for a close with unread input. Its number is limited as that of all lines about requests that fail. net/ still knows no metrics.

Tests: the fixture records closes; no existing expectation changed.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -62,7 +62,7 @@
 void stream_reply::target::close_if_idle()
 {
     if (state == phase::idle && input.size() == 0)
-        close();
+        close(close_reason::stopping);
 }
 
 void stream_reply::target::send(std::uint64_t request_number, int status,
@@ -98,7 +98,7 @@
     if (!is_current(request_number) || !head_sent || bytes.empty())
         return;
     if (unsent_bytes > internal::max_unsent_bytes)
-        return close();
+        return close(close_reason::unsent);
     queue(version >= 11 ? internal::chunk_text(bytes) : std::string(bytes));
 }
 
@@ -117,9 +117,7 @@
         return;
     count_answer_ended();
     disconnect_callback = nullptr;
-    state = phase::closing;
-    if (output.empty())
-        close();
+    close_when_sent(close_reason::cut);
 }
 
 void stream_reply::target::on_disconnect(std::uint64_t request_number,
@@ -205,15 +203,15 @@
         fault != http::error::end_of_stream &&
         fault != http::error::partial_message;
     if (!wrong_input)
-        return close();
+        return close(close_reason::peer);
     refuse(internal::refusal_status(fault));
 }
 
 void stream_reply::target::refuse(int status)
 {
     deadline.cancel();
-    state = phase::closing;
     queue(internal::answer_head(status, {}, 11, 0, true));
+    close_when_sent(close_reason::refused);
 }
 
 void stream_reply::target::request_read()
@@ -266,7 +264,7 @@
         return; // The next request is read after this response.
     if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
         return watch_for_close();
-    close();
+    close(close_reason::peer);
 }
 
 void stream_reply::target::end_answer(bool last)
@@ -274,15 +272,18 @@
     count_answer_ended();
     disconnect_callback = nullptr;
     if (last)
-    {
-        state = phase::closing;
-        if (output.empty())
-            close();
-        return;
-    }
+        return close_when_sent(close_reason::response);
     next_request();
 }
 
+void stream_reply::target::close_when_sent(close_reason why)
+{
+    end_reason = why;
+    state = phase::closing;
+    if (output.empty())
+        close(why);
+}
+
 void stream_reply::target::count_answer_ended()
 {
     if (state == phase::answering)
@@ -312,13 +313,16 @@
     if (state == phase::closed)
         return;
     if (fault)
-        return close();
+    {
+        end_reason = close_reason::peer;
+        return close(close_reason::peer);
+    }
     unsent_bytes -= output.front().size();
     output.pop_front();
     if (!output.empty())
         return write_next();
     if (state == phase::closing)
-        close();
+        close(close_reason::peer);
 }
 
 void stream_reply::target::start_deadline(milliseconds limit, int status)
@@ -331,21 +335,32 @@
             if (fault || self->state != armed)
                 return;
             if (status == 0)
-                self->close();
+                self->close(close_reason::idle_time);
             else
                 self->refuse(status);
         });
 }
 
-void stream_reply::target::close()
+std::size_t stream_reply::target::unread() const
+{
+    boost::system::error_code fault;
+    const auto waiting = socket.available(fault);
+    return input.size() + (fault ? 0 : waiting);
+}
+
+void stream_reply::target::close(close_reason why)
 {
     if (state == phase::closed)
         return;
+    const closed_connection report{end_reason.value_or(why), unread(),
+                                   peer_address};
     count_answer_ended();
     state = phase::closed;
     deadline.cancel();
     boost::system::error_code ignored;
     socket.close(ignored);
+    if (server->report_close)
+        server->report_close(report);
     const auto call = std::exchange(disconnect_callback, nullptr);
     if (call)
         call();
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -33,6 +33,7 @@
 {
     stream_limits limits;
     stream_server::handler handle;
+    stream_server::close_handler report_close;
     bool retiring{false};
     std::size_t open_answers{0};
     std::unordered_set<stream_reply::target*> connections;
@@ -113,6 +114,9 @@
     void watch_for_close();
     void check_peer(std::uint64_t);
     void end_answer(bool last);
+
+    /*! @brief Closes the connection once everything that is queued was sent. */
+    void close_when_sent(close_reason why);
     void count_answer_ended();
     void queue(std::string bytes);
     void write_next();
@@ -122,7 +126,13 @@
      * sends `status` first unless it is 0.
      */
     void start_deadline(milliseconds limit, int status);
-    void close();
+
+    /*! @brief Counts received bytes that no request was made of. */
+    [[nodiscard]] std::size_t unread() const;
+
+    /*! @brief Closes the connection. If its end was decided before, the earlier
+     * reason is reported. */
+    void close(close_reason why);
 
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer deadline;
@@ -137,6 +147,7 @@
     std::function<void()> disconnect_callback;
     std::uint64_t current_number{0};
     unsigned version{11};
+    std::optional<close_reason> end_reason;
     phase state{phase::idle};
     bool keep_alive{true};
     bool head_only{false};
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -110,6 +110,28 @@
     return to ? to->unsent(number) : 0;
 }
 
+std::string_view close_reason_name(close_reason reason)
+{
+    switch (reason)
+    {
+    case close_reason::idle_time:
+        return "idle_time";
+    case close_reason::stopping:
+        return "stopping";
+    case close_reason::response:
+        return "response";
+    case close_reason::refused:
+        return "refused";
+    case close_reason::cut:
+        return "cut";
+    case close_reason::unsent:
+        return "unsent";
+    case close_reason::peer:
+        break;
+    }
+    return "peer";
+}
+
 stream_server::stream_server(std::shared_ptr<implementation> shared)
     : self(std::move(shared))
 {
@@ -120,6 +142,7 @@
     boost::system::error_code ignored;
     self->acceptor.close(ignored);
     self->accept_retry.cancel();
+    self->state->report_close = nullptr;
 }
 
 result<std::unique_ptr<stream_server>>
@@ -153,6 +176,11 @@
     self->state->limits = set;
 }
 
+void stream_server::on_close(close_handler call)
+{
+    self->state->report_close = std::move(call);
+}
+
 void stream_server::retire()
 {
     self->state->retiring = true;
--- a/src/coursejunction/net/stream_server.hpp
+++ b/src/coursejunction/net/stream_server.hpp
@@ -71,12 +71,37 @@
     std::uint64_t number{0};
 };
 
+/*! @brief Why a client's connection was closed. */
+enum class close_reason : std::uint8_t
+{
+    idle_time, /*!< No request came within the idle time. */
+    stopping,  /*!< The server shuts down. */
+    response,  /*!< Its last response, which announced the close, has ended. */
+    refused,   /*!< Its input was invalid, too large or too slow. */
+    cut,       /*!< Its response was aborted. */
+    unsent,    /*!< The client did not read its response. */
+    peer       /*!< The client closed it, or the connection failed. */
+};
+
+/*! @brief Returns the name of a reason in snake_case. */
+[[nodiscard]] std::string_view close_reason_name(close_reason reason);
+
+/*! @brief A client's connection at its close. */
+struct closed_connection
+{
+    close_reason reason{close_reason::peer};
+    std::size_t unread_bytes{0}; /*!< Received and not handled: a request that
+                                    gets no answer may be among them. */
+    std::string peer;            /*!< `IP:port` of the client. */
+};
+
 /*! @brief Serves HTTP/1.1. Invalid input gets a 400, 408, 413 or 431 and the
  * connection is closed; the handler is not called. */
 class stream_server
 {
 public:
     using handler = std::function<void(stream_request, stream_reply)>;
+    using close_handler = std::function<void(const closed_connection&)>;
 
     /*! @brief Starts to listen; port 0 selects any free port.
      * @return The server, or an `unavailable` error if it cannot listen. */
@@ -90,6 +115,9 @@
      * one. */
     void limits(const stream_limits& set);
 
+    /*! @brief Sets a callback for each connection that closes. */
+    void on_close(close_handler call);
+
     /*! @brief Begins a planned shutdown: every response that starts from now on
      * carries `Connection: close`, and its connection closes after it. */
     void retire();
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -209,6 +209,8 @@
             return failure(caller_listener.error().kind,
                            caller_listener.error().message);
         caller_server = std::move(caller_listener.value());
+        caller_server->on_close([this](const closed_connection& closed)
+                                { record_close(closed); });
         auto readiness_listener =
             listen(options.readiness_address,
                    [this](const stream_request&, stream_reply reply)
@@ -230,6 +232,22 @@
                                      std::move(handler));
     }
 
+    /*! @brief Counts closed connections. One with unread input is logged too:
+     * its caller may wait for an answer that never comes, and nothing else
+     * shows it. */
+    void record_close(const closed_connection& closed)
+    {
+        const std::string reason(close_reason_name(closed.reason));
+        const bool unread = closed.unread_bytes > 0;
+        counters.count("caller_connections_closed_total", 1,
+                       {{"reason", reason}, {"unread", unread ? "yes" : "no"}});
+        if (unread)
+            log::problem("connection_closed_unread",
+                         {{"peer", closed.peer},
+                          {"reason", reason},
+                          {"bytes", std::to_string(closed.unread_bytes)}});
+    }
+
     void handle_request(stream_request request, stream_reply reply)
     {
         if (stopping && event_loop::now() - stop_began_at >= accept_duration)
--- a/tests/net/stream_server.cpp
+++ b/tests/net/stream_server.cpp
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
+#include <thread>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -39,6 +41,12 @@
                 REQUIRE(made);
                 server = std::move(made.value());
                 port = server->port();
+                server->on_close(
+                    [this](const cj::closed_connection& closed)
+                    {
+                        const std::lock_guard guard(mutex);
+                        closes.push_back(closed);
+                    });
             });
     }
 
@@ -54,8 +62,25 @@
         return seen;
     }
 
+    /*! @brief Waits up to 5 s for a connection to close.
+     * @return The first one that closed, if any. */
+    std::optional<cj::closed_connection> first_close()
+    {
+        for (int attempt = 0; attempt < 500; ++attempt)
+        {
+            {
+                const std::lock_guard guard(mutex);
+                if (!closes.empty())
+                    return closes.front();
+            }
+            std::this_thread::sleep_for(10ms);
+        }
+        return std::nullopt;
+    }
+
     std::mutex mutex;
     std::vector<cj::stream_request> seen;
+    std::vector<cj::closed_connection> closes;
     loopback::running_loop running;
     std::unique_ptr<cj::stream_server> server;
     std::uint16_t port{0};
@@ -270,3 +295,56 @@
     caller.send(request("GET /2 HTTP/1.1\r\nHost: h"));
     CHECK(caller.drain().find("Connection: close") != std::string::npos);
 }
+
+SCENARIO("each close of a connection is reported with its reason", "[net]")
+{
+    cj::stream_limits limits;
+    limits.idle_time = 100ms;
+    limits.body_bytes = 64;
+    recording_server fixture(limits);
+    const auto check_closed = [&](cj::close_reason reason, bool unread)
+    {
+        const auto closed = fixture.first_close();
+        REQUIRE(closed);
+        CHECK(cj::close_reason_name(closed->reason) ==
+              cj::close_reason_name(reason));
+        CHECK((closed->unread_bytes > 0) == unread);
+        CHECK(closed->peer.starts_with("127.0.0.1:"));
+    };
+
+    SECTION("after the idle time")
+    {
+        raw_connection caller(fixture.port);
+        check_closed(cj::close_reason::idle_time, false);
+    }
+    SECTION("by the client")
+    {
+        {
+            raw_connection caller(fixture.port);
+        }
+        check_closed(cj::close_reason::peer, false);
+    }
+    SECTION("after a last response")
+    {
+        raw_connection caller(fixture.port);
+        caller.send(request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close"));
+        check_closed(cj::close_reason::response, false);
+    }
+    SECTION("after a last response, with a further request unread")
+    {
+        raw_connection caller(fixture.port);
+        caller.send(request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close") +
+                    request("GET /2 HTTP/1.1\r\nHost: h"));
+        check_closed(cj::close_reason::response, true);
+    }
+    SECTION("since its request is too large")
+    {
+        raw_connection caller(fixture.port);
+        caller.send(request("POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 1000",
+                            std::string(1000, 'a')));
+        check_closed(cj::close_reason::refused, true);
+    }
+}
