Answer a request that arrives at the moment of an idle close

What callers saw: their connection was closed with a whole request in its receive buffer; neither an answer nor a refusal.

Cause: the idle timer and close_if_idle looked at what the process had read, not at the socket. Both timer and socket may be ready in one pass of the loop. Both now ask for the bytes that wait in the socket too and leave the connection to the pending read, which begins the request.

The test is deterministic: the request is sent while the expired timer is already queued.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -61,7 +61,7 @@
 
 void stream_reply::target::close_if_idle()
 {
-    if (state == phase::idle && input.size() == 0)
+    if (state == phase::idle && unread() == 0)
         close(close_reason::stopping);
 }
 
@@ -335,12 +335,19 @@
             if (fault || self->state != armed)
                 return;
             if (status == 0)
-                self->close(close_reason::idle_time);
+                self->idle_time_over();
             else
                 self->refuse(status);
         });
 }
 
+void stream_reply::target::idle_time_over()
+{
+    // A request that waits in the socket is read by `next_request`'s callback.
+    if (unread() == 0)
+        close(close_reason::idle_time);
+}
+
 std::size_t stream_reply::target::unread() const
 {
     boost::system::error_code fault;
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -127,6 +127,9 @@
      */
     void start_deadline(milliseconds limit, int status);
 
+    /*! @brief Closes the connection unless a request has arrived. */
+    void idle_time_over();
+
     /*! @brief Counts received bytes that no request was made of. */
     [[nodiscard]] std::size_t unread() const;
 
--- a/tests/net/stream_server.cpp
+++ b/tests/net/stream_server.cpp
@@ -6,6 +6,8 @@
 #include <thread>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include "net/loopback.hpp"
@@ -62,6 +64,13 @@
         return seen;
     }
 
+    /*! @brief Has a request answered on a connection that stays open. */
+    static std::string first_answer(raw_connection& caller)
+    {
+        caller.send("GET /kept HTTP/1.1\r\nHost: h\r\n\r\n");
+        return caller.until("\r\n\r\n");
+    }
+
     /*! @brief Waits up to 5 s for a connection to close.
      * @return The first one that closed, if any. */
     std::optional<cj::closed_connection> first_close()
@@ -348,3 +357,38 @@
         check_closed(cj::close_reason::refused, true);
     }
 }
+
+SCENARIO("a request that arrives at the moment of an idle close is answered",
+         "[net]")
+{
+    cj::stream_limits limits;
+    limits.idle_time = 100ms;
+    recording_server fixture(limits);
+    raw_connection caller(fixture.port);
+    const auto whole = request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                               "Connection: close");
+
+    SECTION("when the idle time is over")
+    {
+        boost::asio::steady_timer before(*static_cast<boost::asio::io_context*>(
+                                             fixture.running.loop.native()),
+                                         90ms);
+        before.async_wait([&](const boost::system::error_code&)
+                          { caller.send(whole); });
+        // Both timers expire during the sleep, so the request is sent when the
+        // end of the idle time is already queued.
+        std::this_thread::sleep_for(20ms);
+        fixture.running.on_loop([] { std::this_thread::sleep_for(200ms); });
+        CHECK(caller.drain().starts_with("HTTP/1.1 200"));
+    }
+    SECTION("when the server closes idle connections")
+    {
+        fixture.running.on_loop(
+            [&]
+            {
+                caller.send(whole);
+                fixture.server->close_idle();
+            });
+        CHECK(caller.drain().starts_with("HTTP/1.1 200"));
+    }
+}
