Let a changed idle time hold for connections that already wait

What callers saw: beside changes of the idle time a connection was closed that they still took up, as the idle time that they knew allows; no answer.

Cause: a connection's timer kept the limit with which it was set. After a rise, callers go by the longer time, but connections that waited already closed after the shorter one; after a cut, connections that became idle closed after the shorter time before callers had learned of it.

The timer is set again if time is left, so a change touches no timer by itself.

Failed before: two sections of the new test "an idle time that changes holds for connections that already wait" (a longer one, a shorter one): no answer. The third, that unused connections still close, passed before and after. Not covered: a caller that learns of a rise before the entry does.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -6,10 +6,12 @@
 #include <sys/types.h>
 
 #include <cerrno>
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/write.hpp>
 
+#include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/internal/answer_text.hpp"
 
 namespace coursejunction
@@ -147,7 +149,8 @@
     state = phase::idle;
     if (input.size() > 0)
         return read_head();
-    start_deadline(server->limits.idle_time, 0);
+    idle_since = event_loop::now();
+    start_deadline(server->idle_times.longest(idle_since), 0);
     socket.async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this()](const boost::system::error_code& fault)
@@ -344,8 +347,15 @@
 void stream_reply::target::idle_time_over()
 {
     // A request that waits in the socket is read by `next_request`'s callback.
-    if (unread() == 0)
-        close(close_reason::idle_time);
+    if (unread() > 0)
+        return;
+    // The limit may have been raised since the timer was set.
+    const auto now = event_loop::now();
+    const auto left = std::chrono::ceil<milliseconds>(
+        idle_since + server->idle_times.longest(now) - now);
+    if (left.count() > 0)
+        return start_deadline(left, 0);
+    close(close_reason::idle_time);
 }
 
 std::size_t stream_reply::target::unread() const
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -20,6 +20,7 @@
 #include <boost/beast/http.hpp>
 
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/net/internal/idle_times_in_force.hpp"
 #include "coursejunction/net/stream_server.hpp"
 
 namespace coursejunction
@@ -32,6 +33,7 @@
 struct stream_server_state
 {
     stream_limits limits;
+    idle_times_in_force idle_times;
     stream_server::handler handle;
     stream_server::close_handler report_close;
     bool retiring{false};
@@ -148,6 +150,7 @@
     std::size_t unsent_bytes{0};
     std::string peer_address;
     std::function<void()> disconnect_callback;
+    time_point idle_since{};
     std::uint64_t current_number{0};
     unsigned version{11};
     std::optional<close_reason> end_reason;
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -24,6 +24,7 @@
           state(std::make_shared<internal::stream_server_state>())
     {
         state->limits = set;
+        state->idle_times.set(set.idle_time, event_loop::now());
         state->handle = std::move(call);
     }
 
@@ -174,6 +175,7 @@
 void stream_server::limits(const stream_limits& set)
 {
     self->state->limits = set;
+    self->state->idle_times.set(set.idle_time, event_loop::now());
 }
 
 void stream_server::on_close(close_handler call)
--- a/src/coursejunction/net/stream_server.hpp
+++ b/src/coursejunction/net/stream_server.hpp
@@ -111,8 +111,9 @@
 
     ~stream_server();
 
-    /*! @brief Changes the limits; a timer that is already running keeps its old
-     * one. */
+    /*! @brief Changes the limits. A longer idle time holds for connections that
+     * already wait; a shorter one holds once all clients know it. Other timers
+     * that are already running keep their old limit. */
     void limits(const stream_limits& set);
 
     /*! @brief Sets a callback for each connection that closes. */
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -58,11 +58,12 @@
     raw_connection& operator=(const raw_connection&) = delete;
     ~raw_connection() { ::close(file); }
 
-    void send(const std::string& bytes) const
+    void send(const std::string& bytes)
     {
         const auto done =
             ::send(file, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        static_cast<void>(done);
+        was_reset =
+            was_reset || (done < 0 && (errno == ECONNRESET || errno == EPIPE));
     }
 
     /*! @brief Reads until a text was received or the peer closes.
@@ -86,12 +87,14 @@
     }
 
     bool open{false};
+    bool was_reset{false}; /*!< The peer reset the connection. */
 
 private:
     bool read_more()
     {
         char part[4096];
         const auto count = ::recv(file, part, sizeof(part), 0);
+        was_reset = was_reset || (count < 0 && errno == ECONNRESET);
         if (count <= 0)
             return false;
         received.append(part, static_cast<std::size_t>(count));
--- a/tests/net/stream_server.cpp
+++ b/tests/net/stream_server.cpp
@@ -392,3 +392,56 @@
         CHECK(caller.drain().starts_with("HTTP/1.1 200"));
     }
 }
+
+SCENARIO("an idle time that changes holds for connections that already wait",
+         "[net]")
+{
+    const auto limits_of = [](cj::milliseconds idle_time)
+    {
+        cj::stream_limits limits;
+        limits.idle_time = idle_time;
+        return limits;
+    };
+    const auto change =
+        [&](recording_server& fixture, cj::milliseconds idle_time)
+    {
+        fixture.running.on_loop(
+            [&] { fixture.server->limits(limits_of(idle_time)); });
+    };
+    const auto check_answered = [](raw_connection& caller)
+    {
+        caller.send(request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close"));
+        CHECK(caller.drain().find("Connection: close") != std::string::npos);
+    };
+
+    SECTION("a longer one keeps a connection that waits under the shorter one")
+    {
+        recording_server fixture(limits_of(200ms));
+        raw_connection caller(fixture.port);
+        std::this_thread::sleep_for(100ms);
+        change(fixture, 2s);
+        std::this_thread::sleep_for(400ms);
+        check_answered(caller);
+    }
+    SECTION("a shorter one keeps connections whose callers know the longer one")
+    {
+        recording_server fixture(limits_of(2s));
+        raw_connection before(fixture.port);
+        static_cast<void>(fixture.first_answer(before));
+        change(fixture, 100ms);
+        raw_connection after(fixture.port);
+        static_cast<void>(fixture.first_answer(after));
+        std::this_thread::sleep_for(400ms);
+        check_answered(before);
+        check_answered(after);
+    }
+    SECTION("a connection that nobody uses still closes")
+    {
+        recording_server fixture(limits_of(100ms));
+        raw_connection caller(fixture.port);
+        change(fixture, 300ms);
+        CHECK(caller.drain().empty());
+        CHECK_FALSE(caller.was_reset);
+    }
+}
