Close a caller's connection without destroying its last response

What callers saw: a reset while they read their answer, or while they still sent the body of a request that had been refused; the rest of the answer was lost.

Cause: close() with unread input, or input that arrives after it, resets the connection, and the kernel drops what it has not delivered yet.

After a last response, a refusal (4xx) or an aborted response the server now only ends its own direction, then reads and drops input until the client closes, for 2 s at most. Dropped bytes count as unread in the report of the close.

Not shown: a lost short answer on loopback; there the kernel still delivers what had arrived before the reset.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <sys/types.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <chrono>
 #include <utility>
@@ -32,6 +34,14 @@
  * stays unacknowledged for this long. */
 constexpr int user_timeout_ms = 10'000;
 
+/*! @brief How long input is still read and dropped after the last response. A
+ * close with unread input resets the connection, which may destroy what the
+ * client has not read yet. */
+constexpr milliseconds linger_time{2000};
+
+/*! @brief Input that is dropped at once before other work gets its turn. */
+constexpr std::size_t discard_bytes = 65'536;
+
 } // namespace internal
 
 stream_reply::target::target(
@@ -284,7 +294,47 @@
     end_reason = why;
     state = phase::closing;
     if (output.empty())
-        close(why);
+        linger();
+}
+
+void stream_reply::target::linger()
+{
+    state = phase::lingering;
+    boost::system::error_code fault;
+    socket.shutdown(tcp::socket::shutdown_send, fault);
+    if (fault)
+        return close(close_reason::peer);
+    deadline.expires_after(internal::linger_time);
+    deadline.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& stopped)
+        {
+            if (!stopped)
+                self->close(close_reason::peer);
+        });
+    discard_input();
+}
+
+void stream_reply::target::discard_input()
+{
+    socket.async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const boost::system::error_code& fault)
+        {
+            if (self->state != phase::lingering)
+                return;
+            std::array<char, internal::discard_bytes> dropped;
+            const auto count =
+                fault ? 0
+                      : ::recv(self->socket.native_handle(), dropped.data(),
+                               dropped.size(), MSG_DONTWAIT);
+            const bool waits =
+                count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+            if (count <= 0 && !waits)
+                return self->close(close_reason::peer);
+            self->discarded_bytes +=
+                static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+            self->discard_input();
+        });
 }
 
 void stream_reply::target::count_answer_ended()
@@ -325,7 +375,7 @@
     if (!output.empty())
         return write_next();
     if (state == phase::closing)
-        close(close_reason::peer);
+        linger();
 }
 
 void stream_reply::target::start_deadline(milliseconds limit, int status)
@@ -362,7 +412,7 @@
 {
     boost::system::error_code fault;
     const auto waiting = socket.available(fault);
-    return input.size() + (fault ? 0 : waiting);
+    return discarded_bytes + input.size() + (fault ? 0 : waiting);
 }
 
 void stream_reply::target::close(close_reason why)
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -95,7 +95,8 @@
         idle,
         reading,
         answering,
-        closing,
+        closing,   /*!< Sends what is queued. */
+        lingering, /*!< Has sent all, waits for the client to close. */
         closed
     };
 
@@ -119,6 +120,11 @@
 
     /*! @brief Closes the connection once everything that is queued was sent. */
     void close_when_sent(close_reason why);
+
+    /*! @brief Tells the client that nothing follows, and drops its input until
+     * it closes, for a limited time. */
+    void linger();
+    void discard_input();
     void count_answer_ended();
     void queue(std::string bytes);
     void write_next();
@@ -151,6 +157,7 @@
     std::string peer_address;
     std::function<void()> disconnect_callback;
     time_point idle_since{};
+    std::size_t discarded_bytes{0};
     std::uint64_t current_number{0};
     unsigned version{11};
     std::optional<close_reason> end_reason;
--- a/tests/net/stream_server.cpp
+++ b/tests/net/stream_server.cpp
@@ -445,3 +445,60 @@
         CHECK_FALSE(caller.was_reset);
     }
 }
+
+SCENARIO("a response is not lost to bytes that arrive after its request",
+         "[net]")
+{
+    const std::string large(std::size_t{3} << 20U, 'x');
+    cj::stream_limits limits;
+    limits.body_bytes = 64;
+
+    SECTION("a large last response, with a further request unread")
+    {
+        std::atomic<raw_connection*> sender{nullptr};
+        recording_server fixture(
+            {},
+            [&](const cj::stream_request&, cj::stream_reply reply)
+            {
+                sender.load()->send(request("GET /2 HTTP/1.1\r\nHost: h"));
+                reply.send(200, {}, large);
+            });
+        raw_connection caller(fixture.port);
+        sender = &caller;
+        caller.send(request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close"));
+        std::this_thread::sleep_for(100ms);
+        const bool whole = caller.drain().ends_with("\r\n\r\n" + large);
+        CHECK(whole);
+        CHECK_FALSE(caller.was_reset);
+    }
+    SECTION("a refusal while the client still sends the body")
+    {
+        recording_server fixture(limits);
+        raw_connection caller(fixture.port);
+        caller.send(request("POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 100000",
+                            std::string(1000, 'a')));
+        for (int part = 0; part < 9; ++part)
+        {
+            std::this_thread::sleep_for(20ms);
+            caller.send(std::string(11'000, 'a'));
+        }
+        CHECK(caller.drain().starts_with("HTTP/1.1 413"));
+        CHECK_FALSE(caller.was_reset);
+    }
+    SECTION("a client that sends on and on is disconnected")
+    {
+        recording_server fixture(limits);
+        raw_connection caller(fixture.port);
+        caller.send(request("POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 100000",
+                            std::string(1000, 'a')));
+        for (int part = 0; part < 400 && !caller.was_reset; ++part)
+        {
+            std::this_thread::sleep_for(20ms);
+            caller.send("a");
+        }
+        CHECK(caller.was_reset);
+    }
+}
