--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -5,11 +5,15 @@
 #include <sys/socket.h>
 #include <sys/types.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/write.hpp>
 
+#include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/internal/answer_text.hpp"
 
 namespace coursejunction
@@ -30,6 +34,14 @@
  * stays unacknowledged for this long. */
 constexpr int user_timeout_ms = 10'000;
 
+/*! @brief How long input is still read and dropped after the last response. A
+ * close with unread input resets the connection, which may destroy what the
+ * client has not read yet. */
+constexpr milliseconds linger_time{2000};
+
+/*! @brief Input that is dropped at once before other work gets its turn. */
+constexpr std::size_t discard_bytes = 65'536;
+
 } // namespace internal
 
 stream_reply::target::target(
@@ -61,8 +73,8 @@
 
 void stream_reply::target::close_if_idle()
 {
-    if (state == phase::idle && input.size() == 0)
-        close();
+    if (state == phase::idle && unread() == 0)
+        close(close_reason::stopping);
 }
 
 void stream_reply::target::send(std::uint64_t request_number, int status,
@@ -98,7 +110,7 @@
     if (!is_current(request_number) || !head_sent || bytes.empty())
         return;
     if (unsent_bytes > internal::max_unsent_bytes)
-        return close();
+        return close(close_reason::unsent);
     queue(version >= 11 ? internal::chunk_text(bytes) : std::string(bytes));
 }
 
@@ -117,9 +129,7 @@
         return;
     count_answer_ended();
     disconnect_callback = nullptr;
-    state = phase::closing;
-    if (output.empty())
-        close();
+    close_when_sent(close_reason::cut);
 }
 
 void stream_reply::target::on_disconnect(std::uint64_t request_number,
@@ -149,7 +159,8 @@
     state = phase::idle;
     if (input.size() > 0)
         return read_head();
-    start_deadline(server->limits.idle_time, 0);
+    idle_since = event_loop::now();
+    start_deadline(server->idle_times.longest(idle_since), 0);
     socket.async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this()](const boost::system::error_code& fault)
@@ -205,15 +216,15 @@
         fault != http::error::end_of_stream &&
         fault != http::error::partial_message;
     if (!wrong_input)
-        return close();
+        return close(close_reason::peer);
     refuse(internal::refusal_status(fault));
 }
 
 void stream_reply::target::refuse(int status)
 {
     deadline.cancel();
-    state = phase::closing;
     queue(internal::answer_head(status, {}, 11, 0, true));
+    close_when_sent(close_reason::refused);
 }
 
 void stream_reply::target::request_read()
@@ -266,7 +277,7 @@
         return; // The next request is read after this response.
     if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
         return watch_for_close();
-    close();
+    close(close_reason::peer);
 }
 
 void stream_reply::target::end_answer(bool last)
@@ -274,15 +285,58 @@
     count_answer_ended();
     disconnect_callback = nullptr;
     if (last)
-    {
-        state = phase::closing;
-        if (output.empty())
-            close();
-        return;
-    }
+        return close_when_sent(close_reason::response);
     next_request();
 }
 
+void stream_reply::target::close_when_sent(close_reason why)
+{
+    end_reason = why;
+    state = phase::closing;
+    if (output.empty())
+        linger();
+}
+
+void stream_reply::target::linger()
+{
+    state = phase::lingering;
+    boost::system::error_code fault;
+    socket.shutdown(tcp::socket::shutdown_send, fault);
+    if (fault)
+        return close(close_reason::peer);
+    deadline.expires_after(internal::linger_time);
+    deadline.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& stopped)
+        {
+            if (!stopped)
+                self->close(close_reason::peer);
+        });
+    discard_input();
+}
+
+void stream_reply::target::discard_input()
+{
+    socket.async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const boost::system::error_code& fault)
+        {
+            if (self->state != phase::lingering)
+                return;
+            std::array<char, internal::discard_bytes> dropped;
+            const auto count =
+                fault ? 0
+                      : ::recv(self->socket.native_handle(), dropped.data(),
+                               dropped.size(), MSG_DONTWAIT);
+            const bool waits =
+                count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+            if (count <= 0 && !waits)
+                return self->close(close_reason::peer);
+            self->discarded_bytes +=
+                static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+            self->discard_input();
+        });
+}
+
 void stream_reply::target::count_answer_ended()
 {
     if (state == phase::answering)
@@ -312,13 +366,16 @@
     if (state == phase::closed)
         return;
     if (fault)
-        return close();
+    {
+        end_reason = close_reason::peer;
+        return close(close_reason::peer);
+    }
     unsent_bytes -= output.front().size();
     output.pop_front();
     if (!output.empty())
         return write_next();
     if (state == phase::closing)
-        close();
+        linger();
 }
 
 void stream_reply::target::start_deadline(milliseconds limit, int status)
@@ -331,21 +388,46 @@
             if (fault || self->state != armed)
                 return;
             if (status == 0)
-                self->close();
+                self->idle_time_over();
             else
                 self->refuse(status);
         });
 }
 
-void stream_reply::target::close()
+void stream_reply::target::idle_time_over()
+{
+    // A request that waits in the socket is read by `next_request`'s callback.
+    if (unread() > 0)
+        return;
+    // The limit may have been raised since the timer was set.
+    const auto now = event_loop::now();
+    const auto left = std::chrono::ceil<milliseconds>(
+        idle_since + server->idle_times.longest(now) - now);
+    if (left.count() > 0)
+        return start_deadline(left, 0);
+    close(close_reason::idle_time);
+}
+
+std::size_t stream_reply::target::unread() const
+{
+    boost::system::error_code fault;
+    const auto waiting = socket.available(fault);
+    return discarded_bytes + input.size() + (fault ? 0 : waiting);
+}
+
+void stream_reply::target::close(close_reason why)
 {
     if (state == phase::closed)
         return;
+    const closed_connection report{end_reason.value_or(why), unread(),
+                                   peer_address};
     count_answer_ended();
     state = phase::closed;
     deadline.cancel();
     boost::system::error_code ignored;
     socket.close(ignored);
+    if (server->report_close)
+        server->report_close(report);
     const auto call = std::exchange(disconnect_callback, nullptr);
     if (call)
         call();
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -20,6 +20,7 @@
 #include <boost/beast/http.hpp>
 
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/net/internal/idle_times_in_force.hpp"
 #include "coursejunction/net/stream_server.hpp"
 
 namespace coursejunction
@@ -32,7 +33,9 @@
 struct stream_server_state
 {
     stream_limits limits;
+    idle_times_in_force idle_times;
     stream_server::handler handle;
+    stream_server::close_handler report_close;
     bool retiring{false};
     std::size_t open_answers{0};
     std::unordered_set<stream_reply::target*> connections;
@@ -92,7 +95,8 @@
         idle,
         reading,
         answering,
-        closing,
+        closing,   /*!< Sends what is queued. */
+        lingering, /*!< Has sent all, waits for the client to close. */
         closed
     };
 
@@ -113,6 +117,14 @@
     void watch_for_close();
     void check_peer(std::uint64_t);
     void end_answer(bool last);
+
+    /*! @brief Closes the connection once everything that is queued was sent. */
+    void close_when_sent(close_reason why);
+
+    /*! @brief Tells the client that nothing follows, and drops its input until
+     * it closes, for a limited time. */
+    void linger();
+    void discard_input();
     void count_answer_ended();
     void queue(std::string bytes);
     void write_next();
@@ -122,7 +134,16 @@
      * sends `status` first unless it is 0.
      */
     void start_deadline(milliseconds limit, int status);
-    void close();
+
+    /*! @brief Closes the connection unless a request has arrived. */
+    void idle_time_over();
+
+    /*! @brief Counts received bytes that no request was made of. */
+    [[nodiscard]] std::size_t unread() const;
+
+    /*! @brief Closes the connection. If its end was decided before, the earlier
+     * reason is reported. */
+    void close(close_reason why);
 
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer deadline;
@@ -135,8 +156,11 @@
     std::size_t unsent_bytes{0};
     std::string peer_address;
     std::function<void()> disconnect_callback;
+    time_point idle_since{};
+    std::size_t discarded_bytes{0};
     std::uint64_t current_number{0};
     unsigned version{11};
+    std::optional<close_reason> end_reason;
     phase state{phase::idle};
     bool keep_alive{true};
     bool head_only{false};
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -24,6 +24,7 @@
           state(std::make_shared<internal::stream_server_state>())
     {
         state->limits = set;
+        state->idle_times.set(set.idle_time, event_loop::now());
         state->handle = std::move(call);
     }
 
@@ -110,6 +111,28 @@
     return to ? to->unsent(number) : 0;
 }
 
+std::string_view close_reason_name(close_reason reason)
+{
+    switch (reason)
+    {
+    case close_reason::idle_time:
+        return "idle_time";
+    case close_reason::stopping:
+        return "stopping";
+    case close_reason::response:
+        return "response";
+    case close_reason::refused:
+        return "refused";
+    case close_reason::cut:
+        return "cut";
+    case close_reason::unsent:
+        return "unsent";
+    case close_reason::peer:
+        break;
+    }
+    return "peer";
+}
+
 stream_server::stream_server(std::shared_ptr<implementation> shared)
     : self(std::move(shared))
 {
@@ -120,6 +143,7 @@
     boost::system::error_code ignored;
     self->acceptor.close(ignored);
     self->accept_retry.cancel();
+    self->state->report_close = nullptr;
 }
 
 result<std::unique_ptr<stream_server>>
@@ -151,6 +175,12 @@
 void stream_server::limits(const stream_limits& set)
 {
     self->state->limits = set;
+    self->state->idle_times.set(set.idle_time, event_loop::now());
+}
+
+void stream_server::on_close(close_handler call)
+{
+    self->state->report_close = std::move(call);
 }
 
 void stream_server::retire()
--- a/tests/net/stream_server.cpp
+++ b/tests/net/stream_server.cpp
@@ -2,8 +2,12 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
+#include <thread>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include "net/loopback.hpp"
@@ -39,6 +43,12 @@
                 REQUIRE(made);
                 server = std::move(made.value());
                 port = server->port();
+                server->on_close(
+                    [this](const cj::closed_connection& closed)
+                    {
+                        const std::lock_guard guard(mutex);
+                        closes.push_back(closed);
+                    });
             });
     }
 
@@ -54,8 +64,32 @@
         return seen;
     }
 
+    /*! @brief Has a request answered on a connection that stays open. */
+    static std::string first_answer(raw_connection& caller)
+    {
+        caller.send("GET /kept HTTP/1.1\r\nHost: h\r\n\r\n");
+        return caller.until("\r\n\r\n");
+    }
+
+    /*! @brief Waits up to 5 s for a connection to close.
+     * @return The first one that closed, if any. */
+    std::optional<cj::closed_connection> first_close()
+    {
+        for (int attempt = 0; attempt < 500; ++attempt)
+        {
+            {
+                const std::lock_guard guard(mutex);
+                if (!closes.empty())
+                    return closes.front();
+            }
+            std::this_thread::sleep_for(10ms);
+        }
+        return std::nullopt;
+    }
+
     std::mutex mutex;
     std::vector<cj::stream_request> seen;
+    std::vector<cj::closed_connection> closes;
     loopback::running_loop running;
     std::unique_ptr<cj::stream_server> server;
     std::uint16_t port{0};
@@ -270,3 +304,201 @@
     caller.send(request("GET /2 HTTP/1.1\r\nHost: h"));
     CHECK(caller.drain().find("Connection: close") != std::string::npos);
 }
+
+SCENARIO("each close of a connection is reported with its reason", "[net]")
+{
+    cj::stream_limits limits;
+    limits.idle_time = 100ms;
+    limits.body_bytes = 64;
+    recording_server fixture(limits);
+    const auto check_closed = [&](cj::close_reason reason, bool unread)
+    {
+        const auto closed = fixture.first_close();
+        REQUIRE(closed);
+        CHECK(cj::close_reason_name(closed->reason) ==
+              cj::close_reason_name(reason));
+        CHECK((closed->unread_bytes > 0) == unread);
+        CHECK(closed->peer.starts_with("127.0.0.1:"));
+    };
+
+    SECTION("after the idle time")
+    {
+        raw_connection caller(fixture.port);
+        check_closed(cj::close_reason::idle_time, false);
+    }
+    SECTION("by the client")
+    {
+        {
+            raw_connection caller(fixture.port);
+        }
+        check_closed(cj::close_reason::peer, false);
+    }
+    SECTION("after a last response")
+    {
+        raw_connection caller(fixture.port);
+        caller.send(request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close"));
+        check_closed(cj::close_reason::response, false);
+    }
+    SECTION("after a last response, with a further request unread")
+    {
+        raw_connection caller(fixture.port);
+        caller.send(request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close") +
+                    request("GET /2 HTTP/1.1\r\nHost: h"));
+        check_closed(cj::close_reason::response, true);
+    }
+    SECTION("since its request is too large")
+    {
+        raw_connection caller(fixture.port);
+        caller.send(request("POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 1000",
+                            std::string(1000, 'a')));
+        check_closed(cj::close_reason::refused, true);
+    }
+}
+
+SCENARIO("a request that arrives at the moment of an idle close is answered",
+         "[net]")
+{
+    cj::stream_limits limits;
+    limits.idle_time = 100ms;
+    recording_server fixture(limits);
+    raw_connection caller(fixture.port);
+    const auto whole = request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                               "Connection: close");
+
+    SECTION("when the idle time is over")
+    {
+        boost::asio::steady_timer before(*static_cast<boost::asio::io_context*>(
+                                             fixture.running.loop.native()),
+                                         90ms);
+        before.async_wait([&](const boost::system::error_code&)
+                          { caller.send(whole); });
+        // Both timers expire during the sleep, so the request is sent when the
+        // end of the idle time is already queued.
+        std::this_thread::sleep_for(20ms);
+        fixture.running.on_loop([] { std::this_thread::sleep_for(200ms); });
+        CHECK(caller.drain().starts_with("HTTP/1.1 200"));
+    }
+    SECTION("when the server closes idle connections")
+    {
+        fixture.running.on_loop(
+            [&]
+            {
+                caller.send(whole);
+                fixture.server->close_idle();
+            });
+        CHECK(caller.drain().starts_with("HTTP/1.1 200"));
+    }
+}
+
+SCENARIO("an idle time that changes holds for connections that already wait",
+         "[net]")
+{
+    const auto limits_of = [](cj::milliseconds idle_time)
+    {
+        cj::stream_limits limits;
+        limits.idle_time = idle_time;
+        return limits;
+    };
+    const auto change =
+        [&](recording_server& fixture, cj::milliseconds idle_time)
+    {
+        fixture.running.on_loop(
+            [&] { fixture.server->limits(limits_of(idle_time)); });
+    };
+    const auto check_answered = [](raw_connection& caller)
+    {
+        caller.send(request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close"));
+        CHECK(caller.drain().find("Connection: close") != std::string::npos);
+    };
+
+    SECTION("a longer one keeps a connection that waits under the shorter one")
+    {
+        recording_server fixture(limits_of(200ms));
+        raw_connection caller(fixture.port);
+        std::this_thread::sleep_for(100ms);
+        change(fixture, 2s);
+        std::this_thread::sleep_for(400ms);
+        check_answered(caller);
+    }
+    SECTION("a shorter one keeps connections whose callers know the longer one")
+    {
+        recording_server fixture(limits_of(2s));
+        raw_connection before(fixture.port);
+        static_cast<void>(fixture.first_answer(before));
+        change(fixture, 100ms);
+        raw_connection after(fixture.port);
+        static_cast<void>(fixture.first_answer(after));
+        std::this_thread::sleep_for(400ms);
+        check_answered(before);
+        check_answered(after);
+    }
+    SECTION("a connection that nobody uses still closes")
+    {
+        recording_server fixture(limits_of(100ms));
+        raw_connection caller(fixture.port);
+        change(fixture, 300ms);
+        CHECK(caller.drain().empty());
+        CHECK_FALSE(caller.was_reset);
+    }
+}
+
+SCENARIO("a response is not lost to bytes that arrive after its request",
+         "[net]")
+{
+    const std::string large(std::size_t{3} << 20U, 'x');
+    cj::stream_limits limits;
+    limits.body_bytes = 64;
+
+    SECTION("a large last response, with a further request unread")
+    {
+        std::atomic<raw_connection*> sender{nullptr};
+        recording_server fixture(
+            {},
+            [&](const cj::stream_request&, cj::stream_reply reply)
+            {
+                sender.load()->send(request("GET /2 HTTP/1.1\r\nHost: h"));
+                reply.send(200, {}, large);
+            });
+        raw_connection caller(fixture.port);
+        sender = &caller;
+        caller.send(request("GET /1 HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close"));
+        std::this_thread::sleep_for(100ms);
+        const bool whole = caller.drain().ends_with("\r\n\r\n" + large);
+        CHECK(whole);
+        CHECK_FALSE(caller.was_reset);
+    }
+    SECTION("a refusal while the client still sends the body")
+    {
+        recording_server fixture(limits);
+        raw_connection caller(fixture.port);
+        caller.send(request("POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 100000",
+                            std::string(1000, 'a')));
+        for (int part = 0; part < 9; ++part)
+        {
+            std::this_thread::sleep_for(20ms);
+            caller.send(std::string(11'000, 'a'));
+        }
+        CHECK(caller.drain().starts_with("HTTP/1.1 413"));
+        CHECK_FALSE(caller.was_reset);
+    }
+    SECTION("a client that sends on and on is disconnected")
+    {
+        recording_server fixture(limits);
+        raw_connection caller(fixture.port);
+        caller.send(request("POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 100000",
+                            std::string(1000, 'a')));
+        for (int part = 0; part < 400 && !caller.was_reset; ++part)
+        {
+            std::this_thread::sleep_for(20ms);
+            caller.send("a");
+        }
+        CHECK(caller.was_reset);
+    }
+}
