Keep idle connections open in a shutdown and answer what arrives on them

What callers saw: 2.6 s after SIGTERM their kept connection was closed at the moment they used it; whole requests got neither an answer nor a refusal.

Cause: all idle connections were closed 2.6 s after a shutdown began, on the assumption that every caller had been told by a response. One that rested meanwhile had not.

An idle connection now stays open until its caller is told by a response, or it has rested for longer than callers reuse one (4/5 of the idle time, and 0.5 s for a request under way), or 0.5 s before the grace is over. A request that arrives is served in the first 2.8 s as before; later if its own time limit (route's, or the caller's deadline) ends before connections are cut, else it is refused at once with 503, Retry-After and Connection: close.

Cost: an entry whose callers keep connections open and unused may need nearly the whole grace; one without connections ends after 2.6 s as before. A request that is under way at the final close is still lost.

Failed before: new test "a request on a kept connection is answered late in a shutdown", section "served if its time limit fits, else refused with 503", 5 checks: both connections were closed without an answer. Its other two sections (idle connection closed before the grace is over and not reset; no connections, no wait) passed before and after. After: 101 assertions in 11 test cases of tests/net/stream_server.cpp and this scenario pass. Tests: close_idle keeps its promise, so the existing test of a retiring server is unchanged.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -71,9 +71,9 @@
     next_request();
 }
 
-void stream_reply::target::close_if_idle()
+void stream_reply::target::close_if_idle(time_point since)
 {
-    if (state == phase::idle && unread() == 0)
+    if (state == phase::idle && idle_since <= since && unread() == 0)
         close(close_reason::stopping);
 }
 
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -57,9 +57,9 @@
     /*! @brief Starts to read the first request. */
     void start();
 
-    /*! @brief Closes the connection unless a request is being read or handled.
-     */
-    void close_if_idle();
+    /*! @brief Closes the connection if it has been idle since a time, unless a
+     * request has arrived. */
+    void close_if_idle(time_point since);
 
     /*! @brief Sends a complete response. Like the members below, it does
      * nothing unless `request_number` is the request that is being handled. */
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -30,6 +30,14 @@
 
     void accept();
 
+    /*! @brief Closes idle connections that have rested for at least this long.
+     */
+    void close_rested(milliseconds rest) const;
+
+    /*! @brief Clients reuse a connection that has rested for up to 4/5 of the
+     * idle time; a request then takes up to this long to arrive. */
+    static constexpr milliseconds reuse_margin{500};
+
     tcp::acceptor acceptor;
     asio::steady_timer accept_retry;
     std::shared_ptr<internal::stream_server_state> state;
@@ -62,6 +70,18 @@
         });
 }
 
+void stream_server::implementation::close_rested(milliseconds rest) const
+{
+    const auto since = event_loop::now() - rest;
+    const std::vector<stream_reply::target*> all(state->connections.begin(),
+                                                 state->connections.end());
+    for (auto* one : all)
+    {
+        if (const auto held = one->weak_from_this().lock())
+            held->close_if_idle(since);
+    }
+}
+
 stream_reply::stream_reply(std::weak_ptr<target> to,
                            std::uint64_t request_number)
     : connection(std::move(to)), number(request_number)
@@ -190,13 +210,13 @@
 
 void stream_server::close_idle()
 {
-    const std::vector<stream_reply::target*> all(
-        self->state->connections.begin(), self->state->connections.end());
-    for (auto* one : all)
-    {
-        if (const auto held = one->weak_from_this().lock())
-            held->close_if_idle();
-    }
+    self->close_rested(milliseconds(0));
+}
+
+void stream_server::close_rested()
+{
+    const auto longest = self->state->idle_times.longest(event_loop::now());
+    self->close_rested(longest * 4 / 5 + implementation::reuse_margin);
 }
 
 std::uint16_t stream_server::port() const
--- a/src/coursejunction/net/stream_server.hpp
+++ b/src/coursejunction/net/stream_server.hpp
@@ -123,10 +123,14 @@
      * carries `Connection: close`, and its connection closes after it. */
     void retire();
 
-    /*! @brief Closes connections on which no request is being read or handled.
-     */
+    /*! @brief Closes connections on which no request is being read or handled
+     * and none has arrived. */
     void close_idle();
 
+    /*! @brief Closes those of them that have rested for so long that their
+     * clients do not reuse them. */
+    void close_rested();
+
     /*! @brief Returns the listening port. */
     [[nodiscard]] std::uint16_t port() const;
 
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -5,6 +5,7 @@
 #ifndef COURSEJUNCTION_PROXY_GATEWAY_HPP
 #define COURSEJUNCTION_PROXY_GATEWAY_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -113,7 +114,7 @@
     }
 
     /*! @brief Begins a graceful shutdown. `done` is called once, after
-     * `idle_close_delay` at the earliest: when no request and no caller
+     * `min_stop_duration` at the earliest: when no request and no caller
      * connection is open, or at the latest `forced_stop_margin` before
      * `stop_grace` is over. Further calls are ignored. */
     void stop(std::function<void()> done)
@@ -149,17 +150,21 @@
      * for applying them. */
     static constexpr milliseconds outdated_after{1000};
 
-    /*! @brief Idle connections are closed this long after a shutdown began. The
-     * load balancer checks each second and stops routing here after the second
-     * failure, so no new connections arrive by then, and every response since
-     * has asked its caller to close the connection. */
-    static constexpr milliseconds idle_close_delay{2600};
+    /*! @brief A shutdown lasts at least this long. The load balancer checks
+     * each second and stops routing here after the second failure, so no new
+     * connections arrive by then. */
+    static constexpr milliseconds min_stop_duration{2600};
 
-    /*! @brief Requests are accepted for this long after a shutdown began and
-     * refused afterwards: a stream that began later might not end before the
-     * process must exit. */
+    /*! @brief All requests are accepted for this long after a shutdown began;
+     * afterwards those whose time limit ends before the connections are cut.
+     * The rest is refused: a stream that began later might be cut. */
     static constexpr milliseconds accept_duration{2800};
 
+    /*! @brief Time left of `stop_grace` when idle connections are closed.
+     * Callers reuse them until they learn of the shutdown from a response or
+     * from this close. */
+    static constexpr milliseconds idle_close_margin{500};
+
     /*! @brief Minimum requests per second that an entry counts for when engines
      * are divided, so that one without requests so far can place its first one.
      * An engine of the installations completes 4.8 per second. */
@@ -250,7 +255,7 @@
 
     void handle_request(stream_request request, stream_reply reply)
     {
-        if (stopping && event_loop::now() - stop_began_at >= accept_duration)
+        if (stopping && !ends_before_stop(codec::decode_request(request)))
         {
             // The client retry goes to another entry.
             constexpr milliseconds retry_after{100};
@@ -264,6 +269,31 @@
         exchanges.handle_request(std::move(request), std::move(reply));
     }
 
+    /*! @brief Returns whether a request that arrives during a shutdown is
+     * accepted. */
+    [[nodiscard]] bool ends_before_stop(const caller_request& request) const
+    {
+        const auto since = event_loop::now() - stop_began_at;
+        return since < accept_duration ||
+               since + time_limit(request) <=
+                   options.stop_grace - forced_stop_margin;
+    }
+
+    /*! @brief Returns how long a request may take; zero if it has no route, as
+     * it is rejected at once. */
+    [[nodiscard]] milliseconds time_limit(const caller_request& request) const
+    {
+        const auto* configuration = fleet.configuration();
+        const auto* route =
+            configuration == nullptr
+                ? nullptr
+                : configuration->route(request.host, request.path);
+        if (route == nullptr)
+            return milliseconds(0);
+        return std::min(route->timeout,
+                        request.deadline.value_or(route->timeout));
+    }
+
     /*! @brief Returns whether this entry can handle a request. */
     [[nodiscard]] bool ready() const
     {
@@ -579,9 +609,11 @@
     void continue_stop(time_point now)
     {
         const auto since = now - stop_began_at;
-        if (since >= idle_close_delay)
+        if (since >= options.stop_grace - idle_close_margin)
             caller_server->close_idle();
-        const bool idle = since >= idle_close_delay &&
+        else if (since >= min_stop_duration)
+            caller_server->close_rested();
+        const bool idle = since >= min_stop_duration &&
                           caller_server->size() == 0 && exchanges.size() == 0;
         if (!idle && since < options.stop_grace - forced_stop_margin)
             return;
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -36,18 +36,19 @@
            std::to_string(run % 250) + "." + std::to_string(number);
 }
 
-/*! @brief A blocking TCP connection to a port of 127.0.0.1, with a read timeout
+/*! @brief A blocking TCP connection to a loopback address, with a read timeout
  * of 10 s. */
 class raw_connection
 {
 public:
-    explicit raw_connection(std::uint16_t port)
+    explicit raw_connection(std::uint16_t port,
+                            const std::string& address = "127.0.0.1")
         : file(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in to{};
         to.sin_family = AF_INET;
         to.sin_port = htons(port);
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::inet_pton(AF_INET, address.c_str(), &to.sin_addr);
         const timeval timeout{10, 0};
         ::setsockopt(file, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
         open = ::connect(file, reinterpret_cast<const sockaddr*>(&to),
--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -3,6 +3,7 @@
 #ifndef COURSEJUNCTION_TESTS_PROXY_ENTRY_PROCESS_HPP
 #define COURSEJUNCTION_TESTS_PROXY_ENTRY_PROCESS_HPP
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -53,6 +54,13 @@
         cj::service_profile weights;
         weights.name = cj::service_name("weights");
         weights.origin = "origin";
+        cj::route_rule slow;
+        slow.host = "h";
+        slow.prefix = "/slow/";
+        slow.keyless = true;
+        slow.timeout = 6000ms;
+        slow.services = {{service.name, 1}};
+        installation.routes.push_back(slow);
         installation.services[weights.name] = weights;
         return installation;
     }
@@ -107,6 +115,7 @@
     using entry = cj::gateway<test_platform>;
 
     static constexpr std::uint16_t default_port{21'731};
+    static constexpr std::uint16_t caller_port{21'739};
 
     /*! @brief Where the process finds its peers and the store. */
     struct options
@@ -146,7 +155,8 @@
                                                           counters, peers)
                                      .value());
                 cj::gateway_options ports;
-                ports.listen_address = address + ":0";
+                ports.listen_address =
+                    address + ":" + std::to_string(caller_port);
                 ports.readiness_address = address + ":0";
                 gateway = std::move(
                     entry::create(running.loop, *node, counters, ports)
@@ -175,6 +185,20 @@
         running.on_loop(work);
     }
 
+    /*! @brief Returns a connection of a caller. */
+    [[nodiscard]] std::unique_ptr<loopback::raw_connection> connect() const
+    {
+        return std::make_unique<loopback::raw_connection>(caller_port, address);
+    }
+
+    /*! @brief Begins a graceful shutdown. */
+    void stop()
+    {
+        running.on_loop([&] { gateway->stop([&] { stopped = true; }); });
+    }
+
+    [[nodiscard]] bool has_stopped() const { return stopped; }
+
     [[nodiscard]] std::uint64_t newest_version()
     {
         std::uint64_t version = 0;
@@ -307,6 +331,7 @@
     }
 
     std::string address;
+    std::atomic<bool> stopped{false};
     cj::metrics counters;
     loopback::running_loop running;
     std::unique_ptr<memory_store> store;
--- a/tests/proxy/gateway.cpp
+++ b/tests/proxy/gateway.cpp
@@ -309,3 +309,59 @@
     CHECK(entry.wait_for_key_removal(keys, cj::configuration_copy_key()));
     CHECK(entry.configuration_number() == 3);
 }
+
+namespace
+{
+
+std::string request_for(const std::string& path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n";
+}
+
+} // namespace
+
+SCENARIO("a request on a kept connection is answered late in a shutdown",
+         "[proxy]")
+{
+    proxy_test::store_content keys;
+    keys.write("configuration", "1");
+    entry_process entry(keys, 1);
+    REQUIRE(entry.wait_for_configuration(1));
+
+    SECTION("served if its time limit fits, else refused with 503")
+    {
+        const auto short_caller = entry.connect();
+        const auto long_caller = entry.connect();
+        short_caller->send(request_for("/first/"));
+        REQUIRE(short_caller->until("\r\n\r\n").starts_with("HTTP/1.1 404"));
+        entry.stop();
+        std::this_thread::sleep_for(3500ms);
+
+        short_caller->send(request_for("/second/"));
+        const auto answered = short_caller->drain();
+        CHECK(answered.rfind("HTTP/1.1 404") > 0);
+        CHECK(answered.find("Connection: close") != std::string::npos);
+
+        // Its time limit ends after the forced end.
+        long_caller->send(request_for("/slow/"));
+        const auto refused = long_caller->drain();
+        CHECK(refused.starts_with("HTTP/1.1 503"));
+        CHECK(refused.find("Retry-After") != std::string::npos);
+        CHECK(refused.find("Connection: close") != std::string::npos);
+    }
+    SECTION("a connection that stays idle is closed before the grace is over")
+    {
+        const auto idle = entry.connect();
+        entry.stop();
+        CHECK(idle->drain().empty());
+        CHECK_FALSE(idle->was_reset);
+        std::this_thread::sleep_for(200ms);
+        CHECK(entry.has_stopped());
+    }
+    SECTION("an entry without connections does not need the whole grace")
+    {
+        entry.stop();
+        std::this_thread::sleep_for(3500ms);
+        CHECK(entry.has_stopped());
+    }
+}
