Test: another caller's request may be refused for the engines that it ended itself

The check accepted any status but 422 and so could not tell the first caller's quarantine, which must not bind another caller, from the other caller's own.

Cause: the check. The other caller's copy ends an engine with each of its at most four attempts. The proof of an end travels beside the answer of the attempt. Where the fourth attempt has to wait for an engine (those left are full), three ends are proved by then, the copy's own content is quarantined and it is refused, as docs/OPERATIONS.md says. Forced: engines with one slot, three of six filled by other requests.

Ruled out in the forced order: the first caller's quarantine (the content that the entry's log names is the second one), ends counted twice (the listed ends are no more than the engines' own count), "not run" told of a copy that ran (write of the outcome looks at may_have_run).

The check is replaced by one that holds in any timing: the copy has ended one to four engines although the first content is still quarantined with the same ends, is told "unknown", no other content has more ends than it caused, and a 422 needs a second content, named in the log line of that refusal, with three ends at the ledger and at the engines. Before, a copy that reached no engine passed with any status but 422. New: the same in the forced order, and a test that copies which ended engines are never told as not run, whichever entry and status (a trial's copy always is such a 422).

--- a/tests/session/test_crashing_requests.py
+++ b/tests/session/test_crashing_requests.py
@@ -9,10 +9,14 @@
 SIDES = [f"side-{at}" for at in range(1, 7)]
 
 
-class CrashingRequests(LabCase):
+class CrashingCase(LabCase):
+    """Six engines behind two entries, and copies of a request that ends engines."""
+
+    engine_args = ()
+
     def setUp(self):
         super().setUp()
-        self.serving_model(SIDES, entries=("entry-1", "entry-2"))
+        self.serving_model(SIDES, self.engine_args, entries=("entry-1", "entry-2"))
 
     def crashes(self):
         return sum(self.lab.record(name)["crashed"] for name in SIDES)
@@ -21,11 +25,21 @@
         return Caller(self.lab.entries[entry], prompt=CRASHING, stream=stream,
                       headers={"Request-Id": f"copy-{number}", **(headers or {})}).end()
 
-    def quarantined(self, entry):
+    def suspects(self, entry):
         status, _, text = call("GET", self.lab.entries[entry].url + "/v1/quarantine", None,
                                {"Authorization": f"Bearer {TOKEN}"})
         self.assertEqual(status, 200, text)
-        return [one for one in json.loads(text) if one["standing"] == "quarantined"]
+        return json.loads(text)
+
+    def quarantined(self, entry):
+        return [one for one in self.suspects(entry) if one["standing"] == "quarantined"]
+
+    def turned_away(self, request):
+        """Contents of the copies of a request id that were refused for a quarantine."""
+        whole, _, _ = self.lab.log_text().rpartition("\n")
+        lines = [line for line in whole.splitlines()
+                 if "request_turned_away" in line and request in line]
+        return [json.loads(line)["context_map"]["content"] for line in lines]
 
     def quarantine(self):
         """Sends copies to both entries by turns until both refuse them for long."""
@@ -45,6 +59,34 @@
         wait_for("the trial has failed", tried)
         self.assertEqual(self.crashes(), before + 1)
 
+    def another_callers_copy(self):
+        """Sends what is quarantined for one caller as another caller; it may be refused
+        only for engines that it ended itself."""
+        [first] = self.quarantined("entry-1")
+        before = self.crashes()
+        other = self.copy("entry-1", "other", headers={"Organisation": "club"})
+        ended = self.crashes() - before
+        suspects = self.suspects("entry-1")
+        seen = f"{other.status} {other.text}, ended {ended}, {suspects}"
+        [still] = [one for one in suspects if one["content"] == first["content"]]
+        self.assertEqual(still["standing"], "quarantined", seen)
+        self.assertEqual(still["ends"], first["ends"], seen)
+        # It reached an engine, and ended no more than its attempts can.
+        self.assertGreaterEqual(ended, 1, seen)
+        self.assertLessEqual(ended, 4, seen)
+        self.assertEqual(other.json["outcome"], "unknown", seen)
+        others = [one for one in suspects if one["content"] != first["content"]]
+        for one in others:
+            self.assertLessEqual(one["ends"], ended, seen)
+        if other.status == 422:
+            [own] = others
+            away = wait_for("the log says why", lambda: self.turned_away("copy-other"))
+            self.assertEqual(away, [own["content"]], seen)
+            self.assertGreaterEqual(ended, 3, seen)
+            self.assertGreaterEqual(own["ends"], 3, seen)
+
+
+class CrashingRequests(CrashingCase):
     def test_few_engines_end_whichever_entry_is_asked(self):
         self.quarantine()
         before = self.crashes()
@@ -90,8 +132,27 @@
     def test_another_callers_same_request_is_its_own(self):
         self.quarantine()
         self.heard("entry-1", 1)
-        other = self.copy("entry-1", "other", headers={"Organisation": "club"})
-        self.assertNotEqual(other.status, 422)
+        self.another_callers_copy()
+
+    def test_a_copy_that_ended_an_engine_is_not_told_as_not_run(self):
+        told = []
+
+        def send(number):
+            before = self.crashes()
+            copy = self.copy(f"entry-{number % 2 + 1}", number)
+            ended = self.crashes() - before
+            told.append((copy.status, copy.json["outcome"], ended))
+            return copy.status, ended
+
+        for number in range(12):
+            send(number)
+        # The copy that runs as the trial ends an engine and is then refused.
+        numbers = iter(range(12, 100_000))
+        wait_for("the trial has run", lambda: send(next(numbers)) == (422, 1))
+        for status, outcome, ended in told:
+            self.assertEqual(outcome, "unknown" if ended else "not_run", told)
+        self.assertIn((422, "unknown", 1), told)
+        self.assertIn((422, "not_run", 0), told)
 
     def test_engines_killed_one_after_the_other_quarantine_nothing(self):
         # A test of the next kind failed once on a slow machine: the kills of three
@@ -123,5 +184,17 @@
         self.assertEqual(self.quarantined("entry-1") + self.quarantined("entry-2"), [])
 
 
+class CrashingRequestsAtFullEngines(CrashingCase):
+    engine_args = ("--slots", 1)
+
+    def test_another_callers_same_request_is_its_own(self):
+        # After three ends only full engines are left: its ends are proved while it waits.
+        self.quarantine()
+        self.heard("entry-1", len(SIDES))
+        for at in range(3):
+            Caller(self.lab.entries["entry-1"], tokens=4000, prompt=f"essay {at}").begun()
+        self.another_callers_copy()
+
+
 if __name__ == "__main__":
     unittest.main()
