Log what a crash is taken for under each request

The log told which upstream ended and how many requests were on it, but not which contents, nor as what evidence the end was booked. Whether a quarantine came from a trial, and what the trial had reached, had to be inferred from attempt_failed lines around it.

--- a/src/coursejunction/daemon/internal/crash_gossip.hpp
+++ b/src/coursejunction/daemon/internal/crash_gossip.hpp
@@ -58,6 +58,10 @@
     {
         for (const auto& report : reports)
         {
+            log::state(
+                "crash_evidence",
+                {{"content", report.content.hex()},
+                 {"evidence", std::string(evidence_name(report.evidence))}});
             if (ledger.record_crash(report.content, report.crash,
                                     report.evidence, now))
                 log_quarantine(report.content);
--- a/src/coursejunction/proxy/crash_guard.cpp
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -1,5 +1,6 @@
 #include "coursejunction/proxy/crash_guard.hpp"
 
+#include <string>
 #include <utility>
 
 #include "coursejunction/core/log.hpp"
@@ -8,6 +9,21 @@
 namespace coursejunction
 {
 
+namespace
+{
+
+/*! @brief Logs what an upstream's crash is taken for under one request: the
+ * crashes of a request tell whether it is harmful only together. */
+void log_evidence(const crash_report& report, const instance_id& upstream)
+{
+    log::state("crash_evidence",
+               {{"content", report.content.hex()},
+                {"upstream", upstream.value()},
+                {"evidence", std::string(evidence_name(report.evidence))}});
+}
+
+} // namespace
+
 crash_guard::crash_guard(stream_client& upstream_client,
                          metrics& metric_counters, quarantine_callback callback)
     : client(upstream_client), counters(metric_counters),
@@ -123,6 +139,7 @@
                   {"requests", std::to_string(reports.size())}});
     for (const auto& report : reports)
     {
+        log_evidence(report, upstream);
         if (!ledger.record_crash(report.content, report.crash, report.evidence,
                                  now))
             continue;
--- a/src/coursejunction/run/crash_evidence.hpp
+++ b/src/coursejunction/run/crash_evidence.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "coursejunction/core/digest.hpp"
 #include "coursejunction/core/types.hpp"
@@ -59,6 +60,21 @@
     return 6;
 }
 
+/*! @brief Returns the name of a state as it is logged. */
+[[nodiscard]] constexpr std::string_view evidence_name(crash_evidence evidence)
+{
+    switch (evidence)
+    {
+    case crash_evidence::mid_response:
+        return "mid_response";
+    case crash_evidence::before_response:
+        return "before_response";
+    case crash_evidence::trial:
+        break;
+    }
+    return "trial";
+}
+
 /*! @brief The crashes of upstreams that ran one request. */
 struct crash_history
 {
