A trial whose response had begun, or that shared its crash, proves little

Timeline there: eight engines end in 1.2 s, the popular content ad71 beside each; it is quarantined for 2 s (38.040). Its trial begins at engine-5-1 and has sent 9 events when, after 294 ms, a fault restarts that engine (40.167); the end is booked as a failed trial, 600 s. The harmful content 683b ended its own trial's engine before any event (40.883, after 52 ms).

Hypotheses: (1) the end of a trial's upstream is booked whatever the trial had reached: shown, the evidence was `trial` after 9 events. (2) The harmful content crashed that engine: ruled out there, its copy ran elsewhere 0.7 s later; in virtual time it happens, as both are tried after the same crash. (3) Copies run beside the trial: ruled out, one attempt is in the log.

Cause: one end during a trial was proof, however long the trial had run. Now a trial proves harm only if its upstream crashed before any part of the response and ended no other content's trial. Else it is doubtful: 4 s, and 600 s after a second one. The number of the new evidence is 3 on the wire and in the store: processes of the version before take it for a failed trial, as they did until now, and 2 keeps its meaning.

A harmful request that crashes mid-response costs one engine more before the ten minutes.

--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -334,10 +334,7 @@
                                      std::to_string(host.incarnation()));
         const auto crash =
             crash_id_of(process_id, incarnation(crash_count + 1));
-        const auto evidence = run.on_trial ? crash_evidence::trial
-                              : run.sent_parts > 0
-                                  ? crash_evidence::mid_response
-                                  : crash_evidence::before_response;
+        const auto evidence = evidence_of(run.on_trial, run.sent_parts > 0);
         if (!crash_tracker.add_lost_attempt({host.settings().instance,
                                              upstream.url(),
                                              {run.content, crash, evidence}},
--- a/src/coursejunction/run/crash_evidence.hpp
+++ b/src/coursejunction/run/crash_evidence.hpp
@@ -40,10 +40,26 @@
     mid_response,
     /*! @brief No part of its response had arrived. */
     before_response,
-    /*! @brief It ran as a trial: no other copy of it ran anywhere. */
+    /*! @brief It ran as a trial, but its response had begun. A long response
+     * is likely to meet an end that has another reason, such as a kill, so that
+     * one of these may be a coincidence. */
+    begun_trial,
+    /*! @brief It ran as a trial: no other copy of it ran anywhere, and no part
+     * of its response had arrived. */
     trial
 };
 
+/*! @brief Returns the state of a request when its upstream crashed. */
+[[nodiscard]] constexpr crash_evidence evidence_of(bool is_trial,
+                                                   bool response_begun)
+{
+    if (is_trial)
+        return response_begun ? crash_evidence::begun_trial
+                              : crash_evidence::trial;
+    return response_begun ? crash_evidence::mid_response
+                          : crash_evidence::before_response;
+}
+
 /*! @brief Returns the weight of one crash. Three crashes before any response,
  * or six during one, weigh as much as a crash during a trial. */
 [[nodiscard]] constexpr std::size_t evidence_weight(crash_evidence evidence)
@@ -53,6 +69,7 @@
     case crash_evidence::mid_response:
         return 1;
     case crash_evidence::before_response:
+    case crash_evidence::begun_trial:
         return 2;
     case crash_evidence::trial:
         break;
@@ -69,6 +86,8 @@
         return "mid_response";
     case crash_evidence::before_response:
         return "before_response";
+    case crash_evidence::begun_trial:
+        return "begun_trial";
     case crash_evidence::trial:
         break;
     }
@@ -106,15 +125,13 @@
         return sum;
     }
 
-    /*! @brief Returns whether a crash during a trial counts. */
-    [[nodiscard]] bool failed_trial() const
+    /*! @brief Returns how many crashes with the given evidence count. */
+    [[nodiscard]] std::size_t active_crashes(crash_evidence wanted) const
     {
+        std::size_t sum = 0;
         for (const auto& [crash, evidence] : crashes)
-        {
-            if (evidence == crash_evidence::trial && !cleared.contains(crash))
-                return true;
-        }
-        return false;
+            sum += evidence == wanted && !cleared.contains(crash) ? 1 : 0;
+        return sum;
     }
 };
 
--- a/src/coursejunction/run/crash_ledger.cpp
+++ b/src/coursejunction/run/crash_ledger.cpp
@@ -1,6 +1,7 @@
 #include "coursejunction/run/crash_ledger.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <utility>
 
@@ -27,12 +28,43 @@
  * bytes to each of 340 entries are 3 KB/s at each sender. */
 constexpr milliseconds turn_interval{10'000};
 
+/*! @brief Evidence as it is sent and stored, each at the place of its number.
+ * New evidence is added at the end: processes that do not know a number take it
+ * for a trial. */
+constexpr std::array sent_evidence{
+    crash_evidence::mid_response, crash_evidence::before_response,
+    crash_evidence::trial, crash_evidence::begun_trial};
+
+std::uint8_t encode_evidence(crash_evidence evidence)
+{
+    const auto found =
+        std::find(sent_evidence.begin(), sent_evidence.end(), evidence);
+    return static_cast<std::uint8_t>(found - sent_evidence.begin());
+}
+
 /*! @brief Decodes received evidence. Unknown values, which a later version of
  * this program may send, count as the strongest evidence known here. */
 crash_evidence decode_evidence(std::uint8_t received)
 {
-    constexpr auto strongest = static_cast<std::uint8_t>(crash_evidence::trial);
-    return static_cast<crash_evidence>(std::min(received, strongest));
+    return received < sent_evidence.size() ? sent_evidence[received]
+                                           : crash_evidence::trial;
+}
+
+/*! @brief Returns the evidence of a crash in a trial after a response of it:
+ * more than one copy may run then, so that it is that of an ordinary one. */
+crash_evidence without_trial(crash_evidence evidence)
+{
+    switch (evidence)
+    {
+    case crash_evidence::trial:
+        return crash_evidence::before_response;
+    case crash_evidence::begun_trial:
+        return crash_evidence::mid_response;
+    case crash_evidence::mid_response:
+    case crash_evidence::before_response:
+        break;
+    }
+    return evidence;
 }
 
 /*! @brief Makes room for a crash in a full record. Cleared crashes are dropped
@@ -47,7 +79,7 @@
     history.cleared.clear();
     if (history.crashes.size() < max_crashes)
         return true;
-    if (evidence != crash_evidence::trial)
+    if (evidence < crash_evidence::begun_trial)
         return false;
     const auto weakest =
         std::min_element(history.crashes.begin(), history.crashes.end(),
@@ -91,8 +123,7 @@
     message::crash_record record;
     record.content = content;
     for (const auto& [crash, evidence] : history.crashes)
-        record.crashes.push_back(
-            {crash.value(), static_cast<std::uint8_t>(evidence)});
+        record.crashes.push_back({crash.value(), encode_evidence(evidence)});
     for (const auto& crash : history.cleared)
         record.cleared.push_back(crash.value());
     const auto age =
@@ -115,9 +146,8 @@
     }
     auto& history = find_or_create(content, now);
     const bool was_quarantined = quarantined(history, now);
-    // After a response more than one copy of it may run.
-    if (evidence == crash_evidence::trial && history.responses_since_crash > 0)
-        evidence = crash_evidence::before_response;
+    if (history.responses_since_crash > 0)
+        evidence = without_trial(evidence);
     if (!insert(history, crash, evidence))
         return false;
     history.last_crash = now;
@@ -282,8 +312,36 @@
 milliseconds
 crash_ledger::quarantine_duration(const crash_history& history) const
 {
-    return history.failed_trial() ? limits.repeat_quarantine
-                                  : limits.first_quarantine;
+    std::size_t doubtful = history.active_crashes(crash_evidence::begun_trial);
+    for (const auto& [crash, evidence] : history.crashes)
+    {
+        if (evidence != crash_evidence::trial ||
+            history.cleared.contains(crash))
+            continue;
+        if (!shared_with_trial(history, crash))
+            return limits.repeat_quarantine;
+        ++doubtful;
+    }
+    if (doubtful >= limits.doubtful_trials)
+        return limits.repeat_quarantine;
+    return doubtful > 0 ? limits.second_quarantine : limits.first_quarantine;
+}
+
+/*! @brief Returns whether a crash also counts as that of another request's
+ * trial. */
+bool crash_ledger::shared_with_trial(const crash_history& history,
+                                     const crash_id& crash) const
+{
+    return std::any_of(records.begin(), records.end(),
+                       [&](const auto& item)
+                       {
+                           const auto& other = item.second;
+                           const auto found = other.crashes.find(crash);
+                           return &other != &history &&
+                                  found != other.crashes.end() &&
+                                  found->second == crash_evidence::trial &&
+                                  !other.cleared.contains(crash);
+                       });
 }
 
 /*! @brief Clears a record whose crashes are outweighed by responses.
--- a/src/coursejunction/run/crash_ledger.hpp
+++ b/src/coursejunction/run/crash_ledger.hpp
@@ -49,6 +49,13 @@
      * (629 to 898 times in 35 s of a soak test). Reports of crashes reach all
      * entries within 0.4 s, and upstreams restart within some seconds. */
     milliseconds first_quarantine{2'000};
+    /*! @brief Duration of a quarantine after a doubtful trial, see
+     * `crash_ledger`. It is longer than the first one because what crashes
+     * upstreams for another reason may go on, and short because the request may
+     * be harmless and popular. */
+    milliseconds second_quarantine{4'000};
+    /*! @brief Doubtful trials that weigh as much as a failed one. */
+    std::size_t doubtful_trials{2};
     /*! @brief Duration of a quarantine after a failed trial: a request that
      * always crashes its upstream costs one upstream every ten minutes. */
     milliseconds repeat_quarantine{600'000};
@@ -70,7 +77,11 @@
     std::size_t max_records{2048};
 };
 
-/*! @brief The crash records of one entry. */
+/*! @brief The crash records of one entry.
+ *
+ * A trial has failed if its upstream crashed before any response to it. It is
+ * doubtful if its response had begun, or if the same crash ended a trial of
+ * another request: the crash may have another reason then. */
 class crash_ledger
 {
 public:
@@ -155,6 +166,8 @@
     [[nodiscard]] bool blocked(const crash_history& history) const;
     [[nodiscard]] bool quarantined(const crash_history& history,
                                    time_point now) const;
+    [[nodiscard]] bool shared_with_trial(const crash_history& history,
+                                         const crash_id& crash) const;
     [[nodiscard]] milliseconds
     quarantine_duration(const crash_history& history) const;
     bool clear_if_bystander(const request_content& content,
--- a/tests/run/crash_ledger.cpp
+++ b/tests/run/crash_ledger.cpp
@@ -15,6 +15,7 @@
 
 constexpr auto mid_response = crash_evidence::mid_response;
 constexpr auto before_response = crash_evidence::before_response;
+constexpr auto begun_trial = crash_evidence::begun_trial;
 constexpr auto trial = crash_evidence::trial;
 
 request_content content(int number)
@@ -83,6 +84,90 @@
             CHECK(ledger.record_crash(bad, crash_of_engine(5), trial, now));
             CHECK(ledger.status(bad, now + 599s) == crash_status::quarantined);
         }
+        SECTION("a crash in a trial whose response had begun may have another "
+                "reason: it is tried again after seconds, and a second one "
+                "quarantines it for ten minutes")
+        {
+            now += 2s;
+            CHECK(
+                ledger.record_crash(bad, crash_of_engine(4), begun_trial, now));
+            CHECK(ledger.quarantine_left(bad, now) == 4s);
+            now += 4s;
+            CHECK(ledger.status(bad, now) == crash_status::on_trial);
+            CHECK(
+                ledger.record_crash(bad, crash_of_engine(5), begun_trial, now));
+            CHECK(ledger.quarantine_left(bad, now) == 600s);
+            now += 600s;
+            CHECK(
+                ledger.record_crash(bad, crash_of_engine(6), begun_trial, now));
+            CHECK(ledger.quarantine_left(bad, now) == 600s);
+        }
+        SECTION("a trial that fails before its response does so at once, also "
+                "after one that had begun")
+        {
+            now += 2s;
+            ledger.record_crash(bad, crash_of_engine(4), begun_trial, now);
+            now += 4s;
+            ledger.record_crash(bad, crash_of_engine(5), trial, now);
+            CHECK(ledger.quarantine_left(bad, now) == 600s);
+        }
+        SECTION("a crash that ended the trials of two requests is proof "
+                "against neither, until one of them is cleared")
+        {
+            const auto other = content(2);
+            for (int at = 1; at <= 3; ++at)
+                ledger.record_crash(other, crash_of_engine(at), before_response,
+                                    now);
+            now += 2s;
+            ledger.record_crash(bad, crash_of_engine(4), trial, now);
+            ledger.record_crash(other, crash_of_engine(4), trial, now);
+            CHECK(ledger.quarantine_left(bad, now) == 4s);
+            CHECK(ledger.quarantine_left(other, now) == 4s);
+            now += 4s;
+            for (int at = 0; at < 3; ++at)
+                ledger.record_response(other, now);
+            CHECK(ledger.status(other, now) == crash_status::clear);
+            CHECK(ledger.quarantine_left(bad, now) == 596s);
+        }
+        SECTION("a crash in a trial is proof beside a request that only ran")
+        {
+            now += 2s;
+            ledger.record_crash(content(2), crash_of_engine(4), before_response,
+                                now);
+            ledger.record_crash(bad, crash_of_engine(4), trial, now);
+            CHECK(ledger.quarantine_left(bad, now) == 600s);
+        }
+        SECTION("three responses clear it after a trial that had begun")
+        {
+            now += 2s;
+            ledger.record_crash(bad, crash_of_engine(4), begun_trial, now);
+            now += 4s;
+            for (int at = 0; at < 3; ++at)
+                ledger.record_response(bad, now);
+            CHECK(ledger.status(bad, now) == crash_status::clear);
+        }
+        SECTION("all ledgers agree on a trial that had begun, and earlier "
+                "versions take it for a failed one")
+        {
+            now += 2s;
+            ledger.record_crash(bad, crash_of_engine(4), begun_trial, now);
+            crash_ledger other;
+            report_all(ledger, other, now);
+            CHECK(other.quarantine_left(bad, now) == 4s);
+            // These know the numbers up to 2, a failed trial.
+            const auto sent = ledger.record(bad, now).crashes;
+            CHECK(std::count_if(sent.begin(), sent.end(),
+                                [](const auto& one)
+                                { return one.evidence == 3; }) == 1);
+        }
+        SECTION("a failed trial that an earlier version reports counts as one")
+        {
+            message::crash_record received;
+            received.content = bad;
+            received.crashes.push_back({crash_of_engine(4).value(), 2});
+            ledger.merge(received, now + 2s);
+            CHECK(ledger.quarantine_left(bad, now + 2s) == 600s);
+        }
         SECTION("a failed trial after many crashes quarantines it for as long")
         {
             now += 2s;
@@ -286,6 +371,16 @@
         ledger.record_crash(repeated, crash_of_engine(4), trial, now);
         CHECK(ledger.quarantine_left(repeated, now) == 2s);
     }
+    SECTION("so does one after a part of the second response")
+    {
+        for (int at = 1; at <= 3; ++at)
+            ledger.record_crash(repeated, crash_of_engine(at), before_response,
+                                now);
+        now += 2s;
+        respond(1);
+        ledger.record_crash(repeated, crash_of_engine(4), begun_trial, now);
+        CHECK(ledger.quarantine_left(repeated, now) == 2s);
+    }
     SECTION(
         "one that crashes every third upstream is quarantined, and a failed "
         "trial quarantines it for ten minutes")
--- a/tests/run/crash_simulation.cpp
+++ b/tests/run/crash_simulation.cpp
@@ -83,6 +83,15 @@
         config.crash_probability = 0.34;
         CHECK(worst(config, 5).crashed_late <= max_late_crashes);
     }
+    SECTION("one that crashes engines after its response has begun crashes at "
+            "most three late")
+    {
+        config.crash_time = 400ms;
+        config.duration = 60'000ms;
+        const auto result = worst(config, 5);
+        CHECK(result.crashed <= 12);
+        CHECK(result.crashed_late <= max_late_crashes);
+    }
     SECTION("with 30 % of the datagrams lost at most six engines crash")
     {
         config.datagram_loss = 0.3;
@@ -123,6 +132,42 @@
     }
 }
 
+TEST_CASE("an engine is killed that runs the trial of a popular request",
+          "[run]")
+{
+    // All engines are killed one after the other first, with the popular
+    // request on each of them.
+    scenario config;
+    config.popular_callers = 60;
+    config.killed_fraction = 1;
+    config.kill_duration = 1200ms;
+    config.killed_trials = 1;
+    config.duration = 16'000ms;
+
+    SECTION("it is served again within seconds")
+    {
+        for (config.seed = 1; config.seed <= 10; ++config.seed)
+        {
+            const auto result = simulation(config).run();
+            CAPTURE(config.seed, result.popular_answered);
+            CHECK(result.killed_trials == 1);
+            CHECK(result.popular_refused <= result.popular_answered / 10);
+        }
+    }
+    SECTION("it is served again within seconds beside a harmful request")
+    {
+        config.copy_interval = 300ms;
+        for (config.seed = 1; config.seed <= 10; ++config.seed)
+        {
+            const auto result = simulation(config).run();
+            CAPTURE(config.seed, result.popular_answered);
+            CHECK(result.killed_trials == 1);
+            CHECK(result.crashed_late <= max_late_crashes);
+            CHECK(result.popular_refused <= result.popular_answered / 10);
+        }
+    }
+}
+
 TEST_CASE("a request that crashes engines among 53 entries", "[run]")
 {
     scenario config;
--- a/tests/run/crash_simulation.hpp
+++ b/tests/run/crash_simulation.hpp
@@ -45,6 +45,13 @@
     double crash_probability{1};     /*!< Of a run of a harmful request. */
     double killed_fraction{0};       /*!< Of the engines, for other reasons. */
     milliseconds kill_duration{0};   /*!< From the first to the last of them. */
+    /*! @brief From the start of a harmful attempt until its engine crashes. */
+    milliseconds crash_time{70};
+    /*! @brief Callers that ask for one innocent content again and again. */
+    std::size_t popular_callers{0};
+    /*! @brief Trials of that content whose engine is killed. */
+    std::size_t killed_trials{0};
+    milliseconds trial_kill_time{500}; /*!< From the start of such a trial. */
     milliseconds resend_delay{25}; /*!< Before a lost request is sent again. */
     milliseconds duration{12'000};
     std::uint32_t seed{1};
@@ -61,8 +68,11 @@
     std::size_t blocked_innocent{0}; /*!< Innocent contents, at any entry. */
     std::size_t requests{0};         /*!< Innocent requests that were sent. */
     std::size_t answered{0};         /*!< Innocent requests. */
-    std::size_t refused{0};     /*!< Innocent requests, because of a ledger. */
-    double bytes_per_second{0}; /*!< Of records, sent by one entry. */
+    std::size_t refused{0}; /*!< Innocent requests, because of a ledger. */
+    std::size_t killed_trials{0};    /*!< Of the popular content. */
+    std::size_t popular_answered{0}; /*!< In the last 4 s. */
+    std::size_t popular_refused{0};  /*!< In the last 4 s. */
+    double bytes_per_second{0};      /*!< Of records, sent by one entry. */
 };
 
 /*! @brief One run of a scenario. */
@@ -83,6 +93,8 @@
             schedule(random_duration(0ms, heartbeat_interval),
                      [this, at] { send_heartbeat(at); });
         send_innocent();
+        for (std::size_t at = 0; at < config.popular_callers; ++at)
+            schedule(random_duration(0ms, run_time), [this] { ask_popular(); });
         for (std::size_t which = 0; which < config.harmful_contents; ++which)
         {
             if (config.copy_interval > 0ms)
@@ -110,8 +122,9 @@
     /*! @brief From the start of an attempt until its response begins. */
     static constexpr milliseconds first_event_time{250};
     static constexpr milliseconds run_time{900};
-    /*! @brief From the start of a harmful attempt until its engine crashes. */
-    static constexpr milliseconds crash_time{70};
+    /*! @brief Before the end of the run; the popular content's requests then
+     * are counted. */
+    static constexpr milliseconds calm_time{4000};
     static constexpr time_point start{100s};
 
     struct attempt
@@ -196,6 +209,23 @@
                      }});
     }
 
+    static request_content popular_content()
+    {
+        return request_content::of("school", "/", "popular");
+    }
+
+    void ask_popular() { request(popular_content(), -1, 0); }
+
+    /*! @brief A caller of the popular content asks again after each result. */
+    void ask_popular_again(const attempt& done, bool answered)
+    {
+        if (done.content != popular_content())
+            return;
+        if (now >= start + config.duration - calm_time)
+            ++(answered ? counters.popular_answered : counters.popular_refused);
+        schedule(answered ? 100ms : 300ms, [this] { ask_popular(); });
+    }
+
     void send_copies(std::size_t which)
     {
         const auto content =
@@ -221,6 +251,8 @@
     /*! @brief Fails a request; its caller retries once. */
     void fail(const attempt_pointer& one)
     {
+        if (one->content == popular_content())
+            return ask_popular_again(*one, false);
         if (one->harmful_index < 0 && one->client_retries == 0)
             schedule(300ms, [this, one] { request(one->content, -1, 1); });
     }
@@ -301,7 +333,8 @@
         ++entries[one->entry].in_flight[one->content];
         const bool crashes =
             one->harmful_index >= 0 && random_bool(config.crash_probability);
-        schedule(crashes ? crash_time : run_time,
+        kill_trial(*one);
+        schedule(crashes ? config.crash_time : run_time,
                  [this, one, crashes]
                  {
                      auto& engine = engines[one->engine];
@@ -315,8 +348,25 @@
                  });
     }
 
+    /*! @brief Plans to kill the engine of a trial of the popular content. */
+    void kill_trial(const attempt& one)
+    {
+        if (!one.trial || one.content != popular_content() ||
+            counters.killed_trials >= config.killed_trials)
+            return;
+        ++counters.killed_trials;
+        schedule(config.trial_kill_time,
+                 [this, at = one.engine, life = one.incarnation_number]
+                 {
+                     if (engines[at].is_up &&
+                         engines[at].incarnation_number == life)
+                         crash(at);
+                 });
+    }
+
     void finish(const attempt_pointer& one)
     {
+        ask_popular_again(*one, true);
         std::erase(engines[one->engine].running, one);
         remove_in_flight(*one);
         counters.answered += one->harmful_index < 0 ? 1 : 0;
@@ -373,10 +423,8 @@
         remove_in_flight(*one);
         auto& entry = entries[one->entry];
         const instance_id engine(std::to_string(one->engine));
-        const auto evidence = one->trial ? crash_evidence::trial
-                              : now - one->started_at >= first_event_time
-                                  ? crash_evidence::mid_response
-                                  : crash_evidence::before_response;
+        const auto evidence =
+            evidence_of(one->trial, now - one->started_at >= first_event_time);
         const auto crash =
             crash_id_of(engine, incarnation(one->incarnation_number));
         if (entry.tracker.add_lost_attempt(
