A trial is run by another entry where nobody asks the one that should

What callers saw: the same as with a trial that had failed.

Timeline (seconds of the clock): at 16.4 eight engines have ended, the popular content ad71 is quarantined for 2 s at entries 0 and 1, at 18.2 at entry 2, which stood still. Entries 0 and 1 start again at 18 and 20 s. From 19 s to the end of the run (77 s later) entry 2 turns away some 120 copies a second and runs none; entries 0 and 1 are asked for the harmful content only.

Hypotheses: (1) a failed trial: ruled out, no crash_evidence of a trial of ad71 in the log. (2) The entry that runs the trials, one for all by rendezvous, gets no copy: shown. Callers keep their connection to the entry that answers, also with 503, and all of them were at entry 2.

Cause: liveness of a trial hung on one entry that callers need not reach. Now the entries have an order; the first may try at once, the second after 5 s, two more after 10 s, and twice as many each 5 s (340 entries: 45 s). That is longer than the proof of a crash takes (4 s), so that the entries know of a trial that has failed. Turns count from when a process learnt of the last crash, so that a restart of all lets only one begin at once. Both interfaces had it; both are changed.

A fixture in tests/proxy/crash_guard.cpp passes a rank (0 or 1) where it passed a bool; its checks are as they were. What remains: a trial that runs for longer than 5 s without an end may get company at other entries that are asked for it.

--- a/src/coursejunction/daemon/internal/crash_gossip.hpp
+++ b/src/coursejunction/daemon/internal/crash_gossip.hpp
@@ -42,6 +42,14 @@
         return ledger.status(content, now);
     }
 
+    /*! @brief Returns whether a process may run the trial of a request.
+     * @param rank Place of this process in an order that all agree on. */
+    [[nodiscard]] bool may_run_trial(const request_content& content,
+                                     std::size_t rank, time_point now) const
+    {
+        return ledger.may_run_trial(content, rank, now);
+    }
+
     /*! @brief Returns how many copies of a request may run at the same time.
      * @param owns_trials Whether this process runs the trials of the request.
      */
--- a/src/coursejunction/daemon/request_service.cpp
+++ b/src/coursejunction/daemon/request_service.cpp
@@ -159,7 +159,10 @@
             return false;
         const bool on_trial = status == crash_status::on_trial;
         const auto max_running = host.crashes().max_running(
-            request->content, on_trial && is_trial_owner(request->content),
+            request->content,
+            on_trial &&
+                host.crashes().may_run_trial(
+                    request->content, trial_rank(request->content), now()),
             now());
         // A trial is a single attempt whose failure may already be its result:
         // a request on trial that may have run is not sent again.
@@ -176,10 +179,9 @@
         return true;
     }
 
-    /*! @brief Returns whether this entry runs the trials of a request.
-     * Rendezvous hashing over the usable entries lets all of them agree on one.
-     */
-    [[nodiscard]] bool is_trial_owner(const request_content& content) const
+    /*! @brief Returns the place of this entry among those that run the trials
+     * of a request: the usable ones by rendezvous hashing. */
+    [[nodiscard]] std::size_t trial_rank(const request_content& content) const
     {
         const auto& members = host.members();
         std::vector<instance_id> entries;
@@ -188,8 +190,11 @@
             if (member.kind == role::entry && members.usable(id, now()))
                 entries.push_back(id);
         }
-        const auto ranked = rendezvous_rank(content.hex(), entries, 1);
-        return !ranked.empty() && ranked.front() == host.settings().instance;
+        const auto ranked =
+            rendezvous_rank(content.hex(), entries, entries.size());
+        const auto own =
+            std::find(ranked.begin(), ranked.end(), host.settings().instance);
+        return static_cast<std::size_t>(own - ranked.begin());
     }
 
     [[nodiscard]] std::size_t running_copies(const live_request& request) const
--- a/src/coursejunction/proxy/crash_guard.cpp
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -41,9 +41,9 @@
     persist_record = std::move(callback);
 }
 
-void crash_guard::set_trial_owner(trial_owner predicate)
+void crash_guard::set_trial_rank(trial_rank callback)
 {
-    owns_trials = std::move(predicate);
+    rank_for_trials = std::move(callback);
 }
 
 crash_status crash_guard::status(const request_content& content,
@@ -55,10 +55,10 @@
 std::size_t crash_guard::max_running(const request_content& content,
                                      time_point now) const
 {
-    const bool owns_trial =
+    const bool runs_trial =
         ledger.status(content, now) == crash_status::on_trial &&
-        runs_trials(content);
-    return ledger.max_running(content, owns_trial, now);
+        ledger.may_run_trial(content, own_trial_rank(content), now);
+    return ledger.max_running(content, runs_trial, now);
 }
 
 bool crash_guard::has_unexplained_loss(const request_content& content,
@@ -166,7 +166,7 @@
         if (!ledger.merge(record, now))
             continue;
         begin_quarantine(record.content, "reported by " + from);
-        if (runs_trials(record.content))
+        if (own_trial_rank(record.content) == 0)
             persist(record.content);
     }
 }
@@ -177,9 +177,9 @@
         begin_quarantine(stored.content, "restored from the store");
 }
 
-bool crash_guard::runs_trials(const request_content& content) const
+std::size_t crash_guard::own_trial_rank(const request_content& content) const
 {
-    return !owns_trials || owns_trials(content);
+    return rank_for_trials ? rank_for_trials(content) : 0;
 }
 
 std::vector<message::crash_record> crash_guard::collect_updates()
--- a/src/coursejunction/proxy/crash_guard.hpp
+++ b/src/coursejunction/proxy/crash_guard.hpp
@@ -34,9 +34,9 @@
      * receive immediately. */
     using change_callback = std::function<void()>;
 
-    /*! @brief Returns whether this entry runs the trials of a request; all
-     * entries agree on one. */
-    using trial_owner = std::function<bool(const request_content&)>;
+    /*! @brief Returns the place of this entry among those that run the trials
+     * of a request; all entries agree on the order. */
+    using trial_rank = std::function<std::size_t(const request_content&)>;
 
     /*! @brief Called with a crash record to persist, or with null when a
      * quarantine was lifted or disproved and its stored record must be removed.
@@ -56,7 +56,7 @@
 
     /*! @brief Sets who runs the trials. Without it, this entry runs all of
      * them. */
-    void set_trial_owner(trial_owner predicate);
+    void set_trial_rank(trial_rank callback);
 
     [[nodiscard]] crash_status status(const request_content& content,
                                       time_point now) const;
@@ -134,7 +134,8 @@
                       const instance_id& upstream, const std::string& reason);
     void begin_quarantine(const request_content& content,
                           const std::string& reason);
-    [[nodiscard]] bool runs_trials(const request_content& content) const;
+    [[nodiscard]] std::size_t
+    own_trial_rank(const request_content& content) const;
     void persist(const request_content& content);
     void end_quarantine(const request_content& content,
                         const std::string& event);
@@ -144,7 +145,7 @@
     quarantine_callback notify_quarantined;
     change_callback notify_records_changed;
     persist_callback persist_record;
-    trial_owner owns_trials;
+    trial_rank rank_for_trials;
     crash_ledger ledger;
     lost_attempt_tracker tracker;
 };
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -5,9 +5,11 @@
 #ifndef COURSEJUNCTION_PROXY_GATEWAY_HPP
 #define COURSEJUNCTION_PROXY_GATEWAY_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <utility>
@@ -105,9 +107,9 @@
             [this](const request_content& content,
                    const message::crash_record* record)
             { persist_quarantine(content, record); });
-        exchanges.crashes().set_trial_owner(
+        exchanges.crashes().set_trial_rank(
             [this](const request_content& content)
-            { return owns_trials(content); });
+            { return trial_rank(content); });
         node.start(std::move(hooks));
         tick_timer = loop.every(tick_interval, [this] { tick(); });
     }
@@ -461,21 +463,25 @@
         return messages;
     }
 
-    /*! @brief Returns whether this entry runs the trials of a request. All
-     * entries choose the same live one by rendezvous hashing. */
-    [[nodiscard]] bool owns_trials(const request_content& content) const
+    /*! @brief Returns the place of this entry among those that run the trials
+     * of a request: all live ones rank each other by rendezvous hashing. */
+    [[nodiscard]] std::size_t trial_rank(const request_content& content) const
     {
+        if (stopping)
+            return std::numeric_limits<std::size_t>::max();
         const auto now = event_loop::now();
         const auto key = content.hex();
         const auto own = rendezvous_weight(key, node.settings().address);
-        for (const auto& [address, peer] : node.peers().all())
-        {
-            if (peer.entry && !peer.last_heartbeat.leaving &&
-                peer_directory::alive(peer, now) &&
-                rendezvous_weight(key, address) > own)
-                return false;
-        }
-        return !stopping;
+        const auto& peers = node.peers().all();
+        return static_cast<std::size_t>(std::count_if(
+            peers.begin(), peers.end(),
+            [&](const auto& item)
+            {
+                const auto& [address, peer] = item;
+                return peer.entry && !peer.last_heartbeat.leaving &&
+                       peer_directory::alive(peer, now) &&
+                       rendezvous_weight(key, address) > own;
+            }));
     }
 
     /*! @brief Adds this entry's request rates to a heartbeat, and the versions
--- a/src/coursejunction/run/crash_evidence.hpp
+++ b/src/coursejunction/run/crash_evidence.hpp
@@ -100,6 +100,7 @@
     std::map<crash_id, crash_evidence> crashes;
     std::set<crash_id> cleared; /*!< Those that no longer count. */
     time_point last_crash{};    /*!< When the last one happened. */
+    time_point learnt_at{};     /*!< When a crash was last added here. */
     /*! @brief Number of the record's last change to report, counted over all
      * records of the ledger; 0: none. */
     std::uint64_t change_number{0};
--- a/src/coursejunction/run/crash_ledger.cpp
+++ b/src/coursejunction/run/crash_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <limits>
 #include <utility>
 
@@ -151,6 +152,7 @@
     if (!insert(history, crash, evidence))
         return false;
     history.last_crash = now;
+    history.learnt_at = now;
     note_change(history, now);
     return !was_quarantined && quarantined(history, now);
 }
@@ -194,6 +196,17 @@
                                            : crash_status::on_trial;
 }
 
+bool crash_ledger::may_run_trial(const request_content& content,
+                                 std::size_t rank, time_point now) const
+{
+    if (status(content, now) != crash_status::on_trial)
+        return false;
+    const auto& history = records.at(content);
+    const auto begun = std::max(
+        history.last_crash + quarantine_duration(history), history.learnt_at);
+    return now - begun >= limits.trial_turn * std::bit_width(rank);
+}
+
 std::size_t crash_ledger::max_running(const request_content& content,
                                       bool runs_trials, time_point now) const
 {
@@ -243,6 +256,8 @@
         history.last_crash = crashed_at;
         changed = true;
     }
+    if (changed)
+        history.learnt_at = now;
     if (changed && limits.relays_records)
         note_change(history, now);
     if (clear_if_bystander(received.content, history, now))
--- a/src/coursejunction/run/crash_ledger.hpp
+++ b/src/coursejunction/run/crash_ledger.hpp
@@ -59,6 +59,10 @@
     /*! @brief Duration of a quarantine after a failed trial: a request that
      * always crashes its upstream costs one upstream every ten minutes. */
     milliseconds repeat_quarantine{600'000};
+    /*! @brief How long a request stays untried before further entries may run
+     * its trial too. It is longer than `max_proof_delay`, so that these know of
+     * a trial that has failed. */
+    milliseconds trial_turn{5'000};
     /*! @brief Consecutive responses that pass a trial. A request that crashes
      * every third upstream passes with a probability of 0.3. */
     std::size_t trial_responses{3};
@@ -110,10 +114,20 @@
     [[nodiscard]] crash_status status(const request_content& content,
                                       time_point now) const;
 
+    /*! @brief Returns whether an entry may run the trial of a request. The
+     * first one by rank may at once. All callers may ask others, so that the
+     * second one may after one turn, two more after the next, and then twice as
+     * many each time. Turns are counted from when this process knew of the last
+     * crash, as all processes may have been down meanwhile.
+     * @param rank Place of this entry in an order that all entries agree on. */
+    [[nodiscard]] bool may_run_trial(const request_content& content,
+                                     std::size_t rank, time_point now) const;
+
     /*! @brief Returns how many copies of a request this entry may run at the
      * same time. Each response allows one more, so that a bystander is soon
      * served as before.
-     * @param runs_trials Whether this entry runs the trials of the request. */
+     * @param runs_trials Whether this entry may run the trial of the request.
+     */
     [[nodiscard]] std::size_t max_running(const request_content& content,
                                           bool runs_trials,
                                           time_point now) const;
--- a/tests/proxy/crash_guard.cpp
+++ b/tests/proxy/crash_guard.cpp
@@ -26,8 +26,8 @@
                     *client, counters,
                     [this](const request_content& content)
                     { quarantined.push_back(content); });
-                guard->set_trial_owner([runs_trials](const auto&)
-                                       { return runs_trials; });
+                guard->set_trial_rank([runs_trials](const auto&) -> std::size_t
+                                      { return runs_trials ? 0 : 1; });
                 guard->on_persist(
                     [this](const request_content&,
                            const message::crash_record* record)
--- a/tests/run/crash_ledger.cpp
+++ b/tests/run/crash_ledger.cpp
@@ -74,6 +74,33 @@
             CHECK(ledger.max_running(bad, true, now) == 1);
             CHECK(ledger.max_running(bad, false, now) == 0);
         }
+        SECTION("where nobody asks that entry, further entries may run it, "
+                "more with each turn")
+        {
+            now += 2s;
+            CHECK(ledger.may_run_trial(bad, 0, now));
+            CHECK_FALSE(ledger.may_run_trial(bad, 1, now + 4'999ms));
+            CHECK(ledger.may_run_trial(bad, 1, now + 5s));
+            CHECK_FALSE(ledger.may_run_trial(bad, 2, now + 9'999ms));
+            CHECK(ledger.may_run_trial(bad, 3, now + 10s));
+            CHECK_FALSE(ledger.may_run_trial(bad, 4, now + 10s));
+            CHECK(ledger.may_run_trial(bad, 339, now + 45s));
+
+            SECTION("until a trial has failed")
+            {
+                ledger.record_crash(bad, crash_of_engine(4), trial, now + 5s);
+                CHECK_FALSE(ledger.may_run_trial(bad, 0, now + 60s));
+            }
+            SECTION("but not at once where a process has just learnt of it")
+            {
+                now += 60s;
+                crash_ledger fresh;
+                report_all(ledger, fresh, now);
+                CHECK(fresh.may_run_trial(bad, 0, now));
+                CHECK_FALSE(fresh.may_run_trial(bad, 1, now + 4'999ms));
+                CHECK(fresh.may_run_trial(bad, 1, now + 5s));
+            }
+        }
         SECTION("a crash in a trial quarantines it for ten minutes")
         {
             now += 2s;
--- a/tests/run/crash_simulation.cpp
+++ b/tests/run/crash_simulation.cpp
@@ -168,6 +168,33 @@
     }
 }
 
+TEST_CASE("all callers of a popular request ask an entry that does not run its "
+          "trials",
+          "[run]")
+{
+    scenario config;
+    config.popular_callers = 60;
+    config.popular_at_one_entry = true;
+    config.killed_fraction = 1;
+    config.kill_duration = 1200ms;
+    config.copy_interval = 300ms;
+    config.duration = 30'000ms;
+
+    SECTION("it is served again within seconds, and the harmful one is not")
+    {
+        for (config.popular_entry_rank = 0; config.popular_entry_rank < 5;
+             ++config.popular_entry_rank)
+        {
+            config.seed = 1 + config.popular_entry_rank;
+            const auto result = simulation(config).run();
+            CAPTURE(config.popular_entry_rank, result.popular_answered);
+            CHECK(result.crashed_late <= max_late_crashes);
+            CHECK(result.popular_answered > 0);
+            CHECK(result.popular_refused <= result.popular_answered / 10);
+        }
+    }
+}
+
 TEST_CASE("a request that crashes engines among 53 entries", "[run]")
 {
     scenario config;
--- a/tests/run/crash_simulation.hpp
+++ b/tests/run/crash_simulation.hpp
@@ -49,6 +49,10 @@
     milliseconds crash_time{70};
     /*! @brief Callers that ask for one innocent content again and again. */
     std::size_t popular_callers{0};
+    /*! @brief Whether all of them ask one entry, and its place among those that
+     * run the trials of that content. */
+    bool popular_at_one_entry{false};
+    std::size_t popular_entry_rank{0};
     /*! @brief Trials of that content whose engine is killed. */
     std::size_t killed_trials{0};
     milliseconds trial_kill_time{500}; /*!< From the start of such a trial. */
@@ -241,6 +245,8 @@
         auto one = std::make_shared<attempt>();
         one->content = content;
         one->entry = random_index(entries.size());
+        if (config.popular_at_one_entry && content == popular_content())
+            one->entry = popular_entry();
         one->harmful_index = harmful_index;
         one->client_retries = client_retries;
         if (harmful_index < 0 && client_retries == 0)
@@ -265,7 +271,10 @@
         const auto status = entry.ledger.status(one->content, now);
         const bool trial = status == crash_status::on_trial;
         const auto limit = entry.ledger.max_running(
-            one->content, trial && trial_owner(one->content) == one->entry,
+            one->content,
+            trial &&
+                entry.ledger.may_run_trial(
+                    one->content, trial_rank(one->content, one->entry), now),
             now);
         if (limit == 0 || (trial && one->resends > 0))
         {
@@ -278,21 +287,25 @@
         send(one);
     }
 
-    std::size_t trial_owner(const request_content& content) const
+    std::size_t trial_rank(const request_content& content,
+                           std::size_t entry) const
     {
-        std::size_t best = 0;
-        std::uint64_t max_weight = 0;
+        const auto weight_of = [&](std::size_t at)
+        { return rendezvous_weight(content.hex(), std::to_string(at)); };
+        std::size_t rank = 0;
         for (std::size_t at = 0; at < entries.size(); ++at)
-        {
-            const auto weight =
-                rendezvous_weight(content.hex(), std::to_string(at));
-            if (weight >= max_weight)
-            {
-                max_weight = weight;
-                best = at;
-            }
-        }
-        return best;
+            rank += weight_of(at) > weight_of(entry) ? 1 : 0;
+        return rank;
+    }
+
+    /*! @brief Returns the entry of a rank among those that run the trials of
+     * the popular content. */
+    std::size_t popular_entry() const
+    {
+        std::size_t at = 0;
+        while (trial_rank(popular_content(), at) != config.popular_entry_rank)
+            ++at;
+        return at;
     }
 
     void send(const attempt_pointer& one)
