Entries book the end of a trial whose response had begun as doubtful

It now takes its evidence from evidence_of(), like the sidecar of the own interface.

Evidence: the new section of tests/proxy/crashing_request fails without this line (1 of 59 assertions) and passes with it.

Not mended: an end before the first part of a trial's response still counts as proof, as it did before.

--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -88,10 +88,7 @@
 lost_attempt_of(const exchange& request, const upstream_attempt& attempt,
                 const incarnation& known_incarnation, loss_cause cause)
 {
-    const auto evidence = request.is_trial ? crash_evidence::trial
-                          : attempt.has_events
-                              ? crash_evidence::mid_response
-                              : crash_evidence::before_response;
+    const auto evidence = evidence_of(request.is_trial, attempt.has_events);
     const auto crash = crash_id_of(attempt.choice.upstream, known_incarnation);
     return {attempt.choice.upstream,
             attempt.choice.address,
--- a/tests/proxy/crashing_request.cpp
+++ b/tests/proxy/crashing_request.cpp
@@ -139,6 +139,34 @@
         entry.add_upstream("sound", healthy.address);
         CHECK(entry.ask().find("200 OK") != std::string::npos);
     }
+    SECTION("a trial whose response had begun is repeated after seconds")
+    {
+        entry_with_crashing_upstreams entry(
+            [](std::size_t index)
+            {
+                const auto number = std::to_string(index + 1);
+                return entry_with_crashing_upstreams::manner{
+                    proxy_test::event_stream("id: " + number + "\ndata: x\n\n",
+                                             false),
+                    50ms};
+            });
+        entry.configure_route(cj::request_kind::stream, true);
+        for (int copy = 0; copy < 4; ++copy)
+            entry.ask();
+        CHECK(entry.crashed_count() == 6);
+        std::this_thread::sleep_for(2100ms);
+        entry.ask();
+        CHECK(entry.crashed_count() == 7);
+        scripted_upstream healthy(
+            {proxy_test::event_stream("id: 1\ndata: x\n\n", true)});
+        for (std::size_t index = 0; index < upstream_count; ++index)
+            entry.remove_upstream(
+                std::string(1, static_cast<char>('a' + index)));
+        entry.add_upstream("sound", healthy.address);
+        CHECK(entry.ask().find("200 OK") == std::string::npos);
+        std::this_thread::sleep_for(4100ms);
+        CHECK(entry.ask().find("200 OK") != std::string::npos);
+    }
     SECTION(
         "a request that was cancelled for silence before the crash may have "
         "caused it")
