A cleared trial does not prove the other one harmful

What callers would see: two ordinary requests are on trial at one upstream that is killed. Both get 4 s; when the first passes its next trial, the other one, already on trial again, jumps to a quarantine of ten minutes.

Cause: the crash counted as shared only while it was not cleared for the other request. That the other was cleared says nothing of this one, since a kill explains both ends.

The crash stays doubtful.

--- a/src/coursejunction/run/crash_ledger.cpp
+++ b/src/coursejunction/run/crash_ledger.cpp
@@ -342,8 +342,9 @@
     return doubtful > 0 ? limits.second_quarantine : limits.first_quarantine;
 }
 
-/*! @brief Returns whether a crash also counts as that of another request's
- * trial. */
+/*! @brief Returns whether a crash also ended another request's trial. That the
+ * other one was cleared since does not prove this one harmful: the upstream may
+ * have been killed. */
 bool crash_ledger::shared_with_trial(const crash_history& history,
                                      const crash_id& crash) const
 {
@@ -354,8 +355,7 @@
                            const auto found = other.crashes.find(crash);
                            return &other != &history &&
                                   found != other.crashes.end() &&
-                                  found->second == crash_evidence::trial &&
-                                  !other.cleared.contains(crash);
+                                  found->second == crash_evidence::trial;
                        });
 }
 
