Hedge again after a silence, and tell the answers of two attempts apart

A 429 of the second upstream, without a statement that it did not run, ended the first attempt (502 after 1.46 s, the first event was due at 2.0 s). A complete client error or server error of the silent upstream was dropped (504 at the deadline).

Cause: the paths for one attempt were used while there were two. Now only a closed connection or a recorded crash forbids a second attempt; a status that promises that nothing ran falls back to the silent attempt; the final answer of the silent one is forwarded, its server error kept.

Tests: "the answers of two attempts at once are told apart" and "a request whose upstream was silent is sent to a second one each time". The events of a response are now checked to come once and in order, and the section in which the silent upstream breaks off reaches that case (it did not).

--- a/src/coursejunction/proxy/crash_guard.cpp
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -74,6 +74,13 @@
            has_unexplained_loss(content, now);
 }
 
+bool crash_guard::may_hedge(const request_content& content,
+                            time_point now) const
+{
+    return ledger.status(content, now) == crash_status::clear &&
+           !tracker.has_unexplained_close(content, now);
+}
+
 milliseconds crash_guard::quarantine_left(const request_content& content,
                                           time_point now) const
 {
--- a/src/coursejunction/proxy/crash_guard.hpp
+++ b/src/coursejunction/proxy/crash_guard.hpp
@@ -76,6 +76,13 @@
     [[nodiscard]] bool is_suspect(const request_content& content,
                                   time_point now) const;
 
+    /*! @brief Returns whether a request may be at two upstreams at once:
+     * nothing suggests that it crashed one. An upstream that was only silent
+     * does not.
+     */
+    [[nodiscard]] bool may_hedge(const request_content& content,
+                                 time_point now) const;
+
     /*! @brief Returns the remaining duration of a request's quarantine. */
     [[nodiscard]] milliseconds quarantine_left(const request_content& content,
                                                time_point now) const;
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -581,7 +581,7 @@
             due = now + options.silence_poll_interval;
         due = std::min(due, start_limit(request, request.attempt));
         if (request.silent_attempt)
-            due = std::min(due, start_limit(request, *request.silent_attempt));
+            due = std::min(due, now + options.silence_poll_interval);
         request.silence_timer =
             loop.after(std::max<time_point::duration>(due - now, {}),
                        [this, number = request.number]
@@ -653,12 +653,14 @@
         }
         if (!may_hedge(request, now))
             return;
+        request.upstream_errored = false;
         const auto other =
             decisions.find_upstream(exchange_facts::service_profile_of(request),
                                     make_placement_request(request, now), now);
         if (!other || !budgets.of(request.service).try_spend(now))
             return;
-        request.silent_attempt = std::move(request.attempt);
+        request.silent_attempt = request.attempt;
+        request.failed_at = now;
         counters.count("attempts_hedged_total");
         start_attempt(request, *other);
     }
@@ -669,7 +671,7 @@
     {
         return !request.silent_attempt && exchange_facts::may_repeat(request) &&
                request.tried_upstreams.size() < max_total_attempts &&
-               !guard.is_suspect(request.content, now);
+               guard.may_hedge(request.content, now);
     }
 
     /*! @brief Continues with the attempt that was silent and drops the other
@@ -809,7 +811,7 @@
         if (is_silent_attempt(request, attempt))
         {
             if (end != stream_end::whole ||
-                !is_stream_of(request, *request.silent_attempt))
+                !is_final(request, *request.silent_attempt))
                 return on_silent_attempt_lost(request, end, reason);
             resume_silent_attempt(request);
         }
@@ -837,8 +839,10 @@
     void on_silent_attempt_lost(exchange& request, stream_end end,
                                 const std::string& reason)
     {
-        const auto& silent = *request.silent_attempt;
+        auto& silent = *request.silent_attempt;
         if (end == stream_end::whole)
+        {
+            keep_error_response(request, silent);
             return end_silent_attempt(
                 request,
                 Codec::decode_response(silent.response_head).not_run
@@ -846,19 +850,46 @@
                     : attempt_failure::may_have_run,
                 "upstream answered " +
                     std::to_string(silent.response_head.status));
+        }
         if (end == stream_end::closed)
             report_lost_attempt(request, silent, loss_cause::closed);
         end_silent_attempt(request, failure_of(end), reason);
     }
 
-    /*! @brief Returns whether an attempt's response is a stream of events of
-     * this request. */
-    [[nodiscard]] static bool is_stream_of(const exchange& request,
-                                           const upstream_attempt& attempt)
+    /*! @brief Returns whether an attempt's complete response may be the final
+     * one: a stream of events, or, unless one has begun, a client error. */
+    [[nodiscard]] static bool is_final(const exchange& request,
+                                       const upstream_attempt& attempt)
     {
+        const int status = attempt.response_head.status;
         const auto metadata = Codec::decode_response(attempt.response_head);
-        return !metadata.not_run && metadata.id == request.decoded.id &&
-               exchange_facts::forwards_events(request, attempt);
+        if (metadata.not_run || metadata.id != request.decoded.id)
+            return false;
+        return exchange_facts::forwards_events(request, attempt) ||
+               (!request.response_begun && status < server_error &&
+                !promises_not_run(status));
+    }
+
+    /*! @brief Keeps a server error for the case that no attempt succeeds. */
+    static void keep_error_response(exchange& request,
+                                    upstream_attempt& attempt)
+    {
+        const auto metadata = Codec::decode_response(attempt.response_head);
+        if (request.response_begun || metadata.not_run ||
+            metadata.id != request.decoded.id ||
+            attempt.response_head.status < server_error)
+            return;
+        request.error_response_head = attempt.response_head;
+        request.error_response_body = std::move(attempt.response_body);
+    }
+
+    /*! @brief Returns whether callers take a status as a promise that the
+     * request did not run. */
+    [[nodiscard]] static bool promises_not_run(int status)
+    {
+        constexpr std::array<int, 4> promising{408, 421, 429, 503};
+        return std::find(promising.begin(), promising.end(), status) !=
+               promising.end();
     }
 
     [[nodiscard]] static attempt_failure failure_of(stream_end end)
@@ -896,13 +927,10 @@
     void on_response(exchange& request)
     {
         const int status = request.attempt.response_head.status;
-        constexpr int server_error = 500;
         if (status >= server_error && !request.response_begun &&
             exchange_facts::may_repeat(request))
         {
-            request.error_response_head = request.attempt.response_head;
-            request.error_response_body =
-                std::move(request.attempt.response_body);
+            keep_error_response(request, request.attempt);
             return on_attempt_failed(request, attempt_failure::error_response,
                                      "upstream answered " +
                                          std::to_string(status));
@@ -916,18 +944,17 @@
                     request, attempt_failure::error_response, reason);
             return abort_response(request, reason);
         }
-        // Callers take these statuses as a promise that the request did not
-        // run. The upstream has not stated that here (on_end() handles those
-        // that do), so 502 is sent.
-        constexpr std::array<int, 4> promise_not_run{408, 421, 429, 503};
-        if (std::find(promise_not_run.begin(), promise_not_run.end(), status) !=
-            promise_not_run.end())
+        // The upstream has not stated here that the request did not run
+        // (on_end() handles those that do), so 502 is sent.
+        if (promises_not_run(status))
         {
+            const auto reason = "upstream answered " + std::to_string(status) +
+                                " without stating that the request did not run";
+            if (request.silent_attempt)
+                return on_attempt_failed(request, attempt_failure::may_have_run,
+                                         reason);
             request.reply.send(502, {}, "");
-            return complete(
-                request, false,
-                "upstream answered " + std::to_string(status) +
-                    " without stating that the request did not run");
+            return complete(request, false, reason);
         }
         request.reply.send(
             status, Codec::response_headers(request.attempt.response_head),
@@ -1126,6 +1153,9 @@
         open_requests.erase(request.number);
     }
 
+    /*! @brief First HTTP status of a server error. */
+    static constexpr int server_error = 500;
+
     static constexpr const char* quarantine_reason =
         "request is quarantined: upstreams crashed while running it";
 
--- a/src/coursejunction/run/lost_attempt_tracker.hpp
+++ b/src/coursejunction/run/lost_attempt_tracker.hpp
@@ -149,6 +149,20 @@
                            });
     }
 
+    /*! @brief Returns whether an upstream recently closed the connection of an
+     * attempt of a request and it is not known why. */
+    [[nodiscard]] bool has_unexplained_close(const request_content& content,
+                                             time_point now) const
+    {
+        return std::any_of(pending.begin(), pending.end(),
+                           [&](const auto& one)
+                           {
+                               return now < one.expires_at &&
+                                      one.lost.cause == loss_cause::closed &&
+                                      one.lost.report.content == content;
+                           });
+    }
+
 private:
     struct pending_attempt
     {
--- a/tests/net/crashing_peer.hpp
+++ b/tests/net/crashing_peer.hpp
@@ -28,6 +28,7 @@
     {
         std::string answer;                 /*!< Bytes that it sends first. */
         std::chrono::milliseconds after{0}; /*!< Delay after the request. */
+        std::chrono::milliseconds before_answer{0};
     };
 
     crashing_peer() : crashing_peer(manner{}) {}
@@ -68,6 +69,7 @@
         {
             char part[8192];
             request_received = ::recv(caller, part, sizeof part, 0) > 0;
+            std::this_thread::sleep_for(crash.before_answer);
             const auto done = ::send(caller, crash.answer.data(),
                                      crash.answer.size(), MSG_NOSIGNAL);
             static_cast<void>(done);
--- a/tests/net/pacing_peer.hpp
+++ b/tests/net/pacing_peer.hpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <string>
@@ -17,7 +18,8 @@
 namespace loopback
 {
 
-/*! @brief Answers one request with a stream of numbered events. */
+/*! @brief Answers one request with a stream of numbered events, after the one
+ * that a header `Last` names. */
 class pacing_peer
 {
 public:
@@ -53,10 +55,12 @@
         if (caller < 0)
             return;
         char part[8192];
-        static_cast<void>(::recv(caller, part, sizeof part, 0));
+        const auto received = ::recv(caller, part, sizeof part, 0);
+        const std::string request(
+            part, static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
         send_bytes(caller, "HTTP/1.1 200 OK\r\nId: 7\r\n"
                            "Transfer-Encoding: chunked\r\n\r\n");
-        for (int at = 1; at <= count; ++at)
+        for (int at = last_event(request) + 1; at <= count; ++at)
         {
             std::this_thread::sleep_for(event_interval);
             send_chunk(caller, "id: " + std::to_string(at) + "\ndata: x\n\n");
@@ -65,6 +69,15 @@
         ::close(caller);
     }
 
+    static int last_event(const std::string& request)
+    {
+        const std::string name = "\r\nLast: ";
+        const auto at = request.find(name);
+        return at == std::string::npos
+                   ? 0
+                   : std::stoi(request.substr(at + name.size()));
+    }
+
     static void send_chunk(int caller, const std::string& event)
     {
         char size[32];
--- a/tests/proxy/silent_upstream.cpp
+++ b/tests/proxy/silent_upstream.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -22,11 +23,19 @@
  * entry looks for another upstream. */
 constexpr auto event_pause = 1300ms;
 
+/*! @brief Checks that a response has all events once, in their order. */
 void check_complete(const std::string& answer, int events)
 {
+    std::string expected;
     for (int at = 1; at <= events; ++at)
-        CHECK(answer.find("id: " + std::to_string(at) + "\n") !=
-              std::string::npos);
+        expected += std::to_string(at) + "\n";
+    std::string seen;
+    const std::string field = "id: ";
+    for (auto at = answer.find(field); at != std::string::npos;
+         at = answer.find(field, at + 1))
+        seen += answer.substr(at + field.size(),
+                              answer.find('\n', at) + 1 - at - field.size());
+    CHECK(seen == expected);
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
 
@@ -106,12 +115,88 @@
     {
         loopback::crashing_peer silent(
             {event_stream("id: 1\ndata: a\n\n", false), 1500ms});
-        loopback::pacing_peer other(3, 500ms);
+        loopback::pacing_peer other(3, 800ms);
         entry.add_upstream("a", silent.address);
         entry.add_upstream("b", other.address);
         check_complete(entry.ask(), 3);
+        CHECK(silent.ended());
     }
 }
+SCENARIO("the answers of two attempts at once are told apart", "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::stream, true, 6000ms);
+
+    SECTION("a rejection by the second one leaves the silent one running")
+    {
+        loopback::pacing_peer silent(1, 2500ms);
+        scripted_upstream other(
+            {proxy_test::response("", "7", "429 Too Many Requests")});
+        entry.add_upstream("a", silent.address);
+        entry.add_upstream("b", other.address);
+        check_complete(entry.ask(), 1);
+        CHECK(other.arrivals().size() == 1);
+    }
+    SECTION("a complete answer of the silent one is forwarded")
+    {
+        loopback::crashing_peer silent(
+            {proxy_test::response("late", "7", "400 Bad Request"), 0ms,
+             2000ms});
+        scripted_upstream other({scripted_upstream::hang});
+        entry.add_upstream("a", silent.address);
+        entry.add_upstream("b", other.address);
+        const auto answer = entry.ask();
+        CHECK(answer.starts_with("HTTP/1.1 400"));
+        CHECK(answer.ends_with("late"));
+        other.closed_by_caller.wait(false);
+    }
+    SECTION("a server error of the silent one is forwarded if the second one "
+            "fails")
+    {
+        loopback::crashing_peer silent(
+            {proxy_test::response("sorry", "7", "500 Internal Server Error"),
+             0ms, 2000ms});
+        loopback::crashing_peer other({"", 1500ms});
+        entry.add_upstream("a", silent.address);
+        entry.add_upstream("b", other.address);
+        const auto answer = entry.ask();
+        CHECK(answer.starts_with("HTTP/1.1 500"));
+        CHECK(answer.ends_with("sorry"));
+    }
+    SECTION("a caller that disconnects ends both")
+    {
+        scripted_upstream silent({scripted_upstream::hang});
+        scripted_upstream other({scripted_upstream::hang});
+        entry.add_upstream("a", silent.address);
+        entry.add_upstream("b", other.address);
+        {
+            loopback::raw_connection caller(entry.port);
+            caller.send("POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
+                        "Content-Length: 0\r\n\r\n");
+            while (other.arrivals().empty())
+                std::this_thread::sleep_for(1ms);
+        }
+        silent.closed_by_caller.wait(false);
+        other.closed_by_caller.wait(false);
+    }
+}
+
+SCENARIO("a request whose upstream was silent is sent to a second one each "
+         "time",
+         "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::stream, true, 2500ms);
+    scripted_upstream silent({scripted_upstream::hang});
+    entry.add_upstream("a", silent.address);
+    CHECK(entry.ask().starts_with("HTTP/1.1 504"));
+    scripted_upstream other({event_stream("id: 1\ndata: x\n\n", true)});
+    entry.add_upstream("b", other.address);
+    std::this_thread::sleep_for(500ms);
+    check_complete(entry.ask(), 1);
+    CHECK(other.arrivals().size() == 1);
+}
+
 // A second copy of a request that may crash upstreams would double the damage.
 SCENARIO("a suspect is not sent to a second upstream while the first is silent",
          "[proxy]")
