--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -181,8 +181,8 @@
             upstream.failures = 0;
     }
 
-    /*! @brief Avoids an upstream for a while that is silent. This is not
-     * counted as a failure, as it may be paused. */
+    /*! @brief Avoids an upstream for a while that is silent. It may be paused,
+     * so it is a failure only if another upstream takes the attempt over. */
     void mark_silent(const instance_id& id, time_point now)
     {
         const auto found = upstreams.find(id);
