Log and count how the responses of upstreams are framed and how they end

The logs could not tell the three hypotheses on broken streams that reach their callers framed as complete apart: a request that ended this way is logged as answered, without its framing.

request_answered and attempt_failed now tell the framing of the upstream's response (length, chunks, connection, none) and the bytes after its last complete event; upstream_responses_ended_total counts framing, end, and ends inside an event. No decision changes.

--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -275,6 +275,7 @@
         if (fault)
             return failed(fault);
         stream_head head;
+        head.framing = framing();
         head.status = static_cast<int>(parser->get().result_int());
         for (const auto& field : parser->get())
             head.headers.push_back(std::string(field.name_string()),
@@ -286,6 +287,17 @@
         read_body();
     }
 
+    /*! @brief Returns the framing of the response whose head was read. */
+    [[nodiscard]] body_framing framing() const
+    {
+        if (parser->is_done())
+            return body_framing::none;
+        if (parser->chunked())
+            return body_framing::chunks;
+        return parser->need_eof() ? body_framing::connection
+                                  : body_framing::length;
+    }
+
     void read_body()
     {
         if (parser->is_done())
@@ -384,6 +396,40 @@
 
 } // namespace internal
 
+std::string_view stream_end_name(stream_end end)
+{
+    switch (end)
+    {
+    case stream_end::whole:
+        return "whole";
+    case stream_end::not_sent:
+        return "not_sent";
+    case stream_end::closed:
+        return "closed";
+    case stream_end::broken:
+        return "broken";
+    case stream_end::malformed:
+        return "malformed";
+    }
+    return "";
+}
+
+std::string_view body_framing_name(body_framing framing)
+{
+    switch (framing)
+    {
+    case body_framing::none:
+        return "none";
+    case body_framing::length:
+        return "length";
+    case body_framing::chunks:
+        return "chunks";
+    case body_framing::connection:
+        return "connection";
+    }
+    return "";
+}
+
 struct stream_client::implementation
     : std::enable_shared_from_this<implementation>
 {
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -48,11 +48,27 @@
     malformed /*!< The response was not valid HTTP. */
 };
 
+/*! @brief Returns the name of an end in snake_case. */
+[[nodiscard]] std::string_view stream_end_name(stream_end end);
+
+/*! @brief What marks the end of a response's body (RFC 9112 section 6.3). */
+enum class body_framing : std::uint8_t
+{
+    none,      /*!< The response has no body. */
+    length,    /*!< Content-Length. */
+    chunks,    /*!< The last chunk. */
+    connection /*!< The end of the connection. */
+};
+
+/*! @brief Returns the name of a framing in snake_case. */
+[[nodiscard]] std::string_view body_framing_name(body_framing framing);
+
 /*! @brief Status and headers of a response. */
 struct stream_head
 {
     int status{0};
     header_list headers;
+    body_framing framing{body_framing::none};
 };
 
 /*! @brief Runs concurrent calls. All members and callbacks run on the loop's
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -168,6 +168,19 @@
           limit ? std::to_string(limit->per_second()) : "unlimited"}});
 }
 
+/*! @brief Returns how an attempt's response was framed; "none" without one. */
+[[nodiscard]] inline std::string framing_text(const upstream_attempt& attempt)
+{
+    return std::string(body_framing_name(attempt.response_head.framing));
+}
+
+/*! @brief Returns the number of bytes after the last complete event. */
+[[nodiscard]] inline std::string
+unfinished_bytes_text(const upstream_attempt& attempt)
+{
+    return std::to_string(attempt.events.incomplete().size());
+}
+
 /*! @brief Logs a failed attempt. */
 inline void attempt_failed(const exchange& request,
                            const upstream_attempt& attempt,
@@ -180,6 +193,8 @@
                   {"upstream", attempt.choice.upstream.value()},
                   {"why", why},
                   {"events", std::to_string(attempt.events.event_count())},
+                  {"framing", framing_text(attempt)},
+                  {"unfinished_bytes", unfinished_bytes_text(attempt)},
                   {"may_have_run", may_have_run ? "true" : "false"},
                   {"sent_again", resending ? "true" : "false"},
                   {"after_ms", ms_between(attempt.sent_at, now)}});
@@ -225,6 +240,8 @@
          {"status", std::to_string(request.attempt.response_head.status)},
          {"outcome", outcome},
          {"events", std::to_string(request.attempt.events.event_count())},
+         {"framing", framing_text(request.attempt)},
+         {"unfinished_bytes", unfinished_bytes_text(request.attempt)},
          {"took_ms", ms_between(request.arrived_at, now)}});
 }
 
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -821,9 +821,23 @@
             Codec::response_headers(request.attempt.response_head));
     }
 
+    /*! @brief Counts how the responses of upstreams are framed and end. */
+    void count_end(const upstream_attempt& attempt, stream_end end)
+    {
+        counters.count("upstream_responses_ended_total", 1,
+                       {{"framing", std::string(body_framing_name(
+                                        attempt.response_head.framing))},
+                        {"end", std::string(stream_end_name(end))},
+                        {"inside_event",
+                         attempt.events.incomplete().empty() ? "no" : "yes"}});
+    }
+
     void on_end(exchange& request, std::uint64_t attempt, stream_end end,
                 const std::string& reason)
     {
+        count_end(is_silent_attempt(request, attempt) ? *request.silent_attempt
+                                                      : request.attempt,
+                  end);
         if (is_silent_attempt(request, attempt))
         {
             if (end != stream_end::whole ||
