--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -227,6 +227,19 @@
            "\r\n" + (complete ? "0\r\n\r\n" : "");
 }
 
+/*! @brief Returns an HTTP response with events in a given framing. */
+inline std::string framed_events(cj::body_framing framing,
+                                 const std::string& events)
+{
+    if (framing == cj::body_framing::chunks)
+        return event_stream(events, true);
+    return "HTTP/1.1 200 OK\r\nId: 7\r\n" +
+           (framing == cj::body_framing::length
+                ? "Content-Length: " + std::to_string(events.size()) + "\r\n"
+                : std::string()) +
+           "\r\n" + events;
+}
+
 } // namespace proxy_test
 
 #endif
