Do not take the end of a connection for the end of a response

Cause: a response with neither a length nor chunks ends with its connection. The HTTP client reported such an end as whole, like a last chunk; the exchange service then wrote the bytes of the incomplete event and the last chunk, and logged the request as answered. A crash inside an event became a complete response, and no evidence on crashes counted it. A stream framed by a length or by chunks that stopped inside an event took the same path.

Change: the client reports 'unframed' for an end that only the connection tells. proxy/attempt_end judges framing and content together, for first, later and silent attempts alike: inside an event is broken off, whatever the framing; no event and no framing is broken off; otherwise an unframed end is unconfirmed, and the upstream's address is probed. A process that crashed refuses connections: the attempt then counts as broken off, is reported as a possible crash and resumed elsewhere, or the response is cut. The same holds for responses that are no streams. An upstream that announced that it leaves is not probed, since it may exit right after its last response. Empty lines after the last event are no event that has begun; lines may end with CR alone.

The test of the HTTP client that expected 'whole' for an unframed response stated the fault; it now expects 'unframed', and that is(200) is false.

Ruled out: forwarding such a response unframed. Callers would take its end for complete as well, and each would cost them a connection.

--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -275,7 +275,8 @@
         if (fault)
             return failed(fault);
         stream_head head;
-        head.framing = framing();
+        framing = framing_of_response();
+        head.framing = framing;
         head.status = static_cast<int>(parser->get().result_int());
         for (const auto& field : parser->get())
             head.headers.push_back(std::string(field.name_string()),
@@ -288,7 +289,7 @@
     }
 
     /*! @brief Returns the framing of the response whose head was read. */
-    [[nodiscard]] body_framing framing() const
+    [[nodiscard]] body_framing framing_of_response() const
     {
         if (parser->is_done())
             return body_framing::none;
@@ -351,6 +352,8 @@
             input.size() == 0)
             reusable_socket.emplace(std::move(socket));
         complete = true;
+        if (framing == body_framing::connection)
+            return end(stream_end::unframed, "connection closed by the peer");
         end(stream_end::whole, {});
     }
 
@@ -385,9 +388,10 @@
     std::optional<tcp::socket> reusable_socket;
     std::array<char, read_bytes> body_buffer{};
     std::string output;
+    body_framing framing{body_framing::none};
     bool sent{false};
     bool completed{false};
-    bool complete{false}; /*!< The whole response was received. */
+    bool complete{false}; /*!< The response was received to its end. */
     bool reused{false};
     bool sent_on_stale_connection{false}; /*!< Already sent on an idle
                                              connection that was dead. */
@@ -402,6 +406,8 @@
     {
     case stream_end::whole:
         return "whole";
+    case stream_end::unframed:
+        return "unframed";
     case stream_end::not_sent:
         return "not_sent";
     case stream_end::closed:
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -41,6 +41,8 @@
 enum class stream_end : std::uint8_t
 {
     whole,    /*!< The complete response was received. */
+    unframed, /*!< The peer closed the connection of a response that has neither
+                 a length nor chunks: it is complete or was broken off. */
     not_sent, /*!< No byte of the request was written. */
     closed,   /*!< The peer closed the connection before the response was
                  complete. */
@@ -122,6 +124,15 @@
         {
             return end == stream_end::whole && status == expected;
         }
+
+        /*! @brief Returns whether a response with this status was received to
+         * the end of its framing or of its connection. For bodies that show
+         * themselves whether they are complete: by a hash, or as a document. */
+        [[nodiscard]] bool ended_as(int expected) const
+        {
+            return (end == stream_end::whole || end == stream_end::unframed) &&
+                   status == expected;
+        }
     };
 
     /*! @brief Starts a call and buffers its response; `done` receives it at the
--- a/src/coursejunction/proxy/event_splitter.hpp
+++ b/src/coursejunction/proxy/event_splitter.hpp
@@ -4,6 +4,7 @@
 #define COURSEJUNCTION_PROXY_EVENT_SPLITTER_HPP
 
 #include <charconv>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,8 +13,9 @@
 namespace coursejunction
 {
 
-/*! @brief Buffers bytes and returns complete events (blocks that end with an
- * empty line, WHATWG HTML section 9.2). Keeps the id of the last one. */
+/*! @brief Buffers bytes and returns complete events: blocks that end with an
+ * empty line, where a line ends with LF, CRLF or CR (WHATWG HTML section 9.2).
+ * Keeps the id of the last one. */
 class event_splitter
 {
 public:
@@ -21,33 +23,40 @@
      * @return All events that are now complete, concatenated. */
     [[nodiscard]] std::string append(std::string_view bytes)
     {
-        // The end of an event may be split between two calls.
-        const auto first = buffer.size() > 3 ? buffer.size() - 3 : 0;
+        const auto first = buffer.size();
         buffer.append(bytes);
         std::size_t complete = 0;
         for (std::size_t at = first; at < buffer.size(); ++at)
         {
-            if (ends_event(at))
-            {
-                note_event(std::string_view(buffer).substr(complete,
-                                                           at + 1 - complete));
-                complete = at + 1;
-            }
+            if (!ends_event(buffer[at], at == complete))
+                continue;
+            note_event(
+                std::string_view(buffer).substr(complete, at + 1 - complete));
+            complete = at + 1;
         }
         auto events = buffer.substr(0, complete);
         buffer.erase(0, complete);
         return events;
     }
 
-    /*! @brief Returns the bytes of an incomplete event. */
+    /*! @brief Returns the bytes after the last complete event. */
     [[nodiscard]] const std::string& incomplete() const noexcept
     {
         return buffer;
     }
 
+    /*! @brief Returns whether an event has begun and is not complete. */
+    [[nodiscard]] bool inside_event() const noexcept { return event_begun; }
+
     /*! @brief Discards the incomplete event, since its sender will not continue
      * it. */
-    void discard_incomplete() { buffer.clear(); }
+    void discard_incomplete()
+    {
+        buffer.clear();
+        event_begun = false;
+        line_begun = false;
+        after_carriage_return = false;
+    }
 
     /*! @brief Returns the id of the last complete event. */
     [[nodiscard]] std::optional<std::uint64_t> last_id() const
@@ -59,21 +68,38 @@
     [[nodiscard]] std::size_t event_count() const noexcept { return count; }
 
 private:
-    [[nodiscard]] bool ends_event(std::size_t at) const
+    static constexpr std::string_view line_ends = "\r\n";
+
+    /*! @brief Takes the next byte.
+     * @param after_event It follows a complete event.
+     * @return Whether an event, or the line end after it, ends with it. */
+    [[nodiscard]] bool ends_event(char byte, bool after_event)
     {
-        if (buffer[at] != '\n' || at == 0)
+        const bool follows_return = after_carriage_return;
+        after_carriage_return = byte == '\r';
+        if (byte == '\n' && follows_return)
+            return after_event;
+        if (line_ends.find(byte) == std::string_view::npos)
+        {
+            line_begun = true;
+            event_begun = true;
             return false;
-        if (buffer[at - 1] == '\n')
-            return true;
-        return at >= 3 && buffer[at - 1] == '\r' && buffer[at - 2] == '\n';
+        }
+        const bool ends = event_begun && !line_begun;
+        line_begun = false;
+        if (ends)
+            event_begun = false;
+        return ends;
     }
 
     void note_event(std::string_view event)
     {
+        if (event.find_first_not_of(line_ends) == std::string_view::npos)
+            return;
         ++count;
         while (!event.empty())
         {
-            const auto end = event.find('\n');
+            const auto end = event.find_first_of(line_ends);
             auto line = event.substr(0, end);
             event.remove_prefix(end == std::string_view::npos ? event.size()
                                                               : end + 1);
@@ -93,6 +119,9 @@
     std::string buffer;
     std::optional<std::uint64_t> last_event_id;
     std::size_t count{0};
+    bool event_begun{false};
+    bool line_begun{false};
+    bool after_carriage_return{false};
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -22,6 +22,7 @@
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/proxy/attempt_end.hpp"
 #include "coursejunction/proxy/crash_guard.hpp"
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_facts.hpp"
@@ -824,31 +825,93 @@
     /*! @brief Counts how the responses of upstreams are framed and end. */
     void count_end(const upstream_attempt& attempt, stream_end end)
     {
-        counters.count("upstream_responses_ended_total", 1,
-                       {{"framing", std::string(body_framing_name(
-                                        attempt.response_head.framing))},
-                        {"end", std::string(stream_end_name(end))},
-                        {"inside_event",
-                         attempt.events.incomplete().empty() ? "no" : "yes"}});
+        counters.count(
+            "upstream_responses_ended_total", 1,
+            {{"framing",
+              std::string(body_framing_name(attempt.response_head.framing))},
+             {"end", std::string(stream_end_name(end))},
+             {"inside_event", attempt.events.inside_event() ? "yes" : "no"}});
     }
 
     void on_end(exchange& request, std::uint64_t attempt, stream_end end,
                 const std::string& reason)
     {
-        count_end(is_silent_attempt(request, attempt) ? *request.silent_attempt
-                                                      : request.attempt,
-                  end);
+        const auto& ended = is_silent_attempt(request, attempt)
+                                ? *request.silent_attempt
+                                : request.attempt;
+        count_end(ended, end);
+        const auto verdict = judge(describe_end(request, ended, end));
+        if (verdict == end_verdict::unconfirmed)
+            return probe_after_end(request, ended);
+        conclude_attempt(request, attempt, verdict,
+                         reason.empty() ? "stream ended inside an event"
+                                        : reason);
+    }
+
+    [[nodiscard]] attempt_end describe_end(const exchange& request,
+                                           const upstream_attempt& attempt,
+                                           stream_end end) const
+    {
+        const auto* known = book.find(attempt.choice.upstream);
+        attempt_end described;
+        described.end = end;
+        described.is_stream = exchange_facts::forwards_events(request, attempt);
+        described.has_event = attempt.events.event_count() > 0;
+        described.inside_event = attempt.events.inside_event();
+        described.settled_by_head =
+            Codec::decode_response(attempt.response_head).not_run;
+        described.upstream_leaves =
+            known != nullptr && known->announced_leaving();
+        return described;
+    }
+
+    /*! @brief Finds out whether an upstream crashed when it ended the
+     * connection of a response that nothing else delimits. */
+    void probe_after_end(exchange& request, const upstream_attempt& ended)
+    {
+        counters.count("upstream_responses_probed_total");
+        if (!is_silent_attempt(request, ended.id))
+            request.silence_timer.stop();
+        client.probe(
+            ended.choice.address,
+            [this, number = request.number, attempt = ended.id](bool refused)
+            {
+                open_requests.with(
+                    number,
+                    [&](exchange& found)
+                    {
+                        if (is_in_flight(found, attempt))
+                            conclude_attempt(
+                                found, attempt, confirm(refused),
+                                "upstream refuses connections after the "
+                                "response ended");
+                    });
+            });
+    }
+
+    /*! @brief Returns whether an attempt is one of those in progress. */
+    [[nodiscard]] static bool is_in_flight(const exchange& request,
+                                           std::uint64_t attempt)
+    {
+        return is_silent_attempt(request, attempt) ||
+               (request.attempt.id == attempt && request.attempt.in_flight);
+    }
+
+    /*! @brief Acts on the end of an attempt. */
+    void conclude_attempt(exchange& request, std::uint64_t attempt,
+                          end_verdict verdict, const std::string& reason)
+    {
         if (is_silent_attempt(request, attempt))
         {
-            if (end != stream_end::whole ||
+            if (verdict != end_verdict::complete ||
                 !is_final(request, *request.silent_attempt))
-                return on_silent_attempt_lost(request, end, reason);
+                return on_silent_attempt_lost(request, verdict, reason);
             resume_silent_attempt(request);
         }
-        if (end == stream_end::closed)
+        if (verdict == end_verdict::broken_off)
             report_lost_attempt(request, request.attempt, loss_cause::closed);
-        if (end != stream_end::whole)
-            return on_attempt_failed(request, failure_of(end), reason);
+        if (verdict != end_verdict::complete)
+            return on_attempt_failed(request, failure_of(verdict), reason);
         const auto metadata =
             Codec::decode_response(request.attempt.response_head);
         if (metadata.not_run)
@@ -866,11 +929,11 @@
 
     /*! @brief Handles a silent attempt that ended without the rest of the
      * stream. */
-    void on_silent_attempt_lost(exchange& request, stream_end end,
+    void on_silent_attempt_lost(exchange& request, end_verdict verdict,
                                 const std::string& reason)
     {
         auto& silent = *request.silent_attempt;
-        if (end == stream_end::whole)
+        if (verdict == end_verdict::complete)
         {
             keep_error_response(request, silent);
             return end_silent_attempt(
@@ -881,9 +944,9 @@
                 "upstream answered " +
                     std::to_string(silent.response_head.status));
         }
-        if (end == stream_end::closed)
+        if (verdict == end_verdict::broken_off)
             report_lost_attempt(request, silent, loss_cause::closed);
-        end_silent_attempt(request, failure_of(end), reason);
+        end_silent_attempt(request, failure_of(verdict), reason);
     }
 
     /*! @brief Returns whether an attempt's complete response may be the final
@@ -922,10 +985,10 @@
                promising.end();
     }
 
-    [[nodiscard]] static attempt_failure failure_of(stream_end end)
+    [[nodiscard]] static attempt_failure failure_of(end_verdict verdict)
     {
-        return end == stream_end::not_sent ? attempt_failure::not_sent
-                                           : attempt_failure::may_have_run;
+        return verdict == end_verdict::not_sent ? attempt_failure::not_sent
+                                                : attempt_failure::may_have_run;
     }
 
     /*! @brief Reports a lost attempt as a possible crash, unless the upstream
@@ -945,9 +1008,9 @@
 
     void finish_stream(exchange& request)
     {
-        const auto incomplete_event = request.attempt.events.incomplete();
+        const auto empty_lines = request.attempt.events.incomplete();
         begin_response(request);
-        request.reply.write(incomplete_event);
+        request.reply.write(empty_lines);
         request.reply.finish();
         complete(request, true, "answered");
     }
--- a/tests/net/stream_client.cpp
+++ b/tests/net/stream_client.cpp
@@ -61,12 +61,20 @@
         CHECK(answer.end == stream_end::whole);
         CHECK(answer.body == "ok");
     }
-    SECTION("a response without a length ends when its connection closes")
+    SECTION("a response without a length is not known to be complete when its "
+            "connection closes")
     {
         scripted_peer peer({"HTTP/1.1 200 OK\r\n\r\nall of it"});
         const auto answer = call(peer.address);
-        CHECK(answer.end == stream_end::whole);
+        CHECK(answer.end == stream_end::unframed);
         CHECK(answer.body == "all of it");
+        CHECK_FALSE(answer.is(200));
+        CHECK(answer.ended_as(200));
+    }
+    SECTION("a response without a body needs no length")
+    {
+        scripted_peer peer({"HTTP/1.1 204 No Content\r\n\r\n"});
+        CHECK(call(peer.address).end == stream_end::whole);
     }
     SECTION("a response shorter than its length is reported as closed")
     {
--- a/tests/proxy/broken_stream.cpp
+++ b/tests/proxy/broken_stream.cpp
@@ -179,3 +179,52 @@
         check_both_events(entry.ask());
     }
 }
+
+SCENARIO("a response that broke off is not sent as complete", "[proxy]")
+{
+    entry_on_loopback entry;
+    const std::string unframed = "HTTP/1.1 200 OK\r\nId: 7\r\n\r\n";
+    loopback::crashing_peer broken({unframed + "par"});
+    scripted_upstream other({proxy_test::response("whole")});
+    entry.add_upstream("a", broken.address);
+
+    SECTION("of a request that may be repeated: another upstream answers it")
+    {
+        entry.configure_route(cj::request_kind::repeatable);
+        entry.add_upstream("b", other.address);
+        const auto answer = entry.ask();
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+        CHECK(answer.ends_with("whole"));
+    }
+    SECTION("of a request that may run once: its outcome is unknown")
+    {
+        entry.configure_route(cj::request_kind::at_most_once);
+        entry.add_upstream("b", other.address);
+        CHECK(entry.ask().starts_with("HTTP/1.1 502"));
+        CHECK(other.arrivals().empty());
+    }
+}
+
+SCENARIO("a response without a length is sent when its upstream lives on",
+         "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::at_most_once);
+    SECTION("a success")
+    {
+        scripted_upstream upstream({"HTTP/1.1 200 OK\r\nId: 7\r\n\r\nall"});
+        entry.add_upstream("a", upstream.address);
+        const auto answer = entry.ask();
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+        CHECK(answer.ends_with("\r\n\r\nall"));
+    }
+    SECTION("a rejection, which its head settles")
+    {
+        loopback::crashing_peer upstream(
+            {"HTTP/1.1 503 Busy\r\nId: 7\r\nNot-Run: 1\r\n\r\n"});
+        scripted_upstream other({proxy_test::response("whole")});
+        entry.add_upstream("a", upstream.address);
+        entry.add_upstream("b", other.address);
+        CHECK(entry.ask().ends_with("whole"));
+    }
+}
