Reset a broken response to a caller without chunks

What callers saw: a caller of HTTP/1.0 gets no chunks, so that the end of its connection marks the end of a stream. A stream that was cut, or that the end of the process cut, closed that connection in order: the broken response looked complete.

Cause: cut() shuts the sending side down after the queued bytes, and the kernel closes the sockets of a process that ends in order.

Change: such a connection has SO_LINGER with time 0 from the head on until all bytes of the finished response are sent, so that any other end, also of the process, is a reset. It is set on the socket itself: Asio clears an option that it knows of in the socket's destructor.

A finished response to such a caller still ends in order.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -100,6 +100,8 @@
         return;
     head_sent = true;
     close_after = closes_after_response() || version < 11;
+    if (version < 11)
+        reset_on_close(true);
     queue(internal::answer_head(status, headers, version, std::nullopt,
                                 close_after));
 }
@@ -297,8 +299,20 @@
         linger();
 }
 
+void stream_reply::target::reset_on_close(bool enabled)
+{
+    resets_on_close = enabled;
+    // Asio would clear an option that it knows of in the socket's destructor.
+    const ::linger option{enabled ? 1 : 0, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option,
+                 sizeof option);
+}
+
 void stream_reply::target::linger()
 {
+    if (resets_on_close && end_reason != close_reason::response)
+        return close(close_reason::cut);
+    reset_on_close(false);
     state = phase::lingering;
     boost::system::error_code fault;
     socket.shutdown(tcp::socket::shutdown_send, fault);
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -121,6 +121,11 @@
     /*! @brief Closes the connection once everything that is queued was sent. */
     void close_when_sent(close_reason why);
 
+    /*! @brief Sets whether the close of the connection, also by the end of the
+     * process, resets it. For a response that only its connection delimits: any
+     * other close would state that it is complete. */
+    void reset_on_close(bool enabled);
+
     /*! @brief Tells the client that nothing follows, and drops its input until
      * it closes, for a limited time. */
     void linger();
@@ -166,6 +171,7 @@
     bool head_only{false};
     bool head_sent{false};
     bool close_after{false};
+    bool resets_on_close{false};
 };
 
 } // namespace coursejunction
--- a/tests/net/stream_server.cpp
+++ b/tests/net/stream_server.cpp
@@ -248,6 +248,21 @@
         caller.send(request("GET /cut HTTP/1.1\r\nHost: h"));
         CHECK(caller.drain().ends_with("part\r\n"));
     }
+    SECTION(
+        "a finished response to a client without chunks ends its connection")
+    {
+        raw_connection caller(fixture.port);
+        caller.send("GET /whole HTTP/1.0\r\nHost: h\r\n\r\n");
+        CHECK(caller.drain().ends_with("\r\n\r\npart"));
+        CHECK_FALSE(caller.was_reset);
+    }
+    SECTION("an aborted response to a client without chunks is reset")
+    {
+        raw_connection caller(fixture.port);
+        caller.send("GET /cut HTTP/1.0\r\nHost: h\r\n\r\n");
+        CHECK(caller.drain().ends_with("\r\n\r\npart"));
+        CHECK(caller.was_reset);
+    }
     SECTION("a client that disconnects is reported")
     {
         {
@@ -260,6 +275,25 @@
     }
 }
 
+SCENARIO("the end of a process resets a response that only its connection "
+         "delimits",
+         "[net]")
+{
+    auto fixture = std::make_unique<recording_server>(
+        cj::stream_limits{},
+        [](const cj::stream_request&, cj::stream_reply reply)
+        {
+            reply.begin(200, {});
+            reply.write("part");
+        });
+    raw_connection caller(fixture->port);
+    caller.send("GET /wait HTTP/1.0\r\nHost: h\r\n\r\n");
+    static_cast<void>(caller.until("part"));
+    fixture.reset();
+    static_cast<void>(caller.drain());
+    CHECK(caller.was_reset);
+}
+
 SCENARIO("a retiring server announces the close and closes idle connections",
          "[net]")
 {
