Do not take a swap whose answer broke off for a lost race

What writers saw: a compare-and-swap of the key-value service whose 200 has a body that stops before 'true' or 'false' was reported as lost to another writer, although it may have been done.

Change: only 'false' is a lost race; other bodies leave it unknown.

Evidence: 'a swap whose answer broke off is neither done nor lost to another writer' failed before (lost_race for 'tr') and passes now.

--- a/src/coursejunction/control/key_value_client.cpp
+++ b/src/coursejunction/control/key_value_client.cpp
@@ -102,9 +102,10 @@
 
 swap_outcome swap_result(const http_result& response)
 {
-    if (response.ok())
-        return response.body.rfind("true", 0) == 0 ? swap_outcome::swapped
-                                                   : swap_outcome::lost_race;
+    if (response.ok() && response.body.starts_with("true"))
+        return swap_outcome::swapped;
+    if (response.ok() && response.body.starts_with("false"))
+        return swap_outcome::lost_race;
     if (response.reach == http_reach::answered &&
         response.status == http_internal_error &&
         response.body.find(invalid_session) != std::string::npos)
--- a/tests/control/key_value_client.cpp
+++ b/tests/control/key_value_client.cpp
@@ -1,6 +1,7 @@
 #include "coursejunction/control/key_value_client.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -392,3 +393,38 @@
         }
     }
 }
+
+SCENARIO("a swap whose answer broke off is neither done nor lost to another "
+         "writer",
+         "[control]")
+{
+    const auto outcome_of = [](const std::string& body)
+    {
+        loopback::scripted_peer service({"HTTP/1.1 200 OK\r\n\r\n" + body});
+        loopback::running_loop running;
+        std::unique_ptr<cj::http_client> client;
+        std::unique_ptr<cj::key_value_client> values;
+        std::optional<cj::swap_outcome> outcome;
+        std::atomic<bool> done{false};
+        running.on_loop(
+            [&]
+            {
+                client = std::make_unique<cj::http_client>(running.loop);
+                values = std::make_unique<cj::key_value_client>(
+                    *client, "http://" + service.address, 1000ms);
+                values->compare_and_swap("a/key", 0, "value",
+                                         [&](cj::swap_outcome swapped)
+                                         {
+                                             outcome = swapped;
+                                             done = true;
+                                             done.notify_all();
+                                         });
+            });
+        done.wait(false);
+        running.stop();
+        return *outcome;
+    };
+    CHECK(outcome_of("tr") == cj::swap_outcome::unknown);
+    CHECK(outcome_of("true") == cj::swap_outcome::swapped);
+    CHECK(outcome_of("false\n") == cj::swap_outcome::lost_race);
+}
