Own interface: do not pass a broken answer of a plain service on as whole

What callers saw: a plain service that answers without a length and crashes inside its answer: the sidecar reported the run as answered, and the caller got 200 with a short body. Model streams end with an event of their own and were safe. An operator's tool likewise took a body that ended with its connection for a result.

Cause: libcurl reports such a body as complete; nothing told the callers of http_client that only the connection delimits it.

Change: http_result tells 'unframed'. A sidecar then asks the upstream for its state, as it does after an interruption; if it refuses connections the outcome is unknown and the crash is recorded. The tool reports a read as unavailable and a change as unknown. Others parse whole JSON documents or verify hashes.

Evidence: test_an_answer_that_a_crash_broke_off_is_not_passed_on_as_whole failed before ((200, 'answered') instead of (502, 'unknown')), and passes now, as does the answer of a service that lives on.

--- a/src/coursejunction/cli/api_client.cpp
+++ b/src/coursejunction/cli/api_client.cpp
@@ -68,7 +68,7 @@
     api_response response;
     response.status = result.status;
     response.body = std::move(result.body);
-    if (result.reach == http_reach::answered)
+    if (result.reach == http_reach::answered && !result.unframed)
     {
         response.code = internal::exit_code_of(response.status, response.body);
         if (!response.ok())
@@ -76,10 +76,12 @@
         return response;
     }
     const bool is_change = method != "GET";
-    const bool sent = result.reach == http_reach::interrupted;
+    const bool sent = result.reach != http_reach::not_sent;
     response.code =
         is_change && sent ? cli_exit::unknown : cli_exit::unavailable;
-    response.message = base_url + ": " + result.fault;
+    response.message =
+        base_url + ": " +
+        (result.unframed ? "the response may be incomplete" : result.fault);
     return response;
 }
 
--- a/src/coursejunction/daemon/run_service.cpp
+++ b/src/coursejunction/daemon/run_service.cpp
@@ -300,6 +300,33 @@
         }
         const auto type = done.headers.find("content-type");
         run->content_type = type == done.headers.end() ? "" : type->second;
+        const bool stream =
+            run->content_type.rfind("text/event-stream", 0) == 0;
+        if (done.unframed && !stream)
+            return confirm_end(run, done);
+        end_answered(run, done);
+    }
+
+    /*! @brief Finds out whether the upstream crashed when it ended the
+     * connection of a response that nothing else delimits. */
+    void confirm_end(const run_pointer& run, const http_result& done)
+    {
+        const bool engine = !run->expected_weights.empty();
+        const bool was_serving = engine && replica.accepts_requests();
+        run->call = host.http().start(
+            make_state_call(),
+            [this, run, done, engine, was_serving](const http_result& state)
+            {
+                if (!has_crashed(state, engine, was_serving))
+                    return end_answered(run, done);
+                check_for_crash(*run, was_serving);
+                finish(run, outcome::unknown, 502,
+                       "the upstream crashed while its response ended");
+            });
+    }
+
+    void end_answered(const run_pointer& run, const http_result& done)
+    {
         if (done.status == 503 && !run->expected_weights.empty())
         {
             replica.invalidate();
@@ -340,10 +367,7 @@
                                              {run.content, crash, evidence}},
                                             now()))
             return;
-        http_call call;
-        call.url = upstream.url() + "/v1/state";
-        call.timeout = internal::crash_check_timeout;
-        host.http().start(std::move(call),
+        host.http().start(make_state_call(),
                           [this, engine = !run.expected_weights.empty(),
                            was_serving](const http_result& done)
                           {
@@ -352,6 +376,14 @@
                           });
     }
 
+    [[nodiscard]] http_call make_state_call() const
+    {
+        http_call call;
+        call.url = upstream.url() + "/v1/state";
+        call.timeout = internal::crash_check_timeout;
+        return call;
+    }
+
     [[nodiscard]] static bool has_crashed(const http_result& done, bool engine,
                                           bool was_serving)
     {
--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -118,6 +118,19 @@
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &one);
 }
 
+/*! @brief Returns whether only the end of its connection delimits a response
+ * (RFC 9112 section 6.3). */
+bool is_unframed(const transfer& one)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    const int status = one.end.status;
+    const bool has_body = one.call.method != "HEAD" && status != no_content &&
+                          status != not_modified;
+    return has_body && !one.end.headers.contains("content-length") &&
+           !one.end.headers.contains("transfer-encoding");
+}
+
 void record_outcome(transfer& one, CURLcode code)
 {
     curl_off_t connected = 0;
@@ -133,6 +146,7 @@
         one.end.reach = http_reach::not_sent;
     else
         one.end.reach = http_reach::interrupted;
+    one.end.unframed = code == CURLE_OK && is_unframed(one);
     if (code != CURLE_OK)
         one.end.fault = curl_easy_strerror(code);
 }
--- a/src/coursejunction/net/http_client.hpp
+++ b/src/coursejunction/net/http_client.hpp
@@ -19,7 +19,8 @@
 /*! @brief How far a call got. */
 enum class http_reach : std::uint8_t
 {
-    answered,   /*!< A complete response was received. */
+    answered,   /*!< A response was received to the end of its framing, or of
+                   its connection where it is `unframed`. */
     not_sent,   /*!< No connection was made: the server did not receive the
                     call. */
     interrupted /*!< The call failed after connecting: the server may have
@@ -54,6 +55,9 @@
     std::string body;
     std::string fault;
     std::size_t received{0}; /*!< Bytes of the body received. */
+    /*! @brief The response has neither a length nor chunks: the end of its
+     * connection does not tell whether the body is complete. */
+    bool unframed{false};
     /*! @brief Time to open a new connection; zero on a reused one. */
     std::chrono::microseconds connect_time{0};
 
--- a/tests/net/http_client.cpp
+++ b/tests/net/http_client.cpp
@@ -71,3 +71,48 @@
         CHECK(outcome.received == 0);
     }
 }
+
+SCENARIO("an HTTP client tells whether anything but the end of its connection "
+         "delimits a response",
+         "[net]")
+{
+    const auto result_of = [](const std::string& response)
+    {
+        loopback::scripted_peer peer({response});
+        cj::http_call request;
+        request.new_connection = true;
+        return call(peer.address, request);
+    };
+    SECTION("neither a length nor chunks")
+    {
+        const auto result = result_of("HTTP/1.1 200 OK\r\n\r\nall of it");
+        CHECK(result.unframed);
+        CHECK(result.body == "all of it");
+    }
+    SECTION("a length")
+    {
+        const auto result =
+            result_of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CHECK(result.ok());
+        CHECK_FALSE(result.unframed);
+    }
+    SECTION("chunks")
+    {
+        const auto result =
+            result_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "2\r\nok\r\n0\r\n\r\n");
+        CHECK(result.ok());
+        CHECK_FALSE(result.unframed);
+    }
+    SECTION("a status without a body")
+    {
+        CHECK_FALSE(result_of("HTTP/1.1 204 No Content\r\n\r\n").unframed);
+    }
+    SECTION("a response shorter than its length is interrupted")
+    {
+        const auto result =
+            result_of("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
+        CHECK(result.reach == cj::http_reach::interrupted);
+        CHECK_FALSE(result.unframed);
+    }
+}
--- a/tests/session/test_requests.py
+++ b/tests/session/test_requests.py
@@ -5,6 +5,7 @@
 import unittest
 
 from support import Caller, LabCase, ask, call, wait_for
+from unframed_service import UnframedService
 
 
 class ModelRequests(LabCase):
@@ -129,6 +130,28 @@
             self.assertEqual({one["id"] for one in caller.events}, {f"after-{at}"})
 
 
+class AnswersWithoutALength(LabCase):
+    def ask_service(self, service):
+        self.addCleanup(service.close)
+        self.lab.start_entry("entry-1", "north")
+        self.lab.start_side("side-1", "north", engine=service, kind="plain",
+                            labels=("service=ledger",), upstream={"slots": 64})
+        self.heard("entry-1", 1, "ledger")
+        return Caller(self.lab.entries["entry-1"], path="/services/ledger/charge", body="{}",
+                      headers={"Request-Id": "u1", "Not-Repeatable": "true"}).end()
+
+    def test_an_answer_that_a_crash_broke_off_is_not_passed_on_as_whole(self):
+        service = UnframedService(b"par", crashes=True)
+        caller = self.ask_service(service)
+        self.assertEqual((caller.status, caller.answer_headers["outcome"]), (502, "unknown"))
+        self.assertEqual(service.runs, 1)
+
+    def test_an_answer_of_a_service_that_lives_on_is_passed_on(self):
+        caller = self.ask_service(UnframedService(b"all of it"))
+        self.assertEqual((caller.status, caller.text), (200, b"all of it"))
+        self.assertEqual(caller.answer_headers["outcome"], "answered")
+
+
 class NotRepeatable(LabCase):
     """The ledger's record is the judge."""
 
