Soak: stand-ins draw their framing and end streams inside events

Why it was missed: all stand-ins answered with a length or in chunks, and the soak's proxies turned resets into orderly ends.

Change: the store, the origin, services and engines of the soak draw by seed whether an answer has a length, chunks or neither, from dice of their own, so that kept seeds keep their faults. Streams end in order inside an event at times, in chunks even with the last one. Proxies pass resets on. What asyncio calls abort closes in order; the stand-ins' resets are resets now. An engine that breaks off between two events and lives on does so by a reset where nothing else frames the stream: an orderly end there is a complete stream to any reader. Framed ones do either.

Ruled out: judging such orderly ends more mildly. The check stays as it was.

A first trial of the soak itself hung, since two kills of one engine overlapped; they now wait for each other. Another broke on the orderly aborts, see above.

--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -115,6 +115,10 @@
         # other upstream could take them; streams were cut and callers got 502.
         self.play(1, 6, "--silences", "--sides", "2")
 
+    def test_streams_that_broke_off_are_not_framed_as_complete(self):
+        # Seeds 1 and 2 failed: the end of a connection was taken for the end of a stream.
+        self.play(1, 6, "--unframed")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -2,6 +2,9 @@
 passes, and the links between halls that several proxies share."""
 
 import asyncio
+import functools
+
+from framings import reset
 
 
 class PacedLink:
@@ -49,6 +52,7 @@
     def __init__(self, host, target, link=None):
         self.host, self.target, self.link = host, target, link
         self.fault, self.open = "none", set()
+        self.ending = asyncio.Lock()
 
     async def start(self):
         self.listener = await asyncio.start_server(self.accept, self.host, 0)
@@ -59,21 +63,31 @@
 
     def reset_all(self):
         for writer in list(self.open):
-            writer.transport.abort()
+            reset(writer)
+
+    async def end_as_killed(self, length):
+        """As if the process behind it were killed: the port refuses for a while, and
+        open connections end in order."""
+        async with self.ending:
+            self.listener.close()
+            for writer in list(self.open):
+                writer.close()
+            await asyncio.sleep(length)
+            self.listener = await asyncio.start_server(self.accept, self.host, self.port)
 
     async def accept(self, reader, writer):
         host, port = self.target().split(":")
         try:
             behind, to = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self.open |= {writer, to}
         await asyncio.gather(self.copy(reader, to, "out"), self.copy(behind, writer, "back"))
         self.open -= {writer, to}
 
     async def copy(self, reader, writer, way):
-        through = 0.0
+        through, end = 0.0, writer.close
         try:
             while data := await reader.read(self.PACED_PART if self.link else self.PART):
                 while self.fault == "silent" or self.fault == f"cut_{way}":
@@ -85,9 +99,9 @@
                 self.at(through, self.write, writer, data)
                 await writer.drain()
         except ConnectionError:
-            pass  # One end is gone; the other is closed below.
+            end = functools.partial(reset, writer)  # A link does not turn a reset into an end.
         finally:
-            self.at(through, writer.close)
+            self.at(through, end)
 
     def at(self, when, act, *what):
         if self.link:
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -11,6 +11,8 @@
 import typing
 import urllib.parse
 
+from framings import begin_of_stream, part_of_stream, reset, without_length
+
 MODEL = "tutor"
 CHUNKS = 8
 CHUNK_BYTES = 4096
@@ -50,6 +52,7 @@
         self.host, self.port = host, port
         self.writers = set()
         self.listener = None
+        self.framings = None  # Else it draws how its answers are framed.
         self.speaks = asyncio.Event()  # Else nothing is answered, on open connections.
         self.speaks.set()
 
@@ -67,7 +70,7 @@
 
     def reset_all(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -77,9 +80,13 @@
                 method, target, _ = first.split(" ", 2)
                 made = await self.handle(method, target, headers, body, writer)
                 await self.speaks.wait()
+                unframed = (made is not None and self.framings is not None
+                            and self.framings.ends_with_connection())
                 if made is not None:
-                    writer.write(made)
+                    writer.write(without_length(made) if unframed else made)
                 await writer.drain()
+                if unframed:
+                    return
         except ConnectionError:
             pass  # The caller left; what it was owed is judged on its side.
         finally:
@@ -209,7 +216,7 @@
         self.watches = how
         if how == "cut":
             for writer in self.watching:
-                writer.transport.abort()
+                reset(writer)
 
     async def answer_watches(self):
         self.watches = "answered"
@@ -224,7 +231,7 @@
         if watches:
             self.watching.discard(writer)
         if made is None or self.era != era or not self.present.is_set():
-            writer.transport.abort()
+            reset(writer)
             return None
         return made.replace(b"\r\n", f"\r\nStore-Era: {era}\r\n".encode(), 1)
 
@@ -315,7 +322,7 @@
 
     async def handle(self, method, target, headers, body, writer):
         if self.fault == "down":
-            writer.transport.abort()
+            reset(writer)
             return None
         parts = urllib.parse.urlsplit(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(parts.query).items()}
@@ -366,7 +373,7 @@
         if body == CRASHING:
             return await self.end_under_request()
         if self.faults.random() < 0.03:
-            writer.transport.abort()  # It ran, and its answer is lost.
+            reset(writer)  # It ran, and its answer is lost.
             return None
         await asyncio.sleep(0.01)
         return answer(200, asked.encode(), signed + ["X-Coursejunction-Server-Signature: s"])
@@ -453,7 +460,7 @@
 
     async def handle(self, method, target, headers, body, writer):
         if self.away:
-            writer.transport.abort()
+            reset(writer)
             return None
         parts = urllib.parse.urlsplit(target)
         query = urllib.parse.parse_qs(parts.query)
@@ -509,23 +516,46 @@
             return None
         await self.speaks.wait()
         life = self.born
+        first = int(headers.get("last-event-id", "0")) + 1
+        events = [(at, f"id: {at}\ndata: {asked} {at}\n\n".encode())
+                  for at in range(first, self.EVENTS + 1)]
+        framing = "chunks" if self.framings is None else self.framings.of_stream()
+        size = sum(len(event) for _, event in events)
         self.running += 1
         try:
             writer.write("\r\n".join([
                 "HTTP/1.1 200 X", *signed, "X-Coursejunction-Server-Signature: s",
                 f"X-Coursejunction-Weight-Versions: {version}",
-                "Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]).encode())
-            for at in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
+                "Content-Type: text/event-stream", *begin_of_stream(framing, size), "", ""]).encode())
+            for at, event in events:
                 await asyncio.sleep(0.03)
                 await self.speaks.wait()
                 cut = self.version != version or life != self.born
                 if cut or self.faults.random() < 0.002:
-                    writer.transport.abort()
-                    return None
-                event = f"id: {at}\ndata: {asked} {at}\n\n".encode()
-                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                    return self.break_off(framing, writer)
+                if self.framings is not None and self.framings.breaks_inside():
+                    return self.break_inside(framing, event, writer)
+                writer.write(part_of_stream(framing, event))
                 await writer.drain()
-            writer.write(b"0\r\n\r\n")
+            if framing == "chunks":
+                writer.write(b"0\r\n\r\n")
+            elif framing == "connection":
+                writer.close()
         finally:
             self.running -= 1
         return None
+
+    def break_off(self, framing, writer):
+        """Between two events. An orderly end there is a whole answer to a reader that
+        knows of no other end."""
+        if framing != "connection" and self.framings is not None and self.framings.ends_in_order():
+            return writer.close()
+        return reset(writer)
+
+    @staticmethod
+    def break_inside(framing, event, writer):
+        """Ends the connection in order inside an event, in chunks even with the last one."""
+        writer.write(part_of_stream(framing, event[:len(event) // 2]))
+        if framing == "chunks":
+            writer.write(b"0\r\n\r\n")
+        writer.close()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
     soak.py ... --silences         upstreams fall silent for about a second and go on, beside changes of the
                                    configuration; nothing else is wrong
     soak.py ... --silences --stops also, one entry after the other gets SIGTERM and starts again
+    soak.py ... --unframed         all streams end with their connections, and engines are killed
     soak.py ... --suspending       instances are suspended: their steady clocks stand for a while
     soak.py ... --crashing --wide        its copies come to all entries at once, also for plain services
     soak.py ... --crashing --blackout    all entries lose power at once while its copies come
@@ -47,6 +48,7 @@
 from configuration import (
     LARGE_ROUTES, least_and_most_large, newest_key, newest_path, newest_route, plain_rules)
 from crashing import judge_bystanders, judge_crashes, lose_all_entries, send_copies, send_copies_widely
+from framings import Framings
 from knowledge import Knowledge, fetch, judge_rest
 from links import HallLink, Proxy
 from notices import give_notices, judge_notices
@@ -68,6 +70,7 @@
 FAULTS = ["kill", "kill", "pause", "pause", "stop", "hang_up", "store", "way", "way", "engine",
           "crash", "power", "origin", "version", "rules", "forget", "reset"]
 REBORN_FAULTS = FAULTS + ["reborn", "reborn", "reborn", "reborn_cut", "reborn_cut", "foreign"]
+UNFRAMED_FAULTS = FAULTS + ["end"] * 6
 SUSPENDING_FAULTS = FAULTS + ["suspend"] * 6
 LINK_FAULTS = FAULTS + ["large", "rules", "rules", "forget", "store", "hall", "hall"]
 
@@ -121,6 +124,9 @@
         self.engines = [Engine(f"127.0.2.{at + 1}", at, noise, 1 if at < sides * 3 / 4 else 0)
                         for at in range(sides)]
         self.engines[-1].misreads = self.asked.misreads
+        for at, one in enumerate([self.store, self.origin, *self.services, *self.engines]):
+            one.framings = Framings(f"{self.seed}/{at}", breaks=not self.asked.silences,
+                                    only_connections=self.asked.unframed)
         for one in self.services + self.engines:
             await one.start()
         self.fronts = {}
@@ -323,6 +329,7 @@
     async def fault(self, kind=None):
         """One fault with its end; several overlap."""
         drawn = REBORN_FAULTS if self.asked.reborn else FAULTS
+        drawn = UNFRAMED_FAULTS if self.asked.unframed else drawn
         drawn = SUSPENDING_FAULTS if self.asked.suspending else drawn
         kind = kind or self.dice.choice(LINK_FAULTS if self.rate else drawn)
         self.faults.append(kind)
@@ -354,6 +361,12 @@
             await self.spoil(self.fronts[self.dice.choice(self.engines)], way, length)
         elif kind == "crash":
             self.dice.choice(self.engines).crash()
+        elif kind == "end":
+            engine = self.dice.choice(self.engines)
+            ending = asyncio.create_task(self.fronts[engine].end_as_killed(length))
+            await asyncio.sleep(0)
+            engine.crash()
+            await ending
         elif kind == "reborn":
             self.dice.choice(self.engines).start_again()
         elif kind == "reborn_cut":
@@ -602,6 +615,7 @@
     parser.add_argument("--late-writes", type=int, default=0)
     parser.add_argument("--unheard", type=int, default=0)
     parser.add_argument("--silences", action="store_true")
+    parser.add_argument("--unframed", action="store_true")
     parser.add_argument("--stops", action="store_true")
     parser.add_argument("--suspending", action="store_true")
     parser.add_argument("--wide", action="store_true")
