Log how the call of an attempt ended, beside its framing

The line of an answer told the framing but not the end, so that a response that only its connection ended, and that a probe confirmed, could be read from the metrics alone. No decision changes.

--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -125,13 +125,12 @@
             return end == stream_end::whole && status == expected;
         }
 
-        /*! @brief Returns whether a response with this status was received to
-         * the end of its framing or of its connection. For bodies that show
-         * themselves whether they are complete: by a hash, or as a document. */
-        [[nodiscard]] bool ended_as(int expected) const
+        /*! @brief Returns whether a response was received to the end of its
+         * framing or of its connection. For bodies that show themselves whether
+         * they are complete (by a hash, or as a document) or are not used. */
+        [[nodiscard]] bool ended() const
         {
-            return (end == stream_end::whole || end == stream_end::unframed) &&
-                   status == expected;
+            return end == stream_end::whole || end == stream_end::unframed;
         }
     };
 
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -42,6 +42,7 @@
     time_point sent_at{};
     stream_head response_head;
     std::string response_body;
+    std::optional<stream_end> response_end; /*!< Once the call has ended. */
     event_splitter events; /*!< Counts from the first event of the stream, even
                               if another attempt returned it. */
     time_point last_event_at{};
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -174,6 +174,14 @@
     return std::string(body_framing_name(attempt.response_head.framing));
 }
 
+/*! @brief Returns how an attempt's call ended; "open" for one that did not end
+ * by itself. */
+[[nodiscard]] inline std::string end_text(const upstream_attempt& attempt)
+{
+    return std::string(
+        attempt.response_end ? stream_end_name(*attempt.response_end) : "open");
+}
+
 /*! @brief Returns the number of bytes after the last complete event. */
 [[nodiscard]] inline std::string
 unfinished_bytes_text(const upstream_attempt& attempt)
@@ -194,6 +202,7 @@
                   {"why", why},
                   {"events", std::to_string(attempt.events.event_count())},
                   {"framing", framing_text(attempt)},
+                  {"end", end_text(attempt)},
                   {"unfinished_bytes", unfinished_bytes_text(attempt)},
                   {"may_have_run", may_have_run ? "true" : "false"},
                   {"sent_again", resending ? "true" : "false"},
@@ -241,6 +250,7 @@
          {"outcome", outcome},
          {"events", std::to_string(request.attempt.events.event_count())},
          {"framing", framing_text(request.attempt)},
+         {"end", end_text(request.attempt)},
          {"unfinished_bytes", unfinished_bytes_text(request.attempt)},
          {"took_ms", ms_between(request.arrived_at, now)}});
 }
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -823,24 +823,25 @@
     }
 
     /*! @brief Counts how the responses of upstreams are framed and end. */
-    void count_end(const upstream_attempt& attempt, stream_end end)
+    void count_end(const upstream_attempt& attempt)
     {
         counters.count(
             "upstream_responses_ended_total", 1,
             {{"framing",
               std::string(body_framing_name(attempt.response_head.framing))},
-             {"end", std::string(stream_end_name(end))},
+             {"end", exchange_log::end_text(attempt)},
              {"inside_event", attempt.events.inside_event() ? "yes" : "no"}});
     }
 
     void on_end(exchange& request, std::uint64_t attempt, stream_end end,
                 const std::string& reason)
     {
-        const auto& ended = is_silent_attempt(request, attempt)
-                                ? *request.silent_attempt
-                                : request.attempt;
-        count_end(ended, end);
-        const auto verdict = judge(describe_end(request, ended, end));
+        auto& ended = is_silent_attempt(request, attempt)
+                          ? *request.silent_attempt
+                          : request.attempt;
+        ended.response_end = end;
+        count_end(ended);
+        const auto verdict = judge(describe_end(request, ended));
         if (verdict == end_verdict::unconfirmed)
             return probe_after_end(request, ended);
         conclude_attempt(request, attempt, verdict,
@@ -848,13 +849,12 @@
                                         : reason);
     }
 
-    [[nodiscard]] attempt_end describe_end(const exchange& request,
-                                           const upstream_attempt& attempt,
-                                           stream_end end) const
+    [[nodiscard]] attempt_end
+    describe_end(const exchange& request, const upstream_attempt& attempt) const
     {
         const auto* known = book.find(attempt.choice.upstream);
         attempt_end described;
-        described.end = end;
+        described.end = *attempt.response_end;
         described.is_stream = exchange_facts::forwards_events(request, attempt);
         described.has_event = attempt.events.event_count() > 0;
         described.inside_event = attempt.events.inside_event();
