Test: a crash inside an event is evidence against its request

Holds that an unframed stream that a crash ends inside an event is counted as a crash of its upstream under that request.

--- a/tests/proxy/broken_stream.cpp
+++ b/tests/proxy/broken_stream.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -143,6 +144,21 @@
     }
 }
 
+SCENARIO("a crash inside an event is evidence against its request", "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::stream, true);
+    loopback::crashing_peer broken(
+        {framed_events(body_framing::connection, first_event + begun_event)});
+    entry.add_upstream("a", broken.address);
+    check_broken_off(entry.ask());
+    const std::string counted = "upstreams_ended_under_requests_total 1";
+    for (int check = 0;
+         check < 500 && count_of(counted, entry.counters.text()) == 0; ++check)
+        std::this_thread::sleep_for(10ms);
+    CHECK(count_of(counted, entry.counters.text()) == 1);
+}
+
 SCENARIO("a complete stream is forwarded as it was received", "[proxy]")
 {
     entry_on_loopback entry;
