Log how the removal of an upstream's record is taken

A removal that counts as a lapse could not be told from one whose record had said that the upstream leaves, nor its end from any other. upstream_changed has both now and the revision, upstream_expired names an upstream that is dropped after a lapse, store_outage_ended the moment from which lapses are counted, and a counter has removals by kind. No decision is changed.

--- a/src/coursejunction/fleet/store_outage.hpp
+++ b/src/coursejunction/fleet/store_outage.hpp
@@ -35,12 +35,15 @@
             failing_since = now;
     }
 
-    /*! @brief Records an answered call, which ends an outage. */
-    void record_success(time_point now)
+    /*! @brief Records an answered call, which ends an outage.
+     * @return Whether one ended. */
+    bool record_success(time_point now)
     {
-        if (failing_since && now - *failing_since >= min_duration)
+        const bool ends = failing_since && now - *failing_since >= min_duration;
+        if (ends)
             ended_at = now;
         failing_since.reset();
+        return ends;
     }
 
     /*! @brief Returns whether an outage ended less than `settle_time` ago. */
--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -265,7 +265,9 @@
 
     void record_success()
     {
-        outage.record_success(event_loop::now());
+        if (outage.record_success(event_loop::now()))
+            log::state("store_outage_ended",
+                       {{"revision", mirror.position().text()}});
         schedule.record_success();
         if (reachable)
             return;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -314,15 +314,11 @@
         for (const auto& change : fleet.update(node.mirror(), keys))
         {
             report_departure(change, store_returned, now);
+            if (!change.removed)
+                update_upstream(fleet.upstreams().at(change.id));
+            log_upstream_change(change, store_returned);
             if (change.removed)
                 remove_upstream(change, store_returned, now);
-            else
-                update_upstream(fleet.upstreams().at(change.id));
-            log::state("upstream_changed",
-                       {{"upstream", change.id.value()},
-                        {"life", std::to_string(change.life.value())},
-                        {"removed", change.removed ? "true" : "false"},
-                        {"lapse", store_returned ? "true" : "false"}});
         }
         book.set_mirrored(node.mirror().position());
         version_control.on_keys_changed(previous == nullptr, now);
@@ -392,6 +388,30 @@
             .count();
     }
 
+    void log_upstream_change(const upstream_change& change, bool store_returned)
+    {
+        const auto* known = book.find(change.id);
+        const bool leaving = known != nullptr && known->announced_leaving();
+        const bool lapse = change.removed && store_returned;
+        if (change.removed)
+            counters.count("upstream_records_removed_total", 1,
+                           {{"lapse", lapse ? "yes" : "no"}});
+        log::state("upstream_changed",
+                   {{"upstream", change.id.value()},
+                    {"life", std::to_string(change.life.value())},
+                    {"removed", change.removed ? "true" : "false"},
+                    {"leaving", leaving ? "true" : "false"},
+                    {"revision", change.position.text()},
+                    {"lapse", lapse ? "true" : "false"}});
+    }
+
+    /*! @brief Drops upstreams whose record did not return in time. */
+    void expire_upstreams(time_point now)
+    {
+        for (const auto& id : book.expire(now))
+            log::state("upstream_expired", {{"upstream", id.value()}});
+    }
+
     /*! @brief Reports an upstream that no longer accepts requests to the other
      * entries. Their mirrors follow later: a page may have to wait for a larger
      * value or for a congested link. A record that may have lapsed in an outage
@@ -584,7 +604,7 @@
     {
         const auto now = event_loop::now();
         book.set_mirrored(node.mirror().position());
-        book.expire(now);
+        expire_upstreams(now);
         exchanges.crashes().tick(now);
         exchanges.expire(now);
         counters.set("upstream_records_unreadable",
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -79,11 +79,13 @@
     }
 
     /*! @brief Drops upstreams whose record did not return within the grace
-     * time. */
-    void expire(time_point now)
+     * time.
+     * @return Their ids. */
+    std::vector<instance_id> expire(time_point now)
     {
         retained.expire(now);
         departures.expire(now);
+        std::vector<instance_id> expired;
         std::erase_if(upstreams,
                       [&](const auto& entry)
                       {
@@ -91,8 +93,10 @@
                           if (!at || now < *at)
                               return false;
                           retained.keep(entry.second, now);
+                          expired.push_back(entry.first);
                           return true;
                       });
+        return expired;
     }
 
     /*! @brief Applies a status that the sidecar at an address reported,
