--- a/tests/proxy/memory_store.hpp
+++ b/tests/proxy/memory_store.hpp
@@ -56,6 +56,7 @@
     std::vector<cj::message::mirror_item> history;
     std::uint64_t revision{0};
     std::uint64_t era{1}; /*!< Rises with each rollback. */
+    bool available{true}; /*!< Otherwise the calls of all processes fail. */
     bool watch_returns_history{
         false}; /*!< Watches also return overwritten values. */
 };
@@ -77,7 +78,7 @@
 
     void list(const page_callback& done)
     {
-        if (!reachable)
+        if (!reaches_store())
             return fail(done);
         respond([this, done] { done(changed_after(0)); });
     }
@@ -85,7 +86,7 @@
     void watch(std::uint64_t after, cj::milliseconds wait,
                const page_callback& done)
     {
-        if (!reachable)
+        if (!reaches_store())
             return fail(done);
         const auto deadline = cj::event_loop::now() + wait;
         poll(after, deadline, done);
@@ -124,6 +125,11 @@
 private:
     static constexpr cj::milliseconds response_delay{2};
 
+    [[nodiscard]] bool reaches_store() const
+    {
+        return reachable && keys.available;
+    }
+
     void respond(std::function<void()> work)
     {
         call = loop.after(response_delay, std::move(work));
@@ -145,6 +151,8 @@
         respond(
             [this, after, deadline, done]
             {
+                if (!keys.available)
+                    return fail(done);
                 if (after > keys.revision)
                     return done(cj::failure(cj::error_kind::not_found,
                                             "no such revision"));
