Count a lapse from the return of the store, not from each removal

Callers saw: nothing wrong in their answers, but requests reached upstreams 2.1 s after the store had acknowledged that they are gone (bound 2 s); such an upstream may end at any moment.

Cause: after an outage of the store a missing record may only have expired. For 3 s after its own first answered call (settle_time) a process took each removal for such a lapse, and kept its upstream for 2 s (lapse_grace) from that removal: up to 5 s after the return, where the platform says that a record still missing after two seconds is gone. Each limit fitted the bound, their sum did not. Class: a grace that starts anew with each event, and a "recently" that each process measures from another moment.

Change: there is one moment, the return of the store, and one limit, 2 s after it. A removal that is read later is a removal; one that is read earlier is kept until that limit. A rollback that no failed call announced counts from the moment it is read.

Existing tests give the deadline where they gave a flag, with the same 2 s.

--- a/src/coursejunction/fleet/fleet_hooks.hpp
+++ b/src/coursejunction/fleet/fleet_hooks.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,10 +37,10 @@
 struct fleet_hooks
 {
     /*! @brief Keys of the mirror changed.
-     * @param store_returned True shortly after an outage or rollback of the
-     * store, when missing records may only have expired meanwhile. */
+     * @param lapse_deadline Set shortly after an outage or rollback of the
+     * store: until then missing records may come back. */
     std::function<void(const std::vector<std::string>& keys,
-                       bool store_returned)>
+                       std::optional<time_point> lapse_deadline)>
         keys_changed;
     /*! @brief A page of the store holds this value and a newer one of the same
      * key, and the mirror has none as recent; called before `keys_changed`
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -322,7 +322,7 @@
         heartbeat.watching = reader.watching();
         heartbeat.fetching = reader.fetching() || puller.fetching();
         heartbeat.probing = reader.probing();
-        heartbeat.store_returned = store_returned(now);
+        heartbeat.lapse_window_ms = lapse_window_ms(now);
         heartbeat.store_distance = own_distance_us();
         for (const auto& [address, peer] : directory.all())
         {
@@ -383,6 +383,8 @@
                                  local_mirror.position(), now);
             puller.peer_ahead(from, same_hall);
         }
+        if (const auto deadline = told_lapse_deadline(*directory.find(from)))
+            reader.peer_reached_store(*deadline - store_outage::lapse_window);
         if (hooks.heartbeat_received)
             hooks.heartbeat_received(from, decoded.value());
     }
@@ -528,12 +530,53 @@
                    std::max(local_mirror.carried(), carried_seen);
     }
 
-    /*! @brief Returns whether the store itself, and not only the connection to
-     * it from here, had an outage that ended a moment ago. */
-    [[nodiscard]] bool store_returned(time_point now) const
+    /*! @brief Returns until when missing records may come back because the
+     * store itself, and not only the connection to it from here, had an outage;
+     * nothing if none ended recently. */
+    [[nodiscard]] std::optional<time_point>
+    own_lapse_deadline(time_point now) const
     {
-        return reader.outage_recently_ended(now) &&
-               !directory.has_undisturbed_watcher(now);
+        if (directory.has_undisturbed_watcher(now))
+            return std::nullopt;
+        return reader.lapse_deadline(now);
+    }
+
+    /*! @brief Returns the same as a peer reports it; possibly in the past. */
+    [[nodiscard]] static std::optional<time_point>
+    told_lapse_deadline(const peer_state& peer)
+    {
+        const milliseconds left(peer.last_heartbeat.lapse_window_ms);
+        if (left == milliseconds(0))
+            return std::nullopt;
+        return peer.heard_at + std::min(left, store_outage::lapse_window);
+    }
+
+    /*! @brief Returns the remaining time until `own_lapse_deadline`; 0 if there
+     * is none. */
+    [[nodiscard]] std::uint32_t lapse_window_ms(time_point now) const
+    {
+        const auto deadline = own_lapse_deadline(now);
+        if (!deadline)
+            return 0;
+        return static_cast<std::uint32_t>(
+            std::chrono::ceil<milliseconds>(*deadline - now).count());
+    }
+
+    /*! @brief Returns until when records missing in a page may come back.
+     * @param sender Peer that sent the page; null for the store.
+     * @param era_changed Whether the page is of a later era. The store lost
+     * what it had not saved, even if no call of this process failed. */
+    [[nodiscard]] std::optional<time_point>
+    lapse_deadline(const peer_state* sender, bool era_changed,
+                   time_point now) const
+    {
+        const auto deadline = sender == nullptr ? own_lapse_deadline(now)
+                                                : told_lapse_deadline(*sender);
+        if (deadline && *deadline > now)
+            return deadline;
+        if (era_changed)
+            return now + store_outage::lapse_window;
+        return std::nullopt;
     }
 
     /*! @brief Logs and reports a change of the mirror, and announces it to
@@ -565,13 +608,11 @@
                         {"removed", found->second.removed ? "true" : "false"}});
         }
         const auto* peer = directory.find(from);
-        const bool returned = peer != nullptr
-                                  ? peer->last_heartbeat.store_returned
-                                  : store_returned(event_loop::now());
         advanced_at = event_loop::now();
         tracker.advance(local_mirror.position(), advanced_at);
         if (hooks.keys_changed)
-            hooks.keys_changed(changed, returned || era_changed);
+            hooks.keys_changed(changed,
+                               lapse_deadline(peer, era_changed, advanced_at));
         auto context = context_for(heartbeat_reason::mirror);
         context.from_store = peer == nullptr;
         send_heartbeat(context);
--- a/src/coursejunction/fleet/peer_directory.hpp
+++ b/src/coursejunction/fleet/peer_directory.hpp
@@ -278,7 +278,8 @@
                                const auto& last = peer.second.last_heartbeat;
                                return peer.second.entry &&
                                       alive(peer.second, now) &&
-                                      last.watching && !last.store_returned;
+                                      last.watching &&
+                                      last.lapse_window_ms == 0;
                            });
     }
 
--- a/src/coursejunction/fleet/store_outage.hpp
+++ b/src/coursejunction/fleet/store_outage.hpp
@@ -14,7 +14,10 @@
 /*! @brief Upstreams cannot renew their records during an outage of the store;
  * records that expired then come back soon after it ends. A single failed call,
  * or a watch from a position whose history the store has dropped, is no outage:
- * what is missing after it has really been removed. */
+ * what is missing after it has really been removed.
+ *
+ * All time limits count from the return of the store, so that they do not add
+ * up. The return is the first answered call, of this process or of a peer. */
 class store_outage
 {
 public:
@@ -23,10 +26,9 @@
      * first may be due immediately. */
     static constexpr milliseconds min_duration{1000};
 
-    /*! @brief For this long after an outage missing records may still come
-     * back. The platform does not count failed requests of the installation
-     * during the same time. */
-    static constexpr milliseconds settle_time{3000};
+    /*! @brief For this long after the store returned missing records may come
+     * back, as the platform promises; later ones have been removed. */
+    static constexpr milliseconds lapse_window{2000};
 
     /*! @brief Records a failed call. */
     void record_failure(time_point now)
@@ -41,20 +43,33 @@
     {
         const bool ends = failing_since && now - *failing_since >= min_duration;
         if (ends)
-            ended_at = now;
+            returned_at = now;
         failing_since.reset();
         return ends;
     }
 
-    /*! @brief Returns whether an outage ended less than `settle_time` ago. */
-    [[nodiscard]] bool recently_ended(time_point now) const
+    /*! @brief Records that the store answered a peer again. Ignored unless this
+     * process saw the same outage.
+     * @param at When it answered the peer.
+     * @return Whether an outage ended. */
+    bool record_peer_return(time_point at)
     {
-        return ended_at && now - *ended_at < settle_time;
+        return failing_since && at - *failing_since >= min_duration &&
+               record_success(at);
+    }
+
+    /*! @brief Returns until when records that are missing now may come back;
+     * nothing if no outage ended recently. */
+    [[nodiscard]] std::optional<time_point> lapse_deadline(time_point now) const
+    {
+        if (!returned_at || now - *returned_at >= lapse_window)
+            return std::nullopt;
+        return *returned_at + lapse_window;
     }
 
 private:
     std::optional<time_point> failing_since;
-    std::optional<time_point> ended_at;
+    std::optional<time_point> returned_at;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/fleet/store_reader.hpp
+++ b/src/coursejunction/fleet/store_reader.hpp
@@ -7,6 +7,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -129,10 +130,18 @@
      * the last write of each key is seen. */
     [[nodiscard]] std::uint64_t gaps() const noexcept { return gap_count; }
 
-    /*! @brief Returns whether an outage of the store ended a moment ago. */
-    [[nodiscard]] bool outage_recently_ended(time_point now) const
+    /*! @brief Returns until when records that are missing now may come back
+     * after an outage of the store; nothing if none ended recently. */
+    [[nodiscard]] std::optional<time_point> lapse_deadline(time_point now) const
     {
-        return outage.recently_ended(now);
+        return outage.lapse_deadline(now);
+    }
+
+    /*! @brief Records that the store answered a peer again after an outage. */
+    void peer_reached_store(time_point at)
+    {
+        if (outage.record_peer_return(at))
+            log_outage_end("peer");
     }
 
 private:
@@ -266,8 +275,7 @@
     void record_success()
     {
         if (outage.record_success(event_loop::now()))
-            log::state("store_outage_ended",
-                       {{"revision", mirror.position().text()}});
+            log_outage_end("call");
         schedule.record_success();
         if (reachable)
             return;
@@ -277,6 +285,13 @@
                     {"distance_us", std::to_string(distance_us())}});
     }
 
+    void log_outage_end(const std::string& known_by) const
+    {
+        log::state(
+            "store_outage_ended",
+            {{"known_by", known_by}, {"revision", mirror.position().text()}});
+    }
+
     /*! @brief Cancels a call that costs more than its alternative. The next
      * call watches from the position to which peers have advanced the mirror,
      * or lists all keys if they have not. */
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -81,9 +82,9 @@
     void start()
     {
         fleet_hooks hooks;
-        hooks.keys_changed =
-            [this](const std::vector<std::string>& keys, bool store_returned)
-        { on_keys_changed(keys, store_returned); };
+        hooks.keys_changed = [this](const std::vector<std::string>& keys,
+                                    std::optional<time_point> lapse_deadline)
+        { on_keys_changed(keys, lapse_deadline); };
         hooks.value_overwritten = [this](const message::mirror_item& item)
         { fleet.add_overwritten_version(item, event_loop::now()); };
         hooks.heartbeat_received =
@@ -303,22 +304,22 @@
     }
 
     /*! @brief Applies changed keys of the store.
-     * @param store_returned Whether the store is reachable again after an
-     * outage, so that missing records may come back. */
+     * @param lapse_deadline Until then missing records may come back after an
+     * outage of the store. */
     void on_keys_changed(const std::vector<std::string>& keys,
-                         bool store_returned)
+                         std::optional<time_point> lapse_deadline)
     {
         const auto now = event_loop::now();
         const auto* previous = fleet.configuration();
         load_quarantines(keys);
         for (const auto& change : fleet.update(node.mirror(), keys))
         {
-            report_departure(change, store_returned, now);
+            report_departure(change, lapse_deadline.has_value(), now);
             if (!change.removed)
                 update_upstream(fleet.upstreams().at(change.id));
-            log_upstream_change(change, store_returned);
+            log_upstream_change(change, lapse_deadline.has_value());
             if (change.removed)
-                remove_upstream(change, store_returned, now);
+                remove_upstream(change, lapse_deadline, now);
         }
         book.set_mirrored(node.mirror().position());
         version_control.on_keys_changed(previous == nullptr, now);
@@ -388,11 +389,11 @@
             .count();
     }
 
-    void log_upstream_change(const upstream_change& change, bool store_returned)
+    void log_upstream_change(const upstream_change& change, bool may_return)
     {
         const auto* known = book.find(change.id);
         const bool leaving = known != nullptr && known->announced_leaving();
-        const bool lapse = change.removed && store_returned;
+        const bool lapse = change.removed && may_return;
         if (change.removed)
             counters.count("upstream_records_removed_total", 1,
                            {{"lapse", lapse ? "yes" : "no"}});
@@ -416,14 +417,13 @@
      * entries. Their mirrors follow later: a page may have to wait for a larger
      * value or for a congested link. A record that may have lapsed in an outage
      * of the store is not reported. */
-    void report_departure(const upstream_change& change, bool store_returned,
+    void report_departure(const upstream_change& change, bool may_return,
                           time_point now)
     {
         const auto* known = book.find(change.id);
         if (known == nullptr || known->announced_leaving())
             return;
-        const bool gone =
-            change.removed && !store_returned && !change.malformed;
+        const bool gone = change.removed && !may_return && !change.malformed;
         const bool leaves =
             !change.removed && fleet.upstreams().at(change.id).leaving;
         if (gone || leaves)
@@ -451,14 +451,17 @@
         }
     }
 
-    void remove_upstream(const upstream_change& change, bool store_returned,
+    void remove_upstream(const upstream_change& change,
+                         std::optional<time_point> lapse_deadline,
                          time_point now)
     {
+        if (change.malformed)
+            return book.remove(change.id, std::nullopt, now);
         const auto* known = book.find(change.id);
         const bool expected = known == nullptr || known->announced_leaving();
-        if (!expected && !store_returned && !change.malformed)
+        if (!expected && !lapse_deadline)
             exchanges.crashes().upstream_record_expired(change.id);
-        book.remove(change.id, store_returned && !change.malformed, now);
+        book.remove(change.id, lapse_deadline, now);
     }
 
     void update_upstream(const upstream_record& record)
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -96,7 +96,8 @@
     void start()
     {
         fleet_hooks hooks;
-        hooks.keys_changed = [this](const std::vector<std::string>& keys, bool)
+        hooks.keys_changed = [this](const std::vector<std::string>& keys,
+                                    std::optional<time_point>)
         { keys_changed(keys); };
         hooks.value_overwritten = [this](const message::mirror_item& one)
         { fleet.add_overwritten_version(one, event_loop::now()); };
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -36,11 +36,6 @@
      * intervals. */
     static constexpr milliseconds status_validity{1000};
 
-    /*! @brief How long an upstream is kept whose record disappeared in an
-     * outage of the store. The record may only have expired because it could
-     * not be renewed; the platform grants it two seconds to return. */
-    static constexpr milliseconds lapse_grace{2000};
-
     /*! @brief Adds or replaces a record; ignores one of an earlier incarnation
      * than the known one.
      * @return The earlier incarnation that the record replaced, if any. */
@@ -62,24 +57,24 @@
     }
 
     /*! @brief Handles the removal of a record.
-     * @param lapse Whether the store was unavailable, so that the record may
-     * return. */
-    void remove(const instance_id& id, bool lapse, time_point now)
+     * @param lapse_deadline Until then the record may come back, as it may only
+     * have expired in an outage of the store; nothing if it was removed. */
+    void remove(const instance_id& id, std::optional<time_point> lapse_deadline,
+                time_point now)
     {
         const auto found = upstreams.find(id);
         if (found == upstreams.end())
             return;
-        if (lapse && !found->second.announced_leaving())
+        if (lapse_deadline && !found->second.announced_leaving())
         {
-            found->second.lapses_at = now + lapse_grace;
+            found->second.lapses_at = lapse_deadline;
             return;
         }
         retained.keep(found->second, now);
         upstreams.erase(found);
     }
 
-    /*! @brief Drops upstreams whose record did not return within the grace
-     * time.
+    /*! @brief Drops upstreams whose record did not return by its deadline.
      * @return Their ids. */
     std::vector<instance_id> expire(time_point now)
     {
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -195,12 +195,14 @@
     std::string hall;
     bool entry{false};
     bool leaving{false};
-    bool watching{false};       /*!< Receives changes from the store itself. */
-    bool fetching{false};       /*!< Reads the whole store, or the mirror of a
-                                   peer in another hall, for its hall. */
-    bool probing{false};        /*!< Has a small request for changes to the
-                                   store open, without a response so far. */
-    bool store_returned{false}; /*!< An outage of the store ended recently. */
+    bool watching{false}; /*!< Receives changes from the store itself. */
+    bool fetching{false}; /*!< Reads the whole store, or the mirror of a
+                             peer in another hall, for its hall. */
+    bool probing{false};  /*!< Has a small request for changes to the
+                             store open, without a response so far. */
+    /*! @brief How many more milliseconds missing records may come back after
+     * an outage of the store; 0 if none ended recently. */
+    std::uint32_t lapse_window_ms{0};
     /*! @brief Time in microseconds that connecting to the store takes from this
      * process; 0 if unknown. */
     std::uint32_t store_distance{0};
@@ -220,7 +222,7 @@
     void serialize(Archive& archive)
     {
         archive(incarnation, sequence, mirrored, carried, hall, entry, leaving,
-                watching, fetching, probing, store_returned, store_distance,
+                watching, fetching, probing, lapse_window_ms, store_distance,
                 entries);
         if (entry)
             archive(load, digest, crashes, refusals, terms, versions,
--- a/tests/fleet/peer_directory.cpp
+++ b/tests/fleet/peer_directory.cpp
@@ -83,7 +83,7 @@
     heartbeat.sequence = 1;
     heartbeat.entry = true;
     heartbeat.watching = true;
-    heartbeat.store_returned = true;
+    heartbeat.lapse_window_ms = 1500;
     peers.record_heartbeat("10.0.0.1", heartbeat, now);
 
     GIVEN("a peer that saw the same outage")
@@ -92,7 +92,7 @@
     }
     GIVEN("one that watched without interruption")
     {
-        heartbeat.store_returned = false;
+        heartbeat.lapse_window_ms = 0;
         peers.record_heartbeat("10.0.0.2", heartbeat, now);
         CHECK(peers.has_undisturbed_watcher(now));
         THEN("it does not count once it is silent")
--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -178,7 +178,7 @@
             {
                 const cj::instance_id removed(id);
                 service->crashes().upstream_record_expired(removed);
-                book.remove(removed, false, cj::event_loop::now());
+                book.remove(removed, std::nullopt, cj::event_loop::now());
             });
     }
 
--- a/tests/route/placement.cpp
+++ b/tests/route/placement.cpp
@@ -156,7 +156,7 @@
         }
         THEN("it is used again for the request if nothing else is usable")
         {
-            registry.remove(cj::instance_id("far"), false, now);
+            registry.remove(cj::instance_id("far"), std::nullopt, now);
             auto repeated = default_request();
             repeated.excluded = {cj::instance_id("near")};
             CHECK_FALSE(
@@ -286,7 +286,7 @@
 
     WHEN("a record disappears in an outage")
     {
-        registry.remove(id, true, now);
+        registry.remove(id, now + 2s, now);
         registry.expire(now + 1s);
         CHECK(registry.find(id) != nullptr);
         THEN("its upstream is dropped after the grace time")
@@ -303,7 +303,7 @@
     }
     WHEN("a record disappears while the store is available")
     {
-        registry.remove(id, false, now);
+        registry.remove(id, std::nullopt, now);
         THEN("its upstream is dropped at once")
         {
             CHECK(registry.find(id) == nullptr);
--- a/tests/route/upstream_departures.cpp
+++ b/tests/route/upstream_departures.cpp
@@ -58,7 +58,7 @@
     }
     SECTION("it also holds for a record that arrives after it")
     {
-        registry.remove(id, false, start);
+        registry.remove(id, std::nullopt, start);
         registry.apply_departure({id, {1, 15}, false}, start);
         registry.set_mirrored({1, 14});
         registry.apply_record(record());
--- a/tests/route/upstream_terms.cpp
+++ b/tests/route/upstream_terms.cpp
@@ -184,7 +184,7 @@
 
     SECTION("it disappeared in a store outage for longer than the grace time")
     {
-        registry.remove(record.id, true, moment(1));
+        registry.remove(record.id, moment(3), moment(1));
         registry.expire(moment(4));
         REQUIRE(registry.find(record.id) == nullptr);
         registry.apply_record(record);
@@ -193,13 +193,13 @@
     }
     SECTION("it disappeared while the store was available")
     {
-        registry.remove(record.id, false, moment(1));
+        registry.remove(record.id, std::nullopt, moment(1));
         registry.apply_record(record);
         CHECK(registry.find(record.id)->terms.limit());
     }
     SECTION("a later incarnation has no terms")
     {
-        registry.remove(record.id, false, moment(1));
+        registry.remove(record.id, std::nullopt, moment(1));
         record.life = cj::incarnation(8);
         registry.apply_record(record);
         CHECK(opens() <= moment(0));
@@ -207,7 +207,7 @@
     }
     SECTION("terms are dropped after a minute")
     {
-        registry.remove(record.id, false, moment(1));
+        registry.remove(record.id, std::nullopt, moment(1));
         registry.expire(moment(62));
         registry.apply_record(record);
         CHECK(opens() <= moment(0));
