Show the parts of a prompt in the evidence of a crash

Evidence names the content of each request on a crashed upstream, so requests that differ in all but one part of their prompts cannot be seen to have it in common. The adapter decodes the ids of the parts that requests may share, the entry keeps their digests, and crash_evidence logs them. No decision is changed.

--- a/src/coursejunction/core/request_content.cpp
+++ b/src/coursejunction/core/request_content.cpp
@@ -17,6 +17,19 @@
     const auto text = std::to_string(caller.size()) + ":" +
                       std::string(caller) + std::string(target) + "\n" +
                       digest::of(body).hex();
+    return from_text(text);
+}
+
+request_content request_content::of_part(std::string_view service,
+                                         std::string_view part)
+{
+    // The text of a request begins with a digit.
+    return from_text("part " + std::to_string(service.size()) + ":" +
+                     std::string(service) + std::string(part));
+}
+
+request_content request_content::from_text(std::string_view text)
+{
     const auto whole = digest::of(text);
     value_type first{};
     std::copy_n(whole.bytes().begin(), size, first.begin());
--- a/src/coursejunction/core/request_content.hpp
+++ b/src/coursejunction/core/request_content.hpp
@@ -17,10 +17,11 @@
 namespace coursejunction
 {
 
-/*! @brief Digest of a request: the first 16 bytes of a SHA-256 over the caller,
- * the target and the digest of the whole body. It includes the caller, so that
- * no caller can cause another caller's request to be quarantined. With 128
- * bits, finding a second request with the same digest is infeasible. */
+/*! @brief Digest of a request, or of a part of its prompt. That of a request is
+ * the first 16 bytes of a SHA-256 over the caller, the target and the digest of
+ * the whole body. It includes the caller, so that no caller can cause another
+ * caller's request to be quarantined. With 128 bits, finding a second request
+ * with the same digest is infeasible. */
 class request_content
 {
 public:
@@ -37,6 +38,12 @@
     [[nodiscard]] static request_content
     of(std::string_view caller, std::string_view target, std::string_view body);
 
+    /*! @brief Computes the digest of a part of a prompt, which differs from
+     * that of any request. It is the same for all callers.
+     * @param service Service that the part was sent to. */
+    [[nodiscard]] static request_content of_part(std::string_view service,
+                                                 std::string_view part);
+
     /*! @brief Parses 32 lower-case hexadecimal digits.
      * @return The digest, or `invalid`. */
     [[nodiscard]] static result<request_content> parse(std::string_view text);
@@ -57,6 +64,8 @@
     }
 
 private:
+    [[nodiscard]] static request_content from_text(std::string_view text);
+
     value_type raw{};
 };
 
--- a/src/coursejunction/proxy/crash_guard.cpp
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -16,8 +16,12 @@
  * crashes of a request tell whether it is harmful only together. */
 void log_evidence(const crash_report& report, const instance_id& upstream)
 {
+    std::string parts;
+    for (const auto& part : report.shared_parts)
+        parts += (parts.empty() ? "" : ",") + part.hex();
     log::state("crash_evidence",
                {{"content", report.content.hex()},
+                {"parts", parts},
                 {"upstream", upstream.value()},
                 {"evidence", std::string(evidence_name(report.evidence))}});
 }
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -65,7 +65,9 @@
     const route_rule* route{nullptr};
     service_name service;
     std::optional<organisation_id> organisation;
-    request_content content;         /*!< Identifies copies of the request. */
+    request_content content; /*!< Identifies copies of the request. */
+    /*! @brief Parts of the prompt that other requests may share. */
+    std::vector<request_content> shared_parts;
     request_fingerprint fingerprint; /*!< Identifies a client retry. */
     arrival_state arrival;
     timer deadline_timer;
--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -4,6 +4,7 @@
 #define COURSEJUNCTION_PROXY_EXCHANGE_FACTS_HPP
 
 #include <string>
+#include <vector>
 
 #include "coursejunction/core/digest.hpp"
 #include "coursejunction/core/request_content.hpp"
@@ -27,6 +28,18 @@
                                request.original.body);
 }
 
+/*! @brief Returns the digests of the parts of a request's prompt that other
+ * requests may share. */
+[[nodiscard]] inline std::vector<request_content>
+shared_parts_of(const exchange& request)
+{
+    std::vector<request_content> parts;
+    for (const auto& part : request.decoded.shared_parts)
+        parts.push_back(
+            request_content::of_part(request.service.value(), part));
+    return parts;
+}
+
 /*! @brief Returns the hash by which a client retry is recognised: it repeats
  * everything except the id and the remaining deadline. */
 [[nodiscard]] inline request_fingerprint fingerprint_of(const exchange& request)
@@ -92,7 +105,7 @@
     const auto crash = crash_id_of(attempt.choice.upstream, known_incarnation);
     return {attempt.choice.upstream,
             attempt.choice.address,
-            {request.content, crash, evidence},
+            {request.content, crash, evidence, request.shared_parts},
             cause};
 }
 
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -276,6 +276,7 @@
         if (service == nullptr)
             return 503;
         request.service = *service;
+        request.shared_parts = exchange_facts::shared_parts_of(request);
         request.deadline = request.arrived_at + request.route->timeout;
         if (request.decoded.deadline)
             request.deadline = std::min<time_point>(
--- a/src/coursejunction/proxy/request_codec.hpp
+++ b/src/coursejunction/proxy/request_codec.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/net/header_list.hpp"
@@ -35,6 +36,9 @@
                given. */
     std::string prompt_parts; /*!< Ids of the prompt's parts with their lengths,
                                  as sent by the caller. */
+    /*! @brief Ids of the parts that other requests may share, which are all but
+     * the last one. */
+    std::vector<std::string> shared_parts;
     std::optional<std::uint64_t> last_event_id;
 };
 
--- a/src/coursejunction/run/lost_attempt_tracker.hpp
+++ b/src/coursejunction/run/lost_attempt_tracker.hpp
@@ -29,6 +29,7 @@
     request_content content;
     crash_id crash;
     crash_evidence evidence{crash_evidence::before_response};
+    std::vector<request_content> shared_parts; /*!< Of its prompt. */
 };
 
 /*! @brief Why an attempt was lost. */
--- a/tests/platform/request_codec.cpp
+++ b/tests/platform/request_codec.cpp
@@ -41,6 +41,7 @@
     CHECK(decoded.prompt_tokens == 1460);
     CHECK(decoded.max_output_tokens == 80);
     CHECK(decoded.prompt_parts == "5c1e07a2:800,91bd3f06:410");
+    CHECK(decoded.shared_parts == std::vector<std::string>{"5c1e07a2"});
     CHECK(decoded.last_event_id == 12);
 }
 
--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -34,6 +34,9 @@
         decoded.host = std::string(from.headers.find("Host"));
         decoded.path = from.target;
         decoded.model = std::string(from.headers.find("Model"));
+        if (from.headers.contains("Part"))
+            decoded.shared_parts = {"first",
+                                    std::string(from.headers.find("Part"))};
         if (from.headers.contains("Key"))
             decoded.api_key = std::string(from.headers.find("Key"));
         return decoded;
