Count crashes of upstreams against the parts of prompts as well

Callers saw: from the first request with a crashing part on, half of their requests late, refused or broken off, as long as such requests came: each crashed an upstream or two, which was away for seconds.

Cause: crashes are counted by the whole content of a request. Requests of which no two are alike never gather the three crashes that quarantine one. Class: evidence is kept under a key that the cause can vary without losing its effect.

Change: the same ledger, with limits of its own, counts crashes against each part of a prompt but the last, for all callers. A harmful part is on every upstream that it crashes and in no complete response; a sound one that is shared is on the same upstreams, but also in complete responses: - a complete response disproves all earlier crashes of its parts, at all entries, and for ten seconds those that follow; so neither the caller, nor the first part, nor the route is refused; - five crashes quarantine a part. They then no longer count against the other parts that were on these upstreams, so that one part is singled out among several; - requests with a quarantined part are refused at once, also those that wait; those at an upstream are cancelled unless their response has begun; none is hedged or sent again. The response is 503, which says that it was not run, or the usual failure if it may have run; - after 10 s one entry tries one such request, after a failed trial again after two minutes, then after ten. A trial is only needed for a part that was quarantined wrongly. Records of parts travel, are kept in the store, listed and lifted as those of requests are; a record says which of the two it is.

Considered: likelihoods per part (needs the traffic of all entries), refusing by caller or by first part (refuses sound requests), and a limit of one running copy for each suspect part (a shared part is suspect for a moment at each crash).

--- a/src/coursejunction/cli/commands.cpp
+++ b/src/coursejunction/cli/commands.cpp
@@ -160,11 +160,13 @@
             return cli_exit::done;
         }
         out << std::left << std::setw(34) << "CONTENT" << std::setw(13)
-            << "STANDING" << std::setw(6) << "ENDS"
+            << "SUBJECT" << std::setw(13) << "STANDING" << std::setw(6)
+            << "ENDS"
             << "LEFT\n";
         constexpr std::int64_t second = 1000;
         for (const auto& item : list)
             out << std::setw(34) << item.at("content").get<std::string>()
+                << std::setw(13) << item.at("subject").get<std::string>()
                 << std::setw(13) << item.at("standing").get<std::string>()
                 << std::setw(6) << item.at("ends").get<std::size_t>()
                 << item.at("left_ms").get<std::int64_t>() / second << " s\n";
--- a/src/coursejunction/daemon/quarantine_api.cpp
+++ b/src/coursejunction/daemon/quarantine_api.cpp
@@ -32,9 +32,15 @@
     return "quarantined";
 }
 
-std::string quarantine_json(const crash_ledger& ledger, time_point now)
+std::string_view subject_name(message::crash_subject subject)
+{
+    return subject == message::crash_subject::prompt_part ? "prompt part"
+                                                          : "request";
+}
+
+void add_records(nlohmann::json& list, const crash_ledger& ledger,
+                 time_point now)
 {
-    auto list = nlohmann::json::array();
     for (const auto& [content, history] : ledger.histories())
     {
         const auto status = ledger.status(content, now);
@@ -42,23 +48,31 @@
             continue;
         list.push_back(
             {{"content", content.hex()},
+             {"subject", std::string(subject_name(ledger.subject()))},
              {"standing", std::string(status_name(status))},
              {"ends", history.active_crashes()},
              {"left_ms", ledger.quarantine_left(content, now).count()}});
     }
+}
+
+std::string quarantine_json(const crash_ledgers& ledgers, time_point now)
+{
+    auto list = nlohmann::json::array();
+    for (const crash_ledger& ledger : ledgers)
+        add_records(list, ledger, now);
     return list.dump();
 }
 
 } // namespace
 
 void handle_quarantine_request(const http_request& from, http_reply& reply,
-                               const crash_ledger& ledger,
+                               const crash_ledgers& ledgers,
                                const lift_callback& lift, time_point now)
 {
     const std::string_view root(quarantine_path);
     if (from.path == root && from.method == "GET")
         return reply.send(200, "application/json", {},
-                          quarantine_json(ledger, now));
+                          quarantine_json(ledgers, now));
     if (from.method != "DELETE" || from.path.size() <= root.size() + 1)
         return send_json(reply, 404,
                          {{"error", "not_found"}, {"message", "no such path"}});
--- a/src/coursejunction/daemon/resource_api.cpp
+++ b/src/coursejunction/daemon/resource_api.cpp
@@ -214,7 +214,7 @@
             return send_write_result(write_id(parts[1]), reply);
         if (parts[0] == "quarantine")
             return handle_quarantine_request(
-                from, *reply, host.crashes().records(),
+                from, *reply, {host.crashes().records()},
                 [this](const request_content& content) {
                     return host.crashes().lift_quarantine(content, node::now());
                 },
--- a/src/coursejunction/proxy/crash_guard.cpp
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -1,5 +1,6 @@
 #include "coursejunction/proxy/crash_guard.hpp"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -12,6 +13,13 @@
 namespace
 {
 
+constexpr const char* crashed_here =
+    "upstreams of this entry crashed while running it";
+
+/*! @brief Records of parts in one datagram. They are longer than those of
+ * requests, and a harmful part is among the first to change. */
+constexpr std::size_t max_parts_per_datagram = 6;
+
 /*! @brief Logs what an upstream's crash is taken for under one request: the
  * crashes of a request tell whether it is harmful only together. */
 void log_evidence(const crash_report& report, const instance_id& upstream)
@@ -154,38 +162,99 @@
         if (!ledger.record_crash(report.content, report.crash, report.evidence,
                                  now))
             continue;
-        begin_quarantine(report.content,
-                         "upstreams of this entry crashed while running it");
-        persist(report.content);
+        begin_quarantine(report.content, message::crash_subject::request,
+                         crashed_here);
+        persist(report.content, ledger);
     }
+    record_part_crashes(reports, now);
     if (notify_records_changed)
         notify_records_changed();
 }
 
-void crash_guard::record_response(const request_content& content)
+void crash_guard::record_part_crashes(const std::vector<crash_report>& reports,
+                                      time_point now)
+{
+    for (const auto& report : reports)
+    {
+        for (const auto& part : report.shared_parts)
+        {
+            if (!part_ledger.record_crash(part, report.crash,
+                                          report.evidence_of_part(part), now))
+                continue;
+            begin_quarantine(part, message::crash_subject::prompt_part,
+                             crashed_here);
+            persist(part, part_ledger);
+        }
+    }
+}
+
+std::optional<request_content>
+crash_guard::blocked_part(const std::vector<request_content>& parts) const
+{
+    const auto found = std::find_if(parts.begin(), parts.end(),
+                                    [this](const request_content& part)
+                                    { return part_ledger.is_blocked(part); });
+    if (found == parts.end())
+        return std::nullopt;
+    return *found;
+}
+
+bool crash_guard::may_try_part(const request_content& part,
+                               time_point now) const
+{
+    return part_ledger.may_run_trial(part, own_trial_rank(part), now);
+}
+
+milliseconds crash_guard::part_quarantine_left(const request_content& part,
+                                               time_point now) const
+{
+    return part_ledger.quarantine_left(part, now);
+}
+
+void crash_guard::record_response(
+    const request_content& content,
+    const std::vector<request_content>& shared_parts)
 {
-    if (ledger.record_response(content, event_loop::now()))
+    const auto now = event_loop::now();
+    if (ledger.record_response(content, now))
         end_quarantine(content, "request_cleared");
+    for (const auto& part : shared_parts)
+    {
+        const bool was_blocked = part_ledger.is_blocked(part);
+        if (part_ledger.record_response(part, now) && was_blocked)
+            end_quarantine(part, "prompt_part_cleared");
+    }
 }
 
 void crash_guard::merge_records(
     const std::vector<message::crash_record>& received, const std::string& from)
 {
-    const auto now = event_loop::now();
     for (const auto& record : received)
-    {
-        if (!ledger.merge(record, now))
-            continue;
-        begin_quarantine(record.content, "reported by " + from);
-        if (own_trial_rank(record.content) == 0)
-            persist(record.content);
-    }
+        merge_record(record, "reported by " + from);
+}
+
+void crash_guard::merge_record(const message::crash_record& record,
+                               const std::string& reason)
+{
+    auto& records = ledger_of(record.subject);
+    if (!records.merge(record, event_loop::now()))
+        return;
+    begin_quarantine(record.content, record.subject, reason);
+    if (own_trial_rank(record.content) == 0)
+        persist(record.content, records);
 }
 
 void crash_guard::restore_quarantine(const message::crash_record& stored)
 {
-    if (ledger.merge(stored, event_loop::now()))
-        begin_quarantine(stored.content, "restored from the store");
+    if (ledger_of(stored.subject).merge(stored, event_loop::now()))
+        begin_quarantine(stored.content, stored.subject,
+                         "restored from the store");
+}
+
+crash_ledger& crash_guard::ledger_of(message::crash_subject subject)
+{
+    return subject == message::crash_subject::prompt_part ? part_ledger
+                                                          : ledger;
 }
 
 std::size_t crash_guard::own_trial_rank(const request_content& content) const
@@ -195,13 +264,19 @@
 
 std::vector<message::crash_record> crash_guard::collect_updates()
 {
-    return ledger.collect_updates(crash_ledger::max_records_per_datagram,
-                                  event_loop::now());
+    const auto now = event_loop::now();
+    auto updates = part_ledger.collect_updates(max_parts_per_datagram, now);
+    const auto left = crash_ledger::max_records_per_datagram - updates.size();
+    for (auto& record : ledger.collect_updates(left, now))
+        updates.push_back(std::move(record));
+    return updates;
 }
 
 bool crash_guard::lift_quarantine(const request_content& content)
 {
-    if (!ledger.lift_quarantine(content, event_loop::now()))
+    const auto now = event_loop::now();
+    if (!ledger.lift_quarantine(content, now) &&
+        !part_ledger.lift_quarantine(content, now))
         return false;
     end_quarantine(content, "quarantine_lifted");
     return true;
@@ -217,17 +292,23 @@
         notify_records_changed();
 }
 
-void crash_guard::persist(const request_content& content)
+void crash_guard::persist(const request_content& content,
+                          const crash_ledger& records)
 {
     if (!persist_record)
         return;
-    const auto record = ledger.record(content, event_loop::now());
+    const auto record = records.record(content, event_loop::now());
     persist_record(content, &record);
 }
 
 void crash_guard::tick(time_point now)
 {
     ledger.expire(now);
+    part_ledger.expire(now);
+    counters.set("prompt_parts_quarantined",
+                 static_cast<double>(part_ledger.blocked_count()));
+    counters.set("prompt_part_crash_records",
+                 static_cast<double>(part_ledger.histories().size()));
     counters.set("requests_quarantined",
                  static_cast<double>(ledger.blocked_count()));
     counters.set("request_crash_records",
@@ -235,10 +316,12 @@
 }
 
 void crash_guard::begin_quarantine(const request_content& content,
+                                   message::crash_subject subject,
                                    const std::string& reason)
 {
+    const bool is_part = subject == message::crash_subject::prompt_part;
     counters.count("quarantines_total");
-    log::warning("request_quarantined",
+    log::warning(is_part ? "prompt_part_quarantined" : "request_quarantined",
                  {{"content", content.hex()}, {"why", reason}});
     notify_quarantined(content);
 }
--- a/src/coursejunction/proxy/crash_guard.hpp
+++ b/src/coursejunction/proxy/crash_guard.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,15 +20,15 @@
 {
 
 /*! @brief Determines which lost attempts were upstream crashes, counts the
- * crashes under each request, shares the counts with the other entries and
- * quarantines requests with too many. After its quarantine a request is on
- * trial: one entry runs one copy at a time to see whether it still crashes
- * upstreams. */
+ * crashes under each request and under each shared part of a prompt, shares the
+ * counts with the other entries and quarantines requests with too many. After
+ * its quarantine a request is on trial: one entry runs one copy at a time to
+ * see whether it still crashes upstreams. */
 class crash_guard
 {
 public:
-    /*! @brief Called when a request is quarantined, by this or by another
-     * entry. */
+    /*! @brief Called when a request, or a part of a prompt, is quarantined, by
+     * this or by another entry. */
     using quarantine_callback = std::function<void(const request_content&)>;
 
     /*! @brief Called when a crash record changed that the other entries should
@@ -108,8 +109,24 @@
     void address_reassigned(const instance_id& upstream,
                             const std::string& address);
 
-    /*! @brief Records a complete response to a request. */
-    void record_response(const request_content& content);
+    /*! @brief Returns the first part of a prompt that is quarantined or on
+     * trial, if any. */
+    [[nodiscard]] std::optional<request_content>
+    blocked_part(const std::vector<request_content>& parts) const;
+
+    /*! @brief Returns whether this entry may run the trial of a part of a
+     * prompt. */
+    [[nodiscard]] bool may_try_part(const request_content& part,
+                                    time_point now) const;
+
+    /*! @brief Returns the remaining duration of a part's quarantine. */
+    [[nodiscard]] milliseconds part_quarantine_left(const request_content& part,
+                                                    time_point now) const;
+
+    /*! @brief Records a complete response to a request.
+     * @param shared_parts Parts of its prompt. */
+    void record_response(const request_content& content,
+                         const std::vector<request_content>& shared_parts = {});
 
     /*! @brief Merges crash records of another entry. If a request is
      * quarantined only by the crashes of all entries together, none of them
@@ -134,16 +151,28 @@
 
     [[nodiscard]] const crash_ledger& records() const { return ledger; }
 
+    /*! @brief Returns the crashes counted against parts of prompts. */
+    [[nodiscard]] const crash_ledger& part_records() const
+    {
+        return part_ledger;
+    }
+
 private:
     void probe_upstream(const instance_id& upstream,
                         const std::string& address);
     void record_crash(const std::vector<crash_report>& reports,
                       const instance_id& upstream, const std::string& reason);
+    void record_part_crashes(const std::vector<crash_report>& reports,
+                             time_point now);
+    void merge_record(const message::crash_record& record,
+                      const std::string& reason);
+    [[nodiscard]] crash_ledger& ledger_of(message::crash_subject subject);
     void begin_quarantine(const request_content& content,
+                          message::crash_subject subject,
                           const std::string& reason);
     [[nodiscard]] std::size_t
     own_trial_rank(const request_content& content) const;
-    void persist(const request_content& content);
+    void persist(const request_content& content, const crash_ledger& records);
     void end_quarantine(const request_content& content,
                         const std::string& event);
 
@@ -154,6 +183,7 @@
     persist_callback persist_record;
     trial_rank rank_for_trials;
     crash_ledger ledger;
+    crash_ledger part_ledger{crash_limits::for_prompt_parts()};
     lost_attempt_tracker tracker;
 };
 
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -81,6 +81,10 @@
     bool is_trial{false}; /*!< This attempt tests whether a request whose
                              quarantine ended still crashes upstreams. */
 
+    /*! @brief Part of the prompt whose quarantine ended, if this attempt tests
+     * whether it still crashes upstreams. */
+    std::optional<request_content> part_on_trial;
+
     // The last server error of an upstream. It is the final response when no
     // other attempt is left, unless its status is 503.
     std::optional<stream_head> error_response_head;
--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -3,6 +3,7 @@
 #ifndef COURSEJUNCTION_PROXY_EXCHANGE_FACTS_HPP
 #define COURSEJUNCTION_PROXY_EXCHANGE_FACTS_HPP
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,14 @@
     return parts;
 }
 
+/*! @brief Returns whether a request has a part of a prompt. */
+[[nodiscard]] inline bool has_part(const exchange& request,
+                                   const request_content& part)
+{
+    return std::find(request.shared_parts.begin(), request.shared_parts.end(),
+                     part) != request.shared_parts.end();
+}
+
 /*! @brief Returns the hash by which a client retry is recognised: it repeats
  * everything except the id and the remaining deadline. */
 [[nodiscard]] inline request_fingerprint fingerprint_of(const exchange& request)
@@ -105,7 +114,8 @@
     const auto crash = crash_id_of(attempt.choice.upstream, known_incarnation);
     return {attempt.choice.upstream,
             attempt.choice.address,
-            {request.content, crash, evidence, request.shared_parts},
+            {request.content, crash, evidence, request.shared_parts,
+             request.part_on_trial},
             cause};
 }
 
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -84,6 +84,8 @@
     log::problem("request_turned_away",
                  {{"request", request.decoded.id.value()},
                   {"content", request.content.hex()},
+                  {"part", request.part_on_trial ? request.part_on_trial->hex()
+                                                 : std::string()},
                   {"route", request.route->name},
                   {"reason", "quarantined: upstreams crashed while running it"},
                   {"quarantine_left_ms", std::to_string(left.count())}});
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -326,7 +326,8 @@
             now - request.failed_at < options.crash_probe_time &&
             guard.has_unexplained_loss(request.content, now))
             return enqueue(request, {});
-        if (!passes_crash_guard(request, now))
+        if (!passes_part_guard(request, now) ||
+            !passes_crash_guard(request, now))
             return;
         const auto decision =
             decisions.decide(exchange_facts::service_profile_of(request),
@@ -340,6 +341,22 @@
         refuse(request, std::get<refuse_request>(decision));
     }
 
+    /*! @brief Refuses a request with a quarantined part in its prompt. After
+     * the quarantine one request at a time is a trial, at one entry.
+     * @return Whether it may be placed now; otherwise it was answered. */
+    bool passes_part_guard(exchange& request, time_point now)
+    {
+        request.part_on_trial = guard.blocked_part(request.shared_parts);
+        if (!request.part_on_trial)
+            return true;
+        const auto part = *request.part_on_trial;
+        if (request.possible_runs == 0 && guard.may_try_part(part, now) &&
+            !open_requests.runs_part(request, part))
+            return true;
+        refuse_quarantined(request, guard.part_quarantine_left(part, now));
+        return false;
+    }
+
     /*! @brief Limits how many copies of a request run while it is suspected of
      * crashing upstreams. Without a limit, client retries of one request
      * crashed 47 upstreams in 16 s.
@@ -356,7 +373,8 @@
         // that it tests for.
         if (max_running == 0 || (request.is_trial && request.possible_runs > 0))
         {
-            refuse_quarantined(request, now);
+            refuse_quarantined(request,
+                               guard.quarantine_left(request.content, now));
             return false;
         }
         if (open_requests.running_copies(request) < max_running)
@@ -367,14 +385,15 @@
 
     /*! @brief Refuses a request that is quarantined, or whose trial is run
      * elsewhere or has failed. If one of its attempts may have run, `give_up()`
-     * sends the final response. */
-    void refuse_quarantined(exchange& request, time_point now)
+     * sends the final response.
+     * @param quarantine_left Until the next trial, of the request or of a part
+     * of its prompt. */
+    void refuse_quarantined(exchange& request, milliseconds quarantine_left)
     {
         counters.count("requests_turned_away_total");
         if (request.possible_runs > 0)
             return give_up(request, quarantine_reason);
-        const auto left = std::max(guard.quarantine_left(request.content, now),
-                                   options.trial_retry_after);
+        const auto left = std::max(quarantine_left, options.trial_retry_after);
         exchange_log::refused_quarantined(request, left);
         send_refusal(request, left);
     }
@@ -406,19 +425,31 @@
         refuse(request, {no_reason, default_retry_after()});
     }
 
-    /*! @brief Cancels copies of a quarantined request that have not returned an
-     * event. A copy that streams goes on: a complete response would show that
-     * the request is harmless. */
+    /*! @brief Cancels copies of a quarantined request, and requests with a
+     * quarantined part of a prompt, that have not returned an event. A copy
+     * that streams goes on: a complete response would show that the request is
+     * harmless. */
     void on_quarantined(const request_content& content)
     {
+        const auto is_quarantined = [&](const exchange& request)
+        {
+            return request.content == content ||
+                   exchange_facts::has_part(request, content);
+        };
         const auto may_cancel = [&](const exchange& request)
         {
             return request.attempt.in_flight && !request.attempt.has_events &&
-                   request.content == content;
+                   is_quarantined(request);
         };
         for (const auto number : open_requests.numbers_of(may_cancel))
             open_requests.with(number, [this](exchange& request)
                                { cancel_quarantined(request); });
+        // These are refused.
+        const auto waits = [&](const exchange& request)
+        { return request.queued && is_quarantined(request); };
+        for (const auto number : open_requests.numbers_of(waits))
+            open_requests.with(number,
+                               [this](exchange& request) { place(request); });
     }
 
     /*! @brief Cancels the attempts of a quarantined request, except a silent
@@ -689,7 +720,8 @@
     {
         return !request.silent_attempt && exchange_facts::may_repeat(request) &&
                request.tried_upstreams.size() < max_total_attempts &&
-               guard.may_hedge(request.content, now);
+               guard.may_hedge(request.content, now) &&
+               !guard.blocked_part(request.shared_parts);
     }
 
     /*! @brief Continues with the attempt that was silent and drops the other
@@ -1210,7 +1242,7 @@
                   const std::string& description)
     {
         if (succeeded)
-            guard.record_response(request.content);
+            guard.record_response(request.content, request.shared_parts);
         book.end_attempt(request.attempt.choice.upstream, request.attempt.id,
                          succeeded ? attempt_result::succeeded
                                    : attempt_result::answered_failure,
@@ -1251,7 +1283,8 @@
     static constexpr int server_error = 500;
 
     static constexpr const char* quarantine_reason =
-        "request is quarantined: upstreams crashed while running it";
+        "the request or a part of its prompt is quarantined: upstreams crashed "
+        "while running it";
 
     /*! @brief Maximum number of attempts of a request, including attempts that
      * provably did not run. */
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -370,7 +370,12 @@
     {
         if (!quarantine_restores.due(node.mirror().position(), rank, now))
             return;
-        const auto& records = exchanges.crashes().records();
+        rewrite_lost_quarantines(exchanges.crashes().records(), now);
+        rewrite_lost_quarantines(exchanges.crashes().part_records(), now);
+    }
+
+    void rewrite_lost_quarantines(const crash_ledger& records, time_point now)
+    {
         for (const auto& [content, history] : records.histories())
         {
             if (records.is_blocked(content) &&
--- a/src/coursejunction/proxy/open_exchanges.hpp
+++ b/src/coursejunction/proxy/open_exchanges.hpp
@@ -13,6 +13,7 @@
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/exchange_facts.hpp"
 
 namespace coursejunction
 {
@@ -71,6 +72,20 @@
         return copies;
     }
 
+    /*! @brief Returns whether another request with a part of a prompt is at an
+     * upstream. */
+    [[nodiscard]] bool runs_part(const exchange& request,
+                                 const request_content& part) const
+    {
+        return std::any_of(requests.begin(), requests.end(),
+                           [&](const auto& one)
+                           {
+                               return is_other_running(request, *one.second) &&
+                                      exchange_facts::has_part(*one.second,
+                                                               part);
+                           });
+    }
+
     /*! @brief Returns the upstreams that run other requests that satisfy a
      * predicate. */
     template <typename Predicate>
--- a/src/coursejunction/run/crash_ledger.cpp
+++ b/src/coursejunction/run/crash_ledger.cpp
@@ -12,10 +12,6 @@
 namespace
 {
 
-/*! @brief Crashes kept in a record: those that quarantine it, and some that
- * happen until all entries have received the reports. */
-constexpr std::size_t max_crashes = 8;
-
 /*! @brief Time of transfer makes the ages in received records inexact; a crash
  * that is later by no more than this is the same one. */
 constexpr milliseconds max_age_error{1000};
@@ -68,48 +64,6 @@
     return evidence;
 }
 
-/*! @brief Makes room for a crash in a full record. Cleared crashes are dropped
- * first; a crash during a trial then replaces the weakest one.
- * @return Whether there is room. */
-bool make_room(crash_history& history, crash_evidence evidence)
-{
-    if (history.crashes.size() < max_crashes)
-        return true;
-    for (const auto& cleared_crash : history.cleared)
-        history.crashes.erase(cleared_crash);
-    history.cleared.clear();
-    if (history.crashes.size() < max_crashes)
-        return true;
-    if (evidence < crash_evidence::begun_trial)
-        return false;
-    const auto weakest =
-        std::min_element(history.crashes.begin(), history.crashes.end(),
-                         [](const auto& left, const auto& right)
-                         { return left.second < right.second; });
-    history.crashes.erase(weakest);
-    return true;
-}
-
-/*! @brief Adds a crash, or stronger evidence for a known one.
- * @return Whether that changed the record. */
-bool insert(crash_history& history, const crash_id& crash,
-            crash_evidence evidence)
-{
-    const auto found = history.crashes.find(crash);
-    if (found != history.crashes.end())
-    {
-        if (found->second >= evidence)
-            return false;
-        found->second = evidence;
-        return true;
-    }
-    if (!make_room(history, evidence))
-        return false;
-    history.crashes.emplace(crash, evidence);
-    history.responses_since_crash = 0;
-    return true;
-}
-
 bool contains_record(const std::vector<message::crash_record>& selected,
                      const request_content& content)
 {
@@ -119,10 +73,13 @@
 }
 
 message::crash_record make_record(const request_content& content,
-                                  const crash_history& history, time_point now)
+                                  const crash_history& history,
+                                  message::crash_subject subject,
+                                  time_point now)
 {
     message::crash_record record;
     record.content = content;
+    record.subject = subject;
     for (const auto& [crash, evidence] : history.crashes)
         record.crashes.push_back({crash.value(), encode_evidence(evidence)});
     for (const auto& crash : history.cleared)
@@ -140,11 +97,8 @@
                                 const crash_id& crash, crash_evidence evidence,
                                 time_point now)
 {
-    if (responses.count(content, now) >= limits.responses_per_crash)
-    {
-        responses.consume(content, limits.responses_per_crash);
+    if (outweighs_crash(content, now))
         return false;
-    }
     auto& history = find_or_create(content, now);
     const bool was_quarantined = quarantined(history, now);
     if (history.responses_since_crash > 0)
@@ -154,6 +108,7 @@
     history.last_crash = now;
     history.learnt_at = now;
     note_change(history, now);
+    explain_crashes(history);
     return !was_quarantined && quarantined(history, now);
 }
 
@@ -262,6 +217,7 @@
         note_change(history, now);
     if (clear_if_bystander(received.content, history, now))
         return false;
+    explain_crashes(history);
     return !was_quarantined && quarantined(history, now);
 }
 
@@ -274,7 +230,8 @@
     {
         if (selected.size() >= max_count)
             break;
-        selected.push_back(make_record(content, records.at(content), now));
+        selected.push_back(
+            make_record(content, records.at(content), limits.subject, now));
         reported_change = change;
     }
     // Changes of records that were dropped meanwhile are not reported.
@@ -289,8 +246,9 @@
                                            time_point now) const
 {
     const auto found = records.find(content);
-    return found == records.end() ? message::crash_record{content, {}, {}, 0}
-                                  : make_record(content, found->second, now);
+    return found == records.end()
+               ? message::crash_record{content, {}, {}, 0, limits.subject}
+               : make_record(content, found->second, limits.subject, now);
 }
 
 void crash_ledger::expire(time_point now)
@@ -365,6 +323,9 @@
                                       crash_history& history, time_point now)
 {
     const auto crashes = history.active_crashes();
+    if (limits.response_disproves)
+        return responses.count(content, now) > 0 &&
+               lift_quarantine(content, now);
     const auto needed = crashes * limits.responses_per_crash;
     if (crashes == 0 || responses.count(content, now) < needed)
         return false;
@@ -372,6 +333,81 @@
     return lift_quarantine(content, now);
 }
 
+/*! @brief Returns whether recent responses outweigh a crash that just
+ * happened, and uses them up. */
+bool crash_ledger::outweighs_crash(const request_content& content,
+                                   time_point now)
+{
+    const auto count = responses.count(content, now);
+    if (limits.response_disproves)
+        return count > 0;
+    if (count < limits.responses_per_crash)
+        return false;
+    responses.consume(content, limits.responses_per_crash);
+    return true;
+}
+
+/*! @brief Makes room for a crash in a full record. Cleared crashes are dropped
+ * first; a crash during a trial then replaces the weakest one.
+ * @return Whether there is room. */
+bool crash_ledger::make_room(crash_history& history,
+                             crash_evidence evidence) const
+{
+    if (history.crashes.size() < limits.max_crashes)
+        return true;
+    for (const auto& cleared_crash : history.cleared)
+        history.crashes.erase(cleared_crash);
+    history.cleared.clear();
+    if (history.crashes.size() < limits.max_crashes)
+        return true;
+    if (evidence < crash_evidence::begun_trial)
+        return false;
+    const auto weakest =
+        std::min_element(history.crashes.begin(), history.crashes.end(),
+                         [](const auto& left, const auto& right)
+                         { return left.second < right.second; });
+    history.crashes.erase(weakest);
+    return true;
+}
+
+/*! @brief Adds a crash, or stronger evidence for a known one.
+ * @return Whether that changed the record. */
+bool crash_ledger::insert(crash_history& history, const crash_id& crash,
+                          crash_evidence evidence) const
+{
+    const auto found = history.crashes.find(crash);
+    if (found != history.crashes.end())
+    {
+        if (found->second >= evidence)
+            return false;
+        found->second = evidence;
+        return true;
+    }
+    if (!make_room(history, evidence))
+        return false;
+    history.crashes.emplace(crash, evidence);
+    history.responses_since_crash = 0;
+    return true;
+}
+
+/*! @brief Clears the crashes that a quarantined record explains from all others
+ * that are not quarantined. Not reported: each ledger does the same. */
+void crash_ledger::explain_crashes(const crash_history& cause)
+{
+    if (!limits.explains_crashes || !blocked(cause))
+        return;
+    for (auto& [content, other] : records)
+    {
+        if (&other == &cause || blocked(other))
+            continue;
+        for (const auto& [crash, evidence] : cause.crashes)
+        {
+            if (other.crashes.contains(crash))
+                other.cleared.insert(crash);
+        }
+    }
+}
+
 void crash_ledger::note_change(crash_history& history, time_point now)
 {
     history.change_number = ++last_change;
@@ -431,7 +467,8 @@
         const bool is_recent = history.change_number > 0 &&
                                now - history.changed_at < repeat_duration;
         if (is_recent && !contains_record(selected, content))
-            selected.push_back(make_record(content, history, now));
+            selected.push_back(
+                make_record(content, history, limits.subject, now));
     }
 }
 
@@ -448,7 +485,8 @@
             at = records.begin();
         if (!blocked(at->second) || contains_record(selected, at->first))
             continue;
-        selected.push_back(make_record(at->first, at->second, now));
+        selected.push_back(
+            make_record(at->first, at->second, limits.subject, now));
         last_in_turn = at->first;
         turn_reported_at = now;
         return;
--- a/src/coursejunction/run/crash_ledger.hpp
+++ b/src/coursejunction/run/crash_ledger.hpp
@@ -79,6 +79,33 @@
     /*! @brief Records kept, 300 bytes each. A crash of 64 upstreams with 16
      * requests each makes 1,024. */
     std::size_t max_records{2048};
+    /*! @brief Crashes kept in a record: those that quarantine it, and some that
+     * happen until all entries have received the reports. */
+    std::size_t max_crashes{8};
+    /*! @brief Whether a single response disproves all crashes before it. */
+    bool response_disproves{false};
+    /*! @brief Whether the crashes of a quarantined record no longer count
+     * against others. */
+    bool explains_crashes{false};
+    message::crash_subject subject{message::crash_subject::request};
+
+    /*! @brief Returns the limits for parts of prompts. A harmful part is on
+     * every upstream that it crashes and in no complete response. Sound parts
+     * are on crashed upstreams beside it, so that many more records than those
+     * of requests are innocent. */
+    [[nodiscard]] static crash_limits for_prompt_parts()
+    {
+        crash_limits limits;
+        limits.quarantine_threshold = 5;
+        limits.first_quarantine = milliseconds(10'000);
+        limits.second_quarantine = milliseconds(120'000);
+        limits.max_records = 512;
+        limits.max_crashes = 24;
+        limits.response_disproves = true;
+        limits.explains_crashes = true;
+        limits.subject = message::crash_subject::prompt_part;
+        return limits;
+    }
 };
 
 /*! @brief The crash records of one entry.
@@ -164,6 +191,12 @@
      */
     void expire(time_point now);
 
+    /*! @brief Returns what its crashes are counted against. */
+    [[nodiscard]] message::crash_subject subject() const
+    {
+        return limits.subject;
+    }
+
     [[nodiscard]] const std::map<request_content, crash_history>&
     histories() const
     {
@@ -186,6 +219,11 @@
     quarantine_duration(const crash_history& history) const;
     bool clear_if_bystander(const request_content& content,
                             crash_history& history, time_point now);
+    bool outweighs_crash(const request_content& content, time_point now);
+    bool make_room(crash_history& history, crash_evidence evidence) const;
+    bool insert(crash_history& history, const crash_id& crash,
+                crash_evidence evidence) const;
+    void explain_crashes(const crash_history& cause);
     void note_change(crash_history& history, time_point now);
     crash_history& find_or_create(const request_content& content,
                                   time_point last_crash);
--- a/src/coursejunction/run/lost_attempt_tracker.hpp
+++ b/src/coursejunction/run/lost_attempt_tracker.hpp
@@ -30,6 +30,20 @@
     crash_id crash;
     crash_evidence evidence{crash_evidence::before_response};
     std::vector<request_content> shared_parts; /*!< Of its prompt. */
+    /*! @brief The part that the request tested after a quarantine, if any. */
+    std::optional<request_content> part_on_trial;
+
+    /*! @brief Returns the evidence against a part of the prompt. Whether the
+     * response had begun tells nothing of a part: a harmful one ends the
+     * upstream at any time of it. */
+    [[nodiscard]] crash_evidence
+    evidence_of_part(const request_content& part) const
+    {
+        if (part != part_on_trial)
+            return crash_evidence::mid_response;
+        return evidence_of(true, evidence == crash_evidence::mid_response ||
+                                     evidence == crash_evidence::begun_trial);
+    }
 };
 
 /*! @brief Why an attempt was lost. */
--- a/src/coursejunction/wire/crash_record.hpp
+++ b/src/coursejunction/wire/crash_record.hpp
@@ -28,21 +28,29 @@
     }
 };
 
-/*! @brief Crashes of upstreams that ran one request, as known to one process.
- */
+/*! @brief What the crashes of a record are counted against. */
+enum class crash_subject : std::uint8_t
+{
+    request,    /*!< One content of a request. */
+    prompt_part /*!< A part of a prompt that requests share. */
+};
+
+/*! @brief Crashes of upstreams that ran one request, or requests with one part
+ * of a prompt, as known to one process. */
 struct crash_record
 {
-    static constexpr std::size_t least_bytes = 28; /*!< With empty lists. */
+    static constexpr std::size_t least_bytes = 29; /*!< With empty lists. */
     request_content content;
     std::vector<upstream_crash> crashes;
     std::vector<std::uint64_t> cleared; /*!< Ids of crashes that no
                                            longer count as evidence. */
     std::uint32_t age_ms{0};            /*!< Time since the last crash. */
+    crash_subject subject{crash_subject::request};
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(content, crashes, cleared, age_ms);
+        archive(content, crashes, cleared, age_ms, subject);
     }
 };
 
--- a/tests/daemon/quarantine_api.cpp
+++ b/tests/daemon/quarantine_api.cpp
@@ -47,7 +47,7 @@
         from.path = path;
         recorded_reply reply;
         handle_quarantine_request(
-            from, reply, ledger,
+            from, reply, {ledger},
             [&](const request_content& content)
             { return ledger.lift_quarantine(content, now); },
             now);
@@ -72,7 +72,7 @@
         from.method = "GET";
         from.path = "/v1/quarantine";
         handle_quarantine_request(
-            from, reply, ledger, [](const auto&) { return false; }, later);
+            from, reply, {ledger}, [](const auto&) { return false; }, later);
         CHECK(reply.text.find("\"on trial\"") != std::string::npos);
     }
     SECTION("the list shows the longer quarantine after a failed trial")
