Stand-ins play a part of a prompt that crashes upstreams

The simulation of entries and engines and the soak's engines can have one: requests of which no two are alike, at all entries, beside sound ones that share their caller, first part and subject. Both rules are counted as the platform states them: at most three such requests reach an engine later than 3 s after the fifth crash, and sound ones keep more than half of their first attempts.

--- a/tests/run/crash_ledger.cpp
+++ b/tests/run/crash_ledger.cpp
@@ -571,3 +571,99 @@
             }
         });
 }
+
+TEST_CASE("crashes decide how a part of a prompt is treated", "[run]")
+{
+    crash_ledger ledger(crash_limits::for_prompt_parts());
+    const auto bad = request_content::of_part("s", "bad");
+    const auto first = request_content::of_part("s", "first");
+    time_point now{100s};
+    const auto crash = [&](const request_content& part, int engine)
+    {
+        return ledger.record_crash(part, crash_of_engine(engine), mid_response,
+                                   now);
+    };
+
+    SECTION("a part differs from a request, and between services")
+    {
+        CHECK(bad != request_content::of("s", "bad", ""));
+        CHECK(bad != request_content::of_part("t", "bad"));
+    }
+    SECTION("the fifth crash quarantines it")
+    {
+        for (int engine = 1; engine < 5; ++engine)
+            CHECK_FALSE(crash(bad, engine));
+        CHECK_FALSE(ledger.is_blocked(bad));
+        CHECK(crash(bad, 5));
+        CHECK(ledger.is_blocked(bad));
+
+        SECTION("until a trial")
+        {
+            CHECK_FALSE(ledger.may_run_trial(bad, 0, now + 9s));
+            CHECK(ledger.may_run_trial(bad, 0, now + 10s));
+        }
+        SECTION("for longer after each failed trial")
+        {
+            now += 10s;
+            ledger.record_crash(bad, crash_of_engine(6), begun_trial, now);
+            CHECK(ledger.quarantine_left(bad, now) == 120s);
+            now += 120s;
+            ledger.record_crash(bad, crash_of_engine(7), begun_trial, now);
+            CHECK(ledger.quarantine_left(bad, now) == 600s);
+        }
+        SECTION("and no longer after a response")
+        {
+            CHECK(ledger.record_response(bad, now));
+            CHECK_FALSE(ledger.is_blocked(bad));
+        }
+    }
+    SECTION("a part with a recent response is not suspect")
+    {
+        ledger.record_response(first, now);
+        for (int engine = 1; engine < 10; ++engine)
+            CHECK_FALSE(crash(first, engine));
+        CHECK(ledger.status(first, now) == crash_status::clear);
+    }
+    SECTION("a response disproves the crashes before it at all entries")
+    {
+        crash_ledger other(crash_limits::for_prompt_parts());
+        for (int engine = 1; engine < 5; ++engine)
+            crash(first, engine);
+        report_all(ledger, other, now);
+        CHECK(other.status(first, now) == crash_status::suspect);
+        ledger.record_response(first, now);
+        report_all(ledger, other, now);
+        CHECK(other.status(first, now) == crash_status::clear);
+    }
+    SECTION("an entry that has served a part does not believe crashes reported "
+            "by others")
+    {
+        crash_ledger other(crash_limits::for_prompt_parts());
+        other.record_response(first, now);
+        for (int engine = 1; engine < 6; ++engine)
+            crash(first, engine);
+        REQUIRE(ledger.is_blocked(first));
+        report_all(ledger, other, now);
+        CHECK_FALSE(other.is_blocked(first));
+        report_all(other, ledger, now);
+        CHECK_FALSE(ledger.is_blocked(first));
+    }
+    SECTION("the crashes of a quarantined part do not count against others")
+    {
+        const auto beside = request_content::of_part("s", "beside");
+        for (int engine = 1; engine < 5; ++engine)
+            crash(beside, engine);
+        for (int engine = 1; engine < 6; ++engine)
+            crash(bad, engine);
+        REQUIRE(ledger.is_blocked(bad));
+        CHECK(ledger.status(beside, now) == crash_status::clear);
+        CHECK_FALSE(crash(beside, 6));
+        CHECK(ledger.status(beside, now) == crash_status::suspect);
+    }
+    SECTION("a record says that it is of a part")
+    {
+        crash(bad, 1);
+        CHECK(ledger.record(bad, now).subject ==
+              message::crash_subject::prompt_part);
+    }
+}
--- a/tests/run/crash_simulation.cpp
+++ b/tests/run/crash_simulation.cpp
@@ -31,6 +31,16 @@
         result.refused = std::max(result.refused, run.refused);
         result.bytes_per_second =
             std::max(result.bytes_per_second, run.bytes_per_second);
+        result.harmful_sent_late =
+            std::max(result.harmful_sent_late, run.harmful_sent_late);
+        result.blocked_parts =
+            std::max(result.blocked_parts, run.blocked_parts);
+        if (run.calm_refused * result.calm_sent >=
+            result.calm_refused * run.calm_sent)
+        {
+            result.calm_refused = run.calm_refused;
+            result.calm_sent = run.calm_sent;
+        }
         result.answered =
             std::min(result.answered, run.answered * 1000 / run.requests);
     }
@@ -39,7 +49,10 @@
                   << " blocked innocent " << result.blocked_innocent
                   << " refused " << result.refused << " bytes/s "
                   << result.bytes_per_second << " answered " << result.answered
-                  << " of 1000");
+                  << " of 1000, harmful sent late " << result.harmful_sent_late
+                  << " blocked parts " << result.blocked_parts
+                  << " refused in the calm " << result.calm_refused << " of "
+                  << result.calm_sent);
     return result;
 }
 
@@ -222,6 +235,92 @@
     }
 }
 
+namespace
+{
+
+/*! @brief Sound requests that share parts with harmful ones must be served more
+ * than half as often as otherwise. */
+bool serves_sound_requests(const simulation_result& result)
+{
+    return result.calm_refused * 2 < result.calm_sent;
+}
+
+} // namespace
+
+// Harmful requests with the part that may be sent later than 3 s after the
+// fifth crash, see `max_late_crashes`.
+TEST_CASE("a part of a prompt crashes engines", "[run]")
+{
+    scenario config;
+    config.harmful_part = true;
+    config.crash_time = 300ms;
+    config.copy_interval = 200ms;
+    config.duration = 40'000ms;
+
+    SECTION("in five copies a second among five entries")
+    {
+        const auto result = worst(config, 10);
+        CHECK(result.harmful_sent_late <= max_late_crashes);
+        CHECK(serves_sound_requests(result));
+    }
+    SECTION("in ten copies a second that come at once")
+    {
+        config.copies_at_once = 5;
+        config.copy_interval = 500ms;
+        const auto result = worst(config, 10);
+        CHECK(result.harmful_sent_late <= max_late_crashes);
+        CHECK(serves_sound_requests(result));
+    }
+    SECTION("beside kills of half of the engines, with few subjects")
+    {
+        config.subjects = 20;
+        config.killed_fraction = 0.5;
+        config.kill_duration = 2000ms;
+        const auto result = worst(config, 10);
+        CHECK(result.harmful_sent_late <= max_late_crashes);
+        CHECK(serves_sound_requests(result));
+    }
+    SECTION("two at once, with 30 % of the datagrams lost")
+    {
+        config.harmful_contents = 2;
+        config.datagram_loss = 0.3;
+        const auto result = worst(config, 10);
+        CHECK(result.harmful_sent_late <= 2 * max_late_crashes);
+        CHECK(serves_sound_requests(result));
+    }
+    SECTION("in ten copies a second among 53 entries")
+    {
+        config.entries = 53;
+        config.engines = 120;
+        config.slots = 8;
+        config.copy_interval = 100ms;
+        config.duration = 20'000ms;
+        config.subjects = 2000;
+        const auto result = worst(config, 2);
+        CHECK(result.harmful_sent_late <= max_late_crashes);
+        CHECK(serves_sound_requests(result));
+        CHECK(result.bytes_per_second <= max_control_bytes_per_second);
+    }
+}
+
+// Hidden because of its duration; run it with unit_tests "[size]".
+TEST_CASE("a part of a prompt crashes engines among 340 entries", "[.][size]")
+{
+    scenario config;
+    config.entries = 340;
+    config.engines = 600;
+    config.slots = 8;
+    config.duration = 16'000ms;
+    config.harmful_part = true;
+    config.crash_time = 300ms;
+    config.copy_interval = 50ms;
+    config.subjects = 10'000;
+    const auto result = worst(config, 1);
+    CHECK(result.harmful_sent_late <= max_late_crashes);
+    CHECK(serves_sound_requests(result));
+    CHECK(result.bytes_per_second <= max_control_bytes_per_second);
+}
+
 // Hidden because of its duration; run it with unit_tests "[size]".
 TEST_CASE("a request that crashes engines among 340 entries", "[.][size]")
 {
--- a/tests/run/crash_simulation.hpp
+++ b/tests/run/crash_simulation.hpp
@@ -12,8 +12,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,9 +44,14 @@
     milliseconds copy_interval{0};
     std::size_t copies_at_once{1};
     std::size_t harmful_contents{1}; /*!< Number of different ones. */
-    double crash_probability{1};     /*!< Of a run of a harmful request. */
-    double killed_fraction{0};       /*!< Of the engines, for other reasons. */
-    milliseconds kill_duration{0};   /*!< From the first to the last of them. */
+    /*! @brief Whether no two harmful requests are alike: one part of their
+     * prompts crashes the engines. All requests share their first part, and
+     * each has a second one of `subjects`. */
+    bool harmful_part{false};
+    std::size_t subjects{200};     /*!< Parts that some requests share. */
+    double crash_probability{1};   /*!< Of a run of a harmful request. */
+    double killed_fraction{0};     /*!< Of the engines, for other reasons. */
+    milliseconds kill_duration{0}; /*!< From the first to the last of them. */
     /*! @brief From the start of a harmful attempt until its engine crashes. */
     milliseconds crash_time{70};
     /*! @brief Callers that ask for one innocent content again and again. */
@@ -76,7 +83,14 @@
     std::size_t killed_trials{0};    /*!< Of the popular content. */
     std::size_t popular_answered{0}; /*!< In the last 4 s. */
     std::size_t popular_refused{0};  /*!< In the last 4 s. */
-    double bytes_per_second{0};      /*!< Of records, sent by one entry. */
+    /*! @brief Harmful requests sent later than 3 s after the fifth crash. */
+    std::size_t harmful_sent_late{0};
+    std::size_t blocked_parts{0}; /*!< Sound parts blocked at any entry. */
+    /*! @brief Innocent requests in the last 4 s, by the first attempt's fate.
+     */
+    std::size_t calm_sent{0};
+    std::size_t calm_refused{0};
+    double bytes_per_second{0}; /*!< Of records, sent by one entry. */
 };
 
 /*! @brief One run of a scenario. */
@@ -87,7 +101,10 @@
         : config(chosen), generator(chosen.seed)
     {
         for (std::size_t at = 0; at < config.entries; ++at)
-            entries.push_back({crash_ledger(config.limits), {}, {}});
+            entries.push_back({crash_ledger(config.limits),
+                               crash_ledger(crash_limits::for_prompt_parts()),
+                               {},
+                               {}});
         engines.resize(config.engines);
     }
 
@@ -130,6 +147,8 @@
      * are counted. */
     static constexpr milliseconds calm_time{4000};
     static constexpr time_point start{100s};
+    /*! @brief Records of parts in one datagram, as the entries send them. */
+    static constexpr std::size_t max_part_records = 6;
 
     struct attempt
     {
@@ -142,6 +161,8 @@
         std::size_t resends{0};        /*!< Earlier attempts of the request. */
         std::size_t client_retries{0}; /*!< Earlier requests of the caller. */
         int harmful_index{-1};         /*!< -1: an innocent request. */
+        std::vector<request_content> parts; /*!< Shared ones of its prompt. */
+        std::optional<request_content> part_on_trial;
     };
 
     using attempt_pointer = std::shared_ptr<attempt>;
@@ -156,6 +177,7 @@
     struct entry_state
     {
         crash_ledger ledger;
+        crash_ledger part_ledger;
         lost_attempt_tracker tracker;
         std::map<request_content, std::size_t> in_flight;
     };
@@ -232,10 +254,14 @@
 
     void send_copies(std::size_t which)
     {
-        const auto content =
-            request_content::of("bad", "/", std::to_string(which));
         for (std::size_t at = 0; at < config.copies_at_once; ++at)
-            request(content, static_cast<int>(which), 0);
+        {
+            const auto body = config.harmful_part
+                                  ? "copy " + std::to_string(++harmful_count)
+                                  : std::to_string(which);
+            request(request_content::of("bad", "/", body),
+                    static_cast<int>(which), 0);
+        }
         schedule(config.copy_interval, [this, which] { send_copies(which); });
     }
 
@@ -249,11 +275,39 @@
             one->entry = popular_entry();
         one->harmful_index = harmful_index;
         one->client_retries = client_retries;
+        if (config.harmful_part)
+            one->parts = parts_of(*one);
         if (harmful_index < 0 && client_retries == 0)
+        {
             ++counters.requests;
+            counters.calm_sent += is_calm() ? 1 : 0;
+        }
         dispatch(one);
     }
 
+    [[nodiscard]] bool is_calm() const
+    {
+        return now >= start + config.duration - calm_time;
+    }
+
+    static request_content harmful_part(int which)
+    {
+        return request_content::of_part("s", "bad " + std::to_string(which));
+    }
+
+    /*! @brief Returns the shared parts of a prompt. A harmful one has the parts
+     * of a sound one, and one more. */
+    std::vector<request_content> parts_of(const attempt& one)
+    {
+        std::vector<request_content> parts{
+            request_content::of_part("s", "first"),
+            request_content::of_part(
+                "s", std::to_string(random_index(config.subjects)))};
+        if (one.harmful_index >= 0)
+            parts.push_back(harmful_part(one.harmful_index));
+        return parts;
+    }
+
     /*! @brief Fails a request; its caller retries once. */
     void fail(const attempt_pointer& one)
     {
@@ -265,9 +319,49 @@
 
     // Entries; a simplified copy of the logic of the service.
 
+    /*! @brief Returns whether no part of the prompt is quarantined, or this is
+     * a trial of it. */
+    bool passes_part_guard(attempt& one)
+    {
+        const auto& entry = entries[one.entry];
+        const auto blocked =
+            std::find_if(one.parts.begin(), one.parts.end(),
+                         [&](const auto& part)
+                         { return entry.part_ledger.is_blocked(part); });
+        one.part_on_trial.reset();
+        if (blocked == one.parts.end())
+            return true;
+        one.part_on_trial = *blocked;
+        return one.resends == 0 &&
+               entry.part_ledger.may_run_trial(
+                   *blocked, trial_rank(*blocked, one.entry), now) &&
+               std::none_of(engines.begin(), engines.end(),
+                            [&](const auto& engine)
+                            { return runs_part(engine, one); });
+    }
+
+    template <typename Engine>
+    static bool runs_part(const Engine& engine, const attempt& one)
+    {
+        return std::any_of(engine.running.begin(), engine.running.end(),
+                           [&](const auto& other)
+                           {
+                               return other->entry == one.entry &&
+                                      other->part_on_trial == one.part_on_trial;
+                           });
+    }
+
     void dispatch(const attempt_pointer& one)
     {
         auto& entry = entries[one->entry];
+        if (!passes_part_guard(*one))
+        {
+            const bool sound = one->harmful_index < 0;
+            counters.refused += sound ? 1 : 0;
+            counters.calm_refused +=
+                sound && is_calm() && one->resends == 0 ? 1 : 0;
+            return fail(one);
+        }
         const auto status = entry.ledger.status(one->content, now);
         const bool trial = status == crash_status::on_trial;
         const auto limit = entry.ledger.max_running(
@@ -343,6 +437,8 @@
         one->incarnation_number = engines[at].incarnation_number;
         one->started_at = now;
         engines[at].running.push_back(one);
+        if (one->harmful_index >= 0 && config.harmful_part)
+            harmful_sends.push_back(now);
         ++entries[one->entry].in_flight[one->content];
         const bool crashes =
             one->harmful_index >= 0 && random_bool(config.crash_probability);
@@ -384,7 +480,15 @@
         remove_in_flight(*one);
         counters.answered += one->harmful_index < 0 ? 1 : 0;
         auto& entry = entries[one->entry];
-        if (entry.ledger.record_response(one->content, now))
+        bool cleared = entry.ledger.record_response(one->content, now);
+        for (const auto& part : one->parts)
+        {
+            const bool was_blocked = entry.part_ledger.is_blocked(part);
+            cleared =
+                (entry.part_ledger.record_response(part, now) && was_blocked) ||
+                cleared;
+        }
+        if (cleared)
             report_to_all(one->entry);
     }
 
@@ -440,8 +544,11 @@
             evidence_of(one->trial, now - one->started_at >= first_event_time);
         const auto crash =
             crash_id_of(engine, incarnation(one->incarnation_number));
-        if (entry.tracker.add_lost_attempt(
-                {engine, "", {one->content, crash, evidence}}, now))
+        if (entry.tracker.add_lost_attempt({engine,
+                                            "",
+                                            {one->content, crash, evidence,
+                                             one->parts, one->part_on_trial}},
+                                           now))
             schedule(probe_delay, [this, at = one->entry, engine]
                      { report_crash(at, engine); });
         if (one->resends > 0)
@@ -456,8 +563,13 @@
         auto& entry = entries[at];
         for (const auto& one :
              entry.tracker.confirm_crash(engine, crash_proof::confirmed, now))
+        {
             entry.ledger.record_crash(one.content, one.crash, one.evidence,
                                       now);
+            for (const auto& part : one.shared_parts)
+                entry.part_ledger.record_crash(part, one.crash,
+                                               one.evidence_of_part(part), now);
+        }
         report_to_all(at);
     }
 
@@ -472,8 +584,10 @@
     void report_to_all(std::size_t from)
     {
         auto records = std::make_shared<std::vector<message::crash_record>>(
-            entries[from].ledger.collect_updates(
-                crash_ledger::max_records_per_datagram, now));
+            entries[from].part_ledger.collect_updates(max_part_records, now));
+        for (const auto& record : entries[from].ledger.collect_updates(
+                 crash_ledger::max_records_per_datagram - records->size(), now))
+            records->push_back(record);
         if (records->empty())
             return;
         message::fleet_heartbeat heartbeat;
@@ -489,11 +603,19 @@
                      [this, to, records]
                      {
                          for (const auto& one : *records)
-                             entries[to].ledger.merge(one, now);
+                             merge(entries[to], one);
                      });
         }
     }
 
+    void merge(entry_state& entry, const message::crash_record& record)
+    {
+        (record.subject == message::crash_subject::prompt_part
+             ? entry.part_ledger
+             : entry.ledger)
+            .merge(record, now);
+    }
+
     static message::fleet_heartbeat empty()
     {
         message::fleet_heartbeat made;
@@ -518,6 +640,7 @@
             blocked.erase(
                 request_content::of("bad", "/", std::to_string(which)));
         counters.blocked_innocent = blocked.size();
+        evaluate_parts();
         for (const auto& [which, crashes] : crashes_by_content)
         {
             const auto late = std::count_if(
@@ -534,6 +657,30 @@
         return counters;
     }
 
+    void evaluate_parts()
+    {
+        std::set<request_content> blocked;
+        for (const auto& entry : entries)
+        {
+            for (const auto& [part, one] : entry.part_ledger.histories())
+            {
+                if (entry.part_ledger.is_blocked(part))
+                    blocked.insert(part);
+            }
+        }
+        for (std::size_t which = 0; which < config.harmful_contents; ++which)
+            blocked.erase(harmful_part(static_cast<int>(which)));
+        counters.blocked_parts = blocked.size();
+        constexpr std::size_t fifth = 4;
+        const auto& crashes = crashes_by_content[0];
+        if (crashes.size() <= fifth)
+            return;
+        counters.harmful_sent_late = static_cast<std::size_t>(
+            std::count_if(harmful_sends.begin(), harmful_sends.end(),
+                          [&](time_point at)
+                          { return at > crashes[fifth] + containment_time; }));
+    }
+
     scenario config;
     std::mt19937 generator;
     time_point now{start};
@@ -542,6 +689,8 @@
     std::priority_queue<event> events;
     std::uint64_t last_event{0};
     std::uint64_t innocent_count{0};
+    std::uint64_t harmful_count{0};
+    std::vector<time_point> harmful_sends;
     std::uint64_t bytes_sent{0};
     std::map<int, std::vector<time_point>> crashes_by_content;
     simulation_result counters;
--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -71,6 +71,10 @@
         # third. Not traced; entries that had just started are suspected.
         self.play(42, 5, "--crashing", "--sides", "8")
 
+    def test_a_part_of_a_prompt_ends_one_engine_after_the_other(self):
+        # No two of the requests are alike, so that none is known by its content.
+        self.play(1, 6, "--crashing-part", "--sides", "8")
+
     def test_a_quarantine_outlasts_the_loss_of_all_entries(self):
         # All that was known of the request went with the processes: 4, 5 and 4 engines
         # ended anew in three runs. One trial is wanted.
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -18,6 +18,7 @@
 CHUNK_BYTES = 4096
 LAYERS = 4
 CRASHING = b"this ends the engine"  # A body that ends each engine that begins to run it.
+CRASHING_PART = "bad0"  # A part of a prompt that ends each engine that begins an answer on it.
 CRASH_AFTER_S = 0.05
 AWAY_S = 1.0
 
@@ -36,6 +37,12 @@
         return None
 
 
+def parts_of(headers):
+    """The ids of the parts of a prompt that requests share: all but the last."""
+    parts = headers.get("x-coursejunction-prefix-hash", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 def answer(status, body=b"", headers=()):
     lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "", ""]
     return "\r\n".join(lines).encode("latin-1") + body
@@ -419,6 +426,7 @@
         self.wrong_weights = []
         self.begun = []
         self.crashed = []  # When a request ended it.
+        self.part_arrivals = []  # When requests with the harmful part came.
         self.away = False
         self.draining = False
         self.notice = None  # What it says of itself in its answers.
@@ -439,6 +447,16 @@
         self.draining = False
         self.reset_all()
 
+    async def end_under_answer(self, signed, version, writer):
+        """Ends under an answer that has begun, half of the time with an event."""
+        writer.write("\r\n".join([
+            "HTTP/1.1 200 X", *signed, "X-Coursejunction-Server-Signature: s",
+            f"X-Coursejunction-Weight-Versions: {version}",
+            "Content-Type: text/event-stream", *begin_of_stream("chunks", 0), "", ""]).encode())
+        if self.faults.random() < 0.5:
+            writer.write(part_of_stream("chunks", b"id: 1\ndata: x\n\n"))
+        await self.end_under_request()
+
     async def end_under_request(self):
         """The request that began ends it, and it is back after a while."""
         await asyncio.sleep(CRASH_AFTER_S)
@@ -514,6 +532,9 @@
         if body == CRASHING:
             await self.end_under_request()
             return None
+        if CRASHING_PART in parts_of(headers):
+            self.part_arrivals.append(asyncio.get_running_loop().time())
+            return await self.end_under_answer(signed, version, writer)
         await self.speaks.wait()
         life = self.born
         first = int(headers.get("last-event-id", "0")) + 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
     soak.py ... --reborn               engines start again under their ids, also behind cuts, and
                                        other writers spoil records
     soak.py ... --crashing         a request that ends its engines comes again and again
+    soak.py ... --crashing-part    a part of prompts ends engines, in requests of which no two are alike
     soak.py ... --notices          upstreams say that they leave, rest, or take few requests
     soak.py ... --rewinds N        the store goes away N times and comes back from an older copy, while
                                        configurations change and engines drain
@@ -47,7 +48,9 @@
 from acknowledged import Acknowledged
 from configuration import (
     LARGE_ROUTES, least_and_most_large, newest_key, newest_path, newest_route, plain_rules)
-from crashing import judge_bystanders, judge_crashes, lose_all_entries, send_copies, send_copies_widely
+from crashing import (
+    judge_bystanders, judge_crashes, lose_all_entries, prompt_of, send_copies, send_copies_widely,
+    send_crashing_part)
 from framings import Framings
 from knowledge import Knowledge, fetch, judge_rest
 from links import HallLink, Proxy
@@ -79,6 +82,7 @@
     def __init__(self, seed, asked, binary):
         self.seed, self.seconds, self.asked, self.binary = seed, asked.seconds, asked, binary
         self.dice = random.Random(seed)
+        self.prompts = random.Random(f"prompts {seed}")
         self.rate = asked.link * 1e6 / 8
         # What happens at a moment that the processes choose must not change the
         # faults; kept seeds of runs without links were drawn from one dice.
@@ -248,6 +252,8 @@
                  f"X-Coursejunction-Deadline-Ms: {2000 if single else 6000}"]
         if not single:
             lines += [f"X-Coursejunction-Model: {MODEL}", "X-Coursejunction-Token-Usage: 100,60"]
+        if not single and self.asked.crashing_part:
+            lines.append(prompt_of(asked, self.prompts))
         clock = asyncio.get_running_loop().time
         begun = clock()
         try:
@@ -454,6 +460,8 @@
                        for _ in range(12)]
         if self.rate:
             self.tasks.append(asyncio.create_task(self.fault("large")))
+        if self.asked.crashing_part:
+            self.tasks.append(asyncio.create_task(send_crashing_part(self)))
         if self.asked.crashing:
             send = send_copies_widely if self.asked.wide else send_copies
             self.tasks.append(asyncio.create_task(send(self)))
@@ -485,7 +493,7 @@
             self.tasks.append(asyncio.create_task(self.stand_still_while_judged()))
         await self.settle()
         await judge_rest(self)
-        if self.asked.crashing:
+        if self.asked.crashing or self.asked.crashing_part:
             await judge_bystanders(self)
         self.stopping = True
         await asyncio.gather(*self.tasks)
@@ -610,6 +618,7 @@
     parser.add_argument("--sides", type=int, default=4)
     parser.add_argument("--reborn", action="store_true")
     parser.add_argument("--crashing", action="store_true")
+    parser.add_argument("--crashing-part", action="store_true")
     parser.add_argument("--notices", action="store_true")
     parser.add_argument("--rewinds", type=int, default=0)
     parser.add_argument("--late-writes", type=int, default=0)
