Give out no share of the retry reserve that others may have used

Callers saw: nothing reported.

Cause of the failing test: the reserve of retries is divided by the number of live entries. An entry that starts had its whole share at once, and until it heard of its peers the whole reserve; the shares of the others grew when one was missed. What the missed or earlier process had used counts all the same for the rest of the window. Class: a limit for a window that is kept in processes which live shorter.

Ruled out by reading: a second attempt without a token. There are two ways to an upstream after the first attempt, a resend and a hedge, and both take one, except a resend of which no byte was written.

Change: the largest number of entries known within the last window counts, and an entry has no share in its first window; one retry each remains, and the fraction of its own requests.

--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -78,7 +78,10 @@
     [[nodiscard]] crash_guard& crashes() { return guard; }
 
     /*! @brief Sets the number of entries that share the upstreams. */
-    void set_entry_count(std::size_t count) { budgets.set_entry_count(count); }
+    void set_entry_count(std::size_t count, time_point now)
+    {
+        budgets.set_entry_count(count, now);
+    }
 
     /*! @brief Returns the rates of requests for engines at this entry. */
     [[nodiscard]] request_rates rates(time_point now) const
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -111,6 +111,7 @@
         exchanges.crashes().set_trial_rank(
             [this](const request_content& content)
             { return trial_rank(content); });
+        exchanges.set_entry_count(1, event_loop::now());
         node.start(std::move(hooks));
         tick_timer = loop.every(tick_interval, [this] { tick(); });
     }
@@ -618,7 +619,7 @@
         counters.set("upstream_records_unreadable",
                      static_cast<double>(fleet.unreadable_records()));
         const auto entries = node.peers().live_entries(now) + 1;
-        exchanges.set_entry_count(entries);
+        exchanges.set_entry_count(entries, now);
         exchanges.set_configuration_outdated(node.mirror_lag(now) >=
                                              outdated_after);
         book.set_entry_count(entries);
--- a/src/coursejunction/proxy/retry_budgets.hpp
+++ b/src/coursejunction/proxy/retry_budgets.hpp
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <deque>
 #include <map>
+#include <optional>
+#include <utility>
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
@@ -25,18 +28,30 @@
     {
     }
 
-    /*! @brief Sets the number of entries that share the reserve. */
-    void set_entry_count(std::size_t count)
+    /*! @brief Sets the number of entries that share the reserve. What others
+     * may have used of it within the window is not given out again: a smaller
+     * number counts only after a window, and an entry has no share until then
+     * after its start, which is the first call. */
+    void set_entry_count(std::size_t count, time_point now)
     {
-        entry_count = std::max<std::size_t>(count, 1);
+        if (!started_at)
+            started_at = now;
+        while (!counts.empty() && counts.back().second <= count)
+            counts.pop_back();
+        counts.emplace_back(now, std::max<std::size_t>(count, 1));
+        while (now - counts.front().first >= limits.window)
+            counts.pop_front();
+        share =
+            now - *started_at < limits.window
+                ? 0
+                : limits.reserve / static_cast<double>(counts.front().second);
     }
 
     /*! @brief Returns the retry window of a service. */
     [[nodiscard]] retry_window& of(const service_name& service)
     {
         auto own = limits;
-        own.reserve =
-            std::max(limits.reserve / static_cast<double>(entry_count), 1.0);
+        own.reserve = std::max(share, 1.0);
         auto& found = windows.try_emplace(service, own).first->second;
         found.set_reserve(own.reserve);
         return found;
@@ -45,7 +60,11 @@
 private:
     retry_limits limits;
     std::map<service_name, retry_window> windows;
-    std::size_t entry_count{1};
+    double share{limits.reserve}; /*!< Of this entry; at least one retry. */
+    std::optional<time_point> started_at;
+    /*! @brief Numbers of entries within the window that no later one exceeds,
+     * with their times. */
+    std::deque<std::pair<time_point, std::size_t>> counts;
 };
 
 } // namespace coursejunction
--- a/tests/proxy/retry_budgets.cpp
+++ b/tests/proxy/retry_budgets.cpp
@@ -32,7 +32,7 @@
         {
             if (!entry)
                 continue;
-            entry->set_entry_count(visible_entries());
+            entry->set_entry_count(visible_entries(), now);
             if (drawn(2))
                 continue;
             entry->of(service).record_request(now);
