Log until when a removal counts as a lapse; test a record that returns

upstream_changed says how much of the time is left in which a missing record may come back. The scenario of a removal after an outage also plays the opposite mistake: a record that expired in the outage and returns 1.5 s after it leaves its upstream in use all the time, at both entries.

--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -318,7 +318,7 @@
             report_departure(change, lapse_deadline.has_value(), now);
             if (!change.removed)
                 update_upstream(fleet.upstreams().at(change.id));
-            log_upstream_change(change, lapse_deadline.has_value());
+            log_upstream_change(change, lapse_deadline, now);
             if (change.removed)
                 remove_upstream(change, lapse_deadline, now);
         }
@@ -395,11 +395,15 @@
             .count();
     }
 
-    void log_upstream_change(const upstream_change& change, bool may_return)
+    void log_upstream_change(const upstream_change& change,
+                             std::optional<time_point> lapse_deadline,
+                             time_point now)
     {
         const auto* known = book.find(change.id);
         const bool leaving = known != nullptr && known->announced_leaving();
-        const bool lapse = change.removed && may_return;
+        const bool lapse = change.removed && lapse_deadline;
+        const auto left = std::chrono::duration_cast<milliseconds>(
+            lapse_deadline.value_or(now) - now);
         if (change.removed)
             counters.count("upstream_records_removed_total", 1,
                            {{"lapse", lapse ? "yes" : "no"}});
@@ -409,7 +413,8 @@
                     {"removed", change.removed ? "true" : "false"},
                     {"leaving", leaving ? "true" : "false"},
                     {"revision", change.position.text()},
-                    {"lapse", lapse ? "true" : "false"}});
+                    {"lapse", lapse ? "true" : "false"},
+                    {"lapse_left_ms", std::to_string(left.count())}});
     }
 
     /*! @brief Drops upstreams whose record did not return in time. */
--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -262,6 +262,19 @@
             });
     }
 
+    /*! @brief Returns whether requests may be sent to an upstream now. */
+    [[nodiscard]] bool uses_upstream(const std::string& upstream)
+    {
+        bool used = false;
+        running.on_loop(
+            [&]
+            {
+                const auto* found = find_upstream(upstream);
+                used = found != nullptr && !found->leaving();
+            });
+        return used;
+    }
+
     [[nodiscard]] bool wait_for_leaving_upstream(const std::string& upstream)
     {
         return wait_until(
--- a/tests/proxy/removed_after_outage.cpp
+++ b/tests/proxy/removed_after_outage.cpp
@@ -28,14 +28,19 @@
     }
 
     /*! @brief Makes the store unavailable for a while.
-     * @param after How long to wait after it returned. */
-    void play_outage(std::chrono::milliseconds after)
+     * @param meanwhile Changes its content before it returns. */
+    template <typename Change>
+    void play_outage(Change meanwhile)
     {
         constexpr auto duration = 2s;
         watcher->on_loop([&] { keys.available = false; });
         std::this_thread::sleep_for(duration);
-        watcher->on_loop([&] { keys.available = true; });
-        std::this_thread::sleep_for(after);
+        watcher->on_loop(
+            [&]
+            {
+                meanwhile();
+                keys.available = true;
+            });
     }
 
     static constexpr std::uint16_t port{21'743};
@@ -54,10 +59,11 @@
     two_entries entries;
     REQUIRE(entries.watcher->wait_for_upstream("up/a"));
     REQUIRE(entries.follower->wait_for_upstream("up/a"));
-    entries.play_outage(2500ms);
 
     WHEN("its record is removed 2.5 s after the return")
     {
+        entries.play_outage([] {});
+        std::this_thread::sleep_for(2500ms);
         entries.watcher->on_loop([&] { entries.keys.remove("up/a"); });
         THEN("no entry uses it 2 s later")
         {
@@ -65,4 +71,22 @@
             CHECK(entries.follower->wait_for_unused_upstream("up/a"));
         }
     }
+    WHEN("its record expired in the outage and returns 1.5 s after it")
+    {
+        entries.play_outage([&] { entries.keys.remove("up/a"); });
+        THEN("all entries use it all the time")
+        {
+            for (int count = 0; count < 15; ++count)
+            {
+                std::this_thread::sleep_for(100ms);
+                CHECK(entries.watcher->uses_upstream("up/a"));
+                CHECK(entries.follower->uses_upstream("up/a"));
+            }
+            entries.watcher->on_loop(
+                [&] { entries.keys.write("up/a", "2 ready"); });
+            std::this_thread::sleep_for(1500ms);
+            CHECK(entries.watcher->uses_upstream("up/a"));
+            CHECK(entries.follower->uses_upstream("up/a"));
+        }
+    }
 }
