Mark a trial of a part only where there is one; name the deadline that a peer reports

A request that was refused for a part carried the mark of a trial, which no attempt of it could use; the log of the refusal takes the part directly. No decision is changed.

--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -383,7 +384,8 @@
                                  local_mirror.position(), now);
             puller.peer_ahead(from, same_hall);
         }
-        if (const auto deadline = told_lapse_deadline(*directory.find(from)))
+        if (const auto deadline =
+                reported_lapse_deadline(*directory.find(from)))
             reader.peer_reached_store(*deadline - store_outage::lapse_window);
         if (hooks.heartbeat_received)
             hooks.heartbeat_received(from, decoded.value());
@@ -543,7 +545,7 @@
 
     /*! @brief Returns the same as a peer reports it; possibly in the past. */
     [[nodiscard]] static std::optional<time_point>
-    told_lapse_deadline(const peer_state& peer)
+    reported_lapse_deadline(const peer_state& peer)
     {
         const milliseconds left(peer.last_heartbeat.lapse_window_ms);
         if (left == milliseconds(0))
@@ -570,8 +572,9 @@
     lapse_deadline(const peer_state* sender, bool era_changed,
                    time_point now) const
     {
-        const auto deadline = sender == nullptr ? own_lapse_deadline(now)
-                                                : told_lapse_deadline(*sender);
+        const auto deadline = sender == nullptr
+                                  ? own_lapse_deadline(now)
+                                  : reported_lapse_deadline(*sender);
         if (deadline && *deadline > now)
             return deadline;
         if (era_changed)
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -79,13 +80,13 @@
 }
 
 /*! @brief Logs a request that was refused because it is quarantined. */
-inline void refused_quarantined(const exchange& request, milliseconds left)
+inline void refused_quarantined(const exchange& request, milliseconds left,
+                                const std::optional<request_content>& part)
 {
     log::problem("request_turned_away",
                  {{"request", request.decoded.id.value()},
                   {"content", request.content.hex()},
-                  {"part", request.part_on_trial ? request.part_on_trial->hex()
-                                                 : std::string()},
+                  {"part", part ? part->hex() : std::string()},
                   {"route", request.route->name},
                   {"reason", "quarantined: upstreams crashed while running it"},
                   {"quarantine_left_ms", std::to_string(left.count())}});
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -349,14 +349,18 @@
      * @return Whether it may be placed now; otherwise it was answered. */
     bool passes_part_guard(exchange& request, time_point now)
     {
-        request.part_on_trial = guard.blocked_part(request.shared_parts);
-        if (!request.part_on_trial)
+        request.part_on_trial.reset();
+        const auto part = guard.blocked_part(request.shared_parts);
+        if (!part)
             return true;
-        const auto part = *request.part_on_trial;
-        if (request.possible_runs == 0 && guard.may_try_part(part, now) &&
-            !open_requests.runs_part(request, part))
+        if (request.possible_runs == 0 && guard.may_try_part(*part, now) &&
+            !open_requests.runs_part(request, *part))
+        {
+            request.part_on_trial = part;
             return true;
-        refuse_quarantined(request, guard.part_quarantine_left(part, now));
+        }
+        refuse_quarantined(request, guard.part_quarantine_left(*part, now),
+                           part);
         return false;
     }
 
@@ -389,15 +393,18 @@
     /*! @brief Refuses a request that is quarantined, or whose trial is run
      * elsewhere or has failed. If one of its attempts may have run, `give_up()`
      * sends the final response.
-     * @param quarantine_left Until the next trial, of the request or of a part
-     * of its prompt. */
-    void refuse_quarantined(exchange& request, milliseconds quarantine_left)
+     * @param quarantine_left Until the next trial.
+     * @param part The quarantined part of its prompt; nothing if it is the
+     * request itself. */
+    void refuse_quarantined(
+        exchange& request, milliseconds quarantine_left,
+        const std::optional<request_content>& part = std::nullopt)
     {
         counters.count("requests_turned_away_total");
         if (request.possible_runs > 0)
             return give_up(request, quarantine_reason);
         const auto left = std::max(quarantine_left, options.trial_retry_after);
-        exchange_log::refused_quarantined(request, left);
+        exchange_log::refused_quarantined(request, left, part);
         send_refusal(request, left);
     }
 
