Decode regions, cold starts and priorities; read the region of each hall

Cause: routes and organisations name the regions that may serve them, and services name how long and how far an upstream is cold; none of it was decoded, and a process did not know the region of other halls. Ruled out: nothing acts on these fields yet, so no deployment behaves differently. Change: allowed_regions, cold_time and cold_requests_per_second in the configuration, the owner of the API key in the exchange, [halls] in the settings files.

--- a/src/coursejunction/fleet/installation.hpp
+++ b/src/coursejunction/fleet/installation.hpp
@@ -51,12 +51,13 @@
     /*! @brief Latency target of the first byte that counts: for a stream, of
      * its first event. */
     milliseconds first_event_target{0};
-    /*! @brief Latency target between two events; zero if not set. Currently
-     * unused. */
+    /*! @brief Latency target between two events; zero if not set. */
     milliseconds event_gap_target{0};
     /*! @brief Maximum executions of a repeatable request. */
     std::size_t max_attempts{1};
-    std::int32_t priority{0}; /*!< Currently unused. */
+    std::int32_t priority{0}; /*!< 0 is the most urgent. */
+    /*! @brief Regions in which its requests may be served; empty if any. */
+    std::vector<region_id> allowed_regions;
     std::vector<service_share> services;
 
     /*! @brief Returns whether a request of this route may be executed more than
@@ -98,7 +99,15 @@
 struct service_profile
 {
     service_name name;
-    std::size_t max_connections{0}; /*!< Currently unused. */
+    /*! @brief Connections that one upstream accepts from all entries together;
+     * 0 if unknown. */
+    std::size_t max_connections{0};
+    /*! @brief How long an upstream is cold after it started; zero if it is
+     * never cold. */
+    milliseconds cold_time{0};
+    /*! @brief Requests a second that a cold upstream bears from all entries
+     * together; zero if there is no limit. */
+    double cold_requests_per_second{0};
     std::optional<engine_profile> engine;
     std::string origin; /*!< `IP:port` of an origin of weights; empty if there
                            is none. */
@@ -111,7 +120,9 @@
 struct organisation
 {
     organisation_id id;
-    std::int32_t priority{0}; /*!< Currently unused. */
+    std::int32_t priority{0}; /*!< 0 is the most urgent. */
+    /*! @brief Regions in which its requests may be served; empty if any. */
+    std::vector<region_id> allowed_regions;
 };
 
 /*! @brief One version of the operators' configuration. */
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -269,6 +269,7 @@
             if (owner == nullptr)
                 return 401;
             request.organisation = owner->id;
+            request.owner = owner;
         }
         if (request.decoded.id.empty())
             return 400;
--- a/src/coursejunction/settings/gateway_settings.cpp
+++ b/src/coursejunction/settings/gateway_settings.cpp
@@ -83,6 +83,8 @@
     settings.instance = instance_id(file.text("instance", "id", std::nullopt));
     settings.hall = hall_id(file.text("instance", "hall", std::nullopt));
     settings.region = region_id(file.text("instance", "region", std::nullopt));
+    for (const auto& [hall, region] : file.section("halls"))
+        settings.hall_regions.emplace(hall_id(hall), region_id(region));
     settings.address = file.text("instance", "address", std::nullopt);
     settings.log_level = file.text("log", "level", "info");
     settings.peer_port = first_port(file);
--- a/src/coursejunction/settings/gateway_settings.hpp
+++ b/src/coursejunction/settings/gateway_settings.hpp
@@ -6,6 +6,7 @@
 #define COURSEJUNCTION_SETTINGS_GATEWAY_SETTINGS_HPP
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,8 @@
     instance_id instance;
     hall_id hall;
     region_id region;
-    std::string address;        /*!< Own IPv4 address. */
+    std::map<hall_id, region_id> hall_regions; /*!< Of all halls. */
+    std::string address;                       /*!< Own IPv4 address. */
     std::uint16_t peer_port{0}; /*!< TCP and UDP; the same on all instances. */
     std::vector<std::string> seeds; /*!< IPv4 addresses of entries to join. */
     std::string log_level;
--- a/src/coursejunction/settings/ini_file.cpp
+++ b/src/coursejunction/settings/ini_file.cpp
@@ -104,6 +104,19 @@
     return found == values.end() ? nullptr : &found->second;
 }
 
+std::map<std::string, std::string> ini_file::section(std::string_view name)
+{
+    std::map<std::string, std::string> entries;
+    for (const auto& [full, value] : values)
+    {
+        if (full.first != name)
+            continue;
+        requested.insert(full);
+        entries.emplace(full.second, value);
+    }
+    return entries;
+}
+
 void ini_file::record_error(std::string_view section, std::string_view key,
                             std::string_view message)
 {
--- a/src/coursejunction/settings/ini_file.hpp
+++ b/src/coursejunction/settings/ini_file.hpp
@@ -60,6 +60,9 @@
     bool flag(std::string_view section, std::string_view key,
               std::optional<bool> fallback);
 
+    /*! @brief Returns all values of a section by their key. */
+    std::map<std::string, std::string> section(std::string_view name);
+
     /*! @brief Records an error that the caller found in a value. */
     void record_error(std::string_view section, std::string_view key,
                       std::string_view message);
--- a/tests/platform/catalogue.cpp
+++ b/tests/platform/catalogue.cpp
@@ -16,13 +16,14 @@
  {"name":"r1","hostname":"a.example","pathPrefix":"/x/","type":"streaming",
   "timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"llm",
   "maxAttempts":2,"public":false,"sticky":true,"resumable":true,
-  "targetItlMs":400},
+  "targetItlMs":400,"allowedRegions":["north","south"]},
  {"name":"r2","hostname":"b.example","pathPrefix":"/y/",
   "type":"non_idempotent","timeoutMs":1500.0,"targetLatencyMs":300,
   "trafficSplit":[{"service":"one","weight":90},{"service":"two","weight":10}],
   "maxAttempts":1,"public":true}],
 "services":[
  {"name":"llm","healthPath":"/healthz","maxConnections":374,
+  "coldStartS":3.0,"coldPerS":32.0,
   "backend":{"slots":16,"kvCapacity":1180000,"stride":5,
    "modelList":[{"name":"m","pace":1.0,"loadS":4.0,"warmupS":0.3}],
    "step_ms":8.87,"per_seq_ms":0.0388,"context_per_k":0.0227,
@@ -33,7 +34,8 @@
   "maxConnections":48}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
  "headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})";
+"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1,
+ "allowedRegions":["north"]}]})";
 
 } // namespace
 
@@ -57,6 +59,27 @@
         CHECK(configuration.routes[1].keyless);
         CHECK(configuration.routes[1].services.size() == 2);
     }
+    THEN("routes and organisations name the regions that may serve them")
+    {
+        const std::vector<cj::region_id> both{cj::region_id("north"),
+                                              cj::region_id("south")};
+        CHECK(configuration.routes[0].allowed_regions == both);
+        CHECK(configuration.routes[1].allowed_regions.empty());
+        CHECK(configuration.owner("k1")->allowed_regions ==
+              std::vector<cj::region_id>{cj::region_id("north")});
+    }
+    THEN("services say how long an upstream is cold and what it bears then")
+    {
+        const auto* llm = configuration.service(cj::service_name("llm"));
+        REQUIRE(llm != nullptr);
+        CHECK(llm->cold_time == 3000ms);
+        CHECK(llm->cold_requests_per_second == Approx(32));
+        const auto* weights =
+            configuration.service(cj::service_name("weights"));
+        REQUIRE(weights != nullptr);
+        CHECK(weights->cold_time == 0ms);
+        CHECK(weights->cold_requests_per_second == Approx(0));
+    }
     THEN("an engine's profile is converted to the units used here")
     {
         const auto* llm = configuration.service(cj::service_name("llm"));
--- a/tests/settings/gateway_settings.cpp
+++ b/tests/settings/gateway_settings.cpp
@@ -47,6 +47,15 @@
         CHECK(wrong.error().message.starts_with(
             "s.ini: [rollout] closed_percent: "));
     }
+    SECTION("the regions of all halls")
+    {
+        const auto read = cj::gateway_settings::parse(
+            "s.ini", side_text + "[halls]\nh=r\nother=elsewhere\n");
+        REQUIRE(read);
+        CHECK(read.value().hall_regions.at(cj::hall_id("other")) ==
+              cj::region_id("elsewhere"));
+        CHECK(read.value().hall_regions.size() == 2);
+    }
     SECTION("an unknown key is reported with file and section")
     {
         const auto read = cj::gateway_settings::parse(
