Split the exchange service: permission to send, silence, ends of attempts

Ruled out: a class for each concern with callbacks into the service; the decisions need only the state of the request, so functions are enough. Change: request_admission (configuration), crash_permission (both crash guards, suspects), placement_constraints, silence_rules (when an attempt is silent, when to check it), attempt_closer (cancel, resume, restore and end of the silent attempt) and response_rules are files of their own; the service keeps the order of the steps. No behaviour changes.

--- /dev/null
+++ b/src/coursejunction/proxy/attempt_closer.hpp
@@ -0,0 +1,162 @@
+/*! @file
+ * @brief Ends attempts at upstreams: cancels them, gives them up or continues
+ * with the one that was silent. */
+#ifndef COURSEJUNCTION_PROXY_ATTEMPT_CLOSER_HPP
+#define COURSEJUNCTION_PROXY_ATTEMPT_CLOSER_HPP
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/net/stream_client.hpp"
+#include "coursejunction/proxy/crash_guard.hpp"
+#include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/exchange_facts.hpp"
+#include "coursejunction/proxy/exchange_log.hpp"
+#include "coursejunction/route/upstream_registry.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Ends attempts and records it with the registry, the crash guard, the
+ * counters and the log. */
+class attempt_closer
+{
+public:
+    attempt_closer(stream_client& upstream_client, upstream_registry& upstreams,
+                   metrics& metric_counters, crash_guard& crashes)
+        : client(upstream_client), book(upstreams), counters(metric_counters),
+          guard(crashes)
+    {
+    }
+
+    /*! @brief Returns whether an attempt is the silent one of a request. */
+    [[nodiscard]] static bool is_silent_attempt(const exchange& request,
+                                                std::uint64_t attempt)
+    {
+        return request.silent_attempt && request.silent_attempt->id == attempt;
+    }
+
+    /*! @brief Returns whether an attempt is one of those in progress. */
+    [[nodiscard]] static bool is_in_flight(const exchange& request,
+                                           std::uint64_t attempt)
+    {
+        return is_silent_attempt(request, attempt) ||
+               (request.attempt.id == attempt && request.attempt.in_flight);
+    }
+
+    /*! @brief Cancels all attempts of a request. */
+    void cancel_all(exchange& request)
+    {
+        cancel(request, request.attempt);
+        cancel_silent(request);
+    }
+
+    void cancel_silent(exchange& request)
+    {
+        if (request.silent_attempt)
+            cancel(request, *request.silent_attempt);
+        request.silent_attempt.reset();
+    }
+
+    void cancel(const exchange& request, upstream_attempt& attempt)
+    {
+        if (attempt.id == 0)
+            return;
+        if (std::exchange(attempt.in_flight, false))
+            report_lost(request, attempt,
+                        attempt.silent ? loss_cause::timed_out
+                                       : loss_cause::cancelled);
+        client.cancel(attempt.call);
+        book.cancel_attempt(attempt.choice.upstream, attempt.id);
+    }
+
+    /*! @brief Marks the current attempt as silent. Its upstream is avoided, and
+     * counted and logged once. */
+    void mark_silent(exchange& request, time_point now)
+    {
+        if (std::exchange(request.attempt.silent, true))
+            return;
+        counters.count("attempts_silent_total");
+        book.mark_silent(request.attempt.choice.upstream, now);
+        exchange_log::upstream_silent(request, now);
+    }
+
+    /*! @brief Makes the silent attempt the current one again. */
+    static void restore_silent(exchange& request)
+    {
+        request.attempt = std::move(*request.silent_attempt);
+        request.silent_attempt.reset();
+    }
+
+    /*! @brief Continues with the attempt that was silent and drops the other
+     * one. */
+    void resume_silent(exchange& request)
+    {
+        const auto now = event_loop::now();
+        cancel(request, request.attempt);
+        ++request.possible_runs;
+        restore_silent(request);
+        request.attempt.silent = false;
+        counters.count("silent_attempts_resumed_total");
+        exchange_log::silence_ended(request, now);
+    }
+
+    /*! @brief Ends the silent attempt; the other one goes on. */
+    void end_silent(exchange& request, attempt_failure failure,
+                    const std::string& reason)
+    {
+        const auto silent = std::move(*request.silent_attempt);
+        request.silent_attempt.reset();
+        client.cancel(silent.call);
+        const auto now = event_loop::now();
+        const bool may_have_run = failure == attempt_failure::may_have_run;
+        if (may_have_run)
+            ++request.possible_runs;
+        book.end_attempt(silent.choice.upstream, silent.id,
+                         attempt_result::failed, now);
+        count_failed(may_have_run);
+        exchange_log::attempt_failed(request, silent, reason, may_have_run,
+                                     true, now);
+    }
+
+    /*! @brief Ends the silent attempt because nothing arrived in time. */
+    void time_out_silent(exchange& request, const std::string& reason)
+    {
+        report_lost(request, *request.silent_attempt, loss_cause::timed_out);
+        end_silent(request, attempt_failure::may_have_run, reason);
+    }
+
+    void count_failed(bool may_have_run)
+    {
+        counters.count("attempts_failed_total", 1,
+                       {{"may_have_run", may_have_run ? "true" : "false"}});
+    }
+
+    /*! @brief Reports a lost attempt as a possible crash, unless the upstream
+     * is leaving and may exit as planned. */
+    void report_lost(const exchange& request, const upstream_attempt& lost,
+                     loss_cause cause)
+    {
+        const auto* known = book.find(lost.choice.upstream);
+        if (known != nullptr && known->announced_leaving())
+            return;
+        const auto known_incarnation =
+            known != nullptr ? known->life : incarnation{};
+        guard.attempt_lost(exchange_facts::lost_attempt_of(
+                               request, lost, known_incarnation, cause),
+                           event_loop::now());
+    }
+
+private:
+    stream_client& client;
+    upstream_registry& book;
+    metrics& counters;
+    crash_guard& guard;
+};
+
+} // namespace coursejunction
+
+#endif
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -5,7 +5,6 @@
 #define COURSEJUNCTION_PROXY_EXCHANGE_SERVICE_HPP
 
 #include <algorithm>
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -22,16 +21,22 @@
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/proxy/attempt_closer.hpp"
 #include "coursejunction/proxy/attempt_end.hpp"
 #include "coursejunction/proxy/crash_guard.hpp"
+#include "coursejunction/proxy/crash_permission.hpp"
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
 #include "coursejunction/proxy/notice_intake.hpp"
 #include "coursejunction/proxy/open_exchanges.hpp"
+#include "coursejunction/proxy/placement_constraints.hpp"
+#include "coursejunction/proxy/request_admission.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
+#include "coursejunction/proxy/response_rules.hpp"
 #include "coursejunction/proxy/retry_budgets.hpp"
+#include "coursejunction/proxy/silence_rules.hpp"
 #include "coursejunction/route/dispatcher.hpp"
 #include "coursejunction/route/placement_queue.hpp"
 #include "coursejunction/route/upstream_registry.hpp"
@@ -57,6 +62,7 @@
           options(chosen_options), guard(upstream_client, metric_counters,
                                          [this](const request_content& content)
                                          { on_quarantined(content); }),
+          closer(upstream_client, upstreams, metric_counters, guard),
           intake(upstreams, metric_counters), budgets(chosen_options)
     {
         queue_timer = loop.every(options.queue_poll_interval,
@@ -205,7 +211,7 @@
                             request, lost, restarted.life, loss_cause::closed),
                         event_loop::now());
                     if (silent)
-                        return end_silent_attempt(
+                        return closer.end_silent(
                             request, attempt_failure::may_have_run, reason);
                     on_attempt_failed(request, attempt_failure::may_have_run,
                                       reason);
@@ -235,7 +241,7 @@
                                {
                                    if (request.attempt.in_flight)
                                        ++request.possible_runs;
-                                   cancel_attempts(request);
+                                   closer.cancel_all(request);
                                    give_up(request, "entry is shutting down");
                                });
     }
@@ -249,43 +255,13 @@
 private:
     // --- Admission -------------------------------------------------------
 
-    /*! @brief Checks a request against the configuration.
+    /*! @brief Admits a request and records its arrival.
      * @return 0, or the HTTP status with which to reject it. */
     int admit(exchange& request)
     {
-        if (!configuration)
-            return 503;
-        request.configuration = configuration;
-        request.route = request.configuration->route(request.decoded.host,
-                                                     request.decoded.path);
-        if (request.route == nullptr)
-            return 404;
-        if (request.configuration->requires_key && !request.route->keyless)
-        {
-            const auto* owner =
-                request.decoded.api_key
-                    ? request.configuration->owner(*request.decoded.api_key)
-                    : nullptr;
-            if (owner == nullptr)
-                return 401;
-            request.organisation = owner->id;
-            request.owner = owner;
-        }
-        if (request.decoded.id.empty())
-            return 400;
-        request.content = exchange_facts::content_of(request);
-        request.fingerprint = exchange_facts::fingerprint_of(request);
-        const auto hash = std::hash<std::string>{}(request.decoded.id.value());
-        const auto* service = service_for(*request.route, hash);
-        if (service == nullptr)
-            return 503;
-        request.service = *service;
-        request.shared_parts = exchange_facts::shared_parts_of(request);
-        request.deadline = request.arrived_at + request.route->timeout;
-        if (request.decoded.deadline)
-            request.deadline = std::min<time_point>(
-                request.deadline,
-                request.arrived_at + *request.decoded.deadline);
+        const auto status = admit_request(request, configuration);
+        if (status != 0)
+            return status;
         budgets.of(request.service).record_request(request.arrived_at);
         request.arrival = decisions.record_arrival(
             *request.route, exchange_facts::service_profile_of(request),
@@ -330,12 +306,11 @@
             now - request.failed_at < options.crash_probe_time &&
             guard.has_unexplained_loss(request.content, now))
             return enqueue(request, {});
-        if (!passes_part_guard(request, now) ||
-            !passes_crash_guard(request, now))
+        if (!passes_crash_guard(request, now))
             return;
         const auto decision =
             decisions.decide(exchange_facts::service_profile_of(request),
-                             make_placement_request(request, now), now);
+                             placement_of(request, now), now);
         if (const auto* target = std::get_if<send_to>(&decision))
             return start_attempt(request, *target);
         if (const auto* wait = std::get_if<wait_for_slot>(&decision))
@@ -345,84 +320,37 @@
         refuse(request, std::get<refuse_request>(decision));
     }
 
-    /*! @brief Refuses a request with a quarantined part in its prompt. After
-     * the quarantine one request at a time is a trial, at one entry.
-     * @return Whether it may be placed now; otherwise it was answered. */
-    bool passes_part_guard(exchange& request, time_point now)
-    {
-        request.part_on_trial.reset();
-        const auto part = guard.blocked_part(request.shared_parts);
-        if (!part)
-            return true;
-        if (request.possible_runs == 0 && guard.may_try_part(*part, now) &&
-            !open_requests.runs_part(request, *part))
-        {
-            request.part_on_trial = part;
-            return true;
-        }
-        refuse_quarantined(request, guard.part_quarantine_left(*part, now),
-                           part);
-        return false;
-    }
-
-    /*! @brief Limits how many copies of a request run while it is suspected of
-     * crashing upstreams. Without a limit, client retries of one request
-     * crashed 47 upstreams in 16 s.
+    /*! @brief Asks the crash guard whether a request may be sent.
      * @return Whether it may be placed now; otherwise it was queued or
      * answered. */
     bool passes_crash_guard(exchange& request, time_point now)
     {
-        const auto crash_state = guard.status(request.content, now);
-        request.is_trial = crash_state == crash_status::on_trial;
-        if (crash_state == crash_status::clear)
-            return true;
-        const auto max_running = guard.max_running(request.content, now);
-        // A trial has a single attempt, since a failure of it may be the crash
-        // that it tests for.
-        if (max_running == 0 || (request.is_trial && request.possible_runs > 0))
-        {
-            refuse_quarantined(request,
-                               guard.quarantine_left(request.content, now));
-            return false;
-        }
-        if (open_requests.running_copies(request) < max_running)
-            return true;
-        queue_suspect(request, now);
-        return false;
+        auto permission =
+            check_prompt_parts(guard, open_requests, request, now);
+        if (permission.verdict == crash_verdict::send)
+            permission = check_content(guard, open_requests, request, now);
+        if (permission.verdict == crash_verdict::quarantined)
+            refuse_quarantined(request, permission);
+        if (permission.verdict == crash_verdict::wait)
+            queue_suspect(request, now);
+        return permission.verdict == crash_verdict::send;
     }
 
     /*! @brief Refuses a request that is quarantined, or whose trial is run
      * elsewhere or has failed. If one of its attempts may have run, `give_up()`
-     * sends the final response.
-     * @param quarantine_left Until the next trial.
-     * @param part The quarantined part of its prompt; nothing if it is the
-     * request itself. */
-    void refuse_quarantined(
-        exchange& request, milliseconds quarantine_left,
-        const std::optional<request_content>& part = std::nullopt)
+     * sends the final response. */
+    void refuse_quarantined(exchange& request,
+                            const crash_permission& permission)
     {
         counters.count("requests_turned_away_total");
         if (request.possible_runs > 0)
             return give_up(request, quarantine_reason);
-        const auto left = std::max(quarantine_left, options.trial_retry_after);
-        exchange_log::refused_quarantined(request, left, part);
+        const auto left =
+            std::max(permission.quarantine_left, options.trial_retry_after);
+        exchange_log::refused_quarantined(request, left, permission.part);
         send_refusal(request, left);
     }
 
-    /*! @brief Returns the upstreams that run other suspects. Suspects are sent
-     * to different upstreams, so that the next crash shows which of them causes
-     * it. Eight requests that had lost one upstream together lost a second one
-     * within 0.15 s. */
-    [[nodiscard]] std::vector<instance_id>
-    upstreams_of_suspects(const exchange& request, time_point now) const
-    {
-        if (!guard.is_suspect(request.content, now))
-            return {};
-        return open_requests.upstreams_of_others(
-            request, [&](const exchange& other)
-            { return guard.is_suspect(other.content, now); });
-    }
-
     /*! @brief Queues a copy of a suspect while another copy runs, since each
      * may crash an upstream and the first result shows whether the request is
      * harmful. Refuses it after `suspect_queue_time`, unless an attempt may
@@ -442,22 +370,17 @@
      * harmless. */
     void on_quarantined(const request_content& content)
     {
-        const auto is_quarantined = [&](const exchange& request)
-        {
-            return request.content == content ||
-                   exchange_facts::has_part(request, content);
-        };
         const auto may_cancel = [&](const exchange& request)
         {
             return request.attempt.in_flight && !request.attempt.has_events &&
-                   is_quarantined(request);
+                   is_quarantined_by(request, content);
         };
         for (const auto number : open_requests.numbers_of(may_cancel))
             open_requests.with(number, [this](exchange& request)
                                { cancel_quarantined(request); });
         // These are refused.
         const auto waits = [&](const exchange& request)
-        { return request.queued && is_quarantined(request); };
+        { return request.queued && is_quarantined_by(request, content); };
         for (const auto number : open_requests.numbers_of(waits))
             open_requests.with(number,
                                [this](exchange& request) { place(request); });
@@ -467,37 +390,23 @@
      * one that has returned events. */
     void cancel_quarantined(exchange& request)
     {
-        cancel_attempt(request, request.attempt);
+        closer.cancel(request, request.attempt);
         ++request.possible_runs;
         if (request.silent_attempt && request.silent_attempt->has_events)
         {
-            restore_silent_attempt(request);
+            closer.restore_silent(request);
             return arm_silence_timer(request);
         }
-        cancel_silent_attempt(request);
+        closer.cancel_silent(request);
         give_up(request, quarantine_reason);
     }
 
-    [[nodiscard]] placement_request
-    make_placement_request(const exchange& request, time_point now) const
+    [[nodiscard]] placement_request placement_of(const exchange& request,
+                                                 time_point now) const
     {
-        placement_request placement;
-        placement.service = request.service;
-        placement.model = request.decoded.model;
-        placement.prompt_tokens = request.decoded.prompt_tokens;
-        placement.target = request.route->first_event_target;
-        placement.arrival = request.arrival;
-        placement.waiting_since =
-            request.possible_runs > 0 ? request.failed_at : request.arrived_at;
-        placement.deadline = request.deadline;
-        placement.bypasses_limits = request.response_begun;
-        placement.excluded = request.tried_upstreams;
-        placement.avoided = upstreams_of_suspects(request, now);
-        placement.may_reuse_excluded = request.upstream_errored;
-        if (!request.decoded.model.empty())
-            placement.min_version =
-                minimums.minimum(request.decoded.model, now);
-        return placement;
+        return make_placement_request(
+            request, minimums,
+            upstreams_of_suspects(guard, open_requests, request, now), now);
     }
 
     void enqueue(exchange& request, const placement_failure& reason)
@@ -632,18 +541,13 @@
      * its attempts have to be checked. */
     void arm_silence_timer(exchange& request)
     {
-        if (request.route->kind != request_kind::stream ||
-            !request.route->resumable)
+        if (!silence_rules::apply_to(request))
             return;
         const auto now = event_loop::now();
-        auto due = silent_from(request.attempt);
-        if (due <= now)
-            due = now + options.silence_poll_interval;
-        due = std::min(due, start_limit(request, request.attempt));
-        if (request.silent_attempt)
-            due = std::min(due, now + options.silence_poll_interval);
+        const auto due =
+            silence_rules::next_check(request, minimums, options, now);
         request.silence_timer =
-            loop.after(std::max<time_point::duration>(due - now, {}),
+            loop.after(due - now,
                        [this, number = request.number]
                        {
                            open_requests.with(number, [this](exchange& found)
@@ -651,30 +555,13 @@
                        });
     }
 
-    /*! @brief Returns since when an attempt counts as silent if nothing more
-     * arrives. The first event may take a multiple of the predicted time. */
-    [[nodiscard]] time_point silent_from(const upstream_attempt& attempt) const
-    {
-        if (attempt.has_events)
-            return attempt.last_event_at + options.dispatch.max_stream_pause;
-        return attempt.sent_at +
-               milliseconds(static_cast<std::int64_t>(
-                   attempt.choice.predicted_ms * options.first_event_factor)) +
-               options.first_event_slack;
-    }
-
-    /*! @brief Returns until when an attempt may be queued at its upstream:
-     * until `old_weights_cancel_delay` after its model version is superseded,
-     * as it must not start to run there any more. */
-    [[nodiscard]] time_point start_limit(const exchange& request,
-                                         const upstream_attempt& attempt) const
+    /*! @brief Returns whether an attempt must not start to run any more. */
+    [[nodiscard]] bool is_past_start(const exchange& request,
+                                     const upstream_attempt& attempt,
+                                     time_point now) const
     {
-        if (attempt.has_events)
-            return time_point::max();
-        const auto superseded_at = minimums.superseded_at(
-            request.decoded.model, attempt.choice.version);
-        return superseded_at ? *superseded_at + options.old_weights_cancel_delay
-                             : time_point::max();
+        return silence_rules::start_limit(request, attempt, minimums,
+                                          options) <= now;
     }
 
     /*! @brief Ends attempts that must not start any more, and looks for another
@@ -685,17 +572,16 @@
         constexpr const char* superseded =
             "model version was superseded before the first event";
         if (request.silent_attempt &&
-            start_limit(request, *request.silent_attempt) <= now)
-            time_out_silent_attempt(request, superseded);
-        if (start_limit(request, request.attempt) <= now)
+            is_past_start(request, *request.silent_attempt, now))
+            closer.time_out_silent(request, superseded);
+        if (is_past_start(request, request.attempt, now))
         {
             client.cancel(request.attempt.call);
-            report_lost_attempt(request, request.attempt,
-                                loss_cause::timed_out);
+            closer.report_lost(request, request.attempt, loss_cause::timed_out);
             return on_attempt_failed(request, attempt_failure::may_have_run,
                                      superseded);
         }
-        if (silent_from(request.attempt) <= now)
+        if (silence_rules::silent_from(request.attempt, options) <= now)
             on_silence(request, now);
         arm_silence_timer(request);
     }
@@ -705,18 +591,13 @@
      * an event earlier takes over. */
     void on_silence(exchange& request, time_point now)
     {
-        if (!std::exchange(request.attempt.silent, true))
-        {
-            counters.count("attempts_silent_total");
-            book.mark_silent(request.attempt.choice.upstream, now);
-            exchange_log::upstream_silent(request, now);
-        }
+        closer.mark_silent(request, now);
         if (!may_hedge(request, now))
             return;
         request.upstream_errored = false;
         const auto other =
             decisions.find_upstream(exchange_facts::service_profile_of(request),
-                                    make_placement_request(request, now), now);
+                                    placement_of(request, now), now);
         if (!other || !budgets.of(request.service).try_spend(now))
             return;
         request.silent_attempt = request.attempt;
@@ -735,69 +616,12 @@
                !guard.blocked_part(request.shared_parts);
     }
 
-    /*! @brief Continues with the attempt that was silent and drops the other
-     * one. */
-    void resume_silent_attempt(exchange& request)
-    {
-        const auto now = event_loop::now();
-        cancel_attempt(request, request.attempt);
-        ++request.possible_runs;
-        restore_silent_attempt(request);
-        request.attempt.silent = false;
-        counters.count("silent_attempts_resumed_total");
-        exchange_log::silence_ended(request, now);
-    }
-
-    /*! @brief Makes the silent attempt the current one again. */
-    void restore_silent_attempt(exchange& request)
-    {
-        request.attempt = std::move(*request.silent_attempt);
-        request.silent_attempt.reset();
-    }
-
-    /*! @brief Ends the silent attempt; the other one goes on. */
-    void end_silent_attempt(exchange& request, attempt_failure failure,
-                            const std::string& reason)
-    {
-        const auto silent = std::move(*request.silent_attempt);
-        request.silent_attempt.reset();
-        client.cancel(silent.call);
-        const auto now = event_loop::now();
-        const bool may_have_run = failure == attempt_failure::may_have_run;
-        if (may_have_run)
-            ++request.possible_runs;
-        book.end_attempt(silent.choice.upstream, silent.id,
-                         attempt_result::failed, now);
-        count_failed_attempt(may_have_run);
-        exchange_log::attempt_failed(request, silent, reason, may_have_run,
-                                     true, now);
-    }
-
-    void time_out_silent_attempt(exchange& request, const std::string& reason)
-    {
-        report_lost_attempt(request, *request.silent_attempt,
-                            loss_cause::timed_out);
-        end_silent_attempt(request, attempt_failure::may_have_run, reason);
-    }
-
-    void count_failed_attempt(bool may_have_run)
-    {
-        counters.count("attempts_failed_total", 1,
-                       {{"may_have_run", may_have_run ? "true" : "false"}});
-    }
-
-    [[nodiscard]] static bool is_silent_attempt(const exchange& request,
-                                                std::uint64_t attempt)
-    {
-        return request.silent_attempt && request.silent_attempt->id == attempt;
-    }
-
     // --- Response --------------------------------------------------------
 
     void on_head(exchange& request, std::uint64_t attempt,
                  const stream_head& head)
     {
-        const bool silent = is_silent_attempt(request, attempt);
+        const bool silent = attempt_closer::is_silent_attempt(request, attempt);
         auto& received = silent ? *request.silent_attempt : request.attempt;
         received.response_head = head;
         const auto metadata = Codec::decode_response(head);
@@ -808,8 +632,8 @@
         // connection can be trusted.
         constexpr const char* reason = "response carries another request's id";
         if (silent)
-            return end_silent_attempt(request, attempt_failure::may_have_run,
-                                      reason);
+            return closer.end_silent(request, attempt_failure::may_have_run,
+                                     reason);
         client.cancel(request.attempt.call);
         on_attempt_failed(request, attempt_failure::may_have_run, reason);
     }
@@ -817,7 +641,7 @@
     void on_data(exchange& request, std::uint64_t attempt,
                  std::string_view bytes)
     {
-        const bool silent = is_silent_attempt(request, attempt);
+        const bool silent = attempt_closer::is_silent_attempt(request, attempt);
         auto& receiving = silent ? *request.silent_attempt : request.attempt;
         if (!exchange_facts::forwards_events(request, receiving))
         {
@@ -828,10 +652,10 @@
         if (events.empty())
             return;
         if (silent)
-            resume_silent_attempt(request);
+            closer.resume_silent(request);
         else if (request.silent_attempt)
-            time_out_silent_attempt(request,
-                                    "no event from the upstream in time");
+            closer.time_out_silent(request,
+                                   "no event from the upstream in time");
         if (!request.attempt.has_events)
             on_first_event(request);
         request.attempt.last_event_at = event_loop::now();
@@ -880,12 +704,14 @@
     void on_end(exchange& request, std::uint64_t attempt, stream_end end,
                 const std::string& reason)
     {
-        auto& ended = is_silent_attempt(request, attempt)
+        auto& ended = attempt_closer::is_silent_attempt(request, attempt)
                           ? *request.silent_attempt
                           : request.attempt;
         ended.response_end = end;
         count_end(ended);
-        const auto verdict = judge(describe_end(request, ended));
+        const auto verdict = judge(response_rules::describe_end(
+            request, ended, Codec::decode_response(ended.response_head),
+            book.find(ended.choice.upstream)));
         if (verdict == end_verdict::unconfirmed)
             return probe_after_end(request, ended);
         conclude_attempt(request, attempt, verdict,
@@ -893,28 +719,12 @@
                                         : reason);
     }
 
-    [[nodiscard]] attempt_end
-    describe_end(const exchange& request, const upstream_attempt& attempt) const
-    {
-        const auto* known = book.find(attempt.choice.upstream);
-        attempt_end described;
-        described.end = *attempt.response_end;
-        described.is_stream = exchange_facts::forwards_events(request, attempt);
-        described.has_event = attempt.events.event_count() > 0;
-        described.inside_event = attempt.events.inside_event();
-        described.settled_by_head =
-            Codec::decode_response(attempt.response_head).not_run;
-        described.upstream_leaves =
-            known != nullptr && known->announced_leaving();
-        return described;
-    }
-
     /*! @brief Finds out whether an upstream crashed when it ended the
      * connection of a response that nothing else delimits. */
     void probe_after_end(exchange& request, const upstream_attempt& ended)
     {
         counters.count("upstream_responses_probed_total");
-        if (!is_silent_attempt(request, ended.id))
+        if (!attempt_closer::is_silent_attempt(request, ended.id))
             request.silence_timer.stop();
         client.probe(
             ended.choice.address,
@@ -924,7 +734,7 @@
                     number,
                     [&](exchange& found)
                     {
-                        if (is_in_flight(found, attempt))
+                        if (attempt_closer::is_in_flight(found, attempt))
                             conclude_attempt(
                                 found, attempt, confirm(refused),
                                 "upstream refuses connections after the "
@@ -933,29 +743,25 @@
             });
     }
 
-    /*! @brief Returns whether an attempt is one of those in progress. */
-    [[nodiscard]] static bool is_in_flight(const exchange& request,
-                                           std::uint64_t attempt)
-    {
-        return is_silent_attempt(request, attempt) ||
-               (request.attempt.id == attempt && request.attempt.in_flight);
-    }
-
     /*! @brief Acts on the end of an attempt. */
     void conclude_attempt(exchange& request, std::uint64_t attempt,
                           end_verdict verdict, const std::string& reason)
     {
-        if (is_silent_attempt(request, attempt))
+        if (attempt_closer::is_silent_attempt(request, attempt))
         {
             if (verdict != end_verdict::complete ||
-                !is_final(request, *request.silent_attempt))
+                !response_rules::is_final(
+                    request, *request.silent_attempt,
+                    Codec::decode_response(
+                        request.silent_attempt->response_head)))
                 return on_silent_attempt_lost(request, verdict, reason);
-            resume_silent_attempt(request);
+            closer.resume_silent(request);
         }
         if (verdict == end_verdict::broken_off)
-            report_lost_attempt(request, request.attempt, loss_cause::closed);
+            closer.report_lost(request, request.attempt, loss_cause::closed);
         if (verdict != end_verdict::complete)
-            return on_attempt_failed(request, failure_of(verdict), reason);
+            return on_attempt_failed(
+                request, response_rules::failure_of(verdict), reason);
         const auto metadata =
             Codec::decode_response(request.attempt.response_head);
         if (metadata.not_run)
@@ -979,75 +785,18 @@
         auto& silent = *request.silent_attempt;
         if (verdict == end_verdict::complete)
         {
-            keep_error_response(request, silent);
-            return end_silent_attempt(
+            const auto metadata = Codec::decode_response(silent.response_head);
+            response_rules::keep_error_response(request, silent, metadata);
+            return closer.end_silent(
                 request,
-                Codec::decode_response(silent.response_head).not_run
-                    ? attempt_failure::not_run
-                    : attempt_failure::may_have_run,
+                metadata.not_run ? attempt_failure::not_run
+                                 : attempt_failure::may_have_run,
                 "upstream answered " +
                     std::to_string(silent.response_head.status));
         }
         if (verdict == end_verdict::broken_off)
-            report_lost_attempt(request, silent, loss_cause::closed);
-        end_silent_attempt(request, failure_of(verdict), reason);
-    }
-
-    /*! @brief Returns whether an attempt's complete response may be the final
-     * one: a stream of events, or, unless one has begun, a client error. */
-    [[nodiscard]] static bool is_final(const exchange& request,
-                                       const upstream_attempt& attempt)
-    {
-        const int status = attempt.response_head.status;
-        const auto metadata = Codec::decode_response(attempt.response_head);
-        if (metadata.not_run || metadata.id != request.decoded.id)
-            return false;
-        return exchange_facts::forwards_events(request, attempt) ||
-               (!request.response_begun && status < server_error &&
-                !promises_not_run(status));
-    }
-
-    /*! @brief Keeps a server error for the case that no attempt succeeds. */
-    static void keep_error_response(exchange& request,
-                                    upstream_attempt& attempt)
-    {
-        const auto metadata = Codec::decode_response(attempt.response_head);
-        if (request.response_begun || metadata.not_run ||
-            metadata.id != request.decoded.id ||
-            attempt.response_head.status < server_error)
-            return;
-        request.error_response_head = attempt.response_head;
-        request.error_response_body = std::move(attempt.response_body);
-    }
-
-    /*! @brief Returns whether callers take a status as a promise that the
-     * request did not run. */
-    [[nodiscard]] static bool promises_not_run(int status)
-    {
-        constexpr std::array<int, 4> promising{408, 421, 429, 503};
-        return std::find(promising.begin(), promising.end(), status) !=
-               promising.end();
-    }
-
-    [[nodiscard]] static attempt_failure failure_of(end_verdict verdict)
-    {
-        return verdict == end_verdict::not_sent ? attempt_failure::not_sent
-                                                : attempt_failure::may_have_run;
-    }
-
-    /*! @brief Reports a lost attempt as a possible crash, unless the upstream
-     * is leaving and may exit as planned. */
-    void report_lost_attempt(const exchange& request,
-                             const upstream_attempt& lost, loss_cause cause)
-    {
-        const auto* known = book.find(lost.choice.upstream);
-        if (known != nullptr && known->announced_leaving())
-            return;
-        const auto known_incarnation =
-            known != nullptr ? known->life : incarnation{};
-        guard.attempt_lost(exchange_facts::lost_attempt_of(
-                               request, lost, known_incarnation, cause),
-                           event_loop::now());
+            closer.report_lost(request, silent, loss_cause::closed);
+        closer.end_silent(request, response_rules::failure_of(verdict), reason);
     }
 
     void finish_stream(exchange& request)
@@ -1064,10 +813,12 @@
     void on_response(exchange& request)
     {
         const int status = request.attempt.response_head.status;
-        if (status >= server_error && !request.response_begun &&
+        if (status >= response_rules::server_error && !request.response_begun &&
             exchange_facts::may_repeat(request))
         {
-            keep_error_response(request, request.attempt);
+            response_rules::keep_error_response(
+                request, request.attempt,
+                Codec::decode_response(request.attempt.response_head));
             return on_attempt_failed(request, attempt_failure::error_response,
                                      "upstream answered " +
                                          std::to_string(status));
@@ -1083,7 +834,7 @@
         }
         // The upstream has not stated here that the request did not run
         // (on_end() handles those that do), so 502 is sent.
-        if (promises_not_run(status))
+        if (response_rules::promises_not_run(status))
         {
             const auto reason = "upstream answered " + std::to_string(status) +
                                 " without stating that the request did not run";
@@ -1096,7 +847,7 @@
         request.reply.send(
             status, Codec::response_headers(request.attempt.response_head),
             request.attempt.response_body);
-        complete(request, status < server_error, "answered");
+        complete(request, status < response_rules::server_error, "answered");
     }
 
     // --- Failure ---------------------------------------------------------
@@ -1117,7 +868,7 @@
                              ? attempt_result::answered_failure
                              : attempt_result::failed,
                          now);
-        count_failed_attempt(may_have_run);
+        closer.count_failed(may_have_run);
         const bool may_resend =
             may_have_run ? exchange_facts::may_repeat(request)
                          : request.tried_upstreams.size() < max_total_attempts;
@@ -1143,7 +894,7 @@
     {
         exchange_log::attempt_failed(request, request.attempt, reason,
                                      may_have_run, false, event_loop::now());
-        restore_silent_attempt(request);
+        closer.restore_silent(request);
         arm_silence_timer(request);
     }
 
@@ -1196,7 +947,7 @@
             number,
             [&](exchange& request)
             {
-                cancel_attempts(request);
+                closer.cancel_all(request);
                 if (request.response_begun)
                     return abort_response(request, "deadline exceeded");
                 const bool not_run = request.tried_upstreams.empty();
@@ -1215,38 +966,13 @@
         open_requests.with(number,
                            [&](exchange& request)
                            {
-                               cancel_attempts(request);
+                               closer.cancel_all(request);
                                log_failure(request, "cancelled",
                                            "caller disconnected");
                                erase(request);
                            });
     }
 
-    void cancel_attempts(exchange& request)
-    {
-        cancel_attempt(request, request.attempt);
-        cancel_silent_attempt(request);
-    }
-
-    void cancel_silent_attempt(exchange& request)
-    {
-        if (request.silent_attempt)
-            cancel_attempt(request, *request.silent_attempt);
-        request.silent_attempt.reset();
-    }
-
-    void cancel_attempt(const exchange& request, upstream_attempt& attempt)
-    {
-        if (attempt.id == 0)
-            return;
-        if (std::exchange(attempt.in_flight, false))
-            report_lost_attempt(request, attempt,
-                                attempt.silent ? loss_cause::timed_out
-                                               : loss_cause::cancelled);
-        client.cancel(attempt.call);
-        book.cancel_attempt(attempt.choice.upstream, attempt.id);
-    }
-
     // --- End -------------------------------------------------------------
 
     void complete(exchange& request, bool succeeded,
@@ -1284,15 +1010,12 @@
     void erase(exchange& request)
     {
         dequeue(request);
-        cancel_silent_attempt(request);
+        closer.cancel_silent(request);
         request.deadline_timer.stop();
         request.silence_timer.stop();
         open_requests.erase(request.number);
     }
 
-    /*! @brief First HTTP status of a server error. */
-    static constexpr int server_error = 500;
-
     static constexpr const char* quarantine_reason =
         "the request or a part of its prompt is quarantined: upstreams crashed "
         "while running it";
@@ -1308,6 +1031,7 @@
     dispatcher decisions;
     exchange_options options;
     crash_guard guard;
+    attempt_closer closer;
     version_floor minimums;
     std::shared_ptr<const installation> configuration;
     open_exchanges open_requests;
--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -7,12 +7,14 @@
 namespace coursejunction
 {
 
+class attempt_closer;
 class crash_guard;
 class event_splitter;
 class notice_intake;
 class open_exchanges;
 class retry_budgets;
 struct caller_request;
+struct crash_permission;
 struct attempt_metadata;
 struct response_metadata;
 template <typename Codec>
--- /dev/null
+++ b/src/coursejunction/proxy/placement_constraints.hpp
@@ -0,0 +1,42 @@
+/*! @file
+ * @brief Derives from the state of a request where it may be sent; pure. */
+#ifndef COURSEJUNCTION_PROXY_PLACEMENT_CONSTRAINTS_HPP
+#define COURSEJUNCTION_PROXY_PLACEMENT_CONSTRAINTS_HPP
+
+#include <utility>
+#include <vector>
+
+#include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/route/placement.hpp"
+#include "coursejunction/route/version_floor.hpp"
+
+namespace coursejunction
+{
+
+/*! @brief Describes a request to the placement.
+ * @param avoided Upstreams to use only as a last resort. */
+[[nodiscard]] inline placement_request
+make_placement_request(const exchange& request, const version_floor& minimums,
+                       std::vector<instance_id> avoided, time_point now)
+{
+    placement_request placement;
+    placement.service = request.service;
+    placement.model = request.decoded.model;
+    placement.prompt_tokens = request.decoded.prompt_tokens;
+    placement.target = request.route->first_event_target;
+    placement.arrival = request.arrival;
+    placement.waiting_since =
+        request.possible_runs > 0 ? request.failed_at : request.arrived_at;
+    placement.deadline = request.deadline;
+    placement.bypasses_limits = request.response_begun;
+    placement.excluded = request.tried_upstreams;
+    placement.avoided = std::move(avoided);
+    placement.may_reuse_excluded = request.upstream_errored;
+    if (!request.decoded.model.empty())
+        placement.min_version = minimums.minimum(request.decoded.model, now);
+    return placement;
+}
+
+} // namespace coursejunction
+
+#endif
