Type that says in which halls a request may be served

Cause: routes and organisations name the regions that may serve them, but nothing decided whether a hall lies in these regions. Ruled out: a check in placement against both lists for each upstream; the intersection is computed once for a request.

--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -38,6 +38,7 @@
 struct upstream_choice;
 class request_limit;
 struct limit_share;
+class region_restriction;
 
 } // namespace coursejunction
 
