Keep requests in the regions of their route and organisation

Cause: requests whose route or organisation names regions were sent to upstreams in any region. Ruled out: a filter in the gateway before placement, since retries, hedges, resumed streams and earliest_send_at would each need their own; an owner of the API key only where a key is required, since an organisation's regions also apply to what it sends on a route that needs none. Change: placement_request carries a region_restriction, and the placer, which has the map of halls in placement_options, uses it for every choice. Where no upstream of the allowed regions can take the request now or later (none, all leaving, or all tried) it is refused at once with 503, or 502 if an attempt may have run, with a reason in the log line and requests_outside_regions_total. Conclusion: a restricted request stays in its regions; one without a restriction is placed as before.

--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -65,7 +65,8 @@
     const route_rule* route{nullptr};
     service_name service;
     std::optional<organisation_id> organisation;
-    /*! @brief Owner of its API key, part of `configuration`; null if none. */
+    /*! @brief Owner of its API key, part of `configuration`; null if none. Also
+     * set on keyless routes, where the key is optional. */
     const coursejunction::organisation* owner{nullptr};
     request_content content; /*!< Identifies copies of the request. */
     /*! @brief Parts of the prompt that other requests may share. */
--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -13,10 +13,28 @@
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/route/placement_queue.hpp"
 #include "coursejunction/route/recent_refusals.hpp"
+#include "coursejunction/route/region_restriction.hpp"
 
 namespace coursejunction::exchange_facts
 {
 
+/*! @brief Returns the owner of a request's API key, or null. */
+[[nodiscard]] inline const organisation* owner_of(const exchange& request)
+{
+    return request.decoded.api_key
+               ? request.configuration->owner(*request.decoded.api_key)
+               : nullptr;
+}
+
+/*! @brief Returns the regions in which a request may be served. */
+[[nodiscard]] inline region_restriction regions_of(const exchange& request)
+{
+    static const std::vector<region_id> any;
+    return region_restriction::of(
+        request.route->allowed_regions,
+        request.owner != nullptr ? request.owner->allowed_regions : any);
+}
+
 /*! @brief Returns the hash that identifies copies of a request: of its target,
  * body and sender, which is the organisation or, where the configuration names
  * none, the API key. */
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -11,6 +11,7 @@
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/exchange_facts.hpp"
 
 namespace coursejunction::exchange_log
 {
@@ -52,10 +53,40 @@
                    {"least_ms", integer_text(reason.least_ms)}});
 }
 
+/*! @brief Returns why a request that may have run is not sent again. */
+[[nodiscard]] inline std::string
+not_resent_reason(const placement_failure& failure)
+{
+    return failure.no_allowed_upstream
+               ? "no other upstream in the allowed regions can take the request"
+               : "no other upstream can take the request";
+}
+
+/*! @brief Logs a request that is restricted to regions without an upstream that
+ * could take it. */
+inline void refused_in_regions(const exchange& request,
+                               milliseconds retry_after)
+{
+    log::problem(
+        "request_refused",
+        {{"request", request.decoded.id.value()},
+         {"content", request.content.hex()},
+         {"route", request.route->name},
+         {"reason", "no upstream in the allowed regions can take the request"},
+         {"allowed_regions", exchange_facts::regions_of(request).text()},
+         {"organisation",
+          request.owner != nullptr ? request.owner->id.value() : "none"},
+         {"service", request.service.value()},
+         {"attempts", std::to_string(request.tried_upstreams.size())},
+         {"retry_after_ms", std::to_string(retry_after.count())}});
+}
+
 /*! @brief Logs a request that no upstream could take in time. */
 inline void refused(const exchange& request, const placement_failure& reason,
                     milliseconds retry_after)
 {
+    if (reason.no_allowed_upstream)
+        return refused_in_regions(request, retry_after);
     log::problem(
         "request_refused",
         {{"request", request.decoded.id.value()},
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -260,16 +260,12 @@
                                                      request.decoded.path);
         if (request.route == nullptr)
             return 404;
+        request.owner = exchange_facts::owner_of(request);
         if (request.configuration->requires_key && !request.route->keyless)
         {
-            const auto* owner =
-                request.decoded.api_key
-                    ? request.configuration->owner(*request.decoded.api_key)
-                    : nullptr;
-            if (owner == nullptr)
+            if (request.owner == nullptr)
                 return 401;
-            request.organisation = owner->id;
-            request.owner = owner;
+            request.organisation = request.owner->id;
         }
         if (request.decoded.id.empty())
             return 400;
@@ -340,9 +336,13 @@
             return start_attempt(request, *target);
         if (const auto* wait = std::get_if<wait_for_slot>(&decision))
             return enqueue(request, wait->reason);
+        const auto& refusal = std::get<refuse_request>(decision);
+        if (refusal.reason.no_allowed_upstream)
+            counters.count("requests_outside_regions_total");
         if (request.possible_runs > 0)
-            return give_up(request, "no other upstream can take the request");
-        refuse(request, std::get<refuse_request>(decision));
+            return give_up(request,
+                           exchange_log::not_resent_reason(refusal.reason));
+        refuse(request, refusal);
     }
 
     /*! @brief Refuses a request with a quarantined part in its prompt. After
@@ -429,11 +429,10 @@
      * have run. */
     void queue_suspect(exchange& request, time_point now)
     {
-        const placement_failure no_reason;
         if (now - request.arrived_at < options.suspect_queue_time ||
             request.possible_runs > 0)
-            return enqueue(request, no_reason);
-        refuse(request, {no_reason, default_retry_after()});
+            return enqueue(request, {});
+        refuse(request, {{}, default_retry_after()});
     }
 
     /*! @brief Cancels copies of a quarantined request, and requests with a
@@ -494,6 +493,7 @@
         placement.excluded = request.tried_upstreams;
         placement.avoided = upstreams_of_suspects(request, now);
         placement.may_reuse_excluded = request.upstream_errored;
+        placement.regions = exchange_facts::regions_of(request);
         if (!request.decoded.model.empty())
             placement.min_version =
                 minimums.minimum(request.decoded.model, now);
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -193,9 +193,12 @@
         const auto wait_deadline = request.waiting_since + max_wait(request);
         const bool next_send_too_late =
             failure.next_send_at && *failure.next_send_at > wait_deadline;
-        if (now < wait_deadline && !next_send_too_late)
+        if (now < wait_deadline && !next_send_too_late &&
+            !failure.no_allowed_upstream)
             return wait_for_slot{failure};
-        if (!request.arrival.is_retry())
+        // A refusal for lack of an upstream in the allowed regions is no sign
+        // of overload, and must not tighten the limits of other requests.
+        if (!request.arrival.is_retry() && !failure.no_allowed_upstream)
             control.record_refusal(now);
         return refuse_request{failure,
                               retry_after(control, failure, request, now)};
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -10,12 +10,14 @@
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/route/admission.hpp"
+#include "coursejunction/route/region_restriction.hpp"
 #include "coursejunction/route/retry_detector.hpp"
 #include "coursejunction/route/upstream_choice.hpp"
 #include "coursejunction/route/upstream_registry.hpp"
@@ -51,6 +53,8 @@
     /*! @brief Largest number of requests that may wait at a plain upstream (one
      * without an engine model) beyond its slots. */
     double max_plain_queue{4};
+    /*! @brief The region of each hall. */
+    std::map<hall_id, region_id> hall_regions;
 };
 
 /*! @brief What is known of a request when it arrives. */
@@ -86,6 +90,7 @@
     /*! @brief The last attempt ended with an error response of the upstream: if
      * nothing else is usable, an excluded upstream may be used again. */
     bool may_reuse_excluded{false};
+    region_restriction regions; /*!< Where it may be served. */
 };
 
 /*! @brief Selects among the upstreams of a registry. */
@@ -93,7 +98,7 @@
 {
 public:
     placer(placement_options configured, hall_id home_hall, std::string self)
-        : weights(configured), own_hall(std::move(home_hall)),
+        : weights(std::move(configured)), own_hall(std::move(home_hall)),
           own_address(std::move(self))
     {
     }
@@ -127,7 +132,11 @@
             all = candidates(registry, service, relaxed, now);
         }
         if (all.empty())
+        {
             failure.next_send_at = earliest_send_at(registry, request, now);
+            failure.no_allowed_upstream =
+                regions_have_no_upstream(registry, request);
+        }
         const auto rates = other_entries_rates(registry, service, all, now);
         for (std::size_t index = 0; index < all.size(); ++index)
         {
@@ -171,15 +180,16 @@
     /*! @brief Returns when the first upstream accepts a request again if all of
      * them limit or pause this entry; nothing if another one may become usable
      * at any time. */
-    [[nodiscard]] static std::optional<time_point>
+    [[nodiscard]] std::optional<time_point>
     earliest_send_at(const upstream_registry& registry,
-                     const placement_request& request, time_point now)
+                     const placement_request& request, time_point now) const
     {
         std::optional<time_point> soonest;
         for (const auto& [id, upstream] : registry.all())
         {
             if (upstream.record.service != request.service ||
-                upstream.leaving() || excluded(upstream, request))
+                upstream.leaving() || excluded(upstream, request) ||
+                !in_allowed_region(upstream, request))
                 continue;
             const auto send_at = upstream.terms.next_send_at();
             if (send_at <= now)
@@ -189,6 +199,32 @@
         return soonest;
     }
 
+    /*! @brief Returns whether a request is restricted to regions without an
+     * upstream that could take it, now or later. */
+    [[nodiscard]] bool
+    regions_have_no_upstream(const upstream_registry& registry,
+                             const placement_request& request) const
+    {
+        const auto may_take = [&](const known_upstream& upstream)
+        {
+            return upstream.record.service == request.service &&
+                   !upstream.leaving() &&
+                   in_allowed_region(upstream, request) &&
+                   (request.may_reuse_excluded || !excluded(upstream, request));
+        };
+        return request.regions.is_active() &&
+               std::none_of(registry.all().begin(), registry.all().end(),
+                            [&](const auto& item)
+                            { return may_take(item.second); });
+    }
+
+    [[nodiscard]] bool in_allowed_region(const known_upstream& upstream,
+                                         const placement_request& request) const
+    {
+        return request.regions.allows(upstream.record.hall,
+                                      weights.hall_regions);
+    }
+
     [[nodiscard]] static bool excluded(const known_upstream& upstream,
                                        const placement_request& request)
     {
@@ -196,14 +232,15 @@
                          upstream.record.id) != request.excluded.end();
     }
 
-    [[nodiscard]] static bool usable(const known_upstream& upstream,
-                                     const placement_request& request,
-                                     time_point now)
+    [[nodiscard]] bool usable(const known_upstream& upstream,
+                              const placement_request& request,
+                              time_point now) const
     {
         if (upstream.record.service != request.service || upstream.leaving() ||
             now < upstream.avoid_until || now < upstream.terms.next_send_at())
             return false;
-        if (excluded(upstream, request))
+        if (excluded(upstream, request) ||
+            !in_allowed_region(upstream, request))
             return false;
         if (request.model.empty())
             return true;
@@ -225,10 +262,10 @@
         double predicted_ms{0};
     };
 
-    [[nodiscard]] static std::vector<candidate>
+    [[nodiscard]] std::vector<candidate>
     candidates(const upstream_registry& registry,
                const service_profile& service, const placement_request& request,
-               time_point now)
+               time_point now) const
     {
         std::vector<candidate> all;
         for (const auto& [id, upstream] : registry.all())
--- a/src/coursejunction/route/upstream_choice.hpp
+++ b/src/coursejunction/route/upstream_choice.hpp
@@ -35,6 +35,9 @@
     /*! @brief When the first upstream accepts a request of this entry again, if
      * all suitable ones are in a back-off or at their rate limits. */
     std::optional<time_point> next_send_at;
+    /*! @brief The request is restricted to regions without an upstream that
+     * could take it, now or later: there is none, or all are leaving. */
+    bool no_allowed_upstream{false};
 };
 
 } // namespace coursejunction
--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -92,9 +93,11 @@
 struct entry_on_loopback
 {
     /*! @param first_event_slack Allowed delay of a stream's first event beyond
-     * its prediction. */
+     * its prediction.
+     * @param placement Options of the choice of upstreams. */
     explicit entry_on_loopback(cj::milliseconds first_event_slack =
-                                   cj::exchange_options{}.first_event_slack)
+                                   cj::exchange_options{}.first_event_slack,
+                               const cj::placement_options& placement = {})
     {
         running.on_loop(
             [&]
@@ -106,7 +109,7 @@
                 options.old_weights_cancel_delay = 100ms;
                 service = std::make_unique<cj::exchange_service<test_codec>>(
                     running.loop, *client, book, counters,
-                    cj::placer({}, cj::hall_id("h"), "self"), options);
+                    cj::placer(placement, cj::hall_id("h"), "self"), options);
                 auto made = cj::stream_server::create(
                     running.loop, "127.0.0.1", 0, {},
                     [this](cj::stream_request request, cj::stream_reply reply) {
@@ -146,7 +149,8 @@
         rule.resumable = resumable;
         rule.keyless = true;
         rule.timeout = timeout;
-        rule.first_event_target = 1000ms;
+        rule.first_event_target = first_event_target;
+        rule.allowed_regions = route_regions;
         rule.max_attempts = 2;
         rule.services = {{cj::service_name("s"), 1}};
         configuration->routes.push_back(rule);
@@ -154,21 +158,26 @@
         rule.keyless = false;
         configuration->routes.push_back(rule);
         configuration->requires_key = true;
-        configuration->keys["k"] = {cj::organisation_id("o"), 0};
+        configuration->keys["k"] = {cj::organisation_id("o"), 0,
+                                    organisation_regions};
         cj::service_profile profile;
         profile.name = cj::service_name("s");
         configuration->services[profile.name] = profile;
         running.on_loop([&] { service->configure(configuration); });
     }
 
-    void add_upstream(const std::string& id, const std::string& address)
+    /*! @brief Registers an upstream: "a" in this entry's hall, which is
+     * preferred, others in another hall unless one is given. */
+    void add_upstream(const std::string& id, const std::string& address,
+                      const std::string& hall = {})
     {
         cj::upstream_record record;
         record.id = cj::instance_id(id);
         record.service = cj::service_name("s");
         record.address = address;
-        // The upstream "a" is preferred, since it is in this entry's hall.
-        record.hall = cj::hall_id(id == "a" ? "h" : "other");
+        record.hall = cj::hall_id(!hall.empty() ? hall
+                                  : id == "a"   ? "h"
+                                                : "other");
         record.slots = 4;
         running.on_loop([&] { book.apply_record(record); });
     }
@@ -198,6 +207,11 @@
         return caller.drain();
     }
 
+    // Values of the next configuration.
+    std::vector<cj::region_id> route_regions;
+    std::vector<cj::region_id> organisation_regions;
+    cj::milliseconds first_event_target{1000};
+
     cj::upstream_registry book;
     cj::metrics counters;
     loopback::running_loop running;
--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -6,7 +6,9 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,7 +23,9 @@
 {
 
 /*! @brief Reads configurations and published versions as `VERSION`, upstreams
- * as `COUNT STATE`, where the count orders their writes. */
+ * as `COUNT STATE [HALL ADDRESS]`, where the count orders their writes. Only
+ * upstreams with an address serve requests: those of the route `/any/`, and of
+ * `/east/`, which is restricted to the region "east". */
 struct test_catalogue
 {
     static cj::item_kind kind(const std::string& key)
@@ -61,6 +65,15 @@
         slow.timeout = 6000ms;
         slow.services = {{service.name, 1}};
         installation.routes.push_back(slow);
+        auto repeatable = slow;
+        repeatable.kind = cj::request_kind::repeatable;
+        repeatable.max_attempts = 2;
+        repeatable.first_event_target = 1000ms;
+        repeatable.prefix = "/any/";
+        installation.routes.push_back(repeatable);
+        repeatable.prefix = "/east/";
+        repeatable.allowed_regions = {cj::region_id("east")};
+        installation.routes.push_back(repeatable);
         installation.services[weights.name] = weights;
         return installation;
     }
@@ -70,8 +83,16 @@
         cj::upstream_record record;
         record.id = cj::instance_id(key);
         record.address = "127.0.0.1:9";
-        record.leaving = payload.ends_with(" leaves");
+        record.leaving = payload.find(" leaves") != std::string::npos;
         record.sequence = std::stoull(payload);
+        std::istringstream fields(payload);
+        std::string skipped, hall, at;
+        if (fields >> skipped >> skipped >> hall >> at)
+        {
+            record.service = cj::service_name("s");
+            record.hall = cj::hall_id(hall);
+            record.address = at;
+        }
         return record;
     }
     static cj::instance_id upstream_id(const std::string& key)
@@ -127,6 +148,7 @@
          * its own. */
         int seed{0};
         bool store_reachable{true};
+        std::map<cj::hall_id, cj::region_id> hall_regions{};
     };
 
     entry_process(store_content& keys, int host)
@@ -158,6 +180,7 @@
                 ports.listen_address =
                     address + ":" + std::to_string(caller_port);
                 ports.readiness_address = address + ":0";
+                ports.placement.hall_regions = chosen.hall_regions;
                 gateway = std::move(
                     entry::create(running.loop, *node, counters, ports)
                         .value());
--- a/tests/route/dispatcher.cpp
+++ b/tests/route/dispatcher.cpp
@@ -165,3 +165,78 @@
         CHECK(worst_entry(result) > 0.35);
     }
 }
+
+// Guards against holding a request that no upstream may take, and against
+// refusing others because of it.
+SCENARIO("a request is refused at once where its regions have no upstream",
+         "[route]")
+{
+    using namespace std::chrono_literals;
+    namespace cj = coursejunction;
+    cj::placement_options options;
+    options.hall_regions = {{cj::hall_id("north"), cj::region_id("east")},
+                            {cj::hall_id("south"), cj::region_id("west")}};
+    cj::upstream_registry registry;
+    cj::dispatcher decisions(
+        registry, cj::placer(options, cj::hall_id("north"), "10.0.0.9"), {});
+    const cj::time_point now{100s};
+    cj::service_profile service;
+    service.name = cj::service_name("llm");
+    service.engine = cj::engine_profile{};
+    cj::upstream_record far;
+    far.id = cj::instance_id("far");
+    far.service = service.name;
+    far.hall = cj::hall_id("south");
+    far.model_versions["m"] = 1;
+    registry.apply_record(far);
+    cj::placement_request request;
+    request.service = service.name;
+    request.model = "m";
+    request.target = 400ms;
+    request.waiting_since = now;
+    request.deadline = now + 6s;
+    cj::route_rule route;
+    route.first_event_target = request.target;
+    decisions.record_arrival(route, service, cj::request_fingerprint{}, 6000ms,
+                             now);
+
+    WHEN("it may not leave the east")
+    {
+        request.regions =
+            cj::region_restriction::of({cj::region_id("east")}, {});
+        const auto decision = decisions.decide(service, request, now);
+        THEN("it is refused without a wait, with the time to come back")
+        {
+            const auto* refusal = std::get_if<cj::refuse_request>(&decision);
+            REQUIRE(refusal != nullptr);
+            CHECK(refusal->reason.no_allowed_upstream);
+            CHECK(refusal->retry_after > 0ms);
+        }
+        THEN("that is not counted as a sign of overload")
+        {
+            CHECK(decisions.rates(now).refused == 0);
+        }
+    }
+    WHEN("it is restricted to the west, it is sent there")
+    {
+        request.regions =
+            cj::region_restriction::of({cj::region_id("west")}, {});
+        const auto decision = decisions.decide(service, request, now);
+        CHECK(std::holds_alternative<cj::send_to>(decision));
+    }
+    WHEN("it may be served anywhere, but no upstream has its model")
+    {
+        request.model = "other";
+        const auto decision = decisions.decide(service, request, now);
+        THEN("it waits as before, since one may load it")
+        {
+            CHECK(std::holds_alternative<cj::wait_for_slot>(decision));
+        }
+        THEN("it is refused after the wait, and counted")
+        {
+            const auto later = decisions.decide(service, request, now + 60ms);
+            CHECK(std::holds_alternative<cj::refuse_request>(later));
+            CHECK(decisions.rates(now + 60ms).refused > 0);
+        }
+    }
+}
