--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -315,9 +315,13 @@
             return start_attempt(request, *target);
         if (const auto* wait = std::get_if<wait_for_slot>(&decision))
             return enqueue(request, wait->reason);
+        const auto& refusal = std::get<refuse_request>(decision);
+        if (refusal.reason.no_allowed_upstream)
+            counters.count("requests_outside_regions_total");
         if (request.possible_runs > 0)
-            return give_up(request, "no other upstream can take the request");
-        refuse(request, std::get<refuse_request>(decision));
+            return give_up(request,
+                           exchange_log::not_resent_reason(refusal.reason));
+        refuse(request, refusal);
     }
 
     /*! @brief Asks the crash guard whether a request may be sent.
@@ -357,11 +361,10 @@
      * have run. */
     void queue_suspect(exchange& request, time_point now)
     {
-        const placement_failure no_reason;
         if (now - request.arrived_at < options.suspect_queue_time ||
             request.possible_runs > 0)
-            return enqueue(request, no_reason);
-        refuse(request, {no_reason, default_retry_after()});
+            return enqueue(request, {});
+        refuse(request, {{}, default_retry_after()});
     }
 
     /*! @brief Cancels copies of a quarantined request, and requests with a
--- a/src/coursejunction/proxy/placement_constraints.hpp
+++ b/src/coursejunction/proxy/placement_constraints.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/route/placement.hpp"
 #include "coursejunction/route/version_floor.hpp"
 
@@ -32,6 +33,7 @@
     placement.excluded = request.tried_upstreams;
     placement.avoided = std::move(avoided);
     placement.may_reuse_excluded = request.upstream_errored;
+    placement.regions = exchange_facts::regions_of(request);
     if (!request.decoded.model.empty())
         placement.min_version = minimums.minimum(request.decoded.model, now);
     return placement;
--- a/src/coursejunction/proxy/request_admission.hpp
+++ b/src/coursejunction/proxy/request_admission.hpp
@@ -32,16 +32,12 @@
                                                  request.decoded.path);
     if (request.route == nullptr)
         return 404;
+    request.owner = exchange_facts::owner_of(request);
     if (request.configuration->requires_key && !request.route->keyless)
     {
-        const auto* owner =
-            request.decoded.api_key
-                ? request.configuration->owner(*request.decoded.api_key)
-                : nullptr;
-        if (owner == nullptr)
+        if (request.owner == nullptr)
             return 401;
-        request.organisation = owner->id;
-        request.owner = owner;
+        request.organisation = request.owner->id;
     }
     if (request.decoded.id.empty())
         return 400;
