Send a copy of a request whose first event is overdue to a second upstream

Ruled out: a shorter silence for all routes, which marks slow upstreams as failed and avoids them; copies at a fixed age, which read prompts in vain where the prediction was long. Change: route/hedge_decision judges an attempt from its age, its prediction and the target counted from the caller's first attempt. The first event decides; the other copy is cancelled and its upstream does not count as failed. Without a pause target no copy is sent (overdue_first_event). Conclusion: it acts on the age of the attempt alone; what is known of the pace of the upstream is not used yet.

--- a/src/coursejunction/proxy/attempt_closer.hpp
+++ b/src/coursejunction/proxy/attempt_closer.hpp
@@ -73,15 +73,16 @@
         book.cancel_attempt(attempt.choice.upstream, attempt.id);
     }
 
-    /*! @brief Marks the current attempt as silent. Its upstream is avoided, and
-     * counted and logged once. */
-    void mark_silent(exchange& request, time_point now)
+    /*! @brief Marks an attempt as silent. Its upstream is avoided, and counted
+     * and logged once. */
+    void mark_silent(const exchange& request, upstream_attempt& attempt,
+                     time_point now)
     {
-        if (std::exchange(request.attempt.silent, true))
+        if (std::exchange(attempt.silent, true))
             return;
         counters.count("attempts_silent_total");
-        book.mark_silent(request.attempt.choice.upstream, now);
-        exchange_log::upstream_silent(request, now);
+        book.mark_silent(attempt.choice.upstream, now);
+        exchange_log::upstream_silent(request, attempt, now);
     }
 
     /*! @brief Makes the silent attempt the current one again. */
@@ -99,7 +100,8 @@
         cancel(request, request.attempt);
         ++request.possible_runs;
         restore_silent(request);
-        request.attempt.silent = false;
+        if (!std::exchange(request.attempt.silent, false))
+            return count_hedge_won("first");
         counters.count("silent_attempts_resumed_total");
         exchange_log::silence_ended(request, now);
     }
@@ -122,6 +124,19 @@
                                      true, now);
     }
 
+    /*! @brief Ends the silent attempt after the other one returned an event. If
+     * it was not silent, it is cancelled only, as its upstream is slow but has
+     * not failed. */
+    void drop_silent(exchange& request)
+    {
+        if (request.silent_attempt->silent)
+            return time_out_silent(request,
+                                   "no event from the upstream in time");
+        cancel_silent(request);
+        ++request.possible_runs;
+        count_hedge_won("second");
+    }
+
     /*! @brief Ends the silent attempt because nothing arrived in time. */
     void time_out_silent(exchange& request, const std::string& reason)
     {
@@ -151,6 +166,13 @@
     }
 
 private:
+    /*! @brief Counts which attempt returned the first event after a copy was
+     * sent. */
+    void count_hedge_won(const std::string& by)
+    {
+        counters.count("first_event_hedges_won_total", 1, {{"by", by}});
+    }
+
     stream_client& client;
     upstream_registry& book;
     metrics& counters;
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -17,6 +17,7 @@
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/proxy/event_splitter.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
+#include "coursejunction/route/hedge_decision.hpp"
 #include "coursejunction/route/placement.hpp"
 
 namespace coursejunction
@@ -75,9 +76,13 @@
     timer deadline_timer;
 
     upstream_attempt attempt; /*!< In progress, or the last one. */
-    /*! @brief An earlier attempt whose upstream is silent. The one that returns
-     * the next event goes on, and the other is cancelled. */
+    /*! @brief An earlier attempt whose upstream is silent, or whose first event
+     * is overdue. The one that returns the next event goes on, and the other is
+     * cancelled. */
     std::optional<upstream_attempt> silent_attempt;
+    bool hedged{false}; /*!< A copy was sent as its first event was overdue. */
+    /*! @brief Why no copy was sent when its first event was overdue. */
+    std::optional<hedge_verdict> hedge_declined;
     time_point failed_at{};
     timer silence_timer;
     bool is_trial{false}; /*!< This attempt tests whether a request whose
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -213,9 +213,9 @@
 }
 
 /*! @brief Logs an attempt whose upstream has been silent for too long. */
-inline void upstream_silent(const exchange& request, time_point now)
+inline void upstream_silent(const exchange& request,
+                            const upstream_attempt& attempt, time_point now)
 {
-    const auto& attempt = request.attempt;
     log::problem(
         "upstream_silent",
         {{"request", request.decoded.id.value()},
@@ -226,6 +226,24 @@
                                   now)}});
 }
 
+/*! @brief Logs a second copy of a request, which is sent because the first
+ * event of the attempt in progress is overdue. */
+inline void hedged(const exchange& request, const awaited_first_event& awaited,
+                   const upstream_choice& other)
+{
+    log::decision("request_hedged",
+                  {{"request", request.decoded.id.value()},
+                   {"upstream", request.attempt.choice.upstream.value()},
+                   {"other", other.upstream.value()},
+                   {"elapsed_ms", integer_text(awaited.elapsed_ms)},
+                   {"waited_before_ms", integer_text(awaited.waited_ms)},
+                   {"predicted_ms", integer_text(awaited.predicted_ms)},
+                   {"expected_ms", integer_text(awaited.expected_ms)},
+                   {"predicted_elsewhere_ms", integer_text(other.predicted_ms)},
+                   {"load_age_ms", integer_text(other.load.age_ms)},
+                   {"target_ms", integer_text(awaited.target_ms)}});
+}
+
 /*! @brief Logs a silent attempt that returned an event before any other
  * upstream did. */
 inline void silence_ended(const exchange& request, time_point now)
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -29,6 +29,7 @@
 #include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
+#include "coursejunction/proxy/hedge_inputs.hpp"
 #include "coursejunction/proxy/notice_intake.hpp"
 #include "coursejunction/proxy/open_exchanges.hpp"
 #include "coursejunction/proxy/placement_constraints.hpp"
@@ -545,7 +546,8 @@
             return;
         const auto now = event_loop::now();
         const auto due =
-            silence_rules::next_check(request, minimums, options, now);
+            std::min(silence_rules::next_check(request, minimums, options, now),
+                     std::max(hedge_inputs::next_check(request, now), now));
         request.silence_timer =
             loop.after(due - now,
                        [this, number = request.number]
@@ -581,8 +583,14 @@
             return on_attempt_failed(request, attempt_failure::may_have_run,
                                      superseded);
         }
-        if (silence_rules::silent_from(request.attempt, options) <= now)
+        const auto is_silent = [&](const upstream_attempt& attempt)
+        { return silence_rules::silent_from(attempt, options) <= now; };
+        if (request.silent_attempt && is_silent(*request.silent_attempt))
+            closer.mark_silent(request, *request.silent_attempt, now);
+        if (is_silent(request.attempt))
             on_silence(request, now);
+        else
+            check_overdue(request, now);
         arm_silence_timer(request);
     }
 
@@ -591,7 +599,7 @@
      * an event earlier takes over. */
     void on_silence(exchange& request, time_point now)
     {
-        closer.mark_silent(request, now);
+        closer.mark_silent(request, request.attempt, now);
         if (!may_hedge(request, now))
             return;
         request.upstream_errored = false;
@@ -600,10 +608,68 @@
                                     placement_of(request, now), now);
         if (!other || !budgets.of(request.service).try_spend(now))
             return;
-        request.silent_attempt = request.attempt;
         request.failed_at = now;
+        send_copy(request, *other);
+    }
+
+    /*! @brief Sends a copy of a request to a second upstream. */
+    void send_copy(exchange& request, const send_to& other)
+    {
+        request.silent_attempt = request.attempt;
         counters.count("attempts_hedged_total");
-        start_attempt(request, *other);
+        start_attempt(request, other);
+    }
+
+    /*! @brief Sends a copy of a request to a second upstream if its first event
+     * is overdue and the other upstream is expected to return it in time. */
+    void check_overdue(exchange& request, time_point now)
+    {
+        if (!hedge_inputs::apply_to(request))
+            return;
+        const auto& service = exchange_facts::service_profile_of(request);
+        const auto awaited = hedge_inputs::awaited_of(
+            request, request.attempt.choice.predicted_ms, now);
+        auto verdict = judge_awaited(
+            awaited, decisions.overload_degree(service, now), hedging);
+        std::optional<send_to> other;
+        if (verdict == hedge_verdict::send)
+            verdict = find_second_upstream(request, awaited, other, now);
+        const bool declined = verdict != hedge_verdict::send;
+        if (verdict == hedge_verdict::in_time ||
+            (declined && request.hedge_declined == verdict))
+            return;
+        counters.count("first_event_hedges_total", 1,
+                       {{"outcome", std::string(verdict_name(verdict))}});
+        if (declined)
+        {
+            request.hedge_declined = verdict;
+            return;
+        }
+        request.hedged = true;
+        exchange_log::hedged(request, awaited, other->choice);
+        send_copy(request, *other);
+    }
+
+    /*! @brief Looks for an upstream for a copy of a request and spends a part
+     * of the retry budget on it.
+     * @return Whether the copy is sent to `other`, or why it is not. */
+    [[nodiscard]] hedge_verdict
+    find_second_upstream(exchange& request, const awaited_first_event& awaited,
+                         std::optional<send_to>& other, time_point now)
+    {
+        if (!may_hedge(request, now) || request.is_trial ||
+            guard.is_suspect(request.content, now))
+            return hedge_verdict::barred;
+        auto placement = placement_of(request, now);
+        placement.may_reuse_excluded = false;
+        other = decisions.find_spare_upstream(
+            exchange_facts::service_profile_of(request), std::move(placement),
+            awaited.left_ms(), hedging.max_fill, now);
+        if (!other)
+            return hedge_verdict::no_upstream;
+        return budgets.of(request.service).try_spend(now, hedging.kept_budget)
+                   ? hedge_verdict::send
+                   : hedge_verdict::over_budget;
     }
 
     /*! @brief Returns whether a request may be at two upstreams at once. A
@@ -654,8 +720,7 @@
         if (silent)
             closer.resume_silent(request);
         else if (request.silent_attempt)
-            closer.time_out_silent(request,
-                                   "no event from the upstream in time");
+            closer.drop_silent(request);
         if (!request.attempt.has_events)
             on_first_event(request);
         request.attempt.last_event_at = event_loop::now();
@@ -1030,6 +1095,7 @@
     metrics& counters;
     dispatcher decisions;
     exchange_options options;
+    hedge_options hedging;
     crash_guard guard;
     attempt_closer closer;
     version_floor minimums;
--- /dev/null
+++ b/src/coursejunction/proxy/hedge_inputs.hpp
@@ -0,0 +1,59 @@
+/*! @file
+ * @brief Derives from the state of a request what decides on a second copy of
+ * it; pure. */
+#ifndef COURSEJUNCTION_PROXY_HEDGE_INPUTS_HPP
+#define COURSEJUNCTION_PROXY_HEDGE_INPUTS_HPP
+
+#include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/silence_rules.hpp"
+#include "coursejunction/route/hedge_decision.hpp"
+
+namespace coursejunction::hedge_inputs
+{
+
+/*! @brief Returns whether a copy of a request may be considered: the route
+ * names a target for pauses, its stream can be resumed, its first event is
+ * awaited from a single upstream and no copy was sent yet. */
+[[nodiscard]] inline bool apply_to(const exchange& request)
+{
+    return request.route->event_gap_target.count() > 0 &&
+           silence_rules::apply_to(request) && !request.hedged &&
+           !request.silent_attempt && request.attempt.in_flight &&
+           !request.attempt.has_events && !request.response_begun;
+}
+
+/*! @brief Describes the attempt in progress to the decision.
+ * @param expected_ms Its predicted time by what is known of its upstream now.
+ */
+[[nodiscard]] inline awaited_first_event
+awaited_of(const exchange& request, double expected_ms, time_point now)
+{
+    constexpr double ms = 1000;
+    const auto& attempt = request.attempt;
+    awaited_first_event awaited;
+    awaited.target_ms =
+        static_cast<double>(request.route->first_event_target.count());
+    awaited.waited_ms =
+        to_seconds(attempt.sent_at - request.arrived_at) * ms +
+        static_cast<double>(request.arrival.history.waited.count());
+    awaited.elapsed_ms = to_seconds(now - attempt.sent_at) * ms;
+    awaited.predicted_ms = attempt.choice.predicted_ms;
+    awaited.expected_ms = expected_ms;
+    return awaited;
+}
+
+/*! @brief Returns when the attempt in progress has to be judged next; the
+ * latest possible time if it need not be. */
+[[nodiscard]] inline time_point next_check(const exchange& request,
+                                           time_point now)
+{
+    if (!apply_to(request))
+        return time_point::max();
+    const auto after = next_judgement(
+        awaited_of(request, request.attempt.choice.predicted_ms, now));
+    return after ? request.attempt.sent_at + *after : time_point::max();
+}
+
+} // namespace coursejunction::hedge_inputs
+
+#endif
--- a/src/coursejunction/route/admission.hpp
+++ b/src/coursejunction/route/admission.hpp
@@ -222,7 +222,6 @@
             min_ms + std::max(max_ms - min_ms, 0.0) * overload_degree(now)));
     }
 
-private:
     /*! @brief Returns the degree of overload, 0 to 1, to which the overload
      * limits apply. */
     [[nodiscard]] double overload_degree(time_point now) const
@@ -230,6 +229,7 @@
         return std::min(refusal_ratio(now) / options.full_refusal_ratio, 1.0);
     }
 
+private:
     /*! @brief Smallest fraction of the requests that must have a target for it
      * to count as in use. */
     static constexpr double min_fraction_of_requests{0.05};
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -218,6 +218,45 @@
         return send_to{std::move(*found), urgency_for(service, request, now)};
     }
 
+    /*! @brief Returns the degree of overload of a service, 0 to 1. */
+    [[nodiscard]] double overload_degree(const service_profile& service,
+                                         time_point now)
+    {
+        return admission_of(service).overload_degree(now);
+    }
+
+    /*! @brief Returns an upstream with capacity to spare for a second copy of a
+     * request: it has a free slot, of this entry's share unless less than
+     * `max_fill` of its slots are in use.
+     * @param max_ms Largest predicted time to the first event. */
+    [[nodiscard]] std::optional<send_to>
+    find_spare_upstream(const service_profile& service,
+                        placement_request request, double max_ms,
+                        double max_fill, time_point now)
+    {
+        if (service.engine)
+        {
+            request.limits = admission_of(service).limits(
+                *service.engine, request.target, request.arrival.history.waited,
+                now);
+            auto& limits = request.limits;
+            limits.first_event_ms = std::min(limits.first_event_ms, max_ms);
+            limits.max_in_flight =
+                std::min(limits.max_in_flight,
+                         static_cast<double>(service.engine->slots) - 1);
+            limits.own_share_only = true;
+            limits.unowned_fraction = max_fill;
+        }
+        placement_failure failure;
+        auto found = placement.choose(registry, service, request, now, failure);
+        if (!found || found->predicted_ms > max_ms)
+            return std::nullopt;
+        const auto* known = registry.find(found->upstream);
+        if (!service.engine && known->attempts.size() >= known->record.slots)
+            return std::nullopt;
+        return send_to{std::move(*found), urgency_for(service, request, now)};
+    }
+
 private:
     admission& admission_of(const service_profile& service)
     {
--- a/src/coursejunction/run/retry_window.hpp
+++ b/src/coursejunction/run/retry_window.hpp
@@ -40,8 +40,9 @@
     void record_request(time_point now) { ++slot_at(now).requests; }
 
     /*! @brief Counts a retry if the limits allow it.
+     * @param kept Fraction of what they allow that is kept for other retries.
      * @return Whether they do. */
-    [[nodiscard]] bool try_spend(time_point now)
+    [[nodiscard]] bool try_spend(time_point now, double kept = 0)
     {
         auto& current = slot_at(now);
         double requests = 0;
@@ -52,7 +53,8 @@
             if (one.started_at > now - limits.window)
                 requests += one.requests;
         }
-        if (retries_used > limits.retry_ratio * requests + limits.reserve)
+        if (retries_used >
+            (limits.retry_ratio * requests + limits.reserve) * (1 - kept))
             return false;
         ++current.retries_used;
         return true;
--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -147,6 +147,7 @@
         rule.keyless = true;
         rule.timeout = timeout;
         rule.first_event_target = 1000ms;
+        rule.event_gap_target = event_gap_target;
         rule.max_attempts = 2;
         rule.services = {{cj::service_name("s"), 1}};
         configuration->routes.push_back(rule);
@@ -198,6 +199,8 @@
         return caller.drain();
     }
 
+    /*! @brief Of the routes that are configured after it was set. */
+    cj::milliseconds event_gap_target{0};
     cj::upstream_registry book;
     cj::metrics counters;
     loopback::running_loop running;
--- a/tests/run/retry_window.cpp
+++ b/tests/run/retry_window.cpp
@@ -27,6 +27,16 @@
             REQUIRE(window.try_spend(now + 11s));
         }
     }
+    SECTION("a part of them is kept for other retries")
+    {
+        int spent = 0;
+        while (window.try_spend(now, 0.5))
+            ++spent;
+        CHECK(spent == 2);
+        while (window.try_spend(now))
+            ++spent;
+        CHECK(spent == 5);
+    }
     SECTION("a burst may use what the requests of the whole window allow")
     {
         for (int at = 0; at < 100; ++at)
