--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -150,6 +150,7 @@
         rule.keyless = true;
         rule.timeout = timeout;
         rule.first_event_target = first_event_target;
+        rule.event_gap_target = event_gap_target;
         rule.allowed_regions = route_regions;
         rule.max_attempts = 2;
         rule.services = {{cj::service_name("s"), 1}};
@@ -211,6 +212,7 @@
     std::vector<cj::region_id> route_regions;
     std::vector<cj::region_id> organisation_regions;
     cj::milliseconds first_event_target{1000};
+    cj::milliseconds event_gap_target{0};
 
     cj::upstream_registry book;
     cj::metrics counters;
