Classify and mirror the evacuation of halls

An operator evacuates a hall with the key op/evacuate/ZONE; nothing read it.

The catalogue classifies the key (item_kind::evacuation) and counts it as an operator's key, so that a rollback of the store that loses it does not end the evacuation. fleet_view keeps each hall's state with the store position; the kinds of items move to fleet/item_catalogue.hpp. route/evacuated_halls.hpp decides from the mirror and from other entries' reports; the newest position wins. Entries report changes in heartbeats for 2 s, and evacuations that last in full reports; protocol version 3. The registry marks the upstreams, and placement selects none of them for any attempt. A request for which no other hall is left is refused at once. Intake of departures and evacuations moves out of gateway.hpp to proxy/store_change_intake.hpp.

Ruled out: a lookup in the set for each candidate (a flag on each upstream is cheaper), and reports only for 2 s after a change (an entry that was cut off for longer would wait for its mirror).

--- a/src/coursejunction/daemon/state_dump.cpp
+++ b/src/coursejunction/daemon/state_dump.cpp
@@ -49,6 +49,7 @@
         {"hall", upstream.record.hall.value()},
         {"slots", upstream.record.slots},
         {"leaving", upstream.leaving()},
+        {"evacuated", upstream.evacuated},
         {"lapsed", upstream.lapses_at.has_value()},
         {"own_attempts", upstream.attempts.size()},
         {"failures_in_a_row", upstream.failures},
@@ -113,6 +114,15 @@
     return list;
 }
 
+/*! @brief Returns the evacuated halls with the store positions. */
+json evacuations_json(const upstream_registry& upstreams)
+{
+    auto list = json::array();
+    for (const auto& [hall, position] : upstreams.evacuations())
+        list.push_back({{"hall", hall.value()}, {"revision", position.text()}});
+    return list;
+}
+
 json versions_json(const agent_state& agent)
 {
     auto list = json::array();
@@ -142,14 +152,16 @@
     auto list = internal::json::array();
     for (const auto& [id, upstream] : upstreams.all())
         list.push_back(internal::upstream_json(upstream, now));
-    const internal::json state{{"role", "entry"},
-                               {"mirror_revision", mirror.position().revision},
-                               {"mirror_era", mirror.position().era},
-                               {"open_requests", load.open},
-                               {"queued_requests", load.queued},
-                               {"peers", internal::peers_json(peers, now)},
-                               {"terms", internal::terms_json(upstreams, now)},
-                               {"upstreams", std::move(list)}};
+    const internal::json state{
+        {"role", "entry"},
+        {"mirror_revision", mirror.position().revision},
+        {"mirror_era", mirror.position().era},
+        {"open_requests", load.open},
+        {"queued_requests", load.queued},
+        {"peers", internal::peers_json(peers, now)},
+        {"evacuated_halls", internal::evacuations_json(upstreams)},
+        {"terms", internal::terms_json(upstreams, now)},
+        {"upstreams", std::move(list)}};
     return state.dump(internal::json_indent) + "\n";
 }
 
--- a/src/coursejunction/fleet/fleet_hooks.hpp
+++ b/src/coursejunction/fleet/fleet_hooks.hpp
@@ -65,8 +65,10 @@
     /*! @brief Returns the terms (limits, back-off) that upstreams recently
      * reported to this entry. */
     std::function<std::vector<message::upstream_terms>()> recent_terms;
-    /*! @brief Returns upstreams that recently departed, for other entries. */
-    std::function<std::vector<message::upstream_departure>()> recent_departures;
+    /*! @brief Adds changes of the store that other entries may not know:
+     * upstreams that departed and halls that are evacuated.
+     * @param all Also adds older changes that are still in effect. */
+    std::function<void(message::fleet_heartbeat&, bool all)> add_store_changes;
     /*! @brief Returns whether some sidecar is downloading weights. */
     std::function<bool()> transfers_active;
 };
--- a/src/coursejunction/fleet/fleet_node.hpp
+++ b/src/coursejunction/fleet/fleet_node.hpp
@@ -342,8 +342,8 @@
             heartbeat.refusals = hooks.refused_callers();
         if (hooks.recent_terms && context.reason == heartbeat_reason::regular)
             heartbeat.terms = hooks.recent_terms();
-        if (hooks.recent_departures && carries_departures(context.reason))
-            heartbeat.departures = hooks.recent_departures();
+        if (hooks.add_store_changes && carries_store_changes(context.reason))
+            hooks.add_store_changes(heartbeat, lists_entries);
         heartbeat.upstream.side = incarnation;
         return heartbeat;
     }
--- a/src/coursejunction/fleet/fleet_view.hpp
+++ b/src/coursejunction/fleet/fleet_view.hpp
@@ -6,7 +6,6 @@
 #define COURSEJUNCTION_FLEET_FLEET_VIEW_HPP
 
 #include <algorithm>
-#include <concepts>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -18,55 +17,15 @@
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/result.hpp"
+#include "coursejunction/fleet/hall_evacuations.hpp"
 #include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/fleet/item_catalogue.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
 #include "coursejunction/fleet/version_record.hpp"
 
 namespace coursejunction
 {
 
-/*! @brief What kind of value a key of the store holds. */
-enum class item_kind : std::uint8_t
-{
-    configuration,  /*!< Written by the operator. */
-    upstream,       /*!< Written by the upstream itself. */
-    version,        /*!< Version of a model that the operator published. */
-    version_record, /*!< A `version_record`, written by entries. */
-    quarantine,     /*!< A request that crashes upstreams. */
-    /*! @brief Copy of the newest configuration, written by entries while the
-     * operator's key holds an older one. */
-    configuration_copy,
-    other
-};
-
-/*! @brief Returns the key of the configuration copy. */
-[[nodiscard]] inline std::string configuration_copy_key()
-{
-    return "configuration/newest";
-}
-
-/*! @brief Classifies the platform's keys and parses their values; pure. */
-template <typename Catalogue>
-concept Item_catalogue = requires(const std::string& key,
-                                  const std::string& payload)
-{
-    {
-        Catalogue::kind(key)
-        } -> std::same_as<item_kind>;
-    {
-        Catalogue::configuration(payload)
-        } -> std::same_as<result<installation>>;
-    {
-        Catalogue::upstream(key, payload)
-        } -> std::same_as<result<upstream_record>>;
-    {
-        Catalogue::upstream_id(key)
-        } -> std::same_as<instance_id>;
-    {
-        Catalogue::version(payload)
-        } -> std::same_as<result<version_target>>;
-};
-
 /*! @brief A change to an upstream's record. */
 struct upstream_change
 {
@@ -127,11 +86,15 @@
                 else
                     recorded.erase(key.substr(version_record_prefix.size()));
                 break;
+            case item_kind::evacuation:
+                evacuation_keys.add(key, catalogue::evacuated_hall(key));
+                break;
             case item_kind::quarantine:
             case item_kind::other:
                 break;
             }
         }
+        evacuation_keys.read(mirror);
         apply_plausible_version_records();
         if (configuration_changed)
             read_configuration_copy(mirror);
@@ -166,6 +129,12 @@
         return publish_times;
     }
 
+    /*! @brief Returns the state of each hall that was ever evacuated. */
+    [[nodiscard]] const std::map<hall_id, hall_evacuation>& evacuations() const
+    {
+        return evacuation_keys.all();
+    }
+
     /*! @brief Returns how often an upstream record could not be parsed. */
     [[nodiscard]] std::size_t unreadable_records() const
     {
@@ -540,6 +509,7 @@
     /*! @brief By upstream. Elements are never removed, like the mirror's
      * tombstones of removed keys. */
     std::map<instance_id, known_incarnation> incarnations;
+    hall_evacuations evacuation_keys;
     std::size_t unreadable_count{0};
     std::map<std::pair<std::string, std::uint64_t>, time_point> publish_times;
     /*! @brief Versions that were not learnt from the store first. */
--- a/src/coursejunction/fleet/fwd.hpp
+++ b/src/coursejunction/fleet/fwd.hpp
@@ -15,6 +15,8 @@
 struct service_profile;
 struct installation;
 struct upstream_record;
+struct hall_evacuation;
+class hall_evacuations;
 class store_mirror;
 class peer_directory;
 struct hall_fetch_state;
--- a/src/coursejunction/fleet/heartbeat_plan.hpp
+++ b/src/coursejunction/fleet/heartbeat_plan.hpp
@@ -142,10 +142,10 @@
            reason == heartbeat_reason::regular;
 }
 
-/*! @brief Returns whether a heartbeat carries upstreams that departed. One
- * about the mirror is sent as soon as the store reports the change; regular
- * ones replace it where it is lost. */
-[[nodiscard]] constexpr bool carries_departures(heartbeat_reason reason)
+/*! @brief Returns whether a heartbeat carries changes of the store: upstreams
+ * that departed and evacuations. One about the mirror is sent as soon as the
+ * store reports the change; regular ones replace it where it is lost. */
+[[nodiscard]] constexpr bool carries_store_changes(heartbeat_reason reason)
 {
     return reason == heartbeat_reason::mirror ||
            reason == heartbeat_reason::regular;
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -62,7 +62,9 @@
          {"content", request.content.hex()},
          {"route", request.route->name},
          {"reason",
-          reason.next_send_at
+          reason.evacuated()
+              ? "all upstreams are in evacuated halls or limit this entry to 0"
+          : reason.next_send_at
               ? "all upstreams are backing off or at their rate limit"
           : reason.usable == 0 ? "no usable upstream"
           : request.arrival.late
@@ -73,6 +75,7 @@
          {"known_by",
           std::string(evidence_name(request.arrival.history.known_by))},
          {"usable", std::to_string(reason.usable)},
+         {"evacuated_halls", std::to_string(reason.evacuated_halls)},
          {"least_ms", integer_text(reason.least_ms)},
          {"target_ms",
           std::to_string(request.route->first_event_target.count())},
@@ -101,6 +104,8 @@
          {"content", request.content.hex()},
          {"upstream", request.attempt.choice.upstream.value()},
          {"hall", request.attempt.choice.hall.value()},
+         {"evacuated_halls",
+          std::to_string(request.attempt.choice.evacuated_halls)},
          {"attempt", std::to_string(request.tried_upstreams.size())},
          {"predicted_ms", integer_text(request.attempt.choice.predicted_ms)},
          {"inside", integer_text(request.attempt.choice.load.running)},
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -130,9 +130,9 @@
         const auto* service =
             configuration ? configuration->service(upstream.record.service)
                           : nullptr;
-        if (service == nullptr || !service->engine || upstream.leaving() ||
-            !upstream.status || !upstream.status->open ||
-            !upstream.status->reachable)
+        if (service == nullptr || !service->engine ||
+            !upstream.accepts_requests() || !upstream.status ||
+            !upstream.status->open || !upstream.status->reachable)
             return false;
         const auto& status = *upstream.status;
         return status.version >= minimums.minimum(status.model, now);
--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -12,6 +12,7 @@
 class notice_intake;
 class open_exchanges;
 class retry_budgets;
+class store_change_intake;
 struct caller_request;
 struct attempt_metadata;
 struct response_metadata;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -27,9 +27,9 @@
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
-#include "coursejunction/proxy/departure_messages.hpp"
 #include "coursejunction/proxy/exchange_service.hpp"
 #include "coursejunction/proxy/refusal_messages.hpp"
+#include "coursejunction/proxy/store_change_intake.hpp"
 #include "coursejunction/proxy/version_controller.hpp"
 
 namespace coursejunction
@@ -99,8 +99,9 @@
         hooks.refused_callers = [this] { return take_refusals_to_send(); };
         hooks.recent_terms = [this]
         { return recent_terms(book, event_loop::now()); };
-        hooks.recent_departures = [this]
-        { return departures_to_report(book, event_loop::now()); };
+        hooks.add_store_changes =
+            [this](message::fleet_heartbeat& heartbeat, bool all)
+        { store_changes.add_reports(heartbeat, all, event_loop::now()); };
         exchanges.on_unsent_refusals([this] { node.announce_refusals(); });
         exchanges.crashes().on_records_changed([this]
                                                { node.announce_crashes(); });
@@ -191,6 +192,7 @@
                     placer(options.placement, own_node.settings().hall,
                            own_node.settings().address),
                     options.exchange),
+          store_changes(book, own_node.mirror(), metric_counters),
           quarantine_store(owner, own_node.store_client(), own_node.mirror(),
                            metric_counters, jitter_seed(own_node)),
           configuration_copies(owner, own_node.store_client(),
@@ -313,11 +315,19 @@
         const auto now = event_loop::now();
         const auto* previous = fleet.configuration();
         load_quarantines(keys);
-        for (const auto& change : fleet.update(node.mirror(), keys))
+        const auto upstream_changes = fleet.update(node.mirror(), keys);
+        // Before the records, as a restarted upstream's requests are sent again
+        // at once.
+        read_evacuations(now);
+        for (const auto& change : upstream_changes)
         {
-            report_departure(change, lapse_deadline.has_value(), now);
+            const auto record = fleet.upstreams().find(change.id);
+            const bool leaves =
+                record != fleet.upstreams().end() && record->second.leaving;
+            store_changes.add_departure(change, leaves,
+                                        lapse_deadline.has_value(), now);
             if (!change.removed)
-                update_upstream(fleet.upstreams().at(change.id));
+                update_upstream(record->second);
             log_upstream_change(change, lapse_deadline, now);
             if (change.removed)
                 remove_upstream(change, lapse_deadline, now);
@@ -332,6 +342,12 @@
         register_sidecars();
     }
 
+    void read_evacuations(time_point now)
+    {
+        if (store_changes.read_evacuations(fleet.evacuations(), now))
+            exchanges.place_waiting();
+    }
+
     /*! @brief Loads quarantines that the store keeps. They arrive together with
      * the configuration, so a new process knows them before it takes a request.
      */
@@ -424,44 +440,6 @@
             log::state("upstream_expired", {{"upstream", id.value()}});
     }
 
-    /*! @brief Reports an upstream that no longer accepts requests to the other
-     * entries. Their mirrors follow later: a page may have to wait for a larger
-     * value or for a congested link. A record that may have lapsed in an outage
-     * of the store is not reported. */
-    void report_departure(const upstream_change& change, bool may_return,
-                          time_point now)
-    {
-        const auto* known = book.find(change.id);
-        if (known == nullptr || known->announced_leaving())
-            return;
-        const bool gone = change.removed && !may_return && !change.malformed;
-        const bool leaves =
-            !change.removed && fleet.upstreams().at(change.id).leaving;
-        if (gone || leaves)
-            book.apply_departure({change.id, change.position, gone}, now);
-    }
-
-    /*! @brief Applies departures that another entry reported. */
-    void
-    merge_departures(const std::vector<message::upstream_departure>& reported,
-                     const std::string& from, time_point now)
-    {
-        for (const auto& one : reported)
-        {
-            const auto departure = decode_departure(one);
-            if (departure.position <= node.mirror().position() ||
-                !book.apply_departure(departure, now))
-                continue;
-            counters.count("upstream_departures_told_total");
-            log::state("upstream_departure_told",
-                       {{"upstream", departure.id.value()},
-                        {"told_by", from},
-                        {"removed", departure.removed ? "true" : "false"},
-                        {"revision", departure.position.text()},
-                        {"mirrored", node.mirror().position().text()}});
-        }
-    }
-
     void remove_upstream(const upstream_change& change,
                          std::optional<time_point> lapse_deadline,
                          time_point now)
@@ -526,7 +504,8 @@
                                                 now);
             for (const auto& terms : heartbeat.terms)
                 exchanges.notices().apply_reported_terms(terms, from, now);
-            merge_departures(heartbeat.departures, from, now);
+            if (store_changes.merge_reports(heartbeat, from, now))
+                exchanges.place_waiting();
             version_control.merge_reported(heartbeat.versions, now);
             return exchanges.crashes().merge_records(heartbeat.crashes, from);
         }
@@ -618,6 +597,9 @@
     {
         const auto now = event_loop::now();
         book.set_mirrored(node.mirror().position());
+        // The mirror may advance, or change its era, without a changed key.
+        static_cast<void>(fleet.update(node.mirror(), {}));
+        read_evacuations(now);
         expire_upstreams(now);
         exchanges.crashes().tick(now);
         exchanges.expire(now);
@@ -680,6 +662,7 @@
     upstream_registry book;
     fleet_view<Platform> fleet;
     exchange_service<codec> exchanges;
+    store_change_intake store_changes;
     quarantine_writer<typename Platform::store> quarantine_store;
     restore_schedule quarantine_restores;
     configuration_copy_writer<typename Platform::store,
--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -34,6 +34,7 @@
 class retained_terms;
 struct upstream_departure;
 class upstream_departures;
+class evacuated_halls;
 struct known_upstream;
 struct upstream_choice;
 class request_limit;
--- a/src/coursejunction/route/known_upstream.hpp
+++ b/src/coursejunction/route/known_upstream.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "coursejunction/core/types.hpp"
@@ -60,6 +61,35 @@
     /*! @brief A departure that the mirror does not show yet. */
     std::optional<upstream_departure> departure;
 
+    bool evacuated{false}; /*!< Its hall is evacuated. */
+
+    /*! @brief Returns whether requests may be sent there at all. */
+    [[nodiscard]] bool accepts_requests() const
+    {
+        return !evacuated && !leaving();
+    }
+
+    /*! @brief Returns whether a status was sent before the last one, or by an
+     * earlier incarnation. */
+    [[nodiscard]] bool
+    is_outdated(const message::upstream_status& reported) const
+    {
+        const incarnation reported_life(reported.life);
+        return (status && std::tie(reported.side, reported.sequence) <=
+                              std::tie(status->side, status->sequence)) ||
+               (!reported_life.empty() && reported_life < life);
+    }
+
+    /*! @brief Returns this entry's fraction of its rate limit; 0 if there is no
+     * limit. */
+    [[nodiscard]] double limit_fraction() const
+    {
+        const auto& limit = terms.limit();
+        return limit && limit->per_second() > 0
+                   ? limit->own_share().per_second / limit->per_second()
+                   : 0;
+    }
+
     /*! @brief Returns whether it accepts no new requests: it said so, or its
      * record was removed. */
     [[nodiscard]] bool leaving() const
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -119,6 +119,7 @@
         std::optional<upstream_choice> best;
         double least_cost = 0;
         failure = {};
+        failure.evacuated_halls = registry.evacuations().size();
         auto all = candidates(registry, service, request, now);
         if (all.empty() && request.may_reuse_excluded)
         {
@@ -162,15 +163,16 @@
                                        ? 0
                                        : upstream_registry::served_version(
                                              upstream, request.model, now),
-                                   load};
+                                   load,
+                                   failure.evacuated_halls};
         }
         return best;
     }
 
 private:
     /*! @brief Returns when the first upstream accepts a request again if all of
-     * them limit or pause this entry; nothing if another one may become usable
-     * at any time. */
+     * them limit or pause this entry, the maximum if all are in evacuated
+     * halls; nothing if another one may become usable at any time. */
     [[nodiscard]] static std::optional<time_point>
     earliest_send_at(const upstream_registry& registry,
                      const placement_request& request, time_point now)
@@ -181,7 +183,9 @@
             if (upstream.record.service != request.service ||
                 upstream.leaving() || excluded(upstream, request))
                 continue;
-            const auto send_at = upstream.terms.next_send_at();
+            const auto send_at = upstream.evacuated
+                                     ? time_point::max()
+                                     : upstream.terms.next_send_at();
             if (send_at <= now)
                 return std::nullopt;
             soonest = std::min(soonest.value_or(send_at), send_at);
@@ -200,8 +204,9 @@
                                      const placement_request& request,
                                      time_point now)
     {
-        if (upstream.record.service != request.service || upstream.leaving() ||
-            now < upstream.avoid_until || now < upstream.terms.next_send_at())
+        if (upstream.record.service != request.service ||
+            !upstream.accepts_requests() || now < upstream.avoid_until ||
+            now < upstream.terms.next_send_at())
             return false;
         if (excluded(upstream, request))
             return false;
--- a/src/coursejunction/route/upstream_choice.hpp
+++ b/src/coursejunction/route/upstream_choice.hpp
@@ -25,6 +25,8 @@
     double uncorrected_ms{0}; /*!< Without the lateness correction. */
     std::uint64_t version{0};
     engine_load load; /*!< What the prediction was based on. */
+    /*! @brief Evacuated halls, whose upstreams were not considered. */
+    std::size_t evacuated_halls{0};
 };
 
 /*! @brief Why no upstream was selected. */
@@ -33,8 +35,17 @@
     std::size_t usable{0}; /*!< Upstreams that could serve the request. */
     double least_ms{0};    /*!< Smallest predicted time, if one is usable. */
     /*! @brief When the first upstream accepts a request of this entry again, if
-     * all suitable ones are in a back-off or at their rate limits. */
+     * all suitable ones are in a back-off, at their rate limits or in evacuated
+     * halls. The maximum if it is not known when any of them will. */
     std::optional<time_point> next_send_at;
+    /*! @brief Evacuated halls, whose upstreams were not considered. */
+    std::size_t evacuated_halls{0};
+
+    /*! @brief Returns whether evacuations leave no upstream to wait for. */
+    [[nodiscard]] bool evacuated() const
+    {
+        return evacuated_halls > 0 && next_send_at == time_point::max();
+    }
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -11,7 +11,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -53,6 +52,7 @@
         auto ended = start_incarnation(known, record.life);
         known.lapses_at.reset();
         known.record = std::move(record);
+        known.evacuated = evacuated.contains(known.record.hall);
         return ended;
     }
 
@@ -110,8 +110,7 @@
             if (upstream.record.address.substr(
                     0, upstream.record.address.rfind(':')) != host)
                 continue;
-            if ((upstream.status && !is_newer(reported, *upstream.status)) ||
-                (!life.empty() && life < upstream.life))
+            if (upstream.is_outdated(reported))
                 continue;
             if (auto ended = start_incarnation(upstream, life))
             {
@@ -247,6 +246,20 @@
         return departures.take_reports(max_count, now);
     }
 
+    /*! @brief Sets the halls whose upstreams receive no request, with the store
+     * position of each evacuation. */
+    void set_evacuations(std::map<hall_id, store_position> halls)
+    {
+        evacuated = std::move(halls);
+        for (auto& [id, upstream] : upstreams)
+            upstream.evacuated = evacuated.contains(upstream.record.hall);
+    }
+
+    [[nodiscard]] const std::map<hall_id, store_position>& evacuations() const
+    {
+        return evacuated;
+    }
+
     /*! @brief Divides the rate limits that upstreams announced between the
      * entries.
      * @param own Address of this entry.
@@ -347,7 +360,7 @@
         std::vector<known_upstream*> engines;
         for (auto& [id, upstream] : upstreams)
         {
-            upstream.share = limit_fraction(upstream);
+            upstream.share = upstream.limit_fraction();
             if (usable(upstream) && !upstream.terms.limit())
                 engines.push_back(&upstream);
         }
@@ -453,24 +466,6 @@
     static constexpr milliseconds min_avoid_time{300};
     static constexpr unsigned max_doublings = 3;
 
-    /*! @brief Returns this entry's fraction of an upstream's rate limit; 0 if
-     * there is no limit. */
-    static double limit_fraction(const known_upstream& upstream)
-    {
-        const auto& limit = upstream.terms.limit();
-        return limit && limit->per_second() > 0
-                   ? limit->own_share().per_second / limit->per_second()
-                   : 0;
-    }
-
-    /*! @brief Returns whether a status was sent after another one. */
-    static bool is_newer(const message::upstream_status& reported,
-                         const message::upstream_status& before)
-    {
-        return std::tie(reported.side, reported.sequence) >
-               std::tie(before.side, before.sequence);
-    }
-
     /*! @brief Resets the state of an upstream when a later incarnation is
      * reported. Attempts sent before the last status of the earlier one went
      * to it and get no response any more; attempts sent since may have reached
@@ -532,6 +527,7 @@
     std::map<instance_id, known_upstream> upstreams;
     retained_terms retained;
     upstream_departures departures;
+    std::map<hall_id, store_position> evacuated;
     /*! @brief This entry and the others assumed to choose the same upstream. */
     double effective_entries{1};
     double all_lateness{1};
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -167,6 +167,23 @@
     }
 };
 
+/*! @brief The evacuation of a hall or its end, according to a change of the
+ * store. Entries report it to each other ahead of the mirror's pages. */
+struct hall_evacuation
+{
+    /*! @brief Minimum encoded size; bounds the length of a list of these. */
+    static constexpr std::size_t least_bytes = 21;
+    std::string hall;
+    store_position position; /*!< Of the change. */
+    bool evacuated{false};   /*!< Otherwise the evacuation has ended. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(hall, position, evacuated);
+    }
+};
+
 /*! @brief A published version that is not visible in the platform's store. */
 struct reported_version
 {
@@ -217,6 +234,7 @@
     std::vector<upstream_terms> terms;      /*!< Entries only; new ones. */
     std::vector<reported_version> versions; /*!< Entries only; usually empty. */
     std::vector<upstream_departure> departures; /*!< Entries only; new ones. */
+    std::vector<hall_evacuation> evacuations;   /*!< Entries only. */
 
     template <typename Archive>
     void serialize(Archive& archive)
@@ -226,7 +244,7 @@
                 entries);
         if (entry)
             archive(load, digest, crashes, refusals, terms, versions,
-                    departures);
+                    departures, evacuations);
         else
             archive(upstream, chunks);
     }
--- a/src/coursejunction/wire/frame.hpp
+++ b/src/coursejunction/wire/frame.hpp
@@ -55,7 +55,7 @@
 inline constexpr frame_type last_frame_type = frame_type::claim_answer;
 
 /*! @brief Version in each frame; frames of any other version are refused. */
-inline constexpr std::uint8_t protocol_version = 2;
+inline constexpr std::uint8_t protocol_version = 3;
 inline constexpr std::size_t frame_prefix_bytes = 24;
 inline constexpr std::size_t frame_code_bytes = 16;
 inline constexpr std::size_t max_head_bytes = std::size_t{1} << 20U;
--- a/tests/daemon/state_dump.cpp
+++ b/tests/daemon/state_dump.cpp
@@ -22,6 +22,7 @@
         record.id = cj::instance_id("i-1");
         record.service = cj::service_name("s");
         record.address = "10.0.0.5:80";
+        record.hall = cj::hall_id("z");
         upstreams.apply_record(record);
         const auto dump = [&]
         {
@@ -40,6 +41,23 @@
             CHECK(state.at("peers")[0].at("address") == "10.0.0.2");
             CHECK(state.at("peers")[0].at("heard_ms_ago").is_null());
         }
+        THEN("no hall is evacuated")
+        {
+            CHECK(dump().at("evacuated_halls").empty());
+            CHECK(dump().at("upstreams")[0].at("evacuated") == false);
+        }
+        WHEN("its hall is evacuated")
+        {
+            upstreams.set_evacuations({{record.hall, {2, 17}}});
+            THEN("the dump shows the hall and the store position")
+            {
+                const auto state = dump();
+                REQUIRE(state.at("evacuated_halls").size() == 1);
+                CHECK(state.at("evacuated_halls")[0].at("hall") == "z");
+                CHECK(state.at("evacuated_halls")[0].at("revision") == "2.17");
+                CHECK(state.at("upstreams")[0].at("evacuated") == true);
+            }
+        }
         THEN("an upstream whose sidecar has not reported has no status")
         {
             REQUIRE(dump().at("upstreams").size() == 1);
--- a/tests/fleet/fleet_view.cpp
+++ b/tests/fleet/fleet_view.cpp
@@ -14,6 +14,8 @@
 {
     static cj::item_kind kind(const std::string& key)
     {
+        if (key.starts_with("evac/"))
+            return cj::item_kind::evacuation;
         return key.starts_with("up/") ? cj::item_kind::upstream
                                       : cj::item_kind::other;
     }
@@ -33,6 +35,10 @@
         made.address = payload.substr(space + 1);
         return made;
     }
+    static cj::hall_id evacuated_hall(const std::string& key)
+    {
+        return cj::hall_id(key.substr(5));
+    }
     static cj::instance_id upstream_id(const std::string& key)
     {
         return cj::instance_id(key.substr(3));
@@ -121,3 +127,104 @@
         CHECK(store.address("c") == "moved");
     }
 }
+
+// Guards against a hall that receives requests because a rollback of the store
+// lost the key of its evacuation.
+SCENARIO("the view keeps the evacuated halls", "[fleet]")
+{
+    const cj::time_point now{100s};
+    const cj::hall_id hall("z");
+    const std::string key = "evac/z";
+    cj::store_mirror mirror(cj::item_rules{
+        {}, [](const std::string& name) {
+            return text_catalogue::kind(name) == cj::item_kind::evacuation;
+        }});
+    cj::fleet_view<text_platform> view;
+    const auto list =
+        [&](const cj::store_mirror::items& items, cj::store_position as_of)
+    { view.update(mirror, mirror.replace(items, as_of, now)); };
+
+    GIVEN("no key")
+    {
+        list({}, {1, 4});
+        THEN("there is none")
+        {
+            CHECK(view.evacuations().empty());
+        }
+    }
+    GIVEN("a key")
+    {
+        list({{key, "{}", 5, 0, false, {}, 0, 1}}, {1, 6});
+        CHECK(view.evacuations().at(hall) ==
+              cj::hall_evacuation{hall, {1, 5}, true});
+
+        WHEN("it is removed")
+        {
+            list({}, {1, 9});
+            THEN("the evacuation ended at that position")
+            {
+                CHECK(view.evacuations().at(hall) ==
+                      cj::hall_evacuation{hall, {1, 9}, false});
+            }
+        }
+        WHEN("its value is not an object")
+        {
+            list({{key, "no", 7, 0, false, {}, 0, 1}}, {1, 7});
+            THEN("it counts all the same")
+            {
+                CHECK(view.evacuations().at(hall).evacuated);
+            }
+        }
+        WHEN("a rollback of the store loses it")
+        {
+            list({}, {2, 3});
+            THEN("the hall stays evacuated")
+            {
+                CHECK(view.evacuations().at(hall) ==
+                      cj::hall_evacuation{hall, {1, 5}, true});
+            }
+            AND_WHEN("it is written and removed")
+            {
+                list({{key, "{}", 4, 0, false, {}, 0, 2}}, {2, 4});
+                list({}, {2, 5});
+                THEN("the evacuation has ended")
+                {
+                    CHECK(view.evacuations().at(hall) ==
+                          cj::hall_evacuation{hall, {2, 5}, false});
+                }
+            }
+        }
+        WHEN("a rollback of the store loses its removal")
+        {
+            list({}, {1, 9});
+            list({{key, "{}", 5, 0, false, {}, 0, 2}}, {2, 7});
+            THEN("the hall is evacuated: the store holds the key")
+            {
+                CHECK(view.evacuations().at(hall) ==
+                      cj::hall_evacuation{hall, {2, 5}, true});
+            }
+        }
+        WHEN("an older copy that holds it is read in a later era")
+        {
+            list({{key, "{}", 5, 0, false, {}, 0, 2}}, {2, 7});
+            THEN("its position is that of the later era")
+            {
+                CHECK(view.evacuations().at(hall).position ==
+                      cj::store_position(2, 5));
+            }
+        }
+    }
+}
+
+SCENARIO("a lost key is kept although the mirror drops it", "[fleet]")
+{
+    const cj::time_point now{100s};
+    cj::store_mirror mirror;
+    cj::fleet_view<text_platform> view;
+    view.update(
+        mirror,
+        mirror.replace({{"evac/z", "{}", 5, 0, false, {}, 0, 1}}, {1, 6}, now));
+    view.update(mirror, mirror.replace({}, {2, 3}, now));
+    CHECK(mirror.find("evac/z") == nullptr);
+    CHECK(view.evacuations().at(cj::hall_id("z")).evacuated);
+}
--- a/tests/fleet/late_upstream_records.cpp
+++ b/tests/fleet/late_upstream_records.cpp
@@ -37,6 +37,10 @@
         made.leaving = state == "leaves";
         return made;
     }
+    static cj::hall_id evacuated_hall(const std::string& key)
+    {
+        return cj::hall_id(key);
+    }
     static cj::instance_id upstream_id(const std::string& key)
     {
         return cj::instance_id(key);
--- a/tests/fleet/named_platform.hpp
+++ b/tests/fleet/named_platform.hpp
@@ -41,6 +41,10 @@
     {
         return cj::failure(cj::error_kind::invalid, "none");
     }
+    static cj::hall_id evacuated_hall(const std::string& key)
+    {
+        return cj::hall_id(key);
+    }
     static cj::instance_id upstream_id(const std::string& key)
     {
         return cj::instance_id(key);
--- a/tests/platform/catalogue.cpp
+++ b/tests/platform/catalogue.cpp
@@ -110,6 +110,14 @@
     CHECK(catalogue::kind("op/version/m") == cj::item_kind::version);
     CHECK(catalogue::kind("servers/i-1") == cj::item_kind::upstream);
     CHECK(catalogue::kind("mine") == cj::item_kind::other);
+    CHECK(catalogue::kind("op/evacuate/z1") == cj::item_kind::evacuation);
+    CHECK(catalogue::evacuated_hall("op/evacuate/z1").value() == "z1");
+    CHECK(catalogue::kind("op/evacuate/") == cj::item_kind::other);
+    // A rollback of the store that loses the key does not end the evacuation.
+    CHECK(catalogue::is_operator_key("op/evacuate/z1"));
+    CHECK(catalogue::order("op/evacuate/z1", "{}") == cj::item_order{});
+    CHECK(catalogue::order("op/evacuate/z1", R"({"version":5})") ==
+          cj::item_order{});
     CHECK(catalogue::kind(cj::configuration_copy_key()) ==
           cj::item_kind::configuration_copy);
     CHECK(catalogue::order("op/config", configuration_text).count > 0);
--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -34,6 +34,8 @@
             return cj::item_kind::quarantine;
         if (key == cj::configuration_copy_key())
             return cj::item_kind::configuration_copy;
+        if (key.starts_with("evac/"))
+            return cj::item_kind::evacuation;
         if (key.starts_with("up/"))
             return cj::item_kind::upstream;
         return key.starts_with("named/") ? cj::item_kind::version
@@ -74,6 +76,10 @@
         record.sequence = std::stoull(payload);
         return record;
     }
+    static cj::hall_id evacuated_hall(const std::string& key)
+    {
+        return cj::hall_id(key.substr(5));
+    }
     static cj::instance_id upstream_id(const std::string& key)
     {
         return cj::instance_id(key);
@@ -88,14 +94,16 @@
         const bool unordered = key == "other" ||
                                kind(key) == cj::item_kind::version_record ||
                                kind(key) == cj::item_kind::quarantine ||
-                               kind(key) == cj::item_kind::configuration_copy;
+                               kind(key) == cj::item_kind::configuration_copy ||
+                               kind(key) == cj::item_kind::evacuation;
         return unordered ? cj::item_order{}
                          : cj::item_order{0, std::stoull(payload)};
     }
     static bool is_operator_key(const std::string& key)
     {
         return kind(key) == cj::item_kind::configuration ||
-               kind(key) == cj::item_kind::version;
+               kind(key) == cj::item_kind::version ||
+               kind(key) == cj::item_kind::evacuation;
     }
 };
 
