Test evacuations between processes, and say how to empty a hall

The decision was tested alone; nothing showed what an entry does with a store that is away or rolled back, or with reports that are late, repeated or out of order.

--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -21,7 +21,8 @@
 {
 
 /*! @brief Reads configurations and published versions as `VERSION`, upstreams
- * as `COUNT STATE`, where the count orders their writes. */
+ * as `COUNT STATE` or `COUNT STATE @HALL`, where the count orders their writes.
+ * A key `evac/HALL` evacuates a hall. */
 struct test_catalogue
 {
     static cj::item_kind kind(const std::string& key)
@@ -74,6 +75,8 @@
         record.address = "127.0.0.1:9";
         record.leaving = payload.ends_with(" leaves");
         record.sequence = std::stoull(payload);
+        if (const auto at = payload.find('@'); at != std::string::npos)
+            record.hall = cj::hall_id(payload.substr(at + 1));
         return record;
     }
     static cj::hall_id evacuated_hall(const std::string& key)
@@ -258,15 +261,15 @@
         return wait_until([&] { return find_upstream(upstream) != nullptr; });
     }
 
-    /*! @brief Waits until no request is sent to an upstream because it leaves
-     * or is gone. */
+    /*! @brief Waits until no request is sent to an upstream because it leaves,
+     * is gone or is in an evacuated hall. */
     [[nodiscard]] bool wait_for_unused_upstream(const std::string& upstream)
     {
         return wait_until(
             [&]
             {
                 const auto* found = find_upstream(upstream);
-                return found == nullptr || found->leaving();
+                return found == nullptr || !found->accepts_requests();
             });
     }
 
@@ -278,11 +281,30 @@
             [&]
             {
                 const auto* found = find_upstream(upstream);
-                used = found != nullptr && !found->leaving();
+                used = found != nullptr && found->accepts_requests();
             });
         return used;
     }
 
+    /*! @brief Waits until requests may be sent to an upstream. */
+    [[nodiscard]] bool wait_for_used_upstream(const std::string& upstream)
+    {
+        return wait_until(
+            [&]
+            {
+                const auto* found = find_upstream(upstream);
+                return found != nullptr && found->accepts_requests();
+            });
+    }
+
+    /*! @brief Returns the position of the mirror. */
+    [[nodiscard]] cj::store_position mirrored()
+    {
+        cj::store_position position;
+        running.on_loop([&] { position = node->mirror().position(); });
+        return position;
+    }
+
     [[nodiscard]] bool wait_for_leaving_upstream(const std::string& upstream)
     {
         return wait_until(
