--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -13,6 +13,7 @@
 class notice_intake;
 class open_exchanges;
 class retry_budgets;
+class store_change_intake;
 struct caller_request;
 struct crash_permission;
 struct attempt_metadata;
--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -23,9 +23,10 @@
 {
 
 /*! @brief Reads configurations and published versions as `VERSION`, upstreams
- * as `COUNT STATE [HALL ADDRESS]`, where the count orders their writes. Only
+ * as `COUNT STATE [HALL [ADDRESS]]`, where the count orders their writes. Only
  * upstreams with an address serve requests: those of the route `/any/`, and of
- * `/east/`, which is restricted to the region "east". */
+ * `/east/`, which is restricted to the region "east". A key `evac/HALL`
+ * evacuates a hall. */
 struct test_catalogue
 {
     static cj::item_kind kind(const std::string& key)
@@ -38,6 +39,8 @@
             return cj::item_kind::quarantine;
         if (key == cj::configuration_copy_key())
             return cj::item_kind::configuration_copy;
+        if (key.starts_with("evac/"))
+            return cj::item_kind::evacuation;
         if (key.starts_with("up/"))
             return cj::item_kind::upstream;
         return key.starts_with("named/") ? cj::item_kind::version
@@ -87,14 +90,19 @@
         record.sequence = std::stoull(payload);
         std::istringstream fields(payload);
         std::string skipped, hall, at;
-        if (fields >> skipped >> skipped >> hall >> at)
+        if (fields >> skipped >> skipped >> hall)
+            record.hall = cj::hall_id(hall);
+        if (fields >> at)
         {
             record.service = cj::service_name("s");
-            record.hall = cj::hall_id(hall);
             record.address = at;
         }
         return record;
     }
+    static cj::hall_id evacuated_hall(const std::string& key)
+    {
+        return cj::hall_id(key.substr(5));
+    }
     static cj::instance_id upstream_id(const std::string& key)
     {
         return cj::instance_id(key);
@@ -109,14 +117,16 @@
         const bool unordered = key == "other" ||
                                kind(key) == cj::item_kind::version_record ||
                                kind(key) == cj::item_kind::quarantine ||
-                               kind(key) == cj::item_kind::configuration_copy;
+                               kind(key) == cj::item_kind::configuration_copy ||
+                               kind(key) == cj::item_kind::evacuation;
         return unordered ? cj::item_order{}
                          : cj::item_order{0, std::stoull(payload)};
     }
     static bool is_operator_key(const std::string& key)
     {
         return kind(key) == cj::item_kind::configuration ||
-               kind(key) == cj::item_kind::version;
+               kind(key) == cj::item_kind::version ||
+               kind(key) == cj::item_kind::evacuation;
     }
 };
 
@@ -273,15 +283,15 @@
         return wait_until([&] { return find_upstream(upstream) != nullptr; });
     }
 
-    /*! @brief Waits until no request is sent to an upstream because it leaves
-     * or is gone. */
+    /*! @brief Waits until no request is sent to an upstream because it leaves,
+     * is gone or is in an evacuated hall. */
     [[nodiscard]] bool wait_for_unused_upstream(const std::string& upstream)
     {
         return wait_until(
             [&]
             {
                 const auto* found = find_upstream(upstream);
-                return found == nullptr || found->leaving();
+                return found == nullptr || !found->accepts_requests();
             });
     }
 
@@ -293,11 +303,30 @@
             [&]
             {
                 const auto* found = find_upstream(upstream);
-                used = found != nullptr && !found->leaving();
+                used = found != nullptr && found->accepts_requests();
             });
         return used;
     }
 
+    /*! @brief Waits until requests may be sent to an upstream. */
+    [[nodiscard]] bool wait_for_used_upstream(const std::string& upstream)
+    {
+        return wait_until(
+            [&]
+            {
+                const auto* found = find_upstream(upstream);
+                return found != nullptr && found->accepts_requests();
+            });
+    }
+
+    /*! @brief Returns the position of the mirror. */
+    [[nodiscard]] cj::store_position mirrored()
+    {
+        cj::store_position position;
+        running.on_loop([&] { position = node->mirror().position(); });
+        return position;
+    }
+
     [[nodiscard]] bool wait_for_leaving_upstream(const std::string& upstream)
     {
         return wait_until(
