Leave slots free for more urgent requests under overload

Cause: priorities of routes and organisations were decoded but not used. Change: request_rank (organisation first, then route); slot_reserve computes how many slots a rank leaves free, from the arrivals of more urgent ranks; a rank that is served less than half as often as all requests is exempt; the queue of waiting requests and the priority sent to engines follow the rank first; targets of less urgent ranks no longer bind more urgent ones.

--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -262,14 +262,13 @@
             return 404;
         if (request.configuration->requires_key && !request.route->keyless)
         {
-            const auto* owner =
+            request.owner =
                 request.decoded.api_key
                     ? request.configuration->owner(*request.decoded.api_key)
                     : nullptr;
-            if (owner == nullptr)
+            if (request.owner == nullptr)
                 return 401;
-            request.organisation = owner->id;
-            request.owner = owner;
+            request.organisation = request.owner->id;
         }
         if (request.decoded.id.empty())
             return 400;
@@ -289,7 +288,8 @@
         budgets.of(request.service).record_request(request.arrived_at);
         request.arrival = decisions.record_arrival(
             *request.route, exchange_facts::service_profile_of(request),
-            request.fingerprint, request.decoded.deadline, request.arrived_at);
+            request.fingerprint, request.decoded.deadline, request.arrived_at,
+            request.owner);
         if (request.arrival.is_retry())
             counters.count(
                 "requests_returned_total", 1,
--- a/src/coursejunction/route/admission.hpp
+++ b/src/coursejunction/route/admission.hpp
@@ -17,6 +17,7 @@
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
+#include "coursejunction/route/priority.hpp"
 #include "coursejunction/route/smoothed_rate.hpp"
 
 namespace coursejunction
@@ -79,6 +80,9 @@
     /*! @brief Whether only slots of this entry's share of the engine may be
      * used. */
     bool own_share_only{false};
+    /*! @brief Requests that may be at an engine beyond this entry's share,
+     * because less urgent ones are there. */
+    double share_excess{0};
     /*! @brief Fraction of an engine's slots up to which requests outside this
      * entry's share are accepted. */
     double unowned_fraction{1};
@@ -125,11 +129,12 @@
     }
 
     /*! @brief Records a new request with its target. */
-    void record_arrival(milliseconds target, time_point now)
+    void record_arrival(milliseconds target, time_point now,
+                        const request_rank& rank = {})
     {
         smoothed_demand.record(now);
         arrivals.record(now);
-        arrivals_by_target[target].record(now);
+        arrivals_by_target[target][rank].record(now);
     }
 
     /*! @brief Records that a new request was refused. */
@@ -148,6 +153,12 @@
         other_entries = reported;
     }
 
+    /*! @brief Returns the rate of new requests at all other entries. */
+    [[nodiscard]] double other_entries_arrived() const
+    {
+        return other_entries.arrived;
+    }
+
     /*! @brief Time over which arrivals and refusals are smoothed for the
      * refusal ratio. Short, so that clients that retry after a burst are not
      * refused because of it. It still covers enough refusals, as those of all
@@ -175,11 +186,13 @@
 
     /*! @brief Returns the limits within which an upstream may accept a request.
      * @param waited Time since the client's first request; zero for a new
-     * request. */
+     * request.
+     * @param rank Rank of the request. Targets of less urgent ranks do not
+     * restrict it. */
     [[nodiscard]] admission_limits limits(const engine_profile& engine,
                                           milliseconds target,
-                                          milliseconds waited,
-                                          time_point now) const
+                                          milliseconds waited, time_point now,
+                                          const request_rank& rank = {}) const
     {
         admission_limits result;
         const auto degree = overload_degree(now);
@@ -195,10 +208,10 @@
         result.first_event_ms =
             options.target_fraction * static_cast<double>(target.count()) -
             static_cast<double>(waited.count());
-        const auto common_limit_ms =
-            std::max(last_slot_ms(engine),
-                     options.common_target_fraction *
-                         static_cast<double>(tightest_target(now).count()));
+        const auto common_limit_ms = std::max(
+            last_slot_ms(engine),
+            options.common_target_fraction *
+                static_cast<double>(tightest_target(rank, now).count()));
         const auto own_limit_ms =
             options.target_fraction * static_cast<double>(target.count());
         result.typical_first_event_ms =
@@ -222,7 +235,6 @@
             min_ms + std::max(max_ms - min_ms, 0.0) * overload_degree(now)));
     }
 
-private:
     /*! @brief Returns the degree of overload, 0 to 1, to which the overload
      * limits apply. */
     [[nodiscard]] double overload_degree(time_point now) const
@@ -230,17 +242,25 @@
         return std::min(refusal_ratio(now) / options.full_refusal_ratio, 1.0);
     }
 
+private:
     /*! @brief Smallest fraction of the requests that must have a target for it
      * to count as in use. */
     static constexpr double min_fraction_of_requests{0.05};
 
-    /*! @brief Returns the tightest target that is in use. */
-    [[nodiscard]] milliseconds tightest_target(time_point now) const
+    /*! @brief Returns the tightest target in use by requests of a rank or more
+     * urgent ones. */
+    [[nodiscard]] milliseconds tightest_target(const request_rank& rank,
+                                               time_point now) const
     {
         const auto total_rate = arrivals.per_second(now);
-        for (const auto& [target, rate] : arrivals_by_target)
-            if (rate.per_second(now) >= total_rate * min_fraction_of_requests)
+        for (const auto& [target, rates] : arrivals_by_target)
+        {
+            double rate = 0;
+            for (const auto& [other, one] : rates)
+                rate += other <= rank ? one.per_second(now) : 0;
+            if (rate >= total_rate * min_fraction_of_requests)
                 return target;
+        }
         return milliseconds(std::numeric_limits<std::int32_t>::max());
     }
 
@@ -249,7 +269,8 @@
     smoothed_rate refusals{ratio_window};
     request_rates other_entries;
     smoothed_rate smoothed_demand{demand_window};
-    std::map<milliseconds, smoothed_rate> arrivals_by_target;
+    std::map<milliseconds, std::map<request_rank, smoothed_rate>>
+        arrivals_by_target;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -21,7 +21,9 @@
 
 #include "coursejunction/route/admission.hpp"
 #include "coursejunction/route/placement.hpp"
+#include "coursejunction/route/priority.hpp"
 #include "coursejunction/route/retry_detector.hpp"
+#include "coursejunction/route/slot_reserve.hpp"
 #include "coursejunction/route/upstream_registry.hpp"
 #include "coursejunction/route/urgency.hpp"
 
@@ -45,6 +47,7 @@
      * 2 s at most. */
     milliseconds no_upstream_retry_after{2000};
     admission_options admission;
+    slot_reserve_options reserve;
 };
 
 /*! @brief The request is sent to an upstream. */
@@ -91,24 +94,35 @@
             route_names.insert(route.name);
         client_retries.retain_routes([&](const std::string& name)
                                      { return route_names.count(name) > 0; });
+        rank_orders.clear();
+        for (const auto& [name, service] : rules.services)
+            if (service.engine)
+                rank_orders[name] = rank_order::of(rules, name);
     }
 
     /*! @brief Records the arrival of a request.
      * @param fingerprint Zero when the request has nothing by which a client
      * retry could be recognised.
-     * @param deadline How long the client waits from now on. */
+     * @param deadline How long the client waits from now on.
+     * @param owner Owner of its API key; null if it has none. */
     arrival_state record_arrival(const route_rule& route,
                                  const service_profile& service,
                                  request_fingerprint fingerprint,
                                  std::optional<milliseconds> deadline,
-                                 time_point now)
+                                 time_point now,
+                                 const organisation* owner = nullptr)
     {
         arrival_state state;
+        state.rank = rank_of(owner, route);
         state.history = client_retries.record_arrival(route.name, fingerprint,
                                                       deadline, now);
         auto& control = admission_of(service);
         if (!state.is_retry())
-            control.record_arrival(route.first_event_target, now);
+        {
+            control.record_arrival(route.first_event_target, now, state.rank);
+            if (service.engine)
+                reserve_of(service).record_arrival(state.rank, now);
+        }
         if (service.engine)
             engine_services.insert(service.name);
         state.late =
@@ -182,9 +196,7 @@
     {
         auto& control = admission_of(service);
         if (service.engine)
-            request.limits =
-                control.limits(*service.engine, request.target,
-                               request.arrival.history.waited, now);
+            request.limits = limits(service, request, now);
         placement_failure failure;
         auto found = placement.choose(registry, service, request, now, failure);
         if (found)
@@ -196,7 +208,11 @@
         if (now < wait_deadline && !next_send_too_late)
             return wait_for_slot{failure};
         if (!request.arrival.is_retry())
+        {
             control.record_refusal(now);
+            if (service.engine)
+                reserve_of(service).record_refusal(request.arrival.rank, now);
+        }
         return refuse_request{failure,
                               retry_after(control, failure, request, now)};
     }
@@ -208,9 +224,7 @@
                   time_point now)
     {
         if (service.engine)
-            request.limits = admission_of(service).limits(
-                *service.engine, request.target, request.arrival.history.waited,
-                now);
+            request.limits = limits(service, request, now);
         placement_failure failure;
         auto found = placement.choose(registry, service, request, now, failure);
         if (!found)
@@ -219,6 +233,54 @@
     }
 
 private:
+    slot_reserve& reserve_of(const service_profile& service)
+    {
+        return reserves.try_emplace(service.name, options.reserve)
+            .first->second;
+    }
+
+    /*! @brief Returns the limits within which an engine may accept a request.
+     */
+    [[nodiscard]] admission_limits limits(const service_profile& service,
+                                          const placement_request& request,
+                                          time_point now)
+    {
+        const auto& engine = *service.engine;
+        const auto& control = admission_of(service);
+        const auto& rank = request.arrival.rank;
+        auto result = control.limits(engine, request.target,
+                                     request.arrival.history.waited, now, rank);
+        const auto degree = control.overload_degree(now);
+        if (degree <= 0 || request.bypasses_limits)
+            return result;
+        const auto& reserve = reserve_of(service);
+        const auto reserved =
+            reserve.reserve(engine, rank, scale_of(service, now), now);
+        return reserve.restrict(result, engine, reserved, degree);
+    }
+
+    /*! @brief Returns how this entry's requests for a service relate to those
+     * of all entries, which report them for all services that run on engines
+     * together. */
+    [[nodiscard]] service_scale scale_of(const service_profile& service,
+                                         time_point now) const
+    {
+        service_scale scale;
+        const auto own = rates(now).arrived;
+        if (own > 0)
+            scale.entries =
+                (own + admissions.at(service.name).other_entries_arrived()) /
+                own;
+        scale.engines = static_cast<std::size_t>(std::count_if(
+            registry.all().begin(), registry.all().end(),
+            [&](const auto& item)
+            {
+                return item.second.record.service == service.name &&
+                       !item.second.leaving();
+            }));
+        return scale;
+    }
+
     admission& admission_of(const service_profile& service)
     {
         return admissions.try_emplace(service.name, options.admission)
@@ -236,19 +298,23 @@
             options.wait_fraction * microseconds_per_ms));
     }
 
-    [[nodiscard]] static urgency urgency_for(const service_profile& service,
-                                             const placement_request& request,
-                                             time_point now)
+    [[nodiscard]] urgency urgency_for(const service_profile& service,
+                                      const placement_request& request,
+                                      time_point now) const
     {
         if (request.bypasses_limits)
             return stream_urgency;
         if (!service.engine)
             return usual_urgency;
+        const auto order = rank_orders.find(service.name);
+        const auto range = order == rank_orders.end()
+                               ? urgency_range{}
+                               : range_of(order->second, request.arrival.rank);
         if (request.arrival.late)
-            return late_urgency;
+            return late_urgency(range);
         const auto elapsed = std::chrono::duration_cast<milliseconds>(
             now - request.waiting_since + request.arrival.history.waited);
-        return urgency_of(request.target - elapsed);
+        return urgency_of(request.target - elapsed, range);
     }
 
     [[nodiscard]] milliseconds retry_after(const admission& control,
@@ -281,6 +347,8 @@
     dispatch_options options;
     retry_detector client_retries;
     std::map<service_name, admission> admissions;
+    std::map<service_name, slot_reserve> reserves; /*!< Of `engine_services`. */
+    std::map<service_name, rank_order> rank_orders;
     std::set<service_name> engine_services; /*!< Those run by engines. */
 };
 
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -58,6 +58,7 @@
 {
     client_history history;
     bool late{false}; /*!< It can no longer meet its target. */
+    request_rank rank;
 
     /*! @brief Returns whether it is a client retry. */
     [[nodiscard]] bool is_retry() const
@@ -331,7 +332,8 @@
             return predicted <= limits.first_event_ms &&
                    typical_ms <= limits.typical_first_event_ms &&
                    load.running + load.waiting <= limits.max_in_flight &&
-                   (!limits.own_share_only || within_share(upstream, service) ||
+                   (!limits.own_share_only ||
+                    within_share(upstream, service, limits.share_excess) ||
                     load.running + load.waiting + 1 <=
                         static_cast<double>(service.engine->slots) *
                             limits.unowned_fraction);
@@ -344,11 +346,13 @@
     /*! @brief Returns whether a slot of this entry's share of the engine is
      * free. A slot that two entries share in part counts for both. */
     [[nodiscard]] static bool within_share(const known_upstream& upstream,
-                                           const service_profile& service)
+                                           const service_profile& service,
+                                           double excess)
     {
         return upstream.share > 0 &&
                static_cast<double>(upstream.attempts.size()) <=
-                   static_cast<double>(service.engine->slots) * upstream.share;
+                   static_cast<double>(service.engine->slots) * upstream.share +
+                       excess;
     }
 
     [[nodiscard]] double penalty(const known_upstream& upstream,
--- a/src/coursejunction/route/placement_queue.hpp
+++ b/src/coursejunction/route/placement_queue.hpp
@@ -1,8 +1,8 @@
 /*! @file
  * @brief Queue of the requests that wait at an entry for a slot; pure. Load
- * pattern: a slot becomes free while several requests wait. Requests that can
- * still meet their target go first, the earliest target before others; the
- * others take what is left.
+ * pattern: a slot becomes free while several requests wait. More urgent ranks
+ * go first. Within a rank, requests that can still meet their target go first,
+ * the earliest target before others; the others take what is left.
  */
 #ifndef COURSEJUNCTION_ROUTE_PLACEMENT_QUEUE_HPP
 #define COURSEJUNCTION_ROUTE_PLACEMENT_QUEUE_HPP
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coursejunction/core/types.hpp"
+#include "coursejunction/route/priority.hpp"
 
 namespace coursejunction
 {
@@ -21,6 +22,7 @@
 /*! @brief A waiting request. */
 struct waiting_request
 {
+    request_rank rank;
     bool late{false};         /*!< It can no longer meet its target. */
     time_point target_time{}; /*!< When its first event is due. */
     std::uint64_t number{0};
--- a/tests/route/placement_queue.cpp
+++ b/tests/route/placement_queue.cpp
@@ -11,9 +11,9 @@
 {
     cj::placement_queue queue;
     const cj::time_point now{100s};
-    const cj::waiting_request late{true, now - 2s, 1};
-    const cj::waiting_request loose{false, now + 400ms, 2};
-    const cj::waiting_request tight{false, now + 200ms, 3};
+    const cj::waiting_request late{{}, true, now - 2s, 1};
+    const cj::waiting_request loose{{}, false, now + 400ms, 2};
+    const cj::waiting_request tight{{}, false, now + 200ms, 3};
     queue.push(late);
     queue.push(loose);
     queue.push(tight);
@@ -40,6 +40,6 @@
     THEN("resumed streams come before all others, late requests after")
     {
         CHECK(cj::stream_urgency < cj::urgency_of(0ms));
-        CHECK(cj::urgency_of(60s) < cj::late_urgency);
+        CHECK(cj::urgency_of(60s) < cj::late_urgency());
     }
 }
