--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -266,7 +266,8 @@
         budgets.of(request.service).record_request(request.arrived_at);
         request.arrival = decisions.record_arrival(
             *request.route, exchange_facts::service_profile_of(request),
-            request.fingerprint, request.decoded.deadline, request.arrived_at);
+            request.fingerprint, request.decoded.deadline, request.arrived_at,
+            request.owner);
         if (request.arrival.is_retry())
             counters.count(
                 "requests_returned_total", 1,
