Test that a removal known to one entry corrects others after a rollback

An entry that starts after a rollback of the store may hear of an evacuation from one that missed its removal, and would keep the hall out of service. An entry that knows of the removal reports it again when it hears the older report; the case guards this rule.

--- a/tests/route/evacuated_halls.cpp
+++ b/tests/route/evacuated_halls.cpp
@@ -148,6 +148,23 @@
             CHECK(halls.evacuations().size() == 1);
         }
     }
+    WHEN("such an entry hears it from one that missed the removal")
+    {
+        halls.apply_mirror({}, {2, 8}, now);
+        halls.apply_report({north, {1, 12}, true}, now);
+        REQUIRE(halls.evacuations().size() == 1);
+        cj::evacuated_halls informed;
+        informed.apply_mirror(mirrored({1, 14}, false), {1, 14}, now - 60s);
+        informed.apply_mirror(mirrored({1, 14}, false), {2, 8}, now - 30s);
+        REQUIRE(informed.take_reports(8, true, now).empty());
+        informed.apply_report({north, {1, 12}, true}, now);
+        THEN("an entry that knows of the removal corrects it")
+        {
+            for (const auto& report : informed.take_reports(8, false, now))
+                halls.apply_report(report, now);
+            CHECK(halls.evacuations().empty());
+        }
+    }
     WHEN("the mirror had passed a report before the rollback")
     {
         halls.apply_report({north, {1, 12}, true}, now);
