Keep to the request rate of cold upstreams

Cause: an upstream that has just started looks empty to all entries at once, and nothing kept them together within the rate that it bears while cold. Records and services said how long and how far; no code used it. Ruled out: shares for live entries only. Change: cold_start says until when an upstream is cold and when this entry may send there; cold_division divides 0.95 of the rate by share_of_limit between all entries heard in the last two minutes, in shares of four requests a second or more; cold_starts applies both to the registry. Placement treats a cold upstream as unusable until a request is due, for all kinds of sends. Its engine share is the share of its rate. Services without a rate or a cold time behave as before.

--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -38,6 +38,10 @@
 struct upstream_choice;
 class request_limit;
 struct limit_share;
+struct cold_policy;
+class cold_start;
+class cold_division;
+class cold_starts;
 
 } // namespace coursejunction
 
--- a/src/coursejunction/route/known_upstream.hpp
+++ b/src/coursejunction/route/known_upstream.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_ROUTE_KNOWN_UPSTREAM_HPP
 #define COURSEJUNCTION_ROUTE_KNOWN_UPSTREAM_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -13,6 +14,7 @@
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/route/cold_start.hpp"
 #include "coursejunction/route/upstream_departures.hpp"
 #include "coursejunction/route/upstream_terms.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
@@ -52,14 +54,30 @@
     double lateness{1};    /*!< Smoothed ratio of observed to predicted time. */
     time_point avoid_until{};
     std::optional<time_point> lapses_at; /*!< Set if its record may return. */
-    /*! @brief Fraction of its slots, or of its rate limit if it has one, that
-     * belongs to this entry. */
+    /*! @brief Fraction of its slots, or of its rate limit or cold rate if it
+     * has one, that belongs to this entry. */
     double share{0};
     upstream_terms terms;
+    cold_start cold;
 
     /*! @brief A departure that the mirror does not show yet. */
     std::optional<upstream_departure> departure;
 
+    /*! @brief Returns when this entry may send its next request there, by its
+     * terms and its cold start; a time in the past if that is now. */
+    [[nodiscard]] time_point next_send_at(time_point now) const
+    {
+        if (!cold.active(now))
+            return terms.next_send_at();
+        const auto unanswered =
+            std::count_if(attempts.begin(), attempts.end(),
+                          [](const auto& attempt)
+                          { return !attempt.second.first_event_seen; });
+        return std::max(
+            terms.next_send_at(),
+            cold.next_send_at(static_cast<std::size_t>(unanswered)));
+    }
+
     /*! @brief Returns whether it accepts no new requests: it said so, or its
      * record was removed. */
     [[nodiscard]] bool leaving() const
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -164,6 +164,8 @@
                                              upstream, request.model, now),
                                    load};
         }
+        if (!best)
+            failure.held_back = held_back(registry, request, now);
         return best;
     }
 
@@ -181,7 +183,7 @@
             if (upstream.record.service != request.service ||
                 upstream.leaving() || excluded(upstream, request))
                 continue;
-            const auto send_at = upstream.terms.next_send_at();
+            const auto send_at = upstream.next_send_at(now);
             if (send_at <= now)
                 return std::nullopt;
             soonest = std::min(soonest.value_or(send_at), send_at);
@@ -189,6 +191,26 @@
         return soonest;
     }
 
+    /*! @brief Returns how many upstreams get no request now only because they
+     * are cold. */
+    [[nodiscard]] static std::size_t
+    held_back(const upstream_registry& registry,
+              const placement_request& request, time_point now)
+    {
+        const auto& all = registry.all();
+        return static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(),
+            [&](const auto& item)
+            {
+                const auto& upstream = item.second;
+                return upstream.cold.active(now) &&
+                       upstream.record.service == request.service &&
+                       !upstream.leaving() && !excluded(upstream, request) &&
+                       upstream.terms.next_send_at() <= now &&
+                       now < upstream.next_send_at(now);
+            }));
+    }
+
     [[nodiscard]] static bool excluded(const known_upstream& upstream,
                                        const placement_request& request)
     {
@@ -201,7 +223,7 @@
                                      time_point now)
     {
         if (upstream.record.service != request.service || upstream.leaving() ||
-            now < upstream.avoid_until || now < upstream.terms.next_send_at())
+            now < upstream.avoid_until || now < upstream.next_send_at(now))
             return false;
         if (excluded(upstream, request))
             return false;
@@ -278,8 +300,14 @@
         }
         const auto total = registry.other_entries_rate(now);
         const auto equal = total / static_cast<double>(all.size());
-        for (auto& rate : rates)
+        for (std::size_t index = 0; index < all.size(); ++index)
+        {
+            auto& rate = rates[index];
             rate = sum > 0 ? std::max(0.0, rate / sum * total - equal) : 0.0;
+            const auto& cold = all[index].upstream->cold;
+            if (cold.active(now))
+                rate = std::min(rate, cold.per_second());
+        }
         return rates;
     }
 
--- a/src/coursejunction/route/upstream_choice.hpp
+++ b/src/coursejunction/route/upstream_choice.hpp
@@ -33,8 +33,9 @@
     std::size_t usable{0}; /*!< Upstreams that could serve the request. */
     double least_ms{0};    /*!< Smallest predicted time, if one is usable. */
     /*! @brief When the first upstream accepts a request of this entry again, if
-     * all suitable ones are in a back-off or at their rate limits. */
+     * all suitable ones are in a back-off, at their rate limits or cold. */
     std::optional<time_point> next_send_at;
+    std::size_t held_back{0}; /*!< Upstreams that are cold and get none now. */
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -17,8 +17,10 @@
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/fleet/installation.hpp"
+#include "coursejunction/route/cold_starts.hpp"
+#include "coursejunction/route/engine_division.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
-#include "coursejunction/route/engine_shares.hpp"
+#include "coursejunction/route/incarnation_start.hpp"
 #include "coursejunction/route/known_upstream.hpp"
 #include "coursejunction/route/retained_terms.hpp"
 #include "coursejunction/route/smoothed_rate.hpp"
@@ -36,10 +38,19 @@
      * intervals. */
     static constexpr milliseconds status_validity{1000};
 
+    /*! @brief Applies which services have cold starts. */
+    void configure(const installation& rules)
+    {
+        colds.configure(rules, upstreams);
+    }
+
     /*! @brief Adds or replaces a record; ignores one of an earlier incarnation
      * than the known one.
+     * @param now When it was received: the rest of its cold start counts from
+     * then.
      * @return The earlier incarnation that the record replaced, if any. */
-    std::optional<ended_incarnation> apply_record(upstream_record record)
+    std::optional<ended_incarnation> apply_record(upstream_record record,
+                                                  time_point now = {})
     {
         const auto [position, added] = upstreams.try_emplace(record.id);
         auto& known = position->second;
@@ -50,7 +61,8 @@
         }
         if (!record.life.empty() && record.life < known.life)
             return std::nullopt;
-        auto ended = start_incarnation(known, record.life);
+        auto ended = start_incarnation(known, record.life, status_latency, now);
+        colds.apply_record(known, record, added, now);
         known.lapses_at.reset();
         known.record = std::move(record);
         return ended;
@@ -113,7 +125,8 @@
             if ((upstream.status && !is_newer(reported, *upstream.status)) ||
                 (!life.empty() && life < upstream.life))
                 continue;
-            if (auto ended = start_incarnation(upstream, life))
+            if (auto ended =
+                    start_incarnation(upstream, life, status_latency, sent_at))
             {
                 // The record belongs to the earlier incarnation until the next
                 // one arrives.
@@ -138,6 +151,7 @@
         auto& upstream = upstreams[id];
         upstream.attempts[attempt] = open_attempt{now, prompt_tokens, false};
         upstream.terms.record_send(now);
+        upstream.cold.record_send(now);
         if (prompt_tokens > 0)
             engine_sends.record(now);
     }
@@ -267,6 +281,43 @@
         }
     }
 
+    /*! @brief Divides the request rates of cold upstreams between the entries.
+     * @param unheard Entries known by address that were never heard. */
+    void assign_cold_shares(const std::string& own,
+                            const std::vector<entry_demand>& entries,
+                            std::size_t unheard, time_point now)
+    {
+        colds.assign_shares(own, entries, unheard, upstreams, now);
+    }
+
+    /*! @brief Treats the upstreams of a hall that returns to service as cold
+     * for the time that their service takes. */
+    void mark_cold(const hall_id& hall, time_point now)
+    {
+        for (auto& [id, upstream] : upstreams)
+        {
+            if (upstream.record.hall == hall)
+                upstream.cold.extend_from(now, cold_source::marked, now);
+        }
+    }
+
+    /*! @brief Treats an upstream as cold until a time, if its service has cold
+     * starts. */
+    void mark_cold(const instance_id& id, time_point until, time_point now)
+    {
+        const auto found = upstreams.find(id);
+        if (found != upstreams.end())
+            found->second.cold.extend(until, cold_source::marked, now);
+    }
+
+    /*! @brief Returns whether requests to an upstream are restricted because it
+     * is cold. */
+    [[nodiscard]] bool is_cold(const instance_id& id, time_point now) const
+    {
+        const auto* known = find(id);
+        return known != nullptr && known->cold.active(now);
+    }
+
     /*! @brief Removes a cancelled attempt; it says nothing of the upstream. */
     void cancel_attempt(const instance_id& id, std::uint64_t attempt)
     {
@@ -337,31 +388,14 @@
     }
 
     /*! @brief Divides the engines between the entries. The share of an upstream
-     * with a rate limit is this entry's fraction of the limit; that of one
-     * that takes no part is 0.
+     * with a rate limit, or of a cold one, is this entry's fraction of the
+     * rate; that of one that takes no part is 0.
      * @param own This entry's interval of the total demand.
      * @param usable Returns whether an upstream takes part. */
     template <typename Usable>
     void assign_engine_shares(const demand_interval& own, Usable usable)
     {
-        std::vector<known_upstream*> engines;
-        for (auto& [id, upstream] : upstreams)
-        {
-            upstream.share = limit_fraction(upstream);
-            if (usable(upstream) && !upstream.terms.limit())
-                engines.push_back(&upstream);
-        }
-        std::stable_sort(
-            engines.begin(), engines.end(),
-            [](const known_upstream* left, const known_upstream* right)
-            { return left->record.hall < right->record.hall; });
-        std::vector<double> slots;
-        slots.reserve(engines.size());
-        for (const auto* upstream : engines)
-            slots.push_back(static_cast<double>(upstream->record.slots));
-        const auto fractions = engine_fractions(own, slots);
-        for (std::size_t index = 0; index < engines.size(); ++index)
-            engines[index]->share = fractions[index];
+        divide_engines(upstreams, own, usable);
     }
 
     /*! @brief Sets how many entries share the upstreams, including this one. */
@@ -453,16 +487,6 @@
     static constexpr milliseconds min_avoid_time{300};
     static constexpr unsigned max_doublings = 3;
 
-    /*! @brief Returns this entry's fraction of an upstream's rate limit; 0 if
-     * there is no limit. */
-    static double limit_fraction(const known_upstream& upstream)
-    {
-        const auto& limit = upstream.terms.limit();
-        return limit && limit->per_second() > 0
-                   ? limit->own_share().per_second / limit->per_second()
-                   : 0;
-    }
-
     /*! @brief Returns whether a status was sent after another one. */
     static bool is_newer(const message::upstream_status& reported,
                          const message::upstream_status& before)
@@ -471,40 +495,6 @@
                std::tie(before.side, before.sequence);
     }
 
-    /*! @brief Resets the state of an upstream when a later incarnation is
-     * reported. Attempts sent before the last status of the earlier one went
-     * to it and get no response any more; attempts sent since may have reached
-     * either.
-     * @return The incarnation that ended, if any. */
-    static std::optional<ended_incarnation>
-    start_incarnation(known_upstream& upstream, const incarnation& reported)
-    {
-        if (reported.empty() || reported == upstream.life)
-            return std::nullopt;
-        const auto before = std::exchange(upstream.life, reported);
-        if (before.empty())
-            return std::nullopt;
-        ended_incarnation result{
-            upstream.record.address, {}, upstream.record.id, before};
-        for (const auto& [number, attempt] : upstream.attempts)
-        {
-            if (upstream.status &&
-                attempt.sent_at + status_latency < upstream.status_at)
-                result.attempts.push_back(number);
-        }
-        for (const auto number : result.attempts)
-            upstream.attempts.erase(number);
-        upstream.status.reset();
-        upstream.status_at = {};
-        upstream.ended_since_status = 0;
-        upstream.failures = 0;
-        upstream.fault_share = 0;
-        upstream.lateness = 1;
-        upstream.avoid_until = {};
-        upstream.terms = {};
-        return result;
-    }
-
     /*! @brief Avoids an upstream for a while after a failed attempt. If its
      * sidecar is silent too, the instance is suspended or cut off: a request
      * sent there waits, and may begin after the instance resumes, on weights
@@ -532,6 +522,7 @@
     std::map<instance_id, known_upstream> upstreams;
     retained_terms retained;
     upstream_departures departures;
+    cold_starts colds;
     /*! @brief This entry and the others assumed to choose the same upstream. */
     double effective_entries{1};
     double all_lateness{1};
--- a/tests/route/upstream_registry.cpp
+++ b/tests/route/upstream_registry.cpp
@@ -155,3 +155,148 @@
         CHECK(registry.find(id)->status->open);
     }
 }
+
+SCENARIO("an upstream is cold after it started", "[route]")
+{
+    auto now = cj::time_point{100s};
+    cj::installation rules;
+    cj::service_profile llm;
+    llm.name = cj::service_name("llm");
+    llm.cold_time = 3000ms;
+    llm.cold_requests_per_second = 32;
+    rules.services[llm.name] = llm;
+    cj::upstream_registry registry;
+    registry.configure(rules);
+    const auto known = [&]() -> const cj::known_upstream&
+    { return *registry.find(id); };
+    const auto cold_record = [](std::uint64_t life, std::uint64_t sequence,
+                                std::uint64_t remaining_ms)
+    {
+        auto result = record(life);
+        result.sequence = sequence;
+        result.cold_remaining_ms = remaining_ms;
+        return result;
+    };
+    const std::vector<cj::entry_demand> entries{
+        {cj::hall_id("h"), "10.0.0.9", 1}};
+    const auto listen = [&](std::chrono::milliseconds time)
+    {
+        for (const auto until = now + time; now < until; now += 100ms)
+            registry.assign_cold_shares("10.0.0.9", entries, 0, now);
+    };
+
+    GIVEN("a record that says so")
+    {
+        registry.apply_record(cold_record(1000, 1, 2000), now);
+        CHECK(registry.is_cold(id, now + 1900ms));
+        CHECK_FALSE(registry.is_cold(id, now + 2s));
+        THEN("reading it again does not extend the cold start")
+        {
+            registry.apply_record(cold_record(1000, 1, 2000), now + 1s);
+            CHECK_FALSE(registry.is_cold(id, now + 2s));
+        }
+        THEN("a newer one starts another")
+        {
+            registry.apply_record(cold_record(1000, 2, 2000), now + 1s);
+            CHECK(registry.is_cold(id, now + 2s));
+        }
+    }
+    GIVEN("a record that is read before the configuration")
+    {
+        cj::upstream_registry unconfigured;
+        unconfigured.apply_record(cold_record(1000, 1, 2000), now);
+        CHECK_FALSE(unconfigured.is_cold(id, now));
+        unconfigured.configure(rules);
+        CHECK(unconfigured.is_cold(id, now));
+    }
+    GIVEN("a warm upstream")
+    {
+        registry.apply_record(record(1000), now);
+        registry.apply_status(host, status(1000, 1), now);
+        CHECK_FALSE(registry.is_cold(id, now));
+        WHEN("its sidecar reports a later incarnation, before any record")
+        {
+            registry.apply_status(host, status(2000, 2), now + 1s);
+            CHECK(registry.is_cold(id, now + 3900ms));
+            THEN("the record that follows later does not end the cold start")
+            {
+                registry.apply_record(cold_record(2000, 1, 0), now + 1500ms);
+                CHECK(registry.is_cold(id, now + 3900ms));
+            }
+            THEN("the record of the earlier one, read late, changes nothing")
+            {
+                registry.apply_record(cold_record(1000, 9, 9000), now + 1500ms);
+                CHECK_FALSE(registry.is_cold(id, now + 4s));
+            }
+        }
+        WHEN("its record reports a later incarnation without a cold start")
+        {
+            registry.apply_record(cold_record(2000, 1, 0), now + 1s);
+            CHECK(registry.is_cold(id, now + 3900ms));
+        }
+        WHEN("its hall returns to service")
+        {
+            registry.mark_cold(cj::hall_id("elsewhere"), now);
+            CHECK_FALSE(registry.is_cold(id, now));
+            registry.mark_cold(record(0).hall, now);
+            CHECK(registry.is_cold(id, now + 2900ms));
+            THEN("a newer record says how long it is cold")
+            {
+                registry.apply_record(cold_record(1000, 2, 500), now);
+                CHECK_FALSE(registry.is_cold(id, now + 500ms));
+            }
+        }
+        WHEN("it is marked as cold until a time")
+        {
+            registry.mark_cold(id, now + 1s, now);
+            CHECK(registry.is_cold(id, now + 900ms));
+            CHECK_FALSE(registry.is_cold(id, now + 1s));
+        }
+    }
+    GIVEN("an entry that knows the others")
+    {
+        listen(2s);
+        registry.apply_record(cold_record(1000, 1, 3000), now);
+        CHECK(known().next_send_at(now) == now + 3s);
+        listen(100ms);
+        THEN("its share restricts when it sends, and all its sends count")
+        {
+            CHECK(known().next_send_at(now) < now + 100ms);
+            for (std::uint64_t attempt = 0; attempt < 4; ++attempt)
+            {
+                registry.begin_attempt(id, attempt, 0, now);
+                registry.cancel_attempt(id, attempt);
+            }
+            CHECK(known().next_send_at(now) > now + 80ms);
+        }
+        THEN("its share of the slots is that of the rate")
+        {
+            registry.assign_engine_shares({0, 0.1},
+                                          [](const auto&) { return true; });
+            CHECK(known().share == Approx(0.95));
+            listen(3s);
+            registry.assign_engine_shares({0, 0.1},
+                                          [](const auto&) { return true; });
+            CHECK(known().share == Approx(0.1));
+        }
+    }
+    GIVEN("a service without cold starts, whatever records say")
+    {
+        const auto without = GENERATE(0, 1);
+        auto& service = rules.services[llm.name];
+        if (without == 0)
+            service.cold_time = 0ms;
+        else
+            service.cold_requests_per_second = 0;
+        registry.configure(rules);
+        registry.apply_record(cold_record(1000, 1, 3000), now);
+        registry.apply_record(cold_record(2000, 1, 3000), now);
+        registry.mark_cold(record(0).hall, now);
+        listen(2s);
+        CHECK_FALSE(registry.is_cold(id, now));
+        CHECK(known().next_send_at(now) <= now);
+        registry.assign_engine_shares({0, 0.1},
+                                      [](const auto&) { return true; });
+        CHECK(known().share == Approx(0.1));
+    }
+}
