Divide, log and count cold starts in the entry

Cause: the registry needs the configuration, the time at which a record was received and the entries that are heard; operators need to see why an upstream gets few requests. Ruled out: reusing idle connections to a cold upstream. A request that is sent again after a stale connection would be counted by the upstream but not by the entry.

--- a/src/coursejunction/daemon/state_dump.cpp
+++ b/src/coursejunction/daemon/state_dump.cpp
@@ -59,6 +59,12 @@
              0, static_cast<std::int64_t>(
                     to_seconds(upstream.avoid_until - now) * ms_per_second))},
         {"side_silent", upstream_registry::side_silent(upstream, now)}};
+    if (upstream.cold.active(now))
+        description["cold"] = {
+            {"left_ms", age_ms(now, upstream.cold.ends_at())},
+            {"source", std::string(cold_source_name(upstream.cold.source()))},
+            {"per_second", upstream.cold.per_second()},
+            {"own_per_second", upstream.cold.share_per_second()}};
     if (upstream.status)
         description["status"] = {
             {"told_ms_ago", age_ms(upstream.status_at, now)},
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -49,6 +49,7 @@
     log::decision("request_queued",
                   {{"request", request.decoded.id.value()},
                    {"usable", std::to_string(reason.usable)},
+                   {"cold", std::to_string(reason.held_back)},
                    {"least_ms", integer_text(reason.least_ms)}});
 }
 
@@ -63,7 +64,7 @@
          {"route", request.route->name},
          {"reason",
           reason.next_send_at
-              ? "all upstreams are backing off or at their rate limit"
+              ? "all upstreams are backing off, at their rate limit or cold"
           : reason.usable == 0 ? "no usable upstream"
           : request.arrival.late
               ? "client retry is too late for its target, no upstream is free"
@@ -73,6 +74,7 @@
          {"known_by",
           std::string(evidence_name(request.arrival.history.known_by))},
          {"usable", std::to_string(reason.usable)},
+         {"cold", std::to_string(reason.held_back)},
          {"least_ms", integer_text(reason.least_ms)},
          {"target_ms",
           std::to_string(request.route->first_event_target.count())},
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -5,7 +5,6 @@
 #define COURSEJUNCTION_PROXY_EXCHANGE_SERVICE_HPP
 
 #include <algorithm>
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -507,11 +506,13 @@
         request.queued = true;
         waiting.push(exchange_facts::queue_entry(request));
         exchange_log::enqueued(request, reason);
+        intake.count_held_back(reason, "waits");
     }
 
     void refuse(exchange& request, const refuse_request& refusal)
     {
         exchange_log::refused(request, refusal.reason, refusal.retry_after);
+        intake.count_held_back(refusal.reason, "refused");
         send_refusal(request, refusal.retry_after);
     }
 
@@ -577,9 +578,11 @@
         call.body = request.original.body;
         // A reused connection may already be closed at the other end, and then
         // it is unknown whether an at-most-once request ran. Such a call gets a
-        // new connection.
-        call.repeatable =
-            request.route->repeatable() && !is_superseded_soon(request, now);
+        // new connection, as does one to a cold upstream: there the request
+        // that is sent again counts twice.
+        call.repeatable = request.route->repeatable() &&
+                          !is_superseded_soon(request, now) &&
+                          !book.is_cold(choice.upstream, now);
         book.begin_attempt(choice.upstream, request.attempt.id,
                            request.decoded.prompt_tokens, now);
         counters.count("attempts_total");
@@ -1004,7 +1007,7 @@
             return false;
         return exchange_facts::forwards_events(request, attempt) ||
                (!request.response_begun && status < server_error &&
-                !promises_not_run(status));
+                !exchange_facts::promises_not_run(status));
     }
 
     /*! @brief Keeps a server error for the case that no attempt succeeds. */
@@ -1020,15 +1023,6 @@
         request.error_response_body = std::move(attempt.response_body);
     }
 
-    /*! @brief Returns whether callers take a status as a promise that the
-     * request did not run. */
-    [[nodiscard]] static bool promises_not_run(int status)
-    {
-        constexpr std::array<int, 4> promising{408, 421, 429, 503};
-        return std::find(promising.begin(), promising.end(), status) !=
-               promising.end();
-    }
-
     [[nodiscard]] static attempt_failure failure_of(end_verdict verdict)
     {
         return verdict == end_verdict::not_sent ? attempt_failure::not_sent
@@ -1083,7 +1077,7 @@
         }
         // The upstream has not stated here that the request did not run
         // (on_end() handles those that do), so 502 is sent.
-        if (promises_not_run(status))
+        if (exchange_facts::promises_not_run(status))
         {
             const auto reason = "upstream answered " + std::to_string(status) +
                                 " without stating that the request did not run";
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -27,8 +27,10 @@
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/proxy/cold_start_monitor.hpp"
 #include "coursejunction/proxy/departure_messages.hpp"
 #include "coursejunction/proxy/exchange_service.hpp"
+#include "coursejunction/proxy/live_entries.hpp"
 #include "coursejunction/proxy/refusal_messages.hpp"
 #include "coursejunction/proxy/version_controller.hpp"
 
@@ -169,11 +171,6 @@
      * from this close. */
     static constexpr milliseconds idle_close_margin{500};
 
-    /*! @brief Minimum requests per second that an entry counts for when engines
-     * are divided, so that one without requests so far can place its first one.
-     * An engine of the installations completes 4.8 per second. */
-    static constexpr double min_demand{0.5};
-
     /*! @brief Maximum number of refusals in one heartbeat, so that it fits into
      * a packet. The rest goes with the next one, which is requested within
      * `queue_poll_interval`. */
@@ -478,7 +475,7 @@
     void update_upstream(const upstream_record& record)
     {
         exchanges.crashes().address_reassigned(record.id, record.address);
-        if (const auto restarted = book.apply_record(record))
+        if (const auto restarted = book.apply_record(record, event_loop::now()))
             exchanges.upstream_restarted(*restarted);
     }
 
@@ -492,6 +489,7 @@
 
     void configure()
     {
+        book.configure(*fleet.configuration());
         exchanges.configure(fleet.shared_configuration());
         caller_server->limits(fleet.configuration()->caller_limits);
     }
@@ -578,40 +576,25 @@
         heartbeat.load.demand = static_cast<float>(rates.demand);
     }
 
-    /*! @brief Divides the engines between the entries according to their
-     * demand. */
+    /*! @brief Divides the engines and the rates of limited and of cold
+     * upstreams between the entries. */
     void divide_engines(time_point now)
     {
         const auto& self = node.settings();
-        std::vector<entry_demand> demands{
-            make_demand(self.hall, self.address, exchanges.rates(now).demand)};
-        request_rates others;
-        for (const auto& [address, peer] : node.peers().all())
-        {
-            if (!peer.entry || peer.last_heartbeat.leaving ||
-                !peer_directory::alive(peer, now))
-                continue;
-            const auto& load = peer.last_heartbeat.load;
-            demands.push_back(make_demand(hall_id(peer.last_heartbeat.hall),
-                                          address, load.demand));
-            others.arrived += load.arrived;
-            others.refused += load.refused;
-        }
-        exchanges.set_other_entries_rates(others, now);
+        const auto entries = collect_live_entries(
+            {self.hall, self.address, exchanges.rates(now).demand},
+            node.peers(), now);
+        exchanges.set_other_entries_rates(entries.others, now);
         // An entry that shuts down passes no address, so it gets no share; the
         // other entries divide the limits without it.
-        book.assign_limit_shares(stopping ? std::string{} : self.address,
-                                 demands, now);
+        const auto own = stopping ? std::string{} : self.address;
+        book.assign_limit_shares(own, entries.demands, now);
+        book.assign_cold_shares(own, entries.demands, entries.unheard, now);
         book.assign_engine_shares(
-            demand_interval_of(self.address, demands),
+            demand_interval_of(self.address, entries.demands),
             [&](const known_upstream& upstream)
             { return exchanges.accepts_new_requests(upstream, now); });
-    }
-
-    [[nodiscard]] static entry_demand
-    make_demand(const hall_id& hall, const std::string& address, double demand)
-    {
-        return {hall, address, std::max(demand, min_demand)};
+        cold_monitor.update(book, now);
     }
 
     void tick()
@@ -678,6 +661,7 @@
     metrics& counters;
     gateway_options options;
     upstream_registry book;
+    cold_start_monitor cold_monitor{counters};
     fleet_view<Platform> fleet;
     exchange_service<codec> exchanges;
     quarantine_writer<typename Platform::store> quarantine_store;
--- a/src/coursejunction/proxy/notice_intake.hpp
+++ b/src/coursejunction/proxy/notice_intake.hpp
@@ -10,6 +10,7 @@
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
 #include "coursejunction/proxy/terms_messages.hpp"
+#include "coursejunction/route/upstream_choice.hpp"
 #include "coursejunction/route/upstream_registry.hpp"
 
 namespace coursejunction
@@ -52,6 +53,15 @@
             log_terms(id, now);
     }
 
+    /*! @brief Counts a request that waits or is refused while an upstream gets
+     * none only because it is cold. */
+    void count_held_back(const placement_failure& reason, const char* outcome)
+    {
+        if (reason.held_back > 0)
+            counters.count("placements_held_back_total", 1,
+                           {{"reason", "cold"}, {"then", outcome}});
+    }
+
 private:
     [[nodiscard]] static bool succeeded(int status)
     {
--- a/tests/daemon/state_dump.cpp
+++ b/tests/daemon/state_dump.cpp
@@ -59,6 +59,24 @@
                 CHECK(line.ends_with("reported by answer 3000 ms ago"));
             }
         }
+        WHEN("it is cold")
+        {
+            cj::installation rules;
+            auto& service = rules.services[record.service];
+            service.cold_time = 3000ms;
+            service.cold_requests_per_second = 32;
+            upstreams.configure(rules);
+            CHECK_FALSE(dump().at("upstreams")[0].contains("cold"));
+            upstreams.mark_cold(record.id, now + 2s, now);
+            THEN("it shows for how long still, why, and the shares")
+            {
+                const auto cold = dump().at("upstreams")[0].at("cold");
+                CHECK(cold.at("left_ms") == 2000);
+                CHECK(cold.at("source") == "marked");
+                CHECK(cold.at("per_second") == 32);
+                CHECK(cold.at("own_per_second") == 0);
+            }
+        }
         WHEN("it has reported no terms")
         {
             CHECK(dump().at("terms").empty());
--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -51,6 +52,11 @@
         service.engine->chunks = origin_chunks;
         service.engine->chunk_bytes = origin_chunk_bytes;
         installation.services[service.name] = service;
+        cj::service_profile cold;
+        cold.name = cj::service_name("cold");
+        cold.cold_time = 2500ms;
+        cold.cold_requests_per_second = 32;
+        installation.services[cold.name] = cold;
         cj::service_profile weights;
         weights.name = cj::service_name("weights");
         weights.origin = "origin";
@@ -72,6 +78,11 @@
         record.address = "127.0.0.1:9";
         record.leaving = payload.ends_with(" leaves");
         record.sequence = std::stoull(payload);
+        if (payload.ends_with(" cold"))
+        {
+            record.service = cj::service_name("cold");
+            record.cold_remaining_ms = 2500;
+        }
         return record;
     }
     static cj::instance_id upstream_id(const std::string& key)
@@ -275,6 +286,22 @@
         return used;
     }
 
+    /*! @brief Returns this entry's share of the rate of a cold upstream;
+     * nothing if it is not cold. */
+    [[nodiscard]] std::optional<double> cold_share(const std::string& upstream)
+    {
+        std::optional<double> share;
+        running.on_loop(
+            [&]
+            {
+                const auto* found = find_upstream(upstream);
+                if (found != nullptr &&
+                    found->cold.active(cj::event_loop::now()))
+                    share = found->cold.share_per_second();
+            });
+        return share;
+    }
+
     [[nodiscard]] bool wait_for_leaving_upstream(const std::string& upstream)
     {
         return wait_until(
