Divide cold rates without entries that are leaving

Cause: an entry that announced its shutdown kept its share of cold upstreams for two minutes, although it sends nothing more to them. Ruled out: a shorter retention of silent entries. They may be cut off and still send. Change: the gateway passes the addresses of leaving entries, and the division forgets them at once. Conclusion: after a planned stop the other entries use the whole rate.

--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -10,6 +10,8 @@
 class crash_guard;
 class event_splitter;
 class notice_intake;
+class cold_start_monitor;
+struct live_entries;
 class open_exchanges;
 class retry_budgets;
 struct caller_request;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -589,7 +589,8 @@
         // other entries divide the limits without it.
         const auto own = stopping ? std::string{} : self.address;
         book.assign_limit_shares(own, entries.demands, now);
-        book.assign_cold_shares(own, entries.demands, entries.unheard, now);
+        book.assign_cold_shares(own, entries.demands, entries.unheard, now,
+                                entries.leaving);
         book.assign_engine_shares(
             demand_interval_of(self.address, entries.demands),
             [&](const known_upstream& upstream)
--- a/src/coursejunction/proxy/live_entries.hpp
+++ b/src/coursejunction/proxy/live_entries.hpp
@@ -24,6 +24,8 @@
     request_rates others; /*!< Sum of the rates of all other entries. */
     /*! @brief Entries known by address that were never heard. */
     std::size_t unheard{0};
+    /*! @brief Addresses of entries that announced that they are leaving. */
+    std::vector<std::string> leaving;
 };
 
 /*! @brief Returns the demand of an entry. One without requests so far counts
@@ -50,6 +52,8 @@
         if (!peer.entry)
             continue;
         result.unheard += peer.heard_at == time_point{} ? 1 : 0;
+        if (peer.last_heartbeat.leaving)
+            result.leaving.push_back(address);
         if (peer.last_heartbeat.leaving || !peer_directory::alive(peer, now))
             continue;
         const auto& load = peer.last_heartbeat.load;
--- a/src/coursejunction/route/cold_division.hpp
+++ b/src/coursejunction/route/cold_division.hpp
@@ -52,10 +52,13 @@
      * @param own_address Empty if this entry accepts no requests.
      * @param heard Entries that accept requests, this one included.
      * @param unheard_entries Entries known by address of which no heartbeat was
-     * ever received. */
+     * ever received.
+     * @param leaving Addresses of entries that announced that they are leaving;
+     * they send nothing more to cold upstreams. */
     void update(const std::string& own_address,
                 const std::vector<entry_demand>& heard,
-                std::size_t unheard_entries, time_point now)
+                std::size_t unheard_entries, time_point now,
+                const std::vector<std::string>& leaving = {})
     {
         bool changed = settle(unheard_entries, now);
         changed = own != own_address || changed;
@@ -71,6 +74,8 @@
                       remembered, [&](const auto& item)
                       { return now - item.second.heard_at > retention; }) > 0 ||
                   changed;
+        for (const auto& address : leaving)
+            changed = remembered.erase(address) > 0 || changed;
         if (!changed)
             return;
         ++current_revision;
--- a/src/coursejunction/route/cold_start.hpp
+++ b/src/coursejunction/route/cold_start.hpp
@@ -120,9 +120,10 @@
 
     /*! @brief Sets this entry's share of the rate. The first request of a cold
      * start is sent after a part of the interval that differs between entries,
-     * so that they do not all send at once, and after the requests that were
-     * sent shortly before are paid for. An entry that receives its share later
-     * waits a whole interval: the previous holder may just have sent.
+     * so that they do not all send at once. It waits longer if the requests
+     * that were sent in the last second exceed the share. An entry that
+     * receives its share later waits a whole interval: the previous holder may
+     * just have sent.
      * @param phase Part of the interval, from 0 to 1.
      * @param revision Of the division. */
     void set_share(const limit_share& next, double phase,
--- a/src/coursejunction/route/cold_starts.hpp
+++ b/src/coursejunction/route/cold_starts.hpp
@@ -62,12 +62,13 @@
      * `cold_division::update`. */
     void assign_shares(const std::string& own,
                        const std::vector<entry_demand>& heard,
-                       std::size_t unheard_entries, upstream_map& upstreams,
-                       time_point now)
+                       std::size_t unheard_entries,
+                       const std::vector<std::string>& leaving,
+                       upstream_map& upstreams, time_point now)
     {
         if (policies.empty())
             return;
-        division.update(own, heard, unheard_entries, now);
+        division.update(own, heard, unheard_entries, now, leaving);
         for (auto& [id, upstream] : upstreams)
         {
             auto& cold = upstream.cold;
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -282,12 +282,14 @@
     }
 
     /*! @brief Divides the request rates of cold upstreams between the entries.
-     * @param unheard Entries known by address that were never heard. */
+     * @param unheard Entries known by address that were never heard.
+     * @param leaving Entries that announced that they are leaving. */
     void assign_cold_shares(const std::string& own,
                             const std::vector<entry_demand>& entries,
-                            std::size_t unheard, time_point now)
+                            std::size_t unheard, time_point now,
+                            const std::vector<std::string>& leaving = {})
     {
-        colds.assign_shares(own, entries, unheard, upstreams, now);
+        colds.assign_shares(own, entries, unheard, leaving, upstreams, now);
     }
 
     /*! @brief Treats the upstreams of a hall that returns to service as cold
--- a/tests/route/cold_start.cpp
+++ b/tests/route/cold_start.cpp
@@ -242,6 +242,15 @@
             CHECK(share_of(division).holds_share());
         }
     }
+    GIVEN("an entry that announces that it is leaving")
+    {
+        run(address(0), 4, 2s);
+        division.update(address(0), entries_of(3, 1), 0, now, {address(3)});
+        THEN("the others take its share over at once")
+        {
+            CHECK(share_of(division).per_second == Approx(32 * 0.95 / 3));
+        }
+    }
     GIVEN("an entry that shuts down: it has no share")
     {
         run(address(0), 4, 2s);
