--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -50,6 +50,7 @@
     log::decision("request_queued",
                   {{"request", request.decoded.id.value()},
                    {"usable", std::to_string(reason.usable)},
+                   {"cold", std::to_string(reason.held_back)},
                    {"least_ms", integer_text(reason.least_ms)}});
 }
 
@@ -96,7 +97,7 @@
           reason.evacuated()
               ? "all upstreams are in evacuated halls or limit this entry to 0"
           : reason.next_send_at
-              ? "all upstreams are backing off or at their rate limit"
+              ? "all upstreams are backing off, at their rate limit or cold"
           : reason.usable == 0 ? "no usable upstream"
           : request.arrival.late
               ? "client retry is too late for its target, no upstream is free"
@@ -107,6 +108,7 @@
           std::string(evidence_name(request.arrival.history.known_by))},
          {"usable", std::to_string(reason.usable)},
          {"evacuated_halls", std::to_string(reason.evacuated_halls)},
+         {"cold", std::to_string(reason.held_back)},
          {"least_ms", integer_text(reason.least_ms)},
          {"target_ms",
           std::to_string(request.route->first_event_target.count())},
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -421,11 +421,13 @@
         request.queued = true;
         waiting.push(exchange_facts::queue_entry(request));
         exchange_log::enqueued(request, reason);
+        intake.count_held_back(reason, "waits");
     }
 
     void refuse(exchange& request, const refuse_request& refusal)
     {
         exchange_log::refused(request, refusal.reason, refusal.retry_after);
+        intake.count_held_back(refusal.reason, "refused");
         send_refusal(request, refusal.retry_after);
     }
 
@@ -491,9 +493,11 @@
         call.body = request.original.body;
         // A reused connection may already be closed at the other end, and then
         // it is unknown whether an at-most-once request ran. Such a call gets a
-        // new connection.
-        call.repeatable =
-            request.route->repeatable() && !is_superseded_soon(request, now);
+        // new connection, as does one to a cold upstream: there the request
+        // that is sent again counts twice.
+        call.repeatable = request.route->repeatable() &&
+                          !is_superseded_soon(request, now) &&
+                          !book.is_cold(choice.upstream, now);
         book.begin_attempt(choice.upstream, request.attempt.id,
                            request.decoded.prompt_tokens, now);
         counters.count("attempts_total");
--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -11,6 +11,8 @@
 class crash_guard;
 class event_splitter;
 class notice_intake;
+class cold_start_monitor;
+struct live_entries;
 class open_exchanges;
 class retry_budgets;
 class store_change_intake;
--- a/src/coursejunction/proxy/store_change_intake.hpp
+++ b/src/coursejunction/proxy/store_change_intake.hpp
@@ -14,6 +14,7 @@
 #include "coursejunction/fleet/fleet_view.hpp"
 #include "coursejunction/fleet/hall_evacuations.hpp"
 #include "coursejunction/fleet/store_mirror.hpp"
+#include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/proxy/departure_messages.hpp"
 #include "coursejunction/proxy/evacuation_messages.hpp"
@@ -116,7 +117,7 @@
                         {"mirrored", mirror.position().text()}});
         if (changes.empty())
             return false;
-        book.set_evacuations(halls.evacuations());
+        book.set_evacuations(halls.evacuations(), event_loop::now());
         counters.set("evacuated_halls",
                      static_cast<double>(book.evacuations().size()));
         return true;
--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -43,6 +43,10 @@
 class request_limit;
 struct limit_share;
 class region_restriction;
+struct cold_policy;
+class cold_start;
+class cold_division;
+class cold_starts;
 
 } // namespace coursejunction
 
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -176,6 +176,8 @@
                                    load,
                                    failure.evacuated_halls};
         }
+        if (!best)
+            failure.held_back = held_back(registry, request, now);
         return best;
     }
 
@@ -196,7 +198,7 @@
                 continue;
             const auto send_at = upstream.evacuated
                                      ? time_point::max()
-                                     : upstream.terms.next_send_at();
+                                     : upstream.next_send_at(now);
             if (send_at <= now)
                 return std::nullopt;
             soonest = std::min(soonest.value_or(send_at), send_at);
@@ -230,6 +232,28 @@
                                       weights.hall_regions);
     }
 
+    /*! @brief Returns how many upstreams get no request now only because they
+     * are cold. */
+    [[nodiscard]] std::size_t held_back(const upstream_registry& registry,
+                                        const placement_request& request,
+                                        time_point now) const
+    {
+        const auto& all = registry.all();
+        return static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(),
+            [&](const auto& item)
+            {
+                const auto& upstream = item.second;
+                return upstream.cold.active(now) &&
+                       upstream.record.service == request.service &&
+                       upstream.accepts_requests() &&
+                       in_allowed_region(upstream, request) &&
+                       !excluded(upstream, request) &&
+                       upstream.terms.next_send_at() <= now &&
+                       now < upstream.next_send_at(now);
+            }));
+    }
+
     [[nodiscard]] static bool excluded(const known_upstream& upstream,
                                        const placement_request& request)
     {
@@ -243,7 +267,7 @@
     {
         if (upstream.record.service != request.service ||
             !upstream.accepts_requests() || now < upstream.avoid_until ||
-            now < upstream.terms.next_send_at())
+            now < upstream.next_send_at(now))
             return false;
         if (excluded(upstream, request) ||
             !in_allowed_region(upstream, request))
@@ -321,8 +345,14 @@
         }
         const auto total = registry.other_entries_rate(now);
         const auto equal = total / static_cast<double>(all.size());
-        for (auto& rate : rates)
+        for (std::size_t index = 0; index < all.size(); ++index)
+        {
+            auto& rate = rates[index];
             rate = sum > 0 ? std::max(0.0, rate / sum * total - equal) : 0.0;
+            const auto& cold = all[index].upstream->cold;
+            if (cold.active(now))
+                rate = std::min(rate, cold.per_second());
+        }
         return rates;
     }
 
--- a/src/coursejunction/route/upstream_choice.hpp
+++ b/src/coursejunction/route/upstream_choice.hpp
@@ -35,8 +35,8 @@
     std::size_t usable{0}; /*!< Upstreams that could serve the request. */
     double least_ms{0};    /*!< Smallest predicted time, if one is usable. */
     /*! @brief When the first upstream accepts a request of this entry again, if
-     * all suitable ones are in a back-off, at their rate limits or in evacuated
-     * halls. The maximum if it is not known when any of them will. */
+     * all suitable ones are in a back-off, at their rate limits, cold or in
+     * evacuated halls. The maximum if it is not known when any of them will. */
     std::optional<time_point> next_send_at;
     /*! @brief The request is restricted to regions without an upstream that
      * could take it, now or later: there is none, or all are leaving. */
@@ -49,6 +49,7 @@
     {
         return evacuated_halls > 0 && next_send_at == time_point::max();
     }
+    std::size_t held_back{0}; /*!< Upstreams that are cold and get none now. */
 };
 
 } // namespace coursejunction
--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -58,6 +59,11 @@
         service.engine->chunks = origin_chunks;
         service.engine->chunk_bytes = origin_chunk_bytes;
         installation.services[service.name] = service;
+        cj::service_profile cold;
+        cold.name = cj::service_name("cold");
+        cold.cold_time = 2500ms;
+        cold.cold_requests_per_second = 32;
+        installation.services[cold.name] = cold;
         cj::service_profile weights;
         weights.name = cj::service_name("weights");
         weights.origin = "origin";
@@ -97,6 +103,11 @@
             record.service = cj::service_name("s");
             record.address = at;
         }
+        if (payload.ends_with(" cold"))
+        {
+            record.service = cj::service_name("cold");
+            record.cold_remaining_ms = 2500;
+        }
         return record;
     }
     static cj::hall_id evacuated_hall(const std::string& key)
@@ -327,6 +338,22 @@
         return position;
     }
 
+    /*! @brief Returns this entry's share of the rate of a cold upstream;
+     * nothing if it is not cold. */
+    [[nodiscard]] std::optional<double> cold_share(const std::string& upstream)
+    {
+        std::optional<double> share;
+        running.on_loop(
+            [&]
+            {
+                const auto* found = find_upstream(upstream);
+                if (found != nullptr &&
+                    found->cold.active(cj::event_loop::now()))
+                    share = found->cold.share_per_second();
+            });
+        return share;
+    }
+
     [[nodiscard]] bool wait_for_leaving_upstream(const std::string& upstream)
     {
         return wait_until(
--- a/tests/proxy/evacuated_hall.cpp
+++ b/tests/proxy/evacuated_hall.cpp
@@ -343,7 +343,10 @@
     proxy_test::entry_on_loopback entry;
     entry.configure_route(cj::request_kind::repeatable);
     const auto evacuate = [&](std::map<cj::hall_id, cj::store_position> halls)
-    { entry.running.on_loop([&] { entry.book.set_evacuations(halls); }); };
+    {
+        entry.running.on_loop(
+            [&] { entry.book.set_evacuations(halls, cj::event_loop::now()); });
+    };
     // Upstream "a" is in the entry's hall "h", "b" in the hall "other".
     proxy_test::scripted_upstream a({proxy_test::response("from a")});
 
@@ -409,7 +412,8 @@
                 [&]
                 {
                     CHECK(entry.service->queued_count() == 1);
-                    entry.book.set_evacuations({{cj::hall_id("h"), {1, 5}}});
+                    entry.book.set_evacuations({{cj::hall_id("h"), {1, 5}}},
+                                               cj::event_loop::now());
                     entry.service->place_waiting();
                     CHECK(entry.service->queued_count() == 0);
                 });
@@ -445,9 +449,10 @@
             entry.book.apply_status("127.0.0.9", status, now);
             const auto& known = *entry.book.find(cj::instance_id("a"));
             CHECK(entry.service->accepts_new_requests(known, now));
-            entry.book.set_evacuations({{cj::hall_id("h"), {1, 5}}});
+            entry.book.set_evacuations({{cj::hall_id("h"), {1, 5}}},
+                                       cj::event_loop::now());
             CHECK_FALSE(entry.service->accepts_new_requests(known, now));
-            entry.book.set_evacuations({});
+            entry.book.set_evacuations({}, cj::event_loop::now());
             CHECK(entry.service->accepts_new_requests(known, now));
         });
 }
--- a/tests/route/placement_evacuated.cpp
+++ b/tests/route/placement_evacuated.cpp
@@ -36,7 +36,7 @@
 
     GIVEN("an evacuation of the entry's own hall")
     {
-        registry.set_evacuations({{cj::hall_id("north"), position}});
+        registry.set_evacuations({{cj::hall_id("north"), position}}, now);
         THEN("a new request goes to another hall")
         {
             CHECK(choose(default_request()) == "far");
@@ -84,7 +84,7 @@
         }
         WHEN("the evacuation ends")
         {
-            registry.set_evacuations({});
+            registry.set_evacuations({}, now);
             THEN("the hall is used again")
             {
                 CHECK(choose(default_request()) == "near");
@@ -94,7 +94,8 @@
     GIVEN("an evacuation of all halls")
     {
         registry.set_evacuations({{cj::hall_id("north"), position},
-                                  {cj::hall_id("south"), position}});
+                                  {cj::hall_id("south"), position}},
+                                 now);
         auto request = default_request();
         request.waiting_since = now;
         request.deadline = now + 6s;
@@ -119,7 +120,8 @@
             const auto before = selector.choose(
                 registry, service, default_request(), now, failure);
             CHECK_FALSE(failure.evacuated());
-            registry.set_evacuations({{cj::hall_id("elsewhere"), position}});
+            registry.set_evacuations({{cj::hall_id("elsewhere"), position}},
+                                     now);
             const auto after = selector.choose(registry, service,
                                                default_request(), now, failure);
             REQUIRE(before);
@@ -141,3 +143,32 @@
         }
     }
 }
+
+// Guards against a burst of requests at upstreams that turned cold while their
+// hall was empty, before their records show it.
+SCENARIO("the upstreams of a hall that returns to service are cold", "[route]")
+{
+    const cj::time_point now{100s};
+    cj::installation rules;
+    auto service = llm();
+    service.cold_time = 3000ms;
+    service.cold_requests_per_second = 32;
+    rules.services.emplace(service.name, service);
+    cj::upstream_registry registry;
+    registry.configure(rules);
+    registry.apply_record(record("near", "north", "10.0.0.1:80"), now);
+    registry.apply_record(record("far", "south", "10.0.0.2:80"), now);
+    registry.set_evacuations({{cj::hall_id("north"), {1, 5}}}, now);
+    CHECK_FALSE(registry.is_cold(cj::instance_id("near"), now));
+
+    WHEN("the evacuation ends")
+    {
+        registry.set_evacuations({}, now);
+        THEN("they are cold for the time that their service takes")
+        {
+            CHECK(registry.is_cold(cj::instance_id("near"), now + 2999ms));
+            CHECK_FALSE(registry.is_cold(cj::instance_id("near"), now + 3s));
+            CHECK_FALSE(registry.is_cold(cj::instance_id("far"), now));
+        }
+    }
+}
