Wait for states in the test of cold upstreams

Cause: the test slept for fixed times and compared states then; on a busy machine a sleep may last longer than the cold start. Ruled out: longer sleeps, which only move the limit. Change: the test waits for each state and checks the earliest time at which it may be reached. Conclusion: a slow machine delays the test, but does not fail it unless the entry does not run for seconds.

--- a/tests/proxy/cold_upstream.cpp
+++ b/tests/proxy/cold_upstream.cpp
@@ -75,26 +75,36 @@
 
 SCENARIO("an entry learns from the store that an upstream is cold", "[proxy]")
 {
+    const auto now = [] { return std::chrono::steady_clock::now(); };
     proxy_test::store_content keys;
     keys.write("configuration", "1");
     keys.write("up/a", "1 ready");
+    const auto started_at = now();
     entry_process entry(keys, 1);
     REQUIRE(entry.wait_for_upstream("up/a"));
     CHECK_FALSE(entry.cold_share("up/a"));
+    const auto wait_until = [&](auto condition)
+    {
+        const auto give_up_at = now() + 10s;
+        while (!condition() && now() < give_up_at)
+            std::this_thread::sleep_for(20ms);
+        return condition();
+    };
 
-    WHEN("its record says so while the entry has just started")
+    WHEN("its record says so")
     {
         entry.on_loop([&] { keys.write("up/a", "2 cold"); });
-        std::this_thread::sleep_for(500ms);
+        const auto written_at = now();
+        REQUIRE(wait_until([&] { return entry.cold_share("up/a"); }));
         THEN("the entry has no share until it can have heard the others, and "
              "the cold start ends")
         {
-            CHECK(entry.cold_share("up/a") == 0.0);
-            std::this_thread::sleep_for(1400ms);
-            REQUIRE(entry.cold_share("up/a"));
-            CHECK(*entry.cold_share("up/a") == Approx(32 * 0.95));
-            std::this_thread::sleep_for(1200ms);
-            CHECK_FALSE(entry.cold_share("up/a"));
+            REQUIRE(wait_until(
+                [&] { return entry.cold_share("up/a").value_or(0) > 0; }));
+            CHECK(now() - started_at >= 1500ms);
+            CHECK(entry.cold_share("up/a").value_or(0) == Approx(32 * 0.95));
+            REQUIRE(wait_until([&] { return !entry.cold_share("up/a"); }));
+            CHECK(now() - written_at >= 4s);
         }
     }
 }
--- a/tests/proxy/entry_process.hpp
+++ b/tests/proxy/entry_process.hpp
@@ -54,7 +54,7 @@
         installation.services[service.name] = service;
         cj::service_profile cold;
         cold.name = cj::service_name("cold");
-        cold.cold_time = 2500ms;
+        cold.cold_time = 4000ms;
         cold.cold_requests_per_second = 32;
         installation.services[cold.name] = cold;
         cj::service_profile weights;
@@ -81,7 +81,7 @@
         if (payload.ends_with(" cold"))
         {
             record.service = cj::service_name("cold");
-            record.cold_remaining_ms = 2500;
+            record.cold_remaining_ms = 4000;
         }
         return record;
     }
