Replay engines that are slow in turn; take the larger of report and events

Change: the pace is the larger of the reported factor, which fades within a second, and the average of first events.

--- a/src/coursejunction/route/upstream_pace.hpp
+++ b/src/coursejunction/route/upstream_pace.hpp
@@ -21,16 +21,17 @@
 /*! @brief Parameters of the estimate. */
 struct pace_options
 {
-    /*! @brief Age at which evidence counts 1/e. A fraction of a slow phase of
-     * 600 ms, so that it is forgotten soon after the phase. */
+    /*! @brief Age at which a first event counts 1/e. A fraction of a slow phase
+     * of 600 ms, so that it is forgotten soon after the phase. */
     milliseconds memory{150};
+    /*! @brief Age at which the logarithm of a reported factor counts 1/e. Other
+     * halls receive reports a few times a second; with a shorter time they
+     * place requests at upstreams that are still slow. */
+    milliseconds report_memory{1000};
     /*! @brief Weight of the assumption that the upstream is as fast as
      * profiled, in first events. One late event alone may be due to the
      * requests of other entries. */
     double prior_weight{0.5};
-    /*! @brief Weight of the upstream's own report, in first events. The report
-     * measures the pace itself, a first event also its prediction's error. */
-    double report_weight{2};
     /*! @brief Limits of one piece of evidence. */
     double min_factor{0.5};
     double max_factor{8};
@@ -58,7 +59,7 @@
      * @param factor Observed divided by profiled time. */
     void record(double factor, time_point now)
     {
-        const auto kept = weight_at(last_at, now);
+        const auto kept = weight_at(last_at, now, options.memory);
         log_sum = log_sum * kept + log_of(factor);
         weight = weight * kept + 1;
         last_at = now;
@@ -73,32 +74,32 @@
                                 const std::vector<double>& awaited,
                                 time_point now) const
     {
-        const auto kept = weight_at(last_at, now);
-        auto logs = log_sum * kept;
-        auto weights = weight * kept + options.prior_weight;
-        if (report)
-        {
-            const auto counted =
-                options.report_weight * weight_at(report->at, now);
-            logs += log_of(report->factor) * counted;
-            weights += counted;
-        }
-        const auto known = logs / weights;
+        auto weights = weight * weight_at(last_at, now, options.memory) +
+                       options.prior_weight;
+        auto logs = log_sum * weight_at(last_at, now, options.memory);
+        const auto reported =
+            report ? log_of(report->factor) *
+                         weight_at(report->at, now, options.report_memory)
+                   : 0.0;
+        const auto known = std::max({logs / weights, reported, 0.0});
         for (const auto one : awaited)
         {
-            if (log_of(one) <= std::max(known, 0.0))
+            if (log_of(one) <= known)
                 continue;
             logs += log_of(one);
             weights += 1;
         }
-        return std::max(std::exp(logs / weights), 1.0);
+        // The larger one, as a report may be older than a slow phase, and first
+        // events may be older than the report.
+        return std::exp(std::max({logs / weights, reported, 0.0}));
     }
 
 private:
-    [[nodiscard]] double weight_at(time_point when, time_point now) const
+    [[nodiscard]] static double weight_at(time_point when, time_point now,
+                                          milliseconds memory)
     {
         return std::exp(-to_seconds(std::max(now, when) - when) /
-                        to_seconds(options.memory));
+                        to_seconds(memory));
     }
 
     [[nodiscard]] double log_of(double factor) const
--- a/tests/route/load_engine.hpp
+++ b/tests/route/load_engine.hpp
@@ -75,6 +75,8 @@
     double unread_tokens{0};
     double unwritten_tokens{0};
     bool first_event_sent{false};
+    /*! @brief The other one of two copies at different engines. */
+    std::weak_ptr<simulated_request> twin;
 };
 
 using request_ptr = std::shared_ptr<simulated_request>;
@@ -95,7 +97,15 @@
 
     void enqueue(const request_ptr& one) { waiting.push_back(one); }
 
-    void advance(double now)
+    /*! @brief Drops a request that was cancelled. */
+    void cancel(const request_ptr& one)
+    {
+        std::erase(waiting, one);
+        std::erase(admitted, one);
+    }
+
+    /*! @param slowness Factor by which it is slower than profiled now. */
+    void advance(double now, double slowness = 1)
     {
         if (now < busy_until)
             return;
@@ -103,7 +113,7 @@
         admit_waiting();
         if (admitted.empty())
             return;
-        busy_until = now + begin_pass();
+        busy_until = now + begin_pass() * slowness;
     }
 
     [[nodiscard]] std::size_t running() const { return admitted.size(); }
--- a/tests/route/load_replay.hpp
+++ b/tests/route/load_replay.hpp
@@ -19,138 +19,17 @@
 #include <vector>
 
 #include "coursejunction/route/dispatcher.hpp"
+#include "coursejunction/route/hedge_decision.hpp"
 #include "coursejunction/route/placement_queue.hpp"
 #include "route/load_engine.hpp"
+#include "route/load_pattern.hpp"
+#include "route/load_result.hpp"
 
 namespace load_replay
 {
 
 namespace cj = coursejunction;
 
-/*! @brief One kind of request. */
-struct request_kind
-{
-    std::string name;
-    double weight{1};
-    cj::milliseconds target{400};
-    double prompt{1000}; /*!< Mean tokens. */
-    double answer{120};  /*!< Mean tokens. */
-};
-
-/*! @brief Parameters of a replay. */
-struct load_pattern
-{
-    std::size_t halls{3};
-    std::size_t entries{5};
-    std::size_t engines{12};
-    double seconds{20};
-    /*! @brief New requests a second, as a function of the second. */
-    std::function<double(double)> rate;
-    /*! @brief Fraction of the refused clients that retry immediately. */
-    double impatient_fraction{0};
-    /*! @brief Relative load of each entry; equal if empty. */
-    std::vector<double> entry_weights;
-    std::vector<request_kind> kinds{
-        {"long", 74, cj::milliseconds(400), 1290, 144},
-        {"middle", 53, cj::milliseconds(400), 787, 144},
-        {"short", 62, cj::milliseconds(300), 607, 70}};
-    cj::engine_profile engine{fast_engine_profile()};
-    cj::dispatch_options options;
-    cj::placement_options weights;
-    bool shares_rates{true}; /*!< Entries report their rates to each other. */
-    bool deadlines{true};    /*!< Clients send a deadline. */
-    /*! @brief Deadlines of new clients are 6 s, shorter by up to this fraction.
-     */
-    double deadline_spread{0};
-    /*! @brief Whether requests have fingerprints, and refusals are reported
-     * within a hall. */
-    bool fingerprints{true};
-    /*! @brief Whether refused clients retry at another entry of their hall. */
-    bool retries_elsewhere{false};
-    /*! @brief Fraction of those clients that retry in another hall instead. */
-    double moved_fraction{
-        0}; /*! @brief Fraction of the requests that are equal to each other. */
-    double identical_fraction{0};
-    std::uint64_t seed{1};
-};
-
-/*! @brief Selects engines with 8 slots, and kinds with longer targets. */
-inline void use_slow_engines(load_pattern& pattern)
-{
-    pattern.engine = slow_engine_profile();
-    pattern.kinds = {{"long", 341, cj::milliseconds(800), 1290, 74},
-                     {"middle", 250, cj::milliseconds(600), 787, 74},
-                     {"short", 189, cj::milliseconds(500), 607, 70}};
-}
-
-/*! @brief Sets uneven loads of the entries, from 0.5 to 1.5 of the mean. */
-inline void use_uneven_load(load_pattern& pattern)
-{
-    constexpr std::size_t steps = 101;
-    constexpr std::size_t stride = 7919;
-    pattern.entry_weights.clear();
-    for (std::size_t at = 0; at < pattern.entries; ++at)
-        pattern.entry_weights.push_back(
-            0.5 + static_cast<double>(at * stride % steps) / (steps - 1));
-}
-
-/*! @brief Counts of requests by result. */
-struct tally
-{
-    double requests{0};
-    double in_time{0};
-    double late{0};
-    double refused{0}; /*!< Also on the retry. */
-
-    [[nodiscard]] double in_time_fraction() const { return in_time / requests; }
-};
-
-/*! @brief How well client retries were distinguished from new ones. */
-struct recognition
-{
-    double new_clients{0};
-    double new_mistaken{0}; /*!< New, but taken for a retry. */
-    double retries{0};
-    double retries_missed{0}; /*!< A retry, but taken for new. */
-
-    [[nodiscard]] double recognised_fraction() const
-    {
-        return 1 - retries_missed / std::max(retries, 1.0);
-    }
-
-    [[nodiscard]] double mistaken_fraction() const
-    {
-        return new_mistaken / std::max(new_clients, 1.0);
-    }
-};
-
-/*! @brief Results in total, by kind, by second of the first request and by
- * entry. */
-struct result
-{
-    recognition retry_recognition;
-    tally all;
-    std::map<std::string, tally> kinds;
-    std::map<std::size_t, tally> seconds;
-    std::map<std::size_t, tally> entries;
-
-    /*! @brief Returns the sum over the seconds from `from` to before `to`. */
-    [[nodiscard]] tally between(std::size_t from, std::size_t to) const
-    {
-        tally sum;
-        for (const auto& [second, one] : seconds)
-        {
-            if (second < from || second >= to)
-                continue;
-            sum.requests += one.requests;
-            sum.in_time += one.in_time;
-            sum.late += one.late;
-            sum.refused += one.refused;
-        }
-        return sum;
-    }
-};
-
 /*! @brief One entry with its own view of the engines. */
 struct entry
 {
@@ -202,6 +81,7 @@
     static constexpr double other_hall_report_ms = 400;
     static constexpr double latency_ms = 3;
     static constexpr double poll_ms = 15;
+    static constexpr double min_copy_ms = 60;
     static constexpr double rates_interval_ms = 200;
     static constexpr double refusals_interval_ms = 15;
     static constexpr std::size_t max_refusals_sent = 48;
@@ -358,22 +238,11 @@
     void place(const request_ptr& one, double now)
     {
         auto& own_entry = entries[one->entry];
-        const auto& kind = pattern.kinds[one->kind];
-        cj::placement_request request;
-        request.service = profile.name;
-        request.model = "m";
-        request.min_version = 1;
-        request.prompt_tokens = one->prompt;
-        request.target = kind.target;
-        request.arrival = one->arrival;
-        request.waiting_since = at(one->arrived_ms);
-        request.deadline = at(one->first_arrival_ms + one->deadline_ms);
+        const auto request = placement_of(*one);
         const auto decision =
             own_entry.decisions->decide(profile, request, at(now));
         const cj::waiting_request queue_entry{
-            one->arrival.late,
-            at(one->first_arrival_ms +
-               static_cast<double>(kind.target.count())),
+            one->arrival.late, at(one->first_arrival_ms) + request.target,
             one->number};
         if (std::holds_alternative<cj::wait_for_slot>(decision))
         {
@@ -388,16 +257,36 @@
         refuse(one, std::get<cj::refuse_request>(decision), now);
     }
 
+    [[nodiscard]] cj::placement_request
+    placement_of(const simulated_request& one) const
+    {
+        cj::placement_request request;
+        request.uses_pace = pattern.uses_pace;
+        request.service = profile.name;
+        request.model = "m";
+        request.min_version = 1;
+        request.prompt_tokens = one.prompt;
+        request.target = pattern.kinds[one.kind].target;
+        request.arrival = one.arrival;
+        request.waiting_since = at(one.arrived_ms);
+        request.deadline = at(one.first_arrival_ms + one.deadline_ms);
+        return request;
+    }
+
     void send(const request_ptr& one, const cj::send_to& to, double now)
     {
         entries[one->entry].registry.begin_attempt(
-            to.choice.upstream, one->number, one->prompt, at(now));
+            to.choice.upstream, one->number, one->prompt, at(now),
+            to.choice.profiled_ms());
         one->engine = std::stoul(to.choice.upstream.value().substr(7));
         one->urgency = to.rank.value();
         one->unread_tokens = one->prompt;
         one->unwritten_tokens = one->answer_tokens;
         one->first_event_sent = false;
-        predicted[one->number] = {to.choice.uncorrected_ms, now};
+        predicted[one->number] = {to.choice, now};
+        if (pattern.sends_copies)
+            after(now + min_copy_ms,
+                  [this, one](double then) { check_overdue(one, then); });
         after(now + latency_ms,
               [this, one](double) { engines[one->engine].enqueue(one); });
     }
@@ -452,9 +341,13 @@
     {
         auto& registry = entries[one->entry].registry;
         registry.mark_first_event(id_of(one->engine), one->number);
-        const auto [expected, sent] = predicted[one->number];
-        registry.record_first_event_time(id_of(one->engine), expected,
-                                         now - sent);
+        const auto [choice, sent] = predicted[one->number];
+        registry.record_first_event_time(id_of(one->engine),
+                                         choice.uncorrected_ms, now - sent);
+        registry.record_pace(id_of(one->engine), choice.profiled_ms(),
+                             now - sent, at(now));
+        if (const auto twin = one->twin.lock())
+            cancel(twin, now);
         const auto took = now - one->first_arrival_ms + latency_ms;
         const bool in_time =
             took <=
@@ -463,6 +356,61 @@
               [in_time](tally& to) { ++(in_time ? to.in_time : to.late); });
     }
 
+    /*! @brief Sends a copy of a request whose first event is overdue, as the
+     * entry does. */
+    void check_overdue(const request_ptr& one, double now)
+    {
+        if (one->first_event_sent || !one->twin.expired() ||
+            predicted.count(one->number) == 0)
+            return;
+        auto& own_entry = entries[one->entry];
+        const auto [choice, sent] = predicted[one->number];
+        auto request = placement_of(*one);
+        const cj::awaited_first_event awaited{
+            static_cast<double>(request.target.count()),
+            sent - one->first_arrival_ms, now - sent, choice.predicted_ms,
+            choice.profiled_ms() *
+                cj::pace_of(*own_entry.registry.find(choice.upstream),
+                            at(now))};
+        const auto overload =
+            own_entry.decisions->overload_degree(profile, at(now));
+        request.excluded = {choice.upstream};
+        std::optional<cj::send_to> other;
+        if (cj::judge_awaited(awaited, overload) == cj::hedge_verdict::send)
+            other = own_entry.decisions->find_spare_upstream(
+                profile, request, awaited.left_ms(),
+                cj::hedge_options{}.max_fill, at(now));
+        if (!other)
+        {
+            if (awaited.left_ms() > 0)
+                after(now + 25,
+                      [this, one](double then) { check_overdue(one, then); });
+            return;
+        }
+        count(*one, [](tally& to) { ++to.copies; });
+        auto copy = std::make_shared<simulated_request>(*one);
+        copy->number = ++last_number;
+        copy->twin = one;
+        one->twin = copy;
+        send(copy, *other, now);
+    }
+
+    /*! @brief Cancels the copy that did not return the first event. */
+    void cancel(const request_ptr& one, double now)
+    {
+        one->twin.lock()->twin.reset();
+        one->twin.reset();
+        one->first_event_sent = true;
+        auto& registry = entries[one->entry].registry;
+        const auto [choice, sent] = predicted[one->number];
+        registry.record_pace(choice.upstream, choice.profiled_ms(), now - sent,
+                             at(now));
+        registry.cancel_attempt(choice.upstream, one->number);
+        predicted.erase(one->number);
+        after(now + latency_ms,
+              [this, one](double) { engines[one->engine].cancel(one); });
+    }
+
     void on_done(const request_ptr& one, double now)
     {
         entries[one->entry].registry.end_attempt(
@@ -479,8 +427,8 @@
             events.pop();
             call(now);
         }
-        for (auto& one : engines)
-            one.advance(now);
+        for (std::size_t at = 0; at < engines.size(); ++at)
+            engines[at].advance(now, slowness(at, now));
         // Reports are staggered, as the instances started at different times.
         for (std::size_t at = 0; at < engines.size(); ++at)
             if (is_due(now, own_hall_report_ms, at, 7))
@@ -505,6 +453,11 @@
                number * apart % length;
     }
 
+    [[nodiscard]] double slowness(std::size_t number, double now) const
+    {
+        return pattern.slowness ? pattern.slowness(number, now) : 1;
+    }
+
     void report(std::size_t number, double now, bool to_all_halls)
     {
         cj::message::upstream_status status;
@@ -515,6 +468,7 @@
         status.waiting = static_cast<std::uint32_t>(engines[number].queued());
         status.open = true;
         status.reachable = true;
+        status.pace = slowness(number, now);
         for (std::size_t to = 0; to < entries.size(); ++to)
             if (to_all_halls || hall_of(to) == hall_of(number))
                 entries[to].registry.apply_status(host_of(number), status,
@@ -590,7 +544,7 @@
     std::vector<simulated_engine> engines;
     std::vector<entry> entries;
     std::priority_queue<event, std::vector<event>, later> events;
-    std::map<std::uint64_t, std::pair<double, double>> predicted;
+    std::map<std::uint64_t, std::pair<cj::upstream_choice, double>> predicted;
     std::uint64_t last_number{0};
     std::uint64_t last_event{0};
     std::uint64_t sequence{0};
