Count pauses of streams that exceed the target of their route

Cause: an upstream that slows down while it streams makes answers late without a trace in metrics, and its pace was known from first events only. Ruled out: moving a stream after one long pause, which reads its prompt again while the pause is usually over by then. Change: on resumable streams of routes with a pause target, a pause beyond it is counted, the first of an attempt is logged (stream_slow), and the pace of the upstream is raised as by a late first event. Conclusion: the pace counts pauses; streams are not moved.

--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -48,6 +48,8 @@
     time_point last_event_at{};
     bool has_events{false};
     bool silent{false};    /*!< No event arrived in time. */
+    bool gap_known{false}; /*!< The pause since the last event was counted. */
+    bool gap_logged{false};
     bool in_flight{false}; /*!< The upstream has it and may run it. */
 };
 
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -245,6 +245,20 @@
                    {"target_ms", integer_text(awaited.target_ms)}});
 }
 
+/*! @brief Logs the first pause of an attempt that is longer than the target of
+ * its route. */
+inline void event_gap(const exchange& request, time_point now)
+{
+    const auto& attempt = request.attempt;
+    log::problem("stream_slow",
+                 {{"request", request.decoded.id.value()},
+                  {"upstream", attempt.choice.upstream.value()},
+                  {"events", std::to_string(attempt.events.event_count())},
+                  {"gap_ms", ms_between(attempt.last_event_at, now)},
+                  {"target_ms",
+                   std::to_string(request.route->event_gap_target.count())}});
+}
+
 /*! @brief Logs a silent attempt that returned an event before any other
  * upstream did. */
 inline void silence_ended(const exchange& request, time_point now)
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -25,6 +25,7 @@
 #include "coursejunction/proxy/attempt_end.hpp"
 #include "coursejunction/proxy/crash_guard.hpp"
 #include "coursejunction/proxy/crash_permission.hpp"
+#include "coursejunction/proxy/event_gap.hpp"
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
@@ -546,9 +547,10 @@
         if (!silence_rules::apply_to(request))
             return;
         const auto now = event_loop::now();
-        const auto due =
-            std::min(silence_rules::next_check(request, minimums, options, now),
-                     std::max(hedge_inputs::next_check(request, now), now));
+        const auto due = std::min(
+            {silence_rules::next_check(request, minimums, options, now),
+             std::max<time_point>(hedge_inputs::next_check(request, now), now),
+             std::max<time_point>(event_gap::exceeded_at(request), now)});
         request.silence_timer =
             loop.after(due - now,
                        [this, number = request.number]
@@ -588,6 +590,8 @@
         { return silence_rules::silent_from(attempt, options) <= now; };
         if (request.silent_attempt && is_silent(*request.silent_attempt))
             closer.mark_silent(request, *request.silent_attempt, now);
+        if (event_gap::exceeded_at(request) <= now)
+            on_event_gap(request, now);
         if (is_silent(request.attempt))
             on_silence(request, now);
         else
@@ -675,6 +679,23 @@
                    : hedge_verdict::over_budget;
     }
 
+    /*! @brief Counts and logs a pause that is longer than the route's target.
+     * It says of the pace of the upstream what a late first event says. */
+    void on_event_gap(exchange& request, time_point now)
+    {
+        auto& attempt = request.attempt;
+        constexpr double ms = 1000;
+        attempt.gap_known = true;
+        counters.count("event_gaps_exceeded_total");
+        book.record_pace(
+            attempt.choice.upstream,
+            event_gap::usual_ms(request,
+                                exchange_facts::service_profile_of(request)),
+            to_seconds(now - attempt.last_event_at) * ms, now);
+        if (!std::exchange(attempt.gap_logged, true))
+            exchange_log::event_gap(request, now);
+    }
+
     /*! @brief Returns whether a request may be at two upstreams at once. A
      * request that may crash upstreams may not. */
     [[nodiscard]] bool may_hedge(const exchange& request, time_point now) const
@@ -728,6 +749,7 @@
             on_first_event(request);
         request.attempt.last_event_at = event_loop::now();
         request.attempt.silent = false;
+        request.attempt.gap_known = false;
         begin_response(request);
         request.reply.write(events);
         arm_silence_timer(request);
--- a/tests/proxy/overdue_first_event.cpp
+++ b/tests/proxy/overdue_first_event.cpp
@@ -163,3 +163,29 @@
         CHECK(counted(entry, "outcome=\"no_upstream\""));
     }
 }
+
+SCENARIO("a pause that is longer than the target of the route", "[proxy]")
+{
+    entry_on_loopback entry;
+    loopback::pacing_peer slow(3, 450ms);
+    entry.add_upstream("a", slow.address);
+
+    SECTION("is counted each time")
+    {
+        configure(entry, 300ms);
+        CHECK(has_events(entry.ask(), 3));
+        CHECK(counted(entry, "event_gaps_exceeded_total 2"));
+    }
+    SECTION("is not counted where the events are in time")
+    {
+        configure(entry, 700ms);
+        CHECK(has_events(entry.ask(), 3));
+        CHECK_FALSE(counted(entry, "event_gaps_exceeded_total"));
+    }
+    SECTION("is not counted where there is no target")
+    {
+        configure(entry, 0ms);
+        CHECK(has_events(entry.ask(), 3));
+        CHECK_FALSE(counted(entry, "event_gaps_exceeded_total"));
+    }
+}
