--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -17,7 +17,6 @@
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/proxy/event_splitter.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
-#include "coursejunction/route/hedge_decision.hpp"
 #include "coursejunction/route/placement.hpp"
 
 namespace coursejunction
@@ -49,6 +48,8 @@
     time_point last_event_at{};
     bool has_events{false};
     bool silent{false};    /*!< No event arrived in time. */
+    bool gap_known{false}; /*!< The pause since the last event was counted. */
+    bool gap_logged{false};
     bool in_flight{false}; /*!< The upstream has it and may run it. */
 };
 
@@ -82,8 +83,7 @@
      * cancelled. */
     std::optional<upstream_attempt> silent_attempt;
     bool hedged{false}; /*!< A copy was sent as its first event was overdue. */
-    /*! @brief Why no copy was sent when its first event was overdue. */
-    std::optional<hedge_verdict> hedge_declined;
+    bool hedge_declined{false}; /*!< No copy was sent when it was overdue. */
     time_point failed_at{};
     timer silence_timer;
     bool is_trial{false}; /*!< This attempt tests whether a request whose
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -25,6 +25,7 @@
 #include "coursejunction/proxy/attempt_end.hpp"
 #include "coursejunction/proxy/crash_guard.hpp"
 #include "coursejunction/proxy/crash_permission.hpp"
+#include "coursejunction/proxy/event_gap.hpp"
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/proxy/exchange_log.hpp"
@@ -499,7 +500,8 @@
                           !is_superseded_soon(request, now) &&
                           !book.is_cold(choice.upstream, now);
         book.begin_attempt(choice.upstream, request.attempt.id,
-                           request.decoded.prompt_tokens, now);
+                           request.decoded.prompt_tokens, now,
+                           choice.profiled_ms());
         counters.count("attempts_total");
         exchange_log::sent(request, left);
         request.attempt.call =
@@ -553,9 +555,10 @@
         if (!silence_rules::apply_to(request))
             return;
         const auto now = event_loop::now();
-        const auto due =
-            std::min(silence_rules::next_check(request, minimums, options, now),
-                     std::max(hedge_inputs::next_check(request, now), now));
+        const auto due = std::min(
+            {silence_rules::next_check(request, minimums, options, now),
+             std::max<time_point>(hedge_inputs::next_check(request, now), now),
+             std::max<time_point>(event_gap::exceeded_at(request), now)});
         request.silence_timer =
             loop.after(due - now,
                        [this, number = request.number]
@@ -595,6 +598,8 @@
         { return silence_rules::silent_from(attempt, options) <= now; };
         if (request.silent_attempt && is_silent(*request.silent_attempt))
             closer.mark_silent(request, *request.silent_attempt, now);
+        if (event_gap::exceeded_at(request) <= now)
+            on_event_gap(request, now);
         if (is_silent(request.attempt))
             on_silence(request, now);
         else
@@ -635,8 +640,13 @@
         if (!hedge_inputs::apply_to(request))
             return;
         const auto& service = exchange_facts::service_profile_of(request);
+        const auto& choice = request.attempt.choice;
+        const auto* known = book.find(choice.upstream);
         const auto awaited = hedge_inputs::awaited_of(
-            request, request.attempt.choice.predicted_ms, now);
+            request,
+            known != nullptr ? choice.profiled_ms() * pace_of(*known, now)
+                             : choice.predicted_ms,
+            now);
         auto verdict = judge_awaited(
             awaited, decisions.overload_degree(service, now), hedging);
         std::optional<send_to> other;
@@ -644,15 +654,12 @@
             verdict = find_second_upstream(request, awaited, other, now);
         const bool declined = verdict != hedge_verdict::send;
         if (verdict == hedge_verdict::in_time ||
-            (declined && request.hedge_declined == verdict))
+            (declined && std::exchange(request.hedge_declined, true)))
             return;
         counters.count("first_event_hedges_total", 1,
                        {{"outcome", std::string(verdict_name(verdict))}});
         if (declined)
-        {
-            request.hedge_declined = verdict;
             return;
-        }
         request.hedged = true;
         exchange_log::hedged(request, awaited, other->choice);
         send_copy(request, *other);
@@ -680,6 +687,23 @@
                    : hedge_verdict::over_budget;
     }
 
+    /*! @brief Counts and logs a pause that is longer than the route's target.
+     * It says of the pace of the upstream what a late first event says. */
+    void on_event_gap(exchange& request, time_point now)
+    {
+        auto& attempt = request.attempt;
+        constexpr double ms = 1000;
+        attempt.gap_known = true;
+        counters.count("event_gaps_exceeded_total");
+        book.record_pace(
+            attempt.choice.upstream,
+            event_gap::usual_ms(request,
+                                exchange_facts::service_profile_of(request)),
+            to_seconds(now - attempt.last_event_at) * ms, now);
+        if (!std::exchange(attempt.gap_logged, true))
+            exchange_log::event_gap(request, now);
+    }
+
     /*! @brief Returns whether a request may be at two upstreams at once. A
      * request that may crash upstreams may not. */
     [[nodiscard]] bool may_hedge(const exchange& request, time_point now) const
@@ -733,6 +757,7 @@
             on_first_event(request);
         request.attempt.last_event_at = event_loop::now();
         request.attempt.silent = false;
+        request.attempt.gap_known = false;
         begin_response(request);
         request.reply.write(events);
         arm_silence_timer(request);
@@ -749,6 +774,8 @@
         book.record_first_event_time(request.attempt.choice.upstream,
                                      request.attempt.choice.uncorrected_ms,
                                      took * ms);
+        book.record_pace(request.attempt.choice.upstream,
+                         request.attempt.choice.profiled_ms(), took * ms, now);
         counters.observe("first_event_seconds", took);
         exchange_log::first_event(request, now);
     }
--- a/src/coursejunction/route/incarnation_start.hpp
+++ b/src/coursejunction/route/incarnation_start.hpp
@@ -46,6 +46,7 @@
     upstream.failures = 0;
     upstream.fault_share = 0;
     upstream.lateness = 1;
+    upstream.pace = {};
     upstream.avoid_until = {};
     upstream.terms = {};
     upstream.cold.extend_from(reported_at, cold_source::incarnation,
--- a/src/coursejunction/route/upstream_choice.hpp
+++ b/src/coursejunction/route/upstream_choice.hpp
@@ -4,6 +4,7 @@
 #ifndef COURSEJUNCTION_ROUTE_UPSTREAM_CHOICE_HPP
 #define COURSEJUNCTION_ROUTE_UPSTREAM_CHOICE_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -27,6 +28,12 @@
     engine_load load; /*!< What the prediction was based on. */
     /*! @brief Evacuated halls, whose upstreams were not considered. */
     std::size_t evacuated_halls{0};
+
+    /*! @brief Returns the prediction in ms for the profiled pace. */
+    [[nodiscard]] double profiled_ms() const
+    {
+        return uncorrected_ms / std::max(load.pace, 1.0);
+    }
 };
 
 /*! @brief Why no upstream was selected. */
--- a/tests/route/load_pattern.hpp
+++ b/tests/route/load_pattern.hpp
@@ -1,5 +1,5 @@
 /*! @file
- * @brief The load patterns that can be replayed, and their results.
+ * @brief The load patterns that can be replayed.
  */
 #ifndef COURSEJUNCTION_TESTS_ROUTE_LOAD_PATTERN_HPP
 #define COURSEJUNCTION_TESTS_ROUTE_LOAD_PATTERN_HPP
@@ -59,8 +59,13 @@
     cj::engine_profile engine{fast_engine_profile()};
     cj::dispatch_options options;
     cj::placement_options weights;
-    bool shares_rates{true}; /*!< Entries report their rates to each other. */
-    bool deadlines{true};    /*!< Clients send a deadline. */
+    /*! @brief Factor by which an engine is slower at a time in ms; 1 if empty.
+     */
+    std::function<double(std::size_t engine, double ms)> slowness;
+    bool uses_pace{false};    /*!< Predicts with the pace of engines. */
+    bool sends_copies{false}; /*!< Of requests whose first event is overdue. */
+    bool shares_rates{true};  /*!< Entries report their rates to each other. */
+    bool deadlines{true};     /*!< Clients send a deadline. */
     /*! @brief Deadlines of new clients are 6 s, shorter by up to this fraction.
      */
     double deadline_spread{0};
@@ -123,63 +128,6 @@
     return rules;
 }
 
-/*! @brief Counts of requests by result. */
-struct tally
-{
-    double requests{0};
-    double in_time{0};
-    double late{0};
-    double refused{0}; /*!< Also on the retry. */
-
-    [[nodiscard]] double in_time_fraction() const { return in_time / requests; }
-};
-
-/*! @brief How well client retries were distinguished from new ones. */
-struct recognition
-{
-    double new_clients{0};
-    double new_mistaken{0}; /*!< New, but taken for a retry. */
-    double retries{0};
-    double retries_missed{0}; /*!< A retry, but taken for new. */
-
-    [[nodiscard]] double recognised_fraction() const
-    {
-        return 1 - retries_missed / std::max(retries, 1.0);
-    }
-
-    [[nodiscard]] double mistaken_fraction() const
-    {
-        return new_mistaken / std::max(new_clients, 1.0);
-    }
-};
-
-/*! @brief Results in total, by kind, by second of the first request and by
- * entry. */
-struct result
-{
-    recognition retry_recognition;
-    tally all;
-    std::map<std::string, tally> kinds;
-    std::map<std::size_t, tally> seconds;
-    std::map<std::size_t, tally> entries;
-
-    /*! @brief Returns the sum over the seconds from `from` to before `to`. */
-    [[nodiscard]] tally between(std::size_t from, std::size_t to) const
-    {
-        tally sum;
-        for (const auto& [second, one] : seconds)
-        {
-            if (second < from || second >= to)
-                continue;
-            sum.requests += one.requests;
-            sum.in_time += one.in_time;
-            sum.late += one.late;
-            sum.refused += one.refused;
-        }
-        return sum;
-    }
-};
-
 } // namespace load_replay
 
 #endif
