Fault soak: hard load in parts that are enabled by name

Cause: the soak knows neither evacuated halls, cold upstreams, region restrictions, upstreams of uneven pace, nor callers that read late or disconnect, which docs/design/hard-load.md requires. Ruled out: a soak of its own, because the existing faults and checks must run beside the new load; draws from the soak's own dice, which would change the faults of kept seeds. Stand-ins record arrivals and running requests, take longer for each event on demand, and cut off answers that stay unread for 4 s.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -20,6 +20,9 @@
 CRASHING = b"this ends the engine"  # A body that ends each engine that begins to run it.
 CRASHING_PART = "bad0"  # A part of a prompt that ends each engine that begins an answer on it.
 CRASH_AFTER_S = 0.05
+LARGE_BODY = b"large"  # A body that is answered with large events.
+PADDING = "." * 524288  # The end of each of them.
+UNREAD_S = 4.0  # An answer that stays unread for longer is cut off.
 AWAY_S = 1.0
 
 
@@ -59,6 +62,8 @@
         self.host, self.port = host, port
         self.writers = set()
         self.listener = None
+        self.arrivals = []  # Requests of callers, with those that it does not run.
+        self.begun = []  # Requests that it began to run.
         self.framings = None  # Else it draws how its answers are framed.
         self.speaks = asyncio.Event()  # Else nothing is answered, on open connections.
         self.speaks.set()
@@ -350,6 +355,7 @@
 def noticing(upstream, asked):
     """Returns the headers that all answers to a request carry, and whether it is run."""
     signed = [f"X-Coursejunction-Attempt-Id: {asked}"]
+    upstream.arrivals.append((asyncio.get_running_loop().time(), asked))
     if upstream.notice is None:
         return signed, True
     more, runs = upstream.notice.take(asked)
@@ -377,6 +383,7 @@
         if headers.get("x-coursejunction-expect-instance") != self.id:
             return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
         self.runs[asked] = self.runs.get(asked, 0) + 1
+        self.begun.append((asyncio.get_running_loop().time(), asked))
         if body == CRASHING:
             return await self.end_under_request()
         if self.faults.random() < 0.03:
@@ -422,9 +429,10 @@
         self.sequence = 0
         self.ordered = False
         self.running = 0
+        self.active = []  # The requests that run.
+        self.slowness = 1.0  # How much longer than usual each event takes.
         self.misreads = 0  # Reads of whole staged weights that will fail.
         self.wrong_weights = []
-        self.begun = []
         self.crashed = []  # When a request ended it.
         self.part_arrivals = []  # When requests with the harmful part came.
         self.away = False
@@ -538,18 +546,20 @@
         await self.speaks.wait()
         life = self.born
         first = int(headers.get("last-event-id", "0")) + 1
-        events = [(at, f"id: {at}\ndata: {asked} {at}\n\n".encode())
+        padding = PADDING if body == LARGE_BODY else ""
+        events = [(at, f"id: {at}\ndata: {asked} {at}{padding}\n\n".encode())
                   for at in range(first, self.EVENTS + 1)]
         framing = "chunks" if self.framings is None else self.framings.of_stream()
         size = sum(len(event) for _, event in events)
         self.running += 1
+        self.active.append(asked)
         try:
             writer.write("\r\n".join([
                 "HTTP/1.1 200 X", *signed, "X-Coursejunction-Server-Signature: s",
                 f"X-Coursejunction-Weight-Versions: {version}",
                 "Content-Type: text/event-stream", *begin_of_stream(framing, size), "", ""]).encode())
             for at, event in events:
-                await asyncio.sleep(0.03)
+                await asyncio.sleep(0.03 * self.slowness)
                 await self.speaks.wait()
                 cut = self.version != version or life != self.born
                 if cut or self.faults.random() < 0.002:
@@ -557,15 +567,26 @@
                 if self.framings is not None and self.framings.breaks_inside():
                     return self.break_inside(framing, event, writer)
                 writer.write(part_of_stream(framing, event))
-                await writer.drain()
+                if not await self.is_read(writer, UNREAD_S if padding else None):
+                    return reset(writer)
             if framing == "chunks":
                 writer.write(b"0\r\n\r\n")
             elif framing == "connection":
                 writer.close()
         finally:
             self.running -= 1
+            self.active.remove(asked)
         return None
 
+    @staticmethod
+    async def is_read(writer, limit):
+        """Waits until the reader takes more; returns whether it did so in time."""
+        try:
+            await asyncio.wait_for(writer.drain(), limit)
+        except asyncio.TimeoutError:
+            return False
+        return True
+
     def break_off(self, framing, writer):
         """Between two events. An orderly end there is a whole answer to a reader that
         knows of no other end."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,6 +27,8 @@
     soak.py ... --crashing --blackout    all entries lose power at once while its copies come
     soak.py ... --standstill S     the whole machine stands still for S s, again and again,
                                        while the end is judged
+    soak.py ... --hard-load [PARTS]    short and uneven capacity in two or three halls: all of these parts,
+                                       or those named: evacuation,cold,regions,pace,readers
     soak.py ... --halls N --entries N --sides N    more processes
 
 Entries and sides run as processes of their own; faults come from outside them:
@@ -52,10 +54,11 @@
     judge_bystanders, judge_crashes, lose_all_entries, prompt_of, send_copies, send_copies_widely,
     send_crashing_part)
 from framings import Framings
+from hard_load import PARTS, HardLoad, parts_of_option
 from knowledge import Knowledge, fetch, judge_rest
 from links import HallLink, Proxy
 from notices import give_notices, judge_notices
-from platform_standin import MODEL, Engine, Origin, Service, Store
+from platform_standin import LARGE_BODY, MODEL, PADDING, Engine, Origin, Service, Store
 from process import LATE_S, Daemon, free_port
 from rewinds import drain_engines, give_orders, play_late_writes, play_rewinds
 from silences import KEEPERS, KEPT_S, Faultless, judge_silences, play_silences
@@ -87,8 +90,10 @@
         # What happens at a moment that the processes choose must not change the
         # faults; kept seeds of runs without links were drawn from one dice.
         self.judges_acknowledged = bool(asked.rewinds or asked.late_writes or asked.unheard)
-        self.noise = random.Random(seed + 1) if self.rate or self.judges_acknowledged else self.dice
-        self.halls, self.links, self.large = HALLS[:asked.halls], {}, 0
+        apart = self.rate or self.judges_acknowledged or asked.hard_load
+        self.noise = random.Random(seed + 1) if apart else self.dice
+        self.hard = HardLoad(self, HALLS[:asked.halls], HALLS)
+        self.halls, self.links, self.large = self.hard.halls, {}, 0
         if self.rate:
             self.draw_links()
         self.temporary = tempfile.TemporaryDirectory(prefix="coursejunction-soak-")
@@ -167,7 +172,8 @@
         self.proxies[name] = proxy
         status = free_port(host)
         made = Daemon(self, name, hall, (
-            f"[instance]\nid={name}\nrole={role}\naddress={host}\nhall={hall}\nregion={hall}\n"
+            f"[instance]\nid={name}\nrole={role}\naddress={host}\nhall={hall}\n"
+            f"region={self.hard.region(hall)}\n{self.hard.settings()}"
             f"[peers]\nports={port},{port}\nseeds=127.0.1.1:{port},127.0.1.2:{port}\n"
             f"[store]\naddress={proxy.address()}\n{more}"
             f"[bounds]\nversion_time=8000ms\nstop_grace=8s\n[status]\nport={status}\n"))
@@ -182,6 +188,7 @@
             rules["routes"] += [newest_route(self.configuration), *LARGE_ROUTES[:self.large]]
         if self.judges_acknowledged:
             rules["tenants"][0]["apiKeys"].append(newest_key(self.configuration))
+        self.hard.extend(rules)
         return rules
 
     async def tell_upstreams(self):
@@ -212,7 +219,8 @@
     def told_alike(self, one):
         """With rewinds heartbeats count, so that a copy lacks many revisions."""
         beats = asyncio.get_running_loop().time() / HEARTBEAT_S if self.asked.rewinds else 0
-        return {"version": "v1", "coldRemainingMs": 0, "sequence": 1 + int(beats), "born": one.born}
+        return {"version": "v1", "coldRemainingMs": self.hard.cold_ms(one), "sequence": 1 + int(beats),
+                "born": one.born}
 
     async def keep_records(self):
         while not self.stopping:
@@ -245,19 +253,25 @@
         if writer is not None:
             writer.close()
 
-    async def ask(self, reader, writer, asked, single):
-        path = "/note/x" if single else "/chat/x"
-        lines = [f"POST {path} HTTP/1.1", "Host: a.example", "Authorization: Token key",
-                 f"X-Coursejunction-Attempt-Id: {asked}", "Content-Length: 2",
+    def request(self, asked, single, path=None, key="key", body="hi"):
+        path = path or ("/note/x" if single else "/chat/x")
+        lines = [f"POST {path} HTTP/1.1", "Host: a.example", f"Authorization: Token {key}",
+                 f"X-Coursejunction-Attempt-Id: {asked}", f"Content-Length: {len(body)}",
                  f"X-Coursejunction-Deadline-Ms: {2000 if single else 6000}"]
         if not single:
             lines += [f"X-Coursejunction-Model: {MODEL}", "X-Coursejunction-Token-Usage: 100,60"]
         if not single and self.asked.crashing_part:
             lines.append(prompt_of(asked, self.prompts))
+        return ("\r\n".join(lines) + f"\r\n\r\n{body}").encode()
+
+    async def ask(self, reader, writer, asked, single, path=None, key="key", body="hi", read_after=0.0):
+        """Sends a request, and reads its answer after a while; returns whether the connection
+        can be kept."""
         clock = asyncio.get_running_loop().time
         begun = clock()
         try:
-            writer.write(("\r\n".join(lines) + "\r\n\r\nhi").encode())
+            writer.write(self.request(asked, single, path, key, body))
+            await asyncio.sleep(read_after)
             status, headers, text, whole = await asyncio.wait_for(self.read(reader), 9)
         except asyncio.TimeoutError:
             self.count("silent")
@@ -271,6 +285,9 @@
         self.answers[asked] = (status, single)
         if not whole:
             self.cut.add(asked)
+        if body == LARGE_BODY.decode():
+            # A large event comes in several chunks, so that a cut leaves a part of the last one.
+            text = (text if whole else text[:text.rfind("\n\n") + 2]).replace(PADDING, "")
         self.judge(asked, single, status, headers, text, whole)
         return whole and headers.get("connection", "").lower() != "close"
 
@@ -319,7 +336,7 @@
         if headers.get("transfer-encoding") != "chunked":
             body = await reader.readexactly(int(headers.get("content-length", "0")))
             return status, headers, body.decode(), True
-        text = b""
+        text = bytearray()
         try:
             while size := int(await reader.readline() or b"-", 16):
                 text += await reader.readexactly(size)
@@ -467,6 +484,7 @@
             self.tasks.append(asyncio.create_task(send(self)))
         if self.asked.notices:
             self.tasks.append(asyncio.create_task(give_notices(self)))
+        self.tasks += self.hard.start()
         if self.asked.blackout:
             self.tasks.append(asyncio.create_task(lose_all_entries(self)))
         if self.judges_acknowledged:
@@ -547,7 +565,7 @@
         before = dict(self.counts)
 
         def unserved():
-            return [kind for kind in ("chat 200", "note 200")
+            return [kind for kind in ("chat 200", "note 200", *self.hard.awaited)
                     if self.counts.get(kind, 0) - before.get(kind, 0) < 10]
         while unserved() and not past(2 * SETTLE_S):
             await asyncio.sleep(0.2)
@@ -574,6 +592,7 @@
                 self.broken("refused", f"{asked} began and got {status}")
         judge_crashes(self)
         judge_notices(self)
+        self.hard.judge()
         self.acknowledged.judge()
         for one in self.engines:
             if one.wrong_weights:
@@ -626,6 +645,7 @@
     parser.add_argument("--silences", action="store_true")
     parser.add_argument("--unframed", action="store_true")
     parser.add_argument("--stops", action="store_true")
+    parser.add_argument("--hard-load", nargs="?", type=parts_of_option, const=PARTS)
     parser.add_argument("--suspending", action="store_true")
     parser.add_argument("--wide", action="store_true")
     parser.add_argument("--blackout", action="store_true")
