--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -509,6 +509,7 @@
             await play_unheard(self, self.asked.unheard)
         if self.asked.standstill:
             self.tasks.append(asyncio.create_task(self.stand_still_while_judged()))
+        await self.hard.finish()
         await self.settle()
         await judge_rest(self)
         if self.asked.crashing or self.asked.crashing_part:
