Log, count and measure the slots reserved for more urgent requests

Cause: a caller that was refused because free slots are reserved got the same reason in the log as one that no engine could serve in time. Ruled out: a line of its own for each decision, as request_refused already has one line for each refusal. Change: request_refused states the rank, the reserve, its inputs and the age of the rates; requests_refused_by_reason_total and gauges reserved_slots and rank_served_ratio by rank. The reserve has a limit of its own, so that placement can tell it from the others. Conclusion: why a caller was refused can be read from one line.

--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -87,6 +87,21 @@
             request.number};
 }
 
+/*! @brief Returns the record by which a client retry of a refused request is
+ * recognised. */
+[[nodiscard]] inline refusal_record
+refusal_of(const exchange& request, milliseconds retry_after, time_point now)
+{
+    refusal_record refusal;
+    refusal.fingerprint = request.fingerprint;
+    refusal.first_arrival = request.arrived_at - request.arrival.history.waited;
+    if (request.decoded.deadline)
+        refusal.deadline = request.arrived_at + *request.decoded.deadline;
+    refusal.refused_at = now;
+    refusal.retry_at = now + retry_after;
+    return refusal;
+}
+
 [[nodiscard]] inline bool forwards_events(const exchange& request,
                                           const upstream_attempt& attempt)
 {
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -4,6 +4,7 @@
 #define COURSEJUNCTION_PROXY_EXCHANGE_LOG_HPP
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,6 +22,15 @@
     return std::to_string(static_cast<std::int64_t>(value));
 }
 
+/*! @brief Returns a number as text, with two digits after the point. */
+[[nodiscard]] inline std::string hundredths_text(double value)
+{
+    constexpr double scale = 100;
+    constexpr std::size_t digits = 2;
+    const auto text = std::to_string(std::round(value * scale) / scale);
+    return text.substr(0, text.find('.') + 1 + digits);
+}
+
 /*! @brief Returns the milliseconds between two times as text. */
 [[nodiscard]] inline std::string ms_between(time_point from, time_point to)
 {
@@ -65,6 +75,7 @@
           reason.next_send_at
               ? "all upstreams are backing off or at their rate limit"
           : reason.usable == 0 ? "no usable upstream"
+          : reason.reserved ? "free slots are reserved for more urgent requests"
           : request.arrival.late
               ? "client retry is too late for its target, no upstream is free"
               : "no upstream would meet the target"},
@@ -74,6 +85,13 @@
           std::string(evidence_name(request.arrival.history.known_by))},
          {"usable", std::to_string(reason.usable)},
          {"least_ms", integer_text(reason.least_ms)},
+         {"rank", rank_text(request.arrival.rank)},
+         {"reserved_slots", hundredths_text(reason.reserve.slots)},
+         {"urgent_per_second",
+          hundredths_text(reason.reserve.urgent_per_second)},
+         {"served_ratio", hundredths_text(reason.reserve.served_ratio)},
+         {"overload", hundredths_text(reason.reserve.degree)},
+         {"rates_age_ms", integer_text(reason.reserve.rates_age_ms)},
          {"target_ms",
           std::to_string(request.route->first_event_target.count())},
          {"retry_after_ms", std::to_string(retry_after.count())}});
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -31,6 +31,7 @@
 #include "coursejunction/proxy/notice_intake.hpp"
 #include "coursejunction/proxy/open_exchanges.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
+#include "coursejunction/proxy/request_metrics.hpp"
 #include "coursejunction/proxy/retry_budgets.hpp"
 #include "coursejunction/route/dispatcher.hpp"
 #include "coursejunction/route/placement_queue.hpp"
@@ -120,7 +121,11 @@
 
     /*! @brief Drops refusals whose client retries are no longer expected; to be
      * called periodically. */
-    void expire(time_point now) { decisions.expire(now); }
+    void expire(time_point now)
+    {
+        decisions.expire(now);
+        request_metrics::set_reserves(counters, decisions, configuration, now);
+    }
 
     /*! @brief Returns whether an upstream has an engine that accepts new
      * requests. These engines are divided between the entries. */
@@ -290,11 +295,7 @@
             *request.route, exchange_facts::service_profile_of(request),
             request.fingerprint, request.decoded.deadline, request.arrived_at,
             request.owner);
-        if (request.arrival.is_retry())
-            counters.count(
-                "requests_returned_total", 1,
-                {{"known_by", std::string(evidence_name(
-                                  request.arrival.history.known_by))}});
+        request_metrics::count_arrival(counters, request.arrival);
         return 0;
     }
 
@@ -512,6 +513,7 @@
     void refuse(exchange& request, const refuse_request& refusal)
     {
         exchange_log::refused(request, refusal.reason, refusal.retry_after);
+        request_metrics::count_refusal(counters, request, refusal.reason);
         send_refusal(request, refusal.retry_after);
     }
 
@@ -531,15 +533,8 @@
     void record_refusal(const exchange& request, milliseconds retry_after)
     {
         const auto now = event_loop::now();
-        refusal_record refusal;
-        refusal.fingerprint = request.fingerprint;
-        refusal.first_arrival =
-            request.arrived_at - request.arrival.history.waited;
-        if (request.decoded.deadline)
-            refusal.deadline = request.arrived_at + *request.decoded.deadline;
-        refusal.refused_at = now;
-        refusal.retry_at = now + retry_after;
-        decisions.record_refusal(refusal, now);
+        decisions.record_refusal(
+            exchange_facts::refusal_of(request, retry_after, now), now);
     }
 
     // --- One attempt -----------------------------------------------------
--- /dev/null
+++ b/src/coursejunction/proxy/request_metrics.hpp
@@ -0,0 +1,58 @@
+/*! @file
+ * @brief Metrics of arriving and refused requests. */
+#ifndef COURSEJUNCTION_PROXY_REQUEST_METRICS_HPP
+#define COURSEJUNCTION_PROXY_REQUEST_METRICS_HPP
+
+#include <memory>
+#include <string>
+
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/route/dispatcher.hpp"
+
+namespace coursejunction::request_metrics
+{
+
+/*! @brief Counts a request that is recognised as a client retry. */
+inline void count_arrival(metrics& counters, const arrival_state& arrival)
+{
+    if (arrival.is_retry())
+        counters.count("requests_returned_total", 1,
+                       {{"known_by", std::string(evidence_name(
+                                         arrival.history.known_by))}});
+}
+
+/*! @brief Counts a refused request by the reason of its refusal. */
+inline void count_refusal(metrics& counters, const exchange& request,
+                          const placement_failure& failure)
+{
+    const auto* reason = failure.reserved       ? "reserved"
+                         : failure.usable == 0  ? "no_upstream"
+                         : request.arrival.late ? "late"
+                                                : "full";
+    counters.count(
+        "requests_refused_by_reason_total", 1,
+        {{"reason", reason}, {"rank", rank_text(request.arrival.rank)}});
+}
+
+/*! @brief Sets the gauges of the slots that each rank leaves free.
+ * @param rules The configuration; null if there is none yet. */
+inline void set_reserves(metrics& counters, const dispatcher& decisions,
+                         const std::shared_ptr<const installation>& rules,
+                         time_point now)
+{
+    if (!rules)
+        return;
+    for (const auto& one : decisions.reserves_by_rank(*rules, now))
+    {
+        const metrics::labels labels{{"service", one.service.value()},
+                                     {"rank", rank_text(one.rank)}};
+        counters.set("reserved_slots", one.reserved.slots * one.reserved.degree,
+                     labels);
+        counters.set("rank_served_ratio", one.reserved.served_ratio, labels);
+    }
+}
+
+} // namespace coursejunction::request_metrics
+
+#endif
--- a/src/coursejunction/route/admission.hpp
+++ b/src/coursejunction/route/admission.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
 #include "coursejunction/route/priority.hpp"
+#include "coursejunction/route/reserved_slots.hpp"
 #include "coursejunction/route/smoothed_rate.hpp"
 
 namespace coursejunction
@@ -77,6 +78,10 @@
     double typical_first_event_ms{std::numeric_limits<double>::infinity()};
     /*! @brief Largest number of requests already at the upstream. */
     double max_in_flight{std::numeric_limits<double>::infinity()};
+    /*! @brief Largest number of requests already at the upstream with which it
+     * has slots that are not reserved for more urgent requests. */
+    double unreserved_in_flight{std::numeric_limits<double>::infinity()};
+    reserved_slots reserved;
     /*! @brief Whether only slots of this entry's share of the engine may be
      * used. */
     bool own_share_only{false};
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -50,6 +50,14 @@
     slot_reserve_options reserve;
 };
 
+/*! @brief What requests of one rank leave free, for the metrics. */
+struct rank_reserve
+{
+    service_name service;
+    request_rank rank;
+    reserved_slots reserved;
+};
+
 /*! @brief The request is sent to an upstream. */
 struct send_to
 {
@@ -182,6 +190,7 @@
      * entries together. */
     void set_other_entries_rates(const request_rates& reported, time_point now)
     {
+        rates_set_at = now;
         constexpr double min_refused_per_second = 0.1;
         if (reported.refused > min_refused_per_second)
             client_retries.note_other_entries_refusals(now);
@@ -189,6 +198,32 @@
             admissions.at(name).set_other_entries_rates(reported);
     }
 
+    /*! @brief Returns what each rank leaves free. Nothing for a service all of
+     * whose requests have one rank. */
+    [[nodiscard]] std::vector<rank_reserve>
+    reserves_by_rank(const installation& rules, time_point now) const
+    {
+        std::vector<rank_reserve> all;
+        for (const auto& [name, order] : rank_orders)
+        {
+            const auto* service = rules.service(name);
+            const auto reserve = reserves.find(name);
+            if (service == nullptr || order.size() < 2 ||
+                reserve == reserves.end())
+                continue;
+            const auto degree = admissions.at(name).overload_degree(now);
+            const auto scale = scale_of(*service, now);
+            for (const auto& rank : order.all())
+            {
+                auto reserved =
+                    reserve->second.reserve(*service->engine, rank, scale, now);
+                reserved.degree = degree;
+                all.push_back({name, rank, reserved});
+            }
+        }
+        return all;
+    }
+
     /*! @brief Decides what to do with a request; called again while it waits.
      */
     [[nodiscard]] dispatch decide(const service_profile& service,
@@ -254,9 +289,11 @@
         if (degree <= 0 || request.bypasses_limits)
             return result;
         const auto& reserve = reserve_of(service);
-        const auto reserved =
+        auto reserved =
             reserve.reserve(engine, rank, scale_of(service, now), now);
-        return reserve.restrict(result, engine, reserved, degree);
+        reserved.degree = degree;
+        reserved.rates_age_ms = to_seconds(now - rates_set_at) * ms_per_second;
+        return reserve.restrict(result, engine, reserved);
     }
 
     /*! @brief Returns how this entry's requests for a service relate to those
@@ -342,11 +379,14 @@
             options.admission.min_retry_after);
     }
 
+    static constexpr double ms_per_second = 1000;
+
     const upstream_registry& registry;
     placer placement;
     dispatch_options options;
     retry_detector client_retries;
     std::map<service_name, admission> admissions;
+    time_point rates_set_at{};
     std::map<service_name, slot_reserve> reserves; /*!< Of `engine_services`. */
     std::map<service_name, rank_order> rank_orders;
     std::set<service_name> engine_services; /*!< Those run by engines. */
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -120,6 +120,7 @@
         std::optional<upstream_choice> best;
         double least_cost = 0;
         failure = {};
+        failure.reserve = request.limits.reserved;
         auto all = candidates(registry, service, request, now);
         if (all.empty() && request.may_reuse_excluded)
         {
@@ -150,6 +151,12 @@
             ++failure.usable;
             if (!fits(upstream, service, request, load, predicted))
                 continue;
+            if (load.running + load.waiting >
+                request.limits.unreserved_in_flight)
+            {
+                failure.reserved = true;
+                continue;
+            }
             const auto cost = predicted + penalty(upstream, now);
             if (best && cost >= least_cost)
                 continue;
--- a/src/coursejunction/route/priority.hpp
+++ b/src/coursejunction/route/priority.hpp
@@ -96,6 +96,9 @@
                         size() - 1);
     }
 
+    /*! @brief Returns the ranks, the most urgent first. */
+    [[nodiscard]] const std::vector<request_rank>& all() const { return ranks; }
+
 private:
     std::vector<request_rank> ranks;
 };
--- a/src/coursejunction/route/slot_reserve.hpp
+++ b/src/coursejunction/route/slot_reserve.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/route/admission.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
 #include "coursejunction/route/priority.hpp"
+#include "coursejunction/route/reserved_slots.hpp"
 #include "coursejunction/route/smoothed_rate.hpp"
 
 namespace coursejunction
@@ -56,18 +57,6 @@
     std::size_t engines{1};
 };
 
-/*! @brief The result for one request, with its inputs. */
-struct reserved_slots
-{
-    double slots{0};             /*!< At one engine. */
-    double urgent_per_second{0}; /*!< More urgent requests, at one engine. */
-    double served_ratio{1};      /*!< How often its rank is served, relative to
-                                    all requests. */
-    /*! @brief Less urgent requests for one that is not, at most 1. The engine
-     * takes a waiting request before those of less urgent ranks. */
-    double overtaken{0};
-};
-
 /*! @brief Observes the requests of one service at this entry by rank. */
 class slot_reserve
 {
@@ -139,12 +128,10 @@
 
     /*! @brief Returns the limits of a request that leaves slots free for more
      * urgent ones and overtakes less urgent ones.
-     * @param limits Those that apply to all ranks.
-     * @param degree Degree of overload, 0 to 1. */
-    [[nodiscard]] admission_limits restrict(admission_limits limits,
-                                            const engine_profile& engine,
-                                            const reserved_slots& reserved,
-                                            double degree) const
+     * @param limits Those that apply to all ranks. */
+    [[nodiscard]] admission_limits restrict(
+        admission_limits limits, const engine_profile& engine,
+        const reserved_slots& reserved) const
     {
         const auto slots = static_cast<double>(engine.slots);
         const auto slot_ms = slot_occupancy_ms(engine) / slots;
@@ -156,10 +143,10 @@
                                                0.0, slots)
                                   : 0.0;
         if (reserved.slots > 0)
-            limits.max_in_flight =
-                std::min(limits.max_in_flight,
-                         slots - 1 + may_wait - degree * reserved.slots);
-        const auto overtaken = degree * reserved.overtaken;
+            limits.unreserved_in_flight =
+                slots - 1 + may_wait - reserved.degree * reserved.slots;
+        const auto overtaken = reserved.degree * reserved.overtaken;
+        limits.reserved = reserved;
         limits.share_excess = overtaken * may_wait;
         const auto allowance =
             overtaken * options.overtaking_allowance * slot_ms;
--- a/src/coursejunction/route/upstream_choice.hpp
+++ b/src/coursejunction/route/upstream_choice.hpp
@@ -11,6 +11,7 @@
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
+#include "coursejunction/route/reserved_slots.hpp"
 
 namespace coursejunction
 {
@@ -35,6 +36,10 @@
     /*! @brief When the first upstream accepts a request of this entry again, if
      * all suitable ones are in a back-off or at their rate limits. */
     std::optional<time_point> next_send_at;
+    /*! @brief An upstream would have taken it if it had been as urgent as any.
+     */
+    bool reserved{false};
+    reserved_slots reserve; /*!< What it had to leave free. */
 };
 
 } // namespace coursejunction
--- a/tests/route/slot_reserve.cpp
+++ b/tests/route/slot_reserve.cpp
@@ -87,18 +87,19 @@
         cj::slot_reserve equal;
         equal.record_arrival(least, start);
         equal.record_refusal(least, start);
-        const auto reserved = equal.reserve(engine, least, one_engine, start);
+        auto reserved = equal.reserve(engine, least, one_engine, start);
         THEN("no limit changes")
         {
             CHECK(reserved.slots == 0);
             CHECK(reserved.overtaken == 0);
+            reserved.degree = 1;
             cj::admission_limits limits;
             limits.first_event_ms = 460;
             limits.typical_first_event_ms = 400;
-            const auto same = equal.restrict(limits, engine, reserved, 1);
+            const auto same = equal.restrict(limits, engine, reserved);
             CHECK(same.first_event_ms == 460);
             CHECK(same.typical_first_event_ms == 400);
-            CHECK(same.max_in_flight == limits.max_in_flight);
+            CHECK(same.unreserved_in_flight == limits.unreserved_in_flight);
             CHECK(same.share_excess == 0);
         }
     }
@@ -116,11 +117,14 @@
 
     THEN("the reserve grows with the degree of overload")
     {
-        const auto none = reserve.restrict(limits, engine, reserved, 0);
-        const auto half = reserve.restrict(limits, engine, reserved, 0.5);
-        const auto full = reserve.restrict(limits, engine, reserved, 1);
-        CHECK(none.max_in_flight - half.max_in_flight == Approx(1));
-        CHECK(none.max_in_flight - full.max_in_flight == Approx(2));
+        const auto room = [&](double degree)
+        {
+            reserved.degree = degree;
+            return reserve.restrict(limits, engine, reserved)
+                .unreserved_in_flight;
+        };
+        CHECK(room(0) - room(0.5) == Approx(1));
+        CHECK(room(0) - room(1) == Approx(2));
     }
     THEN("a late request gets no slot that a more urgent one needs")
     {
@@ -130,9 +134,10 @@
             control.record_arrival(400ms, start + number * 20ms);
             control.record_refusal(start + number * 20ms);
         }
+        reserved.degree = control.overload_degree(start + 1s);
         const auto late = reserve.restrict(
             control.limits(engine, 400ms, 2s, start + 1s, least), engine,
-            reserved, control.overload_degree(start + 1s));
+            reserved);
         CHECK(late.max_in_flight <= 12 - 1 - reserved.slots);
     }
 }
