Let urgent requests use more of other entries' shares under overload

Cause: the most urgent requests were refused at entries whose own share of the engines was full, while engines of other entries had slots left free for them. Change: requests that overtake others may use 0.75 of the slots of engines of which the entry holds no share, and twice as many beyond its share.

--- a/src/coursejunction/route/slot_reserve.hpp
+++ b/src/coursejunction/route/slot_reserve.hpp
@@ -44,7 +44,14 @@
     /*! @brief How much later than predicted the first event of a request may be
      * that overtakes others, as a fraction of the time in which a slot becomes
      * free: the prediction counts the requests that it overtakes. */
-    double overtaking_allowance{0.5};
+    double overtaking_allowance{0.4};
+    /*! @brief Fraction of its slots up to which an engine accepts requests that
+     * overtake others, of entries that hold no share of it. With all slots,
+     * several entries send to the same one. */
+    double overtaking_unowned_fraction{0.75};
+    /*! @brief Requests that may overtake others beyond an entry's share of an
+     * engine, for each that may wait there. */
+    double overtaking_excess{2};
 };
 
 /*! @brief How this entry's requests for a service relate to those of all
@@ -147,7 +154,11 @@
                 slots - 1 + may_wait - reserved.degree * reserved.slots;
         const auto overtaken = reserved.degree * reserved.overtaken;
         limits.reserved = reserved;
-        limits.share_excess = overtaken * may_wait;
+        limits.share_excess = overtaken * may_wait * options.overtaking_excess;
+        limits.unowned_fraction +=
+            overtaken * std::max(options.overtaking_unowned_fraction -
+                                     limits.unowned_fraction,
+                                 0.0);
         const auto allowance =
             overtaken * options.overtaking_allowance * slot_ms;
         limits.first_event_ms += allowance;
--- a/tests/route/slot_reserve.cpp
+++ b/tests/route/slot_reserve.cpp
@@ -101,6 +101,7 @@
             CHECK(same.typical_first_event_ms == 400);
             CHECK(same.unreserved_in_flight == limits.unreserved_in_flight);
             CHECK(same.share_excess == 0);
+            CHECK(same.unowned_fraction == limits.unowned_fraction);
         }
     }
 }
