--- a/src/coursejunction/route/upstream_choice.hpp
+++ b/src/coursejunction/route/upstream_choice.hpp
@@ -12,6 +12,7 @@
 
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/route/engine_estimate.hpp"
+#include "coursejunction/route/reserved_slots.hpp"
 
 namespace coursejunction
 {
@@ -57,6 +58,10 @@
         return evacuated_halls > 0 && next_send_at == time_point::max();
     }
     std::size_t held_back{0}; /*!< Upstreams that are cold and get none now. */
+    /*! @brief An upstream would have taken it if it had been as urgent as any.
+     */
+    bool reserved{false};
+    reserved_slots reserve; /*!< What it had to leave free. */
 };
 
 } // namespace coursejunction
