Bound what clients leave unread, and let calls pause

Cause: a connection could hold 8 MiB for a client that does not read, and nothing bounded all connections together or told the source of a response to wait. The kernel's send buffer of up to 4 MiB each came on top. Ruled out: one smaller bound for each connection, as it would cut clients that read slowly while memory is free. Change: unsent_budget counts queued bytes over all connections of a server; beyond stream_server::limit_unsent the slowest reader is reset. stream_reply tells when its output has drained, and stream_client pauses and resumes calls. TCP_NOTSENT_LOWAT bounds what the kernel holds. Queued parts are joined, large ones written in pieces, so that progress shows. The names of enumerators moved out of stream_client.cpp. Conclusion: without a call of limit_unsent or pause only the kernel's share and the size of single writes differ.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include "coursejunction/net/event_loop.hpp"
@@ -30,6 +31,18 @@
  * above this the connection is closed. The largest complete response fits. */
 constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20U;
 
+/*! @brief Largest part of a response that is written at a time, so that it
+ * shows whether the client takes it, and size up to which queued parts are
+ * joined. Joined parts need fewer system calls and no allocation each. */
+constexpr std::size_t max_write_bytes = 65'536;
+constexpr std::size_t joined_bytes = 16'384;
+
+/*! @brief TCP_NOTSENT_LOWAT: bytes that the kernel accepts beyond what the
+ * client's window and the link allow it to send. The kernel's default is a send
+ * buffer of up to 4 MiB for each client, which counts towards the memory of the
+ * process. */
+constexpr int kernel_unsent_bytes = 32'768;
+
 /*! @brief TCP_USER_TIMEOUT: the kernel drops the connection when sent data
  * stays unacknowledged for this long. */
 constexpr int user_timeout_ms = 10'000;
@@ -55,6 +68,7 @@
 stream_reply::target::~target()
 {
     count_answer_ended();
+    server->unsent.erase(this);
     server->connections.erase(this);
 }
 
@@ -65,6 +79,9 @@
     const int limit = internal::user_timeout_ms;
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
                  sizeof limit);
+    const int unsent_limit = internal::kernel_unsent_bytes;
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                 &unsent_limit, sizeof unsent_limit);
     const auto peer = socket.remote_endpoint(ignored);
     peer_address =
         peer.address().to_string() + ":" + std::to_string(peer.port());
@@ -131,9 +148,18 @@
         return;
     count_answer_ended();
     disconnect_callback = nullptr;
+    drained_callback = nullptr;
     close_when_sent(close_reason::cut);
 }
 
+void stream_reply::target::drop(std::uint64_t request_number)
+{
+    if (!is_current(request_number))
+        return;
+    disconnect_callback = nullptr;
+    close(close_reason::unsent);
+}
+
 void stream_reply::target::on_disconnect(std::uint64_t request_number,
                                          std::function<void()> call)
 {
@@ -141,6 +167,16 @@
         disconnect_callback = std::move(call);
 }
 
+void stream_reply::target::on_drained(std::uint64_t request_number,
+                                      std::size_t below,
+                                      std::function<void()> call)
+{
+    if (!is_current(request_number))
+        return;
+    drained_below = below;
+    drained_callback = std::move(call);
+}
+
 std::size_t stream_reply::target::unsent(std::uint64_t request_number) const
 {
     return is_current(request_number) ? unsent_bytes : 0;
@@ -286,6 +322,7 @@
 {
     count_answer_ended();
     disconnect_callback = nullptr;
+    drained_callback = nullptr;
     if (last)
         return close_when_sent(close_reason::response);
     next_request();
@@ -362,20 +399,52 @@
     if (state == phase::closed)
         return;
     unsent_bytes += bytes.size();
-    output.push_back(std::move(bytes));
+    server->unsent.add(this, bytes.size(), event_loop::now());
+    // The first block is being written and must not change.
+    if (output.size() > 1 &&
+        output.back().size() + bytes.size() <= internal::joined_bytes)
+        output.back() += bytes;
+    else
+        output.push_back(std::move(bytes));
     if (output.size() == 1)
         write_next();
+    enforce_total();
+}
+
+void stream_reply::target::enforce_total()
+{
+    if (!server->unsent.exceeded() || server->cut_scheduled)
+        return;
+    server->cut_scheduled = true;
+    // Not at once: the close of a connection calls back into the code that has
+    // just written to another one.
+    asio::post(socket.get_executor(),
+               [shared = server]
+               {
+                   shared->cut_scheduled = false;
+                   while (const auto slowest = shared->unsent.slowest())
+                   {
+                       const auto held = (*slowest)->weak_from_this().lock();
+                       shared->unsent.erase(*slowest);
+                       if (held)
+                           held->close(close_reason::unsent);
+                   }
+               });
 }
 
 void stream_reply::target::write_next()
 {
-    asio::async_write(socket, asio::buffer(output.front()),
+    const auto& block = output.front();
+    const auto left =
+        std::min(block.size() - front_sent, internal::max_write_bytes);
+    asio::async_write(socket, asio::buffer(block.data() + front_sent, left),
                       [self = shared_from_this()](
-                          const boost::system::error_code& fault, std::size_t)
-                      { self->written(fault); });
+                          const boost::system::error_code& fault,
+                          std::size_t count) { self->written(fault, count); });
 }
 
-void stream_reply::target::written(const boost::system::error_code& fault)
+void stream_reply::target::written(const boost::system::error_code& fault,
+                                   std::size_t count)
 {
     if (state == phase::closed)
         return;
@@ -384,12 +453,22 @@
         end_reason = close_reason::peer;
         return close(close_reason::peer);
     }
-    unsent_bytes -= output.front().size();
-    output.pop_front();
+    front_sent += count;
+    const bool block_done = front_sent == output.front().size();
+    const auto released = block_done ? front_sent : 0;
+    server->unsent.taken(this, released, event_loop::now());
+    unsent_bytes -= released;
+    if (block_done)
+    {
+        output.pop_front();
+        front_sent = 0;
+    }
     if (!output.empty())
-        return write_next();
-    if (state == phase::closing)
-        linger();
+        write_next();
+    else if (state == phase::closing)
+        return linger();
+    if (drained_callback && unsent_bytes < drained_below)
+        std::exchange(drained_callback, nullptr)();
 }
 
 void stream_reply::target::start_deadline(milliseconds limit, int status)
@@ -433,15 +512,23 @@
 {
     if (state == phase::closed)
         return;
+    if (why == close_reason::unsent)
+    {
+        end_reason = why;
+        // Otherwise the kernel would keep what the client does not read.
+        reset_on_close(true);
+    }
     const closed_connection report{end_reason.value_or(why), unread(),
-                                   peer_address};
+                                   unsent_bytes, peer_address};
     count_answer_ended();
+    server->unsent.erase(this);
     state = phase::closed;
     deadline.cancel();
     boost::system::error_code ignored;
     socket.close(ignored);
     if (server->report_close)
         server->report_close(report);
+    drained_callback = nullptr;
     const auto call = std::exchange(disconnect_callback, nullptr);
     if (call)
         call();
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -22,6 +22,7 @@
 #include "coursejunction/core/types.hpp"
 #include "coursejunction/net/internal/idle_times_in_force.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/net/unsent_budget.hpp"
 
 namespace coursejunction
 {
@@ -39,6 +40,8 @@
     bool retiring{false};
     std::size_t open_answers{0};
     std::unordered_set<stream_reply::target*> connections;
+    unsent_budget<stream_reply::target*> unsent;
+    bool cut_scheduled{false}; /*!< The slowest readers are about to be cut. */
 };
 
 } // namespace internal
@@ -80,13 +83,21 @@
      */
     void cut(std::uint64_t request_number);
 
+    /*! @brief Aborts the response of a client that does not read: resets the
+     * connection and discards what is queued. */
+    void drop(std::uint64_t request_number);
+
     /*! @brief Sets a callback for a client that disconnects before the response
      * has ended. */
     void on_disconnect(std::uint64_t request_number,
                        std::function<void()> call);
 
-    /*! @brief Returns how many bytes are queued and not yet accepted by the
-     * kernel. */
+    /*! @brief Sets a callback that is called once fewer than `below` bytes are
+     * queued. */
+    void on_drained(std::uint64_t request_number, std::size_t below,
+                    std::function<void()> call);
+
+    /*! @brief Returns how many bytes are queued. */
     [[nodiscard]] std::size_t unsent(std::uint64_t request_number) const;
 
 private:
@@ -132,8 +143,12 @@
     void discard_input();
     void count_answer_ended();
     void queue(std::string bytes);
+
+    /*! @brief Cuts the slowest readers, after the current work of the loop, if
+     * all connections together hold more than the bound. */
+    void enforce_total();
     void write_next();
-    void written(const boost::system::error_code& fault);
+    void written(const boost::system::error_code& fault, std::size_t count);
 
     /*! @brief Closes the connection if it is still in this phase after `limit`;
      * sends `status` first unless it is 0.
@@ -158,9 +173,13 @@
         boost::beast::http::request_parser<boost::beast::http::string_body>>
         parser;
     std::deque<std::string> output;
+    std::size_t front_sent{0}; /*!< Sent bytes of the first block of `output`.
+                                */
     std::size_t unsent_bytes{0};
     std::string peer_address;
     std::function<void()> disconnect_callback;
+    std::function<void()> drained_callback;
+    std::size_t drained_below{0};
     time_point idle_since{};
     std::size_t discarded_bytes{0};
     std::uint64_t current_number{0};
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -149,6 +150,18 @@
         socket.close(ignored);
     }
 
+    /*! @brief Stops reading the body; the peer is held back once the kernel's
+     * buffer is full. */
+    void pause() { paused = true; }
+
+    void resume()
+    {
+        paused = false;
+        last_progress = event_loop::now();
+        if (std::exchange(read_deferred, false))
+            read_body();
+    }
+
 private:
     static constexpr std::uint32_t max_head = 65536;
     // Beast 1.74 compares boost::none as smaller than any length, so "no limit"
@@ -181,6 +194,8 @@
             {
                 if (fault || self->completed)
                     return;
+                if (self->paused)
+                    self->last_progress = event_loop::now();
                 if (event_loop::now() - self->last_progress <
                     self->call.stall_time)
                     return self->watch_for_stall();
@@ -303,6 +318,9 @@
     {
         if (parser->is_done())
             return response_complete();
+        read_deferred = paused;
+        if (paused)
+            return;
         parser->get().body().data = body_buffer.data();
         parser->get().body().size = body_buffer.size();
         http::async_read_some(socket, input, *parser,
@@ -396,46 +414,12 @@
     bool sent_on_stale_connection{false}; /*!< Already sent on an idle
                                              connection that was dead. */
     bool written{false};
+    bool paused{false};
+    bool read_deferred{false}; /*!< The next read starts at `resume`. */
 };
 
 } // namespace internal
 
-std::string_view stream_end_name(stream_end end)
-{
-    switch (end)
-    {
-    case stream_end::whole:
-        return "whole";
-    case stream_end::unframed:
-        return "unframed";
-    case stream_end::not_sent:
-        return "not_sent";
-    case stream_end::closed:
-        return "closed";
-    case stream_end::broken:
-        return "broken";
-    case stream_end::malformed:
-        return "malformed";
-    }
-    return "";
-}
-
-std::string_view body_framing_name(body_framing framing)
-{
-    switch (framing)
-    {
-    case body_framing::none:
-        return "none";
-    case body_framing::length:
-        return "length";
-    case body_framing::chunks:
-        return "chunks";
-    case body_framing::connection:
-        return "connection";
-    }
-    return "";
-}
-
 struct stream_client::implementation
     : std::enable_shared_from_this<implementation>
 {
@@ -520,6 +504,22 @@
     one->abandon();
 }
 
+void stream_client::pause(call_id which)
+{
+    const auto found = self->open.find(which);
+    if (found != self->open.end())
+        found->second->pause();
+}
+
+void stream_client::resume(call_id which)
+{
+    const auto found = self->open.find(which);
+    if (found == self->open.end())
+        return;
+    const auto one = found->second;
+    one->resume();
+}
+
 void stream_client::close_idle(const std::string& address)
 {
     self->idle.erase(address);
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -99,6 +99,13 @@
      * afterwards. */
     void cancel(call_id which);
 
+    /*! @brief Stops reading a call's response, so that its peer stops sending.
+     * The end of the response is not noticed while the call is paused. */
+    void pause(call_id which);
+
+    /*! @brief Reads a paused call's response again. */
+    void resume(call_id which);
+
     /*! @brief Closes the idle connections to an address whose process no longer
      * exists. */
     void close_idle(const std::string& address);
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -125,6 +125,18 @@
         to->on_disconnect(number, std::move(call));
 }
 
+void stream_reply::drop()
+{
+    if (const auto to = connection.lock())
+        to->drop(number);
+}
+
+void stream_reply::on_drained(std::size_t below, std::function<void()> call)
+{
+    if (const auto to = connection.lock())
+        to->on_drained(number, below, std::move(call));
+}
+
 std::size_t stream_reply::unsent() const
 {
     const auto to = connection.lock();
@@ -198,6 +210,11 @@
     self->state->idle_times.set(set.idle_time, event_loop::now());
 }
 
+void stream_server::limit_unsent(std::size_t bytes)
+{
+    self->state->unsent.limit(bytes);
+}
+
 void stream_server::on_close(close_handler call)
 {
     self->state->report_close = std::move(call);
@@ -230,6 +247,11 @@
     return self->state->connections.size();
 }
 
+std::size_t stream_server::unsent() const
+{
+    return self->state->unsent.total();
+}
+
 std::size_t stream_server::answering() const
 {
     return self->state->open_answers;
--- a/src/coursejunction/net/stream_server.hpp
+++ b/src/coursejunction/net/stream_server.hpp
@@ -62,8 +62,15 @@
      * has ended. */
     void on_disconnect(std::function<void()> call);
 
-    /*! @brief Returns how many bytes are queued and not yet accepted by the
-     * kernel. */
+    /*! @brief Aborts the response of a client that does not read: resets the
+     * connection and discards what is queued. */
+    void drop();
+
+    /*! @brief Sets a callback that is called once, when fewer than `below`
+     * bytes are queued. */
+    void on_drained(std::size_t below, std::function<void()> call);
+
+    /*! @brief Returns how many bytes are queued for the client. */
     [[nodiscard]] std::size_t unsent() const;
 
 private:
@@ -92,6 +99,7 @@
     close_reason reason{close_reason::peer};
     std::size_t unread_bytes{0}; /*!< Received and not handled: a request that
                                     gets no answer may be among them. */
+    std::size_t unsent_bytes{0}; /*!< Queued and not taken by the client. */
     std::string peer;            /*!< `IP:port` of the client. */
 };
 
@@ -116,6 +124,10 @@
      * that are already running keep their old limit. */
     void limits(const stream_limits& set);
 
+    /*! @brief Bounds the bytes that are queued for all clients together; 0
+     * removes the bound. Beyond it the slowest readers are cut. */
+    void limit_unsent(std::size_t bytes);
+
     /*! @brief Sets a callback for each connection that closes. */
     void on_close(close_handler call);
 
@@ -137,6 +149,9 @@
     /*! @brief Returns the number of open connections. */
     [[nodiscard]] std::size_t size() const;
 
+    /*! @brief Returns how many bytes are queued for all clients. */
+    [[nodiscard]] std::size_t unsent() const;
+
     /*! @brief Returns the number of requests whose response has not ended. */
     [[nodiscard]] std::size_t answering() const;
 
