Stop reading an upstream while its caller does not read

Cause: an entry read streams as fast as their upstreams sent and kept what the caller had not taken, so that 500 slow readers could exceed the 160 MB of the smallest entries. Ruled out: pausing at 256 KiB a caller, as 500 of them would hold 128 MB and most would be cut by the bound of 48 MiB for all. Change: a stream pauses while its caller leaves over 64 KiB unread, resumes below 48 KiB and is cut after 2 s, as its upstream would break it off. A paused upstream does not count as silent. All callers together leave at most 48 MiB unread; beyond that the slowest is cut. Bodies that are not streams, and incomplete events, are kept up to 4 MiB. Counters, gauges, one log line for each cut reader.

--- a/src/coursejunction/proxy/attempt_closer.hpp
+++ b/src/coursejunction/proxy/attempt_closer.hpp
@@ -129,6 +129,17 @@
         end_silent(request, attempt_failure::may_have_run, reason);
     }
 
+    /*! @brief Counts how the responses of upstreams are framed and end. */
+    void count_end(const upstream_attempt& attempt)
+    {
+        counters.count(
+            "upstream_responses_ended_total", 1,
+            {{"framing",
+              std::string(body_framing_name(attempt.response_head.framing))},
+             {"end", exchange_log::end_text(attempt)},
+             {"inside_event", attempt.events.inside_event() ? "yes" : "no"}});
+    }
+
     void count_failed(bool may_have_run)
     {
         counters.count("attempts_failed_total", 1,
--- /dev/null
+++ b/src/coursejunction/proxy/caller_connections.hpp
@@ -0,0 +1,59 @@
+/*! @file
+ * @brief Counts and logs how callers' connections end, and bounds what they
+ * leave unread. */
+#ifndef COURSEJUNCTION_PROXY_CALLER_CONNECTIONS_HPP
+#define COURSEJUNCTION_PROXY_CALLER_CONNECTIONS_HPP
+
+#include <cstddef>
+#include <string>
+
+#include "coursejunction/core/log.hpp"
+#include "coursejunction/net/metrics.hpp"
+#include "coursejunction/net/stream_server.hpp"
+
+namespace coursejunction::caller_connections
+{
+
+/*! @brief Bound on the bytes that all callers together leave unread; beyond it
+ * the slowest readers are cut. The smallest entries have 160 MB for
+ * everything. */
+inline constexpr std::size_t max_unsent_bytes = std::size_t{48} << 20U;
+
+/*! @brief Counts a closed connection. One with unread input is logged too: its
+ * caller may wait for an answer that never comes, and nothing else shows it. So
+ * is one whose caller did not read. */
+inline void record_close(metrics& counters, const closed_connection& closed)
+{
+    const std::string reason(close_reason_name(closed.reason));
+    const bool unread = closed.unread_bytes > 0;
+    counters.count("caller_connections_closed_total", 1,
+                   {{"reason", reason}, {"unread", unread ? "yes" : "no"}});
+    if (unread)
+        log::problem("connection_closed_unread",
+                     {{"peer", closed.peer},
+                      {"reason", reason},
+                      {"bytes", std::to_string(closed.unread_bytes)}});
+    if (closed.reason == close_reason::unsent)
+        log::problem("slow_reader_cut",
+                     {{"peer", closed.peer},
+                      {"bytes", std::to_string(closed.unsent_bytes)}});
+}
+
+/*! @brief Prepares a server for callers: bounds, counts and logs. */
+inline void watch(stream_server& callers, metrics& counters)
+{
+    callers.limit_unsent(max_unsent_bytes);
+    callers.on_close([&counters](const closed_connection& closed)
+                     { record_close(counters, closed); });
+}
+
+/*! @brief Sets the gauges; to be called periodically. */
+inline void set_gauges(const stream_server& callers, metrics& counters)
+{
+    counters.set("caller_connections", static_cast<double>(callers.size()));
+    counters.set("caller_unsent_bytes", static_cast<double>(callers.unsent()));
+}
+
+} // namespace coursejunction::caller_connections
+
+#endif
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -100,6 +100,9 @@
     bool response_begun{
         false}; /*!< The response head was sent to the caller. */
     bool queued{false};
+    bool paused{false}; /*!< The upstream is not read since the caller does not
+                           read. */
+    timer pause_timer;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -121,6 +121,21 @@
            request.possible_runs + 1 < request.route->max_attempts;
 }
 
+/*! @brief Returns the record of a final response by which a client retry is
+ * recognised. */
+[[nodiscard]] inline refusal_record
+refusal_of(const exchange& request, time_point now, milliseconds retry_after)
+{
+    refusal_record refusal;
+    refusal.fingerprint = request.fingerprint;
+    refusal.first_arrival = request.arrived_at - request.arrival.history.waited;
+    if (request.decoded.deadline)
+        refusal.deadline = request.arrived_at + *request.decoded.deadline;
+    refusal.refused_at = now;
+    refusal.retry_at = now + retry_after;
+    return refusal;
+}
+
 /*! @brief Describes a lost attempt for crash detection.
  * @param known_incarnation Incarnation of the upstream, as far as it is known.
  */
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -23,6 +23,7 @@
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/proxy/attempt_closer.hpp"
 #include "coursejunction/proxy/attempt_end.hpp"
+#include "coursejunction/proxy/back_pressure.hpp"
 #include "coursejunction/proxy/crash_guard.hpp"
 #include "coursejunction/proxy/crash_permission.hpp"
 #include "coursejunction/proxy/exchange.hpp"
@@ -63,6 +64,10 @@
                                          [this](const request_content& content)
                                          { on_quarantined(content); }),
           closer(upstream_client, upstreams, metric_counters, guard),
+          pressure(
+              owner, upstream_client, metric_counters, open_requests,
+              [this](exchange& request) { arm_silence_timer(request); },
+              [this](exchange& request) { cut_unread(request); }),
           intake(upstreams, metric_counters), budgets(chosen_options)
     {
         queue_timer = loop.every(options.queue_poll_interval,
@@ -443,15 +448,8 @@
     void record_refusal(const exchange& request, milliseconds retry_after)
     {
         const auto now = event_loop::now();
-        refusal_record refusal;
-        refusal.fingerprint = request.fingerprint;
-        refusal.first_arrival =
-            request.arrived_at - request.arrival.history.waited;
-        if (request.decoded.deadline)
-            refusal.deadline = request.arrived_at + *request.decoded.deadline;
-        refusal.refused_at = now;
-        refusal.retry_at = now + retry_after;
-        decisions.record_refusal(refusal, now);
+        decisions.record_refusal(
+            exchange_facts::refusal_of(request, now, retry_after), now);
     }
 
     // --- One attempt -----------------------------------------------------
@@ -490,8 +488,8 @@
         // A reused connection may already be closed at the other end, and then
         // it is unknown whether an at-most-once request ran. Such a call gets a
         // new connection.
-        call.repeatable =
-            request.route->repeatable() && !is_superseded_soon(request, now);
+        call.repeatable = request.route->repeatable() &&
+                          !is_superseded_soon(request, minimums, options, now);
         book.begin_attempt(choice.upstream, request.attempt.id,
                            request.decoded.prompt_tokens, now);
         counters.count("attempts_total");
@@ -502,19 +500,6 @@
         arm_silence_timer(request);
     }
 
-    /*! @brief Returns whether the chosen model version is superseded within
-     * `old_weights_reconnect_window`. Such an attempt opens a new connection:
-     * if the link delays packets, the connection setup stalls, and the request
-     * is not sent at all instead of too late. */
-    [[nodiscard]] bool is_superseded_soon(const exchange& request,
-                                          time_point now) const
-    {
-        const auto superseded_at = minimums.superseded_at(
-            request.decoded.model, request.attempt.choice.version);
-        return superseded_at &&
-               *superseded_at - now < options.old_weights_reconnect_window;
-    }
-
     stream_client::callbacks make_callbacks(std::uint64_t number,
                                             std::uint64_t attempt)
     {
@@ -646,6 +631,8 @@
     {
         const bool silent = attempt_closer::is_silent_attempt(request, attempt);
         auto& receiving = silent ? *request.silent_attempt : request.attempt;
+        if (back_pressure::exceeds_kept(receiving, bytes))
+            return on_response_too_large(request, silent);
         if (!exchange_facts::forwards_events(request, receiving))
         {
             receiving.response_body.append(bytes);
@@ -665,9 +652,31 @@
         request.attempt.silent = false;
         begin_response(request);
         request.reply.write(events);
+        pressure.pause_if_unread(request);
         arm_silence_timer(request);
     }
 
+    /*! @brief Ends the attempt, as its response is not kept any further. */
+    void on_response_too_large(exchange& request, bool silent)
+    {
+        constexpr const char* reason = "response is too large to be kept";
+        if (silent)
+            return closer.end_silent(request, attempt_failure::may_have_run,
+                                     reason);
+        closer.cancel_all(request);
+        ++request.possible_runs;
+        give_up(request, reason);
+    }
+
+    /*! @brief Ends a response that its caller does not read. */
+    void cut_unread(exchange& request)
+    {
+        closer.cancel_all(request);
+        request.reply.drop();
+        log_failure(request, "unread", "caller did not read the response");
+        erase(request);
+    }
+
     void on_first_event(exchange& request)
     {
         request.attempt.has_events = true;
@@ -693,17 +702,6 @@
             Codec::response_headers(request.attempt.response_head));
     }
 
-    /*! @brief Counts how the responses of upstreams are framed and end. */
-    void count_end(const upstream_attempt& attempt)
-    {
-        counters.count(
-            "upstream_responses_ended_total", 1,
-            {{"framing",
-              std::string(body_framing_name(attempt.response_head.framing))},
-             {"end", exchange_log::end_text(attempt)},
-             {"inside_event", attempt.events.inside_event() ? "yes" : "no"}});
-    }
-
     void on_end(exchange& request, std::uint64_t attempt, stream_end end,
                 const std::string& reason)
     {
@@ -711,7 +709,7 @@
                           ? *request.silent_attempt
                           : request.attempt;
         ended.response_end = end;
-        count_end(ended);
+        closer.count_end(ended);
         const auto verdict = judge(response_rules::describe_end(
             request, ended, Codec::decode_response(ended.response_head),
             book.find(ended.choice.upstream)));
@@ -1038,6 +1036,7 @@
     version_floor minimums;
     std::shared_ptr<const installation> configuration;
     open_exchanges open_requests;
+    back_pressure pressure;
     placement_queue waiting;
     notice_intake intake;
     retry_budgets budgets;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -27,6 +27,7 @@
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
+#include "coursejunction/proxy/caller_connections.hpp"
 #include "coursejunction/proxy/departure_messages.hpp"
 #include "coursejunction/proxy/exchange_service.hpp"
 #include "coursejunction/proxy/refusal_messages.hpp"
@@ -218,8 +219,7 @@
             return failure(caller_listener.error().kind,
                            caller_listener.error().message);
         caller_server = std::move(caller_listener.value());
-        caller_server->on_close([this](const closed_connection& closed)
-                                { record_close(closed); });
+        caller_connections::watch(*caller_server, counters);
         auto readiness_listener =
             listen(options.readiness_address,
                    [this](const stream_request&, stream_reply reply)
@@ -241,22 +241,6 @@
                                      std::move(handler));
     }
 
-    /*! @brief Counts closed connections. One with unread input is logged too:
-     * its caller may wait for an answer that never comes, and nothing else
-     * shows it. */
-    void record_close(const closed_connection& closed)
-    {
-        const std::string reason(close_reason_name(closed.reason));
-        const bool unread = closed.unread_bytes > 0;
-        counters.count("caller_connections_closed_total", 1,
-                       {{"reason", reason}, {"unread", unread ? "yes" : "no"}});
-        if (unread)
-            log::problem("connection_closed_unread",
-                         {{"peer", closed.peer},
-                          {"reason", reason},
-                          {"bytes", std::to_string(closed.unread_bytes)}});
-    }
-
     void handle_request(stream_request request, stream_reply reply)
     {
         if (stopping && !ends_before_stop(codec::decode_request(request)))
@@ -623,6 +607,7 @@
         exchanges.expire(now);
         counters.set("upstream_records_unreadable",
                      static_cast<double>(fleet.unreadable_records()));
+        caller_connections::set_gauges(*caller_server, counters);
         const auto entries = node.peers().live_entries(now) + 1;
         exchanges.set_entry_count(entries, now);
         exchanges.set_configuration_outdated(node.mirror_lag(now) >=
--- a/src/coursejunction/proxy/placement_constraints.hpp
+++ b/src/coursejunction/proxy/placement_constraints.hpp
@@ -8,6 +8,7 @@
 
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_facts.hpp"
+#include "coursejunction/proxy/exchange_options.hpp"
 #include "coursejunction/route/placement.hpp"
 #include "coursejunction/route/version_floor.hpp"
 
@@ -39,6 +40,21 @@
     return placement;
 }
 
+/*! @brief Returns whether the chosen model version is superseded within
+ * `old_weights_reconnect_window`. Such an attempt opens a new connection: if
+ * the link delays packets, the connection setup stalls, and the request is not
+ * sent at all instead of too late. */
+[[nodiscard]] inline bool is_superseded_soon(const exchange& request,
+                                             const version_floor& minimums,
+                                             const exchange_options& options,
+                                             time_point now)
+{
+    const auto superseded_at = minimums.superseded_at(
+        request.decoded.model, request.attempt.choice.version);
+    return superseded_at &&
+           *superseded_at - now < options.old_weights_reconnect_window;
+}
+
 } // namespace coursejunction
 
 #endif
--- a/src/coursejunction/proxy/silence_rules.hpp
+++ b/src/coursejunction/proxy/silence_rules.hpp
@@ -17,11 +17,11 @@
 {
 
 /*! @brief Returns whether the attempts of a request are watched for silence:
- * its stream can be resumed at another upstream. */
+ * its stream can be resumed at another upstream, and is being read. */
 [[nodiscard]] inline bool apply_to(const exchange& request)
 {
     return request.route->kind == request_kind::stream &&
-           request.route->resumable;
+           request.route->resumable && !request.paused;
 }
 
 /*! @brief Returns since when an attempt counts as silent if nothing more
