Tell clients that stop sending from those that close

Cause: the end of a client's sending side was taken for the close of its connection, so that a half-closed client lost its answer. Bytes of a further request ended the watch, so that a close behind them went unnoticed and the upstream worked on. Both were found by reading the code. Ruled out: ignoring the end of sending, as a closed connection has to end its attempts within half a second; TCP state alone does not tell the two apart.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -291,33 +291,6 @@
                    stream_reply(weak_from_this(), current_number));
 }
 
-void stream_reply::target::watch_for_close()
-{
-    if (input.size() > 0)
-        return;
-    socket.async_wait(
-        tcp::socket::wait_read,
-        [self = shared_from_this(), request_number = current_number](
-            const boost::system::error_code& fault)
-        {
-            if (fault || !self->is_current(request_number))
-                return;
-            self->check_peer(request_number);
-        });
-}
-
-void stream_reply::target::check_peer(std::uint64_t)
-{
-    char byte = 0;
-    const auto count =
-        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0)
-        return; // The next request is read after this response.
-    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-        return watch_for_close();
-    close(close_reason::peer);
-}
-
 void stream_reply::target::end_answer(bool last)
 {
     count_answer_ended();
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -124,9 +124,15 @@
     void request_read();
 
     /*! @brief Detects that the client disconnects while its request is handled.
-     */
+     * Requests that arrive meanwhile are read up to a bound. */
     void watch_for_close();
-    void check_peer(std::uint64_t);
+    void check_peer();
+
+    /*! @brief Sends bytes that do not change the response to a client that has
+     * stopped sending. It may still read; if it has closed its connection it
+     * resets it in reply. Before the head these are an interim response, later
+     * a leading zero of the next chunk's size. */
+    void probe();
     void end_answer(bool last);
 
     /*! @brief Closes the connection once everything that is queued was sent. */
@@ -191,6 +197,7 @@
     bool head_sent{false};
     bool close_after{false};
     bool resets_on_close{false};
+    bool half_closed{false}; /*!< The client has stopped sending. */
 };
 
 } // namespace coursejunction
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -67,6 +67,9 @@
             was_reset || (done < 0 && (errno == ECONNRESET || errno == EPIPE));
     }
 
+    /*! @brief Closes the sending side only. */
+    void finish_sending() { ::shutdown(file, SHUT_WR); }
+
     /*! @brief Reads until a text was received or the peer closes.
      * @return All bytes received so far. */
     [[nodiscard]] std::string until(const std::string& text)
