--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -27,6 +27,7 @@
 class placement_queue;
 class dispatcher;
 class slot_reserve;
+struct reserved_slots;
 class rank_order;
 struct request_rank;
 struct entry_demand;
--- a/src/coursejunction/route/slot_reserve.hpp
+++ b/src/coursejunction/route/slot_reserve.hpp
@@ -29,9 +29,9 @@
 {
     /*! @brief Time until entries know of a slot that became free, beyond the
      * time in which one becomes free. Load reports come every 50 ms from the
-     * own hall and every 400 ms from others. With 200 ms the most urgent rank
-     * found no room when it exceeded its usual rate. */
-    double report_age_ms{300};
+     * own hall and every 400 ms from others. With 200 ms the most urgent
+     * requests were in time less often, with 300 ms more slots were idle. */
+    double report_age_ms{250};
     /*! @brief A rank that is served less often than this fraction of how often
      * all requests are served leaves nothing free for others. */
     double least_served_ratio{0.5};
@@ -45,10 +45,6 @@
      * that overtakes others, as a fraction of the time in which a slot becomes
      * free: the prediction counts the requests that it overtakes. */
     double overtaking_allowance{0.4};
-    /*! @brief Fraction of its slots up to which an engine accepts requests that
-     * overtake others, of entries that hold no share of it. With all slots,
-     * several entries send to the same one. */
-    double overtaking_unowned_fraction{0.75};
     /*! @brief Requests that may overtake others beyond an entry's share of an
      * engine, for each that may wait there. */
     double overtaking_excess{2};
@@ -152,13 +148,13 @@
         if (reserved.slots > 0)
             limits.unreserved_in_flight =
                 slots - 1 + may_wait - reserved.degree * reserved.slots;
-        const auto overtaken = reserved.degree * reserved.overtaken;
+        // A rank that leaves slots free itself is overtaken as well.
+        const auto ahead =
+            may_wait > 0 ? std::clamp(1 - reserved.slots / may_wait, 0.0, 1.0)
+                         : 0.0;
+        const auto overtaken = reserved.degree * reserved.overtaken * ahead;
         limits.reserved = reserved;
         limits.share_excess = overtaken * may_wait * options.overtaking_excess;
-        limits.unowned_fraction +=
-            overtaken * std::max(options.overtaking_unowned_fraction -
-                                     limits.unowned_fraction,
-                                 0.0);
         const auto allowance =
             overtaken * options.overtaking_allowance * slot_ms;
         limits.first_event_ms += allowance;
--- a/tests/route/slot_reserve.cpp
+++ b/tests/route/slot_reserve.cpp
@@ -257,6 +257,26 @@
     }
 }
 
+// Guards against entries that see few requests each: their own rates by rank
+// stand for those of all entries.
+SCENARIO("many entries leave slots free for urgent requests", "[route]")
+{
+    auto pattern = load_replay::three_priorities(1);
+    pattern.halls = 5;
+    pattern.entries = 53;
+    load_replay::multiply_kind(pattern, "least", 2.6, 0, 10);
+    pattern.seconds = 4;
+    pattern.kinds_from = 2;
+    pattern.kinds_to = 4;
+    const auto result = simulator(pattern).run();
+
+    THEN("the most urgent are served most often")
+    {
+        CHECK(result.kinds.at("most").in_time_fraction() > 0.7);
+        check_order(result);
+    }
+}
+
 // Guards against a change of behaviour where the configuration sets no
 // different priorities. The counts are those of the code before ranks existed;
 // a single different decision changes the random numbers of all later ones.
