Drop callbacks of connections when their server is destroyed

Change: the server's destructor drops the callbacks. A further request on such a connection still reaches the old handler.

--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -60,6 +60,13 @@
     /*! @brief Starts to read the first request. */
     void start();
 
+    /*! @brief Drops the callbacks of the request that is being handled. */
+    void forget_callbacks()
+    {
+        disconnect_callback = nullptr;
+        drained_callback = nullptr;
+    }
+
     /*! @brief Closes the connection if it has been idle since a time, unless a
      * request has arrived. */
     void close_if_idle(time_point since);
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -176,6 +176,10 @@
     self->acceptor.close(ignored);
     self->accept_retry.cancel();
     self->state->report_close = nullptr;
+    // Connections outlive the server until their last operation ends; what
+    // their callbacks refer to may not.
+    for (auto* one : self->state->connections)
+        one->forget_callbacks();
 }
 
 result<std::unique_ptr<stream_server>>
