Bound the connections from an entry to one upstream

Cause: an upstream resets connections beyond max_connections of its service, and nothing divided them between the entries. Ruled out: refusing calls in stream_client, since the request could have gone to another upstream. Change: placement does not use an upstream at which this entry has its part of the connections (max_connections / live entries, at least 1) in attempts. A call that opens a connection closes idle ones beyond that part. The serialisation of calls moved out of stream_client.cpp. Conclusion: without max_connections nothing changes. Entries that do not hear each other divide by too few and may exceed the sum together.

--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstdlib>
@@ -23,7 +24,7 @@
 
 #include "coursejunction/core/suspension.hpp"
 #include "coursejunction/net/event_loop.hpp"
-#include "coursejunction/net/head_text.hpp"
+#include "coursejunction/net/internal/call_text.hpp"
 
 namespace coursejunction
 {
@@ -55,20 +56,6 @@
 /*! @brief Time limit of a probe; the same as `stream_call::connect_time`. */
 constexpr milliseconds probe_timeout{250};
 
-/*! @brief Parses `IP:port`.
- * @return The endpoint, or nothing if the text is not valid. */
-std::optional<tcp::endpoint> endpoint_of(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    boost::system::error_code fault;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), fault);
-    if (fault || colon == std::string::npos)
-        return std::nullopt;
-    const auto port = static_cast<std::uint16_t>(
-        std::strtoul(address.c_str() + colon + 1, nullptr, 10));
-    return tcp::endpoint(ip, port);
-}
-
 /*! @brief Returns whether the peer closed the connection. */
 bool closed_by_peer(const boost::system::error_code& fault)
 {
@@ -79,21 +66,6 @@
            fault == http::error::partial_message;
 }
 
-std::string request_text(const stream_call& call)
-{
-    http::request<http::empty_body> head;
-    head.version(11);
-    head.method_string(call.method);
-    head.target(call.target);
-    for (const auto& one : call.headers)
-        head.insert(one.name, one.value);
-    if (!head.count(http::field::host))
-        head.set(http::field::host, call.address);
-    if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
-        head.set(http::field::content_length, std::to_string(call.body.size()));
-    return head_text(head) + call.body;
-}
-
 /*! @brief One call and its connection. */
 class stream_exchange : public std::enable_shared_from_this<stream_exchange>
 {
@@ -150,6 +122,11 @@
         socket.close(ignored);
     }
 
+    [[nodiscard]] bool goes_to(const std::string& address) const
+    {
+        return call.address == address;
+    }
+
     /*! @brief Stops reading the body; the peer is held back once the kernel's
      * buffer is full. */
     void pause() { paused = true; }
@@ -444,6 +421,22 @@
         return std::nullopt;
     }
 
+    /*! @brief Closes idle connections, the oldest first, so that a new one
+     * stays within the call's bound. */
+    void make_room(const stream_call& call)
+    {
+        const auto found = idle.find(call.address);
+        if (call.max_connections == 0 || found == idle.end())
+            return;
+        const auto used = static_cast<std::size_t>(
+            std::count_if(open.begin(), open.end(),
+                          [&](const auto& item)
+                          { return item.second->goes_to(call.address); }));
+        auto& list = found->second;
+        while (!list.empty() && used + list.size() >= call.max_connections)
+            list.erase(list.begin());
+    }
+
     void put_idle(const std::string& address, tcp::socket socket)
     {
         auto& list = idle[address];
@@ -486,6 +479,8 @@
             if (socket)
                 held->put_idle(address, std::move(*socket));
         });
+    if (!kept)
+        self->make_room(call);
     self->open.emplace(id, one);
     if (kept)
         one->start_on_idle(std::move(*kept));
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -5,6 +5,7 @@
 #ifndef COURSEJUNCTION_NET_STREAM_CLIENT_HPP
 #define COURSEJUNCTION_NET_STREAM_CLIENT_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -35,6 +36,9 @@
     /*! @brief The call may use an idle connection of the pool. If that
      * connection turns out to be dead the call is resent once on a new one. */
     bool repeatable{false};
+    /*! @brief If the call opens a connection, idle ones to the address are
+     * closed so that no more than these are open; 0: none is closed. */
+    std::size_t max_connections{0};
 };
 
 /*! @brief How a call ended. */
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -485,11 +485,8 @@
         call.target = request.original.target;
         call.headers = Codec::attempt_headers(request.original, metadata);
         call.body = request.original.body;
-        // A reused connection may already be closed at the other end, and then
-        // it is unknown whether an at-most-once request ran. Such a call gets a
-        // new connection.
-        call.repeatable = request.route->repeatable() &&
-                          !is_superseded_soon(request, minimums, options, now);
+        choose_connection(call, request, minimums, options, book.entry_count(),
+                          now);
         book.begin_attempt(choice.upstream, request.attempt.id,
                            request.decoded.prompt_tokens, now);
         counters.count("attempts_total");
--- a/src/coursejunction/proxy/placement_constraints.hpp
+++ b/src/coursejunction/proxy/placement_constraints.hpp
@@ -1,14 +1,17 @@
 /*! @file
- * @brief Derives from the state of a request where it may be sent; pure. */
+ * @brief Derives from the state of a request where and on which connections it
+ * may be sent; pure. */
 #ifndef COURSEJUNCTION_PROXY_PLACEMENT_CONSTRAINTS_HPP
 #define COURSEJUNCTION_PROXY_PLACEMENT_CONSTRAINTS_HPP
 
+#include <cstddef>
 #include <utility>
 #include <vector>
 
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/proxy/exchange_options.hpp"
+#include "coursejunction/route/connection_share.hpp"
 #include "coursejunction/route/placement.hpp"
 #include "coursejunction/route/version_floor.hpp"
 
@@ -55,6 +58,21 @@
            *superseded_at - now < options.old_weights_reconnect_window;
 }
 
+/*! @brief Decides on which connections an attempt may be sent. A reused one may
+ * already be closed at the other end, and then it is unknown whether an
+ * at-most-once request ran. Such a call gets a new connection.
+ * @param entries Number of entries that share the upstream's connections. */
+inline void choose_connection(stream_call& call, const exchange& request,
+                              const version_floor& minimums,
+                              const exchange_options& options,
+                              std::size_t entries, time_point now)
+{
+    call.repeatable = request.route->repeatable() &&
+                      !is_superseded_soon(request, minimums, options, now);
+    call.max_connections = connection_share(
+        exchange_facts::service_profile_of(request).max_connections, entries);
+}
+
 } // namespace coursejunction
 
 #endif
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -17,6 +17,7 @@
 
 #include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/route/admission.hpp"
+#include "coursejunction/route/connection_share.hpp"
 #include "coursejunction/route/region_restriction.hpp"
 #include "coursejunction/route/retry_detector.hpp"
 #include "coursejunction/route/upstream_choice.hpp"
@@ -268,9 +269,12 @@
                time_point now) const
     {
         std::vector<candidate> all;
+        const auto connections =
+            connection_share(service.max_connections, registry.entry_count());
         for (const auto& [id, upstream] : registry.all())
         {
-            if (!usable(upstream, request, now))
+            if (!usable(upstream, request, now) ||
+                (connections > 0 && upstream.attempts.size() >= connections))
                 continue;
             const auto load =
                 service.engine ? registry.load(upstream, *service.engine, now)
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -367,11 +367,15 @@
     /*! @brief Sets how many entries share the upstreams, including this one. */
     void set_entry_count(std::size_t count)
     {
+        live_entries = count;
         effective_entries =
             1 + competing_fraction *
                     static_cast<double>(std::max<std::size_t>(count, 1) - 1);
     }
 
+    /*! @brief Returns the number of live entries, including this one. */
+    [[nodiscard]] std::size_t entry_count() const { return live_entries; }
+
     /*! @brief Returns how many requests a second competing entries are expected
      * to send to engines: each as many as this one. */
     [[nodiscard]] double other_entries_rate(time_point now) const
@@ -534,6 +538,7 @@
     upstream_departures departures;
     /*! @brief This entry and the others assumed to choose the same upstream. */
     double effective_entries{1};
+    std::size_t live_entries{1};
     double all_lateness{1};
     smoothed_rate engine_sends; /*!< Of this entry, to all engines. */
 };
