--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -11,9 +11,6 @@
 #include <chrono>
 #include <utility>
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
-
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/internal/answer_text.hpp"
 
@@ -31,10 +28,8 @@
  * above this the connection is closed. The largest complete response fits. */
 constexpr std::size_t max_unsent_bytes = std::size_t{8} << 20U;
 
-/*! @brief Largest part of a response that is written at a time, so that it
- * shows whether the client takes it, and size up to which queued parts are
- * joined. Joined parts need fewer system calls and no allocation each. */
-constexpr std::size_t max_write_bytes = 65'536;
+/*! @brief Size up to which queued parts are joined. Joined parts need fewer
+ * system calls and no allocation each. */
 constexpr std::size_t joined_bytes = 16'384;
 
 /*! @brief TCP_NOTSENT_LOWAT: bytes that the kernel accepts beyond what the
@@ -384,66 +379,6 @@
     enforce_total();
 }
 
-void stream_reply::target::enforce_total()
-{
-    if (!server->unsent.exceeded() || server->cut_scheduled)
-        return;
-    server->cut_scheduled = true;
-    // Not at once: the close of a connection calls back into the code that has
-    // just written to another one.
-    asio::post(socket.get_executor(),
-               [shared = server]
-               {
-                   shared->cut_scheduled = false;
-                   while (const auto slowest = shared->unsent.slowest())
-                   {
-                       const auto held = (*slowest)->weak_from_this().lock();
-                       shared->unsent.erase(*slowest);
-                       if (held)
-                           held->close(close_reason::unsent);
-                   }
-               });
-}
-
-void stream_reply::target::write_next()
-{
-    const auto& block = output.front();
-    const auto left =
-        std::min(block.size() - front_sent, internal::max_write_bytes);
-    asio::async_write(socket, asio::buffer(block.data() + front_sent, left),
-                      [self = shared_from_this()](
-                          const boost::system::error_code& fault,
-                          std::size_t count) { self->written(fault, count); });
-}
-
-void stream_reply::target::written(const boost::system::error_code& fault,
-                                   std::size_t count)
-{
-    if (state == phase::closed)
-        return;
-    if (fault)
-    {
-        end_reason = close_reason::peer;
-        return close(close_reason::peer);
-    }
-    front_sent += count;
-    const bool block_done = front_sent == output.front().size();
-    const auto released = block_done ? front_sent : 0;
-    server->unsent.taken(this, released, event_loop::now());
-    unsent_bytes -= released;
-    if (block_done)
-    {
-        output.pop_front();
-        front_sent = 0;
-    }
-    if (!output.empty())
-        write_next();
-    else if (state == phase::closing)
-        return linger();
-    if (drained_callback && unsent_bytes < drained_below)
-        std::exchange(drained_callback, nullptr)();
-}
-
 void stream_reply::target::start_deadline(milliseconds limit, int status)
 {
     deadline.expires_after(limit);
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -60,6 +60,13 @@
     /*! @brief Starts to read the first request. */
     void start();
 
+    /*! @brief Drops the callbacks of the request that is being handled. */
+    void forget_callbacks()
+    {
+        disconnect_callback = nullptr;
+        drained_callback = nullptr;
+    }
+
     /*! @brief Closes the connection if it has been idle since a time, unless a
      * request has arrived. */
     void close_if_idle(time_point since);
@@ -127,12 +134,6 @@
      * Requests that arrive meanwhile are read up to a bound. */
     void watch_for_close();
     void check_peer();
-
-    /*! @brief Sends bytes that do not change the response to a client that has
-     * stopped sending. It may still read; if it has closed its connection it
-     * resets it in reply. Before the head these are an interim response, later
-     * a leading zero of the next chunk's size. */
-    void probe();
     void end_answer(bool last);
 
     /*! @brief Closes the connection once everything that is queued was sent. */
@@ -197,7 +198,6 @@
     bool head_sent{false};
     bool close_after{false};
     bool resets_on_close{false};
-    bool half_closed{false}; /*!< The client has stopped sending. */
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -492,14 +492,12 @@
         call.target = request.original.target;
         call.headers = Codec::attempt_headers(request.original, metadata);
         call.body = request.original.body;
-        // A reused connection may already be closed at the other end, and then
-        // it is unknown whether an at-most-once request ran. Such a call gets a
-        // new connection, as does one to a cold upstream: there the request
-        // that is sent again counts twice.
+        choose_connection(call, request, minimums, options, book.entry_count(),
+                          now);
+        // A request on a reused connection may be sent again, which would count
+        // twice at a cold upstream.
         call.repeatable =
-            request.route->repeatable() &&
-            !is_superseded_soon(request, minimums, options, now) &&
-            !book.is_cold(choice.upstream, now);
+            call.repeatable && !book.is_cold(choice.upstream, now);
         book.begin_attempt(choice.upstream, request.attempt.id,
                            request.decoded.prompt_tokens, now,
                            choice.profiled_ms());
