--- a/src/coursejunction/route/cold_division.hpp
+++ b/src/coursejunction/route/cold_division.hpp
@@ -32,8 +32,9 @@
 
     /*! @brief A new process has no share for this long: it does not know the
      * other entries yet, and requests that its predecessor sent just before it
-     * was killed count too. Several heartbeat intervals, as some are lost. */
-    static constexpr milliseconds settling_time{1500};
+     * was killed count too. Several heartbeat intervals, as some are lost;
+     * longer waits cost the first answers after a loss of power of all. */
+    static constexpr milliseconds settling_time{800};
 
     /*! @brief A new process that has not heard an entry whose address it knows
      * has no share for this long; it may be cut off from its start. */
