Remove a second promises_not_run

Cause: two parts moved the same check out of the exchange service; after the merge nothing called the one in exchange_facts.hpp. Ruled out: a caller elsewhere; only response_rules::promises_not_run is used. Change: the unused copy and its include are removed. No behaviour changes. Conclusion: one check is left, in response_rules.hpp.

--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -4,7 +4,6 @@
 #define COURSEJUNCTION_PROXY_EXCHANGE_FACTS_HPP
 
 #include <algorithm>
-#include <array>
 #include <string>
 #include <vector>
 
@@ -153,15 +152,6 @@
             cause};
 }
 
-/*! @brief Returns whether callers take a status as a promise that the request
- * did not run. */
-[[nodiscard]] inline bool promises_not_run(int status)
-{
-    constexpr std::array<int, 4> promising{408, 421, 429, 503};
-    return std::find(promising.begin(), promising.end(), status) !=
-           promising.end();
-}
-
 } // namespace coursejunction::exchange_facts
 
 #endif
