Soak: a run that does not end shows what its tasks wait for

Change: after 200 s beside the faults the soak prints the stack of every task, fails with the faults still open, and keeps its log. When not even the event loop runs, the thread's stack follows 40 s later. The test prints what a run that it kills has written.

The cause of the run that did not end is still unknown.

Conclusion: the next such run can be traced.

--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -12,10 +12,13 @@
 
 class Soak(unittest.TestCase):
     def play(self, seed, seconds, *more):
-        done = subprocess.run([sys.executable, str(SOAK), "--seed", str(seed),
-                               "--seconds", str(seconds), *more],
-                              capture_output=True, text=True, check=False, timeout=300,
-                              env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"})
+        try:
+            done = subprocess.run([sys.executable, str(SOAK), "--seed", str(seed),
+                                   "--seconds", str(seconds), *more],
+                                  capture_output=True, text=True, check=False, timeout=300,
+                                  env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"})
+        except subprocess.TimeoutExpired as late:
+            self.fail(f"{late}: {(late.stderr or b'').decode(errors='replace')}")
         self.assertTrue(done.stdout, done.stderr)
         made = json.loads(done.stdout)
         self.assertEqual(made["broken"], [], done.stderr)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,6 +39,7 @@
 
 import argparse
 import asyncio
+import faulthandler
 import json
 import os
 import pathlib
@@ -69,6 +70,8 @@
 HALLS = ["north", "south", "east", "west", "middle"]
 SETTLE_S = 36.0  # After the last fault: several versions' time of 8 s and a restart.
 TEAR_DOWN_S = 10.0
+LIMIT_S = 200.0  # Beside the faults; runs take under a minute, and the tests wait 300 s.
+TRACE_AFTER_S = 40.0  # Beyond that limit, when not even the event loop runs.
 HEARTBEAT_S = 1.2
 DISTURBED_S = 5.0
 STANDSTILLS = 5
@@ -106,7 +109,7 @@
         self.notices, self.sent_to, self.disturbed = [], {}, {}
         self.resting, self.cut, self.idle_ms = set(), set(), 20000
         self.version, self.configuration, self.number = 1, 1, 0
-        self.stopping, self.calm, self.blackout = False, False, None
+        self.stopping, self.calm, self.blackout, self.whole_run = False, False, None, None
 
     def broken(self, promise, what):
         self.breaks.append(f"{promise}: {what}")
@@ -468,6 +471,20 @@
 
     # The run.
 
+    async def run_within_limit(self):
+        """A run that does not end fails and shows what each of its tasks waits for."""
+        limit, self.whole_run = LIMIT_S + self.seconds, asyncio.current_task()
+        faulthandler.dump_traceback_later(limit + TRACE_AFTER_S)
+        running = asyncio.create_task(self.run())
+        done, _ = await asyncio.wait([running], timeout=limit)
+        if done:
+            return running.result()
+        for one in asyncio.all_tasks():
+            one.print_stack(file=sys.stderr)
+        self.broken("soak", f"the run did not end within {limit:.0f} s; its faults: {self.faults}")
+        await self.tear_down()
+        return self.result()
+
     async def run(self):
         await self.set_up()
         watching = asyncio.create_task(self.standstills.watch())
@@ -538,7 +555,7 @@
             one.kill()
         # Connections that the killed processes leave are of no interest any more.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        rest = asyncio.all_tasks() - {asyncio.current_task(), self.whole_run}
         for one in rest:
             one.cancel()
         _, stuck = await asyncio.wait(rest, timeout=TEAR_DOWN_S)
@@ -621,8 +638,9 @@
     soak = Soak(seed, asked, str(ROOT / build / "bin" / "coursejunctiond"))
     made = {"broken": ["the soak did not end"]}
     try:
-        made = asyncio.run(soak.run())
+        made = asyncio.run(soak.run_within_limit())
     finally:
+        faulthandler.cancel_dump_traceback_later()
         soak.close(keep=bool(made["broken"]))
     return made
 
