Soak: an upstream's announced rest covers the whole rest that is judged

The log shows that entry-2 was told a rest of 970 ms at 39.433 s and sent its three waiting requests at 40.403 s. The stand-in had rounded the time that was left down, by up to 5 ms, and judged against the exact end.

Ruled out: a fault of the entry: it kept the whole time that it was told.

Change: the stand-in rounds the time up to the next 10 ms. The judgement is unchanged.

Conclusion: the bound is as strict as before; entries are told no less than what is judged.

--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -4,6 +4,7 @@
 meanwhile is excused."""
 
 import asyncio
+import math
 import random
 
 SOON_S = 0.5  # What is on its way when an answer tells something still arrives.
@@ -32,7 +33,8 @@
             return ["Server-Leaving: 1"], True
         if self.kind == "limit":
             return [f"Server-Limit: {self.amount}"], True
-        left = max(self.begun + self.amount - self.clock(), 0.01)
+        # Rounded up: what is told must not end before the rest that is judged.
+        left = max(math.ceil(100 * (self.begun + self.amount - self.clock())) / 100, 0.01)
         return [f"Retry-After: {left:.2f}", "X-Coursejunction-Not-Executed: 1"], False
 
     def faults(self, entry_of, excused):
