Share one replay function in the tests of the slot reserve

Cause: three scenarios set the duration and the counted seconds of a pattern and ran it in the same lines, and each scenario checked the fraction of the most urgent kind before the order of the kinds. Change: replay() sets the seconds and runs the pattern; check_order() takes the fraction. All limits are unchanged.

--- a/tests/route/slot_reserve.cpp
+++ b/tests/route/slot_reserve.cpp
@@ -186,8 +186,26 @@
     return (one.in_time + one.late) / one.requests;
 }
 
-void check_order(const load_replay::result& result)
+/*! @brief Replays a pattern.
+ * @param seconds Duration of the replay.
+ * @param kinds_from From this second to before `kinds_to`, requests count by
+ * kind. */
+load_replay::result replay(load_pattern pattern, double seconds,
+                           double kinds_from, double kinds_to)
 {
+    pattern.seconds = seconds;
+    pattern.kinds_from = kinds_from;
+    pattern.kinds_to = kinds_to;
+    return simulator(pattern).run();
+}
+
+/*! @brief Checks that the more urgent kinds are served more often, and that
+ * none starves.
+ * @param in_time Fraction of the most urgent requests that must be exceeded by
+ * those in time. */
+void check_order(const load_replay::result& result, double in_time)
+{
+    CHECK(result.kinds.at("most").in_time_fraction() > in_time);
     const auto& least_urgent = result.kinds.at("least");
     const auto& middle = result.kinds.at("middle");
     const auto& most_urgent = result.kinds.at("most");
@@ -211,8 +229,7 @@
 
     THEN("the most urgent requests are in time, and none starves")
     {
-        CHECK(result.kinds.at("most").in_time_fraction() > 0.93);
-        check_order(result);
+        check_order(result, 0.93);
         CHECK(sum(result).late < 0.03 * sum(result).requests);
     }
     THEN("about as many requests are in time as without priorities")
@@ -229,15 +246,11 @@
 {
     auto pattern = load_replay::three_priorities(1);
     load_replay::multiply_kind(pattern, "most", 1.5, 3, 7);
-    pattern.seconds = 8;
-    pattern.kinds_from = 3;
-    pattern.kinds_to = 7;
-    const auto result = simulator(pattern).run();
+    const auto result = replay(pattern, 8, 3, 7);
 
     THEN("its requests are in time, the others are not starved")
     {
-        CHECK(result.kinds.at("most").in_time_fraction() > 0.9);
-        check_order(result);
+        check_order(result, 0.9);
     }
 }
 
@@ -245,15 +258,11 @@
 {
     auto pattern = load_replay::three_priorities(1);
     load_replay::use_rates_of_kinds(pattern, 1.35);
-    pattern.seconds = 6;
-    pattern.kinds_from = 2;
-    pattern.kinds_to = 5;
-    const auto result = simulator(pattern).run();
+    const auto result = replay(pattern, 6, 2, 5);
 
     THEN("the most urgent are served most often")
     {
-        CHECK(result.kinds.at("most").in_time_fraction() > 0.85);
-        check_order(result);
+        check_order(result, 0.85);
     }
 }
 
@@ -265,15 +274,11 @@
     pattern.halls = 5;
     pattern.entries = 53;
     load_replay::multiply_kind(pattern, "least", 2.6, 0, 10);
-    pattern.seconds = 4;
-    pattern.kinds_from = 2;
-    pattern.kinds_to = 4;
-    const auto result = simulator(pattern).run();
+    const auto result = replay(pattern, 4, 2, 4);
 
     THEN("the most urgent are served most often")
     {
-        CHECK(result.kinds.at("most").in_time_fraction() > 0.7);
-        check_order(result);
+        check_order(result, 0.7);
     }
 }
 
