Move the large configuration of two tests to a shared header

Cause: tests/proxy/evacuated_hall.cpp and tests/proxy/leaving_behind_link.cpp held the same function. Change: it stands in tests/proxy/large_configuration.hpp. The payload is the same. Measured: scripts/unit on both, together with eight other sources: 1811 assertions in 45 test cases pass, as many as before.

--- a/tests/proxy/evacuated_hall.cpp
+++ b/tests/proxy/evacuated_hall.cpp
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -17,6 +16,7 @@
 #include "net/loopback.hpp"
 #include "proxy/entry_on_loopback.hpp"
 #include "proxy/entry_process.hpp"
+#include "proxy/large_configuration.hpp"
 #include "proxy/memory_store.hpp"
 
 namespace cj = coursejunction;
@@ -26,17 +26,7 @@
 {
 
 using proxy_test::entry_process;
-
-/*! @brief Returns a configuration whose payload cannot be compressed. */
-std::string large_configuration(int number)
-{
-    constexpr std::size_t random_bytes = 60'000;
-    std::minstd_rand random(1);
-    std::string payload = std::to_string(number) + " ";
-    while (payload.size() < random_bytes)
-        payload += static_cast<char>(random() % 256);
-    return payload;
-}
+using proxy_test::large_configuration;
 
 /*! @brief Sends heartbeats of an entry that has evacuations to report. */
 class reporting_entry
--- a/tests/proxy/leaving_behind_link.cpp
+++ b/tests/proxy/leaving_behind_link.cpp
@@ -1,7 +1,6 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
-#include <random>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -12,6 +11,7 @@
 #include "net/congested_link.hpp"
 #include "net/loopback.hpp"
 #include "proxy/entry_process.hpp"
+#include "proxy/large_configuration.hpp"
 #include "proxy/memory_store.hpp"
 
 namespace cj = coursejunction;
@@ -20,17 +20,7 @@
 {
 
 using proxy_test::entry_process;
-
-/*! @brief Returns a configuration whose payload cannot be compressed. */
-std::string large_configuration(int number)
-{
-    constexpr std::size_t random_bytes = 60'000;
-    std::minstd_rand random(1);
-    std::string payload = std::to_string(number) + " ";
-    while (payload.size() < random_bytes)
-        payload += static_cast<char>(random() % 256);
-    return payload;
-}
+using proxy_test::large_configuration;
 
 /*! @brief Two entries in halls that a link connects; only the near one reaches
  * the store. */
