Share the running server of socket tests

Cause: four tests repeated the creation of a stream server on an event loop, its end and, in two of them, the record of closed connections; three had a function of their own that waits for a condition. Change: tests/net/running_server.hpp holds both. What a handler uses is in a base class before the server, so that it is destroyed after the server. proxy/slow_reader reads the counters on the loop that changes them. The unused struct reader and the unread list of targets are removed.

--- a/tests/net/half_closed_client.cpp
+++ b/tests/net/half_closed_client.cpp
@@ -1,13 +1,14 @@
 #include <atomic>
-#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
 #include "coursejunction/net/stream_server.hpp"
 #include "net/loopback.hpp"
+#include "net/running_server.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
@@ -16,34 +17,26 @@
 namespace
 {
 
+/*! @brief The requests that a server received and has not answered. */
+struct waiting_requests
+{
+    std::atomic<int> arrived{0};
+    std::atomic<int> disconnected{0};
+    std::vector<cj::stream_reply> replies;
+};
+
 /*! @brief A server that keeps the replies to its requests. */
-struct waiting_server
+struct waiting_server : waiting_requests, loopback::running_server
 {
     waiting_server()
+        : running_server(
+              [this](const cj::stream_request&, cj::stream_reply reply)
+              {
+                  reply.on_disconnect([this] { ++disconnected; });
+                  replies.push_back(std::move(reply));
+                  ++arrived;
+              })
     {
-        running.on_loop(
-            [&]
-            {
-                auto made = cj::stream_server::create(
-                    running.loop, "127.0.0.1", 0, {},
-                    [this](const cj::stream_request& request,
-                           cj::stream_reply reply)
-                    {
-                        reply.on_disconnect([this] { ++disconnected; });
-                        replies.push_back(std::move(reply));
-                        targets.push_back(request.target);
-                        ++arrived;
-                    });
-                REQUIRE(made);
-                server = std::move(made.value());
-                port = server->port();
-            });
-    }
-
-    ~waiting_server()
-    {
-        running.on_loop([&] { server.reset(); });
-        running.stop();
     }
 
     void wait_for(int requests) const
@@ -51,14 +44,6 @@
         for (int attempt = 0; arrived < requests && attempt < 5000; ++attempt)
             std::this_thread::sleep_for(1ms);
     }
-
-    std::atomic<int> arrived{0};
-    std::atomic<int> disconnected{0};
-    std::vector<cj::stream_reply> replies;
-    std::vector<std::string> targets;
-    loopback::running_loop running;
-    std::unique_ptr<cj::stream_server> server;
-    std::uint16_t port{0};
 };
 
 const std::string lines = " HTTP/1.1\r\nHost: h\r\n\r\n";
--- a/tests/net/slow_reader.cpp
+++ b/tests/net/slow_reader.cpp
@@ -1,9 +1,10 @@
 #include <atomic>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -11,9 +12,11 @@
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
 #include "net/loopback.hpp"
+#include "net/running_server.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
+using loopback::becomes;
 using loopback::raw_connection;
 
 namespace
@@ -21,39 +24,26 @@
 
 constexpr std::size_t part_bytes = 8192;
 
+/*! @brief The responses that a server has begun. */
+struct begun_responses
+{
+    std::vector<cj::stream_reply> replies;
+    std::atomic<int> begun{0};
+};
+
 /*! @brief A server that begins a response for each request and keeps its reply.
  */
-struct streaming_server
+struct streaming_server : begun_responses, loopback::running_server
 {
     streaming_server()
+        : running_server(
+              [this](const cj::stream_request&, cj::stream_reply reply)
+              {
+                  reply.begin(200, {});
+                  replies.push_back(std::move(reply));
+                  ++begun;
+              })
     {
-        running.on_loop(
-            [&]
-            {
-                auto made = cj::stream_server::create(
-                    running.loop, "127.0.0.1", 0, {},
-                    [this](const cj::stream_request&, cj::stream_reply reply)
-                    {
-                        reply.begin(200, {});
-                        replies.push_back(std::move(reply));
-                        ++begun;
-                    });
-                REQUIRE(made);
-                server = std::move(made.value());
-                port = server->port();
-                server->on_close(
-                    [this](const cj::closed_connection& closed)
-                    {
-                        const std::lock_guard guard(mutex);
-                        closes.push_back(closed);
-                    });
-            });
-    }
-
-    ~streaming_server()
-    {
-        running.on_loop([&] { server.reset(); });
-        running.stop();
     }
 
     /*! @brief Starts a request on a connection and waits for its reply. */
@@ -78,46 +68,6 @@
                 });
         }
     }
-
-    std::vector<cj::closed_connection> closed()
-    {
-        const std::lock_guard guard(mutex);
-        return closes;
-    }
-
-    template <typename Condition>
-    static bool becomes(Condition condition)
-    {
-        for (int attempt = 0; attempt < 500; ++attempt)
-        {
-            if (condition())
-                return true;
-            std::this_thread::sleep_for(10ms);
-        }
-        return false;
-    }
-
-    std::mutex mutex;
-    std::vector<cj::closed_connection> closes;
-    std::vector<cj::stream_reply> replies;
-    std::atomic<int> begun{0};
-    loopback::running_loop running;
-    std::unique_ptr<cj::stream_server> server;
-    std::uint16_t port{0};
-};
-
-/*! @brief Reads from a connection on a thread of its own until it closes. */
-struct reader
-{
-    explicit reader(raw_connection& from)
-        : thread([&from, this] { received = from.drain(); })
-    {
-    }
-
-    ~reader() { thread.join(); }
-
-    std::string received;
-    std::thread thread;
 };
 
 } // namespace
@@ -150,8 +100,7 @@
     CHECK(client.until("0\r\n\r\n").ends_with("0\r\n\r\n"));
     CHECK(drained == 1);
     CHECK(unsent_then < much / 4);
-    CHECK(streaming_server::becomes([&]
-                                    { return serving.server->unsent() == 0; }));
+    CHECK(becomes([&] { return serving.server->unsent() == 0; }));
 }
 
 SCENARIO("a dropped response resets its connection at once", "[net]")
@@ -243,7 +192,7 @@
         {
             calling.emplace(serving.running.loop);
             cj::stream_call to;
-            to.address = "127.0.0.1:" + std::to_string(serving.port);
+            to.address = serving.address;
             to.target = "/";
             to.stall_time = 200ms;
             cj::stream_client::callbacks handlers;
@@ -277,7 +226,7 @@
             calling->resume(call);
             calling->resume(call);
         });
-    CHECK(streaming_server::becomes([&] { return ends == 1; }));
+    CHECK(becomes([&] { return ends == 1; }));
     CHECK(how == cj::stream_end::whole);
     CHECK(size >= held_back);
 
--- a/tests/net/stream_server.cpp
+++ b/tests/net/stream_server.cpp
@@ -1,9 +1,12 @@
 #include "coursejunction/net/stream_server.hpp"
 
 #include <atomic>
+#include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +14,7 @@
 #include <catch2/catch.hpp>
 
 #include "net/loopback.hpp"
+#include "net/running_server.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
@@ -19,43 +23,13 @@
 namespace
 {
 
-/*! @brief A running server that records its requests and echoes their bodies,
- * unless a handler is given. */
-struct recording_server
+/*! @brief The requests that a server received. */
+struct received_requests
 {
-    explicit recording_server(cj::stream_limits limits = {},
-                              cj::stream_server::handler with = {})
+    void record(const cj::stream_request& request)
     {
-        if (!with)
-            with = [this](cj::stream_request request, cj::stream_reply reply)
-            {
-                {
-                    const std::lock_guard guard(mutex);
-                    seen.push_back(request);
-                }
-                reply.send(200, {}, request.body);
-            };
-        running.on_loop(
-            [&]
-            {
-                auto made = cj::stream_server::create(
-                    running.loop, "127.0.0.1", 0, limits, std::move(with));
-                REQUIRE(made);
-                server = std::move(made.value());
-                port = server->port();
-                server->on_close(
-                    [this](const cj::closed_connection& closed)
-                    {
-                        const std::lock_guard guard(mutex);
-                        closes.push_back(closed);
-                    });
-            });
-    }
-
-    ~recording_server()
-    {
-        running.on_loop([&] { server.reset(); });
-        running.stop();
+        const std::lock_guard guard(mutex);
+        seen.push_back(request);
     }
 
     std::vector<cj::stream_request> requests()
@@ -64,6 +38,21 @@
         return seen;
     }
 
+private:
+    std::mutex mutex;
+    std::vector<cj::stream_request> seen;
+};
+
+/*! @brief A running server that records its requests and echoes their bodies,
+ * unless a handler is given. */
+struct recording_server : received_requests, loopback::running_server
+{
+    explicit recording_server(cj::stream_limits limits = {},
+                              cj::stream_server::handler with = {})
+        : running_server(with ? std::move(with) : echo(), limits)
+    {
+    }
+
     /*! @brief Has a request answered on a connection that stays open. */
     static std::string first_answer(raw_connection& caller)
     {
@@ -73,26 +62,22 @@
 
     /*! @brief Waits up to 5 s for a connection to close.
      * @return The first one that closed, if any. */
-    std::optional<cj::closed_connection> first_close()
+    [[nodiscard]] std::optional<cj::closed_connection> first_close() const
     {
-        for (int attempt = 0; attempt < 500; ++attempt)
-        {
-            {
-                const std::lock_guard guard(mutex);
-                if (!closes.empty())
-                    return closes.front();
-            }
-            std::this_thread::sleep_for(10ms);
-        }
-        return std::nullopt;
+        if (!loopback::becomes([&] { return !closed().empty(); }))
+            return std::nullopt;
+        return closed().front();
     }
 
-    std::mutex mutex;
-    std::vector<cj::stream_request> seen;
-    std::vector<cj::closed_connection> closes;
-    loopback::running_loop running;
-    std::unique_ptr<cj::stream_server> server;
-    std::uint16_t port{0};
+private:
+    cj::stream_server::handler echo()
+    {
+        return [this](const cj::stream_request& request, cj::stream_reply reply)
+        {
+            record(request);
+            reply.send(200, {}, request.body);
+        };
+    }
 };
 
 std::string request(const std::string& lines, const std::string& body = {})
--- a/tests/proxy/caller_disconnects.cpp
+++ b/tests/proxy/caller_disconnects.cpp
@@ -7,11 +7,13 @@
 
 #include "net/crashing_peer.hpp"
 #include "net/pacing_peer.hpp"
+#include "net/running_server.hpp"
 #include "proxy/entry_on_loopback.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
 
+using loopback::becomes;
 using loopback::raw_connection;
 using proxy_test::entry_on_loopback;
 using proxy_test::event_stream;
@@ -27,19 +29,6 @@
 const std::string request_text = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
                                  "Content-Length: 0\r\n\r\n";
 
-template <typename Condition>
-bool becomes(Condition condition, std::chrono::milliseconds within = 5000ms)
-{
-    const auto until = std::chrono::steady_clock::now() + within;
-    while (!condition())
-    {
-        if (std::chrono::steady_clock::now() > until)
-            return false;
-        std::this_thread::sleep_for(1ms);
-    }
-    return true;
-}
-
 std::size_t open_requests(entry_on_loopback& entry)
 {
     std::size_t open = 0;
--- a/tests/proxy/slow_reader.cpp
+++ b/tests/proxy/slow_reader.cpp
@@ -1,5 +1,4 @@
-#include <sys/socket.h>
-
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <memory>
@@ -11,65 +10,65 @@
 
 #include "coursejunction/net/stream_server.hpp"
 #include "coursejunction/proxy/caller_connections.hpp"
+#include "net/running_server.hpp"
 #include "proxy/entry_on_loopback.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
 
+using loopback::becomes;
 using loopback::raw_connection;
 using proxy_test::entry_on_loopback;
 
 namespace
 {
 
+/*! @brief Counts the requests that an upstream received. */
+struct request_count
+{
+    std::atomic<int> arrived{0};
+};
+
 /*! @brief An upstream that streams as many events as its request's `Events`
  * header says, of about 1 KB each, as fast as they are taken. */
-struct streaming_upstream
+struct streaming_upstream : request_count, loopback::running_server
 {
     streaming_upstream()
+        : running_server(
+              [this](const cj::stream_request& request, cj::stream_reply reply)
+              {
+                  ++arrived;
+                  stream_events(request, reply);
+              })
     {
-        running.on_loop(
-            [&]
-            {
-                auto made = cj::stream_server::create(
-                    running.loop, "127.0.0.1", 0, {},
-                    [this](const cj::stream_request& request,
-                           cj::stream_reply reply)
-                    {
-                        ++arrived;
-                        cj::header_list headers;
-                        headers.push_back("Id", "7");
-                        reply.begin(200, headers);
-                        const auto last = std::stoi(
-                            std::string(request.headers.find("Events")));
-                        std::string events;
-                        for (int id = 1; id <= last; ++id)
-                            events += "id: " + std::to_string(id) +
-                                      "\ndata: " + std::string(1000, 'x') +
-                                      "\n\n";
-                        reply.write(events);
-                        reply.finish();
-                    });
-                REQUIRE(made);
-                server = std::move(made.value());
-                server->on_close(
-                    [this](const cj::closed_connection& closed)
-                    { cancelled += closed.unsent_bytes > 0 ? 1 : 0; });
-                address = "127.0.0.1:" + std::to_string(server->port());
-            });
     }
 
-    ~streaming_upstream()
+    /*! @brief Returns how many connections closed before all was taken. */
+    [[nodiscard]] int cancelled() const
     {
-        running.on_loop([&] { server.reset(); });
-        running.stop();
+        const auto ended = closed();
+        return static_cast<int>(
+            std::count_if(ended.begin(), ended.end(),
+                          [](const cj::closed_connection& one)
+                          { return one.unsent_bytes > 0; }));
     }
 
-    std::atomic<int> arrived{0};
-    std::atomic<int> cancelled{0}; /*!< Closed before all was taken. */
-    loopback::running_loop running;
-    std::unique_ptr<cj::stream_server> server;
-    std::string address;
+private:
+    static void stream_events(const cj::stream_request& request,
+                              cj::stream_reply& reply)
+    {
+        cj::header_list headers;
+        headers.push_back("Id", "7");
+        reply.begin(200, headers);
+        const auto last =
+            std::stoi(std::string(request.headers.find("Events")));
+        std::string events;
+        for (int id = 1; id <= last; ++id)
+            events += "id: " + std::to_string(id) +
+                      "\ndata: " + std::string(1000, 'x') + "\n\n";
+        reply.write(events);
+        reply.finish();
+    }
 };
 
 void ask_for(raw_connection& caller, int events)
@@ -91,9 +90,10 @@
 }
 
 /*! @brief Returns the value of a counter without labels. */
-int count_of(const entry_on_loopback& entry, const std::string& name)
+int count_of(entry_on_loopback& entry, const std::string& name)
 {
-    const auto text = entry.counters.text();
+    std::string text;
+    entry.running.on_loop([&] { text = entry.counters.text(); });
     const auto line = "\ncoursejunction_" + name + " ";
     const auto at = text.find(line);
     return at == std::string::npos ? 0
@@ -112,18 +112,6 @@
     entry.running.on_loop([&] { entry.book.apply_record(record); });
 }
 
-template <typename Condition>
-bool becomes(Condition condition)
-{
-    for (int attempt = 0; attempt < 500; ++attempt)
-    {
-        if (condition())
-            return true;
-        std::this_thread::sleep_for(10ms);
-    }
-    return false;
-}
-
 constexpr int long_answer = 1000; // About 1 MB.
 
 } // namespace
@@ -165,7 +153,7 @@
 
     THEN("they are cut after some time, and nothing remains of them")
     {
-        CHECK(becomes([&] { return upstream.cancelled == readers; }));
+        CHECK(becomes([&] { return upstream.cancelled() == readers; }));
         CHECK(unsent(entry) == 0);
         CHECK(count_of(entry, "answers_unread_total") == readers);
         CHECK(count_of(entry, "answers_paused_total") >= readers);
@@ -192,7 +180,7 @@
     CHECK(answer.ends_with("0\r\n\r\n"));
     // A second attempt would mean that the upstream was taken for silent.
     CHECK(upstream.arrived == 1);
-    CHECK(upstream.cancelled == 0);
+    CHECK(upstream.cancelled() == 0);
     CHECK(count_of(entry, "answers_unread_total") == 0);
 }
 
@@ -212,7 +200,7 @@
         slow.push_back(std::make_unique<raw_connection>(entry.port));
         ask_for(*slow.back(), long_answer);
     }
-    CHECK(becomes([&] { return upstream.cancelled > 0; }));
+    CHECK(becomes([&] { return upstream.cancelled() > 0; }));
     // Cuts follow once the loop has finished its work, for which each stream
     // may have written one part.
     constexpr std::size_t parts = 40 * 16'384;
@@ -239,7 +227,7 @@
                       { return count_of(entry, "answers_paused_total") > 0; }));
     }
     const auto closed_at = std::chrono::steady_clock::now();
-    CHECK(becomes([&] { return upstream.cancelled == 1; }));
+    CHECK(becomes([&] { return upstream.cancelled() == 1; }));
     CHECK(std::chrono::steady_clock::now() - closed_at < 500ms);
     CHECK(unsent(entry) == 0);
 }
@@ -255,7 +243,7 @@
     raw_connection caller(entry.port);
     ask_for(caller, too_many);
     CHECK(caller.until("\r\n\r\n").starts_with("HTTP/1.1 502"));
-    CHECK(becomes([&] { return upstream.cancelled == 1; }));
+    CHECK(becomes([&] { return upstream.cancelled() == 1; }));
     CHECK(upstream.arrived == 1);
     raw_connection second(entry.port);
     ask_for(second, long_answer);
