Divide datagrams of crash records in one function

Cause: crash_guard::collect_updates and tests/run/crash_simulation.hpp each held the division of a datagram between the records of parts of prompts and those of requests, with a limit of 6 each, so the simulation could differ from the product without notice. No behaviour changes.

--- a/src/coursejunction/proxy/crash_guard.cpp
+++ b/src/coursejunction/proxy/crash_guard.cpp
@@ -6,6 +6,7 @@
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/run/crash_updates.hpp"
 
 namespace coursejunction
 {
@@ -16,10 +17,6 @@
 constexpr const char* crashed_here =
     "upstreams of this entry crashed while running it";
 
-/*! @brief Records of parts in one datagram. They are longer than those of
- * requests, and a harmful part is among the first to change. */
-constexpr std::size_t max_parts_per_datagram = 6;
-
 /*! @brief Logs what an upstream's crash is taken for under one request: the
  * crashes of a request tell whether it is harmful only together. */
 void log_evidence(const crash_report& report, const instance_id& upstream)
@@ -264,12 +261,7 @@
 
 std::vector<message::crash_record> crash_guard::collect_updates()
 {
-    const auto now = event_loop::now();
-    auto updates = part_ledger.collect_updates(max_parts_per_datagram, now);
-    const auto left = crash_ledger::max_records_per_datagram - updates.size();
-    for (auto& record : ledger.collect_updates(left, now))
-        updates.push_back(std::move(record));
-    return updates;
+    return collect_crash_updates(part_ledger, ledger, event_loop::now());
 }
 
 bool crash_guard::lift_quarantine(const request_content& content)
--- a/tests/run/crash_simulation.hpp
+++ b/tests/run/crash_simulation.hpp
@@ -22,6 +22,7 @@
 
 #include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/run/crash_ledger.hpp"
+#include "coursejunction/run/crash_updates.hpp"
 #include "coursejunction/run/lost_attempt_tracker.hpp"
 #include "coursejunction/wire/codec.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
@@ -147,8 +148,6 @@
      * are counted. */
     static constexpr milliseconds calm_time{4000};
     static constexpr time_point start{100s};
-    /*! @brief Records of parts in one datagram, as the entries send them. */
-    static constexpr std::size_t max_part_records = 6;
 
     struct attempt
     {
@@ -584,10 +583,8 @@
     void report_to_all(std::size_t from)
     {
         auto records = std::make_shared<std::vector<message::crash_record>>(
-            entries[from].part_ledger.collect_updates(max_part_records, now));
-        for (const auto& record : entries[from].ledger.collect_updates(
-                 crash_ledger::max_records_per_datagram - records->size(), now))
-            records->push_back(record);
+            collect_crash_updates(entries[from].part_ledger,
+                                  entries[from].ledger, now));
         if (records->empty())
             return;
         message::fleet_heartbeat heartbeat;
