Doc comments of the hard-load parts: units, wording, two contradictions

Cause: some comments of the new files left units or parameters out or used unclear words. The validity of a load status was called ten report intervals, but reports come every 50 ms from the own hall and every 400 ms from others. A stream is paused above its limit of unread bytes, not at it. Change: the comments say so; factors of 1000 have the name that other files use; cold_division::size, which nothing called, is removed. A doc comment in tests/route/load_pattern.hpp stood at the wrong member. No behaviour changes.

--- a/src/coursejunction/net/internal/client_watch.cpp
+++ b/src/coursejunction/net/internal/client_watch.cpp
@@ -14,8 +14,9 @@
 namespace internal
 {
 
-/*! @brief Bytes of further requests that are read while one is handled. The
- * close of a connection is only seen after everything that was sent before it.
+/*! @brief Maximum number of bytes of further requests that are read while one
+ * is handled. The close of a connection is only seen after everything that was
+ * sent before it.
  */
 constexpr std::size_t read_ahead_bytes = 16'384;
 
--- a/src/coursejunction/net/internal/stream_output.cpp
+++ b/src/coursejunction/net/internal/stream_output.cpp
@@ -16,8 +16,8 @@
 namespace internal
 {
 
-/*! @brief Largest part of a response that is written at a time, so that it
- * shows whether the client takes it. */
+/*! @brief Largest part of a response, in bytes, that is written at a time. The
+ * end of each write shows that the client takes the response. */
 constexpr std::size_t max_write_bytes = 65'536;
 
 } // namespace internal
--- a/src/coursejunction/proxy/attempt_closer.hpp
+++ b/src/coursejunction/proxy/attempt_closer.hpp
@@ -32,7 +32,9 @@
     {
     }
 
-    /*! @brief Returns whether an attempt is the silent one of a request. */
+    /*! @brief Returns whether an attempt is the silent attempt of a request:
+     * the earlier of its two, whose upstream is silent or whose first event is
+     * overdue. */
     [[nodiscard]] static bool is_silent_attempt(const exchange& request,
                                                 std::uint64_t attempt)
     {
@@ -54,6 +56,7 @@
         cancel_silent(request);
     }
 
+    /*! @brief Cancels the silent attempt, if there is one. */
     void cancel_silent(exchange& request)
     {
         if (request.silent_attempt)
@@ -61,6 +64,8 @@
         request.silent_attempt.reset();
     }
 
+    /*! @brief Cancels an attempt. If it was in progress, it is reported as
+     * lost, since its upstream may have crashed. */
     void cancel(const exchange& request, upstream_attempt& attempt)
     {
         if (attempt.id == 0)
@@ -106,7 +111,8 @@
         exchange_log::silence_ended(request, now);
     }
 
-    /*! @brief Ends the silent attempt; the other one goes on. */
+    /*! @brief Ends the silent attempt as failed; the other one goes on.
+     * @param reason For the log. */
     void end_silent(exchange& request, attempt_failure failure,
                     const std::string& reason)
     {
@@ -134,9 +140,9 @@
                                    "no event from the upstream in time");
         const auto& slow = *request.silent_attempt;
         const auto now = event_loop::now();
-        constexpr double ms = 1000;
+        constexpr double ms_per_second = 1000;
         book.record_pace(slow.choice.upstream, slow.choice.profiled_ms(),
-                         to_seconds(now - slow.sent_at) * ms, now);
+                         to_seconds(now - slow.sent_at) * ms_per_second, now);
         cancel_silent(request);
         ++request.possible_runs;
         count_hedge_won("second");
@@ -160,6 +166,7 @@
              {"inside_event", attempt.events.inside_event() ? "yes" : "no"}});
     }
 
+    /*! @brief Counts a failed attempt. */
     void count_failed(bool may_have_run)
     {
         counters.count("attempts_failed_total", 1,
@@ -183,7 +190,8 @@
 
 private:
     /*! @brief Counts which attempt returned the first event after a copy was
-     * sent. */
+     * sent.
+     * @param by `first` or `second`. */
     void count_hedge_won(const std::string& by)
     {
         counters.count("first_event_hedges_won_total", 1, {{"by", by}});
--- a/src/coursejunction/proxy/back_pressure.hpp
+++ b/src/coursejunction/proxy/back_pressure.hpp
@@ -25,22 +25,23 @@
 public:
     using callback = std::function<void(exchange&)>;
 
-    /*! @brief A stream is paused when its caller leaves this many bytes
-     * unread. 500 such callers hold 32 MB, which is less than the bound for all
-     * callers. */
+    /*! @brief A stream is paused when its caller leaves more than this many
+     * bytes unread. 500 such callers hold 32 MB, which is less than the bound
+     * for all callers. */
     static constexpr std::size_t pause_above = 65'536;
 
-    /*! @brief It is resumed below this many. The difference is one read of the
-     * upstream's connection, so that a caller that reads slowly does not stay
-     * paused for long at a time. */
+    /*! @brief It is resumed below this many bytes. The difference is one read
+     * of the upstream's connection, so that a caller that reads slowly does not
+     * stay paused for long at a time. */
     static constexpr std::size_t resume_below = 49'152;
 
     /*! @brief Longest pause. Upstreams break off a response that stays unread
      * for some seconds. */
     static constexpr milliseconds max_pause{2000};
 
-    /*! @brief Largest part of a response that is kept until the rest of it has
-     * arrived: a body that is not a stream, or an incomplete event. */
+    /*! @brief Largest part of a response, in bytes, that is kept until the rest
+     * of it has arrived: a body that is not a stream, or an incomplete event.
+     */
     static constexpr std::size_t max_kept_bytes = std::size_t{4} << 20U;
 
     /*! @param on_resumed Called when a stream is read again.
--- a/src/coursejunction/proxy/cold_start_monitor.hpp
+++ b/src/coursejunction/proxy/cold_start_monitor.hpp
@@ -78,7 +78,7 @@
     }
 
     metrics& counters;
-    std::map<instance_id, time_point> cold; /*!< Since when it was seen. */
+    std::map<instance_id, time_point> cold; /*!< When each was first seen. */
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/proxy/event_gap.hpp
+++ b/src/coursejunction/proxy/event_gap.hpp
@@ -1,7 +1,7 @@
 /*! @file
  * @brief Decides when the pause between two events of a stream is longer than
- * its route's target, and what that says of the upstream; pure. Load pattern:
- * an upstream slows down while it streams.
+ * its route's target, and with what it is compared to estimate the pace of the
+ * upstream; pure. Load pattern: an upstream slows down while it streams.
  */
 #ifndef COURSEJUNCTION_PROXY_EVENT_GAP_HPP
 #define COURSEJUNCTION_PROXY_EVENT_GAP_HPP
@@ -16,7 +16,7 @@
 
 /*! @brief Returns when the pause since the last event exceeds the target of the
  * route; the latest possible time if it has none, if no event was received or
- * if this pause is known already. */
+ * if this pause was counted already. */
 [[nodiscard]] inline time_point exceeded_at(const exchange& request)
 {
     const auto target = request.route->event_gap_target;
@@ -27,9 +27,9 @@
     return attempt.last_event_at + target;
 }
 
-/*! @brief Returns the usual ms between two events of an upstream, by which the
- * pause is compared for its pace: one pass of a full engine or, without an
- * engine model, the target. */
+/*! @brief Returns the usual time in ms between two events of an upstream, with
+ * which a pause is compared to estimate the upstream's pace: one pass of a full
+ * engine or, without an engine model, the target. */
 [[nodiscard]] inline double usual_ms(const exchange& request,
                                      const service_profile& service)
 {
--- a/src/coursejunction/proxy/hedge_inputs.hpp
+++ b/src/coursejunction/proxy/hedge_inputs.hpp
@@ -1,6 +1,6 @@
 /*! @file
- * @brief Derives from the state of a request what decides on a second copy of
- * it; pure. */
+ * @brief Derives the inputs of the decision on a second copy of a request from
+ * its state; pure. */
 #ifndef COURSEJUNCTION_PROXY_HEDGE_INPUTS_HPP
 #define COURSEJUNCTION_PROXY_HEDGE_INPUTS_HPP
 
@@ -23,27 +23,28 @@
 }
 
 /*! @brief Describes the attempt in progress to the decision.
- * @param expected_ms Its predicted time by what is known of its upstream now.
+ * @param expected_ms Time in ms from its start until its first event, predicted
+ * from what is known of its upstream now.
  */
 [[nodiscard]] inline awaited_first_event
 awaited_of(const exchange& request, double expected_ms, time_point now)
 {
-    constexpr double ms = 1000;
+    constexpr double ms_per_second = 1000;
     const auto& attempt = request.attempt;
     awaited_first_event awaited;
     awaited.target_ms =
         static_cast<double>(request.route->first_event_target.count());
     awaited.waited_ms =
-        to_seconds(attempt.sent_at - request.arrived_at) * ms +
+        to_seconds(attempt.sent_at - request.arrived_at) * ms_per_second +
         static_cast<double>(request.arrival.history.waited.count());
-    awaited.elapsed_ms = to_seconds(now - attempt.sent_at) * ms;
+    awaited.elapsed_ms = to_seconds(now - attempt.sent_at) * ms_per_second;
     awaited.predicted_ms = attempt.choice.predicted_ms;
     awaited.expected_ms = expected_ms;
     return awaited;
 }
 
-/*! @brief Returns when the attempt in progress has to be judged next; the
- * latest possible time if it need not be. */
+/*! @brief Returns when to decide next whether the request gets a copy; the
+ * latest possible time if none may be considered. */
 [[nodiscard]] inline time_point next_check(const exchange& request,
                                            time_point now)
 {
--- a/src/coursejunction/proxy/live_entries.hpp
+++ b/src/coursejunction/proxy/live_entries.hpp
@@ -21,16 +21,16 @@
 struct live_entries
 {
     std::vector<entry_demand> demands; /*!< Of each, this entry first. */
-    request_rates others; /*!< Sum of the rates of all other entries. */
+    request_rates others; /*!< Sum over all other entries, per second. */
     /*! @brief Entries known by address that were never heard. */
     std::size_t unheard{0};
     /*! @brief Addresses of entries that announced that they are leaving. */
     std::vector<std::string> leaving;
 };
 
-/*! @brief Returns the demand of an entry. One without requests so far counts
- * for a minimum, so that it can place its first one. An engine of the
- * installations completes 4.8 requests per second. */
+/*! @brief Returns the demand of an entry in requests a second. One without
+ * requests so far counts for a minimum, so that it can place its first one. An
+ * engine of the installations completes 4.8 requests per second. */
 [[nodiscard]] inline entry_demand
 make_demand(const hall_id& hall, const std::string& address, double per_second)
 {
--- a/src/coursejunction/proxy/response_rules.hpp
+++ b/src/coursejunction/proxy/response_rules.hpp
@@ -56,6 +56,7 @@
     request.error_response_body = std::move(attempt.response_body);
 }
 
+/*! @brief Returns whether an attempt may have run, by how its call ended. */
 [[nodiscard]] inline attempt_failure failure_of(end_verdict verdict)
 {
     return verdict == end_verdict::not_sent ? attempt_failure::not_sent
--- a/src/coursejunction/route/cold_division.hpp
+++ b/src/coursejunction/route/cold_division.hpp
@@ -32,8 +32,9 @@
 
     /*! @brief A new process has no share for this long: it does not know the
      * other entries yet, and requests that its predecessor sent just before it
-     * was killed count too. Several heartbeat intervals, as some are lost;
-     * longer waits cost the first answers after a loss of power of all. */
+     * was killed count too. It covers several heartbeat intervals, as
+     * some heartbeats are lost. A longer time would delay the first responses
+     * after all processes were started at once. */
     static constexpr milliseconds settling_time{800};
 
     /*! @brief A new process that has not heard an entry whose address it knows
@@ -44,7 +45,7 @@
      * requests that the network delays so that they arrive close together. */
     static constexpr double divided_fraction = 0.95;
 
-    /*! @brief Least requests a second of a share, where there are enough
+    /*! @brief Smallest share in requests a second, where there are enough
      * entries. Each holder may exceed its share by 1.5 requests in any second,
      * so with fewer and larger shares the sum stays near the rate. */
     static constexpr double requests_per_holder = 4;
@@ -101,9 +102,6 @@
     /*! @brief Returns a number that changes when shares may have changed. */
     [[nodiscard]] std::uint64_t revision() const { return current_revision; }
 
-    /*! @brief Returns the number of entries between which rates are divided. */
-    [[nodiscard]] std::size_t size() const { return entries.size(); }
-
 private:
     struct remembered_entry
     {
--- a/src/coursejunction/route/cold_start.hpp
+++ b/src/coursejunction/route/cold_start.hpp
@@ -41,12 +41,12 @@
     friend bool operator==(const cold_policy&, const cold_policy&) = default;
 };
 
-/*! @brief From what an entry knows that an upstream is cold. */
+/*! @brief How an entry knows that an upstream is cold. */
 enum class cold_source : std::uint8_t
 {
     record,      /*!< Its record. */
     incarnation, /*!< A later incarnation was reported. */
-    marked       /*!< Another component: its hall returned to service. */
+    marked /*!< Another component said so: its hall returned to service. */
 };
 
 /*! @brief Returns the name of a source for logs. */
@@ -153,8 +153,9 @@
     void clear_share() { own_share.reset(); }
 
     /*! @brief Records that a request is sent there, whether or not it is cold:
-     * it may become cold in mid-burst. A holder may catch up on half an unused
-     * interval: more would let all holders together exceed the bound. */
+     * it may become cold in the middle of a burst. A holder may catch up on
+     * half an unused interval: more would let all holders together exceed the
+     * bound. */
     void record_send(time_point now)
     {
         if (!policy.enabled())
@@ -203,12 +204,13 @@
     /*! @brief The bound on a cold upstream counts arrivals in one second. */
     static constexpr milliseconds bound_period{1000};
 
-    /*! @brief Bounds the memory of an upstream; a cold one gets fewer. */
+    /*! @brief Bounds the memory for an upstream. A cold one receives fewer
+     * requests in one second. */
     static constexpr std::size_t max_recent_sends = 64;
 
-    /*! @brief Requests that may be on their way while nothing is received, in
-     * seconds of the share. They arrive at once after a stall of the network,
-     * and the bound has room for half a second's worth. */
+    /*! @brief Requests that may be unanswered at a time, as the seconds in
+     * which the share allows them. They arrive at once after a stall of the
+     * network, and the bound allows for those of half a second. */
     static constexpr double unanswered_seconds = 0.5;
 
     void set_end(time_point until, cold_source from, time_point now)
--- a/src/coursejunction/route/connection_share.hpp
+++ b/src/coursejunction/route/connection_share.hpp
@@ -13,7 +13,8 @@
 /*! @brief Returns how many connections this entry may have open to one
  * upstream, which resets those beyond `max_connections` of all entries
  * together. At least one, so that no entry is shut out.
- * @param max_connections 0: unbounded, as is the result. */
+ * @param max_connections 0: unbounded, as is the result.
+ * @param entries Number of entries that send to the upstream. */
 [[nodiscard]] constexpr std::size_t
 connection_share(std::size_t max_connections, std::size_t entries)
 {
--- a/src/coursejunction/route/hedge_decision.hpp
+++ b/src/coursejunction/route/hedge_decision.hpp
@@ -1,7 +1,7 @@
 /*! @file
  * @brief Decides whether a second copy of a request goes to another upstream
  * because its first event is overdue; pure.
- * Load pattern: for some hundred ms one upstream in several is a few times
+ * Load pattern: for several hundred ms one upstream in several is a few times
  * slower than predicted, while others have free slots. A request that waits
  * there misses its target although another upstream could still meet it.
  */
@@ -18,7 +18,7 @@
 namespace coursejunction
 {
 
-/*! @brief Parameters of the decision. Fractions are of 1. */
+/*! @brief Parameters of the decision. Fractions are from 0 to 1. */
 struct hedge_options
 {
     /*! @brief An attempt is overdue from this multiple of its predicted time
@@ -59,7 +59,7 @@
     over_budget /*!< The rest of the budget is kept for retries. */
 };
 
-/*! @brief Returns a verdict as a label. */
+/*! @brief Returns a verdict as a label of metrics. */
 [[nodiscard]] inline std::string_view verdict_name(hedge_verdict verdict)
 {
     switch (verdict)
@@ -110,7 +110,7 @@
                options.overdue_factor * awaited.predicted_ms;
 }
 
-/*! @brief Returns whether a copy is worth looking for another upstream.
+/*! @brief Decides whether to look for another upstream for a copy.
  * @param overload Degree of overload of the service, 0 to 1. */
 [[nodiscard]] inline hedge_verdict
 judge_awaited(const awaited_first_event& awaited, double overload,
--- a/src/coursejunction/route/incarnation_start.hpp
+++ b/src/coursejunction/route/incarnation_start.hpp
@@ -19,7 +19,7 @@
  * is cold, even before its record says so.
  * @param status_latency How long before its reception a status may have been
  * taken.
- * @param reported_at When the later incarnation had started at the latest.
+ * @param reported_at A time at which the later incarnation had already started.
  * @return The incarnation that ended, if any. */
 [[nodiscard]] inline std::optional<ended_incarnation>
 start_incarnation(known_upstream& upstream, const incarnation& reported,
--- a/src/coursejunction/route/load_estimate.hpp
+++ b/src/coursejunction/route/load_estimate.hpp
@@ -18,8 +18,8 @@
 namespace load_estimate
 {
 
-/*! @brief Age above which a status no longer describes the load: ten report
- * intervals. */
+/*! @brief Age above which a status no longer describes the load. Other halls
+ * report every 400 ms, so that one report may be lost. */
 inline constexpr milliseconds status_validity{1000};
 /*! @brief A status may have been taken this long before it was received, so
  * that attempts sent shortly before are not in it. */
--- a/src/coursejunction/route/reserved_slots.hpp
+++ b/src/coursejunction/route/reserved_slots.hpp
@@ -18,8 +18,9 @@
     /*! @brief Less urgent requests for one that is not, at most 1. The engine
      * takes a waiting request before those of less urgent ranks. */
     double overtaken{0};
-    double degree{0};       /*!< Degree of overload, 0 to 1. */
-    double rates_age_ms{0}; /*!< Since the rates of other entries were set. */
+    double degree{0}; /*!< Degree of overload, 0 to 1. */
+    /*! @brief Time since the rates of other entries were set. */
+    double rates_age_ms{0};
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/route/upstream_pace.hpp
+++ b/src/coursejunction/route/upstream_pace.hpp
@@ -1,9 +1,9 @@
 /*! @file
  * @brief Estimates how much slower than its profile an upstream is right now;
  * pure.
- * Load pattern: one upstream in several is a few times slower for some hundred
- * ms, each in turn. Evidence therefore counts by its age: a slow phase is to be
- * noticed within about 150 ms and forgotten soon after it.
+ * Load pattern: one upstream in several is a few times slower for several
+ * hundred ms, each in turn. Evidence therefore counts by its age: a slow phase
+ * is to be noticed within about 150 ms and forgotten soon after it.
  */
 #ifndef COURSEJUNCTION_ROUTE_UPSTREAM_PACE_HPP
 #define COURSEJUNCTION_ROUTE_UPSTREAM_PACE_HPP
--- a/tests/route/load_pattern.hpp
+++ b/tests/route/load_pattern.hpp
@@ -25,6 +25,8 @@
 struct request_kind
 {
     std::string name;
+    /*! @brief Rate relative to other kinds; in requests a second where
+     * `use_rates_of_kinds` sets the rate of the pattern. */
     double weight{1};
     cj::milliseconds target{400};
     double prompt{1000}; /*!< Mean tokens. */
@@ -75,8 +77,8 @@
     /*! @brief Whether refused clients retry at another entry of their hall. */
     bool retries_elsewhere{false};
     /*! @brief Fraction of those clients that retry in another hall instead. */
-    double moved_fraction{
-        0}; /*! @brief Fraction of the requests that are equal to each other. */
+    double moved_fraction{0};
+    /*! @brief Fraction of the requests that are equal to each other. */
     double identical_fraction{0};
     std::uint64_t seed{1};
     /*! @brief Seconds within which a request must first arrive to count for its
