Tests of the hard-load parts say which failure they guard against

Cause: some of the new tests did not say it, and a few names and comments used unclear words. Change: comments and names of sections only; cold_fleet::break_something is now inject_fault. No assertion changes.

--- a/tests/net/unsent_budget.cpp
+++ b/tests/net/unsent_budget.cpp
@@ -46,7 +46,7 @@
 {
     budget bytes;
     bytes.limit(100);
-    GIVEN("several that hold as much")
+    GIVEN("several that hold the same amount")
     {
         bytes.add(1, 50, start);
         bytes.add(2, 50, start + 1s);
--- a/tests/proxy/allowed_regions.cpp
+++ b/tests/proxy/allowed_regions.cpp
@@ -32,8 +32,8 @@
     return result;
 }
 
-/*! @brief An entry in the east. Its requests may wait for a slot for longer
- * than they take to be refused at once. */
+/*! @brief An entry in the east. Its tests set targets so long that a request
+ * which waits for a slot takes longer than one that is refused at once. */
 struct entry_in_east : entry_on_loopback
 {
     entry_in_east()
--- a/tests/proxy/cold_upstream.cpp
+++ b/tests/proxy/cold_upstream.cpp
@@ -19,7 +19,8 @@
 namespace
 {
 
-/*! @brief Adds a cold upstream of which an entry holds the whole rate. */
+/*! @brief Adds a cold upstream; the entry holds the whole of its rate.
+ * @param per_second Requests a second that the upstream accepts. */
 void add_cold_upstream(entry_on_loopback& entry, const std::string& address,
                        double per_second)
 {
@@ -51,7 +52,9 @@
 
 } // namespace
 
-SCENARIO("a cold upstream gets no more requests than it bears", "[proxy]")
+// Guards against attempts, also repeated ones, beyond the rate that a cold
+// upstream accepts.
+SCENARIO("a cold upstream gets no more requests than it accepts", "[proxy]")
 {
     entry_on_loopback entry;
     entry.configure_route(cj::request_kind::repeatable);
--- a/tests/proxy/evacuated_hall.cpp
+++ b/tests/proxy/evacuated_hall.cpp
@@ -225,7 +225,7 @@
         {
             other.report({{"x", second, false}});
             CHECK(entry.uses_upstream("up/a"));
-            AND_THEN("a late report of its begin does not repeat it")
+            AND_THEN("a late report of its start does not evacuate it again")
             {
                 other.report({{"x", first, true}});
                 CHECK(entry.uses_upstream("up/a"));
@@ -255,7 +255,7 @@
             CHECK(entry.uses_upstream("up/a"));
         }
     }
-    WHEN("the end is reported before the begin")
+    WHEN("the end is reported before the start")
     {
         other.report({{"x", second, false}});
         other.report({{"x", first, true}});
--- a/tests/proxy/live_entries.cpp
+++ b/tests/proxy/live_entries.cpp
@@ -7,6 +7,8 @@
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
 
+// Guards against a share of an upstream that falls to an entry which cannot use
+// it, and against entries that are left out although they send requests.
 SCENARIO("the entries between which upstreams are divided", "[proxy]")
 {
     const cj::time_point now{100s};
--- a/tests/route/cold_start.cpp
+++ b/tests/route/cold_start.cpp
@@ -294,7 +294,7 @@
         {
             const auto tick = (now - start) / 10ms;
             if (settings.faults && tick % 20 == 0)
-                break_something(now);
+                inject_fault(now);
             for (std::size_t at = 0; at < entries.size(); ++at)
                 step(at, static_cast<std::size_t>(tick), now);
         }
@@ -329,7 +329,7 @@
 
     /*! @brief Kills, suspends or cuts off a random entry. Partitions last less
      * than `unheard_settling_time`. */
-    void break_something(cj::time_point now)
+    void inject_fault(cj::time_point now)
     {
         auto& one = entries[draw(entries.size())];
         const auto until = now + cj::milliseconds(100 + draw(4000));
@@ -453,6 +453,7 @@
 
 } // namespace
 
+// Guards against shares that together exceed the rate after faults of entries.
 SCENARIO("all entries together keep to the rate of a cold upstream", "[route]")
 {
     GIVEN("entries that are killed, start, freeze and stop hearing each other")
--- a/tests/route/hedge_decision.cpp
+++ b/tests/route/hedge_decision.cpp
@@ -28,6 +28,8 @@
 
 } // namespace
 
+// Guards against requests that wait at a slow upstream past their target, and
+// against copies that take capacity and gain nothing.
 SCENARIO("a request whose first event is overdue gets a copy", "[route]")
 {
     WHEN("its upstream takes much longer than predicted")
--- a/tests/route/placement_cold.cpp
+++ b/tests/route/placement_cold.cpp
@@ -10,6 +10,8 @@
 using namespace std::chrono_literals;
 using namespace placement_test;
 
+// Guards against a burst of requests at an upstream that has just started,
+// which looks empty to all entries.
 SCENARIO("a cold upstream gets requests only when one is due", "[route]")
 {
     cj::upstream_registry registry;
--- a/tests/route/priority.cpp
+++ b/tests/route/priority.cpp
@@ -72,6 +72,8 @@
     }
 }
 
+// Guards against an order in which a less urgent request comes before a more
+// urgent one.
 SCENARIO("urgency of requests of several ranks", "[route]")
 {
     const cj::rank_order three({{0, 2}, {0, 0}, {0, 1}});
--- a/tests/route/upstream_pace.cpp
+++ b/tests/route/upstream_pace.cpp
@@ -79,6 +79,8 @@
 
 } // namespace
 
+// Guards against requests that are placed at an upstream while it is slow, and
+// against an upstream that is avoided after it is fast again.
 SCENARIO("a slow phase of an upstream is noticed and forgotten", "[route]")
 {
     WHEN("the upstream reports its pace")
@@ -135,7 +137,8 @@
     }
 }
 
-// Attempts are awaited for most of their time, which says nothing.
+// Guards against an upstream that counts as slow because its attempts are
+// awaited: an attempt that is not overdue is no evidence.
 SCENARIO("awaited first events that are not overdue", "[route]")
 {
     cj::upstream_pace pace;
