Plain names and comments in the soak of the hard load

Cause: private names such as grow_cold and look_after and some comments did not say what they mean. Change: names within the class and comments only.

--- a/tests/soak/hard_load.py
+++ b/tests/soak/hard_load.py
@@ -14,32 +14,32 @@
 
 PARTS = ["evacuation", "cold", "regions", "pace", "readers"]
 STREAMS = {"chat": "key", "urgent": "college", "bulk": "key"}  # Each with the key of its callers.
-SOON_S = 0.5  # What is on its way, and a busy machine.
-LINK_KINDS = {"engine", "reborn_cut"}  # Faults that hold requests back and pass them on later.
-UNAWARE_KINDS = {"store", "forget", "way", "reset", "pause", "suspend"}  # Records are learned late.
+IN_FLIGHT_S = 0.5  # Allows for requests in flight and for a busy machine.
+LINK_KINDS = {"engine", "reborn_cut"}  # Faults that delay requests and deliver them later.
+UNAWARE_KINDS = {"store", "forget", "way", "reset", "pause", "suspend"}  # Entries learn of records late.
 
 EVACUATE_S = 5.0  # The platform's bounds.evacuateMs.
 EVACUATED_S = (6.5, 9.0)
-JUDGED_S = 1.5  # Of each evacuation at least.
-RESTORED_S = 3.0  # From the end of a fault of the store until an entry that restarted knows all.
+JUDGED_S = 1.5  # Minimum time for which each evacuation is judged.
+RESTORED_S = 3.0  # From the end of a fault of the store until a restarted entry has read all of it.
 
 COLD_OVERSHOOT, COLD_ALLOWANCE = 1.5, 5  # The platform's bounds.
 COLD_WINDOW_S = 1.0
 AWARE_S = 1.0  # From the acknowledgement of a record until entries act on it.
 BURST = 60  # Requests at once: more than one cold engine may take in a second.
-COLD_CALM_ROUNDS = 3  # After the faults: one on the way of a record excuses much of what follows.
+COLD_CALM_ROUNDS = 3  # After the faults, as one that delays a record excludes much of what follows.
 BURST_PAUSE_S = (1.0, 2.0)
 
 PACE_S = 0.6
 SLOWNESS = [2.5, 5.0]
 
-READERS = 40  # Unread answers of 6 MB: together over the memory bound if an entry held them all.
+READERS = 40  # Their unread answers of 6 MB would together exceed ENTRY_BYTES.
 READER_BUFFER = 16384
 SEGMENT = 1400  # With the large segments of loopback, the entry's send buffer takes a whole answer.
 UNREAD_S = [0.5] + [6.0] * 5  # Engines cut off answers that stay unread for the longer time.
 ENTRY_BYTES = 160e6
 ABANDONED_S = 0.5
-MOST_ABANDONED = 2  # Beside ABANDONED_SHARE of the requests whose callers disconnected.
+MOST_ABANDONED = 2  # In addition to ABANDONED_SHARE of the requests whose callers disconnected.
 ABANDONED_SHARE = 0.02
 
 
@@ -51,19 +51,19 @@
 
 
 class HardLoad:
-    """Changes nothing in a run without parts. Draws apart from the dice of the faults, so
-    that kept seeds keep their faults."""
+    """Changes nothing in a run without parts. Uses random generators of its own, so that the
+    seeds of earlier runs still produce the same faults."""
 
     def __init__(self, soak, halls, all_halls):
         self.soak, self.parts = soak, soak.asked.hard_load or []
-        self.dice = random.Random(f"hard load {soak.seed}")
-        self.halls = all_halls[:self.dice.choice([2, 3])] if self.parts else halls
+        self.generator = random.Random(f"hard load {soak.seed}")
+        self.halls = all_halls[:self.generator.choice([2, 3])] if self.parts else halls
         regions = [self.region(hall) for hall in self.halls]
-        self.allowed = {name: self.dice.sample(regions, self.dice.randint(1, max(1, len(regions) - 1)))
+        self.allowed = {name: self.generator.sample(regions, self.generator.randint(1, max(1, len(regions) - 1)))
                         for name in ("local", "bound")}  # Of a route and of a tenant.
-        self.cold_per_s, self.cold_start_s = self.dice.randint(4, 8), self.dice.uniform(2, 4)
-        self.cold_until, self.cold_spans = {}, []  # By engine; (engine, id, acknowledged, end).
-        self.evacuations = []  # (halls, acknowledged, removed).
+        self.cold_per_s, self.cold_start_s = self.generator.randint(4, 8), self.generator.uniform(2, 4)
+        self.cold_until, self.cold_spans = {}, []  # By engine; (engine, id, acknowledged at, end).
+        self.evacuations = []  # (halls, acknowledged at, removed at).
         self.restricted = {}  # The allowed regions of each restricted request.
         self.closed = {}  # When callers disconnected, by request.
         self.abandoned = set()  # Requests that ran or arrived too long after that.
@@ -111,7 +111,7 @@
 
     async def ask(self, path, key, body="hi", read_after=0.0, entry=None):
         """One request on a connection of its own."""
-        entry = entry or self.dice.choice(self.soak.entries)
+        entry = entry or self.generator.choice(self.soak.entries)
         single = path == "note"
         opened = await self.open(entry, path, key)
         if opened is None:
@@ -152,43 +152,43 @@
         if "regions" in self.parts:
             kinds += restricted + [("local", "bound"), ("note", "bound")]
         while not self.soak.stopping:
-            path, key = self.dice.choice(kinds)
+            path, key = self.generator.choice(kinds)
             status = await self.ask(path, key)
             if (path, key) in restricted:
                 self.soak.count(f"restricted {status}")
-            await asyncio.sleep(self.dice.uniform(0, 0.1))
+            await asyncio.sleep(self.generator.uniform(0, 0.1))
 
     async def send_bursts(self):
         calm = 0
         while calm < COLD_CALM_ROUNDS:
-            await asyncio.gather(*(self.ask(*self.dice.choice(list(STREAMS.items())))
+            await asyncio.gather(*(self.ask(*self.generator.choice(list(STREAMS.items())))
                                    for _ in range(BURST)))
-            await asyncio.sleep(self.dice.uniform(*BURST_PAUSE_S))
+            await asyncio.sleep(self.generator.uniform(*BURST_PAUSE_S))
             calm += self.soak.calm
 
     async def read_late(self):
-        """Many callers of one entry leave large answers unread for a while, or for good."""
+        """Many callers of one entry leave large answers unread, for some time or until the end."""
         while not self.soak.calm:
-            entry = self.dice.choice(self.soak.entries)
+            entry = self.generator.choice(self.soak.entries)
             await asyncio.gather(*(
-                self.ask("bulk", "key", LARGE_BODY.decode(), self.dice.choice(UNREAD_S), entry)
+                self.ask("bulk", "key", LARGE_BODY.decode(), self.generator.choice(UNREAD_S), entry)
                 for _ in range(READERS)))
 
     async def disconnect(self):
         while not self.soak.calm:
-            path, key = self.dice.choice(list(STREAMS.items()))
-            entry = self.dice.choice(self.soak.entries)
+            path, key = self.generator.choice(list(STREAMS.items()))
+            entry = self.generator.choice(self.soak.entries)
             if (opened := await self.open(entry, path, key)) is None:
                 continue
             asked, _, writer = opened
             writer.write(self.soak.request(asked, False, f"/{path}/x", key, "hi"))
-            await asyncio.sleep(self.dice.choice([0.0, self.dice.uniform(0, 0.3)]))
-            self.dice.choice([reset, lambda one: one.close()])(writer)
+            await asyncio.sleep(self.generator.choice([0.0, self.generator.uniform(0, 0.3)]))
+            self.generator.choice([reset, lambda one: one.close()])(writer)
             self.closed[asked] = self.now()
-            self.soak.tasks.append(asyncio.create_task(self.look_after(asked)))
-            await asyncio.sleep(self.dice.uniform(0, 0.1))
+            self.soak.tasks.append(asyncio.create_task(self.check_abandoned(asked)))
+            await asyncio.sleep(self.generator.uniform(0, 0.1))
 
-    async def look_after(self, asked):
+    async def check_abandoned(self, asked):
         await asyncio.sleep(ABANDONED_S)
         if any(asked in one.active for one in self.soak.engines):
             self.abandoned.add(asked)
@@ -196,37 +196,37 @@
     # Operations and states of upstreams.
 
     async def evacuate(self):
-        soak, dice = self.soak, random.Random(f"{self.soak.seed} evacuations")
+        soak, generator = self.soak, random.Random(f"{self.soak.seed} evacuations")
         while not soak.calm:
-            halls = dice.sample(self.halls, dice.randint(1, len(self.halls) - 1))
+            halls = generator.sample(self.halls, generator.randint(1, len(self.halls) - 1))
             for hall in halls:
                 await soak.store.put(f"op/evacuate/{hall}", {})
             acknowledged = self.now()
-            await asyncio.sleep(dice.uniform(*EVACUATED_S))
+            await asyncio.sleep(generator.uniform(*EVACUATED_S))
             while self.now() < self.aware_since(acknowledged, {"store"}, EVACUATE_S) + JUDGED_S:
                 await asyncio.sleep(0.1)
-            if "cold" in self.parts and dice.random() < 0.5:
-                await self.cool([one for one in soak.engines if soak.hall(one.number) in halls])
+            if "cold" in self.parts and generator.random() < 0.5:
+                await self.make_cold([one for one in soak.engines if soak.hall(one.number) in halls])
             self.evacuations.append((halls, acknowledged, self.now()))
             for hall in halls:
                 await soak.store.remove(f"op/evacuate/{hall}")
-            await asyncio.sleep(dice.uniform(0.5, 2))
+            await asyncio.sleep(generator.uniform(0.5, 2))
 
-    async def cool(self, engines):
+    async def make_cold(self, engines):
         """Makes engines cold; returns when their records say so."""
         for one in engines:
             self.cold_until[one] = self.now() + self.cold_start_s
         await self.soak.tell_upstreams()
 
-    async def grow_cold(self):
-        calm, dice = 0, random.Random(f"{self.soak.seed} cold starts")
+    async def start_cold_periods(self):
+        calm, generator = 0, random.Random(f"{self.soak.seed} cold starts")
         while calm < COLD_CALM_ROUNDS:
-            await self.cool([dice.choice(self.soak.engines)])
-            await asyncio.sleep(dice.uniform(1, 3))
+            await self.make_cold([generator.choice(self.soak.engines)])
+            await asyncio.sleep(generator.uniform(1, 3))
             calm += self.soak.calm
 
-    async def note_cold(self):
-        """Notes when records first say that an engine is cold; a new engine is so from its start."""
+    async def record_cold_spans(self):
+        """Records when the store first says that an engine is cold; a new one is from its start."""
         born, noted = {one: one.born for one in self.soak.engines}, {}
         while not self.soak.stopping:
             for one in self.soak.engines:
@@ -242,14 +242,14 @@
             await asyncio.sleep(0.02)
 
     async def change_pace(self):
-        dice = random.Random(f"{self.soak.seed} pace")
+        generator = random.Random(f"{self.soak.seed} pace")
         while not self.soak.calm:
-            one = dice.choice(self.soak.engines)
-            one.slowness = dice.choice(SLOWNESS)
+            one = generator.choice(self.soak.engines)
+            one.slowness = generator.choice(SLOWNESS)
             self.soak.count("slow phases")
             await asyncio.sleep(PACE_S)
             one.slowness = 1.0
-            await asyncio.sleep(dice.uniform(0, 0.4))
+            await asyncio.sleep(generator.uniform(0, 0.4))
 
     async def watch_memory(self):
         while not self.soak.stopping:
@@ -262,11 +262,11 @@
 
     def start(self):
         """Returns the tasks that end with the run; the others end after the faults."""
-        of_parts = {"evacuation": [self.evacuate], "cold": [self.grow_cold, self.send_bursts], "regions": [],
+        of_parts = {"evacuation": [self.evacuate], "cold": [self.start_cold_periods, self.send_bursts], "regions": [],
                     "pace": [self.change_pace], "readers": [self.read_late, self.disconnect, self.disconnect]}
         self.ending = [asyncio.create_task(one()) for part in self.parts for one in of_parts[part]]
         lasting = [self.call] * 4 + [self.watch_memory] if self.parts else []
-        lasting += [self.note_cold] if "cold" in self.parts else []
+        lasting += [self.record_cold_spans] if "cold" in self.parts else []
         return [asyncio.create_task(one()) for one in lasting]
 
     async def finish(self):
@@ -276,7 +276,7 @@
     # What is judged at the end.
 
     def judge(self):
-        """Slow engines must break nothing that is judged of every run."""
+        """The part `pace` has no check of its own: slow engines must not fail the general ones."""
         for part in set(self.parts) - {"pace"}:
             getattr(self, f"judge_{part}")()
 
@@ -285,15 +285,15 @@
                 for at, one in enumerate(kind)]
 
     def held_back(self, at):
-        """Whether a link may have passed a request on that it had held back, or the soak
-        itself had no time to run."""
-        return self.soak.standstills.lasted(at - SOON_S, at) > 0 or any(
-            one.kind in LINK_KINDS and one.overlaps(at - SOON_S, at)
+        """Whether a link may have delivered a request late, or the soak itself got no processor
+        time."""
+        return self.soak.standstills.lasted(at - IN_FLIGHT_S, at) > 0 or any(
+            one.kind in LINK_KINDS and one.overlaps(at - IN_FLIGHT_S, at)
             for one in self.soak.acknowledged.troubles)
 
     def aware_since(self, told, kinds, bound):
-        """From when on entries act on what was acknowledged at a moment: when there was no
-        such fault for as long as the bound."""
+        """Returns when entries must act on what was acknowledged at `told`: once no such fault
+        occurred for `bound` seconds."""
         begin = told
         for one in sorted(self.soak.acknowledged.troubles, key=lambda one: one.begin):
             if one.kind in kinds and one.overlaps(begin, begin + bound):
@@ -301,7 +301,7 @@
         return begin + bound + self.soak.standstills.lasted(told, begin + bound)
 
     def is_restored(self, asked, at):
-        """Whether the entry has not just restarted without the store."""
+        """Whether the entry of a request did not restart shortly after a fault of the store."""
         return not self.soak.disturbed_since(self.soak.sent_to.get(asked), at) or not any(
             one.kind == "store" and one.overlaps(at - RESTORED_S, at)
             for one in self.soak.acknowledged.troubles)
