Use the shared running server in the test of idle connections

Cause: tests/net/idle_connections.cpp also created its server by hand. Change: it uses loopback::running_server, whose comment now says how long what its handler uses must live. The checks are unchanged.

--- a/tests/net/idle_connections.cpp
+++ b/tests/net/idle_connections.cpp
@@ -1,14 +1,14 @@
 #include <atomic>
 #include <memory>
-#include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
 #include "coursejunction/net/stream_client.hpp"
 #include "coursejunction/net/stream_server.hpp"
-#include "net/loopback.hpp"
+#include "net/running_server.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
@@ -17,34 +17,28 @@
 // place of those that calls need.
 SCENARIO("idle connections make room for new ones within a bound", "[net]")
 {
-    loopback::running_loop running;
-    std::unique_ptr<cj::stream_server> server;
-    std::unique_ptr<cj::stream_client> client;
     std::vector<cj::stream_reply> replies;
     std::atomic<int> arrived{0};
     std::atomic<int> answered{0};
-    running.on_loop(
-        [&]
+    loopback::running_server serving(
+        [&](const cj::stream_request&, cj::stream_reply reply)
         {
-            auto made = cj::stream_server::create(
-                running.loop, "127.0.0.1", 0, {},
-                [&](const cj::stream_request&, cj::stream_reply reply)
-                {
-                    replies.push_back(std::move(reply));
-                    ++arrived;
-                });
-            REQUIRE(made);
-            server = std::move(made.value());
-            client = std::make_unique<cj::stream_client>(running.loop);
+            replies.push_back(std::move(reply));
+            ++arrived;
+        });
+    std::unique_ptr<cj::stream_client> client;
+    serving.running.on_loop(
+        [&] {
+            client = std::make_unique<cj::stream_client>(serving.running.loop);
         });
     const auto call = [&](bool repeatable, std::size_t max_connections)
     {
         const int before = arrived;
-        running.on_loop(
+        serving.running.on_loop(
             [&]
             {
                 cj::stream_call made;
-                made.address = "127.0.0.1:" + std::to_string(server->port());
+                made.address = serving.address;
                 made.target = "/";
                 made.repeatable = repeatable;
                 made.max_connections = max_connections;
@@ -57,7 +51,7 @@
     };
     const auto answer_all = [&]
     {
-        running.on_loop(
+        serving.running.on_loop(
             [&]
             {
                 for (auto& reply : replies)
@@ -70,7 +64,7 @@
     const auto connections = [&]
     {
         std::size_t open = 0;
-        running.on_loop([&] { open = server->size(); });
+        serving.running.on_loop([&] { open = serving.server->size(); });
         return open;
     };
     const auto becomes = [&](std::size_t expected)
@@ -105,10 +99,5 @@
         CHECK(connections() == 5);
         answer_all();
     }
-    running.on_loop(
-        [&]
-        {
-            client.reset();
-            server.reset();
-        });
+    serving.running.on_loop([&] { client.reset(); });
 }
--- a/tests/net/running_server.hpp
+++ b/tests/net/running_server.hpp
@@ -39,8 +39,8 @@
 }
 
 /*! @brief A stream server on a free port of 127.0.0.1, which records the
- * connections that close. A class that derives from it must hold what the
- * handler uses in an earlier base, which is destroyed after the server. */
+ * connections that close. What its handler uses must be destroyed later: it is
+ * declared earlier, or in an earlier base of a class that derives from this. */
 class running_server
 {
 public:
