HTTP server: refuse a request head over 64 KiB with 431

Cause: Pistache parses an incomplete head anew from its start with each part of up to 4 KiB. A target of 3 MB or 2.4 MB of header fields occupied the only thread of the process's own interface for 9.5 to 20 s, and other callers waited.

Ruled out: a bound on the whole request (max_request_bytes, 1 MiB): the head is quadratic below it, and what follows the 413 is parsed as further heads. Calling Pistache's own onInput behind a check: it is private, and a wrapped second handler has no transport. Parsing only once the head's end has come: a malformed head would be answered late.

Change: http_options::max_head_bytes (64 KiB). request_handler::onInput replaces Pistache's, with the same answers to faults; bounded_parser counts the head. A larger head gets 431; the connection is closed once that is sent, at once if a response on it is open, and after 4 MiB of further input.

Left: the line with the size of a chunk is parsed in the same way, bounded by max_request_bytes only.

--- a/src/coursejunction/net/http_server.cpp
+++ b/src/coursejunction/net/http_server.cpp
@@ -16,6 +16,7 @@
 #include <pistache/peer.h>
 
 #include "coursejunction/net/event_loop.hpp"
+#include "coursejunction/net/internal/bounded_parser.hpp"
 #include "coursejunction/net/internal/http_text.hpp"
 
 namespace coursejunction
@@ -29,6 +30,11 @@
 constexpr std::chrono::hours disabled_timeout{24};
 constexpr int listen_backlog = 1024;
 
+/*! @brief Bytes that are read and discarded after a head was refused, so that
+ * its client can still receive the response: closing a connection with unread
+ * input resets it. A client that sends more is cut. */
+constexpr std::size_t max_discarded_bytes = std::size_t{4} << 20U;
+
 /*! @brief Response that writes its own framing to the peer, because Pistache's
  * response stream may only be used on the peer's thread. */
 class reply : public http_reply
@@ -182,6 +188,14 @@
             one->disconnected();
     }
 
+    /*! @brief Returns whether a response of a connection is open. */
+    [[nodiscard]] bool busy(std::size_t peer)
+    {
+        const std::lock_guard guard(mutex);
+        const auto found = by_peer.find(peer);
+        return found != by_peer.end() && found->second.busy();
+    }
+
     /*! @brief Closes connections without an open response on which no complete
      * request was received within the limit. Pistache closes a descriptor only
      * after `disconnected` has returned, so under the lock it cannot have been
@@ -192,9 +206,7 @@
         const auto now = event_loop::now();
         for (auto& [id, state] : by_peer)
         {
-            const bool busy =
-                std::any_of(state.replies.begin(), state.replies.end(),
-                            [](const auto& one) { return !one->done(); });
+            const bool busy = state.busy();
             if (busy)
                 state.last_active = now;
             const auto peer = state.peer.lock();
@@ -209,6 +221,12 @@
         std::weak_ptr<pistache::Tcp::Peer> peer;
         time_point last_active{};
         std::vector<std::shared_ptr<reply>> replies;
+
+        [[nodiscard]] bool busy() const
+        {
+            return std::any_of(replies.begin(), replies.end(),
+                               [](const auto& one) { return !one->done(); });
+        }
     };
 
     std::chrono::milliseconds idle_limit;
@@ -258,8 +276,10 @@
     HTTP_PROTOTYPE(request_handler)
 
     request_handler(http_server::handler call,
-                    std::shared_ptr<open_connections> shared)
-        : handle(std::move(call)), connections(std::move(shared))
+                    std::shared_ptr<open_connections> shared,
+                    std::size_t head_bound)
+        : handle(std::move(call)), connections(std::move(shared)),
+          max_head_bytes(head_bound)
     {
     }
 
@@ -288,12 +308,50 @@
      */
     void onConnection(const std::shared_ptr<pistache::Tcp::Peer>& peer) override
     {
-        peer->putData(parser_key,
-                      std::make_shared<pistache::Http::RequestParser>(
-                          getMaxRequestSize()));
+        const std::shared_ptr<pistache::Http::RequestParser> parser =
+            std::make_shared<bounded_parser>(getMaxRequestSize(),
+                                             max_head_bytes);
+        peer->putData(ParserData, parser);
         connections->connected(peer);
     }
 
+    /*! @brief Replaces Pistache's private implementation, whose answers to
+     * faults it keeps, to refuse a head that is too large. */
+    void onInput(const char* buffer, std::size_t length,
+                 const std::shared_ptr<pistache::Tcp::Peer>& peer) override
+    {
+        auto& parser = static_cast<bounded_parser&>(*getParser(peer));
+        if (parser.refused)
+            return discard(parser, length, *peer);
+        using pistache::Http::Code;
+        try
+        {
+            const auto next = parser.receive({buffer, length});
+            if (next == bounded_parser::next_step::refuse)
+                return refuse(parser, peer);
+            if (!parser.feed(buffer, length))
+                throw pistache::Http::HttpError(
+                    Code::Request_Entity_Too_Large,
+                    "Request exceeded maximum buffer size");
+            if (next == bounded_parser::next_step::wait ||
+                parser.parse() != pistache::Http::Private::State::Done)
+                return;
+            peer->setIdle(false);
+            onRequest(parser.request, writer_of(parser, peer));
+        }
+        catch (const pistache::Http::HttpError& error)
+        {
+            writer_of(parser, peer)
+                .send(static_cast<Code>(error.code()), error.reason());
+        }
+        catch (const std::exception& error)
+        {
+            writer_of(parser, peer)
+                .send(Code::Internal_Server_Error, error.what());
+        }
+        parser.reset();
+    }
+
     void
     onDisconnection(const std::shared_ptr<pistache::Tcp::Peer>& peer) override
     {
@@ -301,10 +359,52 @@
     }
 
 private:
-    static constexpr const char* parser_key = "__Parser";
+    pistache::Http::ResponseWriter
+    writer_of(const bounded_parser& parser,
+              const std::shared_ptr<pistache::Tcp::Peer>& peer)
+    {
+        return {parser.request.version(), transport(), this, peer};
+    }
+
+    /*! @brief Answers with 431 and closes the connection once that was sent. A
+     * response that is open would be corrupted, so that the connection is then
+     * closed at once. */
+    void refuse(bounded_parser& parser,
+                const std::shared_ptr<pistache::Tcp::Peer>& peer)
+    {
+        parser.refused = true;
+        parser.reset();
+        if (connections->busy(peer->getID()))
+        {
+            ::shutdown(static_cast<int>(peer->fd()), SHUT_RDWR);
+            return;
+        }
+        auto bytes =
+            head_text(431, {},
+                      {{"Connection", "close"}, {"Content-Length", "0"}}) +
+            "\r\n";
+        const auto size = bytes.size();
+        peer->send(pistache::RawBuffer(std::move(bytes), size))
+            .then(
+                [to = std::weak_ptr(peer)](ssize_t)
+                {
+                    if (const auto open = to.lock())
+                        ::shutdown(static_cast<int>(open->fd()), SHUT_WR);
+                },
+                pistache::Async::IgnoreException);
+    }
+
+    static void discard(bounded_parser& parser, std::size_t length,
+                        const pistache::Tcp::Peer& peer)
+    {
+        parser.discarded_bytes += length;
+        if (parser.discarded_bytes > max_discarded_bytes)
+            ::shutdown(static_cast<int>(peer.fd()), SHUT_RDWR);
+    }
 
     http_server::handler handle;
     std::shared_ptr<open_connections> connections;
+    std::size_t max_head_bytes;
 };
 
 } // namespace internal
@@ -364,7 +464,7 @@
         auto connections =
             std::make_shared<internal::open_connections>(options.head_limit);
         made->endpoint->setHandler(std::make_shared<internal::request_handler>(
-            std::move(handle), connections));
+            std::move(handle), connections, options.max_head_bytes));
         made->endpoint->serveThreaded();
         made->sweeper = std::make_unique<internal::sweeper>(
             std::move(connections), options.head_limit / 2);
