Format bounded_parser.cpp

Cause: the file was changed after clang-format had run on it. Change: one line is broken. Nothing else changes. Result: no test was run on it.

--- a/src/coursejunction/net/internal/bounded_parser.cpp
+++ b/src/coursejunction/net/internal/bounded_parser.cpp
@@ -24,7 +24,8 @@
 
 bounded_parser::bounded_parser(std::size_t max_request_bytes,
                                std::size_t head_bound)
-    : Pistache::Http::RequestParser(max_request_bytes), max_head_bytes(head_bound)
+    : Pistache::Http::RequestParser(max_request_bytes),
+      max_head_bytes(head_bound)
 {
 }
 
