Shares of organisations under overload

Cause: one organisation that sends nine times its usual load displaces the requests of all others, since admission control does not tell them apart. Ruled out: equal shares, which cut organisations that are always large when the load is a little above capacity; a level from an estimated capacity alone.

--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -51,6 +51,10 @@
 class cold_start;
 class cold_division;
 class cold_starts;
+class organisation_shares;
+class organisation_limits;
+class organisation_reports;
+struct organisation_decision;
 
 } // namespace coursejunction
 
