Refuse requests beyond the share of their organisation

Cause: entries do not know what organisations send elsewhere, and no decision used the shares. Ruled out: counting these refusals as overload, which would tighten the limits of all other requests; reports in every heartbeat, too many bytes at 340 entries. Change: the dispatcher decides at arrival and refuses at once with Retry-After of admission control. The list is left out where it is empty, and empty where an older entry sends none. One log line with the inputs, a reason in requests_refused_by_reason_total and two gauges. gateway.hpp and exchange_service.hpp are shorter than before: refusal messages moved. An older entry refuses the heartbeats that carry rates, one in four regular ones, until it is replaced.

--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -93,10 +93,34 @@
          {"retry_after_ms", std::to_string(retry_after.count())}});
 }
 
+/*! @brief Logs a request beyond the share of its organisation. */
+inline void refused_beyond_share(const exchange& request,
+                                 milliseconds retry_after)
+{
+    const auto& share = request.arrival.share;
+    log::problem(
+        "request_refused",
+        {{"request", request.decoded.id.value()},
+         {"content", request.content.hex()},
+         {"route", request.route->name},
+         {"reason", "beyond the share of its organisation under overload"},
+         {"organisation", request.owner->id.value()},
+         {"service", request.service.value()},
+         {"per_second", hundredths_text(share.per_second)},
+         {"usual_per_second", hundredths_text(share.usual)},
+         {"level_per_second", hundredths_text(share.level)},
+         {"fraction", hundredths_text(share.fraction)},
+         {"refused_within_shares", hundredths_text(share.refused_within)},
+         {"rates_age_ms", integer_text(share.rates_age_ms)},
+         {"retry_after_ms", std::to_string(retry_after.count())}});
+}
+
 /*! @brief Logs a request that no upstream could take in time. */
 inline void refused(const exchange& request, const placement_failure& reason,
                     milliseconds retry_after)
 {
+    if (request.arrival.share.beyond)
+        return refused_beyond_share(request, retry_after);
     if (reason.no_allowed_upstream)
         return refused_in_regions(request, retry_after);
     log::problem(
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -109,13 +109,9 @@
         decisions.set_other_entries_rates(reported, now);
     }
 
-    /*! @brief Returns refusals that have not been sent to the other entries of
-     * the hall yet, and marks them as sent. */
-    [[nodiscard]] std::vector<refusal_record>
-    take_unsent_refusals(std::size_t max_count)
-    {
-        return decisions.take_unsent_refusals(max_count);
-    }
+    /*! @brief Returns the decisions, with which the owner of this object
+     * exchanges refusals and rates of organisations with other entries. */
+    [[nodiscard]] dispatcher& dispatching() { return decisions; }
 
     /*! @brief Sets a callback that is called every `queue_poll_interval` while
      * there are unsent refusals. That is soon enough for clients that retry
@@ -125,19 +121,13 @@
         refusals_callback = std::move(callback);
     }
 
-    /*! @brief Records a refusal by another entry of the hall, so that the
-     * client retry is recognised here. */
-    void record_remote_refusal(const refusal_record& refusal, time_point now)
-    {
-        decisions.record_remote_refusal(refusal, now);
-    }
-
     /*! @brief Drops refusals whose client retries are no longer expected; to be
      * called periodically. */
     void expire(time_point now)
     {
         decisions.expire(now);
         request_metrics::set_reserves(counters, decisions, configuration, now);
+        request_metrics::set_shares(counters, decisions.organisations());
     }
 
     /*! @brief Returns whether an upstream has an engine that accepts new
--- a/src/coursejunction/proxy/fwd.hpp
+++ b/src/coursejunction/proxy/fwd.hpp
@@ -13,6 +13,7 @@
 class notice_intake;
 class cold_start_monitor;
 struct live_entries;
+class organisation_rate_exchange;
 class open_exchanges;
 class retry_budgets;
 class store_change_intake;
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -31,6 +31,7 @@
 #include "coursejunction/proxy/cold_start_monitor.hpp"
 #include "coursejunction/proxy/exchange_service.hpp"
 #include "coursejunction/proxy/live_entries.hpp"
+#include "coursejunction/proxy/organisation_messages.hpp"
 #include "coursejunction/proxy/refusal_messages.hpp"
 #include "coursejunction/proxy/store_change_intake.hpp"
 #include "coursejunction/proxy/version_controller.hpp"
@@ -99,12 +100,19 @@
         { fill_heartbeat(heartbeat); };
         hooks.crash_records = [this]
         { return exchanges.crashes().collect_updates(); };
-        hooks.refused_callers = [this] { return take_refusals_to_send(); };
+        hooks.refused_callers = [this] {
+            return take_refusals_to_send(exchanges.dispatching(),
+                                         event_loop::now());
+        };
         hooks.recent_terms = [this]
         { return recent_terms(book, event_loop::now()); };
         hooks.add_store_changes =
             [this](message::fleet_heartbeat& heartbeat, bool all)
-        { store_changes.add_reports(heartbeat, all, event_loop::now()); };
+        {
+            store_changes.add_reports(heartbeat, all, event_loop::now());
+            if (all)
+                organisation_rates.add(heartbeat, node.peers());
+        };
         exchanges.on_unsent_refusals([this] { node.announce_refusals(); });
         exchanges.crashes().on_records_changed([this]
                                                { node.announce_crashes(); });
@@ -173,11 +181,6 @@
      * from this close. */
     static constexpr milliseconds idle_close_margin{500};
 
-    /*! @brief Maximum number of refusals in one heartbeat, so that it fits into
-     * a packet. The rest goes with the next one, which is requested within
-     * `queue_poll_interval`. */
-    static constexpr std::size_t max_refusals_per_heartbeat = 48;
-
     /*! @brief Time left of `stop_grace` when the remaining connections are cut,
      * for the process to exit in. */
     static constexpr milliseconds forced_stop_margin{250};
@@ -482,8 +485,9 @@
         if (heartbeat.entry)
         {
             for (const auto& refusal : heartbeat.refusals)
-                exchanges.record_remote_refusal(decode_refusal(refusal, now),
-                                                now);
+                exchanges.dispatching().record_remote_refusal(
+                    decode_refusal(refusal, now), now);
+            organisation_rates.merge(heartbeat, from, now);
             for (const auto& terms : heartbeat.terms)
                 exchanges.notices().apply_reported_terms(terms, from, now);
             if (store_changes.merge_reports(heartbeat, from, now))
@@ -496,16 +500,6 @@
             exchanges.place_waiting();
     }
 
-    [[nodiscard]] std::vector<message::refused_caller> take_refusals_to_send()
-    {
-        const auto now = event_loop::now();
-        std::vector<message::refused_caller> messages;
-        for (const auto& refusal :
-             exchanges.take_unsent_refusals(max_refusals_per_heartbeat))
-            messages.push_back(encode_refusal(refusal, now));
-        return messages;
-    }
-
     /*! @brief Returns the place of this entry among those that run the trials
      * of a request: all live ones rank each other by rendezvous hashing. */
     [[nodiscard]] std::size_t trial_rank(const request_content& content) const
@@ -632,6 +626,8 @@
     cold_start_monitor cold_monitor{counters};
     fleet_view<Platform> fleet;
     exchange_service<codec> exchanges;
+    organisation_rate_exchange organisation_rates{
+        exchanges.dispatching().organisations()};
     store_change_intake store_changes;
     quarantine_writer<typename Platform::store> quarantine_store;
     restore_schedule quarantine_restores;
--- a/src/coursejunction/proxy/refusal_messages.hpp
+++ b/src/coursejunction/proxy/refusal_messages.hpp
@@ -7,9 +7,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <vector>
 
+#include "coursejunction/route/dispatcher.hpp"
 #include "coursejunction/route/recent_refusals.hpp"
 #include "coursejunction/wire/fleet_message.hpp"
 
@@ -52,6 +55,23 @@
     return refusal;
 }
 
+/*! @brief Maximum number of refusals in one heartbeat, so that it fits into a
+ * packet. The rest goes with the next one, which is requested within
+ * `queue_poll_interval`. */
+inline constexpr std::size_t max_refusals_per_heartbeat = 48;
+
+/*! @brief Returns messages for refusals not yet sent to the other entries, and
+ * marks them as sent. */
+[[nodiscard]] inline std::vector<message::refused_caller>
+take_refusals_to_send(dispatcher& decisions, time_point now)
+{
+    std::vector<message::refused_caller> messages;
+    for (const auto& refusal :
+         decisions.take_unsent_refusals(max_refusals_per_heartbeat))
+        messages.push_back(encode_refusal(refusal, now));
+    return messages;
+}
+
 } // namespace coursejunction
 
 #endif
--- a/src/coursejunction/proxy/request_metrics.hpp
+++ b/src/coursejunction/proxy/request_metrics.hpp
@@ -26,10 +26,11 @@
 inline void count_refusal(metrics& counters, const exchange& request,
                           const placement_failure& failure)
 {
-    const auto* reason = failure.reserved       ? "reserved"
-                         : failure.usable == 0  ? "no_upstream"
-                         : request.arrival.late ? "late"
-                                                : "full";
+    const auto* reason = request.arrival.share.beyond ? "beyond_share"
+                         : failure.reserved           ? "reserved"
+                         : failure.usable == 0        ? "no_upstream"
+                         : request.arrival.late       ? "late"
+                                                      : "full";
     counters.count(
         "requests_refused_by_reason_total", 1,
         {{"reason", reason}, {"rank", rank_text(request.arrival.rank)}});
@@ -53,6 +54,21 @@
     }
 }
 
+/*! @brief Sets the gauges of the shares of organisations. */
+inline void set_shares(metrics& counters, const organisation_limits& limits)
+{
+    for (const auto& service : limits.names())
+    {
+        const auto& shares = *limits.shares_of(service);
+        counters.set("organisations_refused_per_second",
+                     shares.refused_amount(), {{"service", service.value()}});
+        for (const auto& [id, one] : shares.decisions())
+            counters.set(
+                "organisation_refused_fraction", one.fraction,
+                {{"service", service.value()}, {"organisation", id.value()}});
+    }
+}
+
 } // namespace coursejunction::request_metrics
 
 #endif
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "coursejunction/route/admission.hpp"
+#include "coursejunction/route/organisation_limits.hpp"
 #include "coursejunction/route/placement.hpp"
 #include "coursejunction/route/priority.hpp"
 #include "coursejunction/route/retry_detector.hpp"
@@ -102,6 +103,7 @@
             route_names.insert(route.name);
         client_retries.retain_routes([&](const std::string& name)
                                      { return route_names.count(name) > 0; });
+        shares.configure(rules);
         rank_orders.clear();
         for (const auto& [name, service] : rules.services)
             if (service.engine)
@@ -125,7 +127,10 @@
         state.history = client_retries.record_arrival(route.name, fingerprint,
                                                       deadline, now);
         auto& control = admission_of(service);
-        if (!state.is_retry())
+        state.share =
+            shares.record_arrival(service.name, owner, state.is_retry(), now);
+        // What is refused at once is no load of the engines.
+        if (!state.is_retry() && !state.share.beyond)
         {
             control.record_arrival(route.first_event_target, now, state.rank);
             if (service.engine)
@@ -169,7 +174,18 @@
     }
 
     /*! @brief Drops expired state; called periodically. */
-    void expire(time_point now) { client_retries.expire(now); }
+    void expire(time_point now)
+    {
+        client_retries.expire(now);
+        shares.update(now);
+    }
+
+    /*! @brief Returns the shares of organisations. */
+    [[nodiscard]] organisation_limits& organisations() { return shares; }
+    [[nodiscard]] const organisation_limits& organisations() const
+    {
+        return shares;
+    }
 
     /*! @brief Returns the rates of this entry's requests for all services that
      * run on engines. */
@@ -230,6 +246,12 @@
                                   placement_request request, time_point now)
     {
         auto& control = admission_of(service);
+        if (request.arrival.share.beyond)
+            return refuse_request{
+                {},
+                control.retry_after(std::chrono::duration_cast<milliseconds>(
+                                        request.deadline - now),
+                                    now)};
         if (service.engine)
             request.limits = limits(service, request, now);
         placement_failure failure;
@@ -250,6 +272,7 @@
             control.record_refusal(now);
             if (service.engine)
                 reserve_of(service).record_refusal(request.arrival.rank, now);
+            shares.record_refusal(service.name, request.arrival.share, now);
         }
         return refuse_request{failure,
                               retry_after(control, failure, request, now)};
@@ -427,6 +450,7 @@
     placer placement;
     dispatch_options options;
     retry_detector client_retries;
+    organisation_limits shares;
     std::map<service_name, admission> admissions;
     time_point rates_set_at{};
     std::map<service_name, slot_reserve> reserves; /*!< Of `engine_services`. */
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/core/rendezvous.hpp"
 #include "coursejunction/route/admission.hpp"
 #include "coursejunction/route/connection_share.hpp"
+#include "coursejunction/route/organisation_decision.hpp"
 #include "coursejunction/route/region_restriction.hpp"
 #include "coursejunction/route/retry_detector.hpp"
 #include "coursejunction/route/upstream_choice.hpp"
@@ -64,6 +65,7 @@
     client_history history;
     bool late{false}; /*!< It can no longer meet its target. */
     request_rank rank;
+    organisation_decision share;
 
     /*! @brief Returns whether it is a client retry. */
     [[nodiscard]] bool is_retry() const
--- a/src/coursejunction/wire/codec.cpp
+++ b/src/coursejunction/wire/codec.cpp
@@ -154,6 +154,23 @@
         archive(value.emplace_back());
 }
 
+template <typename Element>
+void CEREAL_SAVE_FUNCTION_NAME(writer& archive,
+                               const message::trailing_list<Element>& value)
+{
+    if (!value.items.empty())
+        archive(value.items);
+}
+
+template <typename Element>
+void CEREAL_LOAD_FUNCTION_NAME(reader& archive,
+                               message::trailing_list<Element>& value)
+{
+    value.items.clear();
+    if (!archive.remaining.empty())
+        archive(value.items);
+}
+
 } // namespace internal
 
 } // namespace coursejunction
--- a/src/coursejunction/wire/fleet_message.hpp
+++ b/src/coursejunction/wire/fleet_message.hpp
@@ -184,6 +184,30 @@
     }
 };
 
+/*! @brief Rate of new requests of an organisation at an entry, or of refusals.
+ */
+struct organisation_rate
+{
+    /*! @brief Encoded size; bounds the length of a list of these. */
+    static constexpr std::size_t least_bytes = 6;
+    std::uint32_t key{0}; /*!< Hash of the service and the organisation. */
+    std::uint16_t per_second{0}; /*!< In units of 1/64. */
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(key, per_second);
+    }
+};
+
+/*! @brief A list at the end of a message that older senders do not know. It is
+ * not encoded if it is empty, and empty if it is missing. */
+template <typename Element>
+struct trailing_list
+{
+    std::vector<Element> items;
+};
+
 /*! @brief A published version that is not visible in the platform's store. */
 struct reported_version
 {
@@ -235,6 +259,8 @@
     std::vector<reported_version> versions; /*!< Entries only; usually empty. */
     std::vector<upstream_departure> departures; /*!< Entries only; new ones. */
     std::vector<hall_evacuation> evacuations;   /*!< Entries only. */
+    /*! @brief Entries only; in some heartbeats. */
+    trailing_list<organisation_rate> organisations;
 
     template <typename Archive>
     void serialize(Archive& archive)
@@ -244,7 +270,7 @@
                 entries);
         if (entry)
             archive(load, digest, crashes, refusals, terms, versions,
-                    departures, evacuations);
+                    departures, evacuations, organisations);
         else
             archive(upstream, chunks);
     }
