Prefer clients that return as told, and spread their return times

Cause: a refused client was told to return as late as it follows, whatever the number of others told the same, and a client that did so was admitted like any other late request. Being refused again is the largest cost.

Change: returning_callers.hpp keeps the clients that were told to return. A client is told the usual time unless as many clients return just before it as engines take of this entry in half a second, then the latest earlier interval that has room. A client retry that comes after the smallest and before the longest time that clients wait may use 0.7 of an engine's slots under overload, other late ones 0.5 as before, and goes before them in the queue.

Two tests change. "Late treated as new" now removes the bound of returning requests as well, without which it would no longer test what it names.

Tests of admission, dispatcher, placement_queue, slot_reserve, returning_callers, returning_load and exchange_service: all passed.

--- a/src/coursejunction/proxy/exchange_facts.hpp
+++ b/src/coursejunction/proxy/exchange_facts.hpp
@@ -100,6 +100,7 @@
 [[nodiscard]] inline waiting_request queue_entry(const exchange& request)
 {
     return {request.arrival.rank, request.arrival.late,
+            request.arrival.is_unexpected(),
             request.arrived_at - request.arrival.history.waited +
                 request.route->first_event_target,
             request.number};
--- a/src/coursejunction/route/admission.hpp
+++ b/src/coursejunction/route/admission.hpp
@@ -41,6 +41,8 @@
      * use; without overload while a slot is free. The rest is left to requests
      * that can still meet theirs. */
     double late_fraction{0.5};
+    /*! @brief The same for clients that return when they were told to. */
+    double returning_fraction{0.7};
     /*! @brief Ratio of refused to new requests at which the overload limits
      * apply in full; below it they apply in proportion. The ratio is that of
      * all entries together, which a single refusal hardly changes. With a
@@ -193,11 +195,13 @@
      * @param waited Time since the client's first request; zero for a new
      * request.
      * @param rank Rank of the request. Targets of less urgent ranks do not
-     * restrict it. */
+     * restrict it.
+     * @param returning Whether its client returns when it was told to. */
     [[nodiscard]] admission_limits limits(const engine_profile& engine,
                                           milliseconds target,
                                           milliseconds waited, time_point now,
-                                          const request_rank& rank = {}) const
+                                          const request_rank& rank = {},
+                                          bool returning = false) const
     {
         admission_limits result;
         const auto degree = overload_degree(now);
@@ -205,7 +209,9 @@
         result.own_share_only = degree >= options.own_share_threshold;
         if (misses_target(engine, target, waited))
         {
-            const auto slot_fraction = 1 - (1 - options.late_fraction) * degree;
+            const auto full_fraction =
+                returning ? options.returning_fraction : options.late_fraction;
+            const auto slot_fraction = 1 - (1 - full_fraction) * degree;
             result.max_in_flight =
                 static_cast<double>(engine.slots) * slot_fraction - 1;
             return result;
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -23,6 +23,7 @@
 #include "coursejunction/route/placement.hpp"
 #include "coursejunction/route/priority.hpp"
 #include "coursejunction/route/retry_detector.hpp"
+#include "coursejunction/route/returning_callers.hpp"
 #include "coursejunction/route/slot_reserve.hpp"
 #include "coursejunction/route/upstream_registry.hpp"
 #include "coursejunction/route/urgency.hpp"
@@ -48,6 +49,7 @@
     milliseconds no_upstream_retry_after{2000};
     admission_options admission;
     slot_reserve_options reserve;
+    returning_options returning;
 };
 
 /*! @brief What requests of one rank leave free, for the metrics. */
@@ -77,6 +79,9 @@
 {
     placement_failure reason;
     milliseconds retry_after{0};
+    /*! @brief How that time was chosen; nothing if its client is not
+     * expected to return. */
+    std::optional<return_time> told{};
 };
 
 /*! @brief The decision for one request. */
@@ -91,6 +96,9 @@
         : registry(upstreams), placement(std::move(selector)),
           options(configured)
     {
+        options.returning.min_retry_after = options.admission.min_retry_after;
+        options.returning.retry_deadline_fraction =
+            options.admission.retry_deadline_fraction;
     }
 
     /*! @brief Applies a new configuration: drops the state of routes that it
@@ -125,6 +133,9 @@
         state.history = client_retries.record_arrival(route.name, fingerprint,
                                                       deadline, now);
         auto& control = admission_of(service);
+        state.returning =
+            state.is_retry() &&
+            returns_in_time(state.history.waited, deadline, options.returning);
         if (!state.is_retry())
         {
             control.record_arrival(route.first_event_target, now, state.rank);
@@ -235,8 +246,12 @@
         placement_failure failure;
         auto found = placement.choose(registry, service, request, now, failure);
         if (found)
+        {
+            if (service.engine)
+                returning_of(service).record_sent(now);
             return send_to{std::move(*found),
                            urgency_for(service, request, now)};
+        }
         const auto wait_deadline = request.waiting_since + max_wait(request);
         const bool next_send_too_late =
             failure.next_send_at && *failure.next_send_at > wait_deadline;
@@ -251,8 +266,7 @@
             if (service.engine)
                 reserve_of(service).record_refusal(request.arrival.rank, now);
         }
-        return refuse_request{failure,
-                              retry_after(control, failure, request, now)};
+        return refuse(service, failure, request, now);
     }
 
     /*! @brief Returns an upstream that can take a request now, which is already
@@ -326,7 +340,8 @@
         const auto& control = admission_of(service);
         const auto& rank = request.arrival.rank;
         auto result = control.limits(engine, request.target,
-                                     request.arrival.history.waited, now, rank);
+                                     request.arrival.history.waited, now, rank,
+                                     request.arrival.returning);
         const auto degree = control.overload_degree(now);
         if (degree <= 0 || request.bypasses_limits)
             return result;
@@ -396,16 +411,30 @@
         return urgency_of(request.target - elapsed, range);
     }
 
-    [[nodiscard]] milliseconds retry_after(const admission& control,
-                                           const placement_failure& failure,
-                                           const placement_request& request,
-                                           time_point now) const
+    /*! @brief Returns a refusal with the time at which its client should
+     * return. Clients retry once, so that only new ones are expected to
+     * return. */
+    [[nodiscard]] refuse_request refuse(const service_profile& service,
+                                        const placement_failure& failure,
+                                        const placement_request& request,
+                                        time_point now)
     {
         if (failure.usable == 0)
-            return retry_after_outage(failure, now);
+            return {failure, retry_after_outage(failure, now)};
+        const auto& control = admission_of(service);
         const auto left =
             std::chrono::duration_cast<milliseconds>(request.deadline - now);
-        return control.retry_after(left, now);
+        const auto usual = control.retry_after(left, now);
+        if (!service.engine || request.arrival.is_retry())
+            return {failure, usual};
+        const auto told = returning_of(service).tell(left, usual, now);
+        return {failure, told.after, told};
+    }
+
+    returning_callers& returning_of(const service_profile& service)
+    {
+        return returning.try_emplace(service.name, options.returning)
+            .first->second;
     }
 
     /*! @brief Returns the Retry-After of a client that no upstream could serve:
@@ -430,6 +459,7 @@
     std::map<service_name, admission> admissions;
     time_point rates_set_at{};
     std::map<service_name, slot_reserve> reserves; /*!< Of `engine_services`. */
+    std::map<service_name, returning_callers> returning;
     std::map<service_name, rank_order> rank_orders;
     std::set<service_name> engine_services; /*!< Those run by engines. */
 };
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -62,9 +62,14 @@
 struct arrival_state
 {
     client_history history;
-    bool late{false}; /*!< It can no longer meet its target. */
+    bool late{false};      /*!< It can no longer meet its target. */
+    bool returning{false}; /*!< Its client was told to return at this time. */
     request_rank rank;
 
+    /*! @brief Returns whether it is late though its client was not told to
+     * return now. */
+    [[nodiscard]] bool is_unexpected() const { return late && !returning; }
+
     /*! @brief Returns whether it is a client retry. */
     [[nodiscard]] bool is_retry() const
     {
--- a/src/coursejunction/route/placement_queue.hpp
+++ b/src/coursejunction/route/placement_queue.hpp
@@ -2,7 +2,8 @@
  * @brief Queue of the requests that wait at an entry for a slot; pure. Load
  * pattern: a slot becomes free while several requests wait. More urgent ranks
  * go first. Within a rank, requests that can still meet their target go first,
- * the earliest target before others; the others take what is left.
+ * the earliest target before others; the others take what is left, those whose
+ * clients return when they were told to before the rest.
  */
 #ifndef COURSEJUNCTION_ROUTE_PLACEMENT_QUEUE_HPP
 #define COURSEJUNCTION_ROUTE_PLACEMENT_QUEUE_HPP
@@ -23,7 +24,9 @@
 struct waiting_request
 {
     request_rank rank;
-    bool late{false};         /*!< It can no longer meet its target. */
+    bool late{false}; /*!< It can no longer meet its target. */
+    /*! @brief It is late, and its client was not told to return now. */
+    bool unexpected{false};
     time_point target_time{}; /*!< When its first event is due. */
     std::uint64_t number{0};
 
--- a/tests/route/admission.cpp
+++ b/tests/route/admission.cpp
@@ -53,6 +53,13 @@
             const auto limits = control.limits(engine(), 400ms, 150ms, start);
             CHECK(limits.first_event_ms == Approx(310));
         }
+        THEN("a client that returns when it was told to is treated like other "
+             "late ones")
+        {
+            CHECK(control.limits(engine(), 400ms, 900ms, start, {}, true)
+                      .max_in_flight ==
+                  control.limits(engine(), 400ms, 900ms, start).max_in_flight);
+        }
         THEN("a request that can no longer meet its target needs a free slot "
              "only")
         {
@@ -83,6 +90,19 @@
             CHECK(control.limits(engine(), 400ms, 0ms, now)
                       .typical_first_event_ms == Approx(300));
         }
+        // Guards against clients that return as told being refused again while
+        // slots are idle, and against their taking all slots from new ones.
+        THEN("a client that returns when it was told to finds room that other "
+             "late ones do not, but not all of it")
+        {
+            const auto other =
+                control.limits(engine(), 400ms, 2s, now).max_in_flight;
+            const auto returning =
+                control.limits(engine(), 400ms, 2s, now, {}, true)
+                    .max_in_flight;
+            CHECK(returning > other + 3);
+            CHECK(returning < 16 - 2);
+        }
         THEN("the refusal ratio drops soon after the last refusals")
         {
             CHECK(control.refusal_ratio(now + 5s) < 0.01);
--- a/tests/route/dispatcher.cpp
+++ b/tests/route/dispatcher.cpp
@@ -41,6 +41,7 @@
 {
     coursejunction::dispatch_options options;
     options.admission.late_fraction = std::numeric_limits<double>::infinity();
+    options.admission.returning_fraction = options.admission.late_fraction;
     return options;
 }
 
--- a/tests/route/slot_reserve.cpp
+++ b/tests/route/slot_reserve.cpp
@@ -279,7 +279,8 @@
 
 // Guards against a change of behaviour where the configuration sets no
 // different priorities. The counts are those of the code before ranks existed;
-// a single different decision changes the random numbers of all later ones.
+// a single different decision changes the random numbers of all later ones. The
+// later rules for clients that return are disabled, as they apply to one rank.
 SCENARIO("one rank everywhere changes no decision", "[route]")
 {
     const auto check = [](const load_replay::tally& one, double requests,
@@ -290,9 +291,16 @@
         CHECK(one.late == late);
         CHECK(one.refused == refused);
     };
+    const auto disable_rules_for_returning = [](load_pattern& pattern)
+    {
+        pattern.options.returning.spreads = false;
+        pattern.options.admission.returning_fraction =
+            pattern.options.admission.late_fraction;
+    };
     GIVEN("one priority for all routes")
     {
         auto pattern = without_priorities(load_replay::three_priorities(1));
+        disable_rules_for_returning(pattern);
         load_replay::use_rates_of_kinds(pattern, 1.35);
         pattern.seconds = 4;
         const auto result = simulator(pattern).run();
@@ -305,6 +313,7 @@
         load_pattern pattern;
         pattern.rate = [](double second)
         { return second >= 2 && second < 4 ? 260.0 : 90.0; };
+        disable_rules_for_returning(pattern);
         pattern.seconds = 6;
         pattern.impatient_fraction = 0.3;
         pattern.seed = 2;
