Log and count clients that are told to return

Cause: logs did not show why a refused client was given its time, nor whether a client retry came at that time.

Ruled out: more fields in request_refused, which also covers refusals whose clients are not expected to return.

No test reads the new lines and counters.

Conclusion: an operator can follow a refused client from its refusal to its return.

--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -280,6 +280,7 @@
             request.fingerprint, request.decoded.deadline, request.arrived_at,
             request.owner);
         request_metrics::count_arrival(counters, request.arrival);
+        exchange_log::returned(request);
         return 0;
     }
 
@@ -434,6 +435,7 @@
     void refuse(exchange& request, const refuse_request& refusal)
     {
         exchange_log::refused(request, refusal.reason, refusal.retry_after);
+        exchange_log::told_to_return(request, refusal.told);
         intake.count_held_back(refusal.reason, "refused");
         request_metrics::count_refusal(counters, request, refusal.reason);
         send_refusal(request, refusal.retry_after);
@@ -1083,9 +1085,7 @@
                          succeeded ? attempt_result::succeeded
                                    : attempt_result::answered_failure,
                          event_loop::now());
-        counters.count(
-            "requests_answered_total", 1,
-            {{"status", std::to_string(request.attempt.response_head.status)}});
+        request_metrics::count_answer(counters, request);
         exchange_log::answered(request, description, event_loop::now());
         erase(request);
     }
--- a/src/coursejunction/proxy/request_metrics.hpp
+++ b/src/coursejunction/proxy/request_metrics.hpp
@@ -13,13 +13,26 @@
 namespace coursejunction::request_metrics
 {
 
-/*! @brief Counts a request that is recognised as a client retry. */
+/*! @brief Counts a request that is recognised as a client retry, and whether
+ * its client returns when it was told to. */
 inline void count_arrival(metrics& counters, const arrival_state& arrival)
 {
     if (arrival.is_retry())
         counters.count("requests_returned_total", 1,
                        {{"known_by", std::string(evidence_name(
                                          arrival.history.known_by))}});
+    if (arrival.returning)
+        counters.count("clients_returned_in_time_total");
+}
+
+/*! @brief Counts a complete response by its status. */
+inline void count_answer(metrics& counters, const exchange& request)
+{
+    counters.count(
+        "requests_answered_total", 1,
+        {{"status", std::to_string(request.attempt.response_head.status)}});
+    if (request.arrival.returning)
+        counters.count("clients_served_on_return_total");
 }
 
 /*! @brief Counts a refused request by the reason of its refusal. */
@@ -33,6 +46,9 @@
     counters.count(
         "requests_refused_by_reason_total", 1,
         {{"reason", reason}, {"rank", rank_text(request.arrival.rank)}});
+    if (request.arrival.is_retry())
+        counters.count("clients_refused_again_total", 1,
+                       {{"in_time", request.arrival.returning ? "yes" : "no"}});
 }
 
 /*! @brief Sets the gauges of the slots that each rank leaves free.
