--- a/src/coursejunction/route/returning_callers.hpp
+++ b/src/coursejunction/route/returning_callers.hpp
@@ -108,10 +108,10 @@
     /*! @brief Returns when a refused client should return, and keeps that time
      * until it is over.
      *
-     * This is the usual time. With `spreads`, unless as many clients return
-     * just before it as engines take of this entry in an interval: then the
-     * latest interval before it that has room, and the usual time if there is
-     * none. Free capacity beyond the usual demand is no bound: the idle slots
+     * This is the usual time. With `spreads`, it is the end of the latest
+     * earlier interval that has room if as many clients return just before the
+     * usual time as engines take of this entry in an interval.
+     * Free capacity beyond the usual demand is no bound: the idle slots
      * after a burst take more clients than that, and clients that return
      * earlier for it were refused more often.
      * @param left What is left of the client's deadline.
