Returning clients: only what changes a decision stays

Change: what recognises a client that returns as told stays, with its share of the slots, its place in the queue, its line and its counters; the rest goes.

--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -14,7 +14,6 @@
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/exchange_facts.hpp"
 #include "coursejunction/route/hedge_decision.hpp"
-#include "coursejunction/route/returning_callers.hpp"
 
 namespace coursejunction::exchange_log
 {
@@ -159,25 +158,6 @@
          {"retry_after_ms", std::to_string(retry_after.count())}});
 }
 
-/*! @brief Logs when a refused client was told to return.
- * @param told Nothing for a client that is not expected to return. */
-inline void told_to_return(const exchange& request,
-                           const std::optional<return_time>& told)
-{
-    if (!told)
-        return;
-    log::decision(
-        "client_told_to_return",
-        {{"request", request.decoded.id.value()},
-         {"retry_after_ms", std::to_string(told->after.count())},
-         {"usual_ms", std::to_string(told->usual.count())},
-         {"last_possible_ms", std::to_string(told->last_possible.count())},
-         {"sent_per_second", hundredths_text(told->per_second)},
-         {"expected", std::to_string(told->expected)},
-         {"expected_then", std::to_string(told->expected_then)},
-         {"rank", rank_text(request.arrival.rank)}});
-}
-
 /*! @brief Logs a request that is recognised as a client retry, and whether it
  * is preferred because its client returns when it was told to. */
 inline void returned(const exchange& request)
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -425,7 +425,6 @@
     void refuse(exchange& request, const refuse_request& refusal)
     {
         exchange_log::refused(request, refusal.reason, refusal.retry_after);
-        exchange_log::told_to_return(request, refusal.told);
         intake.count_held_back(refusal.reason, "refused");
         request_metrics::count_refusal(counters, request, refusal.reason);
         send_refusal(request, refusal.retry_after);
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -80,9 +80,6 @@
 {
     placement_failure reason;
     milliseconds retry_after{0};
-    /*! @brief How that time was chosen; nothing if its client is not
-     * expected to return. */
-    std::optional<return_time> told{};
 };
 
 /*! @brief The decision for one request. */
@@ -268,12 +265,8 @@
         placement_failure failure;
         auto found = placement.choose(registry, service, request, now, failure);
         if (found)
-        {
-            if (service.engine)
-                returning_of(service).record_sent(now);
             return send_to{std::move(*found),
                            urgency_for(service, request, now)};
-        }
         const auto wait_deadline = request.waiting_since + max_wait(request);
         const bool next_send_too_late =
             failure.next_send_at && *failure.next_send_at > wait_deadline;
@@ -289,7 +282,8 @@
                 reserve_of(service).record_refusal(request.arrival.rank, now);
             shares.record_refusal(service.name, request.arrival.share, now);
         }
-        return refuse(service, failure, request, now);
+        return refuse_request{failure,
+                              retry_after(control, failure, request, now)};
     }
 
     /*! @brief Returns an upstream that can take a request now, which is already
@@ -434,30 +428,16 @@
         return urgency_of(request.target - elapsed, range);
     }
 
-    /*! @brief Returns a refusal with the time at which its client should
-     * return. Clients retry once, so that only new ones are expected to
-     * return. */
-    [[nodiscard]] refuse_request refuse(const service_profile& service,
-                                        const placement_failure& failure,
-                                        const placement_request& request,
-                                        time_point now)
+    [[nodiscard]] milliseconds retry_after(const admission& control,
+                                           const placement_failure& failure,
+                                           const placement_request& request,
+                                           time_point now) const
     {
         if (failure.usable == 0)
-            return {failure, retry_after_outage(failure, now)};
-        const auto& control = admission_of(service);
+            return retry_after_outage(failure, now);
         const auto left =
             std::chrono::duration_cast<milliseconds>(request.deadline - now);
-        const auto usual = control.retry_after(left, now);
-        if (!service.engine || request.arrival.is_retry())
-            return {failure, usual};
-        const auto told = returning_of(service).tell(left, usual, now);
-        return {failure, told.after, told};
-    }
-
-    returning_callers& returning_of(const service_profile& service)
-    {
-        return returning.try_emplace(service.name, options.returning)
-            .first->second;
+        return control.retry_after(left, now);
     }
 
     /*! @brief Returns the Retry-After of a client that no upstream could serve:
@@ -483,7 +463,6 @@
     std::map<service_name, admission> admissions;
     time_point rates_set_at{};
     std::map<service_name, slot_reserve> reserves; /*!< Of `engine_services`. */
-    std::map<service_name, returning_callers> returning;
     std::map<service_name, rank_order> rank_orders;
     std::set<service_name> engine_services; /*!< Those run by engines. */
 };
--- a/src/coursejunction/route/fwd.hpp
+++ b/src/coursejunction/route/fwd.hpp
@@ -27,8 +27,6 @@
 class placement_queue;
 class dispatcher;
 class slot_reserve;
-class returning_callers;
-struct return_time;
 struct returning_options;
 struct reserved_slots;
 class rank_order;
