--- a/tests/route/priority.cpp
+++ b/tests/route/priority.cpp
@@ -126,10 +126,10 @@
 {
     cj::placement_queue queue;
     const cj::time_point now{100s};
-    queue.push({{0, 2}, false, now + 100ms, 1});
-    queue.push({{0, 0}, false, now + 400ms, 2});
-    queue.push({{0, 0}, true, now - 2s, 3});
-    queue.push({{0, 1}, false, now + 200ms, 4});
+    queue.push({{0, 2}, false, false, now + 100ms, 1});
+    queue.push({{0, 0}, false, false, now + 400ms, 2});
+    queue.push({{0, 0}, true, true, now - 2s, 3});
+    queue.push({{0, 1}, false, false, now + 200ms, 4});
 
     THEN("the rank counts first; within it, late ones go last")
     {
