HTTP server: the comment on the bound of a head gives its reason, not a measurement

Change: it says why the bound also protects the thread. Comment only.

Conclusion: no behaviour changes.

--- a/src/coursejunction/net/http_server.hpp
+++ b/src/coursejunction/net/http_server.hpp
@@ -78,9 +78,9 @@
     std::size_t threads{1};
     std::size_t max_request_bytes{std::size_t{1} << 20U};
     /*! @brief A larger head (request line and header fields) is answered with
-     * 431 and its connection is closed. Common servers allow 8 to 32 KiB. A
-     * head of 64 KiB took 10 ms of the server's thread in parts of 1448 bytes
-     * or more, and 30 ms in parts of 64 bytes. */
+     * 431 and its connection is closed. Common servers allow 8 to 32 KiB.
+     * The parser reads a head anew for each part of it, so that the bound also
+     * limits for how long one connection occupies the server's thread. */
     std::size_t max_head_bytes{std::size_t{64} << 10U};
     /*! @brief A connection without an open response is closed when no complete
      * request was received for this long. */
