Retries: counters of the budget, a line for calls that are sent again

Hypotheses on retries beyond the budget could not be told apart: a call that the client sends again on a new connection had neither a log line nor a counter, and nothing showed how much of a retry window is used or why a retry was not made.

call_resent names the address and the cause. upstream_retries_total counts further attempts by service, cause and outcome; retry_budget_used and retry_budget_allowed are gauges of each service's window. No decision changes.

--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -22,6 +22,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "coursejunction/core/log.hpp"
 #include "coursejunction/core/suspension.hpp"
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/internal/call_text.hpp"
@@ -263,7 +264,12 @@
             event_loop::now() - last_progress < stale_connection_window;
         last_progress = event_loop::now();
         if (fault && reused && stale)
+        {
+            log::problem("call_resent", {{"address", call.address},
+                                         {"target", call.target},
+                                         {"why", fault.message()}});
             return resend_on_new_connection();
+        }
         if (fault)
             return failed(fault);
         stream_head head;
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -128,6 +128,7 @@
         decisions.expire(now);
         request_metrics::set_reserves(counters, decisions, configuration, now);
         request_metrics::set_shares(counters, decisions.organisations());
+        request_metrics::set_retry_budgets(counters, budgets, now);
     }
 
     /*! @brief Returns whether an upstream has an engine that accepts new
@@ -596,7 +597,7 @@
         const auto other =
             decisions.find_upstream(exchange_facts::service_profile_of(request),
                                     placement_of(request, now), now);
-        if (!other || !budgets.of(request.service).try_spend(now))
+        if (!other || !pay_for_retry(request, "silence", now))
             return;
         request.failed_at = now;
         send_copy(request, *other);
@@ -659,11 +660,24 @@
             awaited.left_ms(), hedging.max_fill, now);
         if (!other)
             return hedge_verdict::no_upstream;
-        return budgets.of(request.service).try_spend(now, hedging.kept_budget)
+        return pay_for_retry(request, "overdue", now, hedging.kept_budget)
                    ? hedge_verdict::send
                    : hedge_verdict::over_budget;
     }
 
+    /*! @brief Takes a retry from the budget of the request's service.
+     * @param cause Why it is due, for the counters.
+     * @param kept Fraction of the budget that is left to other retries.
+     * @return Whether the budget allows it. */
+    [[nodiscard]] bool pay_for_retry(const exchange& request,
+                                     const std::string& cause, time_point now,
+                                     double kept = 0)
+    {
+        const bool allowed = budgets.of(request.service).try_spend(now, kept);
+        request_metrics::count_retry(counters, request.service, cause, allowed);
+        return allowed;
+    }
+
     /*! @brief Counts and logs a pause that is longer than the route's target.
      * It says of the pace of the upstream what a late first event says. */
     void on_event_gap(exchange& request, time_point now)
@@ -970,7 +984,7 @@
         // An attempt that was never sent adds no load, so it needs no budget.
         const bool resending =
             may_resend && (failure == attempt_failure::not_sent ||
-                           budgets.of(request.service).try_spend(now));
+                           pay_for_retry(request, "failure", now));
         exchange_log::attempt_failed(request, request.attempt, reason,
                                      may_have_run, resending, now);
         if (resending)
--- a/src/coursejunction/proxy/request_metrics.hpp
+++ b/src/coursejunction/proxy/request_metrics.hpp
@@ -8,6 +8,7 @@
 
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/proxy/exchange.hpp"
+#include "coursejunction/proxy/retry_budgets.hpp"
 #include "coursejunction/route/dispatcher.hpp"
 
 namespace coursejunction::request_metrics
@@ -85,6 +86,31 @@
     }
 }
 
+/*! @brief Counts a retry that was due, and whether the budget allowed it.
+ * @param cause `failure`, `silence` or `overdue`. */
+inline void count_retry(metrics& counters, const service_name& service,
+                        const std::string& cause, bool allowed)
+{
+    counters.count("upstream_retries_total", 1,
+                   {{"service", service.value()},
+                    {"cause", cause},
+                    {"outcome", allowed ? "paid" : "over_budget"}});
+}
+
+/*! @brief Sets the gauges of the retry budgets. */
+inline void set_retry_budgets(metrics& counters, const retry_budgets& budgets,
+                              time_point now)
+{
+    budgets.for_each(
+        [&](const service_name& service, const retry_window& window)
+        {
+            const metrics::labels labels{{"service", service.value()}};
+            const auto usage = window.usage(now);
+            counters.set("retry_budget_used", usage.used, labels);
+            counters.set("retry_budget_allowed", usage.allowed, labels);
+        });
+}
+
 } // namespace coursejunction::request_metrics
 
 #endif
--- a/src/coursejunction/proxy/retry_budgets.hpp
+++ b/src/coursejunction/proxy/retry_budgets.hpp
@@ -57,6 +57,14 @@
         return found;
     }
 
+    /*! @brief Calls `visit` with each service and its retry window. */
+    template <typename Visitor>
+    void for_each(Visitor visit) const
+    {
+        for (const auto& [service, window] : windows)
+            visit(service, window);
+    }
+
 private:
     retry_limits limits;
     std::map<service_name, retry_window> windows;
--- a/src/coursejunction/run/retry_window.hpp
+++ b/src/coursejunction/run/retry_window.hpp
@@ -22,6 +22,13 @@
     double reserve{0};
 };
 
+/*! @brief How much of a retry window is used. */
+struct retry_usage
+{
+    double used{0};    /*!< Retries that count in the window. */
+    double allowed{0}; /*!< Retries that the limits allow in it. */
+};
+
 /*! @brief Counts requests and retries within the window, so that a burst of
  * failures may use what the whole window allows. Both are counted in slots of
  * time. A slot that is partly outside the window still counts for the retries
@@ -44,20 +51,27 @@
      * @return Whether they do. */
     [[nodiscard]] bool try_spend(time_point now, double kept = 0)
     {
-        auto& current = slot_at(now);
+        const auto before = usage(now);
+        if (before.used + 1 > before.allowed * (1 - kept))
+            return false;
+        ++slot_at(now).retries_used;
+        return true;
+    }
+
+    /*! @brief Returns how much of the window is used. */
+    [[nodiscard]] retry_usage usage(time_point now) const
+    {
+        retry_usage result;
         double requests = 0;
-        double retries_used = 1;
         for (const auto& one : slots)
         {
-            retries_used += one.retries_used;
+            if (one.started_at + slot_length() > now - limits.window)
+                result.used += one.retries_used;
             if (one.started_at > now - limits.window)
                 requests += one.requests;
         }
-        if (retries_used >
-            (limits.retry_ratio * requests + limits.reserve) * (1 - kept))
-            return false;
-        ++current.retries_used;
-        return true;
+        result.allowed = limits.retry_ratio * requests + limits.reserve;
+        return result;
     }
 
 private:
@@ -73,16 +87,19 @@
     /*! @brief Returns the current slot; drops those outside the window. */
     slot& slot_at(time_point now)
     {
-        const std::chrono::microseconds slot_length =
-            limits.window / slots_per_window;
         while (!slots.empty() &&
-               slots.front().started_at + slot_length <= now - limits.window)
+               slots.front().started_at + slot_length() <= now - limits.window)
             slots.pop_front();
-        if (slots.empty() || now >= slots.back().started_at + slot_length)
+        if (slots.empty() || now >= slots.back().started_at + slot_length())
             slots.push_back({now, 0, 0});
         return slots.back();
     }
 
+    [[nodiscard]] std::chrono::microseconds slot_length() const
+    {
+        return std::chrono::microseconds(limits.window) / slots_per_window;
+    }
+
     retry_limits limits;
     std::deque<slot> slots;
 };
