Stream client: a call on a stale connection is reported, not sent again

Upstreams failed requests within a millisecond and lost three in ten answers by a reset.

Cause: when a reused connection failed within 100 ms of the sending, the client took it for one that was closed before, and sent the call again on a new connection. The layer that pays for retries did not know of it: neither the budget, nor the attempts of the route, the crash guard, the deadline, the pace or the cold start of an upstream counted that second arrival. An upstream that reads a request, runs it in a few milliseconds and resets the connection looks the same. Up to one further arrival for each request, in proportion to the load.

Change: the client sends a call once. A reused connection that the peer closes before any byte of a response ends the call as stale, and idle connections to that address are dropped. The exchange handles it as an attempt that may have run: it pays, looks at the attempts of the route, at the crash guard and at all placement rules again; the upstream is not avoided for it and may get the request again if it is the only one. The exception for cold upstreams goes, as a retry passes the placement that knows them. gather(), used for calls of the control path that may run twice, still sends such a call once more.

Tests: proxy/lost_responses failed before (199 arrivals for 100 requests, 127 allowed); net/stream_client states who sends a call again and how often.

--- a/src/coursejunction/net/internal/stream_names.cpp
+++ b/src/coursejunction/net/internal/stream_names.cpp
@@ -15,6 +15,8 @@
         return "not_sent";
     case stream_end::closed:
         return "closed";
+    case stream_end::stale:
+        return "stale";
     case stream_end::broken:
         return "broken";
     case stream_end::malformed:
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -47,11 +47,10 @@
  * stays unacknowledged for this long. */
 constexpr int call_user_timeout_ms = 4000;
 
-/*! @brief A failure on an idle connection within this time of sending means
- * that the connection was already dead: the peer's reset arrives within a round
- * trip, about 20 ms between distant regions. On a later failure the peer may
- * have run the call, and resending it here would be a retry that the caller
- * cannot count. */
+/*! @brief A reused connection that the peer closes within this time of sending
+ * may have been closed before: the peer's reset arrives within a round trip,
+ * about 20 ms between distant regions. It is no proof, since a peer may also
+ * read a call and reset the connection within a few milliseconds. */
 constexpr milliseconds stale_connection_window{100};
 
 /*! @brief Time limit of a probe; the same as `stream_call::connect_time`. */
@@ -73,15 +72,18 @@
 public:
     /*! @brief Called at the end of the call, with the socket if it can be
      * reused. */
-    using finished_callback = std::function<void(std::optional<tcp::socket>)>;
+    using finished_callback =
+        std::function<void(std::optional<tcp::socket>, stream_end)>;
 
     stream_exchange(asio::io_context& owner, stream_call what,
                     stream_client::callbacks to, finished_callback on_finished)
-        : context(owner), socket(owner), connect_timer(owner),
-          call_timer(owner), stall_timer(owner), call(std::move(what)),
-          target(std::move(to)), finished(std::move(on_finished))
+        : socket(owner), connect_timer(owner), call_timer(owner),
+          stall_timer(owner), call(std::move(what)), target(std::move(to)),
+          finished(std::move(on_finished))
     {
-        prepare();
+        parser.header_limit(max_head);
+        parser.body_limit(max_body);
+        parser.skip(call.method == "HEAD");
     }
 
     /*! @brief Sends the call on an idle connection of the pool. */
@@ -222,35 +224,9 @@
         read_head();
     }
 
-    void prepare()
-    {
-        parser.emplace();
-        parser->header_limit(max_head);
-        parser->body_limit(max_body);
-        parser->skip(call.method == "HEAD");
-    }
-
-    /*! @brief Resends the call on a new connection because the idle one was
-     * dead. */
-    void resend_on_new_connection()
-    {
-        reused = false;
-        written = false;
-        boost::system::error_code ignored;
-        socket.close(ignored);
-        socket = tcp::socket(context);
-        input.clear();
-        prepare();
-        call_timer.cancel();
-        stall_timer.cancel();
-        sent = false;
-        sent_on_stale_connection = true;
-        start();
-    }
-
     void read_head()
     {
-        http::async_read_header(socket, input, *parser,
+        http::async_read_header(socket, input, parser,
                                 [self = shared_from_this()](
                                     const boost::system::error_code& fault,
                                     std::size_t) { self->head_read(fault); });
@@ -260,23 +236,18 @@
     {
         if (completed || fault == asio::error::operation_aborted)
             return;
-        const bool stale =
+        const bool soon =
             event_loop::now() - last_progress < stale_connection_window;
         last_progress = event_loop::now();
-        if (fault && reused && stale)
-        {
-            log::problem("call_resent", {{"address", call.address},
-                                         {"target", call.target},
-                                         {"why", fault.message()}});
-            return resend_on_new_connection();
-        }
+        if (fault && reused && soon && closed_by_peer(fault))
+            return end(stream_end::stale, fault.message());
         if (fault)
             return failed(fault);
         stream_head head;
         framing = framing_of_response();
         head.framing = framing;
-        head.status = static_cast<int>(parser->get().result_int());
-        for (const auto& field : parser->get())
+        head.status = static_cast<int>(parser.get().result_int());
+        for (const auto& field : parser.get())
             head.headers.push_back(std::string(field.name_string()),
                                    std::string(field.value()));
         const auto self = shared_from_this();
@@ -289,24 +260,24 @@
     /*! @brief Returns the framing of the response whose head was read. */
     [[nodiscard]] body_framing framing_of_response() const
     {
-        if (parser->is_done())
+        if (parser.is_done())
             return body_framing::none;
-        if (parser->chunked())
+        if (parser.chunked())
             return body_framing::chunks;
-        return parser->need_eof() ? body_framing::connection
-                                  : body_framing::length;
+        return parser.need_eof() ? body_framing::connection
+                                 : body_framing::length;
     }
 
     void read_body()
     {
-        if (parser->is_done())
+        if (parser.is_done())
             return response_complete();
         read_deferred = paused;
         if (paused)
             return;
-        parser->get().body().data = body_buffer.data();
-        parser->get().body().size = body_buffer.size();
-        http::async_read_some(socket, input, *parser,
+        parser.get().body().data = body_buffer.data();
+        parser.get().body().size = body_buffer.size();
+        http::async_read_some(socket, input, parser,
                               [self = shared_from_this()](
                                   const boost::system::error_code& fault,
                                   std::size_t) { self->body_read(fault); });
@@ -318,7 +289,7 @@
             return;
         if (fault == http::error::need_buffer)
             fault = {};
-        const auto count = body_buffer.size() - parser->get().body().size;
+        const auto count = body_buffer.size() - parser.get().body().size;
         if (count > 0)
         {
             last_progress = event_loop::now();
@@ -349,7 +320,7 @@
      * received on it. */
     void response_complete()
     {
-        if (call.repeatable && written && parser->keep_alive() &&
+        if (call.may_reuse_connection && written && parser.keep_alive() &&
             input.size() == 0)
             reusable_socket.emplace(std::move(socket));
         complete = true;
@@ -365,16 +336,10 @@
         const auto self = shared_from_this();
         abandon();
         const auto on_ended = std::move(target.ended);
-        finished(std::move(reusable_socket));
-        // The call may have reached the peer on the stale connection even if
-        // the new connection failed, so `not_sent` would be wrong.
-        on_ended(how == stream_end::not_sent && sent_on_stale_connection
-                     ? stream_end::closed
-                     : how,
-                 why);
+        finished(std::move(reusable_socket), how);
+        on_ended(how, why);
     }
 
-    asio::io_context& context;
     tcp::socket socket;
     asio::steady_timer connect_timer;
     asio::steady_timer call_timer;
@@ -385,7 +350,7 @@
     stream_client::callbacks target;
     finished_callback finished;
     boost::beast::flat_buffer input;
-    std::optional<http::response_parser<http::buffer_body>> parser;
+    http::response_parser<http::buffer_body> parser;
     std::optional<tcp::socket> reusable_socket;
     std::array<char, read_bytes> body_buffer{};
     std::string output;
@@ -394,8 +359,6 @@
     bool completed{false};
     bool complete{false}; /*!< The response was received to its end. */
     bool reused{false};
-    bool sent_on_stale_connection{false}; /*!< Already sent on an idle
-                                             connection that was dead. */
     bool written{false};
     bool paused{false};
     bool read_deferred{false}; /*!< The next read starts at `resume`. */
@@ -450,6 +413,73 @@
             list.push_back(std::move(socket));
     }
 
+    /*! @brief Starts a call under a given id.
+     * @param reuse Whether it may use an idle connection. */
+    void start(call_id id, stream_call call, callbacks to, bool reuse)
+    {
+        auto kept = reuse ? take_idle(call.address) : std::nullopt;
+        auto one = std::make_shared<internal::stream_exchange>(
+            context, call, std::move(to),
+            [shared = weak_from_this(), id, address = call.address](
+                std::optional<tcp::socket> socket, stream_end how)
+            {
+                const auto held = shared.lock();
+                if (!held)
+                    return;
+                held->open.erase(id);
+                // The peer may have closed its other connections as well.
+                if (how == stream_end::stale)
+                    held->idle.erase(address);
+                if (socket)
+                    held->put_idle(address, std::move(*socket));
+            });
+        if (!kept)
+            make_room(call);
+        open.emplace(id, one);
+        if (kept)
+            one->start_on_idle(std::move(*kept));
+        else
+            one->start();
+    }
+
+    /*! @brief Starts a call under a given id and buffers its response.
+     * @param resent It was sent before, on a stale connection. */
+    void gather(call_id id, stream_call call, std::function<void(answer)> done,
+                bool resent)
+    {
+        const auto gathered = std::make_shared<answer>();
+        callbacks to;
+        to.head = [gathered](const stream_head& head)
+        {
+            gathered->status = head.status;
+            gathered->headers = head.headers;
+        };
+        to.data = [gathered](std::string_view bytes)
+        { gathered->body.append(bytes); };
+        to.ended =
+            [gathered, shared = weak_from_this(), id, call, resent,
+             done = std::move(done)](stream_end how, const std::string& why)
+        {
+            const auto held = shared.lock();
+            if (how == stream_end::stale && held)
+            {
+                log::problem("call_resent", {{"address", call.address},
+                                             {"target", call.target},
+                                             {"why", why}});
+                return held->gather(id, call, done, true);
+            }
+            // The call may have arrived on the stale connection even if the new
+            // connection failed, so `not_sent` would be wrong.
+            gathered->end = how == stream_end::not_sent && resent
+                                ? stream_end::closed
+                                : how;
+            gathered->why = why;
+            done(std::move(*gathered));
+        };
+        const bool reuse = call.may_reuse_connection && !resent;
+        start(id, std::move(call), std::move(to), reuse);
+    }
+
     asio::io_context& context;
     std::unordered_map<call_id, std::shared_ptr<internal::stream_exchange>>
         open;
@@ -472,26 +502,8 @@
 stream_client::call_id stream_client::start(stream_call call, callbacks to)
 {
     const auto id = ++self->last;
-    auto kept = call.repeatable ? self->take_idle(call.address) : std::nullopt;
-    auto one = std::make_shared<internal::stream_exchange>(
-        self->context, call, std::move(to),
-        [shared = std::weak_ptr(self), id,
-         address = call.address](std::optional<tcp::socket> socket)
-        {
-            const auto held = shared.lock();
-            if (!held)
-                return;
-            held->open.erase(id);
-            if (socket)
-                held->put_idle(address, std::move(*socket));
-        });
-    if (!kept)
-        self->make_room(call);
-    self->open.emplace(id, one);
-    if (kept)
-        one->start_on_idle(std::move(*kept));
-    else
-        one->start();
+    const bool reuse = call.may_reuse_connection;
+    self->start(id, std::move(call), std::move(to), reuse);
     return id;
 }
 
@@ -565,23 +577,9 @@
 stream_client::call_id stream_client::gather(stream_call call,
                                              std::function<void(answer)> done)
 {
-    const auto gathered = std::make_shared<answer>();
-    callbacks to;
-    to.head = [gathered](const stream_head& head)
-    {
-        gathered->status = head.status;
-        gathered->headers = head.headers;
-    };
-    to.data = [gathered](std::string_view bytes)
-    { gathered->body.append(bytes); };
-    to.ended = [gathered, done = std::move(done)](stream_end how,
-                                                  const std::string& why)
-    {
-        gathered->end = how;
-        gathered->why = why;
-        done(std::move(*gathered));
-    };
-    return start(std::move(call), std::move(to));
+    const auto id = ++self->last;
+    self->gather(id, std::move(call), std::move(done), false);
+    return id;
 }
 
 std::size_t stream_client::size() const
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -19,9 +19,9 @@
 namespace coursejunction
 {
 
-/*! @brief One HTTP call. Unless `repeatable` is set it uses a new connection,
- * so it cannot meet leftover bytes of an earlier call or a half-closed
- * connection. */
+/*! @brief One HTTP call. Unless `may_reuse_connection` is set it uses a new
+ * connection, so it cannot meet leftover bytes of an earlier call or a
+ * half-closed connection. */
 struct stream_call
 {
     std::string address; /*!< `IP:port`. */
@@ -33,9 +33,9 @@
     milliseconds timeout{0};    /*!< For the whole call; 0 disables it. */
     milliseconds stall_time{0}; /*!< Longest time without received bytes, before
                                    or during the response; 0 disables it. */
-    /*! @brief The call may use an idle connection of the pool. If that
-     * connection turns out to be dead the call is resent once on a new one. */
-    bool repeatable{false};
+    /*! @brief The call may use an idle connection of the pool, which the peer
+     * may have closed already: the call then ends as `stale`. */
+    bool may_reuse_connection{false};
     /*! @brief If the call opens a connection, idle ones to the address are
      * closed so that no more than these are open; 0: none is closed. */
     std::size_t max_connections{0};
@@ -50,6 +50,9 @@
     not_sent, /*!< No byte of the request was written. */
     closed,   /*!< The peer closed the connection before the response was
                  complete. */
+    stale,    /*!< A reused connection was closed soon after the call was sent
+                 and before any byte of the response. Either it was already
+                 closed, or the peer read the call and may have run it. */
     broken,   /*!< A time limit expired, or the connection failed otherwise. */
     malformed /*!< The response was not valid HTTP. */
 };
@@ -96,7 +99,8 @@
     explicit stream_client(event_loop& loop);
     ~stream_client();
 
-    /*! @brief Starts a call. */
+    /*! @brief Starts a call. It is sent once: whether to send it again is up to
+     * the caller, which knows what a second run costs. */
     call_id start(stream_call call, callbacks to);
 
     /*! @brief Closes a call's connection; none of its callbacks is called
@@ -146,7 +150,8 @@
     };
 
     /*! @brief Starts a call and buffers its response; `done` receives it at the
-     * end. */
+     * end. A call that ends as `stale` is sent once more on a new connection,
+     * so only calls that may run twice may reuse a connection here. */
     call_id gather(stream_call call, std::function<void(answer)> done);
 
     /*! @brief Returns how many calls are open. */
--- a/src/coursejunction/proxy/attempt_closer.hpp
+++ b/src/coursejunction/proxy/attempt_closer.hpp
@@ -120,13 +120,13 @@
         request.silent_attempt.reset();
         client.cancel(silent.call);
         const auto now = event_loop::now();
-        const bool may_have_run = failure == attempt_failure::may_have_run;
-        if (may_have_run)
+        const bool possible_run = may_have_run(failure);
+        if (possible_run)
             ++request.possible_runs;
-        book.end_attempt(silent.choice.upstream, silent.id,
-                         attempt_result::failed, now);
-        count_failed(may_have_run);
-        exchange_log::attempt_failed(request, silent, reason, may_have_run,
+        book.end_attempt(silent.choice.upstream, silent.id, result_of(failure),
+                         now);
+        count_failed(possible_run);
+        exchange_log::attempt_failed(request, silent, reason, possible_run,
                                      true, now);
     }
 
@@ -155,6 +155,23 @@
         end_silent(request, attempt_failure::may_have_run, reason);
     }
 
+    /*! @brief Returns what a failed attempt says of its upstream. */
+    [[nodiscard]] static attempt_result result_of(attempt_failure failure)
+    {
+        switch (failure)
+        {
+        case attempt_failure::error_response:
+            return attempt_result::answered_failure;
+        case attempt_failure::stale_connection:
+            return attempt_result::inconclusive;
+        case attempt_failure::not_sent:
+        case attempt_failure::not_run:
+        case attempt_failure::may_have_run:
+            break;
+        }
+        return attempt_result::failed;
+    }
+
     /*! @brief Counts how the responses of upstreams are framed and end. */
     void count_end(const upstream_attempt& attempt)
     {
--- a/src/coursejunction/proxy/attempt_end.hpp
+++ b/src/coursejunction/proxy/attempt_end.hpp
@@ -17,6 +17,8 @@
     complete,    /*!< The response is complete. */
     unconfirmed, /*!< It is complete, unless the upstream crashed just then. */
     broken_off,  /*!< The upstream ended it before it was complete. */
+    stale,       /*!< It was sent on a connection that the upstream may have
+                    closed before it read the request. */
     not_sent,    /*!< The upstream did not receive the request. */
     failed       /*!< A time limit or another failure ended it. */
 };
@@ -46,6 +48,8 @@
         return end_verdict::not_sent;
     case stream_end::closed:
         return end_verdict::broken_off;
+    case stream_end::stale:
+        return end_verdict::stale;
     case stream_end::broken:
     case stream_end::malformed:
         return end_verdict::failed;
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -29,9 +29,18 @@
     not_sent,       /*!< No byte was written to the connection. */
     not_run,        /*!< The upstream states that it did not run the request. */
     error_response, /*!< It ran, and the response has a server error. */
-    may_have_run    /*!< Nothing proves that the request did not run. */
+    may_have_run,   /*!< Nothing proves that the request did not run. */
+    stale_connection /*!< The same, but its connection may have been closed
+                        before, which says nothing of the upstream. */
 };
 
+/*! @brief Returns whether the request may have run in a failed attempt. */
+[[nodiscard]] inline bool may_have_run(attempt_failure failure)
+{
+    return failure != attempt_failure::not_sent &&
+           failure != attempt_failure::not_run;
+}
+
 /*! @brief One attempt of a request at an upstream. `id` identifies it within
  * this process. */
 struct upstream_attempt
@@ -97,8 +106,9 @@
     // other attempt is left, unless its status is 503.
     std::optional<stream_head> error_response_head;
     std::string error_response_body;
-    bool upstream_errored{
-        false}; /*!< The last attempt failed with a server error. */
+    /*! @brief The last attempt failed in a way that does not rule out its
+     * upstream: with a server error, or on a stale connection. */
+    bool may_reuse_upstream{false};
 
     std::vector<instance_id> tried_upstreams;
     std::size_t possible_runs{0}; /*!< Number of attempts that may have run. */
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -486,10 +486,6 @@
         call.body = request.original.body;
         choose_connection(call, request, minimums, options, book.entry_count(),
                           now);
-        // A request on a reused connection may be sent again, which would count
-        // twice at a cold upstream.
-        call.repeatable =
-            call.repeatable && !book.is_cold(choice.upstream, now);
         book.begin_attempt(choice.upstream, request.attempt.id,
                            request.decoded.prompt_tokens, now,
                            choice.profiled_ms());
@@ -593,7 +589,7 @@
         closer.mark_silent(request, request.attempt, now);
         if (!may_hedge(request, now))
             return;
-        request.upstream_errored = false;
+        request.may_reuse_upstream = false;
         const auto other =
             decisions.find_upstream(exchange_facts::service_profile_of(request),
                                     placement_of(request, now), now);
@@ -861,7 +857,7 @@
                 return on_silent_attempt_lost(request, verdict, reason);
             closer.resume_silent(request);
         }
-        if (verdict == end_verdict::broken_off)
+        if (response_rules::may_be_crash(verdict))
             closer.report_lost(request, request.attempt, loss_cause::closed);
         if (verdict != end_verdict::complete)
             return on_attempt_failed(
@@ -898,7 +894,7 @@
                 "upstream answered " +
                     std::to_string(silent.response_head.status));
         }
-        if (verdict == end_verdict::broken_off)
+        if (response_rules::may_be_crash(verdict))
             closer.report_lost(request, silent, loss_cause::closed);
         closer.end_silent(request, response_rules::failure_of(verdict), reason);
     }
@@ -962,31 +958,29 @@
                            const std::string& reason)
     {
         const auto now = event_loop::now();
-        const bool may_have_run = failure == attempt_failure::may_have_run ||
-                                  failure == attempt_failure::error_response;
+        const bool possible_run = may_have_run(failure);
         request.silence_timer.stop();
         request.attempt.in_flight = false;
-        request.upstream_errored = failure == attempt_failure::error_response;
+        request.may_reuse_upstream =
+            failure == attempt_failure::error_response ||
+            failure == attempt_failure::stale_connection;
         book.end_attempt(request.attempt.choice.upstream, request.attempt.id,
-                         request.upstream_errored
-                             ? attempt_result::answered_failure
-                             : attempt_result::failed,
-                         now);
-        closer.count_failed(may_have_run);
+                         attempt_closer::result_of(failure), now);
+        closer.count_failed(possible_run);
         const bool may_resend =
-            may_have_run ? exchange_facts::may_repeat(request)
+            possible_run ? exchange_facts::may_repeat(request)
                          : request.tried_upstreams.size() < max_total_attempts;
         request.failed_at = now;
-        if (may_have_run)
+        if (possible_run)
             ++request.possible_runs;
         if (request.silent_attempt)
-            return fall_back(request, may_have_run, reason);
+            return fall_back(request, possible_run, reason);
         // An attempt that was never sent adds no load, so it needs no budget.
         const bool resending =
             may_resend && (failure == attempt_failure::not_sent ||
                            pay_for_retry(request, "failure", now));
         exchange_log::attempt_failed(request, request.attempt, reason,
-                                     may_have_run, resending, now);
+                                     possible_run, resending, now);
         if (resending)
             return place(request);
         give_up(request, may_resend ? "retry budget is exhausted" : reason);
--- a/src/coursejunction/proxy/placement_constraints.hpp
+++ b/src/coursejunction/proxy/placement_constraints.hpp
@@ -37,7 +37,7 @@
     placement.bypasses_limits = request.response_begun;
     placement.excluded = request.tried_upstreams;
     placement.avoided = std::move(avoided);
-    placement.may_reuse_excluded = request.upstream_errored;
+    placement.may_reuse_excluded = request.may_reuse_upstream;
     placement.regions = exchange_facts::regions_of(request);
     if (!request.decoded.model.empty())
         placement.min_version = minimums.minimum(request.decoded.model, now);
@@ -60,16 +60,17 @@
 }
 
 /*! @brief Decides on which connections an attempt may be sent. A reused one may
- * already be closed at the other end, and then it is unknown whether an
- * at-most-once request ran. Such a call gets a new connection.
+ * already be closed at the other end, and then it is unknown whether the
+ * request ran. An at-most-once request gets a new connection.
  * @param entries Number of entries that share the upstream's connections. */
 inline void choose_connection(stream_call& call, const exchange& request,
                               const version_floor& minimums,
                               const exchange_options& options,
                               std::size_t entries, time_point now)
 {
-    call.repeatable = request.route->repeatable() &&
-                      !is_superseded_soon(request, minimums, options, now);
+    call.may_reuse_connection =
+        request.route->repeatable() &&
+        !is_superseded_soon(request, minimums, options, now);
     call.max_connections = connection_share(
         exchange_facts::service_profile_of(request).max_connections, entries);
 }
--- a/src/coursejunction/proxy/response_rules.hpp
+++ b/src/coursejunction/proxy/response_rules.hpp
@@ -59,8 +59,17 @@
 /*! @brief Returns whether an attempt may have run, by how its call ended. */
 [[nodiscard]] inline attempt_failure failure_of(end_verdict verdict)
 {
-    return verdict == end_verdict::not_sent ? attempt_failure::not_sent
-                                            : attempt_failure::may_have_run;
+    if (verdict == end_verdict::not_sent)
+        return attempt_failure::not_sent;
+    return verdict == end_verdict::stale ? attempt_failure::stale_connection
+                                         : attempt_failure::may_have_run;
+}
+
+/*! @brief Returns whether an attempt may have ended because its upstream
+ * crashed. */
+[[nodiscard]] inline bool may_be_crash(end_verdict verdict)
+{
+    return verdict == end_verdict::broken_off || verdict == end_verdict::stale;
 }
 
 /*! @brief Describes the end of an attempt's call.
--- a/src/coursejunction/route/known_upstream.hpp
+++ b/src/coursejunction/route/known_upstream.hpp
@@ -39,7 +39,8 @@
 {
     succeeded,
     answered_failure, /*!< A complete response with an error of the upstream. */
-    failed            /*!< No complete response. */
+    failed,           /*!< No complete response. */
+    inconclusive      /*!< Its connection may have been closed before. */
 };
 
 /*! @brief An upstream and what was observed of it. */
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -190,6 +190,8 @@
         if (open->second.sent_at < upstream.status_at)
             ++upstream.ended_since_status;
         upstream.attempts.erase(open);
+        if (result == attempt_result::inconclusive)
+            return;
         constexpr double smoothing = 0.15;
         const bool good = result == attempt_result::succeeded;
         upstream.fault_share +=
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -388,7 +388,7 @@
             call.target += "&wait=1";
         call.timeout = options.peer_timeout;
         call.connect_time = options.connect_timeout;
-        call.repeatable = true;
+        call.may_reuse_connection = true;
         const auto id = std::make_shared<stream_client::call_id>();
         *id =
             client.gather(std::move(call),
--- a/src/coursejunction/transfer/manifest_fetch.hpp
+++ b/src/coursejunction/transfer/manifest_fetch.hpp
@@ -155,7 +155,7 @@
                       "&version=" + std::to_string(target.version);
         call.timeout = options.peer_timeout;
         call.stall_time = options.manifest_stall_timeout;
-        call.repeatable = true;
+        call.may_reuse_connection = true;
         client.gather(std::move(call),
                       guarded(
                           [this, on_failure = std::move(on_failure)](
--- a/tests/net/idle_connections.cpp
+++ b/tests/net/idle_connections.cpp
@@ -40,7 +40,7 @@
                 cj::stream_call made;
                 made.address = serving.address;
                 made.target = "/";
-                made.repeatable = repeatable;
+                made.may_reuse_connection = repeatable;
                 made.max_connections = max_connections;
                 client->gather(std::move(made),
                                [&](const cj::stream_client::answer& answer)
--- a/tests/net/stream_client.cpp
+++ b/tests/net/stream_client.cpp
@@ -8,6 +8,7 @@
 
 #include "net/dripping_server.hpp"
 #include "net/loopback.hpp"
+#include "net/resetting_peer.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
@@ -33,7 +34,7 @@
             request.target = "/";
             request.timeout = 5000ms;
             request.connect_time = 3000ms;
-            request.repeatable = repeatable;
+            request.may_reuse_connection = repeatable;
             request.stall_time = stall_time;
             client->gather(std::move(request),
                            [&](cj::stream_client::answer answer)
@@ -126,7 +127,7 @@
                 cj::stream_call request;
                 request.address = peer.address;
                 request.target = "/";
-                request.repeatable = true;
+                request.may_reuse_connection = true;
                 request.connect_time = 3000ms;
                 client->gather(std::move(request),
                                [&](const cj::stream_client::answer& answer)
@@ -143,6 +144,99 @@
     running.on_loop([&] { client.reset(); });
 }
 
+SCENARIO("a call whose response is lost on a reused connection", "[net]")
+{
+    // The server reads the second call, so that a call that is sent again
+    // without the caller's knowledge arrives twice.
+    loopback::resetting_peer peer(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ara");
+    loopback::running_loop running;
+    std::unique_ptr<cj::stream_client> client;
+    running.on_loop(
+        [&] { client = std::make_unique<cj::stream_client>(running.loop); });
+    const auto make_call = [&]
+    {
+        cj::stream_call request;
+        request.address = peer.address();
+        request.target = "/";
+        request.may_reuse_connection = true;
+        request.connect_time = 3000ms;
+        return request;
+    };
+    std::atomic<bool> done{false};
+    cj::stream_end end{};
+    const auto on_ended = [&](cj::stream_end how, const std::string&)
+    {
+        end = how;
+        done = true;
+        done.notify_all();
+    };
+    const auto start = [&]
+    {
+        done = false;
+        running.on_loop(
+            [&]
+            {
+                client->start(make_call(), {[](const cj::stream_head&) {},
+                                            [](std::string_view) {}, on_ended});
+            });
+        done.wait(false);
+    };
+    const auto gather = [&]
+    {
+        done = false;
+        running.on_loop(
+            [&]
+            {
+                client->gather(make_call(),
+                               [&](const cj::stream_client::answer& answer)
+                               { on_ended(answer.end, answer.why); });
+            });
+        done.wait(false);
+    };
+
+    SECTION("is reported to its caller and arrives once")
+    {
+        start();
+        CHECK(end == cj::stream_end::whole);
+        start();
+        CHECK(end == cj::stream_end::stale);
+        CHECK(peer.arrivals() == 2);
+    }
+    SECTION("is sent again if its response is gathered")
+    {
+        gather();
+        gather();
+        CHECK(end == cj::stream_end::whole);
+        CHECK(peer.arrivals() == 3);
+    }
+    SECTION("is not sent a second time on a new connection")
+    {
+        loopback::resetting_peer lossy(
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "arr");
+        done = false;
+        const auto ask = [&]
+        {
+            done = false;
+            running.on_loop(
+                [&]
+                {
+                    auto request = make_call();
+                    request.address = lossy.address();
+                    client->gather(std::move(request),
+                                   [&](const cj::stream_client::answer& answer)
+                                   { on_ended(answer.end, answer.why); });
+                });
+            done.wait(false);
+        };
+        ask();
+        ask();
+        CHECK(end == cj::stream_end::closed);
+        CHECK(lossy.arrivals() == 3);
+    }
+    running.on_loop([&] { client.reset(); });
+}
+
 SCENARIO("an abandoned call resets its connection", "[net]")
 {
     scripted_peer peer({scripted_peer::hang});
--- a/tests/proxy/attempt_end.cpp
+++ b/tests/proxy/attempt_end.cpp
@@ -43,6 +43,16 @@
             CHECK(cj::judge(ended) == end_verdict::complete);
         }
     }
+    SECTION("a closed connection that was reused does not tell whether the "
+            "request was read")
+    {
+        ended.end = stream_end::stale;
+        for (const bool is_stream : {false, true})
+        {
+            ended.is_stream = is_stream;
+            CHECK(cj::judge(ended) == end_verdict::stale);
+        }
+    }
     SECTION("a stream that ends inside an event was broken off")
     {
         ended.is_stream = true;
--- /dev/null
+++ b/tests/proxy/lost_responses.cpp
@@ -0,0 +1,59 @@
+#include "coursejunction/proxy/exchange_service.hpp"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "net/resetting_peer.hpp"
+#include "proxy/entry_on_loopback.hpp"
+
+namespace cj = coursejunction;
+using proxy_test::entry_on_loopback;
+using proxy_test::response;
+
+SCENARIO("responses lost on reused connections multiply the requests that "
+         "reach upstreams",
+         "[proxy]")
+{
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::repeatable);
+
+    SECTION("all arrivals beyond the first keep to the retry budget")
+    {
+        loopback::resetting_peer first(response("one"), "ar");
+        loopback::resetting_peer second(response("two"), "ar");
+        entry.add_upstream("a", first.address());
+        entry.add_upstream("b", second.address());
+        constexpr std::size_t requests = 100;
+        for (std::size_t sent = 0; sent < requests; ++sent)
+            static_cast<void>(entry.ask());
+        const cj::exchange_options defaults;
+        const auto arrivals = first.arrivals() + second.arrivals();
+        CHECK(static_cast<double>(arrivals) <=
+              requests + requests * defaults.retry_ratio + 10);
+    }
+    SECTION("a request runs no more often than its route allows")
+    {
+        loopback::resetting_peer first(response("one"), "ar");
+        loopback::resetting_peer second(response("two"), "ar");
+        entry.add_upstream("a", first.address());
+        CHECK(entry.ask().ends_with("one"));
+        entry.remove_upstream("a");
+        entry.add_upstream("b", second.address());
+        CHECK(entry.ask().ends_with("two"));
+        entry.add_upstream("a", first.address());
+        // Both lose the response on the connection that they keep.
+        CHECK(entry.ask().starts_with("HTTP/1.1 502"));
+        CHECK(first.arrivals() + second.arrivals() == 4);
+    }
+    SECTION("a single upstream gets the request again")
+    {
+        loopback::resetting_peer only(response("one"), "ar");
+        entry.add_upstream("a", only.address());
+        CHECK(entry.ask().ends_with("one"));
+        CHECK(entry.ask().ends_with("one"));
+        CHECK(only.arrivals() == 3);
+        CHECK(entry.counters.text().find("cause=\"failure\"") !=
+              std::string::npos);
+    }
+}
