Retry budget: shares of entries add up to the reserve

Change: no minimum; an entry with requests soon has a retry by the ratio alone (six requests). The largest number of entries of the last two hours divides the reserve, since regions that lose each other for an hour go on serving. Where entries are really gone, the others leave their part of the reserve unused for that time; the ratio is what most retries are paid from.

Left: an entry that starts anew does not know what its predecessor used of the ratio; the distance between 0.17 and the 0.2 of the installations covers it. One that starts while it reaches the store but none of the others divides by those it knows.

--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -58,6 +58,10 @@
      * shared by all entries. The smallest allowance seen at the installations
      * is 104. */
     double retry_reserve{80};
+    /*! @brief For how long an entry that is no longer heard counts among those
+     * that share the reserve. Regions lose each other for up to an hour, and
+     * their entries go on serving meanwhile. */
+    milliseconds entry_count_memory{std::chrono::hours(2)};
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/proxy/retry_budgets.hpp
+++ b/src/coursejunction/proxy/retry_budgets.hpp
@@ -26,14 +26,16 @@
 public:
     explicit retry_budgets(const exchange_options& options)
         : limits{options.retry_window, options.retry_ratio,
-                 options.retry_reserve}
+                 options.retry_reserve},
+          count_memory(options.entry_count_memory)
     {
     }
 
     /*! @brief Sets the number of entries that share the reserve. What others
-     * may have used of it within the window is not given out again: a smaller
-     * number counts only after a window, and an entry has no share until then
-     * after its start, which is the first call. */
+     * may have used of it is not given out again: an entry has no share until a
+     * window after its start, which is the first call, and a smaller number
+     * counts only after `entry_count_memory`, since entries that are cut off
+     * from each other go on. */
     void set_entry_count(std::size_t count, time_point now)
     {
         if (!started_at)
@@ -41,7 +43,7 @@
         while (!counts.empty() && counts.back().second <= count)
             counts.pop_back();
         counts.emplace_back(now, std::max<std::size_t>(count, 1));
-        while (now - counts.front().first >= limits.window)
+        while (now - counts.front().first >= count_memory)
             counts.pop_front();
         share =
             now - *started_at < limits.window
@@ -81,15 +83,16 @@
         auto& found = windows[service];
         if (!found)
             found = std::make_shared<retry_window>(limits);
-        found->set_reserve(std::max(share, 1.0));
+        found->set_reserve(share);
         return found;
     }
 
     retry_limits limits;
     std::map<service_name, std::shared_ptr<retry_window>> windows;
-    double share{limits.reserve}; /*!< Of this entry; at least one retry. */
+    milliseconds count_memory;
+    double share{limits.reserve}; /*!< Of this entry. */
     std::optional<time_point> started_at;
-    /*! @brief Numbers of entries within the window that no later one
+    /*! @brief Numbers of entries within `count_memory` that no later one
      * exceeds, with their times. */
     std::deque<std::pair<time_point, std::size_t>> counts;
 };
