Retries open a new connection

Cause: the retry went to another upstream's kept connection, which was stale as well, and the route allows two runs.

Change: an attempt after one that may have run opens a new connection. It costs a round trip where a retry is made, and nothing elsewhere.

--- a/src/coursejunction/proxy/placement_constraints.hpp
+++ b/src/coursejunction/proxy/placement_constraints.hpp
@@ -61,7 +61,8 @@
 
 /*! @brief Decides on which connections an attempt may be sent. A reused one may
  * already be closed at the other end, and then it is unknown whether the
- * request ran. An at-most-once request gets a new connection.
+ * request ran. An at-most-once request gets a new connection, and so does a
+ * retry, which might otherwise use up its attempts on closed connections.
  * @param entries Number of entries that share the upstream's connections. */
 inline void choose_connection(stream_call& call, const exchange& request,
                               const version_floor& minimums,
@@ -69,7 +70,7 @@
                               std::size_t entries, time_point now)
 {
     call.may_reuse_connection =
-        request.route->repeatable() &&
+        request.route->repeatable() && request.possible_runs == 0 &&
         !is_superseded_soon(request, minimums, options, now);
     call.max_connections = connection_share(
         exchange_facts::service_profile_of(request).max_connections, entries);
