A request keeps its admission after a stale connection

Cause: the upstream of the stale connection was excluded, and no other one could take a request within the limits. The request had been admitted, and the slot that it was admitted to was free again.

Change: after a stale connection that upstream is not excluded, and the limits of admission do not apply a second time, as for a stream that is resumed. Terms of upstreams, cold rates, regions, evacuations and the budget still do.

Test: proxy/lost_responses, all other upstreams full; 502 before.

--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -109,9 +109,11 @@
     // other attempt is left, unless its status is 503.
     std::optional<stream_head> error_response_head;
     std::string error_response_body;
-    /*! @brief The last attempt failed in a way that does not rule out its
-     * upstream: with a server error, or on a stale connection. */
-    bool may_reuse_upstream{false};
+    bool upstream_errored{
+        false}; /*!< The last attempt failed with a server error. */
+    /*! @brief The last attempt failed on a stale connection: its upstream is
+     * not ruled out, and the request was admitted. */
+    bool connection_was_stale{false};
 
     std::vector<instance_id> tried_upstreams;
     /*! @brief Paid for and not sent yet; null if there is none. */
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -592,7 +592,7 @@
         closer.mark_silent(request, request.attempt, now);
         if (!may_hedge(request, now))
             return;
-        request.may_reuse_upstream = false;
+        request.upstream_errored = false;
         const auto other =
             decisions.find_upstream(exchange_facts::service_profile_of(request),
                                     placement_of(request, now), now);
@@ -967,8 +967,8 @@
         const bool possible_run = may_have_run(failure);
         request.silence_timer.stop();
         request.attempt.in_flight = false;
-        request.may_reuse_upstream =
-            failure == attempt_failure::error_response ||
+        request.upstream_errored = failure == attempt_failure::error_response;
+        request.connection_was_stale =
             failure == attempt_failure::stale_connection;
         book.end_attempt(request.attempt.choice.upstream, request.attempt.id,
                          attempt_closer::result_of(failure), now);
--- a/src/coursejunction/proxy/placement_constraints.hpp
+++ b/src/coursejunction/proxy/placement_constraints.hpp
@@ -34,10 +34,13 @@
     placement.waiting_since =
         request.possible_runs > 0 ? request.failed_at : request.arrived_at;
     placement.deadline = request.deadline;
-    placement.bypasses_limits = request.response_begun;
+    placement.bypasses_limits =
+        request.response_begun || request.connection_was_stale;
     placement.excluded = request.tried_upstreams;
+    if (request.connection_was_stale)
+        std::erase(placement.excluded, request.attempt.choice.upstream);
     placement.avoided = std::move(avoided);
-    placement.may_reuse_excluded = request.may_reuse_upstream;
+    placement.may_reuse_excluded = request.upstream_errored;
     placement.regions = exchange_facts::regions_of(request);
     if (!request.decoded.model.empty())
         placement.min_version = minimums.minimum(request.decoded.model, now);
--- a/tests/proxy/lost_responses.cpp
+++ b/tests/proxy/lost_responses.cpp
@@ -34,7 +34,7 @@
     }
     SECTION("a request runs no more often than its route allows")
     {
-        loopback::resetting_peer first(response("one"), {"ar"});
+        loopback::resetting_peer first(response("one"), {"ar", "r"});
         loopback::resetting_peer second(response("two"), {"r"});
         entry.add_upstream("a", first.address());
         CHECK(entry.ask().ends_with("one"));
@@ -42,17 +42,34 @@
         CHECK(entry.ask().starts_with("HTTP/1.1 502"));
         CHECK(first.arrivals() + second.arrivals() == 3);
     }
-    SECTION("a retry does not use up its attempts on another kept connection")
+    SECTION("a retry does not use up its attempts on a kept connection")
     {
-        loopback::resetting_peer first(response("one"), {"ar"});
+        loopback::resetting_peer first(response("one"), {"r"});
         loopback::resetting_peer second(response("two"), {"ar"});
         entry.add_upstream("b", second.address());
         CHECK(entry.ask().ends_with("two"));
         entry.add_upstream("a", first.address());
-        CHECK(entry.ask().ends_with("one"));
-        // Both lose the response to a second request on a connection.
         CHECK(entry.ask().ends_with("two"));
-        CHECK(first.arrivals() + second.arrivals() == 4);
+        CHECK(first.arrivals() == 1);
+        CHECK(second.arrivals() == 2);
+    }
+    SECTION("a request keeps its admission while all other upstreams are full")
+    {
+        loopback::resetting_peer first(response("one"), {"ar"});
+        loopback::resetting_peer second(response("two"), {"a"});
+        entry.add_upstream("a", first.address());
+        CHECK(entry.ask().ends_with("one"));
+        entry.add_upstream("b", second.address());
+        entry.running.on_loop(
+            [&]
+            {
+                // Nine attempts are more than its slots and its queue may hold.
+                for (std::uint64_t attempt = 1000; attempt < 1009; ++attempt)
+                    entry.book.begin_attempt(cj::instance_id("b"), attempt, 0,
+                                             cj::event_loop::now());
+            });
+        CHECK(entry.ask().ends_with("one"));
+        CHECK(first.arrivals() == 3);
     }
     SECTION("a single upstream gets the request again")
     {
