Retry budget: an entry that has just started has one retry again

Found by the whole unit tests: with no share until a window after its start, an entry answered 502 to a first request that failed, where another upstream could have served it (proxy/allowed_regions, a request goes to the far hall after a failed attempt). That is worse for callers than before, so the test stands.

Change: one retry for each start; no minimum later. What all starts may add is within the distance between the ratio of 0.17 and the 0.2 of the installations at the load that the design is for.

--- a/src/coursejunction/proxy/retry_budgets.hpp
+++ b/src/coursejunction/proxy/retry_budgets.hpp
@@ -33,9 +33,10 @@
 
     /*! @brief Sets the number of entries that share the reserve. What others
      * may have used of it is not given out again: an entry has no share until a
-     * window after its start, which is the first call, and a smaller number
-     * counts only after `entry_count_memory`, since entries that are cut off
-     * from each other go on. */
+     * window after its start, which is the first call, but one retry, so that a
+     * first request that fails is sent again. A smaller number counts only
+     * after `entry_count_memory`, since entries that are cut off from each
+     * other go on. */
     void set_entry_count(std::size_t count, time_point now)
     {
         if (!started_at)
@@ -45,9 +46,10 @@
         counts.emplace_back(now, std::max<std::size_t>(count, 1));
         while (now - counts.front().first >= count_memory)
             counts.pop_front();
+        constexpr double retries_after_start = 1;
         share =
             now - *started_at < limits.window
-                ? 0
+                ? retries_after_start
                 : limits.reserve / static_cast<double>(counts.front().second);
     }
 
