--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -122,6 +122,11 @@
         # other upstream could take them; streams were cut and callers got 502.
         self.play(1, 6, "--silences", "--sides", "2")
 
+    def test_retries_of_lost_responses_keep_to_the_budget(self):
+        # Guards against repeats that no entry counts: upstreams read requests and lose
+        # their responses by a reset.
+        self.play(1, 6, "--lost-responses", "--sides", "6")
+
     def test_streams_that_broke_off_are_not_framed_as_complete(self):
         # Seeds 1 and 2 failed: the end of a connection was taken for the end of a stream.
         self.play(1, 6, "--unframed")
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -451,6 +451,7 @@
         self.active = []  # The requests that run.
         self.slowness = 1.0  # How much longer than usual each event takes.
         self.misreads = 0  # Reads of whole staged weights that will fail.
+        self.lost = 0.0  # Fraction of responses that are lost right after the request was read.
         self.wrong_weights = []
         self.crashed = []  # When a request ended it.
         self.part_arrivals = []  # When requests with the harmful part came.
@@ -556,6 +557,8 @@
         if headers.get("x-coursejunction-expect-instance") != self.id or not version:
             return answer(421, b"", signed + ["X-Coursejunction-Not-Executed: 1"])
         self.begun.append((asyncio.get_running_loop().time(), asked, version, self.id))
+        if self.lost and self.faults.random() < self.lost:
+            return reset(writer)
         if body == CRASHING:
             await self.end_under_request()
             return None
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,6 +21,8 @@
     soak.py ... --silences         upstreams fall silent for about a second and go on, beside changes of the
                                    configuration; nothing else is wrong
     soak.py ... --silences --stops also, one entry after the other gets SIGTERM and starts again
+    soak.py ... --lost-responses   engines read requests and lose half of their responses by a reset, again
+                                   and again, beside the usual faults
     soak.py ... --unframed         all streams end with their connections, and engines are killed
     soak.py ... --suspending       instances are suspended: their steady clocks stand for a while
     soak.py ... --crashing --wide        its copies come to all entries at once, also for plain services
@@ -61,6 +63,7 @@
 from notices import give_notices, judge_notices
 from platform_standin import LARGE_BODY, MODEL, PADDING, Engine, Origin, Service, Store
 from process import LATE_S, Daemon, free_port
+from repeats import CALLERS, judge_repeats, play_lost_responses
 from rewinds import drain_engines, give_orders, play_late_writes, play_rewinds
 from silences import KEEPERS, KEPT_S, Faultless, judge_silences, play_silences
 from standstills import Standstills, stand_still
@@ -509,6 +512,10 @@
         if self.asked.rewinds:
             self.tasks += [asyncio.create_task(one) for one in (
                 give_orders(self), drain_engines(self), play_rewinds(self, self.asked.rewinds))]
+        if self.asked.lost_responses:
+            self.tasks += [asyncio.create_task(self.caller(random.Random(self.dice.random())))
+                           for _ in range(CALLERS)]
+            self.tasks.append(asyncio.create_task(play_lost_responses(self)))
         if self.asked.silences:
             self.tasks += [asyncio.create_task(self.caller(random.Random(self.dice.random()), KEPT_S))
                            for _ in range(KEEPERS)]
@@ -535,6 +542,7 @@
         await asyncio.gather(*self.tasks)
         watching.cancel()
         self.judge_upstreams()
+        judge_repeats(self)
         if self.asked.silences:
             await judge_silences(self)
         if self.asked.suspending:
@@ -662,6 +670,7 @@
     parser.add_argument("--late-writes", type=int, default=0)
     parser.add_argument("--unheard", type=int, default=0)
     parser.add_argument("--silences", action="store_true")
+    parser.add_argument("--lost-responses", action="store_true")
     parser.add_argument("--unframed", action="store_true")
     parser.add_argument("--stops", action="store_true")
     parser.add_argument("--hard-load", nargs="?", type=parts_of_option, const=PARTS)
