A copy for a silent retry goes to another upstream

On a route that allows three runs, a copy for a silent retry could go to the same upstream.

Change: the mark ends when the next attempt starts.

--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -466,6 +466,7 @@
         request.attempt.sent_at = now;
         request.attempt.events = std::move(events);
         request.attempt.in_flight = true;
+        request.connection_was_stale = false;
         request.attempt.retry = std::move(request.paid_retry);
         if (request.attempt.retry)
             request.attempt.retry->set_sent(true);
--- a/tests/net/resetting_peer.hpp
+++ b/tests/net/resetting_peer.hpp
@@ -26,8 +26,8 @@
 public:
     /*! @param answer Sent where a request is not lost.
      * @param scripts For each connection, and for all later ones the last, what
-     * happens to its requests in turn: `a`, answered, or `r`, read and then
-     * reset. */
+     * happens to its requests in turn: `a`, answered, `r`, read and then
+     * reset, or `h`, read and not answered. */
     resetting_peer(std::string answer, std::vector<std::string> scripts)
         : response(std::move(answer)), outcomes(std::move(scripts)),
           thread([this] { run(); })
@@ -79,6 +79,8 @@
             ++read_requests;
             if (outcome == 'r')
                 return reset(caller);
+            if (outcome == 'h')
+                continue;
             if (::send(caller, response.data(), response.size(), MSG_NOSIGNAL) <
                 0)
                 return;
--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -152,7 +152,7 @@
         rule.first_event_target = first_event_target;
         rule.event_gap_target = event_gap_target;
         rule.allowed_regions = route_regions;
-        rule.max_attempts = 2;
+        rule.max_attempts = max_attempts;
         rule.services = {{cj::service_name("s"), 1}};
         configuration->routes.push_back(rule);
         rule.prefix = "/keyed/";
@@ -213,6 +213,7 @@
     std::vector<cj::region_id> organisation_regions;
     cj::milliseconds first_event_target{1000};
     cj::milliseconds event_gap_target{0};
+    std::size_t max_attempts{2};
 
     cj::upstream_registry book;
     cj::metrics counters;
--- a/tests/proxy/lost_responses.cpp
+++ b/tests/proxy/lost_responses.cpp
@@ -1,6 +1,8 @@
 #include "coursejunction/proxy/exchange_service.hpp"
 
+#include <future>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -8,6 +10,7 @@
 #include "proxy/entry_on_loopback.hpp"
 
 namespace cj = coursejunction;
+using namespace std::chrono_literals;
 using proxy_test::entry_on_loopback;
 using proxy_test::response;
 
@@ -71,6 +74,24 @@
         CHECK(entry.ask().ends_with("one"));
         CHECK(first.arrivals() == 3);
     }
+    SECTION("a copy for a silent retry does not go to the same upstream")
+    {
+        entry.max_attempts = 3;
+        entry.configure_route(cj::request_kind::stream, true);
+        const auto stream = proxy_test::event_stream("id: 1\n\n", true);
+        loopback::resetting_peer first(stream, {"ar", "hh"});
+        loopback::resetting_peer second(stream, {"a"});
+        entry.add_upstream("a", first.address());
+        CHECK(entry.ask().ends_with("0\r\n\r\n"));
+        auto answer =
+            std::async(std::launch::async, [&] { return entry.ask(); });
+        while (first.arrivals() < 3)
+            std::this_thread::sleep_for(5ms);
+        entry.add_upstream("b", second.address());
+        CHECK(answer.get().ends_with("0\r\n\r\n"));
+        CHECK(first.arrivals() == 3);
+        CHECK(second.arrivals() == 1);
+    }
     SECTION("a single upstream gets the request again")
     {
         loopback::resetting_peer only(response("one"), {"ar"});
