Silent upstreams: metrics of held attempts, of copies not sent and of callers that leave

An entry looked for a second upstream for a silent attempt and neither logged nor counted why it sent no copy.

No decision changes.

--- a/src/coursejunction/proxy/attempt_closer.hpp
+++ b/src/coursejunction/proxy/attempt_closer.hpp
@@ -71,9 +71,12 @@
         if (attempt.id == 0)
             return;
         if (std::exchange(attempt.in_flight, false))
+        {
+            observe_hold(attempt, "cancelled");
             report_lost(request, attempt,
                         attempt.silent ? loss_cause::timed_out
                                        : loss_cause::cancelled);
+        }
         client.cancel(attempt.call);
         book.cancel_attempt(attempt.choice.upstream, attempt.id);
     }
@@ -85,6 +88,8 @@
     {
         if (std::exchange(attempt.silent, true))
             return;
+        attempt.silent_since = now;
+        attempt.copy_declined.reset();
         counters.count("attempts_silent_total");
         book.mark_silent(attempt.choice.upstream, now);
         exchange_log::upstream_silent(request, attempt, now);
@@ -105,8 +110,10 @@
         cancel(request, request.attempt);
         ++request.possible_runs;
         restore_silent(request);
-        if (!std::exchange(request.attempt.silent, false))
+        if (!request.attempt.silent)
             return count_hedge_won("first");
+        observe_hold(request.attempt, "resumed");
+        request.attempt.silent = false;
         counters.count("silent_attempts_resumed_total");
         exchange_log::silence_ended(request, now);
     }
@@ -118,6 +125,7 @@
     {
         const auto silent = std::move(*request.silent_attempt);
         request.silent_attempt.reset();
+        observe_hold(silent, "ended");
         client.cancel(silent.call);
         const auto now = event_loop::now();
         const bool possible_run = may_have_run(failure);
@@ -172,6 +180,18 @@
         return attempt_result::failed;
     }
 
+    /*! @brief Records for how long an attempt was held after its upstream was
+     * found silent.
+     * @param end `resumed`, `ended` or `cancelled`. */
+    void observe_hold(const upstream_attempt& attempt, const std::string& end)
+    {
+        if (attempt.silent)
+            counters.observe(
+                "silent_attempts_held_seconds",
+                to_seconds(event_loop::now() - attempt.silent_since),
+                {{"end", end}});
+    }
+
     /*! @brief Counts how the responses of upstreams are framed and end. */
     void count_end(const upstream_attempt& attempt)
     {
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -18,6 +18,7 @@
 #include "coursejunction/proxy/event_splitter.hpp"
 #include "coursejunction/proxy/request_codec.hpp"
 #include "coursejunction/proxy/retry_token.hpp"
+#include "coursejunction/route/hedge_decision.hpp"
 #include "coursejunction/route/placement.hpp"
 
 namespace coursejunction
@@ -57,7 +58,10 @@
                               if another attempt returned it. */
     time_point last_event_at{};
     bool has_events{false};
-    bool silent{false};    /*!< No event arrived in time. */
+    bool silent{false};        /*!< No event arrived in time. */
+    time_point silent_since{}; /*!< When that was found; kept after it ended. */
+    /*! @brief Why no copy was sent while it is silent, once that is known. */
+    std::optional<hedge_verdict> copy_declined;
     bool gap_known{false}; /*!< The pause since the last event was counted. */
     bool gap_logged{false};
     bool in_flight{false}; /*!< The upstream has it and may run it. */
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -325,6 +325,18 @@
                                   now)}});
 }
 
+/*! @brief Logs why a request stays at its silent upstream alone. */
+inline void copy_declined(const exchange& request, hedge_verdict verdict)
+{
+    log::problem(
+        "silent_upstream_not_left",
+        {{"request", request.decoded.id.value()},
+         {"upstream", request.attempt.choice.upstream.value()},
+         {"reason", std::string(verdict_name(verdict))},
+         {"attempts", std::to_string(request.tried_upstreams.size())},
+         {"events", std::to_string(request.attempt.events.event_count())}});
+}
+
 /*! @brief Logs a second copy of a request, which is sent because the first
  * event of the attempt in progress is overdue. */
 inline void hedged(const exchange& request, const awaited_first_event& awaited,
@@ -402,6 +414,9 @@
          {"attempts", std::to_string(request.tried_upstreams.size())},
          {"upstream", request.attempt.choice.upstream.value()},
          {"events", std::to_string(request.attempt.events.event_count())},
+         {"silent_ms", request.attempt.silent
+                           ? ms_between(request.attempt.silent_since, now)
+                           : "none"},
          {"took_ms", ms_between(request.arrived_at, now)}});
 }
 
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -591,16 +591,47 @@
     void on_silence(exchange& request, time_point now)
     {
         closer.mark_silent(request, request.attempt, now);
-        if (!may_hedge(request, now))
+        if (request.silent_attempt)
             return;
+        std::optional<send_to> other;
+        const auto verdict = find_copy_upstream(request, other, now);
+        if (verdict != hedge_verdict::send)
+            return note_copy_declined(request, verdict);
+        request.failed_at = now;
+        send_copy(request, *other);
+    }
+
+    /*! @brief Looks for an upstream for a copy of a request whose upstream is
+     * silent, and pays for it.
+     * @return Whether the copy is sent to `other`, or why it is not. */
+    [[nodiscard]] hedge_verdict
+    find_copy_upstream(exchange& request, std::optional<send_to>& other,
+                       time_point now)
+    {
+        if (!may_hedge(request, now))
+            return hedge_verdict::barred;
         request.upstream_errored = false;
-        const auto other =
+        other =
             decisions.find_upstream(exchange_facts::service_profile_of(request),
                                     placement_of(request, now), now);
-        if (!other || !pay_for_retry(request, "silence", now))
+        if (!other)
+            return hedge_verdict::no_upstream;
+        return pay_for_retry(request, "silence", now)
+                   ? hedge_verdict::send
+                   : hedge_verdict::over_budget;
+    }
+
+    /*! @brief Counts and logs once for each reason why a request stays at its
+     * silent upstream alone. */
+    void note_copy_declined(exchange& request, hedge_verdict verdict)
+    {
+        auto& declined = request.attempt.copy_declined;
+        if (declined == verdict)
             return;
-        request.failed_at = now;
-        send_copy(request, *other);
+        declined = verdict;
+        counters.count("silent_attempts_alone_total", 1,
+                       {{"reason", std::string(verdict_name(verdict))}});
+        exchange_log::copy_declined(request, verdict);
     }
 
     /*! @brief Sends a copy of a request to a second upstream. */
@@ -749,6 +780,7 @@
             closer.resume_silent(request);
         else if (request.silent_attempt)
             closer.drop_silent(request);
+        closer.observe_hold(request.attempt, "resumed");
         if (!request.attempt.has_events)
             on_first_event(request);
         request.attempt.last_event_at = event_loop::now();
@@ -1080,14 +1112,15 @@
 
     void on_caller_left(std::uint64_t number)
     {
-        open_requests.with(number,
-                           [&](exchange& request)
-                           {
-                               closer.cancel_all(request);
-                               log_failure(request, "cancelled",
-                                           "caller disconnected");
-                               erase(request);
-                           });
+        open_requests.with(
+            number,
+            [&](exchange& request)
+            {
+                request_metrics::count_caller_left(counters, request);
+                closer.cancel_all(request);
+                log_failure(request, "cancelled", "caller disconnected");
+                erase(request);
+            });
     }
 
     // --- End -------------------------------------------------------------
--- a/src/coursejunction/proxy/request_metrics.hpp
+++ b/src/coursejunction/proxy/request_metrics.hpp
@@ -36,6 +36,26 @@
         counters.count("clients_served_on_return_total");
 }
 
+/*! @brief Returns what the caller of an open request waits for. */
+[[nodiscard]] inline std::string awaited_by_caller(const exchange& request)
+{
+    if (request.queued || !request.attempt.in_flight)
+        return "slot";
+    if (request.attempt.silent)
+        return "silent_upstream";
+    if (request.route->kind != request_kind::stream)
+        return "response";
+    return request.response_begun ? "event" : "first_event";
+}
+
+/*! @brief Counts a caller that left, by what it waited for; to be called before
+ * its attempts are cancelled. */
+inline void count_caller_left(metrics& counters, const exchange& request)
+{
+    counters.count("callers_left_total", 1,
+                   {{"awaited", awaited_by_caller(request)}});
+}
+
 /*! @brief Counts a refused request by the reason of its refusal. */
 inline void count_refusal(metrics& counters, const exchange& request,
                           const placement_failure& failure)
