Silent upstreams: a stream is ended before its caller leaves

Cause: when an upstream falls silent, an entry looks for a second one. Under overload there is none with a free slot, and then nothing else ended the attempt but the caller's disconnect or the deadline. A suspended upstream runs what it has received when it goes on, so that the cancellation that followed the disconnect, although sent at once, came too late. Class: a wait that is bounded by the other side's patience only.

Ruled out as causes here: closes that are noticed late (the cancellation followed the caller's leaving by 1.5 ms) and a spent retry budget.

Change: an attempt at a silent upstream is given up - at once (a poll later) if no event has arrived and the upstream's sidecar is silent as well, which shows that the instance is suspended or cut off: the request is sent elsewhere, or gets an error with most of its time left; - just before its caller leaves. Routes say how long callers of a stream bear a pause (caller_patience); platform/ derives it from the protocol. This holds for both attempts of a request, for streams that cannot be resumed and for streams that have begun, which are held until the caller would leave. No copy is sent whose first event is predicted after that.

Why it works: the work is ended by this side, in an answer, while the caller still waits; nothing depends on when the suspended side reads the reset.

--- a/src/coursejunction/fleet/installation.hpp
+++ b/src/coursejunction/fleet/installation.hpp
@@ -53,6 +53,9 @@
     milliseconds first_event_target{0};
     /*! @brief Latency target between two events; zero if not set. */
     milliseconds event_gap_target{0};
+    /*! @brief Longest time without an event after which callers disconnect from
+     * a stream; zero if unknown. */
+    milliseconds caller_patience{0};
     /*! @brief Maximum executions of a repeatable request. */
     std::size_t max_attempts{1};
     std::int32_t priority{0}; /*!< 0 is the most urgent. */
--- a/src/coursejunction/proxy/back_pressure.hpp
+++ b/src/coursejunction/proxy/back_pressure.hpp
@@ -104,6 +104,7 @@
         request.pause_timer.stop();
         // The upstream was not silent, it was not read.
         request.attempt.last_event_at = event_loop::now();
+        request.last_progress = request.attempt.last_event_at;
         client.resume(request.attempt.call);
         resumed(request);
     }
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -76,6 +76,8 @@
     std::uint64_t number{0};
     time_point arrived_at{};
     time_point deadline{};
+    /*! @brief When the caller last received events; at first, the arrival. */
+    time_point last_progress{};
     caller_request decoded;
     stream_request original;
     stream_reply reply;
--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -38,6 +38,11 @@
     /*! @brief Interval at which another upstream is looked for while one is
      * silent. */
     milliseconds silence_poll_interval{100};
+    /*! @brief A stream without progress gets its final response this long
+     * before its caller would disconnect: an instance with a small share of a
+     * processor may run only once in 100 ms, both when the request arrives and
+     * when the response is due, and both cross a loaded link. */
+    milliseconds final_response_time{300};
     /*! @brief A model version is superseded when entries stop sending requests
      * to the upstreams that serve it. An attempt that is still queued at such
      * an upstream is cancelled this long afterwards. The upstream may start
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -303,6 +303,9 @@
         // before its timer fires.
         if (now >= request.deadline)
             return on_deadline(request.number);
+        if (request.possible_runs > 0 && silence_rules::apply_to(request) &&
+            now >= silence_rules::final_response_due(request, options))
+            return end_late(request, no_event_in_time);
         if (request.possible_runs > 0 &&
             now - request.failed_at < options.crash_probe_time &&
             guard.has_unexplained_loss(request.content, now))
@@ -526,8 +529,8 @@
 
     // --- Silence ---------------------------------------------------------
 
-    /*! @brief Starts the timer of a resumable stream for the next time at which
-     * its attempts have to be checked. */
+    /*! @brief Starts the timer of a stream for the next time at which its
+     * attempts have to be checked. */
     void arm_silence_timer(exchange& request)
     {
         if (!silence_rules::apply_to(request))
@@ -555,8 +558,8 @@
                                           options) <= now;
     }
 
-    /*! @brief Ends attempts that must not start any more, and looks for another
-     * upstream while the current one is silent. */
+    /*! @brief Ends attempts that must not start any more or are given up, and
+     * looks for another upstream while the current one is silent. */
     void check_silence(exchange& request)
     {
         const auto now = event_loop::now();
@@ -566,31 +569,60 @@
             is_past_start(request, *request.silent_attempt, now))
             closer.time_out_silent(request, superseded);
         if (is_past_start(request, request.attempt, now))
-        {
-            client.cancel(request.attempt.call);
-            closer.report_lost(request, request.attempt, loss_cause::timed_out);
-            return on_attempt_failed(request, attempt_failure::may_have_run,
-                                     superseded);
-        }
-        const auto is_silent = [&](const upstream_attempt& attempt)
-        { return silence_rules::silent_from(attempt, options) <= now; };
-        if (request.silent_attempt && is_silent(*request.silent_attempt))
-            closer.mark_silent(request, *request.silent_attempt, now);
+            return time_out(request, superseded);
         if (event_gap::exceeded_at(request) <= now)
             on_event_gap(request, now);
-        if (is_silent(request.attempt))
+        if (request.silent_attempt)
+            mark_if_silent(request, *request.silent_attempt, now);
+        mark_if_silent(request, request.attempt, now);
+        if (request.silent_attempt &&
+            is_given_up(request, *request.silent_attempt, now))
+            closer.time_out_silent(request, no_event_in_time);
+        if (is_given_up(request, request.attempt, now))
+            return time_out(request, no_event_in_time);
+        if (request.attempt.silent)
             on_silence(request, now);
         else
             check_overdue(request, now);
         arm_silence_timer(request);
     }
 
+    void mark_if_silent(const exchange& request, upstream_attempt& attempt,
+                        time_point now)
+    {
+        if (silence_rules::silent_from(request, attempt, options) <= now)
+            closer.mark_silent(request, attempt, now);
+    }
+
+    [[nodiscard]] bool is_given_up(const exchange& request,
+                                   const upstream_attempt& attempt,
+                                   time_point now) const
+    {
+        const auto* known = book.find(attempt.choice.upstream);
+        return silence_rules::is_given_up(
+            request, attempt,
+            known != nullptr && upstream_registry::side_silent(*known, now),
+            options, now);
+    }
+
+    /*! @brief Ends the current attempt because nothing arrived in time. */
+    void time_out(exchange& request, const std::string& reason)
+    {
+        if (!request.silent_attempt &&
+            silence_rules::final_response_due(request, options) <=
+                event_loop::now())
+            return end_late(request, reason);
+        closer.observe_hold(request.attempt, "ended");
+        client.cancel(request.attempt.call);
+        closer.report_lost(request, request.attempt, loss_cause::timed_out);
+        on_attempt_failed(request, attempt_failure::may_have_run, reason);
+    }
+
     /*! @brief Handles an upstream that has been silent for too long. It may be
-     * paused and go on, so its attempt is kept; another upstream that returns
-     * an event earlier takes over. */
+     * paused and go on, so its attempt is kept until it is given up; another
+     * upstream that returns an event earlier takes over. */
     void on_silence(exchange& request, time_point now)
     {
-        closer.mark_silent(request, request.attempt, now);
         if (request.silent_attempt)
             return;
         std::optional<send_to> other;
@@ -616,6 +648,8 @@
                                     placement_of(request, now), now);
         if (!other)
             return hedge_verdict::no_upstream;
+        if (silence_rules::is_too_late(request, other->choice, now))
+            return hedge_verdict::too_late;
         return pay_for_retry(request, "silence", now)
                    ? hedge_verdict::send
                    : hedge_verdict::over_budget;
@@ -784,6 +818,7 @@
         if (!request.attempt.has_events)
             on_first_event(request);
         request.attempt.last_event_at = event_loop::now();
+        request.last_progress = request.attempt.last_event_at;
         request.attempt.silent = false;
         request.attempt.gap_known = false;
         begin_response(request);
@@ -1059,17 +1094,8 @@
     {
         if (request.response_begun)
             return abort_response(request, reason);
-        // A 503 would promise that the request did not run.
-        if (request.error_response_head &&
-            request.error_response_head->status != 503)
-        {
-            request.reply.send(
-                request.error_response_head->status,
-                Codec::response_headers(*request.error_response_head),
-                request.error_response_body);
-            log_failure(request, "failed", reason);
-            return erase(request);
-        }
+        if (forward_kept_error(request, reason))
+            return;
         const bool not_run = request.possible_runs == 0;
         request.reply.send(not_run ? 503 : 502,
                            not_run
@@ -1083,6 +1109,23 @@
         erase(request);
     }
 
+    /*! @brief Forwards the server error that was kept of an earlier attempt.
+     * @return False if there is none. */
+    bool forward_kept_error(exchange& request, const std::string& reason)
+    {
+        // A 503 would promise that the request did not run.
+        if (!request.error_response_head ||
+            request.error_response_head->status == 503)
+            return false;
+        request.reply.send(
+            request.error_response_head->status,
+            Codec::response_headers(*request.error_response_head),
+            request.error_response_body);
+        log_failure(request, "failed", reason);
+        erase(request);
+        return true;
+    }
+
     void abort_response(exchange& request, const std::string& reason)
     {
         request.reply.cut();
@@ -1092,22 +1135,31 @@
 
     void on_deadline(std::uint64_t number)
     {
-        open_requests.with(
-            number,
-            [&](exchange& request)
-            {
-                closer.cancel_all(request);
-                if (request.response_begun)
-                    return abort_response(request, "deadline exceeded");
-                const bool not_run = request.tried_upstreams.empty();
-                request.reply.send(
-                    not_run ? 503 : 504,
-                    not_run ? Codec::refusal_headers(default_retry_after())
-                            : header_list{},
-                    "");
-                log_failure(request, "late", "deadline exceeded");
-                erase(request);
-            });
+        open_requests.with(number, [this](exchange& request)
+                           { end_late(request, "deadline exceeded"); });
+    }
+
+    /*! @brief Sends the final response of a request for which no time is left.
+     */
+    void end_late(exchange& request, const std::string& reason)
+    {
+        closer.cancel_all(request);
+        if (request.response_begun)
+            return abort_response(request, reason);
+        if (forward_kept_error(request, reason))
+            return;
+        const bool not_run = request.tried_upstreams.empty();
+        request.reply.send(not_run ? 503 : 504,
+                           not_run
+                               ? Codec::refusal_headers(default_retry_after())
+                               : header_list{},
+                           "");
+        // The caller of a stream may return, if its own deadline has not
+        // passed.
+        if (request.route->repeatable() && event_loop::now() < request.deadline)
+            record_refusal(request, milliseconds(0));
+        log_failure(request, "late", reason);
+        erase(request);
     }
 
     void on_caller_left(std::uint64_t number)
@@ -1164,6 +1216,9 @@
         open_requests.erase(request.number);
     }
 
+    static constexpr const char* no_event_in_time =
+        "no event from the upstream in time";
+
     static constexpr const char* quarantine_reason =
         "the request or a part of its prompt is quarantined: upstreams crashed "
         "while running it";
--- a/src/coursejunction/proxy/hedge_inputs.hpp
+++ b/src/coursejunction/proxy/hedge_inputs.hpp
@@ -17,9 +17,10 @@
 [[nodiscard]] inline bool apply_to(const exchange& request)
 {
     return request.route->event_gap_target.count() > 0 &&
-           silence_rules::apply_to(request) && !request.hedged &&
-           !request.silent_attempt && request.attempt.in_flight &&
-           !request.attempt.has_events && !request.response_begun;
+           request.route->resumable && silence_rules::apply_to(request) &&
+           !request.hedged && !request.silent_attempt &&
+           request.attempt.in_flight && !request.attempt.has_events &&
+           !request.response_begun;
 }
 
 /*! @brief Describes the attempt in progress to the decision.
--- a/src/coursejunction/proxy/request_admission.hpp
+++ b/src/coursejunction/proxy/request_admission.hpp
@@ -49,6 +49,7 @@
         return 503;
     request.service = *service;
     request.shared_parts = exchange_facts::shared_parts_of(request);
+    request.last_progress = request.arrived_at;
     request.deadline = request.arrived_at + request.route->timeout;
     if (request.decoded.deadline)
         request.deadline = std::min<time_point>(
--- a/tests/platform/catalogue.cpp
+++ b/tests/platform/catalogue.cpp
@@ -59,6 +59,21 @@
         CHECK(configuration.routes[1].keyless);
         CHECK(configuration.routes[1].services.size() == 2);
     }
+    THEN("callers of streams disconnect after the longest of three times")
+    {
+        CHECK(configuration.routes[0].caller_patience == 8 * 400ms);
+        CHECK(configuration.routes[1].caller_patience == 0ms);
+        const auto patience = [](const std::string& targets)
+        {
+            const auto read = catalogue::configuration(
+                R"({"version":1,"routes":[{"type":"streaming",)" + targets +
+                R"(}],"services":[]})");
+            return read.value().routes[0].caller_patience;
+        };
+        CHECK(patience(R"("targetLatencyMs":1000,"targetItlMs":400)") ==
+              4 * 1000ms);
+        CHECK(patience(R"("targetLatencyMs":100)") == 2000ms);
+    }
     THEN("routes and organisations name the regions that may serve them")
     {
         const std::vector<cj::region_id> both{cj::region_id("north"),
--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -151,6 +151,7 @@
         rule.timeout = timeout;
         rule.first_event_target = first_event_target;
         rule.event_gap_target = event_gap_target;
+        rule.caller_patience = caller_patience;
         rule.allowed_regions = route_regions;
         rule.max_attempts = max_attempts;
         rule.services = {{cj::service_name("s"), 1}};
@@ -213,6 +214,7 @@
     std::vector<cj::region_id> organisation_regions;
     cj::milliseconds first_event_target{1000};
     cj::milliseconds event_gap_target{0};
+    cj::milliseconds caller_patience{0};
     std::size_t max_attempts{2};
 
     cj::upstream_registry book;
