Caller connections: a close is noticed while the read-ahead is full

What callers and upstreams saw: a caller that had sent more than 16 KiB of further requests and left was not noticed until its deadline, and its upstream worked on for it.

Cause: while a request is handled, the connection is read ahead up to a bound, since a close is seen only after everything that was sent before it. At the bound the connection was not watched any more.

Change: at the bound, the state of the connection is polled every 100 ms.

The test failed before: section "with more further requests than are read ahead" of proxy/caller_disconnects (not closed within 500 ms).

--- a/src/coursejunction/net/internal/client_watch.cpp
+++ b/src/coursejunction/net/internal/client_watch.cpp
@@ -1,3 +1,4 @@
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/types.h>
 
@@ -20,12 +21,26 @@
  */
 constexpr std::size_t read_ahead_bytes = 16'384;
 
+/*! @brief Interval at which the state of a connection is checked while nothing
+ * more is read ahead. Work for a client that has disconnected has to end within
+ * half a second. */
+constexpr milliseconds state_poll_interval{100};
+
+/*! @brief Returns whether the peer has closed or reset a connection, even if
+ * there is unread input. */
+bool is_closed_by_peer(int file)
+{
+    pollfd state{file, POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 &&
+           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace internal
 
 void stream_reply::target::watch_for_close()
 {
     if (input.size() >= internal::read_ahead_bytes)
-        return;
+        return poll_for_close();
     socket.async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this(), request_number = current_number](
@@ -37,6 +52,21 @@
         });
 }
 
+void stream_reply::target::poll_for_close()
+{
+    deadline.expires_after(internal::state_poll_interval);
+    deadline.async_wait(
+        [self = shared_from_this(), request_number = current_number](
+            const boost::system::error_code& fault)
+        {
+            if (fault || !self->is_current(request_number))
+                return;
+            if (internal::is_closed_by_peer(self->socket.native_handle()))
+                return self->close(close_reason::peer);
+            self->poll_for_close();
+        });
+}
+
 void stream_reply::target::check_peer()
 {
     const auto room = input.prepare(internal::read_ahead_bytes - input.size());
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -133,6 +133,9 @@
     /*! @brief Detects that the client disconnects while its request is handled.
      * Requests that arrive meanwhile are read up to a bound. */
     void watch_for_close();
+
+    /*! @brief Detects it while as much as possible is read ahead. */
+    void poll_for_close();
     void check_peer();
     void end_answer(bool last);
 
--- a/tests/proxy/caller_disconnects.cpp
+++ b/tests/proxy/caller_disconnects.cpp
@@ -86,6 +86,18 @@
         std::this_thread::sleep_for(limit);
         CHECK(upstream.arrivals().size() == 1);
     }
+    SECTION("with more further requests than are read ahead")
+    {
+        scripted_upstream upstream({scripted_upstream::hang});
+        entry.add_upstream("a", upstream.address);
+        caller->send(request_text);
+        CHECK(becomes([&] { return !upstream.arrivals().empty(); }));
+        for (int sent = 0; sent < 1000; ++sent)
+            caller->send(request_text);
+        std::this_thread::sleep_for(50ms);
+        caller.reset();
+        CHECK(becomes([&] { return bool(upstream.closed_by_caller); }, limit));
+    }
     SECTION("in a stream that another upstream continues")
     {
         loopback::crashing_peer broken(
