Responses without end: bounds on the bytes of heads and bodies

What would be seen: a server in trouble that sends without end, in a head or a body, makes the process that calls it grow until it is killed.

Cause: bodies that are buffered had no bound in either client. A sidecar has 128 MB and reads from its engine, the origin and peers; an entry has 160 MB and bounded each response, at 4 MiB, but not the sum of all. libcurl bounds the lines of a head and not their number.

Change: stream_client::gather takes 16 MiB unless a call says less, http_client 64 MiB, a head 64 KiB; an entry keeps 32 MiB of incomplete responses. A response that is too large to be kept counts as an error of its upstream: the request is sent to another one where route and budget allow it, it had failed before.

Not covered by a test: the bound on the sum over all responses.

--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -23,6 +23,13 @@
 constexpr long max_cached_connections = 512;
 constexpr int max_poll_ms = 1000;
 
+/*! @brief Largest head of a response in bytes. libcurl limits its lines only.
+ */
+constexpr std::size_t max_head_bytes = 65'536;
+
+/*! @brief Returned by a callback of libcurl to end the call. */
+constexpr std::size_t end_call = 0;
+
 /*! @brief State of a call that libcurl runs. */
 struct transfer
 {
@@ -32,6 +39,8 @@
     http_client::done_callback done;
     http_client::data_callback data;
     std::function<void(int, std::string)> deliver;
+    std::size_t head_bytes{0};
+    std::string limit_exceeded; /*!< Why a callback ended the call. */
     curl_slist* header_lines{nullptr};
     CURL* handle{nullptr};
     time_point last_progress{}; /*!< Start of the call or time of the last
@@ -54,6 +63,11 @@
     curl_easy_getinfo(one.handle, CURLINFO_RESPONSE_CODE, &status);
     if (one.deliver && status >= 200 && status < 300)
         one.deliver(static_cast<int>(status), std::string(bytes, count));
+    else if (one.end.body.size() + count > one.call.max_body)
+    {
+        one.limit_exceeded = "body of the response is too large";
+        return end_call;
+    }
     else
         one.end.body.append(bytes, count);
     return count;
@@ -63,6 +77,12 @@
 {
     auto& one = *static_cast<transfer*>(user);
     one.last_progress = event_loop::now();
+    one.head_bytes += count;
+    if (one.head_bytes > max_head_bytes)
+    {
+        one.limit_exceeded = "head of the response is too large";
+        return end_call;
+    }
     const std::string line(bytes, count);
     const auto colon = line.find(':');
     if (colon == std::string::npos)
@@ -148,7 +168,8 @@
         one.end.reach = http_reach::interrupted;
     one.end.unframed = code == CURLE_OK && is_unframed(one);
     if (code != CURLE_OK)
-        one.end.fault = curl_easy_strerror(code);
+        one.end.fault = one.limit_exceeded.empty() ? curl_easy_strerror(code)
+                                                   : one.limit_exceeded;
 }
 
 void release(transfer& one)
--- a/src/coursejunction/net/http_client.hpp
+++ b/src/coursejunction/net/http_client.hpp
@@ -39,6 +39,9 @@
                                     the body starts; 0 disables it. */
     milliseconds stall_time{0};  /*!< Longest time without received bytes once
                                     the  body has started; 0 disables it. */
+    /*! @brief Largest buffered body of the response in bytes; the call fails
+     * beyond it. A server in trouble may send without end. */
+    std::size_t max_body{std::size_t{64} << 20U};
     /*! @brief Forces a new connection. libcurl silently resends a call when a
      * reused connection closes before the response: a request that crashed its
      * upstream was delivered twice, and the result of the second delivery
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -82,7 +82,7 @@
           finished(std::move(on_finished))
     {
         parser.header_limit(max_head);
-        parser.body_limit(max_body);
+        parser.body_limit(call.max_body > 0 ? call.max_body : unlimited_body);
         parser.skip(call.method == "HEAD");
     }
 
@@ -146,7 +146,7 @@
     static constexpr std::uint32_t max_head = 65536;
     // Beast 1.74 compares boost::none as smaller than any length, so "no limit"
     // would reject every body.
-    static constexpr std::uint64_t max_body = std::uint64_t{1} << 40U;
+    static constexpr std::uint64_t unlimited_body = std::uint64_t{1} << 40U;
 
     void arm(asio::steady_timer& timer, milliseconds wait, const char* why)
     {
@@ -447,6 +447,8 @@
     void gather(call_id id, stream_call call, std::function<void(answer)> done,
                 bool resent)
     {
+        if (call.max_body == 0)
+            call.max_body = max_gathered_bytes;
         const auto gathered = std::make_shared<answer>();
         callbacks to;
         to.head = [gathered](const stream_head& head)
--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -33,6 +33,10 @@
     milliseconds timeout{0};    /*!< For the whole call; 0 disables it. */
     milliseconds stall_time{0}; /*!< Longest time without received bytes, before
                                    or during the response; 0 disables it. */
+    /*! @brief Largest body of the response in bytes; the call ends as
+     * `malformed` beyond it. 0: unlimited where the caller takes the body as it
+     * arrives, `stream_client::max_gathered_bytes` where it is buffered. */
+    std::size_t max_body{0};
     /*! @brief The call may use an idle connection of the pool, which the peer
      * may have closed already: the call then ends as `stale`. */
     bool may_reuse_connection{false};
@@ -54,7 +58,8 @@
                  and before any byte of the response. Either it was already
                  closed, or the peer read the call and may have run it. */
     broken,   /*!< A time limit expired, or the connection failed otherwise. */
-    malformed /*!< The response was not valid HTTP. */
+    malformed /*!< The response was not valid HTTP, or its head or body was
+                   larger than allowed. */
 };
 
 /*! @brief Returns the name of an end in snake_case. */
@@ -149,6 +154,11 @@
         }
     };
 
+    /*! @brief Largest buffered body in bytes, unless a call sets its own limit.
+     * A peer in trouble may send without end, and a sidecar has 128 MB for
+     * everything; the largest chunks have a few MiB. */
+    static constexpr std::size_t max_gathered_bytes = std::size_t{16} << 20U;
+
     /*! @brief Starts a call and buffers its response; `done` receives it at the
      * end. A call that ends as `stale` is sent once more on a new connection,
      * so only calls that may run twice may reuse a connection here. */
--- a/src/coursejunction/proxy/back_pressure.hpp
+++ b/src/coursejunction/proxy/back_pressure.hpp
@@ -44,6 +44,11 @@
      */
     static constexpr std::size_t max_kept_bytes = std::size_t{4} << 20U;
 
+    /*! @brief Largest sum of such parts of all responses, in bytes. Many
+     * upstreams may send without end at once, and the smallest entries have 160
+     * MB for everything. */
+    static constexpr std::size_t max_kept_in_total = std::size_t{32} << 20U;
+
     /*! @param on_resumed Called when a stream is read again.
      * @param on_unread Called when a stream was paused for `max_pause`. */
     back_pressure(event_loop& owner, stream_client& upstream_client,
@@ -88,13 +93,17 @@
     }
 
     /*! @brief Returns whether a part of a response would exceed what is kept
-     * of an attempt's response. */
-    [[nodiscard]] static bool exceeds_kept(const upstream_attempt& attempt,
-                                           std::string_view part)
+     * of an attempt's response or of all responses. */
+    [[nodiscard]] bool exceeds_kept(const upstream_attempt& attempt,
+                                    std::string_view part) const
     {
-        return attempt.response_body.size() +
-                   attempt.events.incomplete().size() + part.size() >
-               max_kept_bytes;
+        // Responses below this size do not have to be added up: a thousand of
+        // them stay within the total.
+        constexpr std::size_t small = max_kept_in_total / 1024;
+        const auto kept = attempt.kept_bytes() + part.size();
+        return kept > max_kept_bytes ||
+               (kept > small &&
+                requests.kept_bytes() + part.size() > max_kept_in_total);
     }
 
 private:
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -67,6 +67,13 @@
     bool in_flight{false}; /*!< The upstream has it and may run it. */
     /*! @brief Null for the first attempt of a request. */
     std::shared_ptr<retry_token> retry;
+
+    /*! @brief Returns the size of the part of the response that is kept until
+     * the rest of it has arrived. */
+    [[nodiscard]] std::size_t kept_bytes() const
+    {
+        return response_body.size() + events.incomplete().size();
+    }
 };
 
 /*! @brief A request with its attempt in progress. `number` identifies it within
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -800,7 +800,7 @@
     {
         const bool silent = attempt_closer::is_silent_attempt(request, attempt);
         auto& receiving = silent ? *request.silent_attempt : request.attempt;
-        if (back_pressure::exceeds_kept(receiving, bytes))
+        if (pressure.exceeds_kept(receiving, bytes))
             return on_response_too_large(request, silent);
         if (!exchange_facts::forwards_events(request, receiving))
         {
@@ -827,16 +827,17 @@
         arm_silence_timer(request);
     }
 
-    /*! @brief Ends the attempt, as its response is not kept any further. */
+    /*! @brief Ends the attempt, as its response is not kept any further. Its
+     * upstream may be in trouble and send without end; as one that answers with
+     * an error, it is used less but not avoided. */
     void on_response_too_large(exchange& request, bool silent)
     {
         constexpr const char* reason = "response is too large to be kept";
         if (silent)
             return closer.end_silent(request, attempt_failure::may_have_run,
                                      reason);
-        closer.cancel_all(request);
-        ++request.possible_runs;
-        give_up(request, reason);
+        client.cancel(request.attempt.call);
+        on_attempt_failed(request, attempt_failure::error_response, reason);
     }
 
     /*! @brief Ends a response that its caller does not read. */
--- a/src/coursejunction/proxy/open_exchanges.hpp
+++ b/src/coursejunction/proxy/open_exchanges.hpp
@@ -58,6 +58,19 @@
         callback(*request);
     }
 
+    /*! @brief Returns how many bytes of incomplete responses are kept. */
+    [[nodiscard]] std::size_t kept_bytes() const
+    {
+        std::size_t bytes = 0;
+        for (const auto& [number, request] : requests)
+        {
+            bytes += request->attempt.kept_bytes();
+            if (request->silent_attempt)
+                bytes += request->silent_attempt->kept_bytes();
+        }
+        return bytes;
+    }
+
     /*! @brief Returns how many other requests with the same content are at
      * upstreams. */
     [[nodiscard]] std::size_t running_copies(const exchange& request) const
