Soak: callers that leave beside suspended instances

A run is broken if callers leave for want of an answer, or if requests arrive or run at engines over 0.5 s after their callers left; suspended engines, disturbed entries and cut links are left out.

--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -122,6 +122,10 @@
         # other upstream could take them; streams were cut and callers got 502.
         self.play(1, 6, "--silences", "--sides", "2")
 
+    def test_no_work_goes_on_for_callers_that_have_left(self):
+        # Guards against streams that are held at suspended upstreams until their callers leave.
+        self.play(1, 8, "--leaving")
+
     def test_retries_of_lost_responses_keep_to_the_budget(self):
         # Guards against repeats that no entry counts: upstreams read requests and lose
         # their responses by a reset.
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -453,6 +453,7 @@
         self.misreads = 0  # Reads of whole staged weights that will fail.
         self.lost = 0.0  # Fraction of responses that are lost right after the request was read.
         self.wrong_weights = []
+        self.worked = {}  # When it last worked on each request.
         self.crashed = []  # When a request ended it.
         self.part_arrivals = []  # When requests with the harmful part came.
         self.away = False
@@ -566,6 +567,7 @@
             self.part_arrivals.append(asyncio.get_running_loop().time())
             return await self.end_under_answer(signed, version, writer)
         await self.speaks.wait()
+        self.worked[asked] = asyncio.get_running_loop().time()
         life = self.born
         first = int(headers.get("last-event-id", "0")) + 1
         padding = PADDING if body == LARGE_BODY else ""
@@ -583,6 +585,7 @@
             for at, event in events:
                 await asyncio.sleep(0.03 * self.slowness)
                 await self.speaks.wait()
+                self.worked[asked] = asyncio.get_running_loop().time()
                 cut = self.version != version or life != self.born
                 if cut or self.faults.random() < 0.002:
                     return self.break_off(framing, writer)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
     soak.py ... --silences --stops also, one entry after the other gets SIGTERM and starts again
     soak.py ... --lost-responses   engines read requests and lose half of their responses by a reset, again
                                    and again, beside the usual faults
+    soak.py ... --leaving          callers of streams leave, early or after a pause, beside suspended instances
     soak.py ... --unframed         all streams end with their connections, and engines are killed
     soak.py ... --suspending       instances are suspended: their steady clocks stand for a while
     soak.py ... --crashing --wide        its copies come to all entries at once, also for plain services
@@ -59,6 +60,7 @@
 from framings import Framings
 from hard_load import PARTS, HardLoad, parts_of_option
 from knowledge import Knowledge, fetch, judge_rest
+from leaving import CALLERS as LEAVING_CALLERS, TARGETS as LEAVING_TARGETS, Leaving
 from links import HallLink, Proxy
 from notices import give_notices, judge_notices
 from platform_standin import LARGE_BODY, MODEL, PADDING, Engine, Origin, Service, Store
@@ -107,6 +109,7 @@
         self.log = open(self.dir / "log", "wb")
         self.breaks, self.counts, self.faults, self.tasks = [], {}, [], []
         self.answers, self.standstills = {}, Standstills()
+        self.leaving = Leaving(self)
         self.acknowledged, self.told = Acknowledged(self), {}
         self.lapsing, self.silent = {}, {}  # Records, each until when.
         self.notices, self.sent_to, self.disturbed = [], {}, {}
@@ -194,6 +197,8 @@
             rules["routes"] += [newest_route(self.configuration), *LARGE_ROUTES[:self.large]]
         if self.judges_acknowledged:
             rules["tenants"][0]["apiKeys"].append(newest_key(self.configuration))
+        if self.asked.leaving:
+            rules["routes"][0] |= LEAVING_TARGETS
         self.hard.extend(rules)
         return rules
 
@@ -366,7 +371,7 @@
         length = self.dice.uniform(0.2, 2.5)
         one = self.dice.choice(self.entries + self.sides)
         if kind in ("kill", "stop", "pause", "suspend"):
-            self.disturbed.setdefault(one.name, []).append(asyncio.get_running_loop().time())
+            self.disturb(one.name)
         trouble = self.acknowledged.begin(kind, one.name)
         if kind == "kill":
             await one.stop(signal.SIGKILL)
@@ -387,7 +392,9 @@
             await self.spoil(self.proxies[one.name], way, length)
         elif kind == "engine":
             way = self.dice.choice(["delay", "silent", "cut_out", "cut_back"])
-            await self.spoil(self.fronts[self.dice.choice(self.engines)], way, length)
+            engine = self.dice.choice(self.engines)
+            self.disturb(engine.number)
+            await self.spoil(self.fronts[engine], way, length)
         elif kind == "crash":
             self.dice.choice(self.engines).crash()
         elif kind == "end":
@@ -427,8 +434,12 @@
         trouble.end = asyncio.get_running_loop().time()
         self.faults.remove(kind)
 
+    def disturb(self, name):
+        self.disturbed.setdefault(name, []).append(asyncio.get_running_loop().time())
+
     def disturbed_since(self, name, moment):
-        """Whether a process was stopped, killed or suspended since, or shortly before."""
+        """Whether a process was stopped, killed or suspended, or the link to an engine with that
+        number spoilt, since a moment or shortly before."""
         return any(at > moment - DISTURBED_S for at in self.disturbed.get(name, []))
 
     async def spoil_record(self, dice):
@@ -516,6 +527,10 @@
             self.tasks += [asyncio.create_task(self.caller(random.Random(self.dice.random())))
                            for _ in range(CALLERS)]
             self.tasks.append(asyncio.create_task(play_lost_responses(self)))
+        if self.asked.leaving:
+            self.tasks += [asyncio.create_task(self.leaving.caller(random.Random(self.dice.random())))
+                           for _ in range(LEAVING_CALLERS)]
+            self.tasks.append(asyncio.create_task(self.leaving.play()))
         if self.asked.silences:
             self.tasks += [asyncio.create_task(self.caller(random.Random(self.dice.random()), KEPT_S))
                            for _ in range(KEEPERS)]
@@ -543,6 +558,7 @@
         watching.cancel()
         self.judge_upstreams()
         judge_repeats(self)
+        self.leaving.judge()
         if self.asked.silences:
             await judge_silences(self)
         if self.asked.suspending:
@@ -671,6 +687,7 @@
     parser.add_argument("--unheard", type=int, default=0)
     parser.add_argument("--silences", action="store_true")
     parser.add_argument("--lost-responses", action="store_true")
+    parser.add_argument("--leaving", action="store_true")
     parser.add_argument("--unframed", action="store_true")
     parser.add_argument("--stops", action="store_true")
     parser.add_argument("--hard-load", nargs="?", type=parts_of_option, const=PARTS)
