--- a/src/coursejunction/net/stream_client.hpp
+++ b/src/coursejunction/net/stream_client.hpp
@@ -154,10 +154,10 @@
         }
     };
 
-    /*! @brief Largest buffered body in bytes, unless a call sets its own limit.
-     * A peer in trouble may send without end, and a sidecar has 128 MB for
-     * everything; the largest chunks have a few MiB. */
-    static constexpr std::size_t max_gathered_bytes = std::size_t{16} << 20U;
+    /*! @brief Largest buffered body in bytes, unless a call sets its own limit:
+     * the largest chunk that a manifest allows. A peer in trouble may send
+     * without end. */
+    static constexpr std::size_t max_gathered_bytes = std::size_t{32} << 20U;
 
     /*! @brief Starts a call and buffers its response; `done` receives it at the
      * end. A call that ends as `stale` is sent once more on a new connection,
