Soak of callers that leave: only disturbances near the leaving excuse late work

The judge left out every request whose entry or link was disturbed at any time after its caller had left, which left out too much: it is a window of 5 s around that moment now.

--- a/tests/soak/leaving.py
+++ b/tests/soak/leaving.py
@@ -8,6 +8,7 @@
 
 TARGETS = {"targetLatencyMs": 400, "targetItlMs": 250}
 PATIENCE_S = 2.0  # The least pause after which callers leave; these targets give no more.
+DISTURBED_S = 5.0
 LEFT_S = 0.5  # After it nothing may arrive or run for a caller that has left.
 ALLOWED = 3
 CALLERS = 40
@@ -104,8 +105,8 @@
     def is_cut_off(self, engine, asked):
         """Whether the link to an engine was cut or slow, or its entry disturbed, when a caller left."""
         left = self.left[asked]
-        return any(self.soak.disturbed_since(name, left)
-                   for name in (engine.number, self.soak.sent_to[asked]))
+        return any(abs(at - left) < DISTURBED_S for name in (engine.number, self.soak.sent_to[asked])
+                   for at in self.soak.disturbed.get(name, []))
 
     def was_suspended(self, engine, left):
         return any(begun <= left + LEFT_S and left <= end
