Cold upstream test: the time is taken before the write that starts the cold time

The test took its time after the write had returned from the entry's loop; the loop may apply the record before the test's thread goes on, so that the test measured less than the cold time. The bound stays 4 s, counted from the earliest moment at which the cold time can have begun.

--- a/tests/proxy/cold_upstream.cpp
+++ b/tests/proxy/cold_upstream.cpp
@@ -96,8 +96,8 @@
 
     WHEN("its record says so")
     {
-        entry.on_loop([&] { keys.write("up/a", "2 cold"); });
         const auto written_at = now();
+        entry.on_loop([&] { keys.write("up/a", "2 cold"); });
         REQUIRE(wait_until([&] { return entry.cold_share("up/a"); }));
         THEN("the entry has no share until it can have heard the others, and "
              "the cold start ends")
