Silent upstreams: only a sidecar that is not heard shows a suspended instance

What callers saw: 502 after about 1.0 s, although the upstream went on and would have answered.

Cause: gives up an attempt without an event at once if the upstream's sidecar is silent as well. Whether it is was read from the age of its last status. While the upstream does not respond, the sidecar's heartbeats repeat that status, and a repeated status was dropped as outdated. A pause of more than 1 s of a sound upstream therefore looked like a suspended instance.

Ruled out: the final response before the caller leaves (it would be a 504), and a sidecar that did not run.

Change: the registry keeps when a sidecar was last heard, apart from the age of its status. Attempts are given up by the first; placement, avoidance and the served version go by the second, as before.

Tests, failing before: "a stream waits for its first event where the sidecar gets no status from the upstream" (an empty response). New for the registry: a repeated status shows that the sidecar runs; a delayed one changes nothing.

--- a/src/coursejunction/route/known_upstream.hpp
+++ b/src/coursejunction/route/known_upstream.hpp
@@ -50,6 +50,9 @@
     incarnation life; /*!< Latest that its record or sidecar reported. */
     std::optional<message::upstream_status> status;
     time_point status_at{};
+    /*! @brief When its sidecar sent the last heartbeat that arrived. The
+     * sidecar of an engine that does not respond repeats the last status. */
+    time_point side_heard_at{};
     std::map<std::uint64_t, open_attempt> attempts;
     /*! @brief Attempts that ended since the last status and are counted in it.
      */
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -45,7 +45,7 @@
     /*! @brief Cost of an upstream all of whose attempts failed recently; less
      * in proportion. */
     double failure_ms{600};
-    /*! @brief Cost of an upstream whose sidecar is silent: its instance may be
+    /*! @brief Cost of an upstream whose status has expired: it may be
      * suspended, and a request that waits there is lost. Half of a 400 ms
      * target. */
     double silent_ms{200};
@@ -474,7 +474,7 @@
                     upstream.fault_share * weights.failure_ms;
         if (upstream.record.hall != own_hall)
             cost += weights.other_hall_ms;
-        if (upstream_registry::side_silent(upstream, now))
+        if (upstream_registry::is_status_expired(upstream, now))
             cost += weights.silent_ms;
         return cost;
     }
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -110,8 +110,9 @@
     }
 
     /*! @brief Applies a status that the sidecar at an address reported,
-     * received from it or relayed. Ignores a status older than the last one or
-     * of an earlier incarnation of the upstream.
+     * received from it or relayed. A status that is not newer than the last
+     * one, or of an earlier incarnation of the upstream, shows only that the
+     * sidecar runs.
      * @param sent_at When the sidecar sent it.
      * @return The earlier incarnations that ended. */
     std::vector<ended_incarnation>
@@ -125,6 +126,7 @@
             if (upstream.record.address.substr(
                     0, upstream.record.address.rfind(':')) != host)
                 continue;
+            upstream.side_heard_at = std::max(upstream.side_heard_at, sent_at);
             if (upstream.is_outdated(reported))
                 continue;
             if (auto ended = start_incarnation(
@@ -135,8 +137,9 @@
                 upstream.record.model_versions.clear();
                 ended_incarnations.push_back(std::move(*ended));
             }
-            // The instance runs again: end a long avoidance due to its silence.
-            if (upstream.status && side_silent(upstream, sent_at))
+            // The upstream responds again: end a long avoidance due to its
+            // silence.
+            if (is_status_expired(upstream, sent_at))
                 upstream.avoid_until =
                     std::min(upstream.avoid_until, sent_at + min_avoid_time);
             upstream.status = reported;
@@ -409,9 +412,19 @@
     }
 
     /*! @brief Returns whether the sidecar of an upstream has reported before
-     * but is silent now. */
+     * but is silent now, which shows that their instance is suspended or cut
+     * off. */
     [[nodiscard]] static bool side_silent(const known_upstream& upstream,
                                           time_point now)
+    {
+        return upstream.status &&
+               now - upstream.side_heard_at > status_validity;
+    }
+
+    /*! @brief Returns whether the last status of an upstream is too old to be
+     * used: its sidecar is silent, or gets no response from the upstream. */
+    [[nodiscard]] static bool is_status_expired(const known_upstream& upstream,
+                                                time_point now)
     {
         return upstream.status && now - upstream.status_at > status_validity;
     }
@@ -422,7 +435,7 @@
     served_version(const known_upstream& upstream, const std::string& model,
                    time_point now)
     {
-        if (upstream.status && now - upstream.status_at <= status_validity)
+        if (upstream.status && !is_status_expired(upstream, now))
             return upstream.status->model == model ? upstream.status->version
                                                    : 0;
         const auto found = upstream.record.model_versions.find(model);
@@ -484,9 +497,9 @@
     static constexpr unsigned max_doublings = 3;
 
     /*! @brief Avoids an upstream for a while after a failed attempt. If its
-     * sidecar is silent too, the instance is suspended or cut off: a request
-     * sent there waits, and may begin after the instance resumes, on weights
-     * that are too old by then. */
+     * status has expired too, the upstream does not respond: a request sent
+     * there waits, and may begin after the instance resumes, on weights that
+     * are too old by then. */
     static void avoid(known_upstream& upstream, time_point now)
     {
         upstream.avoid_until = now + avoid_time(upstream, now);
@@ -496,14 +509,14 @@
     [[nodiscard]] static milliseconds avoid_time(const known_upstream& upstream,
                                                  time_point now)
     {
-        return side_silent(upstream, now)
+        return is_status_expired(upstream, now)
                    ? silent_avoid_time
                    : min_avoid_time *
                          (1 << std::min(upstream.failures, max_doublings));
     }
 
-    /*! @brief How long an upstream is avoided that failed while its sidecar was
-     * silent, unless the sidecar reports again. Instances may be suspended for
+    /*! @brief How long an upstream is avoided that failed after its status had
+     * expired, unless a new one arrives. Instances may be suspended for
      * up to 7 s. */
     static constexpr milliseconds silent_avoid_time{8000};
 
--- a/tests/proxy/silent_upstream.cpp
+++ b/tests/proxy/silent_upstream.cpp
@@ -39,6 +39,42 @@
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
 
+/*! @brief The heartbeats of a sidecar whose last status is 5 s old. */
+class repeated_status
+{
+public:
+    explicit repeated_status(entry_on_loopback& heard_by) : entry(heard_by)
+    {
+        status.side = 1;
+        status.sequence = 1;
+        entry.running.on_loop(
+            [this]
+            {
+                send(cj::event_loop::now() - 5s);
+                heartbeats = entry.running.loop.every(
+                    200ms, [this] { send(cj::event_loop::now()); });
+            });
+    }
+
+    ~repeated_status()
+    {
+        entry.running.on_loop([this] { heartbeats.stop(); });
+    }
+
+    repeated_status(const repeated_status&) = delete;
+    repeated_status& operator=(const repeated_status&) = delete;
+
+private:
+    void send(cj::time_point at)
+    {
+        entry.book.apply_status("127.0.0.1", status, at);
+    }
+
+    entry_on_loopback& entry;
+    cj::message::upstream_status status;
+    cj::timer heartbeats;
+};
+
 } // namespace
 
 // Half of all upstreams fell silent for 1.2 s, and their streams were cut.
@@ -82,6 +118,21 @@
     }
 }
 
+// A pause of one second was taken for a suspension of the instance.
+SCENARIO("a stream waits for its first event where the sidecar gets no status "
+         "from the upstream",
+         "[proxy]")
+{
+    entry_on_loopback entry(100ms);
+    entry.configure_route(cj::request_kind::stream, true, 20'000ms);
+    loopback::pacing_peer silent(1, event_pause);
+    entry.add_upstream("a", silent.address);
+    const repeated_status sidecar(entry);
+    check_complete(entry.ask(), 1);
+    CHECK(entry.counters.text().find("attempts_silent_total") !=
+          std::string::npos);
+}
+
 SCENARIO("the stream of a silent upstream is continued by the first that "
          "returns an event",
          "[proxy]")
--- a/tests/route/upstream_registry.cpp
+++ b/tests/route/upstream_registry.cpp
@@ -154,6 +154,21 @@
         registry.apply_status(host, reported, start + 100ms);
         CHECK(registry.find(id)->status->open);
     }
+    // Upstreams that paused for a second were taken for suspended instances.
+    THEN("a repeated one shows that the sidecar runs, though it expires")
+    {
+        registry.apply_status(host, status(0, 4, 0), start + 1500ms);
+        const auto& known = *registry.find(id);
+        CHECK_FALSE(cj::upstream_registry::side_silent(known, start + 1600ms));
+        CHECK(cj::upstream_registry::is_status_expired(known, start + 1600ms));
+        CHECK(cj::upstream_registry::side_silent(known, start + 2600ms));
+    }
+    THEN("a delayed one does not lengthen the silence of its sidecar")
+    {
+        registry.apply_status(host, status(0, 3, 0), start - 500ms);
+        CHECK_FALSE(cj::upstream_registry::side_silent(*registry.find(id),
+                                                       start + 900ms));
+    }
 }
 
 SCENARIO("an upstream is cold after it started", "[route]")
