--- a/src/coursejunction/daemon/state_dump.cpp
+++ b/src/coursejunction/daemon/state_dump.cpp
@@ -60,7 +60,8 @@
          std::max<std::int64_t>(
              0, static_cast<std::int64_t>(
                     to_seconds(upstream.avoid_until - now) * ms_per_second))},
-        {"side_silent", upstream_registry::side_silent(upstream, now)}};
+        {"side_silent", upstream_registry::side_silent(upstream, now)},
+        {"unheard", upstream_registry::is_unheard(upstream, now)}};
     if (upstream.cold.active(now))
         description["cold"] = {
             {"left_ms", age_ms(now, upstream.cold.ends_at())},
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -190,7 +190,8 @@
 }
 
 /*! @brief Logs an attempt with the data that its upstream was chosen by. */
-inline void sent(const exchange& request, milliseconds left)
+inline void sent(const exchange& request, milliseconds left,
+                 std::optional<time_point> heard_at, time_point now)
 {
     log::decision(
         "request_sent",
@@ -206,6 +207,7 @@
          {"unread_tokens",
           integer_text(request.attempt.choice.load.unread_tokens)},
          {"load_age_ms", integer_text(request.attempt.choice.load.age_ms)},
+         {"heard_ms_ago", heard_at ? ms_between(*heard_at, now) : "never"},
          {"expected", integer_text(request.attempt.choice.load.expected)},
          {"version", std::to_string(request.attempt.choice.version)},
          {"left_ms", std::to_string(left.count())},
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -496,8 +496,9 @@
         book.begin_attempt(choice.upstream, request.attempt.id,
                            request.decoded.prompt_tokens, now,
                            choice.profiled_ms());
-        counters.count("attempts_total");
-        exchange_log::sent(request, left);
+        const auto& upstream = *book.find(choice.upstream);
+        request_metrics::count_attempt(counters, upstream, now);
+        exchange_log::sent(request, left, upstream.last_heard_at(), now);
         request.attempt.call =
             client.start(std::move(call),
                          make_callbacks(request.number, request.attempt.id));
@@ -779,6 +780,8 @@
         const bool silent = attempt_closer::is_silent_attempt(request, attempt);
         auto& received = silent ? *request.silent_attempt : request.attempt;
         received.response_head = head;
+        book.record_response(received.choice.upstream, attempt,
+                             event_loop::now());
         if (received.retry)
             received.retry->settle();
         const auto metadata = Codec::decode_response(head);
@@ -800,6 +803,8 @@
     {
         const bool silent = attempt_closer::is_silent_attempt(request, attempt);
         auto& receiving = silent ? *request.silent_attempt : request.attempt;
+        book.record_response(receiving.choice.upstream, attempt,
+                             event_loop::now());
         if (pressure.exceeds_kept(receiving, bytes))
             return on_response_too_large(request, silent);
         if (!exchange_facts::forwards_events(request, receiving))
@@ -1136,8 +1141,14 @@
 
     void on_deadline(std::uint64_t number)
     {
-        open_requests.with(number, [this](exchange& request)
-                           { end_late(request, "deadline exceeded"); });
+        open_requests.with(number,
+                           [this](exchange& request)
+                           {
+                               request_metrics::count_left_at_silent(
+                                   counters, request, book, "deadline",
+                                   event_loop::now());
+                               end_late(request, "deadline exceeded");
+                           });
     }
 
     /*! @brief Sends the final response of a request for which no time is left.
@@ -1170,6 +1181,8 @@
             [&](exchange& request)
             {
                 request_metrics::count_caller_left(counters, request);
+                request_metrics::count_left_at_silent(
+                    counters, request, book, "caller_left", event_loop::now());
                 closer.cancel_all(request);
                 log_failure(request, "cancelled", "caller disconnected");
                 erase(request);
--- a/src/coursejunction/proxy/request_metrics.hpp
+++ b/src/coursejunction/proxy/request_metrics.hpp
@@ -3,6 +3,7 @@
 #ifndef COURSEJUNCTION_PROXY_REQUEST_METRICS_HPP
 #define COURSEJUNCTION_PROXY_REQUEST_METRICS_HPP
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -10,6 +11,7 @@
 #include "coursejunction/proxy/exchange.hpp"
 #include "coursejunction/proxy/retry_budgets.hpp"
 #include "coursejunction/route/dispatcher.hpp"
+#include "coursejunction/route/upstream_registry.hpp"
 
 namespace coursejunction::request_metrics
 {
@@ -56,6 +58,49 @@
                    {{"awaited", awaited_by_caller(request)}});
 }
 
+/*! @brief Returns how long ago an upstream was heard, as a label. */
+[[nodiscard]] inline std::string heard_text(const known_upstream& upstream,
+                                            time_point now)
+{
+    const auto heard_at = upstream.last_heard_at();
+    if (!heard_at)
+        return "never";
+    const auto ago = now - *heard_at;
+    if (ago < milliseconds(250))
+        return "under_250ms";
+    if (ago < milliseconds(500))
+        return "under_500ms";
+    return ago < milliseconds(1000) ? "under_1s" : "over_1s";
+}
+
+/*! @brief Counts an attempt by how long ago its upstream was heard. */
+inline void count_attempt(metrics& counters, const known_upstream& upstream,
+                          time_point now)
+{
+    counters.count("attempts_total");
+    counters.count("attempts_by_silence_total", 1,
+                   {{"heard", heard_text(upstream, now)}});
+}
+
+/*! @brief Counts a request that ended without its caller receiving the rest,
+ * if one of its attempts was at an upstream that may be suspended: the upstream
+ * runs what it has received when it goes on.
+ * @param end `caller_left` or `deadline`. */
+inline void count_left_at_silent(metrics& counters, const exchange& request,
+                                 const upstream_registry& book,
+                                 const std::string& end, time_point now)
+{
+    const auto silent = [&](const instance_id& id)
+    {
+        const auto* known = book.find(id);
+        return known != nullptr && upstream_registry::is_unheard(*known, now);
+    };
+    if (std::any_of(request.tried_upstreams.begin(),
+                    request.tried_upstreams.end(), silent))
+        counters.count("requests_left_at_silent_upstreams_total", 1,
+                       {{"end", end}});
+}
+
 /*! @brief Counts a refused request by the reason of its refusal. */
 inline void count_refusal(metrics& counters, const exchange& request,
                           const placement_failure& failure)
--- a/src/coursejunction/route/incarnation_start.hpp
+++ b/src/coursejunction/route/incarnation_start.hpp
@@ -42,6 +42,7 @@
         upstream.attempts.erase(number);
     upstream.status.reset();
     upstream.status_at = {};
+    upstream.responded_at = {};
     upstream.ended_since_status = 0;
     upstream.failures = 0;
     upstream.fault_share = 0;
--- a/src/coursejunction/route/known_upstream.hpp
+++ b/src/coursejunction/route/known_upstream.hpp
@@ -53,6 +53,8 @@
     /*! @brief When its sidecar sent the last heartbeat that arrived. The
      * sidecar of an engine that does not respond repeats the last status. */
     time_point side_heard_at{};
+    /*! @brief When the last part of a response to this entry arrived. */
+    time_point responded_at{};
     std::map<std::uint64_t, open_attempt> attempts;
     /*! @brief Attempts that ended since the last status and are counted in it.
      */
@@ -74,6 +76,15 @@
 
     bool evacuated{false}; /*!< Its hall is evacuated. */
 
+    /*! @brief Returns when it last showed that it runs, by a status or by a
+     * response to this entry; nothing if no sidecar has reported it. Without
+     * one it shows nothing while it is idle. */
+    [[nodiscard]] std::optional<time_point> last_heard_at() const
+    {
+        return status ? std::optional(std::max(status_at, responded_at))
+                      : std::nullopt;
+    }
+
     /*! @brief Returns whether requests may be sent there at all. */
     [[nodiscard]] bool accepts_requests() const
     {
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -165,6 +165,17 @@
             engine_sends.record(now);
     }
 
+    /*! @brief Records that a part of the response to an attempt has arrived. */
+    void record_response(const instance_id& id, std::uint64_t attempt,
+                         time_point now)
+    {
+        const auto found = upstreams.find(id);
+        // Sent to an earlier incarnation: says nothing of this one.
+        if (found != upstreams.end() &&
+            found->second.attempts.contains(attempt))
+            found->second.responded_at = now;
+    }
+
     /*! @brief Records that the first event of an attempt has arrived. */
     void mark_first_event(const instance_id& id, std::uint64_t attempt)
     {
@@ -429,6 +440,16 @@
         return upstream.status && now - upstream.status_at > status_validity;
     }
 
+    /*! @brief Returns whether neither a status nor a response of an upstream
+     * with a sidecar has arrived lately, so that it may be suspended or cut
+     * off. */
+    [[nodiscard]] static bool is_unheard(const known_upstream& upstream,
+                                         time_point now)
+    {
+        const auto heard_at = upstream.last_heard_at();
+        return heard_at && now - *heard_at > status_validity;
+    }
+
     /*! @brief Returns which version of a model's weights an upstream serves; 0
      * if none. */
     [[nodiscard]] static std::uint64_t
