--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -45,9 +45,8 @@
     /*! @brief Cost of an upstream all of whose attempts failed recently; less
      * in proportion. */
     double failure_ms{600};
-    /*! @brief Cost of an upstream whose status has expired: it may be
-     * suspended, and a request that waits there is lost. Half of a 400 ms
-     * target. */
+    /*! @brief Cost of an upstream that is not heard: it may be suspended, and a
+     * request that waits there is lost. Half of a 400 ms target. */
     double silent_ms{200};
     /*! @brief Cost of an engine outside this entry's share. An entry knows the
      * load of an engine best if it sent most of the requests there. */
@@ -298,16 +297,28 @@
             return false;
         if (request.model.empty())
             return true;
-        const bool fresh =
-            upstream.status &&
-            now - upstream.status_at <= upstream_registry::status_validity;
-        if (fresh && (!upstream.status->open || !upstream.status->reachable))
+        if (upstream.status &&
+            !upstream_registry::is_status_expired(upstream, now) &&
+            (!upstream.status->open || !upstream.status->reachable))
             return false;
         const auto version =
             upstream_registry::served_version(upstream, request.model, now);
         return version > 0 && version >= request.min_version;
     }
 
+    /*! @brief Returns whether an upstream that is not heard gets no request: a
+     * suspended instance keeps what it receives, and runs it when its caller
+     * has left. The entries to whose share it belongs send one request at a
+     * time, as it may be only its sidecar that is not heard. */
+    [[nodiscard]] static bool withheld(const known_upstream& upstream,
+                                       time_point now)
+    {
+        if (!upstream_registry::is_unheard(upstream, now))
+            return false;
+        return upstream.share <= 0 || !upstream.attempts.empty() ||
+               !upstream.status->open || !upstream.status->reachable;
+    }
+
     /*! @brief A usable upstream with its load and prediction. */
     struct candidate
     {
@@ -324,9 +335,12 @@
         std::vector<candidate> all;
         const auto connections =
             connection_share(service.max_connections, registry.entry_count());
+        // An entry that hears none of them may be the one that is cut off.
+        const bool hears_others = registry.hears_any_of(request.service, now);
         for (const auto& [id, upstream] : registry.all())
         {
             if (!usable(upstream, request, now) ||
+                (hears_others && withheld(upstream, now)) ||
                 (connections > 0 && upstream.attempts.size() >= connections))
                 continue;
             const auto load =
@@ -474,7 +488,7 @@
                     upstream.fault_share * weights.failure_ms;
         if (upstream.record.hall != own_hall)
             cost += weights.other_hall_ms;
-        if (upstream_registry::is_status_expired(upstream, now))
+        if (upstream_registry::is_unheard(upstream, now))
             cost += weights.silent_ms;
         return cost;
     }
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -450,6 +450,20 @@
         return heard_at && now - *heard_at > status_validity;
     }
 
+    /*! @brief Returns whether an upstream of a service is heard. */
+    [[nodiscard]] bool hears_any_of(const service_name& service,
+                                    time_point now) const
+    {
+        return std::any_of(upstreams.begin(), upstreams.end(),
+                           [&](const auto& item)
+                           {
+                               const auto& upstream = item.second;
+                               return upstream.record.service == service &&
+                                      upstream.last_heard_at() &&
+                                      !is_unheard(upstream, now);
+                           });
+    }
+
     /*! @brief Returns which version of a model's weights an upstream serves; 0
      * if none. */
     [[nodiscard]] static std::uint64_t
