Streams end before the deadline at which their callers disconnect

Callers whose stream had been silent and was resumed elsewhere reached their deadline while the first engine was still suspended; it ran the request afterwards for a caller that had left (GONE). Cause: the entry ended a request exactly at its caller's deadline. Ruled out: that these callers waited in vain: the streams were progressing at sound engines; no silence rule applies to them. Change: a stream ends 25 ms before the deadline that its caller set, or an eighth of a shorter wait. Whole responses keep their time, as an answer in the last moment is still of use. Measured: the new test fails before (801.6 ms with a deadline of 800 ms) and passes after. The engine still runs what it has received; that cannot be taken back.

--- a/src/coursejunction/proxy/exchange_options.hpp
+++ b/src/coursejunction/proxy/exchange_options.hpp
@@ -43,6 +43,11 @@
      * processor may run only once in 100 ms, both when the request arrives and
      * when the response is due, and both cross a loaded link. */
     milliseconds final_response_time{300};
+    /*! @brief A stream ends this long before the deadline that its caller set,
+     * so that the end crosses the network before the caller disconnects. Much
+     * shorter than `final_response_time`, as the upstream may still send the
+     * rest. */
+    milliseconds deadline_margin{25};
     /*! @brief A model version is superseded when entries stop sending requests
      * to the upstreams that serve it. An attempt that is still queued at such
      * an upstream is cancelled this long afterwards. The upstream may start
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -290,7 +290,7 @@
     void arm_deadline_timer(exchange& request)
     {
         request.deadline_timer = loop.after(
-            request.deadline - request.arrived_at,
+            silence_rules::ends_at(request, options) - request.arrived_at,
             [this, number = request.number] { on_deadline(number); });
     }
 
@@ -301,7 +301,7 @@
         const auto now = event_loop::now();
         // After a suspension of this process the deadline may have passed
         // before its timer fires.
-        if (now >= request.deadline)
+        if (now >= silence_rules::ends_at(request, options))
             return on_deadline(request.number);
         if (request.possible_runs > 0 && silence_rules::apply_to(request) &&
             now >= silence_rules::final_response_due(request, options))
--- a/src/coursejunction/proxy/silence_rules.hpp
+++ b/src/coursejunction/proxy/silence_rules.hpp
@@ -19,6 +19,9 @@
 namespace coursejunction::silence_rules
 {
 
+/*! @brief Fraction of a caller's wait that an earlier end may take. */
+inline constexpr int part_of_wait = 8;
+
 /*! @brief Returns whether the attempts of a request are watched for silence: it
  * is a stream, and is being read. */
 [[nodiscard]] inline bool apply_to(const exchange& request)
@@ -43,13 +46,27 @@
 [[nodiscard]] inline time_point
 final_response_due(const exchange& request, const exchange_options& options)
 {
-    constexpr int part_of_wait = 8;
     const auto leaves_at = caller_leaves_at(request);
     const auto wait = leaves_at - request.last_progress;
     return leaves_at - std::min<time_point::duration>(
                            options.final_response_time, wait / part_of_wait);
 }
 
+/*! @brief Returns when a request ends at the latest. The caller of a stream
+ * disconnects at its deadline, so that an end sent then does not arrive. */
+[[nodiscard]] inline time_point ends_at(const exchange& request,
+                                        const exchange_options& options)
+{
+    if (request.route->kind != request_kind::stream ||
+        !request.decoded.deadline)
+        return request.deadline;
+    const auto wait = *request.decoded.deadline;
+    return std::min<time_point>(
+        request.deadline,
+        request.arrived_at + wait -
+            std::min(options.deadline_margin, wait / part_of_wait));
+}
+
 /*! @brief Returns whether the first event of another upstream is predicted only
  * after the caller has disconnected. */
 [[nodiscard]] inline bool is_too_late(const exchange& request,
--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -38,6 +38,9 @@
         if (from.headers.contains("Part"))
             decoded.shared_parts = {"first",
                                     std::string(from.headers.find("Part"))};
+        if (from.headers.contains("Deadline-Ms"))
+            decoded.deadline = cj::milliseconds(
+                std::stoi(std::string(from.headers.find("Deadline-Ms"))));
         if (from.headers.contains("Key"))
             decoded.api_key = std::string(from.headers.find("Key"));
         return decoded;
--- a/tests/proxy/work_after_caller_left.cpp
+++ b/tests/proxy/work_after_caller_left.cpp
@@ -90,3 +90,44 @@
     CHECK(took > patience - 600ms);
     CHECK(took < patience);
 }
+
+// The end of a stream that was sent at its caller's deadline crossed the
+// caller's own disconnect, so that its upstreams worked for a caller that had
+// left.
+SCENARIO("a stream ends before its caller disconnects at its deadline",
+         "[proxy]")
+{
+    constexpr auto deadline = 800ms;
+    entry_on_loopback entry;
+    entry.configure_route(cj::request_kind::stream, true, 20'000ms);
+    const auto ask = [&]
+    {
+        const auto asked_at = steady::now();
+        entry.ask("/x",
+                  "Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n");
+        return steady::now() - asked_at;
+    };
+    SECTION("where it has begun")
+    {
+        loopback::crashing_peer slow(
+            {proxy_test::event_stream("id: 1\ndata: x\n\n", false), 3000ms});
+        entry.add_upstream("a", slow.address);
+        const auto took = ask();
+        CHECK(took < deadline);
+        CHECK(took > deadline * 3 / 4);
+    }
+    SECTION("where no event has arrived")
+    {
+        scripted_upstream silent({scripted_upstream::hang});
+        entry.add_upstream("a", silent.address);
+        CHECK(ask() < deadline);
+        CHECK(becomes([&] { return bool(silent.reset_by_caller); }));
+    }
+    SECTION("where its response is awaited as a whole, it has all the time")
+    {
+        entry.configure_route(cj::request_kind::repeatable, true, 20'000ms);
+        scripted_upstream silent({scripted_upstream::hang});
+        entry.add_upstream("a", silent.address);
+        CHECK(ask() >= deadline);
+    }
+}
