Upstreams that are not heard get at most one request a second

Cause: only open attempts counted, and one whose caller has left is open no more, though a suspended engine keeps it. Ruled out: that the engine had been heard meanwhile (heard_ms_ago 2484, 2541). Change: a further request goes there a second after the last one. Conclusion: bounds what one entry leaves behind whatever its callers do.

--- a/src/coursejunction/route/known_upstream.hpp
+++ b/src/coursejunction/route/known_upstream.hpp
@@ -55,6 +55,7 @@
     time_point side_heard_at{};
     /*! @brief When the last part of a response to this entry arrived. */
     time_point responded_at{};
+    time_point last_sent_at{}; /*!< When this entry last sent it a request. */
     std::map<std::uint64_t, open_attempt> attempts;
     /*! @brief Attempts that ended since the last status and are counted in it.
      */
--- a/src/coursejunction/route/placement.hpp
+++ b/src/coursejunction/route/placement.hpp
@@ -309,13 +309,16 @@
     /*! @brief Returns whether an upstream that is not heard gets no request: a
      * suspended instance keeps what it receives, and runs it when its caller
      * has left. The entries to whose share it belongs send one request at a
-     * time, as it may be only its sidecar that is not heard. */
+     * time and at most one a second, as it may be only its sidecar that is not
+     * heard. */
     [[nodiscard]] static bool withheld(const known_upstream& upstream,
                                        time_point now)
     {
         if (!upstream_registry::is_unheard(upstream, now))
             return false;
         return upstream.share <= 0 || !upstream.attempts.empty() ||
+               now - upstream.last_sent_at <=
+                   upstream_registry::status_validity ||
                !upstream.status->open || !upstream.status->reachable;
     }
 
--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -159,6 +159,7 @@
         auto& upstream = upstreams[id];
         upstream.attempts[attempt] =
             open_attempt{now, prompt_tokens, profiled_ms, false};
+        upstream.last_sent_at = now;
         upstream.terms.record_send(now);
         upstream.cold.record_send(now);
         if (prompt_tokens > 0)
--- a/tests/route/placement_unheard.cpp
+++ b/tests/route/placement_unheard.cpp
@@ -160,6 +160,43 @@
     }
 }
 
+SCENARIO("an engine that is not heard gets a further request after a second",
+         "[route]")
+{
+    cj::upstream_registry registry;
+    cj::time_point now{100s};
+    const cj::instance_id id("silent");
+    const cj::placer selector({}, cj::hall_id("north"), "10.0.0.9");
+    registry.apply_record(record("silent", "north", "10.0.0.1:80"));
+    registry.apply_record(record("full", "north", "10.0.0.2:80"));
+    registry.apply_status("10.0.0.1", status(1), now);
+    registry.assign_engine_shares({0, 1}, [](const cj::known_upstream&)
+                                  { return true; });
+    const auto sent = [&](std::uint64_t attempt)
+    {
+        auto full = status(attempt);
+        full.waiting = 12;
+        registry.apply_status("10.0.0.2", full, now);
+        cj::placement_failure failure;
+        const auto chosen =
+            selector.choose(registry, llm(), default_request(), now, failure);
+        if (chosen)
+            registry.begin_attempt(id, attempt, 100, now);
+        return chosen.has_value();
+    };
+    now += 1500ms;
+    REQUIRE(sent(1));
+    CHECK_FALSE(sent(2));
+    WHEN("its caller leaves")
+    {
+        registry.cancel_attempt(id, 1);
+        now += 900ms;
+        CHECK_FALSE(sent(3));
+        now += 200ms;
+        CHECK(sent(4));
+    }
+}
+
 SCENARIO("what a status reported fades when no further one arrives", "[route]")
 {
     cj::upstream_registry registry;
