Soak of callers that leave: requests to engines that are not heard

The soak did not see requests sent to suspended engines, as it excused what runs there. Cause: it judged only what arrives after a caller has left. Change: while another engine is sound, an entry may send an engine that has been suspended for 1.5 s at most one request a second. Conclusion: the class is guarded in real processes too.

--- a/tests/soak/leaving.py
+++ b/tests/soak/leaving.py
@@ -1,8 +1,10 @@
 """Callers of streams that leave, early or after a pause, beside suspended instances, and what is
 judged of it: an entry answers a patient caller before it leaves, and no request of a caller that has
-left arrives at an engine or runs there, except at one that is suspended."""
+left arrives at an engine or runs there, except at one that is suspended. An engine that is not heard gets
+at most one request a second from each entry while another one is."""
 
 import asyncio
+import math
 import random
 import signal
 
@@ -14,6 +16,7 @@
 CALLERS = 40
 EARLY, EARLY_S = 0.3, (0.0, 1.0)  # Fraction of requests whose callers leave early, and when.
 SUSPENDED_S = (2.5, 5.0)
+UNHEARD_S = 1.5  # From then on a suspended engine counts as not heard.
 BETWEEN_S = (0.5, 2.0)
 
 
@@ -102,6 +105,30 @@
                 self.soak.broken("gone", f"{len(requests)} requests {what} after their callers had left: "
                                          f"{requests[:3]}")
 
+        for engine, spans in self.suspended.items():
+            for begun, end in spans:
+                self.judge_unheard(engine, begun, end)
+
+    def judge_unheard(self, engine, begun, end):
+        soak = self.soak
+        sound = [one for one in soak.engines if not self.overlaps(one, begun, end)
+                 and not self.disturbed_within(one.number, begun, end)]
+        for entry in soak.entries:
+            if not sound or any(self.disturbed_within(name, begun, end) for name in (entry.name, engine.number)):
+                continue
+            sent = [asked for at, asked in engine.arrivals
+                    if begun + UNHEARD_S < at < end and soak.sent_to.get(asked) == entry.name]
+            soak.count("judged suspensions")
+            if len(sent) > max(1, math.ceil(end - begun - UNHEARD_S)):
+                soak.broken("unheard", f"{entry.name} sent {len(sent)} requests to engine {engine.number}, "
+                                       f"which was not heard: {sent[:3]}")
+
+    def overlaps(self, engine, begun, end):
+        return any(first < end and begun < last for first, last in self.suspended.get(engine, []))
+
+    def disturbed_within(self, name, begun, end):
+        return any(begun - DISTURBED_S < at < end for at in self.soak.disturbed.get(name, []))
+
     def is_cut_off(self, engine, asked):
         """Whether the link to an engine was cut or slow, or its entry disturbed, when a caller left."""
         left = self.left[asked]
