Unheard upstreams: the log takes the time of sending, the test one address

Cause: review of the whole change. exchange_log::sent was passed the time that the attempt holds already; the test built the same address in two ways and had an unused include.

--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -191,7 +191,7 @@
 
 /*! @brief Logs an attempt with the data that its upstream was chosen by. */
 inline void sent(const exchange& request, milliseconds left,
-                 std::optional<time_point> heard_at, time_point now)
+                 std::optional<time_point> heard_at)
 {
     log::decision(
         "request_sent",
@@ -207,7 +207,8 @@
          {"unread_tokens",
           integer_text(request.attempt.choice.load.unread_tokens)},
          {"load_age_ms", integer_text(request.attempt.choice.load.age_ms)},
-         {"heard_ms_ago", heard_at ? ms_between(*heard_at, now) : "never"},
+         {"heard_ms_ago",
+          heard_at ? ms_between(*heard_at, request.attempt.sent_at) : "never"},
          {"expected", integer_text(request.attempt.choice.load.expected)},
          {"version", std::to_string(request.attempt.choice.version)},
          {"left_ms", std::to_string(left.count())},
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -498,7 +498,7 @@
                            choice.profiled_ms());
         const auto& upstream = *book.find(choice.upstream);
         request_metrics::count_attempt(counters, upstream, now);
-        exchange_log::sent(request, left, upstream.last_heard_at(), now);
+        exchange_log::sent(request, left, upstream.last_heard_at());
         request.attempt.call =
             client.start(std::move(call),
                          make_callbacks(request.number, request.attempt.id));
--- a/tests/route/placement_unheard.cpp
+++ b/tests/route/placement_unheard.cpp
@@ -1,5 +1,4 @@
 #include <cstdint>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -29,8 +28,9 @@
                                  "10.0.0." + std::to_string(100 + at));
             registries[at].set_entry_count(entry_count);
             for (std::size_t engine = 0; engine < engine_count; ++engine)
-                registries[at].apply_record(record(
-                    "up" + std::to_string(engine), "north", host(engine)));
+                registries[at].apply_record(
+                    record("up" + std::to_string(engine), "north",
+                           host(engine) + ":80"));
         }
         report_statuses(0);
         for (std::size_t at = 0; at < entry_count; ++at)
@@ -42,7 +42,7 @@
 
     static std::string host(std::size_t engine)
     {
-        return "10.1.0." + std::to_string(engine + 1) + ":80";
+        return "10.1.0." + std::to_string(engine + 1);
     }
 
     void report_statuses(std::size_t first)
@@ -54,8 +54,7 @@
         for (auto& registry : registries)
         {
             for (std::size_t engine = first; engine < engine_count; ++engine)
-                registry.apply_status("10.1.0." + std::to_string(engine + 1),
-                                      reported, now);
+                registry.apply_status(host(engine), reported, now);
         }
     }
 
