Report dropped log lines once a second

Cause: each line that was written after a dropped one was preceded by a line about it.

Change: the limit counts what is dropped and reports it at most once a second; it is a class of its own without I/O.

--- a/src/coursejunction/core/log.cpp
+++ b/src/coursejunction/core/log.cpp
@@ -14,7 +14,7 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
 
-#include "coursejunction/core/pacing.hpp"
+#include "coursejunction/core/log_limit.hpp"
 
 namespace coursejunction::log
 {
@@ -58,50 +58,28 @@
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-/*! @brief Limits the rate of lines. The first line after a drop is preceded by
- * a warning with the number of dropped lines. */
-class rate_limit
+/*! @brief Returns whether a line may be written; reports lines that were
+ * dropped before it. */
+bool may_write(log_limit& limit)
 {
-public:
-    explicit rate_limit(double per_second) : bucket(per_second, per_second) {}
+    const auto now = std::chrono::time_point_cast<std::chrono::microseconds>(
+        std::chrono::steady_clock::now());
+    if (!limit.take(now))
+        return false;
+    if (const auto dropped = limit.take_report(now))
+        warning("log_lines_dropped", {{"count", std::to_string(dropped)}});
+    return true;
+}
 
-    bool take()
-    {
-        const auto now =
-            std::chrono::time_point_cast<std::chrono::microseconds>(
-                std::chrono::steady_clock::now());
-        if (!bucket.take(1, now))
-        {
-            ++dropped;
-            return false;
-        }
-        report_dropped();
-        return true;
-    }
-
-private:
-    void report_dropped()
-    {
-        if (dropped == 0)
-            return;
-        const auto count = std::to_string(dropped);
-        dropped = 0;
-        warning("log_lines_dropped", {{"count", count}});
-    }
-
-    token_bucket bucket;
-    std::uint64_t dropped{0};
-};
-
-rate_limit& decision_limit()
+log_limit& decision_limit()
 {
-    static rate_limit limit(decisions_per_second);
+    static log_limit limit(decisions_per_second);
     return limit;
 }
 
-rate_limit& problem_limit()
+log_limit& problem_limit()
 {
-    static rate_limit limit(problems_per_second);
+    static log_limit limit(problems_per_second);
     return limit;
 }
 
@@ -142,13 +120,13 @@
 
 void decision(std::string_view event, std::initializer_list<field> fields)
 {
-    if (internal::decision_limit().take())
+    if (internal::may_write(internal::decision_limit()))
         state(event, fields);
 }
 
 void problem(std::string_view event, std::initializer_list<field> fields)
 {
-    if (internal::problem_limit().take())
+    if (internal::may_write(internal::problem_limit()))
         warning(event, fields);
 }
 
