A response whose head is cut is not complete

Callers saw (reported by other operators): a 200 with an empty or short body, framed as whole, after a worker stopped in the middle of its response's head.

Cause, HTTP client (own interface, key-value service, coursejunctionctl): libcurl reports success when a connection closes within a head, with the status read so far and no body. Cause, stream client (platform's upstreams): a head that was cut on a reused connection within 100 ms counted as a stale connection, and a buffered call was sent again though its peer had begun to respond; an interim response (1xx) was taken for the final one.

Change: the HTTP client counts a response only once the blank line of a head that is not interim was read; the stream client calls a connection stale only when no byte of a response has arrived, and skips up to 16 interim responses.

--- a/src/coursejunction/net/http_client.cpp
+++ b/src/coursejunction/net/http_client.cpp
@@ -40,7 +40,10 @@
     http_client::data_callback data;
     std::function<void(int, std::string)> deliver;
     std::size_t head_bytes{0};
-    std::string limit_exceeded; /*!< Why a callback ended the call. */
+    bool interim_head{false};  /*!< The head that is read has a status 1xx. */
+    bool head_complete{false}; /*!< The final response's head was read. */
+    std::string
+        own_fault; /*!< Why the call failed, if libcurl does not know. */
     curl_slist* header_lines{nullptr};
     CURL* handle{nullptr};
     time_point last_progress{}; /*!< Start of the call or time of the last
@@ -65,7 +68,7 @@
         one.deliver(static_cast<int>(status), std::string(bytes, count));
     else if (one.end.body.size() + count > one.call.max_body)
     {
-        one.limit_exceeded = "body of the response is too large";
+        one.own_fault = "body of the response is too large";
         return end_call;
     }
     else
@@ -80,10 +83,14 @@
     one.head_bytes += count;
     if (one.head_bytes > max_head_bytes)
     {
-        one.limit_exceeded = "head of the response is too large";
+        one.own_fault = "head of the response is too large";
         return end_call;
     }
     const std::string line(bytes, count);
+    if (line.starts_with("HTTP/"))
+        one.interim_head = line.find(" 1") == line.find(' ');
+    if (line == "\r\n" || line == "\n")
+        one.head_complete = !one.interim_head;
     const auto colon = line.find(':');
     if (colon == std::string::npos)
         return count;
@@ -153,6 +160,13 @@
 
 void record_outcome(transfer& one, CURLcode code)
 {
+    // libcurl takes a connection that closes within a head for the end of a
+    // response without a body.
+    if (code == CURLE_OK && !one.head_complete)
+    {
+        code = CURLE_PARTIAL_FILE;
+        one.own_fault = "connection closed within the head";
+    }
     curl_off_t connected = 0;
     curl_easy_getinfo(one.handle, CURLINFO_CONNECT_TIME_T, &connected);
     one.end.connect_time = std::chrono::microseconds(connected);
@@ -168,8 +182,8 @@
         one.end.reach = http_reach::interrupted;
     one.end.unframed = code == CURLE_OK && is_unframed(one);
     if (code != CURLE_OK)
-        one.end.fault = one.limit_exceeded.empty() ? curl_easy_strerror(code)
-                                                   : one.limit_exceeded;
+        one.end.fault =
+            one.own_fault.empty() ? curl_easy_strerror(code) : one.own_fault;
 }
 
 void release(transfer& one)
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -66,6 +66,14 @@
            fault == http::error::partial_message;
 }
 
+/*! @brief Returns whether a final response follows one with this status
+ * (RFC 9110 section 15.2). */
+bool is_interim(unsigned status)
+{
+    return status / 100 == 1 &&
+           status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
 /*! @brief One call and its connection. */
 class stream_exchange : public std::enable_shared_from_this<stream_exchange>
 {
@@ -81,9 +89,6 @@
           stall_timer(owner), call(std::move(what)), target(std::move(to)),
           finished(std::move(on_finished))
     {
-        parser.header_limit(max_head);
-        parser.body_limit(call.max_body > 0 ? call.max_body : unlimited_body);
-        parser.skip(call.method == "HEAD");
     }
 
     /*! @brief Sends the call on an idle connection of the pool. */
@@ -144,6 +149,8 @@
 
 private:
     static constexpr std::uint32_t max_head = 65536;
+    /*! @brief A peer in trouble may send interim responses without end. */
+    static constexpr int max_interim_heads = 16;
     // Beast 1.74 compares boost::none as smaller than any length, so "no limit"
     // would reject every body.
     static constexpr std::uint64_t unlimited_body = std::uint64_t{1} << 40U;
@@ -226,7 +233,11 @@
 
     void read_head()
     {
-        http::async_read_header(socket, input, parser,
+        parser.emplace();
+        parser->header_limit(max_head);
+        parser->body_limit(call.max_body > 0 ? call.max_body : unlimited_body);
+        parser->skip(call.method == "HEAD");
+        http::async_read_header(socket, input, *parser,
                                 [self = shared_from_this()](
                                     const boost::system::error_code& fault,
                                     std::size_t) { self->head_read(fault); });
@@ -239,15 +250,21 @@
         const bool soon =
             event_loop::now() - last_progress < stale_connection_window;
         last_progress = event_loop::now();
-        if (fault && reused && soon && closed_by_peer(fault))
+        const bool responded = parser->got_some() || interim_heads > 0;
+        if (fault && reused && soon && !responded && closed_by_peer(fault))
             return end(stream_end::stale, fault.message());
         if (fault)
             return failed(fault);
+        if (is_interim(parser->get().result_int()))
+            return ++interim_heads > max_interim_heads
+                       ? end(stream_end::malformed,
+                             "too many interim responses")
+                       : read_head();
         stream_head head;
         framing = framing_of_response();
         head.framing = framing;
-        head.status = static_cast<int>(parser.get().result_int());
-        for (const auto& field : parser.get())
+        head.status = static_cast<int>(parser->get().result_int());
+        for (const auto& field : parser->get())
             head.headers.push_back(std::string(field.name_string()),
                                    std::string(field.value()));
         const auto self = shared_from_this();
@@ -260,24 +277,24 @@
     /*! @brief Returns the framing of the response whose head was read. */
     [[nodiscard]] body_framing framing_of_response() const
     {
-        if (parser.is_done())
+        if (parser->is_done())
             return body_framing::none;
-        if (parser.chunked())
+        if (parser->chunked())
             return body_framing::chunks;
-        return parser.need_eof() ? body_framing::connection
-                                 : body_framing::length;
+        return parser->need_eof() ? body_framing::connection
+                                  : body_framing::length;
     }
 
     void read_body()
     {
-        if (parser.is_done())
+        if (parser->is_done())
             return response_complete();
         read_deferred = paused;
         if (paused)
             return;
-        parser.get().body().data = body_buffer.data();
-        parser.get().body().size = body_buffer.size();
-        http::async_read_some(socket, input, parser,
+        parser->get().body().data = body_buffer.data();
+        parser->get().body().size = body_buffer.size();
+        http::async_read_some(socket, input, *parser,
                               [self = shared_from_this()](
                                   const boost::system::error_code& fault,
                                   std::size_t) { self->body_read(fault); });
@@ -289,7 +306,7 @@
             return;
         if (fault == http::error::need_buffer)
             fault = {};
-        const auto count = body_buffer.size() - parser.get().body().size;
+        const auto count = body_buffer.size() - parser->get().body().size;
         if (count > 0)
         {
             last_progress = event_loop::now();
@@ -320,7 +337,7 @@
      * received on it. */
     void response_complete()
     {
-        if (call.may_reuse_connection && written && parser.keep_alive() &&
+        if (call.may_reuse_connection && written && parser->keep_alive() &&
             input.size() == 0)
             reusable_socket.emplace(std::move(socket));
         complete = true;
@@ -350,7 +367,8 @@
     stream_client::callbacks target;
     finished_callback finished;
     boost::beast::flat_buffer input;
-    http::response_parser<http::buffer_body> parser;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    int interim_heads{0}; /*!< Responses with a status 1xx so far. */
     std::optional<tcp::socket> reusable_socket;
     std::array<char, read_bytes> body_buffer{};
     std::string output;
--- a/tests/net/resetting_peer.hpp
+++ b/tests/net/resetting_peer.hpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <string>
 #include <thread>
 #include <utility>
@@ -27,10 +28,13 @@
     /*! @param answer Sent where a request is not lost.
      * @param scripts For each connection, and for all later ones the last, what
      * happens to its requests in turn: `a`, answered, `r`, read and then
-     * reset, or `h`, read and not answered. */
-    resetting_peer(std::string answer, std::vector<std::string> scripts)
+     * reset, `h`, read and not answered, `c`, `cut_answer` and a close, or `x`,
+     * `cut_answer` and a reset.
+     * @param cut_answer The first bytes of a response. */
+    resetting_peer(std::string answer, std::vector<std::string> scripts,
+                   std::string cut_answer = {})
         : response(std::move(answer)), outcomes(std::move(scripts)),
-          thread([this] { run(); })
+          cut_response(std::move(cut_answer)), thread([this] { run(); })
     {
     }
 
@@ -81,12 +85,27 @@
                 return reset(caller);
             if (outcome == 'h')
                 continue;
+            if (outcome == 'c' || outcome == 'x')
+                return cut(caller, outcome == 'x');
             if (::send(caller, response.data(), response.size(), MSG_NOSIGNAL) <
                 0)
                 return;
         }
     }
 
+    /*! @brief Sends the first bytes of a response, and ends the connection once
+     * they have arrived. */
+    void cut(int caller, bool by_reset) const
+    {
+        const auto done = ::send(caller, cut_response.data(),
+                                 cut_response.size(), MSG_NOSIGNAL);
+        static_cast<void>(done);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        if (by_reset)
+            return reset(caller);
+        ::shutdown(caller, SHUT_RDWR);
+    }
+
     /*! @brief Resets a connection; its descriptor stays open. */
     static void reset(int connection)
     {
@@ -98,6 +117,7 @@
     listening_port port;
     std::string response;
     std::vector<std::string> outcomes;
+    std::string cut_response;
     std::atomic<std::size_t> read_requests{0};
     std::vector<int> connections; /*!< Of the accepting thread until it ends. */
     std::vector<std::thread> servers;
