Metrics of how far an entry is behind, and how old requests are when they are read

Cause: no metric told the lag of the event loop, the age of a request when it was read, or how long before its caller left it had been sent, so that the hypotheses of the incident could not be told apart.

Change: input_clock bounds the age of input by the turns of a loop: a timer is run after the input of its turn, so that what is read now arrived after the turn before the last one. Requests carry that time. Histograms loop_lag_seconds, request_age_seconds and caller_left_after_sending_seconds; age_ms and since_sent_ms in request_failed. No decision uses them yet.

Weighed: the kernel's time of the last input (TCP_INFO).

--- a/src/coursejunction/net/event_loop.cpp
+++ b/src/coursejunction/net/event_loop.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "coursejunction/core/input_clock.hpp"
 #include "coursejunction/core/suspension.hpp"
 
 namespace coursejunction
@@ -118,8 +119,25 @@
 
 struct event_loop::implementation
 {
+    /*! @brief Waits for the next turn that is recorded. Not a `timer`: these
+     * are held up when they are late, so that input is read first. */
+    void await_turn()
+    {
+        turn_timer.expires_after(input_clock::interval);
+        turn_timer.async_wait(
+            [this](const boost::system::error_code& fault)
+            {
+                if (fault)
+                    return;
+                input.record_turn(event_loop::now());
+                await_turn();
+            });
+    }
+
     asio::io_context context{1};
     std::list<asio::signal_set> signals;
+    asio::steady_timer turn_timer{context};
+    input_clock input;
 };
 
 event_loop::event_loop() : self(std::make_unique<implementation>()) {}
@@ -164,6 +182,21 @@
     internal::wait_for_signal(set, std::make_shared<work>(std::move(task)));
 }
 
+void event_loop::track_input_age()
+{
+    self->await_turn();
+}
+
+time_point event_loop::input_arrived_after() const
+{
+    return self->input.arrived_after(now());
+}
+
+std::chrono::microseconds event_loop::input_lag() const
+{
+    return self->input.lag(now());
+}
+
 time_point event_loop::now()
 {
     // std::chrono::steady_clock stops while an instance is suspended, so every
--- a/src/coursejunction/net/event_loop.hpp
+++ b/src/coursejunction/net/event_loop.hpp
@@ -71,6 +71,18 @@
      * instance was suspended. */
     [[nodiscard]] static std::chrono::microseconds awake_time();
 
+    /*! @brief Starts to bound the age of input; wakes the loop at the interval
+     * of `input_clock`. */
+    void track_input_age();
+
+    /*! @brief Returns a time after which input that is read now has arrived;
+     * the current time unless `track_input_age` was called. */
+    [[nodiscard]] time_point input_arrived_after() const;
+
+    /*! @brief Returns how far the loop is behind its input; zero if it is not
+     * known. */
+    [[nodiscard]] std::chrono::microseconds input_lag() const;
+
     /*! @brief Returns the `boost::asio::io_context`; only for the net module.
      */
     [[nodiscard]] void* native() noexcept;
--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -80,9 +80,18 @@
     const auto peer = socket.remote_endpoint(ignored);
     peer_address =
         peer.address().to_string() + ":" + std::to_string(peer.port());
+    // What is there already waits as long as the connection did.
+    if (unread() > 0)
+        return read_head();
     next_request();
 }
 
+void stream_reply::target::note_input()
+{
+    if (input.size() == 0)
+        input_since = server->loop->input_arrived_after();
+}
+
 void stream_reply::target::close_if_idle(time_point since)
 {
     if (state == phase::idle && idle_since <= since && unread() == 0)
@@ -207,6 +216,7 @@
 void stream_reply::target::read_head()
 {
     state = phase::reading;
+    note_input();
     parser.emplace();
     parser->header_limit(static_cast<std::uint32_t>(server->limits.head_bytes));
     parser->body_limit(server->limits.body_bytes);
@@ -272,6 +282,7 @@
                                   std::string(field.value()));
     request.body = std::move(message.body());
     request.from = peer_address;
+    request.arrived_at = input_since;
     version = message.version();
     keep_alive = message.keep_alive();
     head_only = message.method() == http::verb::head;
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -33,6 +33,7 @@
 /*! @brief State shared by a server and its connections. */
 struct stream_server_state
 {
+    const event_loop* loop{nullptr};
     stream_limits limits;
     idle_times_in_force idle_times;
     stream_server::handler handle;
@@ -60,6 +61,10 @@
     /*! @brief Starts to read the first request. */
     void start();
 
+    /*! @brief Records since when the input that is about to be read can have
+     * waited; input that is behind other input counts from that. */
+    void note_input();
+
     /*! @brief Drops the callbacks of the request that is being handled. */
     void forget_callbacks()
     {
@@ -128,6 +133,7 @@
     /*! @brief Sends an error status for input that cannot be parsed, then
      * closes. */
     void refuse(int status);
+
     void request_read();
 
     /*! @brief Detects that the client disconnects while its request is handled.
@@ -191,6 +197,7 @@
     std::function<void()> drained_callback;
     std::size_t drained_below{0};
     time_point idle_since{};
+    time_point input_since{}; /*!< See `note_input`. */
     std::size_t discarded_bytes{0};
     std::uint64_t current_number{0};
     unsigned version{11};
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -19,10 +19,12 @@
 struct stream_server::implementation
     : std::enable_shared_from_this<implementation>
 {
-    implementation(asio::io_context& owner, stream_limits set, handler call)
+    implementation(asio::io_context& owner, const event_loop& loop,
+                   stream_limits set, handler call)
         : acceptor(owner), accept_retry(owner),
           state(std::make_shared<internal::stream_server_state>())
     {
+        state->loop = &loop;
         state->limits = set;
         state->idle_times.set(set.idle_time, event_loop::now());
         state->handle = std::move(call);
@@ -188,7 +190,8 @@
 {
     auto& context = *static_cast<asio::io_context*>(loop.native());
     auto made =
-        std::make_shared<implementation>(context, limits, std::move(handle));
+        std::make_shared<implementation>(context, loop, limits,
+                                         std::move(handle));
     boost::system::error_code fault;
     const auto ip = asio::ip::make_address(address, fault);
     const tcp::endpoint at(ip, port);
--- a/src/coursejunction/net/stream_server.hpp
+++ b/src/coursejunction/net/stream_server.hpp
@@ -30,6 +30,9 @@
     header_list headers;
     std::string body;
     std::string from; /*!< `IP:port` of the client. */
+    /*! @brief Its first bytes arrived after this time, maybe long before they
+     * were read. */
+    time_point arrived_at{};
 };
 
 /*! @brief Response to one request. All members do nothing once the client has
--- a/src/coursejunction/proxy/caller_connections.hpp
+++ b/src/coursejunction/proxy/caller_connections.hpp
@@ -8,6 +8,8 @@
 #include <string>
 
 #include "coursejunction/core/log.hpp"
+#include "coursejunction/core/types.hpp"
+#include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/metrics.hpp"
 #include "coursejunction/net/stream_server.hpp"
 
@@ -47,9 +49,12 @@
                      { record_close(counters, closed); });
 }
 
-/*! @brief Sets the gauges; to be called periodically. */
-inline void set_gauges(const stream_server& callers, metrics& counters)
+/*! @brief Sets the gauges and records how far the loop is behind; to be called
+ * periodically. */
+inline void set_gauges(const stream_server& callers, const event_loop& loop,
+                       metrics& counters)
 {
+    counters.observe("loop_lag_seconds", to_seconds(loop.input_lag()));
     counters.set("caller_connections", static_cast<double>(callers.size()));
     counters.set("caller_unsent_bytes", static_cast<double>(callers.unsent()));
 }
--- a/src/coursejunction/proxy/exchange.hpp
+++ b/src/coursejunction/proxy/exchange.hpp
@@ -81,7 +81,9 @@
 struct exchange
 {
     std::uint64_t number{0};
+    /*! @brief Its caller sent it about then, before this entry read it. */
     time_point arrived_at{};
+    time_point read_at{};
     time_point deadline{};
     /*! @brief When the caller last received events; at first, the arrival. */
     time_point last_progress{};
--- a/src/coursejunction/proxy/exchange_log.hpp
+++ b/src/coursejunction/proxy/exchange_log.hpp
@@ -420,6 +420,10 @@
          {"silent_ms", request.attempt.silent
                            ? ms_between(request.attempt.silent_since, now)
                            : "none"},
+         {"age_ms", ms_between(request.arrived_at, request.read_at)},
+         {"since_sent_ms", request.tried_upstreams.empty()
+                               ? "none"
+                               : ms_between(request.attempt.sent_at, now)},
          {"took_ms", ms_between(request.arrived_at, now)}});
 }
 
--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -163,7 +163,10 @@
         const auto number = ++last_number;
         auto request = std::make_shared<exchange>();
         request->number = number;
-        request->arrived_at = event_loop::now();
+        request->read_at = event_loop::now();
+        request->arrived_at = request->read_at;
+        counters.observe("request_age_seconds",
+                         to_seconds(request->read_at - from.arrived_at));
         request->decoded = Codec::decode_request(from);
         request->original = std::move(from);
         request->reply = std::move(reply);
@@ -1180,7 +1183,8 @@
             number,
             [&](exchange& request)
             {
-                request_metrics::count_caller_left(counters, request);
+                request_metrics::count_caller_left(counters, request,
+                                                   event_loop::now());
                 request_metrics::count_left_at_silent(
                     counters, request, book, "caller_left", event_loop::now());
                 closer.cancel_all(request);
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -124,6 +124,7 @@
             [this](const request_content& content)
             { return trial_rank(content); });
         exchanges.set_entry_count(1, event_loop::now());
+        loop.track_input_age();
         node.start(std::move(hooks));
         tick_timer = loop.every(tick_interval, [this] { tick(); });
     }
@@ -570,7 +571,7 @@
         exchanges.expire(now);
         counters.set("upstream_records_unreadable",
                      static_cast<double>(fleet.unreadable_records()));
-        caller_connections::set_gauges(*caller_server, counters);
+        caller_connections::set_gauges(*caller_server, loop, counters);
         const auto entries = node.peers().live_entries(now) + 1;
         exchanges.set_entry_count(entries, now);
         exchanges.set_configuration_outdated(node.mirror_lag(now) >=
--- a/src/coursejunction/proxy/request_metrics.hpp
+++ b/src/coursejunction/proxy/request_metrics.hpp
@@ -50,10 +50,14 @@
     return request.response_begun ? "event" : "first_event";
 }
 
-/*! @brief Counts a caller that left, by what it waited for; to be called before
- * its attempts are cancelled. */
-inline void count_caller_left(metrics& counters, const exchange& request)
+/*! @brief Counts a caller that left, by what it waited for, and how long before
+ * its request was sent last; to be called before its attempts are cancelled. */
+inline void count_caller_left(metrics& counters, const exchange& request,
+                              time_point now)
 {
+    if (request.attempt.in_flight)
+        counters.observe("caller_left_after_sending_seconds",
+                         to_seconds(now - request.attempt.sent_at));
     counters.count("callers_left_total", 1,
                    {{"awaited", awaited_by_caller(request)}});
 }
