Accept all connections that wait in one turn of the loop

Cause: each turn accepted one connection and waited for the next readiness. In a busy loop, where a turn takes tens of milliseconds, connections wait for as many turns as there are before them, and the age of their requests exceeds any bound that the loop's turns give.

--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -30,8 +30,12 @@
         state->handle = std::move(call);
     }
 
+    /*! @brief Waits for connections. */
     void accept();
 
+    /*! @brief Accepts those that wait. */
+    void accept_waiting();
+
     /*! @brief Closes idle connections that have rested for at least this long.
      */
     void close_rested(milliseconds rest) const;
@@ -40,6 +44,11 @@
      * idle time; a request then takes up to this long to arrive. */
     static constexpr milliseconds reuse_margin{500};
 
+    /*! @brief Connections that are accepted before other work gets its turn.
+     * With one a turn they would wait for many turns of a busy loop, unseen by
+     * the bound on the age of input. */
+    static constexpr int max_accepted = 64;
+
     tcp::acceptor acceptor;
     asio::steady_timer accept_retry;
     std::shared_ptr<internal::stream_server_state> state;
@@ -47,28 +56,37 @@
 
 void stream_server::implementation::accept()
 {
-    acceptor.async_accept(
-        [self = shared_from_this()](const boost::system::error_code& fault,
-                                    tcp::socket socket)
+    acceptor.async_wait(
+        tcp::acceptor::wait_read,
+        [self = shared_from_this()](const boost::system::error_code& fault)
         {
-            if (fault == asio::error::operation_aborted)
-                return;
-            if (!fault)
-            {
-                std::make_shared<stream_reply::target>(std::move(socket),
-                                                       self->state)
-                    ->start();
-                return self->accept();
-            }
-            // Usually out of file descriptors: try again when some may be free.
-            constexpr milliseconds pause{50};
-            self->accept_retry.expires_after(pause);
-            self->accept_retry.async_wait(
-                [self](const boost::system::error_code& stopped)
-                {
-                    if (!stopped)
-                        self->accept();
-                });
+            if (fault != asio::error::operation_aborted)
+                self->accept_waiting();
+        });
+}
+
+void stream_server::implementation::accept_waiting()
+{
+    boost::system::error_code fault;
+    for (int accepted = 0; accepted < max_accepted && !fault; ++accepted)
+    {
+        tcp::socket socket(acceptor.get_executor());
+        acceptor.accept(socket, fault);
+        if (!fault)
+            std::make_shared<stream_reply::target>(std::move(socket), state)
+                ->start();
+    }
+    if (!fault || fault == asio::error::would_block ||
+        fault == asio::error::connection_aborted)
+        return accept();
+    // Usually out of file descriptors: try again when some may be free.
+    constexpr milliseconds pause{50};
+    accept_retry.expires_after(pause);
+    accept_retry.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& stopped)
+        {
+            if (!stopped)
+                self->accept();
         });
 }
 
@@ -195,9 +213,8 @@
                       std::uint16_t port, stream_limits limits, handler handle)
 {
     auto& context = *static_cast<asio::io_context*>(loop.native());
-    auto made =
-        std::make_shared<implementation>(context, loop, limits,
-                                         std::move(handle));
+    auto made = std::make_shared<implementation>(context, loop, limits,
+                                                 std::move(handle));
     boost::system::error_code fault;
     const auto ip = asio::ip::make_address(address, fault);
     const tcp::endpoint at(ip, port);
@@ -209,6 +226,8 @@
         made->acceptor.bind(at, fault);
     if (!fault)
         made->acceptor.listen(asio::socket_base::max_listen_connections, fault);
+    if (!fault)
+        made->acceptor.non_blocking(true, fault);
     if (fault)
         return failure(error_kind::unavailable, address + ":" +
                                                     std::to_string(port) +
