The time in which a request waits unread counts towards its limit

What callers saw: upstreams got time limits that ended up to a second after their callers', and requests waited, were sent and were repeated for callers that had less time left, or none.

Cause: the limit that a caller states relative to its sending began when the request was read. Class: input is taken for as old as the moment at which it is looked at.

Change: a request has arrived when its connection's input can have arrived at the earliest; deadline, patience of its caller, waiting and target count from then. A request whose time has passed is refused at once. The time limit is set anew when a new connection to the upstream is up. Rates count requests when they are read, as their windows need times that do not go back.

Test: proxy/request_age failed before: 1,999 ms passed on where 1,275 were left, on new, kept and slow connections; a request whose time had passed was run.

--- a/src/coursejunction/proxy/exchange_service.hpp
+++ b/src/coursejunction/proxy/exchange_service.hpp
@@ -163,14 +163,14 @@
         const auto number = ++last_number;
         auto request = std::make_shared<exchange>();
         request->number = number;
+        request->arrived_at = from.arrived_at;
         request->read_at = event_loop::now();
-        request->arrived_at = request->read_at;
         request->decoded = Codec::decode_request(from);
         request->original = std::move(from);
         request->reply = std::move(reply);
         counters.count("requests_total");
         counters.observe("request_age_seconds",
-                         to_seconds(request->read_at - from.arrived_at));
+                         to_seconds(request->read_at - request->arrived_at));
         const auto status = admit(*request);
         if (status != 0)
             return reject(*request, configuration_outdated &&
@@ -272,7 +272,7 @@
         request.arrival = decisions.record_arrival(
             *request.route, exchange_facts::service_profile_of(request),
             request.fingerprint, request.decoded.deadline, request.read_at,
-            request.owner);
+            request.owner, request.read_at - request.arrived_at);
         request_metrics::count_arrival(counters, request.arrival);
         exchange_log::returned(request);
         return 0;
@@ -530,13 +530,14 @@
 
     /*! @brief Checks an attempt whose connection is up before it is written: it
      * was placed some time ago. */
-    void on_connected(exchange& request)
+    void on_connected(exchange& request, stream_call& call)
     {
         if (!is_caller_present(request))
             return;
         const auto now = event_loop::now();
         if (now >= silence_rules::ends_at(request, options))
             return on_deadline(request.number);
+        Codec::assign_time_left(call.headers, time_left(request, now));
     }
 
     /*! @brief Returns how long the caller of a request still waits. */
@@ -552,10 +553,10 @@
                                             std::uint64_t attempt)
     {
         stream_client::callbacks handlers;
-        handlers.connected = [this, number](stream_call&)
+        handlers.connected = [this, number](stream_call& call)
         {
             open_requests.with(number, [&](exchange& request)
-                               { on_connected(request); });
+                               { on_connected(request, call); });
         };
         handlers.head = [this, number, attempt](const stream_head& head)
         {
--- a/src/coursejunction/route/dispatcher.hpp
+++ b/src/coursejunction/route/dispatcher.hpp
@@ -118,19 +118,21 @@
     /*! @brief Records the arrival of a request.
      * @param fingerprint Zero when the request has nothing by which a client
      * retry could be recognised.
-     * @param deadline How long the client waits from now on.
-     * @param owner Owner of its API key; null if it has none. */
+     * @param deadline How long the client waits from its arrival on.
+     * @param owner Owner of its API key; null if it has none.
+     * @param age How long ago it arrived. */
     arrival_state record_arrival(const route_rule& route,
                                  const service_profile& service,
                                  request_fingerprint fingerprint,
                                  std::optional<milliseconds> deadline,
                                  time_point now,
-                                 const organisation* owner = nullptr)
+                                 const organisation* owner = nullptr,
+                                 time_point::duration age = {})
     {
         arrival_state state;
         state.rank = rank_of(owner, route);
         state.history = client_retries.record_arrival(route.name, fingerprint,
-                                                      deadline, now);
+                                                      deadline, now - age);
         auto& control = admission_of(service);
         state.share =
             shares.record_arrival(service.name, owner, state.is_retry(), now);
