Busy entries turn to the newest connection first and refuse those left unread

What callers saw: at an entry without processor time their requests were read in order of arrival, each when its caller was about to give up; most got nothing until their deadline.

Cause: new connections were read in order, and nothing was known of how long they had waited. Reading all that were accepted at once moves the wait into the loop, where streams and kept connections suffer from it.

Change: accepted connections wait in the process; the newest is read first, one a turn of the loop. One that could not be read for 400 ms gets 503 with the time to return, without being parsed: callers give up an entry that has not read theirs after a second or a third of their time, and have time for another one before. One that has sent nothing is not refused.

Tests: net/accepting (40 connections: 42 turns until all were accepted before, at most 15 now; order; refusal), net/internal/waiting_connections.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -54,9 +54,10 @@
 } // namespace internal
 
 stream_reply::target::target(
-    tcp::socket owned, std::shared_ptr<internal::stream_server_state> owner)
+    tcp::socket owned, std::shared_ptr<internal::stream_server_state> owner,
+    time_point since)
     : socket(std::move(owned)), deadline(socket.get_executor()),
-      server(std::move(owner))
+      server(std::move(owner)), input_since(since)
 {
     server->connections.insert(this);
 }
@@ -70,6 +71,8 @@
 
 void stream_reply::target::start()
 {
+    if (state == phase::closed)
+        return;
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     const int limit = internal::user_timeout_ms;
@@ -81,12 +84,20 @@
     const auto peer = socket.remote_endpoint(ignored);
     peer_address =
         peer.address().to_string() + ":" + std::to_string(peer.port());
-    // What is there already waits as long as the connection did.
+    // What is there already may have waited as long as the connection.
     if (unread() > 0)
         return read_head();
     next_request();
 }
 
+void stream_reply::target::refuse_unread(const header_list& headers)
+{
+    if (unread() == 0 || state == phase::closed)
+        return start();
+    queue(internal::answer_head(503, headers, 11, 0, true));
+    close_when_sent(close_reason::overload);
+}
+
 void stream_reply::target::note_input()
 {
     if (input.size() == 0)
@@ -220,6 +231,7 @@
         {
             if (fault || self->state != phase::idle)
                 return;
+            self->note_input();
             self->read_head();
         });
 }
@@ -227,7 +239,6 @@
 void stream_reply::target::read_head()
 {
     state = phase::reading;
-    note_input();
     parser.emplace();
     parser->header_limit(static_cast<std::uint32_t>(server->limits.head_bytes));
     parser->body_limit(server->limits.body_bytes);
--- a/src/coursejunction/net/internal/stream_connection.hpp
+++ b/src/coursejunction/net/internal/stream_connection.hpp
@@ -53,14 +53,20 @@
     : public std::enable_shared_from_this<stream_reply::target>
 {
 public:
+    /*! @param since When the connection may have arrived at the earliest. */
     target(boost::asio::ip::tcp::socket owned,
-           std::shared_ptr<internal::stream_server_state> owner);
+           std::shared_ptr<internal::stream_server_state> owner,
+           time_point since);
 
     ~target();
 
     /*! @brief Starts to read the first request. */
     void start();
 
+    /*! @brief Refuses a connection that has waited for too long without having
+     * been read, if a request is there; starts it otherwise. */
+    void refuse_unread(const header_list& headers);
+
     /*! @brief Records since when the input that is about to be read can have
      * waited; input that is behind other input counts from that. */
     void note_input();
--- a/src/coursejunction/net/stream_server.cpp
+++ b/src/coursejunction/net/stream_server.cpp
@@ -9,6 +9,7 @@
 
 #include "coursejunction/net/event_loop.hpp"
 #include "coursejunction/net/internal/stream_connection.hpp"
+#include "coursejunction/net/internal/waiting_connections.hpp"
 
 namespace coursejunction
 {
@@ -36,6 +37,13 @@
     /*! @brief Accepts those that wait. */
     void accept_waiting();
 
+    /*! @brief Starts to read the newest accepted connection, and the next one
+     * in the next turn of the loop, so that new ones never hold up streams. */
+    void start_newest();
+
+    /*! @brief Refuses accepted connections that have waited for too long. */
+    void refuse_overdue();
+
     /*! @brief Closes idle connections that have rested for at least this long.
      */
     void close_rested(milliseconds rest) const;
@@ -49,9 +57,18 @@
      * the bound on the age of input. */
     static constexpr int max_accepted = 64;
 
+    /*! @brief Beyond this number further ones wait in the kernel, as each takes
+     * a file descriptor. */
+    static constexpr std::size_t max_waiting = 512;
+
     tcp::acceptor acceptor;
     asio::steady_timer accept_retry;
     std::shared_ptr<internal::stream_server_state> state;
+    internal::waiting_connections<std::shared_ptr<stream_reply::target>>
+        waiting;
+    bool starting{false}; /*!< `start_newest` is about to be called again. */
+    milliseconds max_wait{0}; /*!< 0: without limit. */
+    header_list refusal_headers;
 };
 
 void stream_server::implementation::accept()
@@ -68,14 +85,20 @@
 void stream_server::implementation::accept_waiting()
 {
     boost::system::error_code fault;
-    for (int accepted = 0; accepted < max_accepted && !fault; ++accepted)
+    const auto since = state->loop->input_arrived_after();
+    for (int accepted = 0;
+         accepted < max_accepted && waiting.size() < max_waiting && !fault;
+         ++accepted)
     {
         tcp::socket socket(acceptor.get_executor());
         acceptor.accept(socket, fault);
         if (!fault)
-            std::make_shared<stream_reply::target>(std::move(socket), state)
-                ->start();
+            waiting.push(std::make_shared<stream_reply::target>(
+                             std::move(socket), state, since),
+                         since);
     }
+    if (!starting)
+        start_newest();
     if (!fault || fault == asio::error::would_block ||
         fault == asio::error::connection_aborted)
         return accept();
@@ -90,6 +113,30 @@
         });
 }
 
+void stream_server::implementation::start_newest()
+{
+    starting = false;
+    refuse_overdue();
+    const auto newest = waiting.take_newest();
+    if (!newest)
+        return;
+    (*newest)->start();
+    if (waiting.size() == 0)
+        return;
+    starting = true;
+    asio::post(acceptor.get_executor(),
+               [self = shared_from_this()] { self->start_newest(); });
+}
+
+void stream_server::implementation::refuse_overdue()
+{
+    if (max_wait.count() == 0)
+        return;
+    const auto limit = event_loop::now() - max_wait;
+    while (const auto overdue = waiting.take_older(limit))
+        (*overdue)->refuse_unread(refusal_headers);
+}
+
 void stream_server::implementation::close_rested(milliseconds rest) const
 {
     const auto since = event_loop::now() - rest;
@@ -181,6 +228,8 @@
         return "response";
     case close_reason::refused:
         return "refused";
+    case close_reason::overload:
+        return "overload";
     case close_reason::cut:
         return "cut";
     case close_reason::unsent:
@@ -201,6 +250,7 @@
     boost::system::error_code ignored;
     self->acceptor.close(ignored);
     self->accept_retry.cancel();
+    self->waiting.clear();
     self->state->report_close = nullptr;
     // Connections outlive the server until their last operation ends; what
     // their callbacks refer to may not.
@@ -247,6 +297,12 @@
     self->state->unsent.limit(bytes);
 }
 
+void stream_server::refuse_unread_after(milliseconds wait, header_list headers)
+{
+    self->max_wait = wait;
+    self->refusal_headers = std::move(headers);
+}
+
 void stream_server::on_close(close_handler call)
 {
     self->state->report_close = std::move(call);
--- a/src/coursejunction/net/stream_server.hpp
+++ b/src/coursejunction/net/stream_server.hpp
@@ -96,6 +96,7 @@
     stopping,  /*!< The server shuts down. */
     response,  /*!< Its last response, which announced the close, has ended. */
     refused,   /*!< Its input was invalid, too large or too slow. */
+    overload,  /*!< It waited for too long to be read, and got a 503. */
     cut,       /*!< Its response was aborted. */
     unsent,    /*!< The client did not read its response. */
     peer       /*!< The client closed it, or the connection failed. */
@@ -142,6 +143,11 @@
      * removes the bound. Beyond it the slowest readers are cut. */
     void limit_unsent(std::size_t bytes);
 
+    /*! @brief Has new connections refused with 503 that could not be read
+     * within a time, since the process is busy. Without this they wait.
+     * @param headers Headers of the refusal. */
+    void refuse_unread_after(milliseconds wait, header_list headers);
+
     /*! @brief Sets a callback for each connection that closes. */
     void on_close(close_handler call);
 
--- a/src/coursejunction/proxy/caller_connections.hpp
+++ b/src/coursejunction/proxy/caller_connections.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <string>
+#include <utility>
 
 #include "coursejunction/core/log.hpp"
 #include "coursejunction/core/types.hpp"
@@ -43,10 +44,18 @@
                       {"bytes", std::to_string(closed.unsent_bytes)}});
 }
 
-/*! @brief Prepares a server for callers: bounds, counts and logs. */
-inline void watch(stream_server& callers, metrics& counters)
+/*! @brief A request that could not be read for this long is refused. Callers
+ * give up an entry that has not read theirs after a second or a third of their
+ * time; a refusal that arrives before leaves them time for another entry. */
+inline constexpr milliseconds max_unread_time{400};
+
+/*! @brief Prepares a server for callers: bounds, counts and logs.
+ * @param refusal_headers Headers of a refusal for overload. */
+inline void watch(stream_server& callers, header_list refusal_headers,
+                  metrics& counters)
 {
     callers.limit_unsent(max_unsent_bytes);
+    callers.refuse_unread_after(max_unread_time, std::move(refusal_headers));
     callers.on_close([&counters](const closed_connection& closed)
                      { record_close(counters, closed); });
 }
--- a/src/coursejunction/proxy/gateway.hpp
+++ b/src/coursejunction/proxy/gateway.hpp
@@ -222,7 +222,11 @@
             return failure(caller_listener.error().kind,
                            caller_listener.error().message);
         caller_server = std::move(caller_listener.value());
-        caller_connections::watch(*caller_server, counters);
+        caller_connections::watch(
+            *caller_server,
+            codec::refusal_headers(
+                options.exchange.dispatch.admission.min_retry_after),
+            counters);
         auto readiness_listener =
             listen(options.readiness_address,
                    [this](const stream_request&, stream_reply reply)
