Read all datagrams that wait in one turn; a late reset of a stale connection

The same cause elsewhere: input counts as new when it is read.

Heartbeats: each turn of the loop read one datagram. An entry whose turns take 20 ms reads 50 a second, fewer than its peers send, so that statuses and notices wait in the socket for many turns and count as new when they are read. Up to 64 are read in a turn now.

Stale connections: a reset counts as one of a stale connection within 100 ms of the sending, by the moment at which it was read. A busy entry took it for the end of a call that the upstream may have run and crashed under. The age of the input counts now.

Time to connect: connection and timeout can be found in one turn, in which the timer can't be cancelled any more; a call that had been written was ended then. Found by reading; its test passes before as well, as a connection on the loopback interface comes up within the call.

Weighed and left: stamping statuses with the age of their heartbeats. The bound is an upper one, so that an entry that stands still for a second would find all sidecars silent, and give up sound attempts.

--- a/src/coursejunction/net/datagram_socket.cpp
+++ b/src/coursejunction/net/datagram_socket.cpp
@@ -23,21 +23,35 @@
     {
     }
 
-    void read()
+    void await_input()
     {
-        socket.async_receive_from(
-            asio::buffer(input), sender,
-            [self = shared_from_this()](const boost::system::error_code& fault,
-                                        std::size_t count)
+        socket.async_wait(
+            udp::socket::wait_read,
+            [self = shared_from_this()](const boost::system::error_code& fault)
             {
-                if (fault == asio::error::operation_aborted)
-                    return;
-                if (!fault)
-                    self->deliver(count);
-                self->read();
+                if (fault != asio::error::operation_aborted)
+                    self->read();
             });
     }
 
+    /*! @brief Reads what has arrived. One datagram a turn of a busy loop would
+     * let heartbeats queue up and count as new when they are read. */
+    void read()
+    {
+        boost::system::error_code fault;
+        for (int read = 0; read < max_read && socket.is_open(); ++read)
+        {
+            const auto count =
+                socket.receive_from(asio::buffer(input), sender, 0, fault);
+            if (fault == asio::error::would_block)
+                break;
+            if (!fault)
+                deliver(count);
+        }
+        if (socket.is_open())
+            await_input();
+    }
+
     void deliver(std::size_t count)
     {
         total_bytes += count;
@@ -46,6 +60,9 @@
         received(from, {input.data(), count});
     }
 
+    /*! @brief Datagrams that are read before other work gets its turn. */
+    static constexpr int max_read = 64;
+
     static constexpr std::size_t max_datagram = 2048;
     udp::socket socket;
     receiver received;
@@ -77,11 +94,13 @@
         made->socket.open(udp::v4(), fault);
     if (!fault)
         made->socket.bind({ip, port}, fault);
+    if (!fault)
+        made->socket.non_blocking(true, fault);
     if (fault)
         return failure(error_kind::unavailable, address + ":" +
                                                     std::to_string(port) +
                                                     ": " + fault.message());
-    made->read();
+    made->await_input();
     return std::unique_ptr<datagram_socket>(
         new datagram_socket(std::move(made)));
 }
--- a/src/coursejunction/net/stream_client.cpp
+++ b/src/coursejunction/net/stream_client.cpp
@@ -83,11 +83,12 @@
     using finished_callback =
         std::function<void(std::optional<tcp::socket>, stream_end)>;
 
-    stream_exchange(asio::io_context& owner, stream_call what,
-                    stream_client::callbacks to, finished_callback on_finished)
-        : socket(owner), connect_timer(owner), call_timer(owner),
-          stall_timer(owner), call(std::move(what)), target(std::move(to)),
-          finished(std::move(on_finished))
+    stream_exchange(asio::io_context& owner, const event_loop& own_loop,
+                    stream_call what, stream_client::callbacks to,
+                    finished_callback on_finished)
+        : loop(own_loop), socket(owner), connect_timer(owner),
+          call_timer(owner), stall_timer(owner), call(std::move(what)),
+          target(std::move(to)), finished(std::move(on_finished))
     {
     }
 
@@ -106,7 +107,7 @@
         const auto to = endpoint_of(call.address);
         if (!to)
             return end_later(stream_end::not_sent, "address is not IP:port");
-        arm(connect_timer, call.connect_time, "connection timed out");
+        limit_connecting();
         if (call.timeout.count() > 0)
             arm(call_timer, call.timeout, "call timed out");
         socket.async_connect(*to, [self = shared_from_this()](
@@ -169,6 +170,20 @@
             });
     }
 
+    /*! @brief Ends the call if its connection is not up in time. */
+    void limit_connecting()
+    {
+        connect_timer.expires_after(call.connect_time);
+        connect_timer.async_wait(
+            [self = shared_from_this()](const boost::system::error_code& fault)
+            {
+                // In a busy loop the connection and the end of its time are
+                // found in one turn, and the timer can't be cancelled any more.
+                if (!fault && !self->sent)
+                    self->end(stream_end::not_sent, "connection timed out");
+            });
+    }
+
     /*! @brief Ends the call when nothing was received for `stall_time`. */
     void watch_for_stall()
     {
@@ -250,8 +265,9 @@
     {
         if (completed || fault == asio::error::operation_aborted)
             return;
-        const bool soon =
-            event_loop::now() - last_progress < stale_connection_window;
+        // A reset that was read late may have arrived at once.
+        const bool soon = loop.input_arrived_after() - last_progress <
+                          stale_connection_window;
         last_progress = event_loop::now();
         const bool responded = parser->got_some() || interim_heads > 0;
         if (fault && reused && soon && !responded && closed_by_peer(fault))
@@ -360,6 +376,7 @@
         on_ended(how, why);
     }
 
+    const event_loop& loop;
     tcp::socket socket;
     asio::steady_timer connect_timer;
     asio::steady_timer call_timer;
@@ -390,7 +407,10 @@
 struct stream_client::implementation
     : std::enable_shared_from_this<implementation>
 {
-    explicit implementation(asio::io_context& owner) : context(owner) {}
+    explicit implementation(event_loop& owner)
+        : loop(owner), context(*static_cast<asio::io_context*>(owner.native()))
+    {
+    }
 
     /*! @brief Removes an idle connection to an address from the pool; skips
      * those that were closed by the peer or have unexpected bytes to read. */
@@ -440,7 +460,7 @@
     {
         auto kept = reuse ? take_idle(call.address) : std::nullopt;
         auto one = std::make_shared<internal::stream_exchange>(
-            context, call, std::move(to),
+            context, loop, call, std::move(to),
             [shared = weak_from_this(), id, address = call.address](
                 std::optional<tcp::socket> socket, stream_end how)
             {
@@ -503,6 +523,7 @@
         start(id, std::move(call), std::move(to), reuse);
     }
 
+    const event_loop& loop;
     asio::io_context& context;
     std::unordered_map<call_id, std::shared_ptr<internal::stream_exchange>>
         open;
@@ -511,8 +532,7 @@
 };
 
 stream_client::stream_client(event_loop& loop)
-    : self(std::make_shared<implementation>(
-          *static_cast<asio::io_context*>(loop.native())))
+    : self(std::make_shared<implementation>(loop))
 {
 }
 
--- a/tests/net/stream_client.cpp
+++ b/tests/net/stream_client.cpp
@@ -9,6 +9,8 @@
 #include "net/dripping_server.hpp"
 #include "net/loopback.hpp"
 #include "net/resetting_peer.hpp"
+#include "net/running_server.hpp"
+#include "net/stalled_loop.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
@@ -144,6 +146,91 @@
     running.on_loop([&] { client.reset(); });
 }
 
+// A busy process found the connection and the end of the time for it in one
+// turn of its loop, and ended the call that it had just written.
+SCENARIO("a connection that was found up late is used", "[net]")
+{
+    scripted_peer peer({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"});
+    loopback::running_loop running;
+    std::unique_ptr<cj::stream_client> client;
+    std::unique_ptr<loopback::stalled_loop> stalled;
+    std::optional<cj::stream_client::answer> outcome;
+    std::atomic<bool> done{false};
+    running.on_loop(
+        [&]
+        {
+            client = std::make_unique<cj::stream_client>(running.loop);
+            cj::stream_call request;
+            request.address = peer.address;
+            request.target = "/";
+            request.connect_time = 100ms;
+            stalled = std::make_unique<loopback::stalled_loop>(running.loop);
+            client->gather(std::move(request),
+                           [&](cj::stream_client::answer answer)
+                           {
+                               outcome = std::move(answer);
+                               done = true;
+                               done.notify_all();
+                           });
+        });
+    stalled->wait();
+    std::this_thread::sleep_for(300ms);
+    stalled->release();
+    done.wait(false);
+    CHECK(outcome->is(200));
+    running.on_loop([&] { client.reset(); });
+}
+
+// A busy process read the reset of a stale connection late, and took it for a
+// crash of the upstream.
+SCENARIO("a stale connection is known when its reset is read late", "[net]")
+{
+    loopback::resetting_peer peer(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", {"ar"});
+    loopback::running_loop running;
+    std::unique_ptr<cj::stream_client> client;
+    std::optional<cj::stream_end> end;
+    std::atomic<int> ended{0};
+    const auto start_call = [&]
+    {
+        cj::stream_call request;
+        request.address = peer.address();
+        request.target = "/";
+        request.may_reuse_connection = true;
+        cj::stream_client::callbacks to;
+        to.head = [](const cj::stream_head&) {};
+        to.data = [](std::string_view) {};
+        to.ended = [&](cj::stream_end how, const std::string&)
+        {
+            end = how;
+            ++ended;
+        };
+        client->start(std::move(request), std::move(to));
+    };
+    running.on_loop(
+        [&]
+        {
+            running.loop.track_input_age();
+            client = std::make_unique<cj::stream_client>(running.loop);
+            start_call();
+        });
+    REQUIRE(loopback::becomes([&] { return ended == 1; }));
+    std::this_thread::sleep_for(100ms);
+    std::unique_ptr<loopback::stalled_loop> stalled;
+    running.on_loop(
+        [&]
+        {
+            start_call();
+            stalled = std::make_unique<loopback::stalled_loop>(running.loop);
+        });
+    stalled->wait();
+    std::this_thread::sleep_for(500ms);
+    stalled->release();
+    REQUIRE(loopback::becomes([&] { return ended == 2; }));
+    running.on_loop([&] { client.reset(); });
+    CHECK(end == cj::stream_end::stale);
+}
+
 SCENARIO("a call whose response is lost on a reused connection", "[net]")
 {
     // The server reads the second call, so that a call that is sent again
