--- a/src/coursejunction/core/input_clock.hpp
+++ b/src/coursejunction/core/input_clock.hpp
@@ -16,8 +16,8 @@
 namespace coursejunction
 {
 
-/*! @brief Is told of each turn of a loop in which a periodic timer was run, and
- * returns since when input can have waited. */
+/*! @brief Bounds the age of input by the times at which a periodic timer of the
+ * loop was run. */
 class input_clock
 {
 public:
@@ -34,10 +34,9 @@
         turns = std::min(turns + 1, 2);
     }
 
-    /*! @brief Returns the latest time at which input that is read now may have
-     * arrived at the earliest. Everything that had arrived at the turn before
-     * the last one has been read: timers are run after the input of their turn.
-     */
+    /*! @brief Returns a time after which input that is read now has arrived.
+     * What had arrived by the turn before the last one has been read, as timers
+     * are run after the input of their turn. */
     [[nodiscard]] time_point arrived_after(time_point now) const
     {
         return turns < 2 ? now : std::min<time_point>(now, before_last + usual);
