The time of a head does not end the wait for its body

What callers saw: 408 for a request whose body was still in time, at an entry that gets too little processor time.

Cause: a timer that expires in the turn of the loop in which it is set anew can't be cancelled any more. When the end of a head is read in the turn in which the head's time is over, its expiry ended the wait for the body. Class: as in this incident, a busy loop finds input and the end of its time together.

Ruled out: the other timers of a connection. An expired idle time looks for unread input and for the time that is left; the timers of event_loop ask whether they were stopped.

Change: an expiry counts only if the deadline is still the one that expired.

Test: net/late_head, the loop held up for 400 ms while the end of the head arrives and its 200 ms pass: 408 three times out of three before, 200 now.

--- a/src/coursejunction/net/internal/stream_connection.cpp
+++ b/src/coursejunction/net/internal/stream_connection.cpp
@@ -421,10 +421,13 @@
 {
     deadline.expires_after(limit);
     deadline.async_wait(
-        [self = shared_from_this(), status,
-         armed = state](const boost::system::error_code& fault)
+        [self = shared_from_this(), status, armed = state,
+         until = deadline.expiry()](const boost::system::error_code& fault)
         {
-            if (fault || self->state != armed)
+            // A timer that expires in the turn in which it is set anew can't be
+            // cancelled any more.
+            if (fault || self->state != armed ||
+                self->deadline.expiry() != until)
                 return;
             if (status == 0)
                 self->idle_time_over();
