Soak: a suspension ends when a fault wakes the sidecar

Cause, by the log: a pause or a planned stop was drawn for the sidecar that the soak had suspended, and sent it SIGCONT. The sidecar ran from 3.157 s on (it heard its peers, entry-0 heard it at 3.259 s, it began its stop at 4.482 s), while the soak went on to count the engine as not heard. entry-0 sent the three requests 455 to 507 ms after it had heard the sidecar. So the product kept the rule, and the judgement asked only for faults of the entry and the engine.

Change: a suspension is judged until the first fault of its sidecar, and not at all if one came within 5 s before it; an upstream whose sidecar had a fault does not count as the sound one. A loss of power is such a fault too. The bound of one request a second stays.

--- a/tests/soak/leaving.py
+++ b/tests/soak/leaving.py
@@ -109,14 +109,15 @@
 
         for engine, spans in self.suspended.items():
             for begun, end in spans:
-                self.judge_unheard(engine, begun, end)
+                self.judge_unheard(engine, begun, self.until_woken(engine, begun, end))
 
     def judge_unheard(self, engine, begun, end):
         soak = self.soak
         sound = [one for one in soak.engines if not self.overlaps(one, begun, end)
-                 and not self.disturbed_within(one.number, begun, end)]
+                 and not self.is_disturbed(one, begun, end)]
         for entry in soak.entries:
-            if not sound or any(self.disturbed_within(name, begun, end) for name in (entry.name, engine.number)):
+            if not sound or self.disturbed_within(entry.name, begun, end) or \
+                    self.is_disturbed(engine, begun, end):
                 continue
             sent = [asked for at, asked in engine.arrivals
                     if begun + UNHEARD_S < at < end and soak.sent_to.get(asked) == entry.name]
@@ -125,6 +126,18 @@
                 soak.broken("unheard", f"{entry.name} sent {len(sent)} requests to engine {engine.number}, "
                                        f"which was not heard: {sent[:3]}")
 
+    def until_woken(self, engine, begun, end):
+        """The end of a suspension, or of its first part if a fault that stops or resumes the sidecar
+        lets it be heard."""
+        faults = self.soak.disturbed.get(self.side_of(engine).name, [])
+        return min([end, *(at for at in faults if at > begun)])
+
+    def side_of(self, engine):
+        return self.soak.sides[self.soak.engines.index(engine)]
+
+    def is_disturbed(self, engine, begun, end):
+        return any(self.disturbed_within(name, begun, end) for name in (engine.number, self.side_of(engine).name))
+
     def overlaps(self, engine, begun, end):
         return any(first < end and begun < last for first, last in self.suspended.get(engine, []))
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -416,6 +416,7 @@
             await self.spoil_record(random.Random(self.dice.random()))
         elif kind == "power":
             place = self.dice.randrange(len(self.engines))
+            self.disturb(self.sides[place].name)
             self.engines[place].lose_power()
             await self.sides[place].stop(signal.SIGKILL)
         elif kind == "origin":
