Soak: faults begin once all processes have started

Cause, by the log: the soak waited 1.5 s and then suspended sidecars. On the busy machine they had not started by then: the entries started at 41.340 s, the sidecars between 41.390 and 43.706 s. All requests to the engines that it names went out with "heard never". Such an upstream does not count as one that fell silent, as an entry that starts has heard none yet; the judgement leaves out entries that started again for this reason, but did not know of a first start that comes late.

Change: faults and callers begin 1.5 s after all processes listen. No bound changes; a process that does not listen after 30 s breaks the run.

--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -12,6 +12,7 @@
 GRACE_S = 8.0
 STANDS_S = 0.1  # A suspended process takes no time of the soak's.
 LATE_S = 4.0  # The machine that runs the soak may be busy.
+START_S = 30.0  # As above.
 
 
 DRAWN_PORTS = set()
@@ -57,6 +58,16 @@
         self.child = subprocess.Popen([self.soak.binary, "--platform"], env=environment,
                                       stdout=self.soak.log, stderr=self.soak.log)
 
+    async def started(self):
+        """Waits until the process listens."""
+        for _ in range(int(START_S / 0.05)):
+            try:
+                _, writer = await asyncio.open_connection(*self.status.split(":"))
+                return writer.close()
+            except OSError:
+                await asyncio.sleep(0.05)
+        self.soak.broken("process", f"{self.name} does not listen {START_S:.0f} s after its start")
+
     def send(self, number):
         if self.child.poll() is None:
             self.child.send_signal(number)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -513,6 +513,8 @@
         await self.set_up()
         watching = asyncio.create_task(self.standstills.watch())
         self.tasks = [asyncio.create_task(self.keep_records())]
+        # A process that is suspended before it has started was never heard by anyone.
+        await asyncio.gather(*(one.started() for one in self.entries + self.sides))
         await asyncio.sleep(1.5)
         self.tasks += [asyncio.create_task(self.caller(random.Random(self.dice.random())))
                        for _ in range(12)]
