Soak: one place numbers the requests

Cause: the three lines that number a request and note its entry stood in five places; the callers that give up beside busy entries had added the fifth.

Change: Soak.number_request serves all of them. Left: the calls of tests/net/stream_client that differ in what happens while they wait; a common function would need a hook on the loop's thread and one on the test's.

--- a/tests/soak/busy.py
+++ b/tests/soak/busy.py
@@ -22,9 +22,7 @@
         soak, clock = self.soak, asyncio.get_running_loop().time
         while not soak.stopping:
             entry = dice.choice(soak.entries)
-            soak.number += 1
-            asked = f"{soak.seed:x}-{soak.number:x}"
-            soak.sent_to[asked] = entry.name
+            asked = soak.number_request(entry)
             try:
                 reader, writer = await asyncio.open_connection(*entry.callers.split(":"))
                 writer.write(soak.request(asked, False))
--- a/tests/soak/hard_load.py
+++ b/tests/soak/hard_load.py
@@ -138,9 +138,7 @@
             one.close()
             await asyncio.sleep(0.1)
             return None
-        self.soak.number += 1
-        asked = f"{self.soak.seed:x}-{self.soak.number:x}"
-        self.soak.sent_to[asked] = entry.name
+        asked = self.soak.number_request(entry)
         if sets := [set(self.allowed[name]) for name in (path, key) if name in self.allowed]:
             self.restricted[asked] = set.intersection(*sets)
         return asked, reader, writer
--- a/tests/soak/leaving.py
+++ b/tests/soak/leaving.py
@@ -29,9 +29,7 @@
         soak, clock = self.soak, asyncio.get_running_loop().time
         while not soak.stopping:
             entry = dice.choice(soak.entries)
-            soak.number += 1
-            asked = f"{soak.seed:x}-{soak.number:x}"
-            soak.sent_to[asked] = entry.name
+            asked = soak.number_request(entry)
             early = dice.uniform(*EARLY_S) if dice.random() < EARLY else None
             try:
                 reader, writer = await asyncio.open_connection(*entry.callers.split(":"))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -243,6 +243,13 @@
 
     # Callers.
 
+    def number_request(self, entry):
+        """Returns the id of a new request, and notes to which entry it is sent."""
+        self.number += 1
+        asked = f"{self.seed:x}-{self.number:x}"
+        self.sent_to[asked] = entry.name
+        return asked
+
     async def caller(self, dice, most_idle=0.1):
         """One caller that keeps its connection until it ends."""
         reader = writer = None
@@ -255,9 +262,7 @@
                 except OSError:
                     await asyncio.sleep(0.1)
                     continue
-            self.number += 1
-            asked = f"{self.seed:x}-{self.number:x}"
-            self.sent_to[asked] = entry.name
+            asked = self.number_request(entry)
             single = dice.random() < 0.4
             keeps = await self.ask(reader, writer, asked, single)
             if not keeps:
@@ -310,9 +315,7 @@
         return await self.ask_single(entry, f"{newest_path(self.configuration)}x", "key")
 
     async def ask_single(self, entry, path, key):
-        self.number += 1
-        asked = f"{self.seed:x}-{self.number:x}"
-        self.sent_to[asked] = entry.name
+        asked = self.number_request(entry)
         lines = [f"POST {path} HTTP/1.1", "Host: a.example", "Connection: close",
                  f"Authorization: Token {key}", f"X-Coursejunction-Attempt-Id: {asked}",
                  "X-Coursejunction-Deadline-Ms: 2000", "Content-Length: 2"]
