Review case 1: an order after a freeze loads spoilt pieces (WHOLE)

Cause: a sidecar verifies the staged chunks once before it closes its upstream, and gives the load command up to 0.8 s later without another check, also when its process was stopped in between.

--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,118 @@
+"""WHOLE: a sidecar stands still between its check of the staged pieces and its order."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent))
+
+from standin import BLOCKS, MODEL, CannotRun, Deployment, Engine, Requester, now  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+FREEZE_S = 4.0  # `node_freeze` on "side" of the site: for_s = 4.0
+BAD_PIECES = 3  # `garble` `rot` of the site: x = 0.06 of 64 pieces
+ZONES = {"amman-hall-a": "amman", "irbid-hall-b": "irbid"}
+
+
+async def load(deployment, entries, stopping):
+    """Streams so that every worker always runs some: about 14 a second of 1.5 s each."""
+    number, tasks = 0, set()
+    requesters = [Requester(deployment, one) for one in entries]
+    while not stopping.is_set():
+        number += 1
+        asked = f"{os.getpid():08x}{number:08x}"
+        task = asyncio.create_task(requesters[number % len(requesters)].ask_stream(asked))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(0.07)
+    await asyncio.wait(tasks, timeout=10) if tasks else None
+
+
+async def freeze_after_check(deployment, engine, side):
+    """Waits until the side has read back all pieces of version 2 that lie at its worker, as it
+    does before it has them loaded. Then it stands still, and pieces turn bad."""
+    end = now() + 30
+    while not (len(engine.staged) == BLOCKS and len(engine.read_back) == BLOCKS):
+        if now() > end or engine.sequence > 0:
+            raise CannotRun("no check of the staged pieces was seen")
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.2)
+    if engine.sequence > 0:
+        raise CannotRun("the order came before the machine could be stopped")
+    side.signal(signal.SIGSTOP)
+    deployment.record.line(f"{side.name} stands still")
+    await asyncio.sleep(0.3)
+    engine.turn_bad(BAD_PIECES)
+    await asyncio.sleep(FREEZE_S - 0.3)
+    side.signal(signal.SIGCONT)
+    deployment.record.line(f"{side.name} goes on")
+
+
+async def play(deployment):
+    hosts = [deployment.host(at) for at in range(1, 9)]
+    deployment.draw_ports(hosts)
+    deployment.seeds = hosts[:2]
+    await deployment.store.start()
+    await deployment.origin.start()
+    zones = list(ZONES)
+    engines = [Engine(hosts[2 + at], f"i-7f3a91c{at}", zones[at % 2], deployment.record)
+               for at in range(4)]
+    for one in engines:
+        await one.start()
+    await deployment.store.put("op/config", deployment.manifest())
+    await deployment.store.put(f"op/version/{MODEL}", {"modelId": MODEL, "version": 1})
+
+    async def keep_entries():
+        sequence = 0
+        while True:
+            sequence += 1
+            for one in engines:
+                await deployment.store.put(f"servers/{one.id}", one.entry(sequence))
+            await asyncio.sleep(1.2)
+    keeping = asyncio.create_task(keep_entries())
+    entries = [deployment.add_entry(f"edge-{at}", hosts[at], zones[at]) for at in range(2)]
+    sides = [deployment.add_side(f"side-{at}", one, one.zone) for at, one in enumerate(engines)]
+    for one in entries + sides:
+        one.start()
+    await deployment.ready(entries)
+    stopping = asyncio.Event()
+    loading = asyncio.create_task(load(deployment, entries, stopping))
+    await asyncio.sleep(4)
+    deployment.origin.newest = 2
+    await deployment.store.put(f"op/version/{MODEL}", {"modelId": MODEL, "version": 2})
+    deployment.record.line("the operator names version 2; acknowledged")
+    if TROUBLE:
+        await freeze_after_check(deployment, engines[0], sides[0])
+    end = now() + 20
+    while any(one.version != 2 for one in engines):
+        if now() > end:
+            raise CannotRun(f"versions {[one.version for one in engines]} after 20 s")
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(4)
+    stopping.set()
+    await loading
+    keeping.cancel()
+    broken = {one.id: sorted(set(one.tokens_of_faulty)) for one in engines if one.tokens_of_faulty}
+    for ident, asked in broken.items():
+        deployment.record.line(f"WHOLE broken: worker {ident} made tokens for {len(asked)} requests "
+                               f"with layers that it took while a piece was spoilt: {asked[:5]}")
+    if not broken:
+        deployment.record.line("WHOLE held")
+    return 1 if broken else 0
+
+
+async def main():
+    deployment = Deployment(HERE, ZONES)
+    try:
+        return await asyncio.wait_for(play(deployment), 110)
+    except (CannotRun, asyncio.TimeoutError) as why:
+        deployment.record.line(f"could not run: {why}")
+        return 2
+    finally:
+        deployment.end()
+
+
+sys.exit(asyncio.run(main()))
