--- a/review/standin.py
+++ b/review/standin.py
@@ -197,11 +197,25 @@
 class Origin(Server):
     """Provides the manifests and the pieces of every version named so far."""
 
+    LINK_BYTES_PER_S = 9.9e6 / 8
+
     def __init__(self, host):
         super().__init__(host)
-        self.newest = 1
+        self.newest, self.link_free = 1, 0.0
+
+    async def stop(self):
+        """Ends as a crash does: its address refuses, open connections are reset."""
+        self.listener.close()
+        for writer in list(self.writers):
+            reset(writer)
 
     async def handle(self, method, target, headers, body, writer):
+        made = self.answered(target)
+        self.link_free = max(self.link_free, now()) + len(made) / self.LINK_BYTES_PER_S
+        await asyncio.sleep(max(0.0, self.link_free - now()))
+        return made
+
+    def answered(self, target):
         parts = urllib.parse.urlsplit(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(parts.query).items()}
         version = int(query.get("version", self.newest))
@@ -234,7 +248,7 @@
         self.read_back = {}  # Piece: when it was last read from the staging area.
         self.streams, self.faulty_layers = set(), []
         self.tokens_of_faulty = []  # Requests that got a token from such layers.
-        self.begun = []
+        self.begun = []  # (time, request, version) of each that it began to run.
 
     def entry(self, sequence=1):
         return {"service": LLM, "address": self.address(), "zone": self.zone, "version": "v1",
@@ -325,7 +339,7 @@
         version, first = self.version, int(headers.get("last-event-id", "0")) + 1
         self.running += 1
         self.streams.add(writer)
-        self.begun.append(asked)
+        self.begun.append((now(), asked, version))
         self.record.line(f"worker {self.id} runs {asked} on version {version}")
         try:
             writer.write("\r\n".join([
@@ -345,6 +359,44 @@
             self.streams.discard(writer)
 
 
+class Plain(Server):
+    """A worker of a plain service; notes each run of a request."""
+
+    WORK_S = 0.015
+
+    def __init__(self, host, ident, zone, record):
+        super().__init__(host)
+        self.id, self.zone, self.record = ident, zone, record
+        self.runs, self.arrivals = [], []  # (time, request)
+
+    def entry(self, sequence=1):
+        return {"service": PLAIN, "address": self.address(), "zone": self.zone, "version": "v1",
+                "slots": 6, "state": "ready", "coldRemainingMs": 0, "sequence": sequence}
+
+    async def handle(self, method, target, headers, body, writer):
+        if method == "GET" and target == "/healthz":
+            return answer(200, b"", [f"X-Coursejunction-Instance-Id: {self.id}"])
+        asked = headers.get("x-coursejunction-attempt-id", "")
+        if not asked:
+            return answer(400, b"", ["X-Coursejunction-Not-Executed: 1"])
+        signed = [f"X-Coursejunction-Attempt-Id: {asked}"]
+        if headers.get("x-coursejunction-expect-instance", self.id) != self.id:
+            return answer(421, b"", signed + [f"X-Coursejunction-Instance-Id: {self.id}"])
+        self.arrivals.append((now(), asked))
+        self.runs.append((now(), asked))
+        self.record.line(f"worker {self.id} runs {asked}")
+        await asyncio.sleep(self.WORK_S)
+        return answer(200, asked.encode(), signed + [
+            f"X-Coursejunction-Server-Signature: {self.id}.{asked}"])
+
+    async def end(self):
+        """Ends as planned, after it has served on."""
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.close()
+        self.record.line(f"worker {self.id} ends")
+
+
 def settings_of_machine(deployment, name, role, host, zone):
     """The settings file of a machine, as the templates in deploy/ are filled in."""
     lines = [
@@ -369,14 +421,23 @@
             settings_of_machine(deployment, name, role, host, zone) + more) + "\n")
         self.log = open(deployment.folder / f"{name}.log", "ab")
         self.child = None
+        self.calm_since = now()  # The last start or signal of the test.
 
     def start(self):
+        self.calm_since = now()
         self.child = subprocess.Popen(
             [str(DAEMON), "--platform"], cwd=ROOT, stdout=self.log, stderr=self.log,
             env={"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
                  "COURSEJUNCTION_SETTINGS": str(self.path)})
 
+    def kill(self):
+        """The process is killed; the platform starts it again."""
+        self.calm_since = now()
+        self.child.kill()
+        self.child.wait()
+
     def signal(self, number):
+        self.calm_since = now()
         if self.child and self.child.poll() is None:
             self.child.send_signal(number)
 
@@ -543,3 +604,30 @@
         record.line(f"requester: {asked} gets {status}, {len(ids)} events, "
                     f"{'whole' if whole else 'not whole'}")
         return status, ids
+
+    async def ask_plain(self, asked, method="GET", path="/boye614/bo77/2f", host="hulo84.example"):
+        """One request for the plain service on a new connection; returns its status (0: none)."""
+        record = self.deployment.record
+        record.line(f"requester sends {asked} to {self.entry.name}")
+        status = 0
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(
+                self.entry.host, self.deployment.caller_port), 1)
+        except (OSError, asyncio.TimeoutError):
+            record.line(f"requester: {asked}: {self.entry.name} takes no connection")
+            return 0
+        try:
+            writer.write("\r\n".join([
+                f"{method} {path} HTTP/1.1", f"Host: {host}",
+                f"X-Coursejunction-Attempt-Id: {asked}", "X-Coursejunction-Deadline-Ms: 1000",
+                f"Authorization: Token {KEY}", "Content-Length: 0", "Connection: close",
+                "", ""]).encode())
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1)
+            status = int(head.split(b" ")[1])
+            await asyncio.wait_for(reader.read(-1), 1)
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            pass
+        finally:
+            writer.close()
+        record.line(f"requester: {asked} gets {status or 'no answer'}")
+        return status
