--- a/review/standin.py
+++ b/review/standin.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -631,3 +632,20 @@
             writer.close()
         record.line(f"requester: {asked} gets {status or 'no answer'}")
         return status
+
+
+def run_case(folder, regions, play):
+    """Plays a case and ends with its result: 1 broken, 0 held, 2 could not run."""
+    async def main():
+        deployment = Deployment(folder, regions)
+        try:
+            return await asyncio.wait_for(play(deployment), 110)
+        except (CannotRun, asyncio.TimeoutError) as why:
+            deployment.record.line(f"could not run: {why or 'not over in time'}")
+            return 2
+        finally:
+            deployment.end()
+
+    # Ends the processes that were started also if the script is ended from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    sys.exit(asyncio.run(main()))
