--- a/review/standin.py
+++ b/review/standin.py
@@ -437,6 +437,14 @@
         self.child.kill()
         self.child.wait()
 
+    async def stop(self, grace_s=8.0):
+        """Planned stop: SIGTERM, and SIGKILL after `graceS`."""
+        self.signal(signal.SIGTERM)
+        end = now() + grace_s
+        while self.child.poll() is None and now() < end:
+            await asyncio.sleep(0.02)
+        self.kill()
+
     def signal(self, number):
         self.calm_since = now()
         if self.child and self.child.poll() is None:
