Entries: an upstream that no sidecar has reported is closed

Callers got tokens of layers that were taken from spoilt chunks: an entry that started while a sidecar was suspended between its load command and the check of the loaded weights had no status of it and went by the upstream's record, which names the version whatever was loaded.

Cause: open_version() returned the record's version where there was no status.

Change: without a status of its sidecar an upstream of a model is closed.

Tests: closed_upstream "an upstream that no sidecar has reported". Two sections asserted the fault and are replaced by stricter ones: "without a sidecar it is used by its record" and "a later incarnation is used by its record", which is used once its sidecar has reported it.

--- a/src/coursejunction/route/upstream_registry.hpp
+++ b/src/coursejunction/route/upstream_registry.hpp
@@ -480,11 +480,11 @@
     }
 
     /*! @brief Returns which version new requests may be sent to; 0 if none. A
-     * status that says that the upstream is closed holds until a newer one or a
-     * later incarnation: when its sidecar is suspended during a load, the
-     * record names the version without knowing whether its weights are
-     * complete. For the same reason a record does not count if it names another
-     * version than the last status. */
+     * record names a version without knowing whether its weights are right, so
+     * that it opens nothing that the sidecar has not reported: an upstream
+     * without a status is closed, a status that says that it is closed holds
+     * until a newer one or a later incarnation, and a record does not count if
+     * it names another version than the last status. */
     [[nodiscard]] static std::uint64_t
     open_version(const known_upstream& upstream, const std::string& model,
                  time_point now)
@@ -492,7 +492,7 @@
         const auto version = served_version(upstream, model, now);
         const auto& status = upstream.status;
         if (!status)
-            return version;
+            return 0;
         const bool usable = is_status_expired(upstream, now)
                                 ? status->version == version
                                 : status->reachable;
--- a/tests/proxy/entry_on_loopback.hpp
+++ b/tests/proxy/entry_on_loopback.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -211,6 +212,26 @@
         running.on_loop([&] { book.apply_record(record(id, address, hall)); });
     }
 
+    /*! @brief Applies the record of an engine, and the status of its sidecar,
+     * which says that it is open with the record's version of a model. To be
+     * called on the event loop. */
+    void open_upstream(cj::upstream_record opened, const std::string& model)
+    {
+        // All upstreams have one address here, but each has its own sidecar.
+        const auto host = opened.id.value();
+        const auto address = std::exchange(opened.address, host + ":1");
+        book.apply_record(opened);
+        cj::message::upstream_status status;
+        status.model = model;
+        status.version = opened.model_versions.at(model);
+        status.sequence = 1;
+        status.open = true;
+        status.reachable = true;
+        book.apply_status(host, status, cj::event_loop::now());
+        opened.address = address;
+        book.apply_record(std::move(opened));
+    }
+
     /*! @brief Removes an upstream's record. */
     void remove_upstream(const std::string& id)
     {
--- a/tests/proxy/exchange_service.cpp
+++ b/tests/proxy/exchange_service.cpp
@@ -322,7 +322,7 @@
             {
                 auto record = entry.book.find(cj::instance_id(id))->record;
                 record.model_versions["m"] = version;
-                entry.book.apply_record(record);
+                entry.open_upstream(record, "m");
             });
     };
     add_upstream_with_version("a", first.address, 2);
--- a/tests/proxy/upstream_left_before_sending.cpp
+++ b/tests/proxy/upstream_left_before_sending.cpp
@@ -44,7 +44,7 @@
              std::uint64_t version = 1)
     {
         records[id] = with_weights(id, address, version);
-        running.on_loop([&] { book.apply_record(records[id]); });
+        running.on_loop([&] { open_upstream(records[id], "m"); });
     }
 
     /*! @brief Makes an upstream unfit after the decision on the n-th attempt,
@@ -63,7 +63,7 @@
                 [this, made, id, other]
                 {
                     if (!other.empty())
-                        book.apply_record(with_weights("other", other, 2));
+                        open_upstream(with_weights("other", other, 2), "m");
                     made.apply(*this, records.at(id));
                 });
         };
--- a/tests/route/closed_upstream.cpp
+++ b/tests/route/closed_upstream.cpp
@@ -102,12 +102,14 @@
             entry.report(1, true, 2);
             CHECK(entry.is_used());
         }
-        THEN("a later incarnation is used by its record")
+        THEN("a later incarnation is used once its sidecar has reported it")
         {
             entry.registry.apply_record(one_upstream::with_life(2));
             CHECK(entry.registry.find(cj::instance_id("u"))->life ==
                   cj::incarnation(2));
             entry.now += 10s;
+            CHECK_FALSE(entry.is_used());
+            entry.report(3, true, 1, 2);
             CHECK(entry.is_used());
         }
     }
@@ -129,14 +131,40 @@
     CHECK_FALSE(entry.is_used());
 }
 
-SCENARIO("an upstream that no sidecar has closed is not used any more",
+// An entry that started while a sidecar was suspended before its check of the
+// loaded weights sent requests to wrong weights, which the record named.
+SCENARIO("an upstream that no sidecar has reported is used by its record",
          "[route]")
 {
     one_upstream entry;
-    SECTION("without a sidecar it is used by its record")
+    CHECK_FALSE(entry.is_used());
+    entry.now += 60s;
+    entry.registry.apply_record(one_upstream::with_life(1));
+    CHECK_FALSE(entry.is_used());
+
+    WHEN("its sidecar reports that it is open")
     {
-        CHECK(entry.is_used());
+        entry.report(1, true);
+        THEN("it is used")
+        {
+            CHECK(entry.is_used());
+        }
+        THEN("it is not used after its record was removed and came back")
+        {
+            entry.registry.remove(cj::instance_id("u"), std::nullopt,
+                                  entry.now);
+            entry.registry.apply_record(one_upstream::with_life(1));
+            CHECK_FALSE(entry.is_used());
+            entry.report(2, true);
+            CHECK(entry.is_used());
+        }
     }
+}
+
+SCENARIO("an upstream that no sidecar has closed is not used any more",
+         "[route]")
+{
+    one_upstream entry;
     SECTION("one whose last status was open is used by its record when that "
             "has expired")
     {
--- a/tests/route/dispatcher.cpp
+++ b/tests/route/dispatcher.cpp
@@ -189,7 +189,15 @@
     far.service = service.name;
     far.hall = cj::hall_id("south");
     far.model_versions["m"] = 1;
+    far.address = "10.0.0.1:80";
     registry.apply_record(far);
+    cj::message::upstream_status open_status;
+    open_status.model = "m";
+    open_status.version = 1;
+    open_status.sequence = 1;
+    open_status.open = true;
+    open_status.reachable = true;
+    registry.apply_status("10.0.0.1", open_status, now);
     cj::placement_request request;
     request.service = service.name;
     request.model = "m";
--- a/tests/route/load_replay.hpp
+++ b/tests/route/load_replay.hpp
@@ -63,6 +63,9 @@
     {
         const double end = pattern.seconds * 1000;
         double next = 0;
+        // The sidecars have started before the traffic does.
+        for (std::size_t at = 0; at < engines.size(); ++at)
+            report(at, 0, true);
         // The extra time lets the last clients retry.
         for (double now = 0; now < end + 6000; now += 1)
         {
--- a/tests/route/upstream_pace.cpp
+++ b/tests/route/upstream_pace.cpp
@@ -163,6 +163,13 @@
     record.model_versions["m"] = 1;
     cj::upstream_registry registry;
     registry.apply_record(record);
+    cj::message::upstream_status open_status;
+    open_status.model = "m";
+    open_status.version = 1;
+    open_status.sequence = 1;
+    open_status.open = true;
+    open_status.reachable = true;
+    registry.apply_status("10.0.0.1", open_status, start);
     const cj::placer selector({}, cj::hall_id("h"), "self");
     cj::placement_request request;
     request.service = service.name;
@@ -196,7 +203,7 @@
         status.open = true;
         status.reachable = true;
         status.pace = 2.5;
-        status.sequence = 1;
+        status.sequence = 2;
         registry.apply_status("10.0.0.1", status, start);
         THEN("its report is not counted twice")
         {
