Sidecars: weights that no process has checked are not served

Callers got tokens of layers that were taken from spoilt chunks, until the next version: a sidecar that was killed, or stopped as planned, between its load command and the check of the loaded weights left them behind, and the next process opened the upstream.

Cause: without an earlier report, loaded_weights trusted whatever the upstream held. Ruled out: the record of the upstream at entries, which had the status "open" of the new process.

Change: at a start, weights are trusted only if no command has loaded them or if a record says that they were found right. The sidecar writes that record (version, incarnation, count of commands) to the store after each check, under a key of its address. Without it, the staged chunks are read back. For that to prove something, wrong weights are now given up before their chunks are replaced, and nothing is staged during a check. A planned stop begins no load and waits for a check that is pending, 3 s at most. A copy of a load command is sent only after the staged chunks were read back once more. Log line weights_found says why weights are trusted.

--- a/src/coursejunction/rollout/loaded_weights.hpp
+++ b/src/coursejunction/rollout/loaded_weights.hpp
@@ -25,7 +25,7 @@
 /*! @brief What is known of the weights of an upstream. */
 enum class weights_state : std::uint8_t
 {
-    trusted,   /*!< Right, or loaded before the first report. */
+    trusted,   /*!< Right, or not loaded by a load command. */
     unchecked, /*!< The staged chunks have to be read back. */
     wrong      /*!< They have to be loaded again. */
 };
@@ -51,19 +51,12 @@
     {
         if (!last_sequence)
         {
-            // The staging area may be another version's since a load that has
-            // ended, so that it tells nothing about that one.
-            current = report.loading ? weights_state::unchecked
-                                     : weights_state::trusted;
-            any_version = !report.loading;
+            begin_incarnation(report);
         }
         else if (restarted)
         {
             ++commands_seen;
-            // An upstream may start with weights, which no command loaded.
-            current = report.sequence == 0 ? weights_state::trusted
-                                           : weights_state::unchecked;
-            any_version = report.sequence == 0;
+            begin_incarnation(report);
             not_taken_at = last_requested_at;
         }
         else if (report.sequence > *last_sequence)
@@ -77,6 +70,18 @@
         last_requested_at = requested_at;
     }
 
+    /*! @brief Applies a record that the weights of a version were found right
+     * by an earlier process of this sidecar.
+     * @param sequence Load commands that the upstream had accepted then.
+     * @return Whether they are trusted because of it. */
+    bool confirm(std::uint64_t version, std::uint64_t sequence)
+    {
+        if (current != weights_state::unchecked || last_sequence != sequence)
+            return false;
+        trust(version);
+        return true;
+    }
+
     /*! @brief Records that a chunk is being written to the staging area, or has
      * just been written. */
     void chunk_written(time_point now)
@@ -107,6 +112,14 @@
         return state(version) == weights_state::trusted;
     }
 
+    /*! @brief Returns the version whose weights a check found wrong; nothing if
+     * a later command has replaced them. */
+    [[nodiscard]] std::optional<std::uint64_t> wrong_version() const
+    {
+        return current == weights_state::wrong ? std::optional(checked_version)
+                                               : std::nullopt;
+    }
+
     /*! @brief Begins a check of the staged chunks of a version. It must begin
      * to read only now. */
     [[nodiscard]] check begin_check(std::uint64_t version) const
@@ -115,22 +128,38 @@
     }
 
     /*! @brief Applies the outcome of a check.
-     * @return Whether it counts: no command was taken since it began. */
+     * @return Whether it counts: no command was taken since it began, and no
+     * record confirmed the weights meanwhile. */
     bool end_check(const check& ended, staged_result outcome)
     {
-        if (ended.commands != commands_seen ||
+        if (ended.commands != commands_seen || trusted(ended.version) ||
             outcome == staged_result::unreadable)
             return false;
         const bool rewritten = last_written_at >= not_taken_at;
-        current = outcome == staged_result::intact && !rewritten
-                      ? weights_state::trusted
-                      : weights_state::wrong;
-        checked_version = ended.version;
-        any_version = false;
+        trust(ended.version);
+        if (outcome != staged_result::intact || rewritten)
+            current = weights_state::wrong;
         return true;
     }
 
 private:
+    /*! @brief Applies the first report of an incarnation. It may have started
+     * with weights. Those that a command loaded may have been taken from wrong
+     * chunks, whichever process sent it. */
+    void begin_incarnation(const engine_report& report)
+    {
+        any_version = report.sequence == 0 && !report.loading;
+        current =
+            any_version ? weights_state::trusted : weights_state::unchecked;
+    }
+
+    void trust(std::uint64_t version)
+    {
+        current = weights_state::trusted;
+        checked_version = version;
+        any_version = false;
+    }
+
     weights_state current{weights_state::unchecked};
     /*! @brief The weights are right whatever their version is. */
     bool any_version{false};
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,6 +33,8 @@
 #include "coursejunction/rollout/report_order.hpp"
 #include "coursejunction/rollout/upstream_engine.hpp"
 #include "coursejunction/rollout/version_order.hpp"
+#include "coursejunction/rollout/weights_record.hpp"
+#include "coursejunction/rollout/weights_record_writer.hpp"
 #include "coursejunction/transfer/chunk_transfer.hpp"
 
 namespace coursejunction
@@ -68,6 +71,9 @@
     /*! @brief A load that was begun and has no effect this long after the
      * upstream closed is given up; the next update starts it again. */
     milliseconds load_timeout{5000};
+    /*! @brief Limit on the time for which a planned stop waits for the check of
+     * loaded weights. A check takes some 0.2 s. */
+    milliseconds stop_timeout{3000};
     /*! @brief Rate of the instance's link, by which uploads are paced; zero for
      * no limit. */
     byte_rate link_rate{0};
@@ -94,7 +100,11 @@
         : loop(main_loop), node(own_node), engine(local_engine),
           origin(weight_origin), counters(metric_sink), options(settings),
           own_address(node.settings().address),
-          uploads(main_loop, settings.link_rate)
+          uploads(main_loop, settings.link_rate),
+          records(
+              main_loop, node.store_client(), node.mirror(), counters,
+              own_address,
+              static_cast<std::uint32_t>(std::hash<std::string>()(own_address)))
     {
     }
 
@@ -123,6 +133,23 @@
                                     [this] { announce_chunks(); });
     }
 
+    /*! @brief Prepares a planned stop: begins no further load, and waits for
+     * the check of weights that were loaded and for the record of its outcome,
+     * without which the next process would have to distrust them.
+     * @param done Called once, after `agent_options::stop_timeout` at the
+     * latest. */
+    void stop(std::function<void()> done)
+    {
+        stopping = true;
+        // Without a load command nothing has changed.
+        if (closing && !command)
+            end_load();
+        stop_done = std::move(done);
+        stop_deadline = event_loop::now() + options.stop_timeout;
+        stop_timer = loop.every(options.poll_interval, [this] { poll_stop(); });
+        poll_stop();
+    }
+
     [[nodiscard]] const fleet_view<Platform>& view() const { return fleet; }
 
     /*! @brief Returns a snapshot for the state dump. */
@@ -190,12 +217,18 @@
             return;
         const auto served = last_report->version;
         const auto newest = fleet.newest(name);
+        confirm_weights();
+        record_weights();
         drop_transfers(name, served, newest);
         add_transfer({name, newest});
         if (closing)
             return continue_load();
         if (served == newest)
             return ensure_right_weights();
+        // Wrong weights can't be given up before they are loaded, and their
+        // chunks are replaced only afterwards.
+        if (last_report->loading && weights.wrong_version() == newest)
+            return;
         fetch_in_order(served);
         verify_and_close(assign_staging(served));
     }
@@ -280,7 +313,10 @@
         const auto chosen =
             select_next_version(candidates, served, staged_version);
         if (chosen == staged_version)
+        {
+            transfers.at(chosen)->allow_staging();
             return chosen;
+        }
         log::state("staging_assigned",
                    {{"version", std::to_string(chosen)},
                     {"instead_of", std::to_string(staged_version)}});
@@ -435,6 +471,7 @@
                         {"life", std::to_string(report.life.value())},
                         {"sequence", std::to_string(report.sequence)}});
         const bool restarted = relation == report_order::restarted;
+        const bool first = restarted || !last_report;
         if (restarted)
             upstream_restarted(report);
         weights.report_received(report, restarted, requested_at);
@@ -447,6 +484,9 @@
         reachable = true;
         last_report = std::move(report);
         ++status_sequence;
+        if (first)
+            log_trust(last_report->sequence == 0 ? "no command was taken"
+                                                 : "not checked yet");
         update();
         if (status_changed)
             node.announce_load();
@@ -470,6 +510,57 @@
         staged_version = 0;
     }
 
+    /*! @brief Trusts weights that an earlier process of this sidecar found
+     * right, according to its record. */
+    void confirm_weights()
+    {
+        const auto version = last_report->version;
+        if (version == 0 || weights.state(version) != weights_state::unchecked)
+            return;
+        const auto stored = records.stored();
+        if (stored && *stored == weights_record::of(*last_report) &&
+            weights.confirm(version, stored->sequence))
+            log_trust("record");
+    }
+
+    /*! @brief Records the weights if they are known to be right. Weights that
+     * no command loaded need no record, but they replace one of an earlier
+     * incarnation, which might otherwise count for the next load. */
+    void record_weights()
+    {
+        const auto stored = records.stored();
+        const bool needed = last_report->sequence > 0
+                                ? serves_right_weights()
+                                : stored && stored->is_outdated(*last_report);
+        if (needed)
+            records.set(weights_record::of(*last_report));
+        records.write_if_missing();
+    }
+
+    /*! @brief Logs why the upstream's weights are trusted, or that they are
+     * not. */
+    void log_trust(const std::string& reason) const
+    {
+        log::state("weights_found",
+                   {{"version", std::to_string(last_report->version)},
+                    {"life", std::to_string(last_report->life.value())},
+                    {"sequence", std::to_string(last_report->sequence)},
+                    {"trusted", serves_right_weights() ? "true" : "false"},
+                    {"reason", reason}});
+    }
+
+    void poll_stop()
+    {
+        const bool awaits_check = (command && weights.state(load_version) ==
+                                                  weights_state::unchecked) ||
+                                  !checking.expired() || unload_pending ||
+                                  records.pending();
+        if (!stop_done || (awaits_check && event_loop::now() < stop_deadline))
+            return;
+        stop_timer.stop();
+        std::exchange(stop_done, nullptr)();
+    }
+
     void load_completed()
     {
         end_load();
@@ -493,7 +584,7 @@
             // A conflict shows that a report from before it is outdated.
             const bool settled = report_requested_at >= command_ended_at;
             if (step == command_step::send_again)
-                send_load_command();
+                repeat_load_command();
             else if (step == command_step::withdrawn && settled)
                 end_load();
             return;
@@ -530,18 +621,18 @@
     }
 
     /*! @brief Checks the weights of the newest version if they are not known to
-     * be right, and has them loaded again if they are wrong. */
+     * be right, and has them loaded again if they are wrong. They are given up
+     * before the chunks are replaced: otherwise a sidecar that starts in
+     * between would find right chunks beside wrong weights. */
     void ensure_right_weights()
     {
         const auto version = last_report->version;
         check_loaded_weights(version);
         if (weights.state(version) != weights_state::wrong)
             return;
-        const auto& transfer = transfers.at(version);
-        transfer->allow_fetching();
-        transfer->allow_staging();
+        transfers.at(version)->allow_fetching();
         // Reports lag, so that one may not show yet that it was given up.
-        if (transfer->is_staged() && !unload_pending &&
+        if (!unload_pending &&
             event_loop::now() - unloaded_at >= load_command::repeat_interval)
             unload();
     }
@@ -556,15 +647,17 @@
             !found->second->is_manifest_known())
             return;
         checking = found->second;
+        // A chunk that is replaced would hide what was loaded.
+        found->second->hold_staging();
         found->second->verify_staged(
             [this, begun = weights.begin_check(version)](staged_result outcome)
             {
                 checking.reset();
-                const bool counts = weights.end_check(begun, outcome);
-                const bool right = weights.trusted(begun.version);
-                if (counts)
-                    log_loaded_weights(begun.version, right);
-                if (counts && last_report->version == begun.version)
+                if (!weights.end_check(begun, outcome))
+                    return;
+                log_loaded_weights(begun.version,
+                                   weights.trusted(begun.version));
+                if (last_report->version == begun.version)
                     update();
             });
     }
@@ -605,13 +698,14 @@
     {
         const auto now = event_loop::now();
         const auto& transfer = transfers.at(version);
-        if (!verifying.expired() || !transfer->is_staged() ||
+        if (stopping || !verifying.expired() || !transfer->is_staged() ||
             !may_close_now(*transfer, now))
             return;
         verify_staged(transfer,
                       [this, version](bool intact)
                       {
-                          if (intact && transfers.contains(version))
+                          if (intact && !stopping &&
+                              transfers.contains(version))
                               close_upstream(version);
                       });
     }
@@ -700,8 +794,7 @@
         const auto transfer = transfers.find(load_version);
         if (transfer == transfers.end())
             return end_load();
-        if (event_loop::now() - staged_verified_at <=
-            options.staged_check_validity)
+        if (is_staged_check_valid())
             return send_load_command();
         counters.count("staged_checks_expired_total");
         verify_staged(transfer->second,
@@ -712,6 +805,30 @@
                       });
     }
 
+    [[nodiscard]] bool is_staged_check_valid() const
+    {
+        return event_loop::now() - staged_verified_at <=
+               options.staged_check_validity;
+    }
+
+    /*! @brief Sends a copy of the load command once the staged chunks were read
+     * back again: the first copy may be lost, and chunks may have turned bad
+     * since. */
+    void repeat_load_command()
+    {
+        const auto transfer = transfers.find(load_version);
+        if (transfer == transfers.end() || is_staged_check_valid())
+            return send_load_command();
+        if (!verifying.expired() || !transfer->second->is_staged())
+            return;
+        verify_staged(transfer->second,
+                      [this](bool intact)
+                      {
+                          if (closing && command && intact)
+                              send_load_command();
+                      });
+    }
+
     /*! @brief Returns whether all routes to engines allow their requests to be
      * repeated, so that entries can resume aborted ones elsewhere. */
     [[nodiscard]] bool may_abort() const
@@ -904,6 +1021,8 @@
     std::string own_address;
     fleet_view<Platform> fleet;
     paced_uploads uploads;
+    /*! @brief Of the weights that were found right. */
+    weights_record_writer<store_type> records;
     chunk_transfer_options transfer_options;
     /*! @brief Limits the chunks that all transfers together request from peers
      * at the same time. */
@@ -921,6 +1040,7 @@
     std::string last_poll_fault; /*!< Why the last report failed. */
     bool poll_pending{false};
     bool closing{false};
+    bool stopping{false}; /*!< A planned stop has begun. */
     bool unload_pending{false};
     time_point unloaded_at{}; /*!< When wrong weights were last unloaded. */
     time_point report_requested_at{}; /*!< Of the last report. */
@@ -935,9 +1055,13 @@
     std::weak_ptr<transfer_type> verifying;
     /*! @brief The transfer whose staged chunks are read back after a load. */
     std::weak_ptr<transfer_type> checking;
+    /*! @brief Called when a planned stop needs not wait any longer. */
+    std::function<void()> stop_done;
+    time_point stop_deadline{};
     timer poll_timer;
     timer announce_timer;
     timer load_timer;
+    timer stop_timer;
 };
 
 } // namespace coursejunction
--- a/src/coursejunction/transfer/chunk_transfer.hpp
+++ b/src/coursejunction/transfer/chunk_transfer.hpp
@@ -101,6 +101,9 @@
         stage_more();
     }
 
+    /*! @brief Writes no further chunk until staging is allowed again. */
+    void hold_staging() { staging_allowed = false; }
+
     /*! @brief Returns the manifest as lines for a peer; empty while it is
      * unknown. */
     [[nodiscard]] std::string manifest_lines() const
--- a/src/coursejunction/wire/codec.cpp
+++ b/src/coursejunction/wire/codec.cpp
@@ -11,6 +11,7 @@
 #include "coursejunction/wire/fleet_message.hpp"
 #include "coursejunction/wire/mirror_sum.hpp"
 #include "coursejunction/wire/stored_versions.hpp"
+#include "coursejunction/wire/stored_weights.hpp"
 
 namespace coursejunction
 {
@@ -240,5 +241,6 @@
 COURSEJUNCTION_CODEC(mirror_sum)
 COURSEJUNCTION_CODEC(stored_quarantine)
 COURSEJUNCTION_CODEC(stored_versions)
+COURSEJUNCTION_CODEC(stored_weights)
 
 } // namespace coursejunction
--- a/tests/rollout/load_interleavings.cpp
+++ b/tests/rollout/load_interleavings.cpp
@@ -1,10 +1,10 @@
 /*! @file
  * @brief Interleavings of a sidecar that loads weights and its upstream, either
- * of which may be suspended between any two steps.
+ * of which may be suspended or end between any two steps.
  *
  * The upstream is a model: it takes whatever is staged when it handles a load
- * command. Out of scope are weights that were loaded before the first report to
- * a sidecar, which are trusted: no sidecar restarts here.
+ * command. A sidecar that ends leaves its messages to the upstream and its
+ * record in the store behind.
  */
 #include <array>
 #include <cstdint>
@@ -23,6 +23,7 @@
 #include "coursejunction/rollout/load_command.hpp"
 #include "coursejunction/rollout/loaded_weights.hpp"
 #include "coursejunction/rollout/report_order.hpp"
+#include "coursejunction/rollout/weights_record.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
@@ -194,13 +195,22 @@
     before_and_after_load
 };
 
+/*! @brief What outlasts a sidecar. */
+struct lasting_state
+{
+    std::optional<cj::weights_record> record;
+    std::uint64_t last_call{0};
+};
+
 /*! @brief A sidecar: the steps of `upstream_agent`, without the transfers
  * between sidecars. Calls time out after 1 s. */
 class sidecar_model
 {
 public:
-    sidecar_model(upstream_model& controlled, checks chosen)
-        : upstream(controlled), made_checks(chosen)
+    sidecar_model(upstream_model& controlled, lasting_state& kept,
+                  checks chosen, std::uint64_t published)
+        : upstream(controlled), lasting(kept), made_checks(chosen),
+          newest(published)
     {
     }
 
@@ -229,6 +239,9 @@
         if (now >= next_poll)
         {
             next_poll = now + 50ms;
+            // The store responds late.
+            if (last && random.one_in(4))
+                write_record();
             return poll();
         }
         if (drain_at && now >= *drain_at)
@@ -269,7 +282,7 @@
 
     void call(message one, std::function<void(const response&)> done)
     {
-        one.call = ++last_call;
+        one.call = ++lasting.last_call;
         calls[one.call] = {now + 1s, std::move(done)};
         upstream.receive(one);
     }
@@ -333,10 +346,14 @@
 
     void update()
     {
+        if (lasting.record == cj::weights_record::of(*last))
+            weights.confirm(last->version, last->sequence);
         if (closing)
             return continue_load();
         if (last->version == newest)
             return ensure_right_weights();
+        if (last->loading && weights.wrong_version() == newest)
+            return;
         if (staging != newest)
             assign_staging(newest);
         stage_missing();
@@ -349,6 +366,16 @@
                 });
     }
 
+    void write_record()
+    {
+        const bool needed =
+            last->sequence > 0
+                ? trusted(last->version)
+                : lasting.record && lasting.record->is_outdated(*last);
+        if (needed)
+            lasting.record = cj::weights_record::of(*last);
+    }
+
     // --- The staging area ------------------------------------------------
 
     void assign_staging(std::uint64_t version)
@@ -520,10 +547,7 @@
         if (staging != newest && !trusted(newest))
             assign_staging(newest);
         check_weights(newest);
-        if (weights.state(newest) != cj::weights_state::wrong)
-            return;
-        stage_missing();
-        if (staged.size() < chunk_count || unloading)
+        if (weights.state(newest) != cj::weights_state::wrong || unloading)
             return;
         unloading = true;
         call({message_kind::unload, 0, newest - 1, last->sequence},
@@ -531,14 +555,14 @@
     }
 
     upstream_model& upstream;
+    lasting_state& lasting;
     checks made_checks;
     cj::time_point now{};
     cj::time_point next_poll{};
     std::optional<cj::time_point> drain_at;
     std::map<std::uint64_t, open_call> calls;
     std::deque<std::pair<std::uint64_t, response>> received;
-    std::uint64_t last_call{0};
-    std::uint64_t newest{1};
+    std::uint64_t newest;
     std::optional<cj::engine_report> last;
     cj::loaded_weights weights;
     std::optional<cj::load_command> command;
@@ -571,7 +595,10 @@
 {
     dice random(seed);
     upstream_model upstream;
-    sidecar_model sidecar(upstream, made_checks);
+    lasting_state lasting;
+    std::uint64_t newest = 1;
+    std::optional<sidecar_model> sidecar;
+    auto starts_at = cj::time_point{};
     const cj::time_point start{100s};
     const auto second_at =
         start + 500ms + cj::milliseconds(1700 + random.below(1700));
@@ -582,9 +609,18 @@
     {
         const bool disturbed = now < calm_at;
         if (now == start + 500ms)
-            sidecar.publish(2);
+            newest = 2;
         if (now == second_at)
-            sidecar.publish(3);
+            newest = 3;
+        if (disturbed && sidecar && random.one_in(3000))
+        {
+            sidecar.reset();
+            starts_at = now + cj::milliseconds(random.below(1000));
+        }
+        if (!sidecar && now >= starts_at)
+            sidecar.emplace(upstream, lasting, made_checks, newest);
+        if (sidecar)
+            sidecar->publish(newest);
         if (disturbed && random.one_in(1000))
             upstream.corrupt_chunk(random.below(chunk_count));
         if (disturbed && random.one_in(10'000))
@@ -596,16 +632,17 @@
         }
         if (now >= still_until[0])
         {
-            if (const auto ended = upstream.step(now, random))
-                sidecar.receive(ended->first, ended->second);
+            const auto ended = upstream.step(now, random);
+            if (ended && sidecar)
+                sidecar->receive(ended->first, ended->second);
         }
-        if (now >= still_until[1])
-            sidecar.step(now, random);
-        const auto open = sidecar.open_version();
+        if (sidecar && now >= still_until[1])
+            sidecar->step(now, random);
+        const auto open = sidecar ? sidecar->open_version() : 0;
         seen.served_wrong =
             seen.served_wrong || (open > 0 && upstream.holds_wrong(open));
     }
-    seen.final_version = sidecar.open_version();
+    seen.final_version = sidecar->open_version();
     return seen;
 }
 
--- a/tests/rollout/scripted_engine.hpp
+++ b/tests/rollout/scripted_engine.hpp
@@ -39,6 +39,9 @@
 public:
     explicit scripted_origin(cj::event_loop& owner) : loop(owner) {}
 
+    /*! @brief Chunks that it still sends before it is unavailable. */
+    std::size_t chunks_left{1000};
+
     void chunks(const std::string&, const cj::model_version& wanted,
                 const std::function<void(cj::result<cj::manifest>)>& done)
     {
@@ -58,8 +61,14 @@
                cj::chunk_index chunk,
                const std::function<void(cj::result<std::string>)>& done)
     {
-        respond([wanted, chunk, done]
-                { done(chunk_of(wanted.version, chunk)); });
+        respond(
+            [this, wanted, chunk, done]
+            {
+                if (chunks_left == 0)
+                    return done(cj::failure(cj::error_kind::unavailable, ""));
+                --chunks_left;
+                done(chunk_of(wanted.version, chunk));
+            });
     }
 
 private:
@@ -86,6 +95,18 @@
     /*! @brief Called when a load command arrives, before it is handled. */
     std::function<void()> load_arrives;
 
+    /*! @brief Called when a load command was taken. */
+    std::function<void()> load_taken;
+
+    /*! @brief Ends the connections of a sidecar: what it sent is handled, but
+     * its callbacks are not called any more. */
+    void disconnect()
+    {
+        for (const auto& open : open_calls)
+            *open = false;
+        open_calls.clear();
+    }
+
     /*! @brief Handles no call until `resume`; calls that arrive wait. */
     void suspend() { suspended = true; }
 
@@ -231,6 +252,7 @@
                   Response timed_out, std::function<void(Response)> done)
     {
         const auto open = std::make_shared<bool>(true);
+        open_calls.push_back(open);
         const auto end = [open, done = std::move(done)](Response response)
         {
             if (std::exchange(*open, false))
@@ -260,6 +282,8 @@
         wrong_count += wrong ? 1 : 0;
         held = 0;
         loading = true;
+        if (load_taken)
+            std::exchange(load_taken, nullptr)();
         loaded = loop.after(50ms,
                             [this, version]
                             {
@@ -273,6 +297,7 @@
     std::vector<cj::timer> timers;
     cj::timer loaded;
     std::vector<call> waiting;
+    std::vector<std::shared_ptr<bool>> open_calls;
     std::map<cj::chunk_index, std::string> chunks;
     std::uint64_t held{1};
     std::uint64_t sequence{0};
--- a/tests/rollout/upstream_agent.cpp
+++ b/tests/rollout/upstream_agent.cpp
@@ -67,8 +67,11 @@
     {
         return cj::hall_id(key);
     }
-    static cj::item_order order(const std::string&, const std::string& payload)
+    static cj::item_order order(const std::string& key,
+                                const std::string& payload)
     {
+        if (key.starts_with(cj::weights_record_prefix))
+            return {};
         return cj::item_order{0, std::stoull(payload)};
     }
     static bool is_operator_key(const std::string& key)
@@ -100,27 +103,11 @@
                 keys.write("configuration", "1");
                 keys.write("upstream", "1");
                 keys.write("version", "1");
-                store = std::make_unique<proxy_test::memory_store>(running.loop,
-                                                                   keys);
                 engine = std::make_unique<rollout_test::scripted_engine>(
                     running.loop);
                 origin = std::make_unique<rollout_test::scripted_origin>(
                     running.loop);
-                cj::fleet_options own;
-                own.address = loopback::own_address(1);
-                own.port = 21'741;
-                own.hall = cj::hall_id("h");
-                own.entry = true;
-                own.seeds = {own.address};
-                own.items = {one_upstream::order,
-                             one_upstream::is_operator_key};
-                node = std::move(agent_type::node_type::create(
-                                     running.loop, *store, counters, own)
-                                     .value());
-                agent = std::make_unique<agent_type>(running.loop, *node,
-                                                     *engine, *origin, counters,
-                                                     cj::agent_options{});
-                agent->start();
+                start();
                 // Upstreams write their records all the time, so that the
                 // sidecar takes its next step also without a report.
                 watching = running.loop.every(5ms, [this] { watch(); });
@@ -133,6 +120,8 @@
             [&]
             {
                 watching.stop();
+                ending.stop();
+                starting.stop();
                 agent.reset();
                 node.reset();
                 engine.reset();
@@ -142,6 +131,56 @@
         running.stop();
     }
 
+    /*! @brief Ends the sidecar without warning and starts it again 100 ms
+     * later, after the upstream has finished a load. */
+    void kill_and_start()
+    {
+        running.on_loop([&] { restart_later(1ms, 100ms); });
+    }
+
+    /*! @brief Does the same 1 ms after the next load command was taken. */
+    void kill_when_load_is_taken()
+    {
+        on_loop(
+            [this](rollout_test::scripted_engine& upstream)
+            { upstream.load_taken = [this] { restart_later(1ms, 100ms); }; });
+    }
+
+    /*! @brief Stops the sidecar as planned once the next load command was taken
+     * and starts it again. */
+    void stop_when_load_is_taken()
+    {
+        const auto stop = [this]
+        {
+            ending = running.loop.after(
+                1ms,
+                [this] { agent->stop([this] { restart_later(1ms, 1ms); }); });
+        };
+        on_loop([stop](rollout_test::scripted_engine& upstream)
+                { upstream.load_taken = stop; });
+    }
+
+    /*! @brief Lets the origin send this many further chunks only. */
+    void limit_origin(std::size_t chunks)
+    {
+        running.on_loop([&] { origin->chunks_left = chunks; });
+    }
+
+    /*! @brief Removes the record of checked weights from the store. */
+    void remove_record()
+    {
+        running.on_loop(
+            [&]
+            { keys.remove(cj::weights_record_key(loopback::own_address(1))); });
+    }
+
+    /*! @brief Returns whether the store holds the record of checked weights. To
+     * be called on the event loop. */
+    [[nodiscard]] bool recorded() const
+    {
+        return keys.holds(cj::weights_record_key(loopback::own_address(1)));
+    }
+
     void publish(std::uint64_t version)
     {
         running.on_loop([&]
@@ -165,7 +204,8 @@
         while (cj::event_loop::now() < end)
         {
             bool holds = false;
-            running.on_loop([&] { holds = condition(agent->state()); });
+            running.on_loop([&]
+                            { holds = agent && condition(agent->state()); });
             if (holds)
                 return true;
             std::this_thread::sleep_for(5ms);
@@ -210,10 +250,44 @@
     }
 
 private:
+    void start()
+    {
+        store = std::make_unique<proxy_test::memory_store>(running.loop, keys);
+        cj::fleet_options own;
+        own.address = loopback::own_address(1);
+        own.port = 21'741;
+        own.hall = cj::hall_id("h");
+        own.entry = true;
+        own.seeds = {own.address};
+        own.items = {one_upstream::order, one_upstream::is_operator_key};
+        node = std::move(
+            agent_type::node_type::create(running.loop, *store, counters, own)
+                .value());
+        agent =
+            std::make_unique<agent_type>(running.loop, *node, *engine, *origin,
+                                         counters, cj::agent_options{});
+        agent->start();
+    }
+
+    void restart_later(cj::milliseconds until_end, cj::milliseconds down)
+    {
+        ending = running.loop.after(until_end,
+                                    [this]
+                                    {
+                                        engine->disconnect();
+                                        agent.reset();
+                                        node.reset();
+                                        store.reset();
+                                    });
+        starting = running.loop.after(until_end + down, [this] { start(); });
+    }
+
     void watch()
     {
         if (++ticks % 40 == 0)
             keys.write("upstream", std::to_string(ticks));
+        if (!agent)
+            return;
         const auto state = agent->state();
         open_with_wrong =
             open_with_wrong || (state.open && engine->is_wrong() &&
@@ -231,12 +305,16 @@
     std::unique_ptr<agent_type::node_type> node;
     std::unique_ptr<agent_type> agent;
     cj::timer watching;
+    cj::timer ending;
+    cj::timer starting;
 };
 
 const auto wrong_loads = [](const rollout_test::scripted_engine& engine)
 { return engine.wrong_loads(); };
 const auto unloads = [](const rollout_test::scripted_engine& engine)
 { return engine.unloads(); };
+const auto corrupt_a_chunk = [](rollout_test::scripted_engine& engine)
+{ engine.load_arrives = [&engine] { engine.corrupt_chunk(3); }; };
 
 } // namespace
 
@@ -326,3 +404,94 @@
         CHECK_FALSE(sidecar.served_wrong());
     }
 }
+
+// A sidecar that was killed, or stopped as planned, between its load command
+// and the check of the loaded weights left wrong weights behind, which the next
+// process trusted: they served requests until the next version.
+SCENARIO("weights that an earlier process of the sidecar did not check are not "
+         "served",
+         "[rollout]")
+{
+    sidecar_process sidecar;
+    REQUIRE(sidecar.wait_for_version(1));
+
+    GIVEN("a chunk that is wrong when the load command is taken")
+    {
+        sidecar.on_loop(corrupt_a_chunk);
+        THEN("they are loaded again if the sidecar is killed")
+        {
+            sidecar.kill_when_load_is_taken();
+            sidecar.publish(2);
+            CHECK(sidecar.wait_for_version(2));
+            CHECK(sidecar.count(wrong_loads) == 1);
+            CHECK(sidecar.count(unloads) == 1);
+            CHECK_FALSE(sidecar.served_wrong());
+        }
+        THEN("they are loaded again if the sidecar is stopped as planned")
+        {
+            sidecar.stop_when_load_is_taken();
+            sidecar.publish(2);
+            CHECK(sidecar.wait_for_version(2));
+            CHECK(sidecar.count(wrong_loads) == 1);
+            CHECK_FALSE(sidecar.served_wrong());
+        }
+    }
+    GIVEN("chunks that are right when the load command is taken")
+    {
+        THEN("they are served without a further load if the sidecar is killed")
+        {
+            sidecar.kill_when_load_is_taken();
+            sidecar.publish(2);
+            CHECK(sidecar.wait_for_version(2));
+            CHECK(sidecar.count(unloads) == 0);
+        }
+    }
+}
+
+// Without the record a sidecar that starts amid the next transfer could not
+// tell whether the served weights are right.
+SCENARIO("the record of a check outlasts the sidecar", "[rollout]")
+{
+    sidecar_process sidecar;
+    REQUIRE(sidecar.wait_for_version(1));
+    sidecar.publish(2);
+    REQUIRE(sidecar.wait_for_version(2));
+    REQUIRE(
+        sidecar.wait_until([&](const auto&) { return sidecar.recorded(); }));
+    sidecar.limit_origin(3);
+    sidecar.publish(3);
+    REQUIRE(sidecar.wait_until(
+        [](const cj::agent_state& state)
+        {
+            return std::any_of(state.versions.begin(), state.versions.end(),
+                               [](const cj::version_progress& one) {
+                                   return one.version == 3 &&
+                                          one.staged_chunks == 3;
+                               });
+        }));
+
+    GIVEN("a sidecar that starts beside its record")
+    {
+        sidecar.kill_and_start();
+        THEN("it opens its upstream")
+        {
+            std::this_thread::sleep_for(50ms);
+            CHECK(sidecar.wait_for_version(2));
+        }
+    }
+    GIVEN("a sidecar that starts without one")
+    {
+        sidecar.remove_record();
+        std::this_thread::sleep_for(300ms);
+        sidecar.kill_and_start();
+        std::this_thread::sleep_for(50ms);
+        THEN("its upstream stays closed until the next version is loaded")
+        {
+            CHECK_FALSE(sidecar.wait_until([](const cj::agent_state& state)
+                                           { return state.open; },
+                                           2000ms));
+            sidecar.limit_origin(1000);
+            CHECK(sidecar.wait_for_version(3));
+        }
+    }
+}
