Test that wrong weights are given up before their chunks are replaced

A sidecar that starts between the two would read right chunks back beside wrong weights. The record is decoded only where no command has been taken.

--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -528,15 +528,20 @@
      * incarnation, which might otherwise count for the next load. */
     void record_weights()
     {
-        const auto stored = records.stored();
-        const bool needed = last_report->sequence > 0
-                                ? serves_right_weights()
-                                : stored && stored->is_outdated(*last_report);
-        if (needed)
+        if (last_report->sequence > 0 ? serves_right_weights()
+                                      : replaces_record())
             records.set(weights_record::of(*last_report));
         records.write_if_missing();
     }
 
+    /*! @brief Returns whether the store has a record of an earlier incarnation
+     * of the upstream. */
+    [[nodiscard]] bool replaces_record() const
+    {
+        const auto stored = records.stored();
+        return stored && stored->is_outdated(*last_report);
+    }
+
     /*! @brief Logs why the upstream's weights are trusted, or that they are
      * not. */
     void log_trust(const std::string& reason) const
--- a/tests/rollout/scripted_engine.hpp
+++ b/tests/rollout/scripted_engine.hpp
@@ -143,6 +143,10 @@
 
     [[nodiscard]] std::size_t unloads() const { return unload_count; }
 
+    /*! @brief Returns how often wrong weights were given up after their chunks
+     * had been replaced. */
+    [[nodiscard]] std::size_t late_unloads() const { return late_unload_count; }
+
     // --- Calls of the sidecar --------------------------------------------
 
     void report(std::function<void(cj::result<cj::engine_report>)> done)
@@ -230,6 +234,7 @@
             [this, expected]
             {
                 ++unload_count;
+                late_unload_count += wrong && has_right_chunks(held) ? 1 : 0;
                 return take(0, expected);
             },
             cj::load_outcome::unknown, std::move(done));
@@ -269,16 +274,24 @@
                                     }));
     }
 
+    [[nodiscard]] bool has_right_chunks(std::uint64_t version) const
+    {
+        for (cj::chunk_index chunk = 0; chunk < chunk_count; ++chunk)
+        {
+            const auto found = chunks.find(chunk);
+            if (found == chunks.end() ||
+                found->second != chunk_of(version, chunk))
+                return false;
+        }
+        return true;
+    }
+
     cj::load_outcome take(std::uint64_t version, std::uint64_t expected)
     {
         if (expected != sequence || loading)
             return cj::load_outcome::conflict;
         ++sequence;
-        wrong = false;
-        for (cj::chunk_index chunk = 0; version > 0 && chunk < chunk_count;
-             ++chunk)
-            wrong = wrong || !chunks.contains(chunk) ||
-                    chunks[chunk] != chunk_of(version, chunk);
+        wrong = version > 0 && !has_right_chunks(version);
         wrong_count += wrong ? 1 : 0;
         held = 0;
         loading = true;
@@ -303,6 +316,7 @@
     std::uint64_t sequence{0};
     std::size_t wrong_count{0};
     std::size_t unload_count{0};
+    std::size_t late_unload_count{0};
     bool loading{false};
     bool suspended{false};
     bool wrong{false};
--- a/tests/rollout/upstream_agent.cpp
+++ b/tests/rollout/upstream_agent.cpp
@@ -313,6 +313,8 @@
 { return engine.wrong_loads(); };
 const auto unloads = [](const rollout_test::scripted_engine& engine)
 { return engine.unloads(); };
+const auto late_unloads = [](const rollout_test::scripted_engine& engine)
+{ return engine.late_unloads(); };
 const auto corrupt_a_chunk = [](rollout_test::scripted_engine& engine)
 { engine.load_arrives = [&engine] { engine.corrupt_chunk(3); }; };
 
@@ -358,6 +360,11 @@
             CHECK(sidecar.count(unloads) == 1);
             CHECK_FALSE(sidecar.served_wrong());
         }
+        THEN("they are given up before their chunks are replaced")
+        {
+            CHECK(sidecar.wait_for_version(2));
+            CHECK(sidecar.count(late_unloads) == 0);
+        }
     }
 }
 
