--- a/tests/session/test_soak.py
+++ b/tests/session/test_soak.py
@@ -142,6 +142,11 @@
         # chunks of the next version had been put.
         self.play(5, 0, "--pauses", "3", "--entries", "5")
 
+    def test_weights_that_no_process_has_checked_make_no_events(self):
+        # Seeds 2, 3, 5 and 6 failed: sidecars trusted what their killed predecessor had loaded. Guards
+        # as well against entries that start meanwhile and go by the record of the upstream.
+        self.play(3, 0, "--pauses", "2", "--ends", "--entries", "5")
+
     def test_retries_of_lost_responses_keep_to_the_budget(self):
         # Guards against repeats that no entry counts: upstreams read requests and lose
         # their responses by a reset.
--- a/tests/soak/pauses.py
+++ b/tests/soak/pauses.py
@@ -16,6 +16,7 @@
 NEXT_VERSION_S = (1.7, 3.4)  # From an order that is not handled to the name of the next version.
 CHECK_S = 10.0  # An engine that holds the version already is never checked.
 SERVES_ON_S = (8.0, 16.0)
+AFTER_ORDER_S = 3.0
 STREAM_SLOWNESS = 2.0  # Streams run while their engine is to load another version.
 CALLERS = 12  # Further ones, so that each entry sends to each upstream every few hundred ms.
 
@@ -26,9 +27,10 @@
     soak.faults.append("pauses")
     for one in soak.engines:
         one.slowness = STREAM_SLOWNESS
-    play = {"check": pause_after_check, "order": pause_at_order, "removal": pause_beside_removal}
+    play = {"check": pause_after_check, "order": pause_at_order, "removal": pause_beside_removal,
+            "end": end_after_order}
     for _ in range(count):
-        kinds = dice.choices(KINDS, k=dice.randint(1, 3))
+        kinds = ["end"] if soak.asked.ends else dice.choices(KINDS, k=dice.randint(1, 3))
         plays = []
         for kind in kinds:
             soak.count(f"pause {kind}")
@@ -131,6 +133,42 @@
     await leaver.end()
 
 
+async def end_after_order(soak, dice, delay):
+    """An engine stands still as its order arrives and takes it with chunks that have turned bad.
+    Then its sidecar ends, all processes do, or it stands still while the entries of its hall start
+    again."""
+    await asyncio.sleep(delay)
+    place = dice.randrange(len(soak.engines))
+    engine, side = soak.engines[place], soak.sides[place]
+    engine.pause_at_order()
+    await soak.name_version()
+    try:
+        await asyncio.wait_for(engine.order_arrived.wait(), CHECK_S)
+    except asyncio.TimeoutError:
+        soak.count("pause end: too late")
+        return engine.resume()
+    engine.turn_bad(dice.sample(sorted(engine.staged), min(3, len(engine.staged))))
+    await asyncio.sleep(dice.uniform(*LONG_S))
+    before = engine.sequence
+    engine.resume()
+    end = soak.acknowledged.now() + AFTER_ORDER_S
+    while engine.sequence == before and soak.acknowledged.now() < end:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(dice.uniform(0, 0.5))
+    way = dice.choice(["killed", "stopped", "all killed", "entries"])
+    soak.count(f"pause end: {way}")
+    if way == "entries":
+        near = [one for one in soak.entries if one.hall == side.hall]
+        restarts = [restart_entry(soak, one, dice.uniform(0, 1)) for one in near]
+        await asyncio.gather(pause(soak, side, dice.uniform(*LONG_S)), *restarts)
+    else:
+        ended = soak.entries + soak.sides if way == "all killed" else [side]
+        for one in ended:
+            soak.disturb(one.name)
+        await asyncio.gather(*(one.stop(signal.SIGTERM if way == "stopped" else signal.SIGKILL) for one in ended))
+    await asyncio.sleep(dice.uniform(1, 3))
+
+
 async def restart_entry(soak, entry, delay):
     await asyncio.sleep(delay)
     trouble = soak.acknowledged.begin("stop", entry.name)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,8 @@
                                        while the end is judged
     soak.py ... --pauses N         N times sidecars, engines and entries stand still between a check and what
                                    they do after it, beside staged chunks that turn bad and records that go
+    soak.py ... --pauses N --ends  N times an engine takes such chunks, and then its sidecar ends, all processes
+                                       do, or entries start while it stands still
     soak.py ... --hard-load [PARTS]    short and uneven capacity in two or three halls: all of these parts,
                                        or those named: evacuation,cold,regions,pace,readers
     soak.py ... --halls N --entries N --sides N    more processes
@@ -725,6 +727,7 @@
     parser.add_argument("--lost-responses", action="store_true")
     parser.add_argument("--leaving", action="store_true")
     parser.add_argument("--pauses", type=int, default=0)
+    parser.add_argument("--ends", action="store_true")
     parser.add_argument("--busy", action="store_true")
     parser.add_argument("--unframed", action="store_true")
     parser.add_argument("--stops", action="store_true")
