Test: an upstream is avoided in the turn in which its status arrives

Cause: its fixture applies a status since, and an upstream is avoided for 8 s, not for 300 ms, if its status has expired. Between the two steps of the test the loaded machine let more than the second pass after which one expires. Ruled out: the change under test, as the request was never placed.

Both steps are one turn of the loop now.

--- a/tests/proxy/upstream_left_before_sending.cpp
+++ b/tests/proxy/upstream_left_before_sending.cpp
@@ -47,6 +47,19 @@
         running.on_loop([&] { open_upstream(records[id], "m"); });
     }
 
+    /*! @brief Registers an upstream that is avoided for 300 ms. In one turn of
+     * the loop, since one whose status has expired is avoided for 8 s. */
+    void add_avoided(const std::string& id, const std::string& address)
+    {
+        records[id] = with_weights(id, address, 1);
+        running.on_loop(
+            [&]
+            {
+                open_upstream(records[id], "m");
+                book.mark_silent(cj::instance_id(id), cj::event_loop::now());
+            });
+    }
+
     /*! @brief Makes an upstream unfit after the decision on the n-th attempt,
      * before its connection is up.
      * @param other Address of an upstream that is added then, so that no
@@ -182,10 +195,7 @@
         {
             entry.first_event_target = 20'000ms;
             entry.configure_route(kind, false, 20'000ms);
-            entry.add("a", left.address);
-            // Avoided for 300 ms.
-            entry.running.on_loop(
-                [&] { entry.book.mark_silent(cj::instance_id("a"), now()); });
+            entry.add_avoided("a", left.address);
             CHECK(entry.ask_for_model().find("data: other") !=
                   std::string::npos);
         }
