Weights record: one rule for when it is written; fixtures that stood twice

Tests of the route use the status of placement_fixtures in place of two copies, the soak's two plays of a late load command share their beginning, and the test of a malformed record now checks that it is replaced, as its name says.

Run: [rollout] whole, the changed cases of [route], both soak cases of late load commands, format.

--- a/src/coursejunction/rollout/loaded_weights.hpp
+++ b/src/coursejunction/rollout/loaded_weights.hpp
@@ -78,7 +78,7 @@
     {
         if (current != weights_state::unchecked || last_sequence != sequence)
             return false;
-        trust(version);
+        settle(version, weights_state::trusted);
         return true;
     }
 
@@ -136,9 +136,9 @@
             outcome == staged_result::unreadable)
             return false;
         const bool rewritten = last_written_at >= not_taken_at;
-        trust(ended.version);
-        if (outcome != staged_result::intact || rewritten)
-            current = weights_state::wrong;
+        settle(ended.version, outcome == staged_result::intact && !rewritten
+                                  ? weights_state::trusted
+                                  : weights_state::wrong);
         return true;
     }
 
@@ -153,9 +153,9 @@
             any_version ? weights_state::trusted : weights_state::unchecked;
     }
 
-    void trust(std::uint64_t version)
+    void settle(std::uint64_t version, weights_state found)
     {
-        current = weights_state::trusted;
+        current = found;
         checked_version = version;
         any_version = false;
     }
--- a/src/coursejunction/rollout/upstream_agent.hpp
+++ b/src/coursejunction/rollout/upstream_agent.hpp
@@ -72,7 +72,7 @@
      * upstream closed is given up; the next update starts it again. */
     milliseconds load_timeout{5000};
     /*! @brief Limit on the time for which a planned stop waits for the check of
-     * loaded weights. A check takes some 0.2 s. */
+     * loaded weights. */
     milliseconds stop_timeout{3000};
     /*! @brief Rate of the instance's link, by which uploads are paced; zero for
      * no limit. */
@@ -523,25 +523,15 @@
             log_trust("record");
     }
 
-    /*! @brief Records the weights if they are known to be right. Weights that
-     * no command loaded need no record, but they replace one of an earlier
-     * incarnation, which might otherwise count for the next load. */
+    /*! @brief Has the weights recorded if they are known to be right. */
     void record_weights()
     {
-        if (last_report->sequence > 0 ? serves_right_weights()
-                                      : replaces_record())
+        if (needs_record(*last_report, serves_right_weights(),
+                         records.stored()))
             records.set(weights_record::of(*last_report));
         records.write_if_missing();
     }
 
-    /*! @brief Returns whether the store has a record of an earlier incarnation
-     * of the upstream. */
-    [[nodiscard]] bool replaces_record() const
-    {
-        const auto stored = records.stored();
-        return stored && stored->is_outdated(*last_report);
-    }
-
     /*! @brief Logs why the upstream's weights are trusted, or that they are
      * not. */
     void log_trust(const std::string& reason) const
--- a/src/coursejunction/rollout/weights_record.hpp
+++ b/src/coursejunction/rollout/weights_record.hpp
@@ -9,6 +9,7 @@
 #define COURSEJUNCTION_ROLLOUT_WEIGHTS_RECORD_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -49,6 +50,19 @@
                            const weights_record&) = default;
 };
 
+/*! @brief Returns whether the weights in a report are to be recorded. Those
+ * that no command loaded need no record, but they replace one of an earlier
+ * incarnation, which might otherwise count for the next load.
+ * @param trusted Whether the weights are known to be right.
+ * @param stored The record in the store, if any. */
+[[nodiscard]] inline bool
+needs_record(const engine_report& report, bool trusted,
+             const std::optional<weights_record>& stored)
+{
+    return report.sequence > 0 ? trusted
+                               : stored && stored->is_outdated(report);
+}
+
 /*! @brief Returns the key of the record of a sidecar.
  * @param address IP address of the sidecar. */
 [[nodiscard]] std::string weights_record_key(const std::string& address);
--- a/tests/rollout/load_interleavings.cpp
+++ b/tests/rollout/load_interleavings.cpp
@@ -368,11 +368,7 @@
 
     void write_record()
     {
-        const bool needed =
-            last->sequence > 0
-                ? trusted(last->version)
-                : lasting.record && lasting.record->is_outdated(*last);
-        if (needed)
+        if (cj::needs_record(*last, trusted(last->version), lasting.record))
             lasting.record = cj::weights_record::of(*last);
     }
 
--- a/tests/rollout/weights_record_writer.cpp
+++ b/tests/rollout/weights_record_writer.cpp
@@ -25,6 +25,28 @@
 
     ~mirrored_writer() { running.stop(); }
 
+    /*! @brief Waits until the store holds a record that is set. */
+    [[nodiscard]] bool is_replaced_by(const cj::weights_record& record)
+    {
+        const auto written = [&]
+        {
+            bool done = false;
+            running.on_loop(
+                [&]
+                {
+                    writer.set(record);
+                    writer.write_if_missing();
+                    done = keys.items.at(key).payload ==
+                           cj::weights_record_payload(record);
+                });
+            return done;
+        };
+        const auto end = cj::event_loop::now() + 3s;
+        while (!written() && cj::event_loop::now() < end)
+            std::this_thread::sleep_for(20ms);
+        return written();
+    }
+
     void show()
     {
         cj::message::mirror_item item;
@@ -72,24 +94,7 @@
     }
     SECTION("a later load replaces it, after a delay")
     {
-        const cj::weights_record next{"m", 3, {}, 2};
-        const auto written = [&]
-        {
-            bool done = false;
-            one.running.on_loop(
-                [&]
-                {
-                    one.writer.set(next);
-                    one.writer.write_if_missing();
-                    done = one.keys.items.at(one.key).payload ==
-                           cj::weights_record_payload(next);
-                });
-            return done;
-        };
-        const auto end = cj::event_loop::now() + 3s;
-        while (!written() && cj::event_loop::now() < end)
-            std::this_thread::sleep_for(20ms);
-        CHECK(written());
+        CHECK(one.is_replaced_by({"m", 3, {}, 2}));
     }
     SECTION("a malformed one counts as none, and is replaced")
     {
@@ -100,5 +105,6 @@
                 one.show();
                 CHECK_FALSE(one.writer.stored());
             });
+        CHECK(one.is_replaced_by(record));
     }
 }
--- a/tests/route/dispatcher.cpp
+++ b/tests/route/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "route/load_replay.hpp"
+#include "route/placement_fixtures.hpp"
 
 using load_replay::load_pattern;
 using load_replay::simulator;
@@ -191,13 +192,7 @@
     far.model_versions["m"] = 1;
     far.address = "10.0.0.1:80";
     registry.apply_record(far);
-    cj::message::upstream_status open_status;
-    open_status.model = "m";
-    open_status.version = 1;
-    open_status.sequence = 1;
-    open_status.open = true;
-    open_status.reachable = true;
-    registry.apply_status("10.0.0.1", open_status, now);
+    registry.apply_status("10.0.0.1", placement_test::status(1), now);
     cj::placement_request request;
     request.service = service.name;
     request.model = "m";
--- a/tests/route/upstream_pace.cpp
+++ b/tests/route/upstream_pace.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include "coursejunction/route/placement.hpp"
+#include "placement_fixtures.hpp"
 
 namespace cj = coursejunction;
 using namespace std::chrono_literals;
@@ -163,13 +164,7 @@
     record.model_versions["m"] = 1;
     cj::upstream_registry registry;
     registry.apply_record(record);
-    cj::message::upstream_status open_status;
-    open_status.model = "m";
-    open_status.version = 1;
-    open_status.sequence = 1;
-    open_status.open = true;
-    open_status.reachable = true;
-    registry.apply_status("10.0.0.1", open_status, start);
+    registry.apply_status("10.0.0.1", placement_test::status(1), start);
     const cj::placer selector({}, cj::hall_id("h"), "self");
     cj::placement_request request;
     request.service = service.name;
@@ -197,13 +192,8 @@
     }
     WHEN("the upstream reports that it is slow")
     {
-        cj::message::upstream_status status;
-        status.model = "m";
-        status.version = 1;
-        status.open = true;
-        status.reachable = true;
+        auto status = placement_test::status(2);
         status.pace = 2.5;
-        status.sequence = 2;
         registry.apply_status("10.0.0.1", status, start);
         THEN("its report is not counted twice")
         {
--- a/tests/soak/pauses.py
+++ b/tests/soak/pauses.py
@@ -85,19 +85,26 @@
     return None
 
 
+async def stands_still_at_order(soak, engine):
+    """Names a version; returns whether the engine stands still as its order arrives, in time."""
+    engine.pause_at_order()
+    await soak.name_version()
+    try:
+        await asyncio.wait_for(engine.order_arrived.wait(), CHECK_S)
+    except asyncio.TimeoutError:
+        engine.resume()
+        return False
+    return True
+
+
 async def pause_at_order(soak, dice, delay):
     """An engine stands still as its order arrives; the next version is named meanwhile, of which
     the origin provides a part only for a while."""
     await asyncio.sleep(delay)
     engine = dice.choice(soak.engines)
     length = dice.uniform(*AT_ORDER_S)
-    engine.pause_at_order()
-    await soak.name_version()
-    try:
-        await asyncio.wait_for(engine.order_arrived.wait(), CHECK_S)
-    except asyncio.TimeoutError:
-        soak.count("pause order: too late")
-        return engine.resume()
+    if not await stands_still_at_order(soak, engine):
+        return soak.count("pause order: too late")
     soak.count("pause order: at the order")
     begun = soak.acknowledged.now()
     await asyncio.sleep(dice.uniform(*NEXT_VERSION_S))
@@ -140,13 +147,8 @@
     await asyncio.sleep(delay)
     place = dice.randrange(len(soak.engines))
     engine, side = soak.engines[place], soak.sides[place]
-    engine.pause_at_order()
-    await soak.name_version()
-    try:
-        await asyncio.wait_for(engine.order_arrived.wait(), CHECK_S)
-    except asyncio.TimeoutError:
-        soak.count("pause end: too late")
-        return engine.resume()
+    if not await stands_still_at_order(soak, engine):
+        return soak.count("pause end: too late")
     engine.turn_bad(dice.sample(sorted(engine.staged), min(3, len(engine.staged))))
     await asyncio.sleep(dice.uniform(*LONG_S))
     before = engine.sequence
