--- a/review/platform2.py
+++ b/review/platform2.py
@@ -12,13 +12,16 @@
 import signal
 import socket
 import subprocess
-import tempfile
+import sys
 import time
 import tomllib
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
+# A case that is stopped ends the processes that it started.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 
 def free_port(*hosts):
     """A port below the range that the kernel gives out, free on all these addresses."""
