Review: each run of a case takes a loopback address of its own

Cause: the status port is fixed in the templates, so that two cases at a time met at one address. Change: platform2.free_host.

--- a/review/platform2.py
+++ b/review/platform2.py
@@ -19,6 +19,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
+STATUS_PORT = 9464  # It is fixed in the templates of the deploy file.
+
 # A case that is stopped ends the processes that it started.
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
@@ -37,6 +39,18 @@
             continue
 
 
+def free_host():
+    """A loopback address on which the status port of the templates is free."""
+    while True:
+        host = f"127.86.{random.SystemRandom().randrange(1, 255)}.{random.SystemRandom().randrange(1, 255)}"
+        try:
+            with socket.socket() as one:
+                one.bind((host, STATUS_PORT))
+            return host
+        except OSError:
+            continue
+
+
 class Record:
     """Collects what was sent, answered and run."""
 
