Review: a script that can't run exits with 2

Cause: an uncaught exception ends Python with 1, which means a broken rule; so did all five scripts without a build.

--- a/review/platform2.py
+++ b/review/platform2.py
@@ -15,6 +15,7 @@
 import sys
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -259,6 +260,17 @@
             "platform.address": store, "bounds.version_ms": 8000, "bounds.graceS": grace}
 
 
+def run_case(main):
+    """Runs a case and ends this process with its exit code: 1 if the rule was broken, 0 if
+    it held, 2 if the case could not run, which an exception means as well."""
+    try:
+        code = asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code if code in (0, 1) else 2)
+
+
 async def wait_ready(address, limit=20.0):
     host, port = address.split(":")
     end = time.monotonic() + limit
